--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# The front door: make run, make test, make lint, make bench, make fuzz, make generate.
+
+BIN := $(CURDIR)/bin
+TOOLS := $(CURDIR)/.tools
+GOLANGCI_VERSION := v2.15.0
+GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+FUZZTIME ?= 20s
+
+.PHONY: all build run test race lint bench fuzz generate clean
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./cmd/...
+
+run: build
+	$(BIN)/troutmast-demo
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+lint: $(GOLANGCI)
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "not formatted"; exit 1; }
+	go vet ./...
+	$(GOLANGCI) run ./...
+
+$(GOLANGCI):
+	@mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(TOOLS)/golangci-lint $(GOLANGCI)
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./protocol/lang
+	go test -run '^$$' -fuzz FuzzDecodeRecord -fuzztime $(FUZZTIME) ./state
+	go test -run '^$$' -fuzz FuzzDecodeReport -fuzztime $(FUZZTIME) ./protocol/target
+
+# The generated code in protocol/rpc is committed; this is needed only after a change of the .proto file.
+generate:
+	GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@v1.75.0
+	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+	GOBIN=$(TOOLS) go install connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.19.2
+	PATH=$(TOOLS):$$PATH buf generate
+
+clean:
+	rm -rf $(BIN) $(TOOLS)
--- /dev/null
+++ b/cmd/troutmast-standin/troutmast-standin.go
@@ -0,0 +1,111 @@
+// Command troutmast-standin runs stand-ins of the platform and of targets, for tests and the first run.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/integrii/flaggy"
+
+	"github.com/troutmast/troutmast/internal/standin"
+	"github.com/troutmast/troutmast/protocol/platform"
+	"github.com/troutmast/troutmast/state"
+)
+
+// options are the settings of a stand-in.
+type options struct {
+	addr       string
+	platform   string
+	id         string
+	hall       string
+	domain     string
+	service    bool
+	fences     bool
+	loadTime   time.Duration
+	tokenDelay time.Duration
+	slots      int
+}
+
+// main runs the stand-in that the command line names.
+func main() {
+	o := options{addr: "127.0.0.1:8090", platform: "127.0.0.1:8090", hall: "hall-1", domain: "domain-1", loadTime: 200 * time.Millisecond, tokenDelay: 2 * time.Millisecond, slots: 16}
+	plat := flaggy.NewSubcommand("platform")
+	plat.Description = "the log and the instance list"
+	plat.String(&o.addr, "", "addr", "ip:port to listen on")
+	tgt := flaggy.NewSubcommand("target")
+	tgt.Description = "one target instance"
+	tgt.String(&o.addr, "", "addr", "ip:port to listen on")
+	tgt.String(&o.platform, "", "platform", "ip:port of the platform")
+	tgt.String(&o.id, "", "id", "id of the instance")
+	tgt.String(&o.hall, "", "hall", "data hall")
+	tgt.String(&o.domain, "", "domain", "fabric domain")
+	tgt.Bool(&o.service, "", "service", "be a plain service")
+	tgt.Bool(&o.fences, "", "fences", "check the epoch of orders")
+	tgt.Duration(&o.loadTime, "", "load-time", "time to load")
+	tgt.Duration(&o.tokenDelay, "", "token-delay", "time between tokens")
+	tgt.Int(&o.slots, "", "slots", "requests batched")
+	flaggy.SetName("troutmast-standin")
+	flaggy.AttachSubcommand(plat, 1)
+	flaggy.AttachSubcommand(tgt, 1)
+	flaggy.Parse()
+	var h http.Handler
+	switch {
+	case plat.Used:
+		h = standin.NewPlatform().Handler()
+	case tgt.Used:
+		h = o.target()
+	default:
+		flaggy.ShowHelpAndExit("name a stand-in: platform or target")
+	}
+	s := &http.Server{Addr: o.addr, Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	if err := s.ListenAndServe(); err != nil {
+		log.WithError(err).Error("stand-in ended")
+		os.Exit(1)
+	}
+}
+
+// target returns the routes of a target and keeps it registered.
+func (o *options) target() http.Handler {
+	addr, err := netip.ParseAddrPort(o.addr)
+	if err != nil {
+		flaggy.ShowHelpAndExit(fmt.Sprintf("--addr: %v", err))
+	}
+	go o.register(addr)
+	return standin.NewTarget(standin.TargetConfig{
+		ID:           state.InstanceID(o.id),
+		Service:      o.service,
+		ChecksFences: o.fences,
+		LoadTime:     o.loadTime,
+		TokenDelay:   o.tokenDelay,
+		Slots:        o.slots,
+	}).Handler()
+}
+
+// register puts the target into the platform's list, until that has worked once.
+func (o *options) register(addr netip.AddrPort) {
+	entry := platform.Instance{ID: state.InstanceID(o.id), Hall: state.HallName(o.hall), Domain: o.domain, Address: addr, ChecksFences: o.fences}
+	data, err := json.Marshal(entry)
+	if err != nil {
+		log.WithError(err).Error("not registered")
+		return
+	}
+	for {
+		req, err := http.NewRequest(http.MethodPut, "http://"+o.platform+"/v1/instances/"+o.id, bytes.NewReader(data))
+		if err != nil {
+			log.WithError(err).Error("not registered")
+			return
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/cmd/troutmastd/troutmastd.go
@@ -0,0 +1,45 @@
+// Command troutmastd is one entry node of troutmast.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/integrii/flaggy"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/troutmast/troutmast/transport/node"
+	"github.com/troutmast/troutmast/transport/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// main reads the settings and runs the node until it is told to stop.
+func main() {
+	p := flaggy.NewParser("troutmastd")
+	p.Description = "entry node of troutmast; every flag can also be given as an environment variable"
+	set, err := settings.FromOS(p)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	log.SetHandler(json.New(os.Stderr))
+	log.SetLevelFromString(set.LogLevel)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	err = node.New(set, clockwork.NewRealClock()).Run(ctx)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
--- /dev/null
+++ b/coordination/admission/admission.go
@@ -0,0 +1,279 @@
+// Package admission decides whether a request may start now, has to wait, or is
+// refused at once with when to come back.
+package admission
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/troutmast/troutmast/state"
+)
+
+// Code is the reason of a refusal.
+type Code string
+
+// The reasons for which a request is refused before it is sent.
+const (
+	CodeTeamLimit Code = "team-limit"
+	CodeQueueFull Code = "queue-full"
+	CodeTooLate   Code = "deadline-too-near"
+	CodeEvicted   Code = "displaced-by-priority"
+	CodeNoGroup   Code = "no-whole-group"
+	CodeStopping  Code = "node-stopping"
+)
+
+// Refusal says why a request is refused and when to come back.
+type Refusal struct {
+	Code       Code
+	RetryAfter time.Duration
+}
+
+// Error returns the code and the time to wait.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("admission: %s, come back in %s", r.Code, r.RetryAfter.Round(time.Millisecond))
+}
+
+// classes is the number of priority classes.
+const classes = int(state.PriorityBatch) + 1
+
+// Config bounds a Pool.
+type Config struct {
+	// QueueFactor is the greatest length of the queue as a multiple of the capacity.
+	QueueFactor float64
+	// MinQueue is the least bound of the queue.
+	MinQueue int
+	// MinRetry and MaxRetry bound what a refused caller is told to wait.
+	MinRetry time.Duration
+	MaxRetry time.Duration
+}
+
+// DefaultConfig returns the bounds that a node uses.
+func DefaultConfig() Config {
+	return Config{QueueFactor: 1, MinQueue: 8, MinRetry: time.Second, MaxRetry: 30 * time.Second}
+}
+
+// waiter is one request in the queue.
+type waiter struct {
+	priority state.Priority
+	deadline time.Time
+	granted  chan *Refusal
+}
+
+// Pool holds the places of one model or service at one node; safe for concurrent use.
+type Pool struct {
+	cfg   Config
+	clock clockwork.Clock
+
+	mu       sync.Mutex
+	capacity int
+	held     int
+	queues   [classes][]*waiter
+	rate     meter
+}
+
+// NewPool returns a Pool without capacity.
+func NewPool(cfg Config, clock clockwork.Clock) *Pool {
+	return &Pool{cfg: cfg, clock: clock}
+}
+
+// SetCapacity changes the number of places and lets waiting requests in.
+func (p *Pool) SetCapacity(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.capacity = n
+	p.grant()
+}
+
+// Capacity returns the number of places.
+func (p *Pool) Capacity() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.capacity
+}
+
+// Held returns the places taken and the requests waiting.
+func (p *Pool) Held() (held, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held, p.waiting(classes)
+}
+
+// Acquire takes a place, waiting in the queue of its priority if need be. The
+// place must be given back by Release. A request that cannot be served before
+// its deadline is refused at once.
+func (p *Pool) Acquire(ctx context.Context, priority state.Priority, deadline time.Time) error {
+	w, refusal := p.enter(priority, deadline)
+	if refusal != nil {
+		return refusal
+	}
+	if w == nil {
+		return nil
+	}
+	timer := p.clock.NewTimer(p.clock.Until(deadline))
+	defer timer.Stop()
+	select {
+	case refusal := <-w.granted:
+		return asError(refusal)
+	case <-ctx.Done():
+		return p.leave(w, ctx.Err())
+	case <-timer.Chan():
+		return p.leave(w, p.refusal(CodeTooLate))
+	}
+}
+
+// asError returns a typed nil as a plain nil.
+func asError(r *Refusal) error {
+	if r == nil {
+		return nil
+	}
+	return r
+}
+
+// enter takes a place at once (nil, nil), queues the request, or refuses it.
+func (p *Pool) enter(priority state.Priority, deadline time.Time) (*waiter, *Refusal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held < p.capacity && p.waiting(int(priority)+1) == 0 {
+		p.held++
+		return nil, nil
+	}
+	if p.capacity == 0 {
+		return nil, p.refuse(CodeNoGroup)
+	}
+	if !p.makeRoom(priority) {
+		return nil, p.refuse(CodeQueueFull)
+	}
+	ahead := p.waiting(int(priority) + 1)
+	if p.clock.Now().Add(p.wait(ahead + 1)).After(deadline) {
+		return nil, p.refuse(CodeTooLate)
+	}
+	w := &waiter{priority: priority, deadline: deadline, granted: make(chan *Refusal, 1)}
+	p.queues[priority] = append(p.queues[priority], w)
+	p.dropHopeless(int(priority) + 1)
+	return w, nil
+}
+
+// makeRoom keeps the queue within its bound; a request of a lower class gives way to one of a higher.
+func (p *Pool) makeRoom(priority state.Priority) bool {
+	bound := max(p.cfg.MinQueue, int(p.cfg.QueueFactor*float64(p.capacity)))
+	if p.waiting(classes) < bound {
+		return true
+	}
+	for class := classes - 1; class > int(priority); class-- {
+		if q := p.queues[class]; len(q) > 0 {
+			q[len(q)-1].granted <- p.refuse(CodeEvicted)
+			p.queues[class] = q[:len(q)-1]
+			return true
+		}
+	}
+	return false
+}
+
+// dropHopeless refuses at once every request of the classes from first on that
+// can no longer be served in time because of those now ahead of it.
+func (p *Pool) dropHopeless(first int) {
+	ahead := p.waiting(first)
+	for class := first; class < classes; class++ {
+		kept := p.queues[class][:0]
+		for _, w := range p.queues[class] {
+			ahead++
+			if p.clock.Now().Add(p.wait(ahead)).After(w.deadline) {
+				w.granted <- p.refuse(CodeTooLate)
+				ahead--
+				continue
+			}
+			kept = append(kept, w)
+		}
+		p.queues[class] = kept
+	}
+}
+
+// waiting returns how many requests wait in the classes before end.
+func (p *Pool) waiting(end int) int {
+	n := 0
+	for _, q := range p.queues[:end] {
+		n += len(q)
+	}
+	return n
+}
+
+// wait returns the expected time until n places have come free; 0 before the first was given back.
+func (p *Pool) wait(n int) time.Duration {
+	perSecond := p.rate.perSecond(p.clock.Now())
+	if perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(n) / perSecond * float64(time.Second))
+}
+
+// refusal is refuse for callers that do not hold mu.
+func (p *Pool) refusal(code Code) *Refusal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refuse(code)
+}
+
+// refuse returns a Refusal with the time in which the queue will have drained, jittered.
+func (p *Pool) refuse(code Code) *Refusal {
+	d := min(max(p.wait(p.waiting(classes)+1), p.cfg.MinRetry), p.cfg.MaxRetry)
+	return &Refusal{Code: code, RetryAfter: Jitter(d)}
+}
+
+// Jitter returns a random duration between d and one and a half times d.
+func Jitter(d time.Duration) time.Duration {
+	return d + rand.N(d/2+1)
+}
+
+// leave takes a request out of the queue; a place granted meanwhile is given back.
+func (p *Pool) leave(w *waiter, err error) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, other := range p.queues[w.priority] {
+		if other == w {
+			p.queues[w.priority] = append(p.queues[w.priority][:i:i], p.queues[w.priority][i+1:]...)
+			return err
+		}
+	}
+	if refusal := <-w.granted; refusal == nil {
+		p.held--
+		p.grant()
+	}
+	return err
+}
+
+// Release gives a place back and lets the next request in.
+func (p *Pool) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held--
+	p.rate.add(p.clock.Now())
+	p.grant()
+}
+
+// grant lets waiting requests in, the highest class first, while places are free.
+func (p *Pool) grant() {
+	for p.held < p.capacity {
+		w := p.pop()
+		if w == nil {
+			return
+		}
+		p.held++
+		w.granted <- nil
+	}
+}
+
+// pop takes the next request out of the queue, or returns nil.
+func (p *Pool) pop() *waiter {
+	for class := range p.queues {
+		if q := p.queues[class]; len(q) > 0 {
+			p.queues[class] = q[1:]
+			return q[0]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/membership/membership.go
@@ -0,0 +1,188 @@
+// Package membership knows the other entry nodes: where they are, what they
+// last said of themselves, and which of them a piece of shared work falls to.
+package membership
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/troutmast/troutmast/state"
+)
+
+// Node is what an entry node last said of itself.
+type Node struct {
+	Name        string
+	Hall        state.HallName
+	Address     netip.AddrPort
+	Incarnation string
+	Applied     state.Offset
+	Ready       bool
+	Stopping    bool
+	// LogAge is how long before SaidAt the node last held all that the log held.
+	LogAge time.Duration
+	// Held is the number of requests in progress.
+	Held int
+	// Demand is the number of requests a second that came in, smoothed.
+	Demand int
+	// Models are the models and services that the node can serve in its own hall.
+	Models []string
+	// SaidAt is when the question that it answered was asked, by the receiver's clock.
+	SaidAt time.Time
+}
+
+// Directory holds the known nodes; the zero value is not usable.
+type Directory struct {
+	self     Node
+	liveness time.Duration
+	mu       sync.RWMutex
+	nodes    map[string]Node
+	held     map[string]map[state.GroupName]int
+}
+
+// NewDirectory returns a Directory for a node; a peer silent for longer than liveness counts as gone.
+func NewDirectory(self Node, liveness time.Duration) *Directory {
+	return &Directory{
+		self:     self,
+		liveness: liveness,
+		nodes:    map[string]Node{},
+		held:     map[string]map[state.GroupName]int{},
+	}
+}
+
+// Self returns the node's own name, hall, address and incarnation.
+func (d *Directory) Self() Node { return d.self }
+
+// Learn takes in what a node said, unless something newer is held.
+func (d *Directory) Learn(n Node) {
+	if n.Name == "" || n.Name == d.self.Name {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old, ok := d.nodes[n.Name]; ok && !n.SaidAt.After(old.SaidAt) {
+		return
+	}
+	d.nodes[n.Name] = n
+}
+
+// Introduce takes in a node that has called, if it was not known: it may be asked from then on.
+//
+// What a caller says of itself is not dated by a question of ours, so it
+// neither renews a node that is known nor makes the new one count as live.
+func (d *Directory) Introduce(n Node) {
+	n.SaidAt = time.Time{}
+	n.Applied, n.Ready, n.Models = 0, false, nil
+	d.Learn(n)
+}
+
+// LearnHeld notes how many requests a node holds for each group.
+func (d *Directory) LearnHeld(node string, held map[state.GroupName]int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.held[node] = held
+}
+
+// Known returns all nodes ever heard of except the node itself, by name.
+func (d *Directory) Known() []Node {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	list := make([]Node, 0, len(d.nodes))
+	for _, n := range d.nodes {
+		list = append(list, n)
+	}
+	slices.SortFunc(list, func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Live returns the peers of a hall heard of lately, or of all halls for an empty name.
+func (d *Directory) Live(hall state.HallName, now time.Time) []Node {
+	return slices.DeleteFunc(d.Known(), func(n Node) bool {
+		return (hall != "" && n.Hall != hall) || now.Sub(n.SaidAt) > d.liveness
+	})
+}
+
+// HallNames returns the names of the node itself and its live peers in its own hall.
+func (d *Directory) HallNames(now time.Time) []string {
+	names := []string{d.self.Name}
+	for _, n := range d.Live(d.self.Hall, now) {
+		names = append(names, n.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Mine tells whether a piece of the hall's work falls to this node.
+func (d *Directory) Mine(key string, now time.Time) bool {
+	return Owner(key, d.HallNames(now)) == d.self.Name
+}
+
+// ClearedOf tells whether every node of the hall has applied an offset and holds no request of a group.
+//
+// A node that has fallen silent blocks for as long as gone, since it may still
+// be at work on a request; after that its connections count as closed.
+func (d *Directory) ClearedOf(g *state.Group, now time.Time, gone time.Duration) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for name, n := range d.nodes {
+		if n.Hall != g.Hall || now.Sub(n.SaidAt) > gone {
+			continue
+		}
+		if n.Applied < g.Drained || now.Sub(n.SaidAt) > d.liveness || d.held[name][g.Name] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Owner names the one of several nodes to which a key falls, by rendezvous hashing.
+func Owner(key string, names []string) string {
+	var best string
+	var most uint64
+	for _, name := range names {
+		var h xxhash.Digest
+		h.Reset()
+		_, _ = h.WriteString(name)
+		_, _ = h.WriteString("\x00")
+		_, _ = h.WriteString(key)
+		if score := h.Sum64(); best == "" || score > most {
+			best, most = name, score
+		}
+	}
+	return best
+}
+
+// Split divides whole places over nodes by their demand and returns the part of one of them.
+//
+// Every node computes the same division from the same demands; the parts add
+// up to the whole exactly.
+func Split(whole int, demand map[string]int, name string) int {
+	names := make([]string, 0, len(demand))
+	total := 0
+	for n, d := range demand {
+		names = append(names, n)
+		total += d + 1
+	}
+	slices.Sort(names)
+	parts := map[string]int{}
+	left := whole
+	for _, n := range names {
+		parts[n] = whole * (demand[n] + 1) / total
+		left -= parts[n]
+	}
+	for _, n := range names {
+		if left > 0 && parts[n] == 0 {
+			parts[n]++
+			left--
+		}
+	}
+	for i := 0; left > 0; i++ {
+		parts[names[i%len(names)]]++
+		left--
+	}
+	return parts[name]
+}
--- /dev/null
+++ b/coordination/probe/probe.go
@@ -0,0 +1,157 @@
+// Package probe asks the target instances of a data hall what they are, and
+// sends the orders that follow from their answers.
+package probe
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/troutmast/troutmast/coordination/control"
+	"github.com/troutmast/troutmast/coordination/evidence"
+	"github.com/troutmast/troutmast/coordination/statelog"
+	"github.com/troutmast/troutmast/state"
+)
+
+// Target is what is asked and ordered.
+type Target interface {
+	Probe(ctx context.Context, addr netip.AddrPort) (evidence.Report, error)
+	Order(ctx context.Context, addr netip.AddrPort, o control.Order) error
+}
+
+// Config bounds a Prober.
+type Config struct {
+	Interval time.Duration
+	// Window is the evidence window; a probe is given up after half of it.
+	Window time.Duration
+}
+
+// Sources tell a Prober what there is to do.
+type Sources struct {
+	// Instances returns the addresses of the hall's instances.
+	Instances func() map[state.InstanceID]netip.AddrPort
+	// Mine tells whether probing an instance falls to this node.
+	Mine func(id state.InstanceID) bool
+	View func() *statelog.View
+	// MayOrder tells whether the node's state is fresh enough to give orders.
+	MayOrder func() bool
+	// Observed is called after a report of an instance was taken in.
+	Observed func(r evidence.Report)
+	// Count adds one to a counter.
+	Count func(name string)
+}
+
+// Prober probes the instances that fall to its node, and those that no other node has probed lately.
+type Prober struct {
+	cfg    Config
+	target Target
+	src    Sources
+	table  *evidence.Table
+	feed   *evidence.Feed
+	clock  clockwork.Clock
+
+	mu   sync.Mutex
+	busy map[state.InstanceID]bool
+}
+
+// New returns a Prober that fills a table and a feed.
+func New(cfg Config, target Target, src Sources, table *evidence.Table, feed *evidence.Feed, clock clockwork.Clock) *Prober {
+	return &Prober{cfg: cfg, target: target, src: src, table: table, feed: feed, clock: clock, busy: map[state.InstanceID]bool{}}
+}
+
+// Run probes until ctx ends.
+func (p *Prober) Run(ctx context.Context) {
+	tick := p.clock.NewTicker(p.cfg.Interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.Chan():
+			p.Round(ctx)
+		}
+	}
+}
+
+// Round starts one probe of every instance that needs one.
+func (p *Prober) Round(ctx context.Context) {
+	now := p.clock.Now()
+	for id, addr := range p.src.Instances() {
+		mine := p.src.Mine(id)
+		if (mine || p.stale(id, now)) && p.take(id) {
+			go p.probe(ctx, id, addr, mine)
+		}
+	}
+	p.feed.Expire(now.Add(-p.cfg.Window))
+}
+
+// stale tells whether the evidence of an instance is about to run out, or has.
+func (p *Prober) stale(id state.InstanceID, now time.Time) bool {
+	e, ok := p.table.Get(id)
+	return !ok || now.Sub(e.Asked) > p.cfg.Window*2/3
+}
+
+// take marks an instance as being probed, unless it is already.
+func (p *Prober) take(id state.InstanceID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy[id] {
+		return false
+	}
+	p.busy[id] = true
+	return true
+}
+
+// done ends the mark of take.
+func (p *Prober) done(id state.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, id)
+}
+
+// probe asks one instance and orders it if its answer calls for that.
+func (p *Prober) probe(ctx context.Context, id state.InstanceID, addr netip.AddrPort, mine bool) {
+	defer p.done(id)
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.Window/2)
+	defer cancel()
+	asked := p.clock.Now()
+	p.src.Count("probes")
+	r, err := p.target.Probe(ctx, addr)
+	if err != nil {
+		p.src.Count("probes.failed")
+		return
+	}
+	if r.Instance != id {
+		p.src.Count("probes.wrong-instance")
+		return
+	}
+	p.table.Observe(r, asked)
+	if mine {
+		p.feed.Observe(r, asked)
+	}
+	p.src.Observed(r)
+	p.order(ctx, addr, r)
+}
+
+// order sends the order that a report calls for.
+func (p *Prober) order(ctx context.Context, addr netip.AddrPort, r evidence.Report) {
+	if !p.src.MayOrder() {
+		return
+	}
+	o, needed := control.Need(p.src.View(), r)
+	if !needed {
+		return
+	}
+	p.src.Count("orders")
+	fields := log.Fields{"instance": r.Instance, "group": o.Group, "epoch": o.Epoch}
+	if err := p.target.Order(ctx, addr, o); err != nil {
+		p.src.Count("orders.failed")
+		log.WithError(err).WithFields(fields).Warn("order not obeyed")
+		return
+	}
+	log.WithFields(fields).Info("order sent")
+}
--- /dev/null
+++ b/coordination/statelog/follower.go
@@ -0,0 +1,307 @@
+package statelog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/troutmast/troutmast/state"
+)
+
+// Config bounds a Follower.
+type Config struct {
+	// PageSize is the greatest number of entries asked for at once.
+	PageSize int
+	// PollWait is how long the log may hold a read open for new entries.
+	PollWait time.Duration
+	// RetryDelay is the pause after a failed read.
+	RetryDelay time.Duration
+	// RecentEntries is how many entries are kept for peers.
+	RecentEntries int
+	// SnapshotEvery is the number of offsets between two snapshots.
+	SnapshotEvery state.Offset
+}
+
+// DefaultConfig returns the bounds that a node uses.
+func DefaultConfig() Config {
+	return Config{
+		PageSize:      500,
+		PollWait:      500 * time.Millisecond,
+		RetryDelay:    200 * time.Millisecond,
+		RecentEntries: 4096,
+		SnapshotEvery: 1000,
+	}
+}
+
+// Follower holds a node's copy of the state and moves it forward only.
+type Follower struct {
+	cfg   Config
+	log   Log
+	peers Peers
+	clock clockwork.Clock
+
+	mu      sync.RWMutex
+	st      *state.State
+	recent  []state.Entry
+	stopped error
+	changed chan struct{}
+	waiters map[string][]chan state.Outcome
+	own     *state.Snapshot
+
+	view         atomic.Pointer[View]
+	headAt       atomic.Int64
+	lastSnapshot atomic.Uint64
+}
+
+// NewFollower returns a Follower with the empty state.
+func NewFollower(cfg Config, log Log, peers Peers, clock clockwork.Clock) *Follower {
+	f := &Follower{
+		cfg:     cfg,
+		log:     log,
+		peers:   peers,
+		clock:   clock,
+		st:      state.New(),
+		changed: make(chan struct{}),
+		waiters: map[string][]chan state.Outcome{},
+	}
+	f.view.Store(newView(f.st))
+	return f
+}
+
+// View returns the part of the state that the request path needs.
+func (f *Follower) View() *View { return f.view.Load() }
+
+// Applied returns the offset of the last record applied.
+func (f *Follower) Applied() state.Offset {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.st.Offset()
+}
+
+// HeadAge returns how long ago the node last held everything that the log held; false before the first time.
+func (f *Follower) HeadAge() (time.Duration, bool) {
+	at := f.headAt.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return f.clock.Since(time.Unix(0, at)), true
+}
+
+// Stopped returns why the fold has stopped, or nil.
+func (f *Follower) Stopped() error {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.stopped
+}
+
+// Read calls fn with the state; fn must neither keep nor change it.
+func (f *Follower) Read(fn func(s *state.State)) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	fn(f.st)
+}
+
+// Changed returns a channel that is closed when the next entries are applied.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.changed
+}
+
+// Run follows the log until ctx ends or the fold must stop.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := f.Step(ctx)
+		if errors.Is(err, ErrStopped) {
+			return err
+		}
+		if err != nil {
+			f.pause(ctx)
+		}
+	}
+	return ctx.Err()
+}
+
+// pause waits for the retry delay or the end of ctx.
+func (f *Follower) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-f.clock.After(f.cfg.RetryDelay):
+	}
+}
+
+// Step reads once from the log, or from a peer when the log fails.
+func (f *Follower) Step(ctx context.Context) error {
+	asked := f.clock.Now()
+	from := f.Applied() + 1
+	page, err := f.log.Read(ctx, from, f.cfg.PageSize, f.cfg.PollWait)
+	if err != nil {
+		return errors.Join(err, f.stepFromPeers(ctx, from))
+	}
+	if page.First > from {
+		return f.jump(ctx, page.First)
+	}
+	if err := f.apply(page.Entries); err != nil {
+		return err
+	}
+	if f.Applied() >= page.Head {
+		f.headAt.Store(asked.UnixNano())
+	}
+	return nil
+}
+
+// stepFromPeers takes entries, or a snapshot when those are gone, from a peer.
+func (f *Follower) stepFromPeers(ctx context.Context, from state.Offset) error {
+	if f.peers == nil {
+		return ErrNoState
+	}
+	entries, err := f.peers.Records(ctx, from, f.cfg.PageSize)
+	if err == nil {
+		return f.apply(entries)
+	}
+	snap, err := f.peers.Snapshot(ctx, from-1)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNoState, err)
+	}
+	return f.Install(snap)
+}
+
+// jump passes over trimmed entries by a snapshot that the log or a peer still holds.
+func (f *Follower) jump(ctx context.Context, first state.Offset) error {
+	snap, err := f.findSnapshot(ctx, first)
+	if err != nil && f.peers != nil {
+		snap, err = f.peers.Snapshot(ctx, f.Applied())
+	}
+	if err != nil {
+		return fmt.Errorf("%w: the log begins at %d: %w", ErrNoState, first, err)
+	}
+	return f.Install(snap)
+}
+
+// findSnapshot returns the newest usable snapshot in the retained log.
+func (f *Follower) findSnapshot(ctx context.Context, first state.Offset) (*state.Snapshot, error) {
+	var newest *state.Snapshot
+	for from := first; ; {
+		page, err := f.log.Read(ctx, from, f.cfg.PageSize, 0)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range page.Entries {
+			if r, err := state.DecodeRecord(e.Data); err == nil && usable(r, first) {
+				newest = r.Snapshot
+			}
+		}
+		if len(page.Entries) == 0 {
+			break
+		}
+		from += state.Offset(len(page.Entries))
+	}
+	if newest == nil {
+		return nil, ErrNoState
+	}
+	return newest, nil
+}
+
+// usable tells whether a record holds a snapshot from which the retained log goes on.
+func usable(r *state.Record, first state.Offset) bool {
+	return r.Kind == state.KindSnapshot && r.Snapshot != nil && r.Snapshot.At+1 >= first
+}
+
+// Install replaces the state by a newer snapshot.
+func (f *Follower) Install(snap *state.Snapshot) error {
+	st, err := state.Restore(snap)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if st.Offset() <= f.st.Offset() {
+		return fmt.Errorf("%w: %d offered, %d held", state.ErrBackwards, st.Offset(), f.st.Offset())
+	}
+	f.st = st
+	f.recent = nil
+	f.raiseLastSnapshot(snap.At)
+	for id := range f.waiters {
+		if o, ok := st.Outcome(id); ok {
+			f.wake(o)
+		}
+	}
+	f.publish()
+	return nil
+}
+
+// apply folds entries into the state, passing over those already applied.
+func (f *Follower) apply(entries []state.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped != nil {
+		return f.stopped
+	}
+	for _, e := range entries {
+		if e.Offset <= f.st.Offset() {
+			continue
+		}
+		if err := f.applyOne(e); err != nil {
+			f.publish()
+			return err
+		}
+	}
+	f.publish()
+	return nil
+}
+
+// applyOne folds one entry; it stops the fold on a record that is not understood.
+func (f *Follower) applyOne(e state.Entry) error {
+	o, err := f.st.Apply(e)
+	if errors.Is(err, state.ErrUnknownRecord) {
+		f.stopped = fmt.Errorf("%w: %w", ErrStopped, err)
+		return f.stopped
+	}
+	if err != nil {
+		return err
+	}
+	f.keep(e)
+	f.wake(o)
+	return f.snapshotPoint(e)
+}
+
+// keep remembers an entry for peers.
+func (f *Follower) keep(e state.Entry) {
+	f.recent = append(f.recent, e)
+	if len(f.recent) > 2*f.cfg.RecentEntries {
+		f.recent = append([]state.Entry(nil), f.recent[len(f.recent)-f.cfg.RecentEntries:]...)
+	}
+}
+
+// publish makes the applied state visible to the request path and wakes waiters.
+//
+// Claims change nothing in the View, so it is rebuilt only after a command.
+func (f *Follower) publish() {
+	if f.view.Load().Offset != f.st.LastAccepted() {
+		f.view.Store(newView(f.st))
+	}
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Recent returns up to most entries from an offset on, or false if they are no longer held.
+func (f *Follower) Recent(from state.Offset, most int) ([]state.Entry, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if from > f.st.Offset() {
+		return nil, true
+	}
+	if len(f.recent) == 0 || f.recent[0].Offset > from {
+		return nil, false
+	}
+	i := int(from - f.recent[0].Offset)
+	return append([]state.Entry(nil), f.recent[i:min(i+most, len(f.recent))]...), true
+}
--- /dev/null
+++ b/coordination/statelog/settle.go
@@ -0,0 +1,78 @@
+package statelog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/troutmast/troutmast/state"
+)
+
+// Do appends a command or void record and waits until its outcome is read back.
+//
+// ErrNotAppended is returned only when the one attempt made certainly failed;
+// ErrUnsettled when ctx ends while the record may still take effect.
+func (f *Follower) Do(ctx context.Context, r *state.Record) (state.Outcome, error) {
+	data, err := r.Encode()
+	if err != nil {
+		return state.Outcome{}, err
+	}
+	if err := f.Stopped(); err != nil {
+		return state.Outcome{}, err
+	}
+	ch := f.await(r.ID)
+	defer f.forsake(r.ID, ch)
+	if _, err := f.log.Append(ctx, data); errors.Is(err, ErrNotAppended) {
+		return state.Outcome{}, err
+	}
+	select {
+	case o := <-ch:
+		return o, nil
+	case <-ctx.Done():
+		return state.Outcome{}, fmt.Errorf("%w: id %s", ErrUnsettled, r.ID)
+	}
+}
+
+// await returns a channel that gets the outcome of an id, at once if it is settled.
+func (f *Follower) await(id string) chan state.Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ch := make(chan state.Outcome, 1)
+	if o, ok := f.st.Outcome(id); ok {
+		ch <- o
+		return ch
+	}
+	f.waiters[id] = append(f.waiters[id], ch)
+	return ch
+}
+
+// wake hands an outcome to all that wait for its id; the caller holds mu.
+func (f *Follower) wake(o state.Outcome) {
+	for _, ch := range f.waiters[o.ID] {
+		ch <- o
+	}
+	delete(f.waiters, o.ID)
+}
+
+// forsake gives up waiting for an id.
+func (f *Follower) forsake(id string, ch chan state.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rest := slices.DeleteFunc(f.waiters[id], func(c chan state.Outcome) bool { return c == ch })
+	if len(rest) == 0 {
+		delete(f.waiters, id)
+		return
+	}
+	f.waiters[id] = rest
+}
+
+// Append appends a record without waiting for it to be read back.
+func (f *Follower) Append(ctx context.Context, r *state.Record) error {
+	data, err := r.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = f.log.Append(ctx, data)
+	return err
+}
--- /dev/null
+++ b/coordination/statelog/view.go
@@ -0,0 +1,43 @@
+package statelog
+
+import "github.com/troutmast/troutmast/state"
+
+// View is what the request path needs of the state; it is never changed.
+type View struct {
+	// Offset is that of the last command that changed something.
+	Offset      state.Offset
+	Policy      state.Policy
+	Groups      []*state.Group
+	ByName      map[state.GroupName]*state.Group
+	Assignments map[state.InstanceID]*state.Assignment
+	TeamByKey   map[string]*state.Team
+	Services    map[state.ServiceName]*state.Service
+}
+
+// newView copies what the request path needs out of the state.
+func newView(s *state.State) *View {
+	v := &View{
+		Offset:      s.LastAccepted(),
+		Policy:      s.Policy(),
+		Groups:      s.Groups(),
+		ByName:      map[state.GroupName]*state.Group{},
+		Assignments: map[state.InstanceID]*state.Assignment{},
+		TeamByKey:   map[string]*state.Team{},
+		Services:    map[state.ServiceName]*state.Service{},
+	}
+	for _, g := range v.Groups {
+		v.ByName[g.Name] = g
+	}
+	for _, a := range s.Assignments() {
+		v.Assignments[a.Instance] = a
+	}
+	for _, t := range s.Teams() {
+		for _, h := range t.KeyHashes {
+			v.TeamByKey[h] = t
+		}
+	}
+	for _, svc := range s.Services() {
+		v.Services[svc.Name] = svc
+	}
+	return v
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,318 @@
+// Package lab starts the programs of this repository as separate processes on
+// loopback, for the first run and for process tests.
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/troutmast/troutmast/internal/standin"
+	"github.com/troutmast/troutmast/protocol/platform"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/transport/ctl"
+)
+
+// Secrets of every lab.
+const (
+	OperatorSecret = "operator-secret"
+	PeerSecret     = "peer-secret"
+)
+
+// startTimeout bounds the wait for a process to answer.
+const startTimeout = 20 * time.Second
+
+// Process is one process that the lab has started.
+type Process struct {
+	Name string
+	Addr netip.AddrPort
+	cmd  *exec.Cmd
+	log  *bytes.Buffer
+	done chan struct{}
+	err  error
+}
+
+// Node is a running entry node.
+type Node struct {
+	*Process
+	Operator netip.AddrPort
+	Peer     netip.AddrPort
+	Hall     string
+	flags    []string
+}
+
+// Lab holds the processes of one run.
+type Lab struct {
+	bin string
+	// Platform is the stand-in of the platform.
+	Platform *Process
+	Nodes    []*Node
+	Targets  map[string]*Process
+
+	mu  sync.Mutex
+	all []*Process
+}
+
+// New returns a Lab that runs the programs in a directory, with a platform running.
+func New(bin string) (*Lab, error) {
+	l := &Lab{bin: bin, Targets: map[string]*Process{}}
+	addr, err := FreeAddr()
+	if err != nil {
+		return nil, err
+	}
+	l.Platform, err = l.start("platform", addr, "troutmast-standin", "platform", "--addr", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	return l, l.await(l.Platform, "/v1/instances")
+}
+
+// Build builds the programs into a directory.
+func Build(dir string) error {
+	cmd := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "github.com/troutmast/troutmast/cmd/...")
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("lab: build: %w: %s", err, out)
+	}
+	return nil
+}
+
+// FreeAddr returns a loopback address that is free now.
+func FreeAddr() (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer func() { _ = l.Close() }()
+	return netip.ParseAddrPort(l.Addr().String())
+}
+
+// start starts a program.
+func (l *Lab) start(name string, addr netip.AddrPort, program string, args ...string) (*Process, error) {
+	p := &Process{Name: name, Addr: addr, log: &bytes.Buffer{}, done: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(l.bin, program), args...)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("lab: %s: %w", name, err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, p)
+	return p, nil
+}
+
+// await waits until a process answers a path with 200.
+func (l *Lab) await(p *Process, path string) error {
+	return Eventually(startTimeout, func() error {
+		select {
+		case <-p.done:
+			return fmt.Errorf("lab: %s ended: %w: %s", p.Name, p.err, p.log)
+		default:
+		}
+		resp, err := http.Get("http://" + p.Addr.String() + path)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		if resp.StatusCode != http.StatusOK {
+			text, _ := io.ReadAll(resp.Body)
+			return fmt.Errorf("lab: %s: %s: %s", p.Name, resp.Status, text)
+		}
+		return nil
+	})
+}
+
+// Eventually calls fn until it succeeds or the time is over, and returns its last error.
+func Eventually(limit time.Duration, fn func() error) error {
+	end := time.Now().Add(limit)
+	for {
+		err := fn()
+		if err == nil || time.Now().After(end) {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// StartTarget starts a target in a hall and fabric domain.
+func (l *Lab) StartTarget(id, hall, domain string, flags ...string) error {
+	addr, err := FreeAddr()
+	if err != nil {
+		return err
+	}
+	return l.startTargetAt(addr, id, hall, domain, flags...)
+}
+
+// startTargetAt starts a target at an address.
+func (l *Lab) startTargetAt(addr netip.AddrPort, id, hall, domain string, flags ...string) error {
+	args := []string{"target", "--addr", addr.String(), "--platform", l.Platform.Addr.String(), "--id", id, "--hall", hall, "--domain", domain}
+	p, err := l.start(id, addr, "troutmast-standin", append(args, flags...)...)
+	if err != nil {
+		return err
+	}
+	l.Targets[id] = p
+	return l.await(p, "/v1/report")
+}
+
+// RestartTarget starts a target again at its old address.
+func (l *Lab) RestartTarget(id, hall, domain string, flags ...string) error {
+	return l.startTargetAt(l.Targets[id].Addr, id, hall, domain, flags...)
+}
+
+// StartNodes starts one node for each hall named; they know each other from the start.
+func (l *Lab) StartNodes(halls []string, flags ...string) error {
+	nodes := make([]*Node, len(halls))
+	peers := make([]string, len(halls))
+	for i, hall := range halls {
+		n := &Node{Hall: hall, flags: flags, Process: &Process{Name: fmt.Sprintf("node-%d", len(l.Nodes)+i+1)}}
+		for _, a := range []*netip.AddrPort{&n.Addr, &n.Operator, &n.Peer} {
+			var err error
+			if *a, err = FreeAddr(); err != nil {
+				return err
+			}
+		}
+		nodes[i], peers[i] = n, n.Peer.String()
+	}
+	for _, n := range nodes {
+		n.flags = append([]string{"--peers", strings.Join(peers, ",")}, flags...)
+		if err := l.StartNode(n); err != nil {
+			return err
+		}
+		l.Nodes = append(l.Nodes, n)
+	}
+	return nil
+}
+
+// StartNode starts a node, or starts it again after its end.
+func (l *Lab) StartNode(n *Node) error {
+	args := []string{
+		"--name", n.Name, "--hall", n.Hall, "--callers", n.Addr.String(), "--operator", n.Operator.String(),
+		"--peer", n.Peer.String(), "--platform", l.Platform.Addr.String(),
+		"--operator-secret", OperatorSecret, "--peer-secret", PeerSecret, "--stop-lag", "300ms",
+	}
+	p, err := l.start(n.Name, n.Addr, "troutmastd", append(args, n.flags...)...)
+	if err != nil {
+		return err
+	}
+	n.Process = p
+	return l.await(p, "/livez")
+}
+
+// AwaitReady waits until every node is ready.
+func (l *Lab) AwaitReady() error {
+	for _, n := range l.Nodes {
+		if err := l.await(n.Process, "/readyz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Ctl runs troutctl against a node and returns its output.
+func (l *Lab) Ctl(n *Node, words ...string) (string, int) {
+	var out bytes.Buffer
+	args := append([]string{"--addr", n.Operator.String(), "--secret", OperatorSecret, "--user", "lab"}, words...)
+	code := ctl.Run(args, func(string) (string, bool) { return "", false }, &out, &out)
+	return out.String(), code
+}
+
+// PlatformFault switches the faults of the platform.
+func (l *Lab) PlatformFault(f standin.PlatformFaults) error { return l.fault(l.Platform, f) }
+
+// TargetFault switches the faults of a target.
+func (l *Lab) TargetFault(id string, f standin.TargetFaults) error { return l.fault(l.Targets[id], f) }
+
+// fault posts faults to a stand-in.
+func (l *Lab) fault(p *Process, f any) error {
+	data, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post("http://"+p.Addr.String()+"/fault", "application/json", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// ListLeaving changes the platform's entry of a target to leaving.
+func (l *Lab) ListLeaving(id, hall, domain string) error {
+	data, err := json.Marshal(platform.Instance{ID: state.InstanceID(id), Hall: state.HallName(hall), Domain: domain, Address: l.Targets[id].Addr, Leaving: true})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+l.Platform.Addr.String()+"/v1/instances/"+id, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// Journal returns what a target has run.
+func (l *Lab) Journal(id string) ([]standin.JournalEntry, error) {
+	resp, err := http.Get("http://" + l.Targets[id].Addr.String() + "/journal")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var list []standin.JournalEntry
+	return list, json.NewDecoder(resp.Body).Decode(&list)
+}
+
+// Signal sends a signal to a process that the lab has started.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Kill ends a process at once and waits for its end.
+func (p *Process) Kill() {
+	_ = p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Stop asks a process to end, waits, and returns its exit error.
+func (p *Process) Stop(ctx context.Context) error {
+	_ = p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return p.err
+	case <-ctx.Done():
+		return errors.Join(ctx.Err(), fmt.Errorf("lab: %s does not end", p.Name))
+	}
+}
+
+// Log returns what a process has printed; it must have ended.
+func (p *Process) Log() string { return p.log.String() }
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Close ends every process that the lab has started.
+func (l *Lab) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.all {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Signal(os.Kill)
+		<-p.done
+	}
+}
--- /dev/null
+++ b/protocol/exchange/exchange.go
@@ -0,0 +1,148 @@
+// Package exchange sends HTTP requests and says, when one fails, whether any
+// byte of it can have left this process.
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// ErrCut means a connection was cut off because its exchange had been given up.
+var ErrCut = errors.New("exchange: connection given up")
+
+// Options bound a Client.
+type Options struct {
+	// DialTimeout bounds the time to connect.
+	DialTimeout time.Duration
+	// KeepAlive lets connections be used for several exchanges, one after the other.
+	KeepAlive bool
+	// IdleConns is the greatest number of idle connections to one address.
+	IdleConns int
+}
+
+// Client sends requests; safe for concurrent use.
+//
+// Without KeepAlive every exchange has a new connection, so that net/http never
+// sends a request a second time on its own.
+type Client struct {
+	hc *http.Client
+}
+
+// New returns a Client.
+func New(o Options) *Client {
+	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	t := &http.Transport{
+		DisableKeepAlives:   !o.KeepAlive,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: o.IdleConns,
+		IdleConnTimeout:     30 * time.Second,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: c}, nil
+		},
+	}
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{hc: &http.Client{Transport: t, CheckRedirect: noRedirect}}
+}
+
+// Do sends a request. When it fails, sent tells whether a byte of it may have
+// left; after a failure no further byte of it leaves.
+func (c *Client) Do(req *http.Request) (resp *http.Response, sent bool, err error) {
+	used := &usedConns{}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used.add(info.Conn) }}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	req.GetBody = nil
+	if req.Body == nil && req.Method != http.MethodGet && req.Method != http.MethodHead {
+		req.Body = io.NopCloser(eofReader{})
+	}
+	resp, err = c.hc.Do(req)
+	if err != nil {
+		return nil, used.cut(), err
+	}
+	return resp, true, nil
+}
+
+// CloseIdle closes the connections that are not in use.
+func (c *Client) CloseIdle() { c.hc.CloseIdleConnections() }
+
+// eofReader is an empty body that net/http cannot rewind and so never sends twice.
+type eofReader struct{}
+
+// Read implements io.Reader.
+func (eofReader) Read([]byte) (int, error) { return 0, io.EOF }
+
+// usedConns are the connections that an exchange was given, with what had been written before.
+type usedConns struct {
+	mu    sync.Mutex
+	conns []*countedConn
+	base  []int64
+}
+
+// add notes a connection.
+func (u *usedConns) add(conn net.Conn) {
+	c, ok := conn.(*countedConn)
+	if !ok {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.conns = append(u.conns, c)
+	u.base = append(u.base, c.begun())
+}
+
+// cut ends all writing and tells whether anything was written.
+func (u *usedConns) cut() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	sent := false
+	for i, c := range u.conns {
+		sent = c.cut() > u.base[i] || sent
+	}
+	return sent
+}
+
+// countedConn counts the bytes whose writing was begun.
+type countedConn struct {
+	net.Conn
+	mu    sync.Mutex
+	count int64
+	dead  bool
+}
+
+// Write implements net.Conn; the bytes are counted before the first can leave.
+func (c *countedConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.dead {
+		c.mu.Unlock()
+		return 0, ErrCut
+	}
+	c.count += int64(len(b))
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// begun returns the number of bytes whose writing was begun.
+func (c *countedConn) begun() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count
+}
+
+// cut closes the connection to further writes and returns the count, which then is final.
+func (c *countedConn) cut() int64 {
+	c.mu.Lock()
+	c.dead = true
+	n := c.count
+	c.mu.Unlock()
+	_ = c.Close()
+	return n
+}
--- /dev/null
+++ b/protocol/peer/convert.go
@@ -0,0 +1,104 @@
+package peer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/evidence"
+	"github.com/troutmast/troutmast/coordination/membership"
+	"github.com/troutmast/troutmast/protocol/rpc"
+	"github.com/troutmast/troutmast/state"
+)
+
+// Milliseconds returns a duration in whole milliseconds, rounded up so that an age never looks younger.
+func Milliseconds(d time.Duration) uint32 {
+	return uint32(max(0, (d+time.Millisecond-1)/time.Millisecond))
+}
+
+// Duration is the reverse of Milliseconds.
+func Duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// EncodeNode returns a node as a message; age is how old its words are.
+func EncodeNode(n membership.Node, age time.Duration) *rpc.Node {
+	return &rpc.Node{
+		Name:        n.Name,
+		Hall:        string(n.Hall),
+		Address:     n.Address.String(),
+		Incarnation: n.Incarnation,
+		Applied:     uint64(n.Applied),
+		Ready:       n.Ready,
+		Stopping:    n.Stopping,
+		LogAgeMs:    Milliseconds(n.LogAge),
+		Held:        uint32(max(0, n.Held)),
+		Demand:      uint32(max(0, n.Demand)),
+		AgeMs:       Milliseconds(age),
+		Models:      n.Models,
+	}
+}
+
+// DecodeNode returns what a message says of a node; asked is when the question was asked.
+func DecodeNode(m *rpc.Node, asked time.Time) (membership.Node, error) {
+	addr, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		return membership.Node{}, err
+	}
+	return membership.Node{
+		Name:        m.GetName(),
+		Hall:        state.HallName(m.GetHall()),
+		Address:     addr,
+		Incarnation: m.GetIncarnation(),
+		Applied:     state.Offset(m.GetApplied()),
+		Ready:       m.GetReady(),
+		Stopping:    m.GetStopping(),
+		LogAge:      Duration(m.GetLogAgeMs()),
+		Held:        int(m.GetHeld()),
+		Demand:      int(m.GetDemand()),
+		Models:      m.GetModels(),
+		SaidAt:      asked.Add(-Duration(m.GetAgeMs())),
+	}, nil
+}
+
+// EncodeReport returns a report as a message; age is how long ago it was asked for.
+func EncodeReport(r evidence.Report, age time.Duration) *rpc.Report {
+	return &rpc.Report{
+		Instance:    string(r.Instance),
+		Incarnation: r.Incarnation,
+		Group:       string(r.Group),
+		Epoch:       uint64(r.Epoch),
+		Rank:        uint32(r.Rank),
+		Phase:       string(r.Phase),
+		Leaving:     r.Leaving,
+		Held:        uint32(r.Load.Held),
+		Tokens:      uint64(r.Load.Tokens),
+		Slots:       uint32(r.Load.Slots),
+		AgeMs:       Milliseconds(age),
+	}
+}
+
+// decodeReport is the reverse of EncodeReport.
+func decodeReport(m *rpc.Report) evidence.Report {
+	return evidence.Report{
+		Instance:    state.InstanceID(m.GetInstance()),
+		Incarnation: m.GetIncarnation(),
+		Group:       state.GroupName(m.GetGroup()),
+		Epoch:       state.Epoch(m.GetEpoch()),
+		Rank:        int(m.GetRank()),
+		Phase:       evidence.Phase(m.GetPhase()),
+		Leaving:     m.GetLeaving(),
+		Load:        evidence.Load{Held: int(m.GetHeld()), Tokens: int64(m.GetTokens()), Slots: int(m.GetSlots())},
+	}
+}
+
+// DecodeDelta returns what a response says of instances, with the age of each changed report.
+func DecodeDelta(m *rpc.ExchangeResponse) (evidence.Delta, []time.Duration) {
+	d := evidence.Delta{Version: m.GetVersion()}
+	ages := make([]time.Duration, 0, len(m.GetChanged()))
+	for _, r := range m.GetChanged() {
+		d.Changed = append(d.Changed, evidence.Entry{Report: decodeReport(r)})
+		ages = append(ages, Duration(r.GetAgeMs()))
+	}
+	for _, id := range m.GetLost() {
+		d.Lost = append(d.Lost, state.InstanceID(id))
+	}
+	return d, ages
+}
--- /dev/null
+++ b/protocol/peer/peer.go
@@ -0,0 +1,162 @@
+// Package peer is the client side of what troutmast's nodes say to each other.
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/troutmast/troutmast/coordination/membership"
+	"github.com/troutmast/troutmast/protocol/platform"
+	"github.com/troutmast/troutmast/protocol/rpc"
+	"github.com/troutmast/troutmast/protocol/rpc/rpcconnect"
+	"github.com/troutmast/troutmast/state"
+)
+
+// ErrPeer means a peer did not answer as it should.
+var ErrPeer = errors.New("peer: no usable answer")
+
+// Bearer returns the value of the Authorization header for a secret.
+func Bearer(secret string) string { return "Bearer " + secret }
+
+// Authorized tells, in constant time, whether a request carries a secret.
+func Authorized(h http.Header, secret string) bool {
+	return subtle.ConstantTimeCompare([]byte(h.Get("Authorization")), []byte(Bearer(secret))) == 1
+}
+
+// WithSecret returns a connect option that sends a secret with every call.
+func WithSecret(secret string) connect.ClientOption {
+	return connect.WithInterceptors(connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			req.Header().Set("Authorization", Bearer(secret))
+			return next(ctx, req)
+		}
+	}))
+}
+
+// Client speaks to all peers; safe for concurrent use.
+type Client struct {
+	hc      *http.Client
+	secret  string
+	dir     *membership.Directory
+	seeds   []netip.AddrPort
+	timeout time.Duration
+	now     func() time.Time
+	// OnInstances gets the instance list that came with a snapshot.
+	OnInstances func(list []platform.Instance)
+
+	mu    sync.Mutex
+	conns map[netip.AddrPort]rpcconnect.PeerClient
+}
+
+// NewClient returns a Client that knows peers from a directory and from seed addresses.
+func NewClient(secret string, dir *membership.Directory, seeds []netip.AddrPort, timeout time.Duration, now func() time.Time) *Client {
+	return &Client{
+		hc:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}},
+		secret:  secret,
+		dir:     dir,
+		seeds:   seeds,
+		timeout: timeout,
+		now:     now,
+		conns:   map[netip.AddrPort]rpcconnect.PeerClient{},
+	}
+}
+
+// At returns the client of one address.
+func (c *Client) At(addr netip.AddrPort) rpcconnect.PeerClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.conns[addr]
+	if !ok {
+		p = rpcconnect.NewPeerClient(c.hc, "http://"+addr.String(), WithSecret(c.secret))
+		c.conns[addr] = p
+	}
+	return p
+}
+
+// Exchange asks a peer what is new.
+func (c *Client) Exchange(ctx context.Context, addr netip.AddrPort, req *rpc.ExchangeRequest) (*rpc.ExchangeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	resp, err := c.At(addr).Exchange(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrPeer, err)
+	}
+	return resp.Msg, nil
+}
+
+// Addresses returns where peers are: the live ones, else every address known.
+func (c *Client) Addresses() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, n := range c.dir.Live("", c.now()) {
+		list = append(list, n.Address)
+	}
+	if len(list) > 0 {
+		return list
+	}
+	return c.seeds
+}
+
+// Snapshot implements statelog.Peers.
+func (c *Client) Snapshot(ctx context.Context, newerThan state.Offset) (*state.Snapshot, error) {
+	last := fmt.Errorf("%w: no peer is known", ErrPeer)
+	for _, addr := range c.Addresses() {
+		snap, err := c.snapshotFrom(ctx, addr, newerThan)
+		if err == nil {
+			return snap, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
+// snapshotFrom asks one peer for its state.
+func (c *Client) snapshotFrom(ctx context.Context, addr netip.AddrPort, newerThan state.Offset) (*state.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, 5*c.timeout)
+	defer cancel()
+	resp, err := c.At(addr).Snapshot(ctx, connect.NewRequest(&rpc.SnapshotRequest{NewerThan: uint64(newerThan)}))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrPeer, err)
+	}
+	var list []platform.Instance
+	if json.Unmarshal(resp.Msg.GetInstances(), &list) == nil && c.OnInstances != nil {
+		c.OnInstances(list)
+	}
+	return &state.Snapshot{At: state.Offset(resp.Msg.GetAt()), Digest: resp.Msg.GetDigest(), Data: resp.Msg.GetData()}, nil
+}
+
+// Records implements statelog.Peers.
+func (c *Client) Records(ctx context.Context, from state.Offset, most int) ([]state.Entry, error) {
+	last := fmt.Errorf("%w: no peer is known", ErrPeer)
+	for _, addr := range c.Addresses() {
+		entries, err := c.recordsFrom(ctx, addr, from, most)
+		if err == nil && len(entries) > 0 {
+			return entries, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
+// recordsFrom asks one peer for entries.
+func (c *Client) recordsFrom(ctx context.Context, addr netip.AddrPort, from state.Offset, most int) ([]state.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	resp, err := c.At(addr).Records(ctx, connect.NewRequest(&rpc.RecordsRequest{From: uint64(from), Most: uint32(most)}))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrPeer, err)
+	}
+	entries := make([]state.Entry, 0, len(resp.Msg.GetEntries()))
+	for _, e := range resp.Msg.GetEntries() {
+		entries = append(entries, state.Entry{Offset: state.Offset(e.GetOffset()), Time: time.UnixMicro(e.GetTimeUs()).UTC(), Data: e.GetData()})
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/protocol/platform/platform.go
@@ -0,0 +1,158 @@
+// Package platform is the adapter to the users' platform: its log and its list
+// of instances, over HTTP with JSON. Another platform is fitted by replacing
+// this file.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/statelog"
+	"github.com/troutmast/troutmast/protocol/exchange"
+	"github.com/troutmast/troutmast/state"
+)
+
+// ErrPlatform means the platform did not answer as it should.
+var ErrPlatform = errors.New("platform: no usable answer")
+
+// maxAnswerBytes bounds an answer of the platform.
+const maxAnswerBytes = 64 << 20
+
+// Instance is one entry of the platform's list.
+type Instance struct {
+	ID      state.InstanceID `json:"id"`
+	Hall    state.HallName   `json:"hall"`
+	Domain  string           `json:"domain"`
+	Address netip.AddrPort   `json:"address"`
+	Leaving bool             `json:"leaving,omitempty"`
+	// ChecksFences is set when the target refuses orders of an older epoch.
+	ChecksFences bool `json:"checks_fences,omitempty"`
+}
+
+// Page is the platform's answer to a read of the log.
+type Page struct {
+	First   state.Offset `json:"first"`
+	Head    state.Offset `json:"head"`
+	Entries []Entry      `json:"entries"`
+}
+
+// Entry is one record in a Page.
+type Entry struct {
+	Offset state.Offset `json:"offset"`
+	Time   time.Time    `json:"time"`
+	Data   []byte       `json:"data"`
+}
+
+// Appended is the platform's answer to an append.
+type Appended struct {
+	Offset state.Offset `json:"offset"`
+}
+
+// Client speaks to the platform at one address.
+type Client struct {
+	base  string
+	agent string
+	x     *exchange.Client
+}
+
+// NewClient returns a Client of a node for a platform at an address.
+func NewClient(addr netip.AddrPort, node string, x *exchange.Client) *Client {
+	return &Client{base: "http://" + addr.String(), agent: UserAgent(node), x: x}
+}
+
+// UserAgent returns how a node names itself to the platform.
+func UserAgent(node string) string { return "troutmastd/" + node }
+
+// Append implements statelog.Log.
+func (c *Client) Append(ctx context.Context, data []byte) (state.Offset, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/log", bytes.NewReader(data))
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", statelog.ErrNotAppended, err)
+	}
+	req.Header.Set("User-Agent", c.agent)
+	resp, sent, err := c.x.Do(req)
+	if err != nil && !sent {
+		return 0, fmt.Errorf("%w: %w", statelog.ErrNotAppended, err)
+	}
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrPlatform, err)
+	}
+	defer drain(resp)
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		return 0, fmt.Errorf("%w: the platform answered %s", statelog.ErrNotAppended, resp.Status)
+	}
+	var a Appended
+	if err := decode(resp, &a); err != nil {
+		return 0, err
+	}
+	return a.Offset, nil
+}
+
+// Read implements statelog.Log.
+func (c *Client) Read(ctx context.Context, from state.Offset, most int, wait time.Duration) (statelog.Page, error) {
+	q := url.Values{}
+	q.Set("from", strconv.FormatUint(uint64(from), 10))
+	q.Set("most", strconv.Itoa(most))
+	q.Set("wait", wait.String())
+	ctx, cancel := context.WithTimeout(ctx, wait+2*time.Second)
+	defer cancel()
+	var p Page
+	if err := c.get(ctx, "/v1/log?"+q.Encode(), &p); err != nil {
+		return statelog.Page{}, err
+	}
+	page := statelog.Page{First: p.First, Head: p.Head}
+	for _, e := range p.Entries {
+		page.Entries = append(page.Entries, state.Entry{Offset: e.Offset, Time: e.Time, Data: e.Data})
+	}
+	return page, nil
+}
+
+// Instances returns the platform's list, which lags behind reality.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	var list []Instance
+	err := c.get(ctx, "/v1/instances", &list)
+	return list, err
+}
+
+// get fetches a path and decodes the answer.
+func (c *Client) get(ctx context.Context, path string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrPlatform, err)
+	}
+	req.Header.Set("User-Agent", c.agent)
+	resp, _, err := c.x.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrPlatform, err)
+	}
+	defer drain(resp)
+	return decode(resp, into)
+}
+
+// decode reads a bounded JSON answer.
+func decode(resp *http.Response, into any) error {
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%w: %s", ErrPlatform, resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(into); err != nil {
+		return fmt.Errorf("%w: %w", ErrPlatform, err)
+	}
+	return nil
+}
+
+// drain reads what is left of a short body, so that the connection can be used again.
+func drain(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, 4096)
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/transport/caller/completion.go
@@ -0,0 +1,92 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/troutmast/troutmast/coordination/admission"
+	"github.com/troutmast/troutmast/coordination/retry"
+	"github.com/troutmast/troutmast/protocol/target"
+	"github.com/troutmast/troutmast/state"
+)
+
+// completion answers a completion; it has no lasting effect and so may be repeated.
+func (s *Server) completion(ctx context.Context, w http.ResponseWriter, _ *http.Request, q *request) *Failure {
+	if f := q.readCompletion(); f != nil {
+		return f
+	}
+	here, f := s.route(ctx, w, q, q.model)
+	if !here {
+		return f
+	}
+	done, f := s.admit(ctx, q, q.model)
+	if f != nil {
+		return f
+	}
+	defer done()
+	s.c.Budget.Attempt()
+	if q.stream {
+		return s.streamed(ctx, w, q)
+	}
+	return s.answered(ctx, w, q, q.model)
+}
+
+// answered serves a whole answer from one group after the other until one succeeds.
+func (s *Server) answered(ctx context.Context, w http.ResponseWriter, q *request, pool string) *Failure {
+	var avoid state.GroupName
+	worst := retry.NotRun
+	for {
+		d := s.pick(q, pool, avoid)
+		if d == nil {
+			return s.noGroup(worst)
+		}
+		ans, body, outcome, err := s.whole(ctx, q, d)
+		d.End()
+		if err == nil {
+			writeAnswer(w, q.id, ans, body)
+			return nil
+		}
+		worst = worse(worst, outcome)
+		f := s.failed(ctx, worst, outcome, err)
+		if !s.again(ctx, q, outcome, f, true) {
+			return f
+		}
+		avoid = d.Candidate().Name
+	}
+}
+
+// noGroup is the failure when no candidate is open any longer.
+func (s *Server) noGroup(worst retry.Outcome) *Failure {
+	return withOutcome(worst, Code(admission.CodeNoGroup), "no whole group is left for the request")
+}
+
+// worse returns the less certain of two outcomes: a request of which one attempt may have run may have run.
+func worse(a, b retry.Outcome) retry.Outcome {
+	if a == retry.NotRun {
+		return b
+	}
+	return a
+}
+
+// failed turns the error of an attempt into what the caller is told of the whole request.
+func (s *Server) failed(ctx context.Context, worst, outcome retry.Outcome, err error) *Failure {
+	f := attemptFailure(outcome, err)
+	if ctx.Err() != nil {
+		f = withOutcome(outcome, CodeDeadline, "the time of the request ran out")
+		f.Status = http.StatusGatewayTimeout
+	}
+	f.Outcome = worst
+	return f
+}
+
+// writeAnswer lets a whole answer out.
+func writeAnswer(w http.ResponseWriter, id string, ans *target.Answer, body []byte) {
+	h := w.Header()
+	h.Set("Content-Type", ans.ContentType)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(HeaderOutcome, string(retry.Run))
+	h.Set(HeaderRequestID, id)
+	w.WriteHeader(ans.Status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/transport/caller/forward.go
@@ -0,0 +1,128 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/troutmast/troutmast/coordination/membership"
+	"github.com/troutmast/troutmast/coordination/retry"
+	"github.com/troutmast/troutmast/protocol/peer"
+	"github.com/troutmast/troutmast/protocol/target"
+)
+
+// headerTeam names the team of a request that a node passes on.
+const headerTeam = "Troutmast-Team"
+
+// ForwardPath begins the path of a request that a node passes on.
+const ForwardPath = "/forward"
+
+// errNoAnswer means a peer broke off before the head of its answer.
+var errNoAnswer = errors.New("caller: the peer did not answer")
+
+// passOn sends a request to a node of another hall that can serve it.
+func (s *Server) passOn(ctx context.Context, w http.ResponseWriter, q *request, pool string, allowedHere bool) *Failure {
+	nodes := s.helpers(q, pool)
+	if len(nodes) == 0 {
+		return s.unroutable(q, pool, allowedHere)
+	}
+	repeatable := q.model != "" || q.method == http.MethodGet || q.method == http.MethodHead
+	worst := retry.NotRun
+	for i, n := range nodes {
+		s.note(q, "passed on to %s in %s", n.Name, n.Hall)
+		outcome, err := s.forwardTo(ctx, w, q, n)
+		if err == nil {
+			s.c.Count("forwarded")
+			return nil
+		}
+		worst = worse(worst, outcome)
+		f := withOutcome(worst, CodePeerFailed, "the node that the request was passed on to failed")
+		if i+1 == len(nodes) || !s.again(ctx, q, outcome, f, repeatable) {
+			return f
+		}
+	}
+	return s.unroutable(q, pool, allowedHere)
+}
+
+// helpers returns the nodes of other halls that the team may use and that can serve the pool, the least loaded first.
+func (s *Server) helpers(q *request, pool string) []membership.Node {
+	own := s.c.Directory.Self().Hall
+	nodes := s.c.Directory.Live("", s.c.Clock.Now())
+	nodes = slices.DeleteFunc(nodes, func(n membership.Node) bool {
+		return n.Hall == own || !n.Ready || n.Stopping || q.team.Halls[n.Hall].Places == 0 || !slices.Contains(n.Models, pool)
+	})
+	slices.SortStableFunc(nodes, func(a, b membership.Node) int { return a.Held - b.Held })
+	return nodes
+}
+
+// forwardTo passes a request on to one node and its answer back.
+func (s *Server) forwardTo(ctx context.Context, w http.ResponseWriter, q *request, n membership.Node) (retry.Outcome, error) {
+	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+n.Address.String()+ForwardPath+q.path, bytes.NewReader(q.body))
+	if err != nil {
+		return retry.NotRun, err
+	}
+	h := req.Header
+	h.Set("Authorization", peer.Bearer(s.c.Settings.PeerSecret))
+	h.Set(headerTeam, string(q.team.Name))
+	h.Set(HeaderRequestID, q.id)
+	h.Set(HeaderTimeout, s.c.Clock.Until(q.deadline).String())
+	h.Set("Content-Type", q.kind)
+	if q.key != "" {
+		h.Set("Idempotency-Key", q.key)
+	}
+	resp, sent, err := s.forward.Do(req)
+	switch {
+	case err != nil && sent:
+		return retry.Unknown, errors.Join(errNoAnswer, err)
+	case err != nil:
+		return retry.NotRun, errors.Join(errNoAnswer, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get(HeaderRequestID) != q.id {
+		return retry.Unknown, target.ErrMismatch
+	}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		s.relayStream(w, q, resp)
+		return retry.Run, nil
+	}
+	return s.relayWhole(w, resp)
+}
+
+// relayHeaders are the headers of a peer's answer that the caller gets.
+var relayHeaders = []string{"Content-Type", HeaderRequestID, HeaderOutcome, HeaderReason, "Retry-After"}
+
+// relayWhole passes a whole answer back once all of it is there.
+func (s *Server) relayWhole(w http.ResponseWriter, resp *http.Response) (retry.Outcome, error) {
+	ans := &target.Answer{Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, Body: resp.Body}
+	body, err := readWhole(ans)
+	if err != nil {
+		return retry.Unknown, err
+	}
+	for _, name := range relayHeaders {
+		if v := resp.Header.Get(name); v != "" {
+			w.Header().Set(name, v)
+		}
+	}
+	w.WriteHeader(resp.StatusCode)
+	_, _ = w.Write(body)
+	return retry.Run, nil
+}
+
+// relayStream passes a stream back event by event; a break is told to the caller.
+func (s *Server) relayStream(w http.ResponseWriter, q *request, resp *http.Response) {
+	out := &sink{w: w, id: q.id}
+	events := newEventScanner(resp.Body)
+	for events.Scan() {
+		if out.event(events.Bytes()) != nil || isLast(events.Bytes()) {
+			return
+		}
+		out.tokens++
+	}
+	f := unknown(http.StatusBadGateway, CodePeerFailed, "the node that served the stream broke off")
+	if f = s.endStream(out, q, f); f != nil {
+		f.write(w, q.id)
+	}
+}
--- /dev/null
+++ b/transport/caller/service.go
@@ -0,0 +1,146 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/troutmast/troutmast/coordination/retry"
+	"github.com/troutmast/troutmast/coordination/routing"
+	"github.com/troutmast/troutmast/protocol/target"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/transport/core"
+)
+
+// maxResultBytes is the greatest body that is kept for repeats of a claimed call.
+const maxResultBytes = 4096
+
+// serviceTokens is the cost that routing counts for a call of a plain service.
+const serviceTokens = 1
+
+// service answers a call of a plain service.
+func (s *Server) service(ctx context.Context, w http.ResponseWriter, r *http.Request, q *request) *Failure {
+	name := state.ServiceName(r.PathValue("service"))
+	svc := s.c.Follower.View().Services[name]
+	if svc == nil {
+		return notRun(http.StatusNotFound, CodeNotFound, "no service %s", name)
+	}
+	q.tokens = serviceTokens
+	repeatable := q.method == http.MethodGet || q.method == http.MethodHead
+	if !repeatable && q.key == "" {
+		return notRun(http.StatusBadRequest, CodeKeyRequired, "a call that may not be repeated needs an Idempotency-Key (UUIDv7)")
+	}
+	pool := core.ServicePool(name)
+	here, f := s.route(ctx, w, q, pool)
+	if !here {
+		return f
+	}
+	done, f := s.admit(ctx, q, pool)
+	if f != nil {
+		return f
+	}
+	defer done()
+	s.c.Budget.Attempt()
+	switch {
+	case repeatable:
+		return s.answered(ctx, w, q, pool)
+	case svc.Keys == state.KeysChecked:
+		return s.once(ctx, w, q, pool, nil)
+	}
+	return s.claimed(ctx, w, q, svc, pool)
+}
+
+// claimed runs a call whose key must first be claimed in the log.
+func (s *Server) claimed(ctx context.Context, w http.ResponseWriter, q *request, svc *state.Service, pool string) *Failure {
+	key := state.ClaimKey{Team: q.team.Name, Service: svc.Name, Key: q.key}
+	holder, result, err := s.c.Claims.Claim(ctx, key, HashKey(q.method+" "+q.path+"\n"+string(q.body)))
+	if err != nil {
+		return fromClaim(err)
+	}
+	if result != nil {
+		return s.repeated(w, q, result)
+	}
+	s.note(q, "holds the claim of key %s", q.key)
+	// The claim is spent: a caller that leaves now must find the result when it repeats the call.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.c.Clock.Until(q.deadline))
+	defer cancel()
+	return s.once(ctx, w, q, pool, &held{key: key, holder: holder})
+}
+
+// held is a claim that the request holds.
+type held struct {
+	key    state.ClaimKey
+	holder string
+}
+
+// repeated answers from the recorded result of an earlier attempt.
+func (s *Server) repeated(w http.ResponseWriter, q *request, result *state.Result) *Failure {
+	s.note(q, "answered from the recorded result of key %s", q.key)
+	s.c.Count("claims.repeated")
+	if result.Dropped {
+		f := notRun(http.StatusConflict, CodeResultDropped, "the call was run; its answer of status %d was too large to keep", result.Status)
+		f.Outcome = retry.Run
+		return f
+	}
+	writeAnswer(w, q.id, &target.Answer{Status: result.Status, ContentType: result.ContentType}, result.Body)
+	return nil
+}
+
+// once sends a call that may not be repeated. Only an attempt that certainly was not run is tried elsewhere.
+func (s *Server) once(ctx context.Context, w http.ResponseWriter, q *request, pool string, h *held) *Failure {
+	var avoid state.GroupName
+	for {
+		d := s.pick(q, pool, avoid)
+		if d == nil {
+			s.settle(h, retry.NotRun, nil, nil)
+			return s.noGroup(retry.NotRun)
+		}
+		ans, body, outcome, err := s.sendOnce(ctx, q, d)
+		d.End()
+		if err == nil {
+			s.settle(h, retry.Run, ans, body)
+			writeAnswer(w, q.id, ans, body)
+			return nil
+		}
+		f := s.failed(ctx, outcome, outcome, err)
+		if !s.again(ctx, q, outcome, f, false) {
+			s.settle(h, outcome, nil, nil)
+			return f
+		}
+		avoid = d.Candidate().Name
+	}
+}
+
+// sendOnce is one attempt on a connection of its own.
+//
+// The answer of a target that has run the call is let out even if the target
+// went missing meanwhile: the call took effect, and the caller must know.
+func (s *Server) sendOnce(ctx context.Context, q *request, d *routing.Dispatch) (*target.Answer, []byte, retry.Outcome, error) {
+	call, err := s.call(q, d)
+	if err != nil {
+		return nil, nil, retry.NotRun, err
+	}
+	call.Once, call.Key = true, q.key
+	ans, outcome, err := s.send(ctx, q, d, call)
+	if err != nil {
+		return nil, nil, outcome, err
+	}
+	defer func() { _ = ans.Body.Close() }()
+	body, err := readWhole(ans)
+	if err != nil {
+		return nil, nil, retry.Unknown, cause(ctx, err)
+	}
+	return ans, body, retry.Run, nil
+}
+
+// settle records how a claimed call ended; a nil claim is that of a target which checks keys itself.
+func (s *Server) settle(h *held, o retry.Outcome, ans *target.Answer, body []byte) {
+	switch {
+	case h == nil:
+	case o == retry.NotRun:
+		s.c.Claims.GiveBack(h.key, h.holder)
+	case o == retry.Run && len(body) <= maxResultBytes:
+		s.c.Claims.Finish(h.key, h.holder, &state.Result{Status: ans.Status, ContentType: ans.ContentType, Body: body})
+	case o == retry.Run:
+		s.c.Claims.Finish(h.key, h.holder, &state.Result{Status: ans.Status, Dropped: true})
+	}
+}
--- /dev/null
+++ b/transport/core/core.go
@@ -0,0 +1,181 @@
+// Package core holds the parts of a running node that its listeners and loops share.
+package core
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/troutmast/troutmast/coordination/admission"
+	"github.com/troutmast/troutmast/coordination/claim"
+	"github.com/troutmast/troutmast/coordination/evidence"
+	"github.com/troutmast/troutmast/coordination/membership"
+	"github.com/troutmast/troutmast/coordination/retry"
+	"github.com/troutmast/troutmast/coordination/routing"
+	"github.com/troutmast/troutmast/coordination/statelog"
+	"github.com/troutmast/troutmast/protocol/peer"
+	"github.com/troutmast/troutmast/protocol/platform"
+	"github.com/troutmast/troutmast/protocol/target"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/transport/settings"
+)
+
+// Core is a node's shared parts; every field is safe for concurrent use.
+type Core struct {
+	Settings  *settings.Settings
+	Clock     clockwork.Clock
+	Metrics   metrics.Registry
+	Log       statelog.Log
+	Follower  *statelog.Follower
+	Evidence  *evidence.Table
+	Feed      *evidence.Feed
+	Directory *membership.Directory
+	Routing   *routing.Table
+	Picker    routing.Picker
+	Pools     *Pools
+	Teams     *admission.Teams
+	Budget    *retry.Budget
+	Claims    *claim.Manager
+	Targets   *target.Client
+	Peers     *peer.Client
+	Platform  *platform.Client
+	Places    *Places
+	Decisions *Decisions
+	Measures  *Measures
+	Repairs   *Repairs
+
+	Stopping atomic.Bool
+	Held     atomic.Int64
+	Arrived  atomic.Int64
+	Demand   atomic.Int64
+}
+
+// Self returns what the node says of itself now.
+func (c *Core) Self() membership.Node {
+	n := c.Directory.Self()
+	n.Applied = c.Follower.Applied()
+	n.Ready = c.Ready() == nil
+	n.Stopping = c.Stopping.Load()
+	n.Held = int(c.Held.Load())
+	n.Demand = int(c.Demand.Load())
+	n.SaidAt = c.Clock.Now()
+	n.LogAge = time.Hour
+	if age, ok := c.Follower.HeadAge(); ok {
+		n.LogAge = age
+	}
+	n.Models = c.OpenModels()
+	return n
+}
+
+// LogFresh tells whether the node has lately held all that the log held.
+func (c *Core) LogFresh() bool {
+	age, ok := c.Follower.HeadAge()
+	return ok && age < c.Settings.Behind
+}
+
+// OpenModels returns the models and services that have an open candidate here.
+func (c *Core) OpenModels() []string {
+	now := c.Clock.Now()
+	var open []string
+	for name, pool := range c.Routing.Models() {
+		for _, cand := range pool {
+			if cand.Open(now) {
+				open = append(open, name)
+				break
+			}
+		}
+	}
+	return open
+}
+
+// ServicePool returns the name under which a plain service's instances are routed.
+func ServicePool(name state.ServiceName) string { return "svc/" + string(name) }
+
+// Count adds one to a counter.
+func (c *Core) Count(name string) {
+	metrics.GetOrRegisterCounter(name, c.Metrics).Inc(1)
+}
+
+// Pools holds one admission pool for each model and service.
+type Pools struct {
+	clock clockwork.Clock
+	mu    sync.Mutex
+	m     map[string]*admission.Pool
+}
+
+// NewPools returns an empty Pools.
+func NewPools(clock clockwork.Clock) *Pools {
+	return &Pools{clock: clock, m: map[string]*admission.Pool{}}
+}
+
+// Get returns the pool of a name, making it if need be.
+func (p *Pools) Get(name string) *admission.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool, ok := p.m[name]
+	if !ok {
+		pool = admission.NewPool(admission.DefaultConfig(), p.clock)
+		p.m[name] = pool
+	}
+	return pool
+}
+
+// Names returns the names of all pools.
+func (p *Pools) Names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := make([]string, 0, len(p.m))
+	for n := range p.m {
+		names = append(names, n)
+	}
+	return names
+}
+
+// Places is the platform's instance list as last seen.
+type Places struct {
+	m atomic.Pointer[map[state.InstanceID]platform.Instance]
+}
+
+// NewPlaces returns an empty list.
+func NewPlaces() *Places {
+	p := &Places{}
+	p.m.Store(&map[state.InstanceID]platform.Instance{})
+	return p
+}
+
+// Set replaces the list.
+func (p *Places) Set(list []platform.Instance) {
+	m := make(map[state.InstanceID]platform.Instance, len(list))
+	for _, i := range list {
+		m[i.ID] = i
+	}
+	p.m.Store(&m)
+}
+
+// All returns the list by id; it must not be changed.
+func (p *Places) All() map[state.InstanceID]platform.Instance { return *p.m.Load() }
+
+// Get returns one entry.
+func (p *Places) Get(id state.InstanceID) (platform.Instance, bool) {
+	i, ok := (*p.m.Load())[id]
+	return i, ok
+}
+
+// Address returns where an instance listens.
+func (p *Places) Address(id state.InstanceID) (netip.AddrPort, bool) {
+	i, ok := p.Get(id)
+	return i.Address, ok
+}
+
+// List returns the entries in no order.
+func (p *Places) List() []platform.Instance {
+	list := make([]platform.Instance, 0, len(p.All()))
+	for _, i := range p.All() {
+		list = append(list, i)
+	}
+	return list
+}
--- /dev/null
+++ b/transport/core/ready.go
@@ -0,0 +1,50 @@
+package core
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Reasons for which a node is not ready.
+var (
+	ErrNeverRead = errors.New("the whole state has not been read yet")
+	ErrStopping  = errors.New("the node is stopping")
+)
+
+// Ready returns why the balancer should send no new requests here, or nil.
+//
+// A node that has held the whole state goes on serving when it is cut off from
+// the platform: what it knows stays true, since nothing is assigned meanwhile.
+func (c *Core) Ready() error {
+	if err := c.Follower.Stopped(); err != nil {
+		return err
+	}
+	if c.Stopping.Load() {
+		return ErrStopping
+	}
+	if !c.HasState() {
+		return ErrNeverRead
+	}
+	return c.behindPeers()
+}
+
+// HasState tells whether the node has held the whole state once, from the log or from a peer.
+func (c *Core) HasState() bool {
+	_, read := c.Follower.HeadAge()
+	return read || c.Follower.Applied() > 0
+}
+
+// behindPeers returns an error when a live peer has applied records that this
+// node has not seen for longer than the bound.
+func (c *Core) behindPeers() error {
+	if c.LogFresh() {
+		return nil
+	}
+	mine := c.Follower.Applied()
+	for _, n := range c.Directory.Live("", c.Clock.Now()) {
+		if n.Applied > mine && n.LogAge < c.Settings.Behind {
+			return fmt.Errorf("at offset %d, %s is at %d", mine, n.Name, n.Applied)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/node/loops.go
@@ -0,0 +1,225 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/troutmast/troutmast/coordination/evidence"
+	"github.com/troutmast/troutmast/coordination/membership"
+	"github.com/troutmast/troutmast/coordination/probe"
+	"github.com/troutmast/troutmast/protocol/platform"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/transport/core"
+)
+
+// Intervals of the loops that are not settings.
+const (
+	capacityInterval = 200 * time.Millisecond
+	controlInterval  = 500 * time.Millisecond
+	snapshotInterval = time.Second
+)
+
+// startLoops starts the node's loops; one that cannot go on reports to fatal.
+func (n *Node) startLoops(ctx context.Context, fatal chan<- error) {
+	n.loops.Go(func() {
+		if err := n.Follower.Run(ctx); ctx.Err() == nil {
+			fatal <- err
+		}
+	})
+	n.loops.Go(func() { n.Claims.Run(ctx) })
+	n.loops.Go(func() { n.prober.Run(ctx) })
+	n.loops.Go(func() { n.routingLoop(ctx) })
+	n.every(ctx, n.Settings.ListInterval, n.readList)
+	n.every(ctx, capacityInterval, n.updateCapacity)
+	n.every(ctx, n.Settings.ExchangeInterval, n.exchangeRound)
+	n.every(ctx, controlInterval, n.controlRound)
+	n.every(ctx, controlInterval, n.measureRound)
+	n.every(ctx, snapshotInterval, n.snapshotRound)
+}
+
+// every runs a function at an interval until ctx ends.
+func (n *Node) every(ctx context.Context, interval time.Duration, fn func(context.Context)) {
+	n.loops.Go(func() {
+		tick := n.Clock.NewTicker(interval)
+		defer tick.Stop()
+		for {
+			fn(ctx)
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.Chan():
+			}
+		}
+	})
+}
+
+// routingLoop rebuilds the routing table whenever state or instance list change.
+func (n *Node) routingLoop(ctx context.Context) {
+	for {
+		changed := n.Follower.Changed()
+		n.rebuild()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-n.refresh:
+		}
+	}
+}
+
+// rebuild makes the routing table hold the groups and service instances of this hall.
+func (n *Node) rebuild() {
+	view := n.Follower.View()
+	hall := n.Directory.Self().Hall
+	var groups []*state.Group
+	for _, g := range view.Groups {
+		if g.Hall == hall {
+			groups = append(groups, g)
+		}
+	}
+	for _, svc := range view.Services {
+		for _, id := range svc.Instances {
+			if place, ok := n.Places.Get(id); ok && place.Hall == hall {
+				groups = append(groups, serviceGroup(svc.Name, id, hall))
+			}
+		}
+	}
+	n.Routing.Update(groups)
+	for _, c := range n.Routing.All() {
+		n.JudgeGroup(c)
+	}
+}
+
+// serviceGroup is how an instance of a plain service stands in the routing table: a group of one with epoch 0.
+func serviceGroup(svc state.ServiceName, id state.InstanceID, hall state.HallName) *state.Group {
+	pool := core.ServicePool(svc)
+	return &state.Group{
+		Name:    state.GroupName(pool + "/" + string(id)),
+		Hall:    hall,
+		Model:   state.Model{Name: pool},
+		Members: []state.InstanceID{id},
+	}
+}
+
+// sources returns what the prober works on.
+func (n *Node) sources() probe.Sources {
+	return probe.Sources{
+		Instances: n.hallInstances,
+		Mine: func(id state.InstanceID) bool {
+			return n.Directory.Mine("probe/"+string(id), n.Clock.Now())
+		},
+		View:     n.Follower.View,
+		MayOrder: n.LogFresh,
+		Observed: n.observed,
+		Count:    n.Count,
+	}
+}
+
+// hallInstances returns the addresses of the instances of this hall.
+func (n *Node) hallInstances() map[state.InstanceID]netip.AddrPort {
+	hall := n.Directory.Self().Hall
+	m := map[state.InstanceID]netip.AddrPort{}
+	for id, p := range n.Places.All() {
+		if p.Hall == hall {
+			m[id] = p.Address
+		}
+	}
+	return m
+}
+
+// observed lets a new report of an instance have its effect on routing.
+func (n *Node) observed(r evidence.Report) {
+	view := n.Follower.View()
+	name := r.Group
+	if a := view.Assignments[r.Instance]; a != nil {
+		name = a.Group
+	} else if svc := serviceOf(view.Services, r.Instance); svc != "" {
+		name = serviceGroup(svc, r.Instance, "").Name
+	}
+	c := n.Routing.Get(name)
+	if c == nil {
+		return
+	}
+	if c.Group().Members[0] == r.Instance {
+		c.Report(r.Load)
+	}
+	n.JudgeGroup(c)
+}
+
+// serviceOf returns the plain service that an instance serves, or "".
+func serviceOf(services map[state.ServiceName]*state.Service, id state.InstanceID) state.ServiceName {
+	for name, svc := range services {
+		for _, other := range svc.Instances {
+			if other == id {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+// readList reads the platform's instance list.
+func (n *Node) readList(ctx context.Context) {
+	list, err := n.Platform.Instances(ctx)
+	if err != nil {
+		n.Count("platform.list-failed")
+		return
+	}
+	n.setPlaces(list)
+}
+
+// placesFromPeer takes a peer's list while this node has none.
+func (n *Node) placesFromPeer(list []platform.Instance) {
+	if len(n.Places.All()) == 0 {
+		n.setPlaces(list)
+	}
+}
+
+// setPlaces takes in a list and what it says of leaving instances.
+func (n *Node) setPlaces(list []platform.Instance) {
+	n.Places.Set(list)
+	var leaving []state.InstanceID
+	for _, i := range list {
+		if i.Leaving {
+			leaving = append(leaving, i.ID)
+		}
+	}
+	n.Evidence.SetListed(leaving)
+	select {
+	case n.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// updateCapacity measures demand and divides places anew.
+func (n *Node) updateCapacity(context.Context) {
+	const keep = 0.8
+	arrived := float64(n.Arrived.Swap(0)) / capacityInterval.Seconds()
+	n.Demand.Store(int64(keep*float64(n.Demand.Load()) + (1-keep)*arrived))
+	n.UpdateCapacity()
+	n.Claims.SetRate(n.Settings.AppendRate / float64(1+len(n.Directory.Live("", n.Clock.Now()))))
+}
+
+// snapshotRound appends a snapshot when one is due and it falls to this node.
+func (n *Node) snapshotRound(ctx context.Context) {
+	due := n.Follower.SnapshotDue()
+	if due == 0 || !n.LogFresh() {
+		return
+	}
+	names := []string{n.Settings.Name}
+	for _, p := range n.Directory.Live("", n.Clock.Now()) {
+		names = append(names, p.Name)
+	}
+	late := due > state.Offset(2*n.Settings.SnapshotEvery)
+	if membership.Owner("snapshot", names) != n.Settings.Name && !late {
+		return
+	}
+	if err := n.Follower.WriteSnapshot(ctx, n.Settings.Name); err != nil {
+		log.WithError(err).Warn("snapshot not appended")
+		return
+	}
+	n.Count("snapshots")
+}
