Walk the path in process tests; open places as soon as a group is whole

Ruled out: evidence (the group showed whole) and the resume of streams.

Change: places are divided anew when a candidate opens or closes. The instance list has its own call between peers, dated by its age, and is also asked for by a node whose own read of the list fails.

--- a/cmd/troutmastd/troutmastd.go
+++ b/cmd/troutmastd/troutmastd.go
@@ -35,11 +35,15 @@
 	}
 	log.SetHandler(json.New(os.Stderr))
 	log.SetLevelFromString(set.LogLevel)
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
-	err = node.New(set, clockwork.NewRealClock()).Run(ctx)
-	if err != nil && !errors.Is(err, context.Canceled) {
+	if err := run(set); err != nil && !errors.Is(err, context.Canceled) {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
 }
+
+// run runs a node until a signal ends it.
+func run(set *settings.Settings) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	return node.New(set, clockwork.NewRealClock()).Run(ctx)
+}
--- a/coordination/repair/repair.go
+++ b/coordination/repair/repair.go
@@ -124,7 +124,7 @@
 		d.Reason = "no spare and no lesser group in the fabric domain"
 		return
 	}
-	p.vacate(b, donor, len(b.Seats)-len(found), d)
+	p.vacate(donor, len(b.Seats)-len(found), d)
 }
 
 // domainSpares returns the spares in the group's hall and fabric domain.
@@ -176,7 +176,7 @@
 }
 
 // vacate takes members out of a donor; they become spares once they report their release.
-func (p *plan) vacate(b, donor *Broken, need int, d *Decision) {
+func (p *plan) vacate(donor *Broken, need int, d *Decision) {
 	d.Action, d.Reason = ActionBreakUp, "members of "+string(donor.Group.Name)+" cost less than waiting"
 	delete(p.broken, donor.Group.Name)
 	for rank, id := range donor.Group.Members {
--- a/protocol/peer/peer.go
+++ b/protocol/peer/peer.go
@@ -50,8 +50,6 @@
 	seeds   []netip.AddrPort
 	timeout time.Duration
 	now     func() time.Time
-	// OnInstances gets the instance list that came with a snapshot.
-	OnInstances func(list []platform.Instance)
 
 	mu    sync.Mutex
 	conns map[netip.AddrPort]rpcconnect.PeerClient
@@ -126,11 +124,43 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrPeer, err)
 	}
+	return &state.Snapshot{At: state.Offset(resp.Msg.GetAt()), Digest: resp.Msg.GetDigest(), Data: resp.Msg.GetData()}, nil
+}
+
+// Instances returns the youngest instance list that a peer has, and its age.
+func (c *Client) Instances(ctx context.Context) ([]platform.Instance, time.Duration, error) {
+	var youngest []platform.Instance
+	var age time.Duration
+	err := fmt.Errorf("%w: no peer is known", ErrPeer)
+	for _, addr := range c.Addresses() {
+		list, a, one := c.instancesFrom(ctx, addr)
+		if one != nil {
+			err = errors.Join(err, one)
+			continue
+		}
+		if youngest == nil || a < age {
+			youngest, age = list, a
+		}
+	}
+	if youngest == nil {
+		return nil, 0, err
+	}
+	return youngest, age, nil
+}
+
+// instancesFrom asks one peer for its instance list.
+func (c *Client) instancesFrom(ctx context.Context, addr netip.AddrPort) ([]platform.Instance, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	resp, err := c.At(addr).Instances(ctx, connect.NewRequest(&rpc.InstancesRequest{}))
+	if err != nil {
+		return nil, 0, fmt.Errorf("%w: %w", ErrPeer, err)
+	}
 	var list []platform.Instance
-	if json.Unmarshal(resp.Msg.GetInstances(), &list) == nil && c.OnInstances != nil {
-		c.OnInstances(list)
+	if err := json.Unmarshal(resp.Msg.GetList(), &list); err != nil {
+		return nil, 0, fmt.Errorf("%w: %w", ErrPeer, err)
 	}
-	return &state.Snapshot{At: state.Offset(resp.Msg.GetAt()), Digest: resp.Msg.GetDigest(), Data: resp.Msg.GetData()}, nil
+	return list, Duration(resp.Msg.GetAgeMs()), nil
 }
 
 // Records implements statelog.Peers.
--- a/protocol/rpc/rpcconnect/troutmast.connect.go
+++ b/protocol/rpc/rpcconnect/troutmast.connect.go
@@ -45,6 +45,8 @@
 	PeerSnapshotProcedure = "/troutmast.v1.Peer/Snapshot"
 	// PeerAskProcedure is the fully-qualified name of the Peer's Ask RPC.
 	PeerAskProcedure = "/troutmast.v1.Peer/Ask"
+	// PeerInstancesProcedure is the fully-qualified name of the Peer's Instances RPC.
+	PeerInstancesProcedure = "/troutmast.v1.Peer/Instances"
 	// PeerRecordsProcedure is the fully-qualified name of the Peer's Records RPC.
 	PeerRecordsProcedure = "/troutmast.v1.Peer/Records"
 )
@@ -129,6 +131,8 @@
 	Snapshot(context.Context, *connect.Request[rpc.SnapshotRequest]) (*connect.Response[rpc.SnapshotResponse], error)
 	// Ask answers a question of the operators' language for the node's own data hall.
 	Ask(context.Context, *connect.Request[rpc.ExecuteRequest]) (*connect.Response[rpc.ExecuteResponse], error)
+	// Instances returns the platform's instance list as a node last saw it.
+	Instances(context.Context, *connect.Request[rpc.InstancesRequest]) (*connect.Response[rpc.InstancesResponse], error)
 	// Records returns log entries that a node still holds.
 	Records(context.Context, *connect.Request[rpc.RecordsRequest]) (*connect.Response[rpc.RecordsResponse], error)
 }
@@ -162,6 +166,12 @@
 			connect.WithSchema(peerMethods.ByName("Ask")),
 			connect.WithClientOptions(opts...),
 		),
+		instances: connect.NewClient[rpc.InstancesRequest, rpc.InstancesResponse](
+			httpClient,
+			baseURL+PeerInstancesProcedure,
+			connect.WithSchema(peerMethods.ByName("Instances")),
+			connect.WithClientOptions(opts...),
+		),
 		records: connect.NewClient[rpc.RecordsRequest, rpc.RecordsResponse](
 			httpClient,
 			baseURL+PeerRecordsProcedure,
@@ -173,10 +183,11 @@
 
 // peerClient implements PeerClient.
 type peerClient struct {
-	exchange *connect.Client[rpc.ExchangeRequest, rpc.ExchangeResponse]
-	snapshot *connect.Client[rpc.SnapshotRequest, rpc.SnapshotResponse]
-	ask      *connect.Client[rpc.ExecuteRequest, rpc.ExecuteResponse]
-	records  *connect.Client[rpc.RecordsRequest, rpc.RecordsResponse]
+	exchange  *connect.Client[rpc.ExchangeRequest, rpc.ExchangeResponse]
+	snapshot  *connect.Client[rpc.SnapshotRequest, rpc.SnapshotResponse]
+	ask       *connect.Client[rpc.ExecuteRequest, rpc.ExecuteResponse]
+	instances *connect.Client[rpc.InstancesRequest, rpc.InstancesResponse]
+	records   *connect.Client[rpc.RecordsRequest, rpc.RecordsResponse]
 }
 
 // Exchange calls troutmast.v1.Peer.Exchange.
@@ -194,6 +205,11 @@
 	return c.ask.CallUnary(ctx, req)
 }
 
+// Instances calls troutmast.v1.Peer.Instances.
+func (c *peerClient) Instances(ctx context.Context, req *connect.Request[rpc.InstancesRequest]) (*connect.Response[rpc.InstancesResponse], error) {
+	return c.instances.CallUnary(ctx, req)
+}
+
 // Records calls troutmast.v1.Peer.Records.
 func (c *peerClient) Records(ctx context.Context, req *connect.Request[rpc.RecordsRequest]) (*connect.Response[rpc.RecordsResponse], error) {
 	return c.records.CallUnary(ctx, req)
@@ -207,6 +223,8 @@
 	Snapshot(context.Context, *connect.Request[rpc.SnapshotRequest]) (*connect.Response[rpc.SnapshotResponse], error)
 	// Ask answers a question of the operators' language for the node's own data hall.
 	Ask(context.Context, *connect.Request[rpc.ExecuteRequest]) (*connect.Response[rpc.ExecuteResponse], error)
+	// Instances returns the platform's instance list as a node last saw it.
+	Instances(context.Context, *connect.Request[rpc.InstancesRequest]) (*connect.Response[rpc.InstancesResponse], error)
 	// Records returns log entries that a node still holds.
 	Records(context.Context, *connect.Request[rpc.RecordsRequest]) (*connect.Response[rpc.RecordsResponse], error)
 }
@@ -236,6 +254,12 @@
 		connect.WithSchema(peerMethods.ByName("Ask")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerInstancesHandler := connect.NewUnaryHandler(
+		PeerInstancesProcedure,
+		svc.Instances,
+		connect.WithSchema(peerMethods.ByName("Instances")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerRecordsHandler := connect.NewUnaryHandler(
 		PeerRecordsProcedure,
 		svc.Records,
@@ -250,6 +274,8 @@
 			peerSnapshotHandler.ServeHTTP(w, r)
 		case PeerAskProcedure:
 			peerAskHandler.ServeHTTP(w, r)
+		case PeerInstancesProcedure:
+			peerInstancesHandler.ServeHTTP(w, r)
 		case PeerRecordsProcedure:
 			peerRecordsHandler.ServeHTTP(w, r)
 		default:
@@ -273,6 +299,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("troutmast.v1.Peer.Ask is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Instances(context.Context, *connect.Request[rpc.InstancesRequest]) (*connect.Response[rpc.InstancesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("troutmast.v1.Peer.Instances is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Records(context.Context, *connect.Request[rpc.RecordsRequest]) (*connect.Response[rpc.RecordsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("troutmast.v1.Peer.Records is not implemented"))
 }
--- a/transport/core/core.go
+++ b/transport/core/core.go
@@ -2,7 +2,6 @@
 package core
 
 import (
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -134,48 +133,3 @@
 	}
 	return names
 }
-
-// Places is the platform's instance list as last seen.
-type Places struct {
-	m atomic.Pointer[map[state.InstanceID]platform.Instance]
-}
-
-// NewPlaces returns an empty list.
-func NewPlaces() *Places {
-	p := &Places{}
-	p.m.Store(&map[state.InstanceID]platform.Instance{})
-	return p
-}
-
-// Set replaces the list.
-func (p *Places) Set(list []platform.Instance) {
-	m := make(map[state.InstanceID]platform.Instance, len(list))
-	for _, i := range list {
-		m[i.ID] = i
-	}
-	p.m.Store(&m)
-}
-
-// All returns the list by id; it must not be changed.
-func (p *Places) All() map[state.InstanceID]platform.Instance { return *p.m.Load() }
-
-// Get returns one entry.
-func (p *Places) Get(id state.InstanceID) (platform.Instance, bool) {
-	i, ok := (*p.m.Load())[id]
-	return i, ok
-}
-
-// Address returns where an instance listens.
-func (p *Places) Address(id state.InstanceID) (netip.AddrPort, bool) {
-	i, ok := p.Get(id)
-	return i.Address, ok
-}
-
-// List returns the entries in no order.
-func (p *Places) List() []platform.Instance {
-	list := make([]platform.Instance, 0, len(p.All()))
-	for _, i := range p.All() {
-		list = append(list, i)
-	}
-	return list
-}
--- a/transport/node/loops.go
+++ b/transport/node/loops.go
@@ -10,7 +10,6 @@
 	"github.com/troutmast/troutmast/coordination/evidence"
 	"github.com/troutmast/troutmast/coordination/membership"
 	"github.com/troutmast/troutmast/coordination/probe"
-	"github.com/troutmast/troutmast/protocol/platform"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/transport/core"
 )
@@ -146,7 +145,11 @@
 	if c.Group().Members[0] == r.Instance {
 		c.Report(r.Load)
 	}
+	was := c.Open(n.Clock.Now())
 	n.JudgeGroup(c)
+	if c.Open(n.Clock.Now()) != was {
+		n.UpdateCapacity()
+	}
 }
 
 // serviceOf returns the plain service that an instance serves, or "".
@@ -161,26 +164,21 @@
 	return ""
 }
 
-// readList reads the platform's instance list.
+// readList reads the platform's instance list, or a peer's copy when the platform does not answer.
 func (n *Node) readList(ctx context.Context) {
+	asked := n.Clock.Now()
 	list, err := n.Platform.Instances(ctx)
 	if err != nil {
 		n.Count("platform.list-failed")
-		return
+		var age time.Duration
+		if list, age, err = n.Peers.Instances(ctx); err != nil {
+			return
+		}
+		asked = asked.Add(-age)
 	}
-	n.setPlaces(list)
-}
-
-// placesFromPeer takes a peer's list while this node has none.
-func (n *Node) placesFromPeer(list []platform.Instance) {
-	if len(n.Places.All()) == 0 {
-		n.setPlaces(list)
+	if !n.Places.Set(list, asked) {
+		return
 	}
-}
-
-// setPlaces takes in a list and what it says of leaving instances.
-func (n *Node) setPlaces(list []platform.Instance) {
-	n.Places.Set(list)
 	var leaving []state.InstanceID
 	for _, i := range list {
 		if i.Leaving {
--- a/transport/node/node.go
+++ b/transport/node/node.go
@@ -95,7 +95,6 @@
 		Repairs:   core.NewRepairs(),
 	}
 	n := &Node{Core: c, mirrors: newMirrors(), missing: newMissingSince(), refresh: make(chan struct{}, 1)}
-	peers.OnInstances = n.placesFromPeer
 	n.prober = probe.New(probe.Config{Interval: set.ProbeInterval, Window: set.EvidenceWindow}, c.Targets, n.sources(), c.Evidence, c.Feed, clock)
 	n.caller = caller.NewServer(c, exchange.New(exchange.Options{DialTimeout: dialTimeout, KeepAlive: true, IdleConns: 64}))
 	return n
--- /dev/null
+++ b/transport/node/suite_test.go
@@ -0,0 +1,169 @@
+package node_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/internal/lab"
+	"github.com/troutmast/troutmast/transport/caller"
+)
+
+// bin is the directory with the programs under test.
+var bin string
+
+func TestNode(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "nodes as separate processes")
+}
+
+var _ = BeforeSuite(func() {
+	var err error
+	bin, err = os.MkdirTemp("", "troutmast")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(os.RemoveAll, bin)
+	Expect(lab.Build(bin)).To(Succeed())
+})
+
+const (
+	hallA   = "yxe-hall"
+	hallB   = "yqr-hall"
+	teamKey = "a-key"
+)
+
+// world is a lab with a team that may use both halls.
+type world struct {
+	*lab.Lab
+}
+
+// newWorld starts engines gpu-1.. in one fabric domain of hall A, and a node for each hall named.
+func newWorld(engines int, halls []string, engineFlags ...string) *world {
+	GinkgoHelper()
+	l, err := lab.New(bin)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	for i := range engines {
+		Expect(l.StartTarget(fmt.Sprintf("gpu-%d", i+1), hallA, "fabric-a", engineFlags...)).To(Succeed())
+	}
+	Expect(l.StartNodes(halls)).To(Succeed())
+	Expect(l.AwaitReady()).To(Succeed())
+	w := &world{Lab: l}
+	w.accepted("create team fleet key " + caller.HashKey(teamKey))
+	w.accepted("begin; allow team fleet in " + hallA + " places 100; allow team fleet in " + hallB + " places 100; commit")
+	return w
+}
+
+// ask runs a statement on the first node and returns its output.
+func (w *world) ask(text string) string {
+	out, _ := w.Ctl(w.Nodes[0], text)
+	return out
+}
+
+// accepted runs a command that must be accepted, trying again while what it needs is not known yet.
+func (w *world) accepted(text string) string {
+	GinkgoHelper()
+	var out string
+	Eventually(func() string {
+		out, _ = w.Ctl(w.Nodes[0], text)
+		return out
+	}, "10s", "100ms").Should(HavePrefix("accepted"))
+	return out
+}
+
+// whole waits until the first node sees a group whole.
+func (w *world) whole(group string) {
+	GinkgoHelper()
+	Eventually(func() string { return w.ask("show group " + group) }, "15s", "50ms").Should(ContainSubstring(" whole "))
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	outcome string
+	reason  string
+	after   string
+	body    string
+	err     error
+}
+
+// post sends a body to a path of a node and returns what came back.
+func post(n *lab.Node, path, body string, header ...string) reply {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+n.Addr.String()+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	h := resp.Header
+	return reply{resp.StatusCode, h.Get(caller.HeaderOutcome), h.Get(caller.HeaderReason), h.Get("Retry-After"), string(data), err}
+}
+
+// prompt returns the body of a completion.
+func prompt(text string, tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":"lm","max_tokens":%d,"stream":%t,"messages":[{"role":"user","content":%q}]}`, tokens, stream, text)
+}
+
+// complete asks a node for a whole answer.
+func complete(n *lab.Node, header ...string) reply {
+	return post(n, "/v1/chat/completions", prompt("E4?", 4, false), header...)
+}
+
+// content returns the text of a streamed answer, whether it was closed as whole, and whether it told an error.
+func content(stream string) (text string, done, failed bool) {
+	events := bufio.NewScanner(bytes.NewBufferString(stream))
+	for events.Scan() {
+		line := events.Text()
+		if line == "event: error" {
+			failed = true
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var ev struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &ev) == nil && len(ev.Choices) > 0 {
+			text += ev.Choices[0].Delta.Content
+		}
+	}
+	return text, done, failed
+}
+
+// newKey returns a key for a call that may not be repeated.
+func newKey() string {
+	GinkgoHelper()
+	key, err := uuid.NewV7()
+	Expect(err).NotTo(HaveOccurred())
+	return key.String()
+}
--- a/transport/peerapi/peerapi.go
+++ b/transport/peerapi/peerapi.go
@@ -104,11 +104,21 @@
 	if err != nil {
 		return nil, err
 	}
+	return connect.NewResponse(&rpc.SnapshotResponse{At: uint64(snap.At), Digest: snap.Digest, Data: snap.Data}), nil
+}
+
+// Instances implements rpcconnect.PeerHandler.
+func (s *Server) Instances(context.Context, *connect.Request[rpc.InstancesRequest]) (*connect.Response[rpc.InstancesResponse], error) {
+	asked, seen := s.c.Places.Asked()
+	if !seen {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("no list has been seen here"))
+	}
 	list, err := json.Marshal(s.c.Places.List())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	return connect.NewResponse(&rpc.SnapshotResponse{At: uint64(snap.At), Digest: snap.Digest, Data: snap.Data, Instances: list}), nil
+	age := s.c.Clock.Since(asked)
+	return connect.NewResponse(&rpc.InstancesResponse{List: list, AgeMs: peer.Milliseconds(age)}), nil
 }
 
 // Records implements rpcconnect.PeerHandler.
