--- a/state/state.go
+++ b/state/state.go
@@ -7,6 +7,7 @@
 package state
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -223,9 +224,13 @@
 func (s *State) Services() []*Service { return sortedValues(s.services) }
 
 // Outcomes returns the outcomes of all remembered records in offset order.
+//
+// A void settles two ids at one offset, so the id decides the order among equals.
 func (s *State) Outcomes() []Outcome {
 	list := slices.Collect(maps.Values(s.outcomes))
-	slices.SortFunc(list, func(a, b Outcome) int { return int(a.Offset) - int(b.Offset) })
+	slices.SortFunc(list, func(a, b Outcome) int {
+		return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.ID, b.ID))
+	})
 	return list
 }
 
