--- a/transport/node/suite_test.go
+++ b/transport/node/suite_test.go
@@ -72,14 +72,9 @@
 }
 
 // accepted runs a command that must be accepted, trying again while what it needs is not known yet.
-func (w *world) accepted(text string) string {
+func (w *world) accepted(text string) {
 	GinkgoHelper()
-	var out string
-	Eventually(func() string {
-		out, _ = w.Ctl(w.Nodes[0], text)
-		return out
-	}, "10s", "100ms").Should(HavePrefix("accepted"))
-	return out
+	Eventually(func() string { return w.ask(text) }, "10s", "100ms").Should(HavePrefix("accepted"))
 }
 
 // whole waits until the first node sees a group whole.
@@ -100,7 +95,17 @@
 
 // post sends a body to a path of a node and returns what came back.
 func post(n *lab.Node, path, body string, header ...string) reply {
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+n.Addr.String()+path, strings.NewReader(body))
+	return send(n, http.MethodPost, path, body, header...)
+}
+
+// send sends a request to a node.
+func send(n *lab.Node, method, path, body string, header ...string) reply {
+	return sendCtx(context.Background(), n, method, path, body, header...)
+}
+
+// sendCtx sends a request to a node, on a connection of its own.
+func sendCtx(ctx context.Context, n *lab.Node, method, path, body string, header ...string) reply {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.Addr.String()+path, strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
 	}
@@ -126,8 +131,8 @@
 }
 
 // complete asks a node for a whole answer.
-func complete(n *lab.Node, header ...string) reply {
-	return post(n, "/v1/chat/completions", prompt("E4?", 4, false), header...)
+func complete(n *lab.Node) reply {
+	return post(n, "/v1/chat/completions", prompt("E4?", 4, false))
 }
 
 // content returns the text of a streamed answer, whether it was closed as whole, and whether it told an error.
