--- /dev/null
+++ b/coordination/statelog/fake_test.go
@@ -0,0 +1,96 @@
+package statelog_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/statelog"
+	"github.com/troutmast/troutmast/state"
+)
+
+// errLost is an append whose answer was lost.
+var errLost = errors.New("answer lost")
+
+// fakeLog is a log in memory with faults.
+type fakeLog struct {
+	mu      sync.Mutex
+	first   state.Offset
+	entries []state.Entry
+	now     time.Time
+	// appendFault is asked before each append: whether it takes effect, how often, and the error returned.
+	appendFault func() (times int, err error)
+	down        bool
+}
+
+// newFakeLog returns an empty log without faults.
+func newFakeLog(now time.Time) *fakeLog {
+	return &fakeLog{first: 1, now: now, appendFault: func() (int, error) { return 1, nil }}
+}
+
+// Append implements statelog.Log.
+func (l *fakeLog) Append(_ context.Context, data []byte) (state.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, statelog.ErrNotAppended
+	}
+	times, err := l.appendFault()
+	for range times {
+		l.now = l.now.Add(time.Millisecond)
+		l.entries = append(l.entries, state.Entry{Offset: l.first + state.Offset(len(l.entries)), Time: l.now, Data: data})
+	}
+	return l.first + state.Offset(len(l.entries)) - 1, err
+}
+
+// Read implements statelog.Log; it never waits.
+func (l *fakeLog) Read(_ context.Context, from state.Offset, most int, _ time.Duration) (statelog.Page, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return statelog.Page{}, errors.New("down")
+	}
+	page := statelog.Page{First: l.first, Head: l.first + state.Offset(len(l.entries)) - 1}
+	if from >= l.first && from <= page.Head {
+		i := int(from - l.first)
+		page.Entries = append(page.Entries, l.entries[i:min(i+most, len(l.entries))]...)
+	}
+	return page, nil
+}
+
+// trim drops the entries before an offset.
+func (l *fakeLog) trim(before state.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if before <= l.first {
+		return
+	}
+	n := min(int(before-l.first), len(l.entries))
+	l.entries = append([]state.Entry(nil), l.entries[n:]...)
+	l.first += state.Offset(n)
+}
+
+// fakePeers serve from one follower.
+type fakePeers struct{ f *statelog.Follower }
+
+// Snapshot implements statelog.Peers.
+func (p *fakePeers) Snapshot(_ context.Context, newerThan state.Offset) (snap *state.Snapshot, err error) {
+	p.f.Read(func(s *state.State) {
+		if s.Offset() <= newerThan {
+			err = errors.New("nothing newer")
+			return
+		}
+		snap, err = s.Snapshot()
+	})
+	return snap, err
+}
+
+// Records implements statelog.Peers.
+func (p *fakePeers) Records(_ context.Context, from state.Offset, most int) ([]state.Entry, error) {
+	entries, held := p.f.Recent(from, most)
+	if !held {
+		return nil, errors.New("not held")
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/coordination/statelog/follower_test.go
@@ -0,0 +1,219 @@
+package statelog_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/troutmast/troutmast/coordination/statelog"
+	_ "github.com/troutmast/troutmast/internal/seed"
+	"github.com/troutmast/troutmast/state"
+)
+
+// config returns small bounds, so that pages, snapshots and trims come often.
+func config() statelog.Config {
+	return statelog.Config{PageSize: 3, RecentEntries: 4, SnapshotEvery: 5, RetryDelay: time.Second}
+}
+
+// team returns a record that creates a team.
+func team(name string) *state.Record {
+	r, err := state.NewRecord(state.KindCommand, "t")
+	if err != nil {
+		panic(err)
+	}
+	r.Ops = []state.Op{{CreateTeam: &state.CreateTeam{Name: state.TeamName(name), KeyHashes: []string{name}}}}
+	return r
+}
+
+// digest returns the digest of a follower's state.
+func digest(f *statelog.Follower) (d string) {
+	f.Read(func(s *state.State) { d, _ = s.Digest() })
+	return d
+}
+
+// TestFollowersAgree lets followers read at their own pace while appends are
+// lost and doubled, the log is trimmed behind snapshots, and the log is down.
+func TestFollowersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		clock := clockwork.NewFakeClock()
+		l := newFakeLog(time.Now())
+		source := statelog.NewFollower(config(), l, nil, clock)
+		followers := []*statelog.Follower{source}
+		for range 3 {
+			followers = append(followers, statelog.NewFollower(config(), l, &fakePeers{source}, clock))
+		}
+		applied := make([]state.Offset, len(followers))
+		for step := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			switch rapid.IntRange(0, 7).Draw(t, "act") {
+			case 0, 1:
+				times := rapid.IntRange(0, 2).Draw(t, "times")
+				l.appendFault = func() (int, error) { return times, errLost }
+				_ = source.Append(ctx, team(fmt.Sprint(step%7)))
+				l.appendFault = func() (int, error) { return 1, nil }
+			case 2:
+				if source.SnapshotDue() > 0 && !l.down {
+					_ = source.WriteSnapshot(ctx, "source")
+					snapAt := source.Applied() / 5 * 5
+					l.trim(snapAt + 1)
+				}
+			case 3:
+				l.down = !l.down
+			default:
+				i := rapid.IntRange(0, len(followers)-1).Draw(t, "follower")
+				_ = followers[i].Step(ctx)
+				if now := followers[i].Applied(); now < applied[i] {
+					t.Fatalf("follower %d went back from %d to %d", i, applied[i], now)
+				}
+				applied[i] = followers[i].Applied()
+			}
+		}
+		l.down = false
+		for i, f := range followers {
+			for range 60 {
+				_ = f.Step(ctx)
+			}
+			if err := f.Stopped(); err != nil {
+				t.Fatalf("follower %d: %v", i, err)
+			}
+			if digest(f) != digest(source) {
+				t.Fatalf("follower %d at %d differs from the source at %d", i, f.Applied(), source.Applied())
+			}
+		}
+	})
+}
+
+// stepping steps a follower until the test ends.
+func stepping(t *testing.T, f *statelog.Follower) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			_ = f.Step(ctx)
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+func TestDoSettlesByReadingBack(t *testing.T) {
+	cases := []struct {
+		name     string
+		times    int
+		err      error
+		accepted bool
+		want     error
+	}{
+		{"answered", 1, nil, true, nil},
+		{"answer lost", 1, errLost, true, nil},
+		{"answer lost, appended twice", 2, errLost, true, nil},
+		{"answer lost, never appended", 0, errLost, false, statelog.ErrUnsettled},
+		{"certainly not appended", 0, statelog.ErrNotAppended, false, statelog.ErrNotAppended},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := newFakeLog(time.Now())
+			f := statelog.NewFollower(config(), l, nil, clockwork.NewRealClock())
+			stepping(t, f)
+			l.mu.Lock()
+			l.appendFault = func() (int, error) { return c.times, c.err }
+			l.mu.Unlock()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			o, err := f.Do(ctx, team("a"))
+			g.Expect(errors.Is(err, c.want)).To(BeTrue(), "%v", err)
+			g.Expect(o.Accepted).To(Equal(c.accepted))
+		})
+	}
+}
+
+// TestVoidSettlesAnUnsettledCommand lets the lost append arrive after the void.
+func TestVoidSettlesAnUnsettledCommand(t *testing.T) {
+	g := NewWithT(t)
+	l := newFakeLog(time.Now())
+	f := statelog.NewFollower(config(), l, nil, clockwork.NewRealClock())
+	stepping(t, f)
+	late := team("a")
+	void, err := state.NewRecord(state.KindVoid, "t")
+	g.Expect(err).NotTo(HaveOccurred())
+	void.Void = late.ID
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	o, err := f.Do(ctx, void)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(o.Accepted).To(BeTrue())
+	o, err = f.Do(ctx, late)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(o.Reason).To(Equal(state.ReasonVoided))
+}
+
+func TestUnknownRecordStopsTheFold(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	l := newFakeLog(time.Now())
+	f := statelog.NewFollower(config(), l, nil, clockwork.NewRealClock())
+	_, _ = l.Append(ctx, []byte(`{"v":1,"id":"x","kind":"of-a-later-version"}`))
+	g.Expect(f.Append(ctx, team("a"))).To(Succeed())
+	g.Expect(errors.Is(f.Step(ctx), statelog.ErrStopped)).To(BeTrue())
+	g.Expect(f.Applied()).To(BeZero())
+	g.Expect(errors.Is(f.Stopped(), state.ErrUnknownRecord)).To(BeTrue())
+	_, err := f.Do(ctx, team("b"))
+	g.Expect(errors.Is(err, statelog.ErrStopped)).To(BeTrue())
+}
+
+func TestTrimmedLogWithoutSnapshotGivesNoState(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	l := newFakeLog(time.Now())
+	source := statelog.NewFollower(config(), l, nil, clockwork.NewRealClock())
+	for i := range 9 {
+		g.Expect(source.Append(ctx, team(fmt.Sprint(i)))).To(Succeed())
+	}
+	l.trim(4)
+	f := statelog.NewFollower(config(), l, nil, clockwork.NewRealClock())
+	g.Expect(errors.Is(f.Step(ctx), statelog.ErrNoState)).To(BeTrue())
+	g.Expect(f.Applied()).To(BeZero())
+	_, read := f.HeadAge()
+	g.Expect(read).To(BeFalse())
+}
+
+func TestOlderSnapshotIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	l := newFakeLog(time.Now())
+	f := statelog.NewFollower(config(), l, nil, clockwork.NewRealClock())
+	g.Expect(f.Append(ctx, team("a"))).To(Succeed())
+	g.Expect(f.Step(ctx)).To(Succeed())
+	var old *state.Snapshot
+	f.Read(func(s *state.State) { old, _ = s.Snapshot() })
+	g.Expect(f.Append(ctx, team("b"))).To(Succeed())
+	g.Expect(f.Step(ctx)).To(Succeed())
+	g.Expect(errors.Is(f.Install(old), state.ErrBackwards)).To(BeTrue())
+	g.Expect(f.Applied()).To(Equal(state.Offset(2)))
+}
+
+func TestDifferentSnapshotOfTheSameOffsetStopsTheFold(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	l := newFakeLog(time.Now())
+	f := statelog.NewFollower(config(), l, nil, clockwork.NewRealClock())
+	for i := range 5 {
+		g.Expect(f.Append(ctx, team(fmt.Sprint(i)))).To(Succeed())
+	}
+	for range 2 {
+		g.Expect(f.Step(ctx)).To(Succeed())
+	}
+	r, err := state.NewRecord(state.KindSnapshot, "other")
+	g.Expect(err).NotTo(HaveOccurred())
+	r.Snapshot = &state.Snapshot{At: 5, Digest: "different"}
+	g.Expect(f.Append(ctx, r)).To(Succeed())
+	g.Expect(errors.Is(f.Step(ctx), statelog.ErrStopped)).To(BeTrue())
+}
