Plan repairs by cost for each missing seat; break up lesser groups

Cause: the first planner counted a spare as newly stranded when it was put into a group, though it is as stranded before, and took no whole group apart.

Change: groups are ordered by the cost of a second for each seat to be filled; a donor may be a whole group if a second of the broken one costs 1.5 times as much; it is drained first, for a named group, and gets its requests back when that no longer needs it.

--- /dev/null
+++ b/coordination/repair/history_test.go
@@ -0,0 +1,346 @@
+package repair_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/troutmast/troutmast/coordination/repair"
+	"github.com/troutmast/troutmast/state"
+)
+
+// fleet describes a seeded history of failures in one data hall.
+type fleet struct {
+	domains, perDomain int
+	// sizes are those of the groups of each domain.
+	sizes []int
+	// between is the mean time between two failures of one instance.
+	between time.Duration
+	// long is the share of failures that take hours instead of a restart.
+	long float64
+	load time.Duration
+	seed uint64
+}
+
+// fleets are the worlds in which the planners are compared.
+var fleets = []struct {
+	name string
+	fleet
+}{
+	{"51 workers, groups of 4, a spare a domain", fleet{domains: 3, perDomain: 17, sizes: []int{4, 4, 4, 4}, between: 12 * time.Hour, long: 0.12, load: 2 * time.Minute}},
+	{"48 workers, groups of 4, no spare", fleet{domains: 3, perDomain: 16, sizes: []int{4, 4, 4, 4}, between: 12 * time.Hour, long: 0.12, load: 2 * time.Minute}},
+	{"50 workers, groups of 16, 4 and 4, a spare a domain", fleet{domains: 2, perDomain: 25, sizes: []int{16, 4, 4}, between: 12 * time.Hour, long: 0.12, load: 2 * time.Minute}},
+}
+
+// step is the time between two rounds of the history.
+const step = 5 * time.Second
+
+// planner turns what is broken into decisions.
+type planner func(in repair.Input) []repair.Decision
+
+// waitForRestart is the baseline that never moves an instance.
+func waitForRestart(repair.Input) []repair.Decision { return nil }
+
+// firstSpare is the baseline that fills every seat with the first spare found.
+func firstSpare(in repair.Input) []repair.Decision {
+	in.Policy.Restart, in.Policy.Load = 1000*time.Hour, time.Second
+	var list []repair.Decision
+	for _, b := range in.Broken {
+		one := in
+		one.Broken, one.Whole = []repair.Group{b}, nil
+		for _, d := range repair.Plan(one) {
+			if len(d.Ops) > 0 {
+				return append(list, d)
+			}
+		}
+	}
+	return list
+}
+
+// history plays one fleet under one planner.
+type history struct {
+	fleet
+	st      *state.State
+	now     time.Time
+	rng     *rand.Rand
+	place   map[state.InstanceID]state.Place
+	order   []state.InstanceID
+	backAt  map[state.InstanceID]time.Time
+	failAt  map[state.InstanceID]time.Time
+	readyAt map[state.GroupName]time.Time
+	epochs  map[state.GroupName]state.Epoch
+	// downtime in group-seconds, stranded in instance-seconds.
+	downtime, stranded float64
+	actions            map[repair.Action]int
+}
+
+// newHistory returns a history in which every group is whole.
+func newHistory(f fleet) *history {
+	h := &history{
+		fleet: f, st: state.New(), now: time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC), rng: rand.New(rand.NewPCG(f.seed, 7)),
+		place: map[state.InstanceID]state.Place{}, backAt: map[state.InstanceID]time.Time{}, failAt: map[state.InstanceID]time.Time{},
+		readyAt: map[state.GroupName]time.Time{}, epochs: map[state.GroupName]state.Epoch{}, actions: map[repair.Action]int{},
+	}
+	for d := range f.domains {
+		for i := range f.perDomain {
+			id := state.InstanceID(fmt.Sprintf("i-%02d-%03d", d, i))
+			h.place[id] = state.Place{Instance: id, Hall: "h", Domain: fmt.Sprintf("d%d", d)}
+			h.order = append(h.order, id)
+			h.failAt[id] = h.now.Add(h.draw(f.between))
+		}
+		next := d * f.perDomain
+		for n, size := range f.sizes {
+			c := &state.CreateGroup{Name: state.GroupName(fmt.Sprintf("g-%02d-%02d", d, n)), Model: state.Model{Name: "m"}, Gate: state.GateWindow}
+			for range size {
+				c.Members = append(c.Members, h.place[h.order[next]])
+				next++
+			}
+			h.apply([]state.Op{{CreateGroup: c}})
+		}
+	}
+	for _, g := range h.st.Groups() {
+		h.epochs[g.Name] = g.Epoch
+	}
+	return h
+}
+
+// draw returns an exponentially distributed duration.
+func (h *history) draw(mean time.Duration) time.Duration {
+	return time.Duration(h.rng.ExpFloat64() * float64(mean))
+}
+
+// apply folds operations as one command; a refusal is a fault of the planner.
+func (h *history) apply(ops []state.Op) {
+	var id uuid.UUID
+	ms := h.now.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	at := h.st.Offset() + 1
+	id[6], id[7], id[8], id[15] = 0x70, byte(at>>8), 0x80, byte(at)
+	r := &state.Record{Version: 1, ID: id.String(), Kind: state.KindCommand, By: "t", Ops: ops}
+	data, err := r.Encode()
+	if err != nil {
+		panic(err)
+	}
+	o, err := h.st.Apply(state.Entry{Offset: at, Time: h.now, Data: data})
+	if err != nil || !o.Accepted {
+		panic(fmt.Sprintf("%v %+v", err, o))
+	}
+}
+
+// up tells whether an instance is there.
+func (h *history) up(id state.InstanceID) bool { return !h.now.Before(h.backAt[id]) }
+
+// fail lets instances fail and return; what a failure costs is drawn from the seed alone.
+func (h *history) fail() {
+	for _, id := range h.order {
+		if !h.up(id) || h.now.Before(h.failAt[id]) {
+			continue
+		}
+		away := time.Minute + time.Duration(h.rng.Int64N(int64(2*time.Minute)))
+		if h.rng.Float64() < h.long {
+			away = 2*time.Hour + time.Duration(h.rng.Int64N(int64(6*time.Hour)))
+		}
+		h.backAt[id] = h.now.Add(away)
+		h.failAt[id] = h.backAt[id].Add(h.draw(h.between))
+		if a := h.st.Assignment(id); a != nil && a.Group != "" {
+			h.readyAt[a.Group] = h.backAt[id].Add(h.load)
+		}
+	}
+}
+
+// judge fills in the groups as the planner sees them, and counts what is down and stranded.
+func (h *history) judge(in *repair.Input, missing map[state.InstanceID]time.Time) {
+	for _, g := range h.st.Groups() {
+		if g.Epoch != h.epochs[g.Name] {
+			h.epochs[g.Name] = g.Epoch
+			h.readyAt[g.Name] = h.now.Add(h.load)
+		}
+		one := repair.Group{Group: g, Seats: h.seats(g, missing), Weight: 1, Idle: true}
+		loaded := !h.now.Before(h.readyAt[g.Name])
+		if len(one.Seats) > 0 || !loaded || g.Drained != 0 {
+			h.downtime += step.Seconds()
+			h.stranded += step.Seconds() * float64(len(g.Members)-vacant(g))
+		}
+		switch {
+		case len(one.Seats) > 0:
+			in.Broken = append(in.Broken, one)
+		case loaded:
+			in.Whole = append(in.Whole, one)
+		default:
+			in.Loading++
+		}
+	}
+}
+
+// seats returns the seats of a group whose members are not there.
+func (h *history) seats(g *state.Group, missing map[state.InstanceID]time.Time) []repair.Seat {
+	var seats []repair.Seat
+	for rank, id := range g.Members {
+		if id != "" && h.up(id) {
+			delete(missing, id)
+			continue
+		}
+		if _, ok := missing[id]; !ok {
+			missing[id] = h.now
+		}
+		seats = append(seats, repair.Seat{Rank: rank, Instance: id, Missing: h.now.Sub(missing[id])})
+	}
+	return seats
+}
+
+// vacant returns the number of vacant seats of a group.
+func vacant(g *state.Group) int {
+	n := 0
+	for _, id := range g.Members {
+		if id == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// spares frees what has released and returns the free instances that are there.
+func (h *history) spares() []state.Place {
+	var free []state.Place
+	for _, id := range h.order {
+		a := h.st.Assignment(id)
+		if a != nil && a.Group == "" && h.up(id) {
+			h.apply([]state.Op{{FreeInstance: &state.FreeInstance{Instance: id, Epoch: a.Epoch}}})
+			a = nil
+		}
+		if a != nil && a.Group != "" {
+			continue
+		}
+		h.stranded += step.Seconds()
+		if a == nil && h.up(id) {
+			free = append(free, h.place[id])
+		}
+	}
+	return free
+}
+
+// play runs the history for a time.
+func (h *history) play(t time.Duration, policy state.Policy, plan planner) {
+	missing := map[state.InstanceID]time.Time{}
+	for end := h.now.Add(t); h.now.Before(end); h.now = h.now.Add(step) {
+		h.fail()
+		in := repair.Input{Policy: policy, MaxLoads: 4}
+		h.judge(&in, missing)
+		in.Spares = h.spares()
+		for _, d := range plan(in) {
+			h.actions[d.Action]++
+			if len(d.Ops) > 0 {
+				h.apply(d.Ops)
+			}
+		}
+	}
+}
+
+// weighting is one user's view of the two costs.
+type weighting struct {
+	name               string
+	downtime, stranded float64
+}
+
+var weightings = []weighting{{"downtime 20 : stranded 1", 20, 1}, {"downtime 1 : stranded 5", 1, 5}}
+
+// result is what one planner cost, summed over seeds.
+type result struct {
+	downtime, stranded float64
+	actions            map[repair.Action]int
+}
+
+// cost is the result under a weighting.
+func (r result) cost(w weighting) float64 { return w.downtime*r.downtime + w.stranded*r.stranded }
+
+// compare plays the same histories under one planner.
+func compare(f fleet, n int, t time.Duration, w weighting, plan planner) result {
+	sum := result{actions: map[repair.Action]int{}}
+	for seed := range n {
+		f.seed = uint64(seed + 1)
+		h := newHistory(f)
+		policy := state.Policy{Downtime: w.downtime, Stranded: w.stranded, Restart: 2 * time.Minute, Load: f.load, Automatic: true}
+		h.play(t, policy, plan)
+		sum.downtime += h.downtime
+		sum.stranded += h.stranded
+		for a, n := range h.actions {
+			sum.actions[a] += n
+		}
+	}
+	return sum
+}
+
+// seeds is the number of histories that are summed in a test.
+const seeds = 3
+
+// planners are the planner and its baselines.
+var planners = []struct {
+	name string
+	plan planner
+}{{"planner", repair.Plan}, {"wait for restart", waitForRestart}, {"first spare", firstSpare}}
+
+// TestPlannerBeatsBaselines bounds the planner's cost by the better baseline's, in every fleet and for both weightings.
+func TestPlannerBeatsBaselines(t *testing.T) {
+	for _, f := range fleets {
+		for _, w := range weightings {
+			costs := map[string]float64{}
+			for _, p := range planners {
+				r := compare(f.fleet, seeds, 24*time.Hour, w, p.plan)
+				costs[p.name] = r.cost(w)
+				t.Logf("%s | %s | %s | downtime %.0f group-s | stranded %.0f instance-s | cost %.0f | %v",
+					f.name, w.name, p.name, r.downtime, r.stranded, r.cost(w), r.actions)
+			}
+			if best := min(costs["wait for restart"], costs["first spare"]); costs["planner"] > best {
+				t.Errorf("%s, %s: the planner costs %.0f, the better baseline %.0f", f.name, w.name, costs["planner"], best)
+			}
+		}
+	}
+}
+
+// TestWeightsMatter compares the planner under each user's weights with itself
+// under the other's, where groups differ in size: its own must cost no more.
+func TestWeightsMatter(t *testing.T) {
+	mixed := fleets[len(fleets)-1].fleet
+	var results []result
+	for _, w := range weightings {
+		results = append(results, compare(mixed, 2*seeds, 24*time.Hour, w, repair.Plan))
+	}
+	for i, w := range weightings {
+		own, other := results[i].cost(w), results[1-i].cost(w)
+		t.Logf("%s | own weights %.0f | the other user's weights %.0f", w.name, own, other)
+		if own > other {
+			t.Errorf("%s: planning with these weights costs %.0f, with the others %.0f", w.name, own, other)
+		}
+	}
+}
+
+// BenchmarkPlan measures one round of the planner over a hall with a tenth of its groups broken.
+func BenchmarkPlan(b *testing.B) {
+	for _, groups := range []int{3, 68} {
+		in := repair.Input{Policy: state.DefaultPolicy(), MaxLoads: 4}
+		for n := range groups {
+			g := &state.Group{Name: state.GroupName(fmt.Sprint(n)), Hall: "h", Domain: fmt.Sprint(n % 4)}
+			for m := range 16 {
+				g.Members = append(g.Members, state.InstanceID(fmt.Sprintf("%d-%d", n, m)))
+			}
+			one := repair.Group{Group: g, Weight: 1}
+			if n%10 == 0 {
+				one.Seats = []repair.Seat{{Rank: 3, Instance: g.Members[3]}}
+				in.Broken = append(in.Broken, one)
+			} else {
+				in.Whole = append(in.Whole, one)
+			}
+		}
+		b.Run(fmt.Sprintf("%d_instances", 16*groups), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				repair.Plan(in)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/state/bench_test.go
@@ -0,0 +1,135 @@
+package state_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/state"
+)
+
+// Sizes of the target, from the brief's letter.
+const (
+	targetGroups  = 750
+	targetMembers = 16
+	targetChanges = 29000
+)
+
+// bigGroup returns the change that creates the n-th group of the target.
+func bigGroup(n int) state.Op {
+	c := &state.CreateGroup{Name: group(n), Model: state.Model{Name: "hearth-lm", Version: "v1"}, Gate: state.GateWindow}
+	for m := range targetMembers {
+		c.Members = append(c.Members, state.Place{
+			Instance: state.InstanceID(fmt.Sprintf("worker-%05d", n*targetMembers+m)), Hall: "yxe-hall", Domain: fmt.Sprintf("fabric-%d", n),
+		})
+	}
+	return state.Op{CreateGroup: c}
+}
+
+// bigLog returns the records of the target: its groups, then a day's changes.
+func bigLog(groups, changes int) [][]byte {
+	log := make([][]byte, 0, groups+changes)
+	for n := range groups {
+		log = append(log, command(idAt(start, n), bigGroup(n)))
+	}
+	for n := range changes {
+		at := start.Add(time.Duration(n) * 24 * time.Hour / time.Duration(changes))
+		op := state.Op{DrainGroup: &state.DrainGroup{Group: group(n % groups), Off: n%2 == 1}}
+		log = append(log, command(idAt(at, groups+n), op))
+	}
+	return log
+}
+
+// foldAll applies a log with the times that its records carry.
+func foldAll(tb testing.TB, log [][]byte, groups int) *state.State {
+	s := state.New()
+	for i, data := range log {
+		at := start
+		if i >= groups {
+			at = start.Add(time.Duration(i-groups) * 24 * time.Hour / time.Duration(max(1, len(log)-groups)))
+		}
+		o, err := apply(s, at, data)
+		if err != nil || !o.Accepted {
+			tb.Fatalf("%v %+v", err, o)
+		}
+	}
+	return s
+}
+
+// TestFoldAllocations bounds the allocations of one small command.
+func TestFoldAllocations(t *testing.T) {
+	g := NewWithT(t)
+	s := foldAll(t, bigLog(10, 0), 10)
+	n := 1000
+	records := make([][]byte, 0, 2000)
+	for i := range cap(records) {
+		records = append(records, command(idAt(start, n+i), state.Op{DrainGroup: &state.DrainGroup{Group: group(1), Off: i%2 == 1}}))
+	}
+	i := 0
+	allocs := testing.AllocsPerRun(1000, func() {
+		if _, err := apply(s, start, records[i]); err != nil {
+			t.Fatal(err)
+		}
+		i++
+	})
+	t.Logf("%.0f allocations a record", allocs)
+	g.Expect(allocs).To(BeNumerically("<=", 40))
+}
+
+// TestSnapshotSize bounds what a group of 16 adds to a snapshot, before and after compression.
+func TestSnapshotSize(t *testing.T) {
+	g := NewWithT(t)
+	size := func(groups int) int {
+		snap, err := foldAll(t, bigLog(groups, 0), groups).Snapshot()
+		g.Expect(err).NotTo(HaveOccurred())
+		return len(snap.Data)
+	}
+	perGroup := (size(200) - size(100)) / 100
+	t.Logf("%d bytes a group of %d, compressed", perGroup, targetMembers)
+	g.Expect(perGroup).To(BeNumerically("<=", 400))
+}
+
+// TestOutcomesAreForgotten bounds what is remembered by the horizon, not by the length of the log.
+func TestOutcomesAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	s := foldAll(t, bigLog(10, 2000), 10)
+	perHorizon := int(2000 * (state.IDHorizon + 2*state.MaxSkew) / (24 * time.Hour))
+	g.Expect(len(s.Outcomes())).To(BeNumerically("<=", perHorizon+2))
+	g.Expect(len(s.Outcomes())).To(BeNumerically(">", perHorizon/2))
+}
+
+func BenchmarkFoldDay(b *testing.B) {
+	log := bigLog(targetGroups, targetChanges)
+	b.ReportAllocs()
+	for b.Loop() {
+		foldAll(b, log, targetGroups)
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/float64(len(log)), "µs/record")
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	s := foldAll(b, bigLog(targetGroups, targetChanges), targetGroups)
+	var size int
+	for b.Loop() {
+		snap, err := s.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(snap.Data)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
+
+func BenchmarkRestore(b *testing.B) {
+	snap, err := foldAll(b, bigLog(targetGroups, targetChanges), targetGroups).Snapshot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := state.Restore(snap); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/state/op.go
+++ b/state/op.go
@@ -286,6 +286,8 @@
 type DrainGroup struct {
 	Group GroupName `json:"group"`
 	Off   bool      `json:"off,omitempty"`
+	// For names the group for which a repair wants members of this one.
+	For GroupName `json:"for,omitempty"`
 }
 
 func (c *DrainGroup) apply(s *State, t *tx, at Offset) *Refusal {
@@ -296,10 +298,13 @@
 	if old.Releasing {
 		return refuse(ReasonDraining, "group %s is being released", c.Group)
 	}
+	if c.For != "" && old.Drained != 0 {
+		return refuse(ReasonDraining, "group %s is drained since %d", c.Group, old.Drained)
+	}
 	g := *old
-	g.Drained = at
+	g.Drained, g.DrainedFor = at, c.For
 	if c.Off {
-		g.Drained = 0
+		g.Drained, g.DrainedFor = 0, ""
 	}
 	put(t, s.groups, g.Name, &g)
 	return nil
--- a/state/state.go
+++ b/state/state.go
@@ -85,6 +85,8 @@
 	Members []InstanceID `json:"members"`
 	// Drained is the offset since which the group takes no new request; 0 when it does.
 	Drained Offset `json:"drained,omitempty"`
+	// DrainedFor names the group for which a repair has drained this one.
+	DrainedFor GroupName `json:"drained_for,omitempty"`
 	// Releasing is set once the group is to dissolve when its last request ends.
 	Releasing bool `json:"releasing,omitempty"`
 }
--- a/transport/node/control.go
+++ b/transport/node/control.go
@@ -147,7 +147,7 @@
 	}
 }
 
-// repairInput gathers what the planner looks at.
+// repairInput gathers what the planner looks at: the groups of the domains that fall to this node.
 func (n *Node) repairInput(view *statelog.View, now time.Time) repair.Input {
 	in := repair.Input{Policy: view.Policy, MaxLoads: n.Settings.MaxLoads}
 	seen := map[state.InstanceID]bool{}
@@ -155,12 +155,16 @@
 		if g.Hall != n.Settings.Hall || g.Releasing {
 			continue
 		}
-		seats := n.missingSeats(g, now, seen)
+		one := repair.Group{Group: g, Seats: n.missingSeats(g, now, seen), Weight: 1}
 		c := n.Routing.Get(g.Name)
-		switch {
-		case len(seats) > 0 && n.Directory.Mine("repair/"+g.Domain, now):
-			in.Broken = append(in.Broken, repair.Broken{Group: g, Seats: seats, Weight: 1})
-		case len(seats) == 0 && c != nil && !c.Whole(now):
+		mine := n.Directory.Mine("repair/"+g.Domain, now)
+		switch whole := c != nil && c.Whole(now); {
+		case len(one.Seats) > 0 && mine:
+			in.Broken = append(in.Broken, one)
+		case len(one.Seats) == 0 && whole && mine:
+			one.Idle = g.DrainedFor != "" && n.cleared(g, now)
+			in.Whole = append(in.Whole, one)
+		case len(one.Seats) == 0 && !whole:
 			in.Loading++
 		}
 	}
