--- /dev/null
+++ b/coordination/evidence/evidence_test.go
@@ -0,0 +1,199 @@
+package evidence_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/troutmast/troutmast/coordination/evidence"
+	_ "github.com/troutmast/troutmast/internal/seed"
+	"github.com/troutmast/troutmast/state"
+)
+
+const window = 1500 * time.Millisecond
+
+var epoch = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+
+// pair is a group of two in epoch 5.
+var pair = &state.Group{Name: "g", Epoch: 5, Members: []state.InstanceID{"a", "b"}}
+
+// ready returns the report of a member that obeys its order.
+func ready(id state.InstanceID, rank int) evidence.Report {
+	return evidence.Report{Instance: id, Incarnation: "1", Group: "g", Epoch: 5, Rank: rank, Phase: evidence.PhaseReady}
+}
+
+func TestJudge(t *testing.T) {
+	change := func(f func(*evidence.Report)) evidence.Report {
+		r := ready("b", 1)
+		f(&r)
+		return r
+	}
+	cases := []struct {
+		name  string
+		b     evidence.Report
+		age   time.Duration
+		whole bool
+	}{
+		{"all there", ready("b", 1), 0, true},
+		{"just inside the window", ready("b", 1), window - time.Millisecond, true},
+		{"evidence of the window's age", ready("b", 1), window, false},
+		{"an older epoch, as after a stale order", change(func(r *evidence.Report) { r.Epoch = 4 }), 0, false},
+		{"another group", change(func(r *evidence.Report) { r.Group = "h" }), 0, false},
+		{"another rank", change(func(r *evidence.Report) { r.Rank = 0 }), 0, false},
+		{"still loading", change(func(r *evidence.Report) { r.Phase = evidence.PhaseLoading }), 0, false},
+		{"restarted without its order", change(func(r *evidence.Report) { r.Group, r.Phase, r.Incarnation = "", evidence.PhaseIdle, "2" }), 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			table := evidence.NewTable()
+			now := epoch.Add(time.Hour)
+			table.Observe(ready("a", 0), now)
+			table.Observe(c.b, now.Add(-c.age))
+			w := table.Judge(pair, now, window)
+			g.Expect(len(w.Faults) == 0).To(Equal(c.whole))
+			if !c.whole {
+				g.Expect(w.Until.IsZero()).To(BeTrue())
+				g.Expect(w.Faults[0].Instance).To(Equal(state.InstanceID("b")))
+				return
+			}
+			g.Expect(w.Until).To(Equal(now.Add(window - c.age)))
+		})
+	}
+}
+
+func TestIdentityChangesWithEveryRestart(t *testing.T) {
+	g := NewWithT(t)
+	table := evidence.NewTable()
+	table.Observe(ready("a", 0), epoch)
+	table.Observe(ready("b", 1), epoch)
+	before := table.Judge(pair, epoch, window).Identity
+	again := ready("b", 1)
+	again.Incarnation = "2"
+	table.Observe(again, epoch.Add(time.Second))
+	g.Expect(table.Judge(pair, epoch.Add(time.Second), window).Identity).NotTo(Equal(before))
+}
+
+func TestOlderReportIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	table := evidence.NewTable()
+	table.Observe(ready("a", 0), epoch.Add(time.Second))
+	late := ready("a", 0)
+	late.Epoch = 4
+	table.Observe(late, epoch)
+	e, _ := table.Get("a")
+	g.Expect(e.Epoch).To(Equal(state.Epoch(5)))
+}
+
+// TestJudgeAllocations bounds what judging a whole group of 16 allocates.
+func TestJudgeAllocations(t *testing.T) {
+	g := NewWithT(t)
+	table := evidence.NewTable()
+	big := &state.Group{Name: "g", Epoch: 5}
+	for n := range 16 {
+		id := state.InstanceID(fmt.Sprint(n))
+		big.Members = append(big.Members, id)
+		table.Observe(ready(id, n), epoch)
+	}
+	g.Expect(testing.AllocsPerRun(100, func() { table.Judge(big, epoch, window) })).To(BeZero())
+}
+
+// TestLeavingIsHeardOfForAWhile covers a node whose own list lags behind its peers'.
+func TestLeavingIsHeardOfForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	table := evidence.NewTable()
+	table.SetListed([]state.InstanceID{"a"})
+	table.Heard("b", epoch)
+	g.Expect(table.Leaving("a", epoch)).To(BeTrue())
+	table.SetListed(nil)
+	g.Expect(table.Leaving("a", epoch)).To(BeFalse())
+	g.Expect(table.Leaving("b", epoch.Add(9*time.Second))).To(BeTrue())
+	g.Expect(table.Leaving("b", epoch.Add(10*time.Second))).To(BeFalse())
+	g.Expect(table.Listed()).To(BeEmpty())
+}
+
+// TestEvidenceNeverLooksYounger lets one node probe and another learn from it,
+// with pauses anywhere between question and answer. What the second node holds
+// must never claim to be newer than the first node's own question, and a report
+// that it holds must be one that the instance gave at that time.
+func TestEvidenceNeverLooksYounger(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := epoch
+		pause := func(name string) { now = now.Add(time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, name))) }
+		feed, table, mirror := evidence.NewFeed(), evidence.NewTable(), &evidence.Mirror{}
+		incarnation := "n1"
+		truth := map[state.InstanceID][]evidence.Entry{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := state.InstanceID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "instance"))
+			switch rapid.IntRange(0, 4).Draw(t, "act") {
+			case 0, 1:
+				asked := now
+				pause("probe")
+				r := evidence.Report{Instance: id, Incarnation: "1", Group: "g", Epoch: state.Epoch(rapid.IntRange(1, 3).Draw(t, "epoch")), Phase: evidence.PhaseReady}
+				feed.Observe(r, asked)
+				truth[id] = append(truth[id], evidence.Entry{Report: r, Asked: asked})
+			case 2:
+				feed.Expire(now.Add(-window))
+			case 3:
+				asked := now
+				pause("to the peer")
+				d := feed.Since(mirror.Version)
+				var confirmed time.Duration
+				if !d.Confirmed.IsZero() {
+					confirmed = now.Sub(d.Confirmed)
+				}
+				ages := make([]time.Duration, len(d.Changed))
+				for i, e := range d.Changed {
+					ages[i] = now.Sub(e.Asked)
+				}
+				pause("back")
+				mirror.Merge(table, incarnation, d, asked, confirmed, ages)
+			default:
+				if rapid.IntRange(0, 4).Draw(t, "restart") == 0 {
+					feed, incarnation = evidence.NewFeed(), incarnation+"'"
+					mirror.Version = 0
+				}
+			}
+			checkAges(t, table, truth)
+		}
+	})
+}
+
+// checkAges fails if an entry is younger than every question that got its report.
+func checkAges(t *rapid.T, table *evidence.Table, truth map[state.InstanceID][]evidence.Entry) {
+	for id, list := range truth {
+		e, ok := table.Get(id)
+		if !ok {
+			continue
+		}
+		proved := false
+		for _, real := range list {
+			proved = proved || (real.Report == e.Report && !e.Asked.After(real.Asked))
+		}
+		if !proved {
+			t.Fatalf("%s: held %+v, truth %+v", id, e, list)
+		}
+	}
+}
+
+// TestFeedTellsOnlyWhatChanged bounds what a peer gets while nothing changes.
+func TestFeedTellsOnlyWhatChanged(t *testing.T) {
+	g := NewWithT(t)
+	feed := evidence.NewFeed()
+	for n := range 100 {
+		feed.Observe(ready(state.InstanceID(fmt.Sprint(n)), n+1), epoch)
+	}
+	all := feed.Since(0)
+	g.Expect(all.Changed).To(HaveLen(100))
+	for n := range 100 {
+		feed.Observe(ready(state.InstanceID(fmt.Sprint(n)), n+1), epoch.Add(time.Second))
+	}
+	d := feed.Since(all.Version)
+	g.Expect(d.Changed).To(BeEmpty())
+	g.Expect(d.Confirmed).To(Equal(epoch.Add(time.Second)))
+	feed.Expire(epoch.Add(2 * time.Second))
+	g.Expect(feed.Since(all.Version).Lost).To(HaveLen(100))
+}
--- a/coordination/statelog/follower.go
+++ b/coordination/statelog/follower.go
@@ -69,7 +69,7 @@
 		changed: make(chan struct{}),
 		waiters: map[string][]chan state.Outcome{},
 	}
-	f.view.Store(newView(f.st))
+	f.view.Store(NewView(f.st))
 	return f
 }
 
@@ -286,7 +286,7 @@
 // Claims change nothing in the View, so it is rebuilt only after a command.
 func (f *Follower) publish() {
 	if f.view.Load().Offset != f.st.LastAccepted() {
-		f.view.Store(newView(f.st))
+		f.view.Store(NewView(f.st))
 	}
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/coordination/statelog/view.go
+++ b/coordination/statelog/view.go
@@ -14,8 +14,8 @@
 	Services    map[state.ServiceName]*state.Service
 }
 
-// newView copies what the request path needs out of the state.
-func newView(s *state.State) *View {
+// NewView copies what the request path needs out of the state.
+func NewView(s *state.State) *View {
 	v := &View{
 		Offset:      s.LastAccepted(),
 		Policy:      s.Policy(),
