--- /dev/null
+++ b/coordination/admission/admission_test.go
@@ -0,0 +1,205 @@
+package admission_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/troutmast/troutmast/coordination/admission"
+	_ "github.com/troutmast/troutmast/internal/seed"
+	"github.com/troutmast/troutmast/state"
+)
+
+// code returns the code of a refusal, or "".
+func code(err error) admission.Code {
+	var r *admission.Refusal
+	if errors.As(err, &r) {
+		return r.Code
+	}
+	return ""
+}
+
+// pool returns a pool with places, on a clock that the test drives.
+func pool(places int) (*admission.Pool, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	p := admission.NewPool(admission.DefaultConfig(), clock)
+	p.SetCapacity(places)
+	return p, clock
+}
+
+// acquire starts an acquisition and returns its result channel once it waits or has ended.
+func acquire(p *admission.Pool, priority state.Priority, deadline time.Time) <-chan error {
+	_, before := p.Held()
+	result := make(chan error, 1)
+	go func() { result <- p.Acquire(context.Background(), priority, deadline) }()
+	for range 2000 {
+		if _, waiting := p.Held(); waiting != before || len(result) > 0 {
+			return result
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return result
+}
+
+// TestPlacesAreNeverExceeded draws acquisitions, releases and changes of capacity.
+func TestPlacesAreNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		p := admission.NewPool(admission.DefaultConfig(), clock)
+		capacity, granted := 0, 0
+		var mu sync.Mutex
+		var waiting sync.WaitGroup
+		ctx, cancel := context.WithCancel(context.Background())
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "act") {
+			case 0:
+				capacity = rapid.IntRange(0, 5).Draw(t, "capacity")
+				p.SetCapacity(capacity)
+			case 1, 2:
+				priority := state.Priority(rapid.IntRange(0, 2).Draw(t, "priority"))
+				waiting.Go(func() {
+					if p.Acquire(ctx, priority, clock.Now().Add(time.Hour)) == nil {
+						mu.Lock()
+						granted++
+						mu.Unlock()
+					}
+				})
+			default:
+				mu.Lock()
+				release := granted > 0
+				if release {
+					granted--
+				}
+				mu.Unlock()
+				if release {
+					p.Release()
+				}
+			}
+			clock.Advance(10 * time.Millisecond)
+		}
+		cancel()
+		waiting.Wait()
+		held, left := p.Held()
+		if held != granted || left != 0 {
+			t.Fatalf("the pool counts %d held and %d waiting, the callers hold %d", held, left, granted)
+		}
+	})
+}
+
+func TestHigherClassesGoFirst(t *testing.T) {
+	g := NewWithT(t)
+	p, clock := pool(1)
+	far := clock.Now().Add(time.Hour)
+	g.Expect(p.Acquire(context.Background(), state.PriorityNormal, far)).To(Succeed())
+	batch := acquire(p, state.PriorityBatch, far)
+	normal := acquire(p, state.PriorityNormal, far)
+	alert := acquire(p, state.PriorityAlert, far)
+	for _, next := range []<-chan error{alert, normal, batch} {
+		p.Release()
+		g.Expect(<-next).To(Succeed())
+	}
+}
+
+func TestFullQueueGivesWayToAlertsOnly(t *testing.T) {
+	g := NewWithT(t)
+	p, clock := pool(1)
+	far := clock.Now().Add(time.Hour)
+	g.Expect(p.Acquire(context.Background(), state.PriorityNormal, far)).To(Succeed())
+	var queued []<-chan error
+	for range admission.DefaultConfig().MinQueue {
+		queued = append(queued, acquire(p, state.PriorityNormal, far))
+	}
+	err := p.Acquire(context.Background(), state.PriorityNormal, far)
+	g.Expect(code(err)).To(Equal(admission.CodeQueueFull))
+	alert := acquire(p, state.PriorityAlert, far)
+	g.Expect(code(<-queued[len(queued)-1])).To(Equal(admission.CodeEvicted))
+	p.Release()
+	g.Expect(<-alert).To(Succeed())
+}
+
+// TestTooLateIsRefusedAtOnce holds for a newcomer, and for one that waits when an alert goes ahead of it.
+func TestTooLateIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	p, clock := pool(1)
+	far := clock.Now().Add(time.Hour)
+	for range 20 {
+		g.Expect(p.Acquire(context.Background(), state.PriorityNormal, far)).To(Succeed())
+		clock.Advance(time.Second)
+		p.Release()
+	}
+	g.Expect(p.Acquire(context.Background(), state.PriorityNormal, far)).To(Succeed())
+	g.Expect(code(p.Acquire(context.Background(), state.PriorityNormal, clock.Now().Add(500*time.Millisecond)))).To(Equal(admission.CodeTooLate))
+	waits := acquire(p, state.PriorityNormal, clock.Now().Add(1500*time.Millisecond))
+	g.Expect(waits).To(BeEmpty())
+	acquire(p, state.PriorityAlert, far)
+	g.Expect(code(<-waits)).To(Equal(admission.CodeTooLate))
+}
+
+// TestRetryAfterGrowsWithTheQueue bounds what a refused caller is told by the rate at which places come free.
+func TestRetryAfterGrowsWithTheQueue(t *testing.T) {
+	g := NewWithT(t)
+	p, clock := pool(10)
+	far := clock.Now().Add(time.Hour)
+	for range 100 {
+		g.Expect(p.Acquire(context.Background(), state.PriorityNormal, far)).To(Succeed())
+		clock.Advance(500 * time.Millisecond)
+		p.Release()
+	}
+	for range 10 {
+		g.Expect(p.Acquire(context.Background(), state.PriorityNormal, far)).To(Succeed())
+	}
+	for range 10 {
+		acquire(p, state.PriorityNormal, far)
+	}
+	var r *admission.Refusal
+	g.Expect(errors.As(p.Acquire(context.Background(), state.PriorityNormal, far), &r)).To(BeTrue())
+	g.Expect(r.RetryAfter).To(And(BeNumerically(">=", 4*time.Second), BeNumerically("<=", 10*time.Second)))
+}
+
+func TestCancelledWaiterGivesItsPlaceBack(t *testing.T) {
+	g := NewWithT(t)
+	p, clock := pool(1)
+	far := clock.Now().Add(time.Hour)
+	for range 200 {
+		g.Expect(p.Acquire(context.Background(), state.PriorityNormal, far)).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		result := make(chan error, 1)
+		go func() { result <- p.Acquire(ctx, state.PriorityNormal, far) }()
+		go cancel()
+		p.Release()
+		if <-result == nil {
+			p.Release()
+		}
+	}
+	held, waiting := p.Held()
+	g.Expect(fmt.Sprint(held, waiting)).To(Equal("0 0"))
+}
+
+func TestTeamsHoldNoMoreThanTheirLimit(t *testing.T) {
+	g := NewWithT(t)
+	var teams admission.Teams
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	got := 0
+	for range 50 {
+		wg.Go(func() {
+			if teams.Acquire("t", 7) {
+				mu.Lock()
+				got++
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	g.Expect(got).To(Equal(7))
+	teams.Release("t")
+	g.Expect(teams.Acquire("t", 7)).To(BeTrue())
+	g.Expect(teams.Held("t")).To(Equal(7))
+}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -158,31 +158,33 @@
 
 // Split divides whole places over nodes by their demand and returns the part of one of them.
 //
-// Every node computes the same division from the same demands; the parts add
-// up to the whole exactly.
+// Every node computes the same division from the same demands; the parts add up
+// to the whole exactly. Where there are enough places, every node has one, so
+// that a request can be served wherever the balancer sends it.
 func Split(whole int, demand map[string]int, name string) int {
 	names := make([]string, 0, len(demand))
-	total := 0
+	weight := 0
 	for n, d := range demand {
 		names = append(names, n)
-		total += d + 1
+		weight += d + 1
 	}
 	slices.Sort(names)
-	parts := map[string]int{}
-	left := whole
-	for _, n := range names {
-		parts[n] = whole * (demand[n] + 1) / total
-		left -= parts[n]
+	least := 0
+	if whole >= len(names) {
+		least = 1
 	}
+	rest := whole - least*len(names)
+	left := rest
+	part := 0
 	for _, n := range names {
-		if left > 0 && parts[n] == 0 {
-			parts[n]++
-			left--
+		share := rest * (demand[n] + 1) / weight
+		left -= share
+		if n == name {
+			part = least + share
 		}
 	}
-	for i := 0; left > 0; i++ {
-		parts[names[i%len(names)]]++
-		left--
+	if slices.Index(names, name) < left {
+		part++
 	}
-	return parts[name]
+	return part
 }
--- /dev/null
+++ b/coordination/membership/membership_test.go
@@ -0,0 +1,100 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/troutmast/troutmast/coordination/membership"
+	_ "github.com/troutmast/troutmast/internal/seed"
+	"github.com/troutmast/troutmast/state"
+)
+
+// TestSplitAddsUpToTheWhole holds for any places and demands.
+func TestSplitAddsUpToTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demand := rapid.MapOfN(rapid.StringMatching(`n[0-9]{1,3}`), rapid.IntRange(0, 1000), 1, 60).Draw(t, "demand")
+		whole := rapid.IntRange(0, 500).Draw(t, "whole")
+		sum, none := 0, 0
+		for name := range demand {
+			part := membership.Split(whole, demand, name)
+			sum += part
+			if part == 0 {
+				none++
+			}
+		}
+		if sum != whole {
+			t.Fatalf("the parts add up to %d of %d", sum, whole)
+		}
+		if whole >= len(demand) && none > 0 {
+			t.Fatalf("%d nodes have no place of %d", none, whole)
+		}
+	})
+}
+
+func TestOwnerMovesOnlyWhatTheLostNodeHad(t *testing.T) {
+	g := NewWithT(t)
+	names := []string{"a", "b", "c", "d"}
+	moved, owned := 0, map[string]int{}
+	for n := range 4000 {
+		key := fmt.Sprint(n)
+		before := membership.Owner(key, names)
+		owned[before]++
+		after := membership.Owner(key, names[:3])
+		if before != "d" {
+			g.Expect(after).To(Equal(before))
+			continue
+		}
+		moved++
+	}
+	g.Expect(moved).To(Equal(owned["d"]))
+	for _, name := range names {
+		g.Expect(owned[name]).To(BeNumerically("~", 1000, 150))
+	}
+}
+
+func TestClearedOf(t *testing.T) {
+	now := time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+	group := &state.Group{Name: "g", Hall: "h", Drained: 10}
+	cases := []struct {
+		name    string
+		node    membership.Node
+		held    int
+		cleared bool
+	}{
+		{"applied and idle", membership.Node{Applied: 10, SaidAt: now}, 0, true},
+		{"still has a request", membership.Node{Applied: 10, SaidAt: now}, 1, false},
+		{"has not applied the drain", membership.Node{Applied: 9, SaidAt: now}, 0, false},
+		{"silent, so perhaps at work", membership.Node{Applied: 10, SaidAt: now.Add(-3 * time.Second)}, 0, false},
+		{"gone", membership.Node{Applied: 9, SaidAt: now.Add(-time.Minute)}, 1, true},
+		{"of another hall", membership.Node{Hall: "other", Applied: 0, SaidAt: now}, 0, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := membership.NewDirectory(membership.Node{Name: "self", Hall: "h"}, 2*time.Second)
+			c.node.Name = "n"
+			if c.node.Hall == "" {
+				c.node.Hall = "h"
+			}
+			d.Learn(c.node)
+			d.LearnHeld("n", map[state.GroupName]int{"g": c.held})
+			NewWithT(t).Expect(d.ClearedOf(group, now, 30*time.Second)).To(Equal(c.cleared))
+		})
+	}
+}
+
+func TestLearnKeepsTheNewest(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+	d := membership.NewDirectory(membership.Node{Name: "self", Hall: "h"}, 2*time.Second)
+	d.Learn(membership.Node{Name: "n", Hall: "h", Applied: 9, SaidAt: now})
+	d.Learn(membership.Node{Name: "n", Hall: "h", Applied: 4, SaidAt: now.Add(-time.Second)})
+	d.Introduce(membership.Node{Name: "n", Hall: "h", Applied: 99})
+	d.Learn(membership.Node{Name: "self", Hall: "h", Applied: 1, SaidAt: now})
+	g.Expect(d.Known()).To(HaveLen(1))
+	g.Expect(d.Known()[0].Applied).To(Equal(state.Offset(9)))
+	g.Expect(d.Live("h", now.Add(3*time.Second))).To(BeEmpty())
+}
