--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -53,7 +53,9 @@
 	Operator netip.AddrPort
 	Peer     netip.AddrPort
 	Hall     string
-	flags    []string
+	// relay is what the other nodes connect to.
+	relay *relay
+	flags []string
 }
 
 // Lab holds the processes of one run.
@@ -64,6 +66,8 @@
 	Nodes    []*Node
 	Targets  map[string]*Process
 
+	relays []*relay
+
 	mu  sync.Mutex
 	all []*Process
 }
@@ -105,10 +109,13 @@
 func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) }
 
 // FreeAddr returns a loopback address that is free now and is not returned again soon.
-func FreeAddr() (netip.AddrPort, error) {
+func FreeAddr() (netip.AddrPort, error) { return freeAddrOn("127.0.0.1") }
+
+// freeAddrOn returns a free address on a loopback IP number.
+func freeAddrOn(ip string) (netip.AddrPort, error) {
 	for range lastPort - firstPort {
 		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
 		if err != nil {
 			continue
 		}
@@ -203,13 +210,10 @@
 	peers := make([]string, len(halls))
 	for i, hall := range halls {
 		n := &Node{Hall: hall, flags: flags, Process: &Process{Name: fmt.Sprintf("node-%d", len(l.Nodes)+i+1)}}
-		for _, a := range []*netip.AddrPort{&n.Addr, &n.Operator, &n.Peer} {
-			var err error
-			if *a, err = FreeAddr(); err != nil {
-				return err
-			}
+		if err := l.place(n, len(l.Nodes)+i); err != nil {
+			return err
 		}
-		nodes[i], peers[i] = n, n.Peer.String()
+		nodes[i], peers[i] = n, n.relay.addr.String()
 	}
 	for _, n := range nodes {
 		n.flags = append([]string{"--peers", strings.Join(peers, ",")}, flags...)
@@ -221,11 +225,28 @@
 	return nil
 }
 
+// place gives a node its addresses: an IP number of its own, by which relays know it.
+func (l *Lab) place(n *Node, index int) error {
+	ip := fmt.Sprintf("127.0.1.%d", 1+index)
+	for _, a := range []*netip.AddrPort{&n.Addr, &n.Operator, &n.Peer} {
+		var err error
+		if *a, err = freeAddrOn(ip); err != nil {
+			return err
+		}
+	}
+	var err error
+	n.relay, err = newRelay(n.Peer)
+	if err == nil {
+		l.relays = append(l.relays, n.relay)
+	}
+	return err
+}
+
 // StartNode starts a node, or starts it again after its end.
 func (l *Lab) StartNode(n *Node) error {
 	args := []string{
 		"--name", n.Name, "--hall", n.Hall, "--callers", n.Addr.String(), "--operator", n.Operator.String(),
-		"--peer", n.Peer.String(), "--platform", l.Platform.Addr.String(),
+		"--peer", n.Peer.String(), "--advertise", n.relay.addr.String(), "--platform", l.Platform.Addr.String(),
 		"--operator-secret", OperatorSecret, "--peer-secret", PeerSecret, "--stop-lag", "300ms",
 	}
 	p, err := l.start(n.Name, n.Addr, "troutmastd", append(args, n.flags...)...)
@@ -329,6 +350,9 @@
 
 // Close ends every process that the lab has started.
 func (l *Lab) Close() {
+	for _, r := range l.relays {
+		r.close()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range l.all {
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -23,6 +24,8 @@
 	KeepAlive bool
 	// IdleConns is the greatest number of idle connections to one address.
 	IdleConns int
+	// Source, when valid, is the address from which connections are made.
+	Source netip.Addr
 	// Meter, when set, counts the bytes of all connections.
 	Meter *Meter
 }
@@ -42,7 +45,7 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: o.IdleConns,
 		IdleConnTimeout:     30 * time.Second,
-		DialContext:         o.Meter.Dial(o.DialTimeout),
+		DialContext:         o.Meter.Dial(o.DialTimeout, o.Source),
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{hc: &http.Client{Transport: t, CheckRedirect: noRedirect}}
--- a/protocol/exchange/meter.go
+++ b/protocol/exchange/meter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 )
@@ -29,9 +30,13 @@
 	}
 }
 
-// Dial returns a function that connects within a time and counts the connection's bytes.
-func (m *Meter) Dial(timeout time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
+// Dial returns a function that connects within a time and counts the
+// connection's bytes. A valid source is the address from which it connects.
+func (m *Meter) Dial(timeout time.Duration, source netip.Addr) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: timeout}
+	if source.IsValid() && !source.IsUnspecified() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dialer.DialContext(ctx, network, addr)
 		if err != nil {
--- a/protocol/peer/peer.go
+++ b/protocol/peer/peer.go
@@ -64,16 +64,32 @@
 	conns map[netip.AddrPort]rpcconnect.PeerClient
 }
 
+// Options are what a Client is made of.
+type Options struct {
+	Secret string
+	// Seeds are addresses of peers that are tried while none is known.
+	Seeds []netip.AddrPort
+	// Source is the address from which peers are called.
+	Source  netip.Addr
+	Timeout time.Duration
+	Meter   *exchange.Meter
+	Now     func() time.Time
+}
+
 // NewClient returns a Client that knows peers from a directory and from seed addresses.
-func NewClient(secret string, dir *membership.Directory, seeds []netip.AddrPort, timeout time.Duration, meter *exchange.Meter, now func() time.Time) *Client {
-	t := &http.Transport{IdleConnTimeout: 30 * time.Second, DialContext: meter.Dial(timeout), Protocols: Protocols()}
+func NewClient(dir *membership.Directory, o Options) *Client {
+	t := &http.Transport{
+		IdleConnTimeout: 30 * time.Second,
+		DialContext:     o.Meter.Dial(o.Timeout, o.Source),
+		Protocols:       Protocols(),
+	}
 	return &Client{
 		hc:      &http.Client{Transport: t},
-		secret:  secret,
+		secret:  o.Secret,
 		dir:     dir,
-		seeds:   seeds,
-		timeout: timeout,
-		now:     now,
+		seeds:   o.Seeds,
+		timeout: o.Timeout,
+		now:     o.Now,
 		conns:   map[netip.AddrPort]rpcconnect.PeerClient{},
 	}
 }
--- a/transport/node/exchange.go
+++ b/transport/node/exchange.go
@@ -83,7 +83,7 @@
 		}
 	}
 	for _, addr := range n.Settings.Peers {
-		if !known[addr] && addr != n.Settings.Peer {
+		if !known[addr] && addr != n.Settings.Advertised() {
 			others = append(others, addr)
 		}
 	}
--- a/transport/node/node.go
+++ b/transport/node/node.go
@@ -66,12 +66,14 @@
 
 // New returns a Node that is not yet running.
 func New(set *settings.Settings, clock clockwork.Clock) *Node {
-	self := membership.Node{Name: set.Name, Hall: set.Hall, Address: set.Peer, Incarnation: uuid.NewString()}
+	self := membership.Node{Name: set.Name, Hall: set.Hall, Address: set.Advertised(), Incarnation: uuid.NewString()}
 	dir := membership.NewDirectory(self, liveness*set.ExchangeInterval)
 	meter := &exchange.Meter{}
 	control := exchange.New(exchange.Options{DialTimeout: dialTimeout, KeepAlive: true, IdleConns: 4, Meter: meter})
 	plat := platform.NewClient(set.Platform, set.Name, control)
-	peers := peer.NewClient(set.PeerSecret, dir, set.Peers, dialTimeout, meter, clock.Now)
+	peers := peer.NewClient(dir, peer.Options{
+		Secret: set.PeerSecret, Seeds: set.Peers, Source: set.Peer.Addr(), Timeout: dialTimeout, Meter: meter, Now: clock.Now,
+	})
 	cfg := statelog.DefaultConfig()
 	cfg.SnapshotEvery = state.Offset(set.SnapshotEvery)
 	follower := statelog.NewFollower(cfg, plat, peers, clock)
@@ -104,7 +106,9 @@
 	}
 	n := &Node{Core: c, meter: meter, mirrors: newMirrors(), missing: newMissingSince(), refresh: make(chan struct{}, 1)}
 	n.prober = probe.New(probe.Config{Interval: set.ProbeInterval, Window: set.EvidenceWindow}, c.Targets, n.sources(), c.Evidence, c.Feed, clock)
-	n.caller = caller.NewServer(c, exchange.New(exchange.Options{DialTimeout: dialTimeout, KeepAlive: true, IdleConns: 64}))
+	n.caller = caller.NewServer(c, exchange.New(exchange.Options{
+		DialTimeout: dialTimeout, KeepAlive: true, IdleConns: 64, Source: set.Peer.Addr(),
+	}))
 	return n
 }
 
--- a/transport/settings/settings.go
+++ b/transport/settings/settings.go
@@ -26,8 +26,10 @@
 	Callers  netip.AddrPort
 	Operator netip.AddrPort
 	Peer     netip.AddrPort
-	Peers    []netip.AddrPort
-	Platform netip.AddrPort
+	// Advertise is where other nodes reach this one, if not at Peer.
+	Advertise netip.AddrPort
+	Peers     []netip.AddrPort
+	Platform  netip.AddrPort
 
 	OperatorSecret string
 	PeerSecret     string
@@ -72,6 +74,7 @@
 		{Flag: "callers", Default: "127.0.0.1:8080", Help: "ip:port for callers", set: addr(&s.Callers)},
 		{Flag: "operator", Default: "127.0.0.1:8081", Help: "ip:port for troutctl", set: addr(&s.Operator)},
 		{Flag: "peer", Default: "127.0.0.1:8082", Help: "ip:port for other nodes", set: addr(&s.Peer)},
+		{Flag: "advertise", Default: "none", Help: "ip:port at which other nodes reach this one, or none for --peer", set: optionalAddr(&s.Advertise)},
 		{Flag: "peers", Default: "none", Help: "ip:port of other nodes, separated by commas, or none", set: addrs(&s.Peers)},
 		{Flag: "platform", Default: "127.0.0.1:8090", Help: "ip:port of the platform", set: addr(&s.Platform)},
 		{Flag: "operator-secret", Default: "", Help: "secret that operators send", Secret: true, set: text(&s.OperatorSecret)},
@@ -98,6 +101,14 @@
 	}
 }
 
+// Advertised returns where other nodes reach this one.
+func (s *Settings) Advertised() netip.AddrPort {
+	if s.Advertise.IsValid() {
+		return s.Advertise
+	}
+	return s.Peer
+}
+
 // EnvPrefix begins the name of every environment variable.
 const EnvPrefix = "TROUTMAST_"
 
@@ -199,6 +210,16 @@
 	}
 }
 
+// optionalAddr reads an ip:port, or none.
+func optionalAddr(into *netip.AddrPort) func(string) error {
+	return func(v string) error {
+		if v == "none" {
+			return nil
+		}
+		return addr(into)(v)
+	}
+}
+
 // addrs reads a list of ip:port, or none.
 func addrs(into *[]netip.AddrPort) func(string) error {
 	return func(v string) error {
