Speak TLS on all listeners and between nodes; tell leaving instances one way

Cause: with a certificate set, nodes still called each other without TLS. Found on the way, by the first TLS test (502 on every forwarded request): two clients shared one TLS configuration, and the HTTP/2 one added its protocol to it, so the HTTP/1 one got frames it could not read. And a connection under TLS was not recognised as counted, so a request lost on it would have been called not-run.

Change: peers, forwarding and troutctl use TLS when it is set, each client with its own configuration; bytes are counted below TLS, and what cannot be counted counts as sent.

Taken out: peers' word of leaving instances in every exchange. Without it the test of a node cut from the list still passed, since such a node takes the whole list from a peer. It asks three peers at most.

--- a/cmd/troutmastd/troutmastd.go
+++ b/cmd/troutmastd/troutmastd.go
@@ -35,7 +35,12 @@
 	}
 	log.SetHandler(json.New(os.Stderr))
 	log.SetLevelFromString(set.LogLevel)
-	if err := run(set); err != nil && !errors.Is(err, context.Canceled) {
+	err = run(set)
+	switch {
+	case errors.Is(err, settings.ErrSettings):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	case err != nil && !errors.Is(err, context.Canceled):
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
@@ -45,5 +50,9 @@
 func run(set *settings.Settings) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	return node.New(set, clockwork.NewRealClock()).Run(ctx)
+	n, err := node.New(set, clockwork.NewRealClock())
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
 }
--- a/coordination/evidence/evidence.go
+++ b/coordination/evidence/evidence.go
@@ -67,7 +67,7 @@
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	t := &Table{heard: map[state.InstanceID]time.Time{}}
+	t := &Table{}
 	for i := range t.shards {
 		t.shards[i].m = map[state.InstanceID]Entry{}
 	}
@@ -110,41 +110,18 @@
 	t.listed = m
 }
 
-// Heard notes that a peer calls an instance leaving; it counts for leavingKept after the last word.
-func (t *Table) Heard(id state.InstanceID, now time.Time) {
+// Leaving tells whether the list or the instance itself says that it is leaving.
+func (t *Table) Leaving(id state.InstanceID) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.heard[id] = now
-}
-
-// leavingKept is how long a peer's word that an instance is leaving counts.
-// The node's own list may lag behind the peer's by as much.
-const leavingKept = 10 * time.Second
-
-// Leaving tells whether any source says that an instance is leaving.
-func (t *Table) Leaving(id state.InstanceID, now time.Time) bool {
-	t.mu.Lock()
-	at, heard := t.heard[id]
-	noted := t.listed[id] || (heard && now.Sub(at) < leavingKept)
+	listed := t.listed[id]
 	t.mu.Unlock()
-	if noted {
+	if listed {
 		return true
 	}
 	e, ok := t.Get(id)
 	return ok && e.Leaving
 }
 
-// Listed returns the instances that the node's own list calls leaving, to be told to peers.
-func (t *Table) Listed() []state.InstanceID {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	list := make([]state.InstanceID, 0, len(t.listed))
-	for id := range t.listed {
-		list = append(list, id)
-	}
-	return list
-}
-
 // Fault says why a group is not whole.
 type Fault struct {
 	Instance state.InstanceID
@@ -184,7 +161,7 @@
 			w.Until = until
 		}
 		w.Identity = w.Identity*prime + xxhash.Sum64String(e.Incarnation)
-		w.Leaving = w.Leaving || t.Leaving(id, now)
+		w.Leaving = w.Leaving || t.Leaving(id)
 		if rank == 0 {
 			w.Leader = e.Report
 		}
@@ -212,7 +189,7 @@
 	}
 	return Wholeness{
 		Until:    e.Asked.Add(window),
-		Leaving:  t.Leaving(id, now),
+		Leaving:  t.Leaving(id),
 		Identity: xxhash.Sum64String(e.Incarnation),
 		Leader:   e.Report,
 	}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -45,6 +45,7 @@
 	log  *bytes.Buffer
 	done chan struct{}
 	err  error
+	tls  *TLSFiles
 }
 
 // Node is a running entry node.
@@ -67,6 +68,7 @@
 	Targets  map[string]*Process
 
 	relays []*relay
+	tls    *TLSFiles
 
 	mu  sync.Mutex
 	all []*Process
@@ -154,7 +156,7 @@
 			return fmt.Errorf("lab: %s ended: %w: %s", p.Name, p.err, p.log)
 		default:
 		}
-		resp, err := http.Get("http://" + p.Addr.String() + path)
+		resp, err := p.Client().Get(p.URL() + path)
 		if err != nil {
 			return err
 		}
@@ -249,10 +251,14 @@
 		"--peer", n.Peer.String(), "--advertise", n.relay.addr.String(), "--platform", l.Platform.Addr.String(),
 		"--operator-secret", OperatorSecret, "--peer-secret", PeerSecret, "--stop-lag", "300ms",
 	}
+	if l.tls != nil {
+		args = append(args, "--tls-cert", l.tls.Cert, "--tls-key", l.tls.Key, "--tls-ca", l.tls.CA)
+	}
 	p, err := l.start(n.Name, n.Addr, "troutmastd", append(args, n.flags...)...)
 	if err != nil {
 		return err
 	}
+	p.tls = l.tls
 	n.Process = p
 	return l.await(p, "/livez")
 }
@@ -270,7 +276,11 @@
 // Ctl runs troutctl against a node and returns its output.
 func (l *Lab) Ctl(n *Node, words ...string) (string, int) {
 	var out bytes.Buffer
-	args := append([]string{"--addr", n.Operator.String(), "--secret", OperatorSecret, "--user", "lab"}, words...)
+	args := []string{"--addr", n.Operator.String(), "--secret", OperatorSecret, "--user", "lab"}
+	if l.tls != nil {
+		args = append(args, "--ca", l.tls.CA)
+	}
+	args = append(args, words...)
 	code := ctl.Run(args, func(string) (string, bool) { return "", false }, &out, &out)
 	return out.String(), code
 }
@@ -342,6 +352,9 @@
 	}
 }
 
+// Done returns a channel that is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
 // Log returns what a process has printed; it must have ended.
 func (p *Process) Log() string { return p.log.String() }
 
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -3,6 +3,7 @@
 package exchange
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -26,6 +27,8 @@
 	IdleConns int
 	// Source, when valid, is the address from which connections are made.
 	Source netip.Addr
+	// TLS, when set, is used for addresses that are called by https.
+	TLS *tls.Config
 	// Meter, when set, counts the bytes of all connections.
 	Meter *Meter
 }
@@ -43,6 +46,7 @@
 	t := &http.Transport{
 		DisableKeepAlives:   !o.KeepAlive,
 		DisableCompression:  true,
+		TLSClientConfig:     o.TLS.Clone(),
 		MaxIdleConnsPerHost: o.IdleConns,
 		IdleConnTimeout:     30 * time.Second,
 		DialContext:         o.Meter.Dial(o.DialTimeout, o.Source),
@@ -82,16 +86,22 @@
 	mu    sync.Mutex
 	conns []*countedConn
 	base  []int64
+	// uncounted is set when a connection was used whose bytes are not counted.
+	uncounted bool
 }
 
-// add notes a connection.
+// add notes a connection. Of one whose bytes cannot be counted, some are taken to have left.
 func (u *usedConns) add(conn net.Conn) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	c, ok := conn.(*countedConn)
 	if !ok {
+		u.uncounted = true
 		return
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.conns = append(u.conns, c)
 	u.base = append(u.base, c.begun())
 }
@@ -100,7 +110,7 @@
 func (u *usedConns) cut() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	sent := false
+	sent := u.uncounted
 	for i, c := range u.conns {
 		sent = c.cut() > u.base[i] || sent
 	}
--- a/protocol/peer/peer.go
+++ b/protocol/peer/peer.go
@@ -4,11 +4,14 @@
 import (
 	"context"
 	"crypto/subtle"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,10 +28,11 @@
 // ErrPeer means a peer did not answer as it should.
 var ErrPeer = errors.New("peer: no usable answer")
 
-// Protocols returns what nodes speak to each other: HTTP/2 without TLS, since
-// it sends the headers of repeated calls in a few bytes.
+// Protocols returns what nodes speak to each other: HTTP/2, with TLS or without,
+// since it sends the headers of repeated calls in a few bytes.
 func Protocols() *http.Protocols {
 	p := &http.Protocols{}
+	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(true)
 	return p
 }
@@ -54,6 +58,7 @@
 // Client speaks to all peers; safe for concurrent use.
 type Client struct {
 	hc      *http.Client
+	scheme  string
 	secret  string
 	dir     *membership.Directory
 	seeds   []netip.AddrPort
@@ -73,7 +78,17 @@
 	Source  netip.Addr
 	Timeout time.Duration
 	Meter   *exchange.Meter
-	Now     func() time.Time
+	// TLS, when set, makes the nodes speak https to each other.
+	TLS *tls.Config
+	Now func() time.Time
+}
+
+// scheme returns the scheme by which peers are called.
+func (o *Options) scheme() string {
+	if o.TLS != nil {
+		return "https://"
+	}
+	return "http://"
 }
 
 // NewClient returns a Client that knows peers from a directory and from seed addresses.
@@ -82,9 +97,11 @@
 		IdleConnTimeout: 30 * time.Second,
 		DialContext:     o.Meter.Dial(o.Timeout, o.Source),
 		Protocols:       Protocols(),
+		TLSClientConfig: o.TLS.Clone(),
 	}
 	return &Client{
 		hc:      &http.Client{Transport: t},
+		scheme:  o.scheme(),
 		secret:  o.Secret,
 		dir:     dir,
 		seeds:   o.Seeds,
@@ -100,7 +117,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.conns[addr]
 	if !ok {
-		p = rpcconnect.NewPeerClient(c.hc, "http://"+addr.String(), WithSecret(c.secret))
+		p = rpcconnect.NewPeerClient(c.hc, c.scheme+addr.String(), WithSecret(c.secret))
 		c.conns[addr] = p
 	}
 	return p
@@ -126,7 +143,7 @@
 	if len(list) > 0 {
 		return list
 	}
-	return c.seeds
+	return slices.Clone(c.seeds)
 }
 
 // Snapshot implements statelog.Peers.
@@ -153,12 +170,17 @@
 	return &state.Snapshot{At: state.Offset(resp.Msg.GetAt()), Digest: resp.Msg.GetDigest(), Data: resp.Msg.GetData()}, nil
 }
 
-// Instances returns the youngest instance list that a peer has, and its age.
+// listPeers is how many peers are asked for their instance list at a time.
+const listPeers = 3
+
+// Instances returns the youngest instance list that some peers have, and its age.
 func (c *Client) Instances(ctx context.Context) ([]platform.Instance, time.Duration, error) {
 	var youngest []platform.Instance
 	var age time.Duration
 	err := fmt.Errorf("%w: no peer is known", ErrPeer)
-	for _, addr := range c.Addresses() {
+	addrs := c.Addresses()
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	for _, addr := range addrs[:min(listPeers, len(addrs))] {
 		list, a, one := c.instancesFrom(ctx, addr)
 		if one != nil {
 			err = errors.Join(err, one)
--- a/transport/caller/forward.go
+++ b/transport/caller/forward.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -38,6 +39,7 @@
 			s.c.Count("forwarded")
 			return nil
 		}
+		s.note(q, "%s failed: %v", n.Name, err)
 		worst = worse(worst, outcome)
 		f := withOutcome(worst, CodePeerFailed, "the node that the request was passed on to failed")
 		if i+1 == len(nodes) || !s.again(ctx, q, outcome, f, repeatable) {
@@ -58,9 +60,17 @@
 	return nodes
 }
 
+// peerScheme returns the scheme by which other nodes are called.
+func (s *Server) peerScheme() string {
+	if s.c.Settings.CertFile != "" {
+		return "https://"
+	}
+	return "http://"
+}
+
 // forwardTo passes a request on to one node and its answer back.
 func (s *Server) forwardTo(ctx context.Context, w http.ResponseWriter, q *request, n membership.Node) (retry.Outcome, error) {
-	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+n.Address.String()+ForwardPath+q.path, bytes.NewReader(q.body))
+	req, err := http.NewRequestWithContext(ctx, q.method, s.peerScheme()+n.Address.String()+ForwardPath+q.path, bytes.NewReader(q.body))
 	if err != nil {
 		return retry.NotRun, err
 	}
@@ -76,9 +86,9 @@
 	resp, sent, err := s.forward.Do(req)
 	switch {
 	case err != nil && sent:
-		return retry.Unknown, errors.Join(errNoAnswer, err)
+		return retry.Unknown, fmt.Errorf("%w: %w", errNoAnswer, err)
 	case err != nil:
-		return retry.NotRun, errors.Join(errNoAnswer, err)
+		return retry.NotRun, fmt.Errorf("%w: %w", errNoAnswer, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.Header.Get(HeaderRequestID) != q.id {
--- a/transport/core/resolve.go
+++ b/transport/core/resolve.go
@@ -53,7 +53,7 @@
 	}
 	var free []state.Place
 	for id, p := range c.Places.All() {
-		if p.Hall != hall || p.Leaving || busy[id] || view.Assignments[id] != nil || c.Evidence.Leaving(id, now) {
+		if p.Hall != hall || p.Leaving || busy[id] || view.Assignments[id] != nil || c.Evidence.Leaving(id) {
 			continue
 		}
 		if hall == c.Settings.Hall && !c.idle(id, now) {
--- a/transport/ctl/ctl.go
+++ b/transport/ctl/ctl.go
@@ -22,6 +22,7 @@
 	"github.com/troutmast/troutmast/protocol/rpc/rpcconnect"
 	"github.com/troutmast/troutmast/transport/caller"
 	"github.com/troutmast/troutmast/transport/operator"
+	"github.com/troutmast/troutmast/transport/settings"
 )
 
 // Exit codes of troutctl.
@@ -46,6 +47,7 @@
 	operator string
 	output   string
 	id       string
+	ca       string
 }
 
 // tool is one invocation.
@@ -58,23 +60,29 @@
 
 // Run carries out one command line and returns the exit code.
 func Run(args []string, lookup func(string) (string, bool), stdout, stderr io.Writer) int {
-	o := options{addr: env(lookup, "TROUTMAST_OPERATOR", "127.0.0.1:8081"), secret: env(lookup, "TROUTMAST_OPERATOR_SECRET", ""), operator: env(lookup, "USER", "operator"), output: "table"}
+	o := options{addr: env(lookup, "TROUTMAST_OPERATOR", "127.0.0.1:8081"), secret: env(lookup, "TROUTMAST_OPERATOR_SECRET", ""), operator: env(lookup, "USER", "operator"), ca: env(lookup, "TROUTMAST_TLS_CA", ""), output: "table"}
 	words, err := o.parse(args)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
+	secure, err := settings.ClientTLS(o.ca)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
 	t := &tool{options: o, out: stdout, err: stderr}
-	t.client = rpcconnect.NewOperatorClient(&http.Client{Timeout: callTimeout}, baseURL(o.addr), peer.WithSecret(o.secret))
+	hc := &http.Client{Timeout: callTimeout, Transport: &http.Transport{TLSClientConfig: secure}}
+	t.client = rpcconnect.NewOperatorClient(hc, o.baseURL(), peer.WithSecret(o.secret))
 	return t.run(words)
 }
 
-// baseURL returns the URL of an address that may carry a scheme.
-func baseURL(addr string) string {
-	if strings.Contains(addr, "://") {
-		return addr
+// baseURL returns the URL of the node that is asked.
+func (o *options) baseURL() string {
+	if o.ca != "" {
+		return "https://" + o.addr
 	}
-	return "http://" + addr
+	return "http://" + o.addr
 }
 
 // env returns an environment variable, or a default.
@@ -102,6 +110,7 @@
 	p.String(&o.secret, "s", "secret", "operators' secret (TROUTMAST_OPERATOR_SECRET)")
 	p.String(&o.operator, "u", "user", "name recorded with commands (USER)")
 	p.String(&o.output, "o", "output", "table or json")
+	p.String(&o.ca, "c", "ca", "file with the certificates that sign the nodes'; given, https is spoken (TROUTMAST_TLS_CA)")
 	p.String(&o.id, "i", "id", "id for the command (UUIDv7); a repeat with the same id has no further effect")
 	if err := p.ParseArgs(args[:n]); err != nil {
 		return nil, fmt.Errorf("%w: %w", errUsage, err)
--- a/transport/node/control.go
+++ b/transport/node/control.go
@@ -191,7 +191,7 @@
 
 // isMissing tells whether a member is silent, or leaving while nothing is left at its group.
 func (n *Node) isMissing(g *state.Group, id state.InstanceID, now time.Time) bool {
-	if n.Evidence.Leaving(id, now) {
+	if n.Evidence.Leaving(id) {
 		return n.cleared(g, now)
 	}
 	e, ok := n.Evidence.Get(id)
--- a/transport/node/exchange.go
+++ b/transport/node/exchange.go
@@ -141,9 +141,6 @@
 		held[state.GroupName(h.GetGroup())] = int(h.GetHeld())
 	}
 	n.Directory.LearnHeld(self.Name, held)
-	for _, id := range resp.GetLeaving() {
-		n.Evidence.Heard(state.InstanceID(id), self.SaidAt)
-	}
 	delta, ages := peer.DecodeDelta(resp)
 	confirmed := peer.Duration(resp.GetConfirmedAgeMs())
 	for _, r := range mirror.Merge(n.Evidence, self.Incarnation, delta, self.SaidAt, confirmed, ages) {
--- a/transport/node/node.go
+++ b/transport/node/node.go
@@ -64,15 +64,19 @@
 	refresh chan struct{}
 }
 
-// New returns a Node that is not yet running.
-func New(set *settings.Settings, clock clockwork.Clock) *Node {
+// New returns a Node that is not yet running, or an error when its TLS files cannot be read.
+func New(set *settings.Settings, clock clockwork.Clock) (*Node, error) {
+	peerTLS, err := set.PeerTLS()
+	if err != nil {
+		return nil, err
+	}
 	self := membership.Node{Name: set.Name, Hall: set.Hall, Address: set.Advertised(), Incarnation: uuid.NewString()}
 	dir := membership.NewDirectory(self, liveness*set.ExchangeInterval)
 	meter := &exchange.Meter{}
 	control := exchange.New(exchange.Options{DialTimeout: dialTimeout, KeepAlive: true, IdleConns: 4, Meter: meter})
 	plat := platform.NewClient(set.Platform, set.Name, control)
 	peers := peer.NewClient(dir, peer.Options{
-		Secret: set.PeerSecret, Seeds: set.Peers, Source: set.Peer.Addr(), Timeout: dialTimeout, Meter: meter, Now: clock.Now,
+		Secret: set.PeerSecret, Seeds: set.Peers, Source: set.Peer.Addr(), Timeout: dialTimeout, Meter: meter, TLS: peerTLS, Now: clock.Now,
 	})
 	cfg := statelog.DefaultConfig()
 	cfg.SnapshotEvery = state.Offset(set.SnapshotEvery)
@@ -107,9 +111,9 @@
 	n := &Node{Core: c, meter: meter, mirrors: newMirrors(), missing: newMissingSince(), refresh: make(chan struct{}, 1)}
 	n.prober = probe.New(probe.Config{Interval: set.ProbeInterval, Window: set.EvidenceWindow}, c.Targets, n.sources(), c.Evidence, c.Feed, clock)
 	n.caller = caller.NewServer(c, exchange.New(exchange.Options{
-		DialTimeout: dialTimeout, KeepAlive: true, IdleConns: 64, Source: set.Peer.Addr(),
+		DialTimeout: dialTimeout, KeepAlive: true, IdleConns: 64, Source: set.Peer.Addr(), TLS: peerTLS,
 	}))
-	return n
+	return n, nil
 }
 
 // Run runs the node until ctx ends, then stops it without cutting a request off.
--- a/transport/operator/show.go
+++ b/transport/operator/show.go
@@ -115,7 +115,7 @@
 		if e, ok := s.c.Evidence.Get(id); ok {
 			reports, phase, age = string(e.Group), string(e.Phase), now.Sub(e.Asked).Round(time.Millisecond).String()
 		}
-		t.add(id, p.Hall, p.Domain, p.Address, s.c.Evidence.Leaving(id, now), ordered, epoch, reports, phase, age)
+		t.add(id, p.Hall, p.Domain, p.Address, s.c.Evidence.Leaving(id), ordered, epoch, reports, phase, age)
 	}
 	t.sort()
 	return t
--- a/transport/operator/why.go
+++ b/transport/operator/why.go
@@ -91,7 +91,7 @@
 	default:
 		t.add(id, fmt.Sprintf("rank %d of group %s since offset %d", a.Rank, a.Group, a.Epoch))
 	}
-	if s.c.Evidence.Leaving(id, now) {
+	if s.c.Evidence.Leaving(id) {
 		t.add(id, "leaving")
 	}
 	e, ok := s.c.Evidence.Get(id)
--- a/transport/peerapi/peerapi.go
+++ b/transport/peerapi/peerapi.go
@@ -74,9 +74,6 @@
 	for _, id := range d.Lost {
 		resp.Lost = append(resp.Lost, string(id))
 	}
-	for _, id := range s.c.Evidence.Listed() {
-		resp.Leaving = append(resp.Leaving, string(id))
-	}
 	for _, c := range s.c.Routing.All() {
 		if c.Held() > 0 {
 			resp.Held = append(resp.Held, &rpc.GroupHeld{Group: string(c.Name), Held: uint32(c.Held())})
--- a/transport/settings/settings.go
+++ b/transport/settings/settings.go
@@ -52,6 +52,7 @@
 	SnapshotEvery    int
 	CertFile         string
 	KeyFile          string
+	CAFile           string
 	LogLevel         string
 }
 
@@ -97,6 +98,7 @@
 		{Flag: "snapshot-every", Default: "1000", Help: "log offsets between two snapshots", set: count(&s.SnapshotEvery)},
 		{Flag: "tls-cert", Default: "none", Help: "certificate file for all listeners, or none", set: optional(&s.CertFile)},
 		{Flag: "tls-key", Default: "none", Help: "key file of the certificate, or none", set: optional(&s.KeyFile)},
+		{Flag: "tls-ca", Default: "none", Help: "file with the certificates that sign those of the other nodes, or none", set: optional(&s.CAFile)},
 		{Flag: "log-level", Default: "info", Help: "debug, info, warn or error", set: text(&s.LogLevel)},
 	}
 }
@@ -167,7 +169,9 @@
 	add(s.ProbeInterval+s.ExchangeInterval >= s.EvidenceWindow && s.EvidenceWindow > 0,
 		"--evidence-window (%s): must exceed --probe-interval and --exchange-interval together", EnvName("evidence-window"))
 	add(s.DefaultTimeout > s.MaxTimeout, "--default-timeout (%s): must not exceed --max-timeout", EnvName("default-timeout"))
-	add((s.CertFile == "") != (s.KeyFile == ""), "--tls-cert and --tls-key: give both or neither")
+	none := s.CertFile == "" && s.KeyFile == "" && s.CAFile == ""
+	all := s.CertFile != "" && s.KeyFile != "" && s.CAFile != ""
+	add(!none && !all, "--tls-cert, --tls-key and --tls-ca: give all three or none")
 	add(s.Callers == s.Operator || s.Callers == s.Peer || s.Operator == s.Peer, "--callers, --operator and --peer: the addresses must differ")
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error", "":
