--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -24,7 +24,6 @@
 	CodeTooLate   Code = "deadline-too-near"
 	CodeEvicted   Code = "displaced-by-priority"
 	CodeNoGroup   Code = "no-whole-group"
-	CodeStopping  Code = "node-stopping"
 )
 
 // Refusal says why a request is refused and when to come back.
--- a/coordination/evidence/evidence.go
+++ b/coordination/evidence/evidence.go
@@ -57,7 +57,6 @@
 	shards [shardCount]shard
 	mu     sync.Mutex
 	listed map[state.InstanceID]bool
-	heard  map[state.InstanceID]time.Time
 }
 
 type shard struct {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -92,8 +92,24 @@
 	return data
 }
 
+// swap returns the previous answer and puts it under its own id.
+func (t *Target) swap(w http.ResponseWriter, data []byte, f TargetFaults) []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	id := w.Header().Get(target.HeaderRequestID)
+	if f.Swap && t.last != nil {
+		w.Header().Set(target.HeaderRequestID, t.lastID)
+		data = t.last
+	}
+	if !f.Swap {
+		t.lastID, t.last = id, data
+	}
+	return data
+}
+
 // finish sends a whole answer, or what the faults leave of it.
 func (t *Target) finish(w http.ResponseWriter, kind string, data []byte, f TargetFaults) {
+	data = t.swap(w, data, f)
 	if f.LoseAnswer {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -35,8 +35,8 @@
 	Leaving bool `json:"leaving"`
 	// Refuse makes the target refuse requests before it runs them.
 	Refuse bool `json:"refuse"`
-	// WrongID makes the target answer with the id of another request.
-	WrongID bool `json:"wrong_id"`
+	// Swap makes the target answer with its previous answer, under that one's id.
+	Swap bool `json:"swap"`
 	// Truncate cuts the answer off half-way.
 	Truncate bool `json:"truncate"`
 	// LoseAnswer runs the request and cuts the connection.
@@ -67,6 +67,9 @@
 	held    int
 	faults  TargetFaults
 	journal []JournalEntry
+	// last is the last answer and the id of its request.
+	lastID string
+	last   []byte
 }
 
 // NewTarget returns a Target that holds no group.
@@ -168,9 +171,6 @@
 		http.Error(w, "not run", http.StatusServiceUnavailable)
 		return t.faults, false
 	}
-	if t.faults.WrongID {
-		w.Header().Set(target.HeaderRequestID, "other-"+id)
-	}
 	t.held++
 	t.journal = append(t.journal, JournalEntry{RequestID: id, Key: r.Header.Get(target.HeaderKey), Path: r.URL.Path, At: time.Now()})
 	return t.faults, true
--- a/protocol/target/target.go
+++ b/protocol/target/target.go
@@ -27,6 +27,10 @@
 	ErrTarget = errors.New("target: no usable answer")
 	// ErrFenced means a target refused an order as older than the last it obeyed.
 	ErrFenced = errors.New("target: order refused as stale")
+	// ErrUnreachable means that no byte of a call can have reached a target.
+	ErrUnreachable = fmt.Errorf("%w: not reached", ErrTarget)
+	// ErrRefused means a target said that it did not run a call.
+	ErrRefused = fmt.Errorf("%w: refused", ErrTarget)
 	// ErrMismatch means an answer was not bound to the request it came for.
 	ErrMismatch = errors.New("target: the answer is of another request")
 )
@@ -222,8 +226,11 @@
 		x = c.once
 	}
 	resp, sent, err := x.Do(req)
-	if err != nil {
-		return nil, outcomeOf(sent), fmt.Errorf("%w: %w", ErrTarget, err)
+	switch {
+	case err != nil && sent:
+		return nil, retry.Unknown, fmt.Errorf("%w: %w", ErrTarget, err)
+	case err != nil:
+		return nil, retry.NotRun, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	if resp.Header.Get(HeaderRequestID) != call.RequestID {
 		_ = resp.Body.Close()
@@ -231,7 +238,7 @@
 	}
 	if resp.Header.Get(HeaderNotRun) != "" {
 		_ = resp.Body.Close()
-		return nil, retry.NotRun, fmt.Errorf("%w: refused by the target: %s", ErrTarget, resp.Status)
+		return nil, retry.NotRun, fmt.Errorf("%w: %s", ErrRefused, resp.Status)
 	}
 	return &Answer{
 		Status:      resp.StatusCode,
@@ -241,14 +248,6 @@
 	}, retry.Run, nil
 }
 
-// outcomeOf says what is certain about a failed attempt.
-func outcomeOf(sent bool) retry.Outcome {
-	if sent {
-		return retry.Unknown
-	}
-	return retry.NotRun
-}
-
 // request builds the HTTP request of a call.
 func (c *Call) request(ctx context.Context) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Address.String()+c.Path, bytes.NewReader(c.Body))
--- a/transport/caller/failure.go
+++ b/transport/caller/failure.go
@@ -59,7 +59,7 @@
 		CodeClaimUnsettled, CodeDeadline, CodeGroupLost, CodeTargetFailed, CodeTargetRefused, CodeUnreachable,
 		CodeAnswerMismatch, CodeAnswerTruncated, CodePeerFailed,
 		Code(admission.CodeTeamLimit), Code(admission.CodeQueueFull), Code(admission.CodeTooLate),
-		Code(admission.CodeEvicted), Code(admission.CodeNoGroup), Code(admission.CodeStopping),
+		Code(admission.CodeEvicted), Code(admission.CodeNoGroup),
 	}
 }
 
@@ -135,10 +135,10 @@
 		return withOutcome(outcome, CodeAnswerTruncated, "the target's answer was cut short")
 	case errors.Is(err, errTargetStatus):
 		return withOutcome(outcome, CodeTargetFailed, "the target failed")
-	case outcome == retry.NotRun && errors.Is(err, target.ErrTarget):
-		return withOutcome(outcome, CodeTargetRefused, "the target refused or could not be reached")
+	case errors.Is(err, target.ErrRefused):
+		return withOutcome(outcome, CodeTargetRefused, "the target refused the request")
 	case outcome == retry.NotRun:
-		return withOutcome(outcome, CodeUnreachable, "no target could be reached")
+		return withOutcome(outcome, CodeUnreachable, "the target could not be reached")
 	}
 	return withOutcome(outcome, CodeTargetFailed, "the connection to the target broke")
 }
--- a/transport/node/service_test.go
+++ b/transport/node/service_test.go
@@ -201,7 +201,7 @@
 	It("is not-run only if no target has run the request, under refused connections, refusals, cuts and lost answers", func() {
 		w := newWorld(0, []string{hallA})
 		w.withLedger()
-		faults := []standin.TargetFaults{{}, {Refuse: true}, {LoseAnswer: true}, {Truncate: true}, {WrongID: true}, {Delay: 400}}
+		faults := []standin.TargetFaults{{}, {Refuse: true}, {LoseAnswer: true}, {Truncate: true}, {Swap: true}, {Delay: 400}}
 		told := map[string]reply{}
 		for _, one := range faults {
 			for _, other := range faults {
@@ -247,7 +247,7 @@
 		stop := make(chan struct{})
 		var flips sync.WaitGroup
 		flips.Go(func() {
-			faults := []standin.TargetFaults{{WrongID: true}, {}, {Truncate: true}, {}, {LoseAnswer: true}, {}}
+			faults := []standin.TargetFaults{{Swap: true}, {}, {Truncate: true}, {}, {LoseAnswer: true}, {}}
 			for i := 0; ; i++ {
 				select {
 				case <-stop:
