Stop a group at once when a member's port is closed; test both gates

Cause: a killed member was seen only when its last report had grown too old, up to the evidence window (1.5 s) after its death, though a refused connection says at the next probe that its process is gone.

Ruled out: treating any failed probe so; a slow or frozen instance may still be at work, and only the window tells.

Change: a refused connection is noted as a report of its own, newer than what peers relay, and told to them at the next exchange. When no group is left after a failed attempt, the caller is told that attempt's reason, not no-whole-group.

New: a frozen member just before the last byte of a whole answer; the strict gate keeps the answer back (502, unknown), the window gate lets it out.

--- a/coordination/evidence/evidence.go
+++ b/coordination/evidence/evidence.go
@@ -20,6 +20,8 @@
 	PhaseIdle    Phase = "idle"
 	PhaseLoading Phase = "loading"
 	PhaseReady   Phase = "ready"
+	// PhaseDown is noted by a prober that found nothing listening at the instance's address.
+	PhaseDown Phase = "down"
 )
 
 // Load is what an instance said of its work, already old when it was said.
@@ -213,6 +215,9 @@
 
 // Mismatch says in what a report differs from the member's order, or "".
 func Mismatch(g *state.Group, rank int, r Report) string {
+	if r.Phase == PhaseDown {
+		return "nothing listens at its address"
+	}
 	if r.Group != g.Name || r.Epoch != g.Epoch || r.Rank != rank {
 		return fmt.Sprintf("reports group %q epoch %d rank %d, ordered %q epoch %d rank %d",
 			r.Group, r.Epoch, r.Rank, g.Name, g.Epoch, rank)
--- a/coordination/probe/probe.go
+++ b/coordination/probe/probe.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
@@ -17,8 +18,12 @@
 	"github.com/troutmast/troutmast/state"
 )
 
+// ErrDown means that nothing listens at an instance's address: its process is gone.
+var ErrDown = errors.New("probe: nothing listens at the instance's address")
+
 // Target is what is asked and ordered.
 type Target interface {
+	// Probe asks an instance what it is; ErrDown says that it certainly does not run.
 	Probe(ctx context.Context, addr netip.AddrPort) (evidence.Report, error)
 	Order(ctx context.Context, addr netip.AddrPort, o control.Order) error
 }
@@ -121,20 +126,27 @@
 	asked := p.clock.Now()
 	p.src.Count("probes")
 	r, err := p.target.Probe(ctx, addr)
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrDown):
+		p.src.Count("probes.down")
+		p.observe(evidence.Report{Instance: id, Phase: evidence.PhaseDown}, asked, mine)
+	case err != nil:
 		p.src.Count("probes.failed")
-		return
-	}
-	if r.Instance != id {
+	case r.Instance != id:
 		p.src.Count("probes.wrong-instance")
-		return
+	default:
+		p.observe(r, asked, mine)
+		p.order(ctx, addr, r)
 	}
+}
+
+// observe takes in a report, and tells peers of it if the instance falls to this node.
+func (p *Prober) observe(r evidence.Report, asked time.Time, mine bool) {
 	p.table.Observe(r, asked)
 	if mine {
 		p.feed.Observe(r, asked)
 	}
 	p.src.Observed(r)
-	p.order(ctx, addr, r)
 }
 
 // order sends the order that a report calls for.
--- a/protocol/target/target.go
+++ b/protocol/target/target.go
@@ -13,9 +13,11 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"syscall"
 
 	"github.com/troutmast/troutmast/coordination/control"
 	"github.com/troutmast/troutmast/coordination/evidence"
+	"github.com/troutmast/troutmast/coordination/probe"
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/protocol/exchange"
 	"github.com/troutmast/troutmast/state"
@@ -110,7 +112,10 @@
 		req.Header.Set("If-None-Match", last.etag)
 	}
 	resp, _, err := c.control.Do(req)
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return evidence.Report{}, fmt.Errorf("%w: %w", probe.ErrDown, err)
+	case err != nil:
 		return evidence.Report{}, fmt.Errorf("%w: %w", ErrTarget, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -35,11 +35,12 @@
 // answered serves a whole answer from one group after the other until one succeeds.
 func (s *Server) answered(ctx context.Context, w http.ResponseWriter, q *request, pool string) *Failure {
 	var avoid state.GroupName
+	var last *Failure
 	worst := retry.NotRun
 	for {
 		d := s.pick(q, pool, avoid)
 		if d == nil {
-			return s.noGroup(worst)
+			return s.noGroup(last)
 		}
 		ans, body, outcome, err := s.whole(ctx, q, d)
 		d.End()
@@ -52,13 +53,16 @@
 		if !s.again(ctx, q, outcome, f, true) {
 			return f
 		}
-		avoid = d.Candidate().Name
+		avoid, last = d.Candidate().Name, f
 	}
 }
 
-// noGroup is the failure when no candidate is open any longer.
-func (s *Server) noGroup(worst retry.Outcome) *Failure {
-	return withOutcome(worst, Code(admission.CodeNoGroup), "no whole group is left for the request")
+// noGroup is the failure when no candidate is open: that of the last attempt, if there was one.
+func (s *Server) noGroup(last *Failure) *Failure {
+	if last != nil {
+		return last
+	}
+	return withOutcome(retry.NotRun, Code(admission.CodeNoGroup), "no whole group is left for the request")
 }
 
 // worse returns the less certain of two outcomes: a request of which one attempt may have run may have run.
--- a/transport/caller/service.go
+++ b/transport/caller/service.go
@@ -88,11 +88,12 @@
 // once sends a call that may not be repeated. Only an attempt that certainly was not run is tried elsewhere.
 func (s *Server) once(ctx context.Context, w http.ResponseWriter, q *request, pool string, h *held) *Failure {
 	var avoid state.GroupName
+	var last *Failure
 	for {
 		d := s.pick(q, pool, avoid)
 		if d == nil {
 			s.settle(h, retry.NotRun, nil, nil)
-			return s.noGroup(retry.NotRun)
+			return s.noGroup(last)
 		}
 		ans, body, outcome, err := s.sendOnce(ctx, q, d)
 		d.End()
@@ -106,7 +107,7 @@
 			s.settle(h, outcome, nil, nil)
 			return f
 		}
-		avoid = d.Candidate().Name
+		avoid, last = d.Candidate().Name, f
 	}
 }
 
--- a/transport/caller/stream.go
+++ b/transport/caller/stream.go
@@ -60,11 +60,12 @@
 func (s *Server) streamed(ctx context.Context, w http.ResponseWriter, q *request) *Failure {
 	out := &sink{w: w, id: q.id}
 	var avoid state.GroupName
+	var last *Failure
 	worst := retry.NotRun
 	for {
 		d := s.pick(q, q.model, avoid)
 		if d == nil {
-			return s.endStream(out, q, s.noGroup(worst))
+			return s.endStream(out, q, s.noGroup(last))
 		}
 		outcome, err := s.streamOnce(ctx, q, d, out)
 		d.End()
@@ -76,7 +77,7 @@
 		if !s.again(ctx, q, outcome, f, true) {
 			return s.endStream(out, q, f)
 		}
-		avoid = d.Candidate().Name
+		avoid, last = d.Candidate().Name, f
 	}
 }
 
--- a/transport/node/control.go
+++ b/transport/node/control.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/troutmast/troutmast/coordination/control"
+	"github.com/troutmast/troutmast/coordination/evidence"
 	"github.com/troutmast/troutmast/coordination/repair"
 	"github.com/troutmast/troutmast/coordination/statelog"
 	"github.com/troutmast/troutmast/state"
@@ -195,7 +196,7 @@
 		return n.cleared(g, now)
 	}
 	e, ok := n.Evidence.Get(id)
-	return !ok || now.Sub(e.Asked) > missingWindows*n.Settings.EvidenceWindow
+	return !ok || e.Phase == evidence.PhaseDown || now.Sub(e.Asked) > missingWindows*n.Settings.EvidenceWindow
 }
 
 // since returns for how long a member has been missing.
--- a/transport/node/process_test.go
+++ b/transport/node/process_test.go
@@ -98,6 +98,48 @@
 		Eventually(func() int { return complete(w.Nodes[0]).status }, "5s").Should(Equal(200))
 	})
 
+	It("by dying: its group stops as soon as a probe finds nothing listening, well inside the evidence window", func() {
+		w := newWorld(2, []string{hallA, hallA})
+		w.accepted("set policy downtime 1 stranded 1 restart 2m load 30s automatic off")
+		w.accepted("create group g model lm with gpu-1, gpu-2")
+		w.whole("g")
+		for _, n := range w.Nodes {
+			Eventually(func() int { return complete(n).status }, "5s").Should(Equal(200))
+		}
+		w.Targets["gpu-2"].Kill()
+		time.Sleep(900 * time.Millisecond)
+		for _, n := range w.Nodes {
+			Expect(complete(n).reason).To(Equal("no-whole-group"))
+		}
+		Expect(w.ask("why group g")).To(ContainSubstring("gpu-2: nothing listens at its address"))
+	})
+
+	It("just before the last byte of a whole answer: the strict gate does not let it out", func() {
+		w := newWorld(4, []string{hallA})
+		w.accepted("set policy downtime 1 stranded 1 restart 2m load 30s automatic off")
+		w.accepted("begin; create group s model lm gate strict with gpu-1, gpu-2; create group o model lm-w with gpu-3, gpu-4; commit")
+		w.whole("s")
+		w.whole("o")
+		for _, id := range []string{"gpu-1", "gpu-3"} {
+			Expect(w.TargetFault(id, standin.TargetFaults{Delay: 1000})).To(Succeed())
+		}
+		result := make(chan reply, 1)
+		go func() { result <- complete(w.Nodes[0]) }()
+		time.Sleep(900 * time.Millisecond)
+		Expect(w.Targets["gpu-2"].Signal(syscall.SIGSTOP)).To(Succeed())
+		r := <-result
+		Expect(r.status).To(Equal(502))
+		Expect(r.reason).To(Equal("group-not-whole"))
+		Expect(r.outcome).To(Equal("unknown"))
+
+		go func() {
+			result <- post(w.Nodes[0], "/v1/chat/completions", `{"model":"lm-w","max_tokens":2,"messages":[]}`)
+		}()
+		time.Sleep(900 * time.Millisecond)
+		Expect(w.Targets["gpu-4"].Signal(syscall.SIGSTOP)).To(Succeed())
+		Expect((<-result).status).To(Equal(200), "the window gate accepts evidence that is still young")
+	})
+
 	It("is replaced by a spare, and becomes a spare when it returns", func() {
 		w := newWorld(3, []string{hallA, hallB}, "--fences")
 		w.accepted("set policy downtime 1 stranded 1 restart 2m load 1s")
