Compare a file of statements with what is in force

Cause: a file could be checked and applied, but not compared.

Change: troutctl diff FILE prints what would be new or different and exits with 5, or with 0 when nothing would change. Benchmarks of the heap of the target's state and of one claim; a test that a peer's coarser times give the same state.

--- a/state/bench_test.go
+++ b/state/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -133,3 +134,44 @@
 		}
 	}
 }
+
+// heapOf returns the heap that is held by what build returns.
+func heapOf(build func() *state.State) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	s := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(s)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// BenchmarkHeap measures the memory of the target's state, and of one claim with a small result.
+func BenchmarkHeap(b *testing.B) {
+	const claims = 20000
+	for b.Loop() {
+		log := bigLog(targetGroups, targetChanges)
+		b.ReportMetric(heapOf(func() *state.State { return foldAll(b, log, targetGroups) })/1e6, "MB/target")
+		runtime.KeepAlive(log)
+		records := make([][]byte, 0, 2*claims)
+		for n := range claims {
+			op := state.ClaimOp{Key: state.ClaimKey{Team: "t", Service: "kiosk-ledger", Key: idAt(start, n)}, Holder: fmt.Sprintf("node/%036d/%036d", n, n), Request: fmt.Sprintf("%064d", n)}
+			done := op
+			done.Result = &state.Result{Status: 200, ContentType: "application/json", Body: make([]byte, 200)}
+			for i, one := range []state.ClaimOp{op, done} {
+				records = append(records, encode(&state.Record{Version: 1, ID: idAt(start, 2*n+i), Kind: state.KindClaims, By: "t", Claims: []state.ClaimOp{one}}))
+			}
+		}
+		b.ReportMetric(heapOf(func() *state.State {
+			s := state.New()
+			for _, data := range records {
+				if _, err := apply(s, start, data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			return s
+		})/claims, "B/claim")
+		runtime.KeepAlive(records)
+	}
+}
--- a/state/fold_test.go
+++ b/state/fold_test.go
@@ -430,6 +430,21 @@
 	}
 }
 
+// TestSourcesOfCoarserTimesAgree covers entries that a peer hands on in microseconds.
+func TestSourcesOfCoarserTimesAgree(t *testing.T) {
+	g := NewWithT(t)
+	data := command(idAt(start, 1), state.Op{CreateTeam: &state.CreateTeam{Name: "t", KeyHashes: []string{"x"}}})
+	fine := start.Add(123456789 * time.Nanosecond)
+	fromLog, fromPeer := state.New(), state.New()
+	_, err := apply(fromLog, fine.In(time.FixedZone("far", 3600)), data)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = apply(fromPeer, time.UnixMicro(fine.UnixMicro()), data)
+	g.Expect(err).NotTo(HaveOccurred())
+	a, _ := fromLog.Digest()
+	b, _ := fromPeer.Digest()
+	g.Expect(a).To(Equal(b))
+}
+
 func TestSnapshotRefusesDamage(t *testing.T) {
 	g := NewWithT(t)
 	s := state.New()
--- a/transport/ctl/ctl.go
+++ b/transport/ctl/ctl.go
@@ -32,6 +32,7 @@
 	ExitUsage       = 2
 	ExitRefused     = 3
 	ExitUnknown     = 4
+	ExitDiffers     = 5
 )
 
 // callTimeout bounds one statement.
@@ -137,6 +138,8 @@
 		})
 	case "apply":
 		return t.withFile(rest, t.apply)
+	case "diff":
+		return t.withFile(rest, t.diff)
 	case "hash-key":
 		if len(rest) != 1 {
 			return t.usage("hash-key KEY")
@@ -174,7 +177,7 @@
 // withFile reads a file of statements, checks its grammar, and hands its statements on.
 func (t *tool) withFile(args []string, do func(parts []string) int) int {
 	if len(args) != 1 {
-		return t.usage("check|apply FILE")
+		return t.usage("check|diff|apply FILE")
 	}
 	data, err := os.ReadFile(args[0])
 	if err != nil {
--- a/transport/ctl/print.go
+++ b/transport/ctl/print.go
@@ -52,14 +52,14 @@
 
 // answer is the JSON form of an answer.
 type answer struct {
-	Verdict string              `json:"verdict,omitempty"`
-	Reason  string              `json:"reason,omitempty"`
-	Detail  string              `json:"detail,omitempty"`
-	ID      string              `json:"id,omitempty"`
-	Offset  uint64              `json:"offset,omitempty"`
-	InForce []string            `json:"in_force,omitempty"`
-	Behind  []string            `json:"behind,omitempty"`
-	Rows    []map[string]string `json:"rows,omitempty"`
+	Verdict string   `json:"verdict,omitempty"`
+	Reason  string   `json:"reason,omitempty"`
+	Detail  string   `json:"detail,omitempty"`
+	ID      string   `json:"id,omitempty"`
+	Offset  uint64   `json:"offset,omitempty"`
+	InForce []string `json:"in_force,omitempty"`
+	Behind  []string `json:"behind,omitempty"`
+	Rows    []row    `json:"rows,omitempty"`
 }
 
 // printJSON shows an answer as one JSON object.
@@ -68,13 +68,7 @@
 		Verdict: resp.GetVerdict(), Reason: resp.GetReason(), Detail: resp.GetDetail(),
 		ID: resp.GetId(), Offset: resp.GetOffset(), InForce: resp.GetInForce(), Behind: resp.GetBehind(),
 	}
-	for _, r := range resp.GetTable().GetRows() {
-		row := map[string]string{}
-		for i, c := range r.GetCells() {
-			row[resp.GetTable().GetColumns()[i]] = c
-		}
-		a.Rows = append(a.Rows, row)
-	}
+	a.Rows = rowsOf(resp.GetTable())
 	_ = json.NewEncoder(t.out).Encode(a)
 }
 
@@ -82,7 +76,7 @@
 func completionScript() string {
 	words := append([]string{
 		"show", "why", "create", "bind", "unbind", "allow", "deny", "drain", "undrain",
-		"release", "move", "set", "void", "check", "apply", "hash-key", "completion", "help",
+		"release", "move", "set", "void", "check", "diff", "apply", "hash-key", "completion", "help",
 	}, help.Topics()...)
 	return fmt.Sprintf("complete -W %q troutctl\n", strings.Join(words, " "))
 }
--- a/transport/node/load_test.go
+++ b/transport/node/load_test.go
@@ -66,9 +66,9 @@
 }
 
 // callOnce posts a completion on a kept connection and returns the status, how long it took and when to come back.
-func callOnce(client *http.Client, url, key string, header map[string]string, tokens int) (status int, took, after time.Duration) {
+func callOnce(client *http.Client, url, key, model string, header map[string]string, tokens int) (status int, took, after time.Duration) {
 	start := time.Now()
-	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(prompt(strconv.Itoa(rand.Int()), tokens, false))))
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(strings.Replace(prompt(strconv.Itoa(rand.Int()), tokens, false), `"lm"`, strconv.Quote(model), 1)))
 	if err != nil {
 		return 0, 0, 0
 	}
@@ -101,32 +101,45 @@
 	return list[min(len(list)-1, int(q*float64(len(list))))]
 }
 
-// BenchmarkAddedLatency compares a call through a node with a direct call to the same stand-in, in turn.
+// BenchmarkAddedLatency compares a call through a node, to a group of four with
+// either gate, with a direct call to the same stand-in, in turn.
 func BenchmarkAddedLatency(b *testing.B) {
 	l := benchLab(b, 1, 1, "--token-delay", "0s", "--slots", "64")
-	out, _ := l.Ctl(l.Nodes[0], "-o", "json", "show group g0")
-	_ = out
-	var direct, through []time.Duration
+	for i := range 4 {
+		check(b, l.StartTarget(fmt.Sprintf("s-%d", i), hallA, "fabric-s", "--token-delay", "0s", "--slots", "64"))
+	}
+	check(b, lab.Eventually(15*time.Second, func() error {
+		_, _ = l.Ctl(l.Nodes[0], "create group s model lm-s gate strict with s-0, s-1, s-2, s-3")
+		if out, _ := l.Ctl(l.Nodes[0], "show group s"); !strings.Contains(out, " whole ") {
+			return fmt.Errorf("%s", out)
+		}
+		return nil
+	}))
+	header := map[string]string{"Troutmast-Group": "g0", "Troutmast-Epoch": groupEpoch(b, l, "g0")}
 	client := &http.Client{Timeout: 5 * time.Second}
-	_, _ = l.Ctl(l.Nodes[0], "show groups")
-	epoch := groupEpoch(b, l, "g0")
-	header := map[string]string{"Troutmast-Group": "g0", "Troutmast-Epoch": epoch}
+	ways := []struct {
+		name, url, key, model string
+		header                map[string]string
+		times                 []time.Duration
+	}{
+		{name: "direct", url: l.Targets["gpu-0"].URL(), model: "lm", header: header},
+		{name: "window gate", url: l.Nodes[0].URL(), key: teamKey, model: "lm"},
+		{name: "strict gate", url: l.Nodes[0].URL(), key: teamKey, model: "lm-s"},
+	}
 	for b.Loop() {
 		for range 3000 {
-			status, took, _ := callOnce(client, "http://"+l.Targets["gpu-0"].Addr.String()+"/v1/chat/completions", "", header, 4)
-			if status != http.StatusOK {
-				b.Fatal(status)
-			}
-			direct = append(direct, took)
-			status, took, _ = callOnce(client, "http://"+l.Nodes[0].Addr.String()+"/v1/chat/completions", teamKey, nil, 4)
-			if status != http.StatusOK {
-				b.Fatal(status)
+			for i := range ways {
+				w := &ways[i]
+				status, took, _ := callOnce(client, w.url+"/v1/chat/completions", w.key, w.model, w.header, 4)
+				if status != http.StatusOK {
+					b.Fatal(w.name, status)
+				}
+				w.times = append(w.times, took)
 			}
-			through = append(through, took)
 		}
 	}
-	for _, q := range []float64{0.5, 0.99} {
-		fmt.Printf("p%.0f: direct %v, through a node %v, added %v\n", q*100, quantile(direct, q), quantile(through, q), quantile(through, q)-quantile(direct, q))
+	for _, w := range ways {
+		fmt.Printf("%s: p50 %v, p99 %v\n", w.name, quantile(w.times, 0.5), quantile(w.times, 0.99))
 	}
 }
 
@@ -162,7 +175,7 @@
 	for !ok && time.Since(start) < patience {
 		n := l.Nodes[rand.IntN(len(l.Nodes))]
 		left := (patience - time.Since(start)).Round(time.Millisecond)
-		status, took, after := callOnce(client, "http://"+n.Addr.String()+"/v1/chat/completions", key, map[string]string{"Troutmast-Timeout": left.String()}, 10)
+		status, took, after := callOnce(client, "http://"+n.Addr.String()+"/v1/chat/completions", key, "lm", map[string]string{"Troutmast-Timeout": left.String()}, 10)
 		ok = status == http.StatusOK
 		o.mu.Lock()
 		o.sent++
