Dissolve a group only after each node's own word; refuse waiters when no place is left

Cause, found by reading: - What others relayed of a node (that it had applied a drain) was put beside an older count of its requests, so a group could dissolve under a request. - A node said an offset was applied before its routing table showed it, and a request was booked after the last look at the group: a drain could slip between. - Requests waiting for a place went on waiting when the last group was lost, while newcomers were refused at once.

Change: the count of requests and the applied offset come from one answer of the node itself; applied means shown by the routing table; a request is booked, then looked at once more; waiters are refused when no place is left.

Measured: the tests for the first and the last fail without the change; the second is argued, not tested.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -80,12 +80,19 @@
 	return &Pool{cfg: cfg, clock: clock}
 }
 
-// SetCapacity changes the number of places and lets waiting requests in.
+// SetCapacity changes the number of places and lets waiting requests in. With no
+// place left, they are all refused at once.
 func (p *Pool) SetCapacity(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.capacity = n
 	p.grant()
+	if n > 0 {
+		return
+	}
+	for w := p.pop(); w != nil; w = p.pop() {
+		w.granted <- p.refuse(CodeNoGroup)
+	}
 }
 
 // Capacity returns the number of places.
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -163,6 +163,17 @@
 	g.Expect(r.RetryAfter).To(And(BeNumerically(">=", 4*time.Second), BeNumerically("<=", 10*time.Second)))
 }
 
+func TestWaitersAreRefusedAtOnceWhenNoPlaceIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	p, clock := pool(1)
+	far := clock.Now().Add(time.Hour)
+	g.Expect(p.Acquire(context.Background(), state.PriorityNormal, far)).To(Succeed())
+	first, second := acquire(p, state.PriorityAlert, far), acquire(p, state.PriorityBatch, far)
+	p.SetCapacity(0)
+	g.Eventually(first).Should(Receive(WithTransform(code, Equal(admission.CodeNoGroup))))
+	g.Eventually(second).Should(Receive(WithTransform(code, Equal(admission.CodeNoGroup))))
+}
+
 func TestCancelledWaiterGivesItsPlaceBack(t *testing.T) {
 	g := NewWithT(t)
 	p, clock := pool(1)
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -41,7 +41,13 @@
 	liveness time.Duration
 	mu       sync.RWMutex
 	nodes    map[string]Node
-	held     map[string]map[state.GroupName]int
+	held     map[string]heldWord
+}
+
+// heldWord is what a node has itself said of the requests that it holds, with what it said of itself then.
+type heldWord struct {
+	node Node
+	held map[state.GroupName]int
 }
 
 // NewDirectory returns a Directory for a node; a peer silent for longer than liveness counts as gone.
@@ -50,7 +56,7 @@
 		self:     self,
 		liveness: liveness,
 		nodes:    map[string]Node{},
-		held:     map[string]map[state.GroupName]int{},
+		held:     map[string]heldWord{},
 	}
 }
 
@@ -80,11 +86,14 @@
 	d.Learn(n)
 }
 
-// LearnHeld notes how many requests a node holds for each group.
-func (d *Directory) LearnHeld(node string, held map[state.GroupName]int) {
+// LearnHeld takes in what a node has itself said of the requests that it holds for each group.
+func (d *Directory) LearnHeld(n Node, held map[state.GroupName]int) {
+	d.Learn(n)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.held[node] = held
+	if old, ok := d.held[n.Name]; !ok || n.SaidAt.After(old.node.SaidAt) {
+		d.held[n.Name] = heldWord{node: n, held: held}
+	}
 }
 
 // Known returns all nodes ever heard of except the node itself, by name.
@@ -123,8 +132,10 @@
 
 // ClearedOf tells whether every node of the hall has applied an offset and holds no request of a group.
 //
-// A node that has fallen silent blocks for as long as gone, since it may still
-// be at work on a request; after that its connections count as closed.
+// Only the node's own word counts, with the offset that it had applied when it
+// gave it: what others relay may be newer than the count of its requests. A node
+// that has fallen silent blocks for as long as gone, since it may still be at
+// work on a request; after that its connections count as closed.
 func (d *Directory) ClearedOf(g *state.Group, now time.Time, gone time.Duration) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
@@ -132,7 +143,8 @@
 		if n.Hall != g.Hall || now.Sub(n.SaidAt) > gone {
 			continue
 		}
-		if n.Applied < g.Drained || now.Sub(n.SaidAt) > d.liveness || d.held[name][g.Name] > 0 {
+		word := d.held[name]
+		if word.node.Applied < g.Drained || now.Sub(word.node.SaidAt) > d.liveness || word.held[g.Name] > 0 {
 			return false
 		}
 	}
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -82,13 +82,28 @@
 			if c.node.Hall == "" {
 				c.node.Hall = "h"
 			}
-			d.Learn(c.node)
-			d.LearnHeld("n", map[state.GroupName]int{"g": c.held})
+			d.LearnHeld(c.node, map[state.GroupName]int{"g": c.held})
 			NewWithT(t).Expect(d.ClearedOf(group, now, 30*time.Second)).To(Equal(c.cleared))
 		})
 	}
 }
 
+// TestClearedOfTrustsOnlyTheNodesOwnWord covers what others relay of a node:
+// that it has applied the drain, while its requests were counted before it had.
+func TestClearedOfTrustsOnlyTheNodesOwnWord(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+	group := &state.Group{Name: "g", Hall: "h", Drained: 10}
+	d := membership.NewDirectory(membership.Node{Name: "self", Hall: "h"}, 2*time.Second)
+	d.LearnHeld(membership.Node{Name: "n", Hall: "h", Applied: 9, SaidAt: now.Add(-time.Second)}, nil)
+	d.Learn(membership.Node{Name: "n", Hall: "h", Applied: 10, SaidAt: now})
+	g.Expect(d.ClearedOf(group, now, 30*time.Second)).To(BeFalse())
+	d.LearnHeld(membership.Node{Name: "n", Hall: "h", Applied: 10, SaidAt: now}, nil)
+	g.Expect(d.ClearedOf(group, now, 30*time.Second)).To(BeTrue())
+	d.Learn(membership.Node{Name: "m", Hall: "h", Applied: 10, SaidAt: now})
+	g.Expect(d.ClearedOf(group, now, 30*time.Second)).To(BeFalse(), "m has never said what it holds")
+}
+
 func TestLearnKeepsTheNewest(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -196,16 +196,24 @@
 }
 
 // pick chooses a candidate of a pool and books the request there.
+//
+// The booking is made before the last look: a drain that comes in between
+// either sees the booking or is seen by the look.
 func (s *Server) pick(q *request, pool string, avoid state.GroupName) *routing.Dispatch {
 	r := routing.Request{Tokens: q.tokens, Prompt: int64(len(q.body) / bytesPerToken), Prefix: q.prefix, Avoid: avoid}
-	c := s.c.Picker.Pick(s.c.Routing.Pool(pool), r, s.c.Clock.Now())
-	if c == nil {
-		return nil
+	for {
+		c := s.c.Picker.Pick(s.c.Routing.Pool(pool), r, s.c.Clock.Now())
+		if c == nil {
+			return nil
+		}
+		d := c.Begin(r)
+		if c.Open(s.c.Clock.Now()) {
+			c.Remember(q.prefix)
+			s.note(q, "sent to %s, epoch %d, with %d requests there", c.Name, d.Group().Epoch, c.Load())
+			return d
+		}
+		d.End()
 	}
-	c.Remember(q.prefix)
-	d := c.Begin(r)
-	s.note(q, "sent to %s, epoch %d, with %d requests there", c.Name, d.Group().Epoch, c.Load())
-	return d
 }
 
 // Errors of an attempt.
--- a/transport/core/core.go
+++ b/transport/core/core.go
@@ -47,6 +47,8 @@
 	Measures  *Measures
 	Repairs   *Repairs
 
+	// Routed is the offset of the state that the routing table shows.
+	Routed   atomic.Uint64
 	Stopping atomic.Bool
 	Held     atomic.Int64
 	Arrived  atomic.Int64
@@ -56,7 +58,7 @@
 // Self returns what the node says of itself now.
 func (c *Core) Self() membership.Node {
 	n := c.Directory.Self()
-	n.Applied = c.Follower.Applied()
+	n.Applied = c.InForce()
 	n.Ready = c.Ready() == nil
 	n.Stopping = c.Stopping.Load()
 	n.Held = int(c.Held.Load())
@@ -70,6 +72,9 @@
 	return n
 }
 
+// InForce returns the offset up to which records have their effect on requests.
+func (c *Core) InForce() state.Offset { return state.Offset(c.Routed.Load()) }
+
 // LogFresh tells whether the node has lately held all that the log held.
 func (c *Core) LogFresh() bool {
 	age, ok := c.Follower.HeadAge()
--- a/transport/node/control.go
+++ b/transport/node/control.go
@@ -83,7 +83,7 @@
 	if c := n.Routing.Get(g.Name); c != nil && c.Held() > 0 {
 		return false
 	}
-	if n.Follower.Applied() < g.Drained || !n.Directory.ClearedOf(g, now, goneAfter) {
+	if n.InForce() < g.Drained || !n.Directory.ClearedOf(g, now, goneAfter) {
 		return false
 	}
 	e, ok := n.Evidence.Get(g.Members[0])
--- a/transport/node/exchange.go
+++ b/transport/node/exchange.go
@@ -140,7 +140,7 @@
 	for _, h := range resp.GetHeld() {
 		held[state.GroupName(h.GetGroup())] = int(h.GetHeld())
 	}
-	n.Directory.LearnHeld(self.Name, held)
+	n.Directory.LearnHeld(self, held)
 	delta, ages := peer.DecodeDelta(resp)
 	confirmed := peer.Duration(resp.GetConfirmedAgeMs())
 	for _, r := range mirror.Merge(n.Evidence, self.Incarnation, delta, self.SaidAt, confirmed, ages) {
--- a/transport/node/loops.go
+++ b/transport/node/loops.go
@@ -71,6 +71,7 @@
 
 // rebuild makes the routing table hold the groups and service instances of this hall.
 func (n *Node) rebuild() {
+	applied := n.Follower.Applied()
 	view := n.Follower.View()
 	hall := n.Directory.Self().Hall
 	var groups []*state.Group
@@ -87,6 +88,7 @@
 		}
 	}
 	n.Routing.Update(groups)
+	n.Routed.Store(uint64(applied))
 	for _, c := range n.Routing.All() {
 		n.JudgeGroup(c)
 	}
--- a/transport/operator/operator.go
+++ b/transport/operator/operator.go
@@ -165,7 +165,11 @@
 // appliedBy splits the known nodes into those that have applied an offset and the others, with their state.
 func (s *Server) appliedBy(at state.Offset) (inForce, behind []string) {
 	now := s.c.Clock.Now()
-	inForce = []string{s.c.Settings.Name}
+	if s.c.InForce() >= at {
+		inForce = append(inForce, s.c.Settings.Name)
+	} else {
+		behind = append(behind, s.c.Settings.Name)
+	}
 	for _, n := range s.c.Directory.Known() {
 		age := now.Sub(n.SaidAt)
 		switch {
