Run a call at most once by a ticket of one node, without the platform's log

Cause: a claim needs two appends, reaches every node, and is refused during an outage of the platform (docs/CAPACITY.md: fewer than 10 keyed calls a second in all at the target).

Change: a node gives out tickets that only this life of it may spend; any other node passes the call on to it, and tells unknown when it is gone. Tickets and their results are bounded in number and time.

Found on the way, by running tests four at once on a busy machine: a node of another hall counted as gone after 2 s without word, though it is heard of only now and then; a ticket's call was told unknown for that. Nodes of other halls may now be silent for 10 s, and a ticket's node is tried as long as it is known. Ruled out: a lost result (it was recorded before the answer).

The race detector, run over all packages with the nodes built for it, reported one race: the lab's own, between a test's callers and a node's restart.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -108,10 +108,18 @@
 	return list
 }
 
+// farLiveness is how many times longer a node of another hall may be silent: it
+// is heard of only now and then, by way of one node of this hall.
+const farLiveness = 5
+
 // Live returns the peers of a hall heard of lately, or of all halls for an empty name.
 func (d *Directory) Live(hall state.HallName, now time.Time) []Node {
 	return slices.DeleteFunc(d.Known(), func(n Node) bool {
-		return (hall != "" && n.Hall != hall) || now.Sub(n.SaidAt) > d.liveness
+		limit := d.liveness
+		if n.Hall != d.self.Hall {
+			limit *= farLiveness
+		}
+		return (hall != "" && n.Hall != hall) || now.Sub(n.SaidAt) > limit
 	})
 }
 
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -115,4 +115,7 @@
 	g.Expect(d.Known()).To(HaveLen(1))
 	g.Expect(d.Known()[0].Applied).To(Equal(state.Offset(9)))
 	g.Expect(d.Live("h", now.Add(3*time.Second))).To(BeEmpty())
+	d.Learn(membership.Node{Name: "far", Hall: "other", SaidAt: now})
+	g.Expect(d.Live("", now.Add(3*time.Second))).To(HaveLen(1))
+	g.Expect(d.Live("", now.Add(11*time.Second))).To(BeEmpty())
 }
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -39,6 +39,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", s.serve(false, s.completion))
 	mux.HandleFunc("POST /v1/completions", s.serve(false, s.completion))
 	mux.HandleFunc("GET /v1/models", s.models)
+	mux.HandleFunc("POST /v1/tickets", s.serve(false, s.mint))
 	mux.HandleFunc("/svc/{service}/", s.serve(false, s.service))
 	return mux
 }
@@ -48,6 +49,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", s.serve(true, s.completion))
 	mux.HandleFunc("POST /v1/completions", s.serve(true, s.completion))
+	mux.HandleFunc("POST /v1/tickets", s.serve(true, s.mint))
 	mux.HandleFunc("/svc/{service}/", s.serve(true, s.service))
 	return mux
 }
--- a/transport/caller/failure.go
+++ b/transport/caller/failure.go
@@ -58,6 +58,7 @@
 		CodeKeyRequired, CodeKeyBad, CodeKeyNotCovered, CodeKeyConflict, CodeKeyUnknown, CodeResultDropped,
 		CodeClaimUnsettled, CodeDeadline, CodeGroupLost, CodeTargetFailed, CodeTargetRefused, CodeUnreachable,
 		CodeAnswerMismatch, CodeAnswerTruncated, CodePeerFailed,
+		CodeTicketBad, CodeTicketGone, CodeTicketLimit, CodeStopping,
 		Code(admission.CodeTeamLimit), Code(admission.CodeQueueFull), Code(admission.CodeTooLate),
 		Code(admission.CodeEvicted), Code(admission.CodeNoGroup),
 	}
--- a/transport/caller/forward.go
+++ b/transport/caller/forward.go
@@ -30,7 +30,7 @@
 	if len(nodes) == 0 {
 		return s.unroutable(q, pool, allowedHere)
 	}
-	repeatable := q.model != "" || q.method == http.MethodGet || q.method == http.MethodHead
+	repeatable := q.model != "" || q.path == "/v1/tickets" || q.method == http.MethodGet || q.method == http.MethodHead
 	worst := retry.NotRun
 	for i, n := range nodes {
 		s.note(q, "passed on to %s in %s", n.Name, n.Hall)
--- a/transport/caller/service.go
+++ b/transport/caller/service.go
@@ -4,8 +4,10 @@
 	"context"
 	"net/http"
 
+	"github.com/troutmast/troutmast/coordination/claim"
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/coordination/routing"
+	"github.com/troutmast/troutmast/coordination/ticket"
 	"github.com/troutmast/troutmast/protocol/target"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/transport/core"
@@ -27,10 +29,11 @@
 	q.tokens = serviceTokens
 	repeatable := q.method == http.MethodGet || q.method == http.MethodHead
 	if !repeatable && q.key == "" {
-		return notRun(http.StatusBadRequest, CodeKeyRequired, "a call that may not be repeated needs an Idempotency-Key (UUIDv7)")
+		return notRun(http.StatusBadRequest, CodeKeyRequired, "a call that may not be repeated needs an Idempotency-Key (a UUIDv7 or a ticket)")
 	}
 	pool := core.ServicePool(name)
-	here, f := s.route(ctx, w, q, pool)
+	byTicket := !repeatable && ticket.Is(q.key)
+	here, f := s.placeFor(ctx, w, q, pool, byTicket)
 	if !here {
 		return f
 	}
@@ -43,12 +46,23 @@
 	switch {
 	case repeatable:
 		return s.answered(ctx, w, q, pool)
+	case byTicket:
+		return s.ticketed(ctx, w, q, svc, pool)
 	case svc.Keys == state.KeysChecked:
-		return s.once(ctx, w, q, pool, nil)
+		return s.once(ctx, w, q, pool, unsettled{})
 	}
 	return s.claimed(ctx, w, q, svc, pool)
 }
 
+// placeFor decides whether a call is served here: by the node that gave its
+// ticket out, or by any node with an instance of the service.
+func (s *Server) placeFor(ctx context.Context, w http.ResponseWriter, q *request, pool string, byTicket bool) (here bool, f *Failure) {
+	if byTicket {
+		return s.ticketHere(ctx, w, q)
+	}
+	return s.route(ctx, w, q, pool)
+}
+
 // claimed runs a call whose key must first be claimed in the log.
 func (s *Server) claimed(ctx context.Context, w http.ResponseWriter, q *request, svc *state.Service, pool string) *Failure {
 	key := state.ClaimKey{Team: q.team.Name, Service: svc.Name, Key: q.key}
@@ -63,15 +77,45 @@
 	// The claim is spent: a caller that leaves now must find the result when it repeats the call.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.c.Clock.Until(q.deadline))
 	defer cancel()
-	return s.once(ctx, w, q, pool, &held{key: key, holder: holder})
+	return s.once(ctx, w, q, pool, &held{claims: s.c.Claims, key: key, holder: holder})
+}
+
+// settler records how a call that may not be repeated ended; the result is set for retry.Run.
+type settler interface {
+	settle(o retry.Outcome, result *state.Result)
 }
 
+// unsettled is the settler of a call whose target checks keys itself.
+type unsettled struct{}
+
+// settle implements settler.
+func (unsettled) settle(retry.Outcome, *state.Result) {}
+
 // held is a claim that the request holds.
 type held struct {
+	claims *claim.Manager
 	key    state.ClaimKey
 	holder string
 }
 
+// settle implements settler.
+func (h *held) settle(o retry.Outcome, result *state.Result) {
+	switch o {
+	case retry.NotRun:
+		h.claims.GiveBack(h.key, h.holder)
+	case retry.Run:
+		h.claims.Finish(h.key, h.holder, result)
+	}
+}
+
+// resultOf returns what is kept of an answer.
+func resultOf(ans *target.Answer, body []byte) *state.Result {
+	if len(body) > maxResultBytes {
+		return &state.Result{Status: ans.Status, Dropped: true}
+	}
+	return &state.Result{Status: ans.Status, ContentType: ans.ContentType, Body: body}
+}
+
 // repeated answers from the recorded result of an earlier attempt.
 func (s *Server) repeated(w http.ResponseWriter, q *request, result *state.Result) *Failure {
 	s.note(q, "answered from the recorded result of key %s", q.key)
@@ -86,25 +130,25 @@
 }
 
 // once sends a call that may not be repeated. Only an attempt that certainly was not run is tried elsewhere.
-func (s *Server) once(ctx context.Context, w http.ResponseWriter, q *request, pool string, h *held) *Failure {
+func (s *Server) once(ctx context.Context, w http.ResponseWriter, q *request, pool string, h settler) *Failure {
 	var avoid state.GroupName
 	var last *Failure
 	for {
 		d := s.pick(q, pool, avoid)
 		if d == nil {
-			s.settle(h, retry.NotRun, nil, nil)
+			h.settle(retry.NotRun, nil)
 			return s.noGroup(last)
 		}
 		ans, body, outcome, err := s.sendOnce(ctx, q, d)
 		d.End()
 		if err == nil {
-			s.settle(h, retry.Run, ans, body)
+			h.settle(retry.Run, resultOf(ans, body))
 			writeAnswer(w, q.id, ans, body)
 			return nil
 		}
 		f := s.failed(ctx, outcome, outcome, err)
 		if !s.again(ctx, q, outcome, f, false) {
-			s.settle(h, outcome, nil, nil)
+			h.settle(outcome, nil)
 			return f
 		}
 		avoid, last = d.Candidate().Name, f
@@ -132,16 +176,3 @@
 	}
 	return ans, body, retry.Run, nil
 }
-
-// settle records how a claimed call ended; a nil claim is that of a target which checks keys itself.
-func (s *Server) settle(h *held, o retry.Outcome, ans *target.Answer, body []byte) {
-	switch {
-	case h == nil:
-	case o == retry.NotRun:
-		s.c.Claims.GiveBack(h.key, h.holder)
-	case o == retry.Run && len(body) <= maxResultBytes:
-		s.c.Claims.Finish(h.key, h.holder, &state.Result{Status: ans.Status, ContentType: ans.ContentType, Body: body})
-	case o == retry.Run:
-		s.c.Claims.Finish(h.key, h.holder, &state.Result{Status: ans.Status, Dropped: true})
-	}
-}
--- a/transport/core/core.go
+++ b/transport/core/core.go
@@ -16,6 +16,7 @@
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/coordination/routing"
 	"github.com/troutmast/troutmast/coordination/statelog"
+	"github.com/troutmast/troutmast/coordination/ticket"
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/protocol/platform"
 	"github.com/troutmast/troutmast/protocol/target"
@@ -39,6 +40,7 @@
 	Teams     *admission.Teams
 	Budget    *retry.Budget
 	Claims    *claim.Manager
+	Tickets   *ticket.Book
 	Targets   *target.Client
 	Peers     *peer.Client
 	Platform  *platform.Client
--- a/transport/node/node.go
+++ b/transport/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/coordination/routing"
 	"github.com/troutmast/troutmast/coordination/statelog"
+	"github.com/troutmast/troutmast/coordination/ticket"
 	"github.com/troutmast/troutmast/protocol/exchange"
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/protocol/platform"
@@ -94,10 +95,11 @@
 		Picker: &routing.LeastCost{Weights: routing.Weights{
 			Held: set.HeldCost, Tokens: set.TokenCost, Recent: set.RecentCost, Prefix: set.PrefixGain,
 		}},
-		Pools:  core.NewPools(clock),
-		Teams:  &admission.Teams{},
-		Budget: retry.NewBudget(retryRatio, retryMost),
-		Claims: claim.NewManager(set.Name+"/"+self.Incarnation, follower, clock, set.AppendRate),
+		Pools:   core.NewPools(clock),
+		Teams:   &admission.Teams{},
+		Budget:  retry.NewBudget(retryRatio, retryMost),
+		Claims:  claim.NewManager(set.Name+"/"+self.Incarnation, follower, clock, set.AppendRate),
+		Tickets: ticket.NewBook(set.Name, self.Incarnation, clock),
 		Targets: target.NewClient(control,
 			exchange.New(exchange.Options{DialTimeout: dialTimeout, KeepAlive: true, IdleConns: 64}),
 			exchange.New(exchange.Options{DialTimeout: dialTimeout})),
