--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -42,6 +42,7 @@
 	mu       sync.RWMutex
 	nodes    map[string]Node
 	held     map[string]heldWord
+	suspects map[string]time.Time
 }
 
 // heldWord is what a node has itself said of the requests that it holds, with what it said of itself then.
@@ -57,6 +58,7 @@
 		liveness: liveness,
 		nodes:    map[string]Node{},
 		held:     map[string]heldWord{},
+		suspects: map[string]time.Time{},
 	}
 }
 
@@ -110,7 +112,7 @@
 
 // farLiveness is how many times longer a node of another hall may be silent: it
 // is heard of only now and then, by way of one node of this hall.
-const farLiveness = 5
+const farLiveness = 3
 
 // Live returns the peers of a hall heard of lately, or of all halls for an empty name.
 func (d *Directory) Live(hall state.HallName, now time.Time) []Node {
@@ -119,10 +121,24 @@
 		if n.Hall != d.self.Hall {
 			limit *= farLiveness
 		}
-		return (hall != "" && n.Hall != hall) || now.Sub(n.SaidAt) > limit
+		return (hall != "" && n.Hall != hall) || now.Sub(n.SaidAt) > limit || d.suspected(n)
 	})
 }
 
+// Suspect notes that a node could not be reached; it does not count as live until it is heard of anew.
+func (d *Directory) Suspect(name string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.suspects[name] = now
+}
+
+// suspected tells whether a node could not be reached after it was last heard of.
+func (d *Directory) suspected(n Node) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return !n.SaidAt.After(d.suspects[n.Name])
+}
+
 // HallNames returns the names of the node itself and its live peers in its own hall.
 func (d *Directory) HallNames(now time.Time) []string {
 	names := []string{d.self.Name}
--- a/transport/caller/forward.go
+++ b/transport/caller/forward.go
@@ -40,6 +40,9 @@
 			return nil
 		}
 		s.note(q, "%s failed: %v", n.Name, err)
+		if ctx.Err() == nil {
+			s.c.Directory.Suspect(n.Name, s.c.Clock.Now())
+		}
 		worst = worse(worst, outcome)
 		f := withOutcome(worst, CodePeerFailed, "the node that the request was passed on to failed")
 		if i+1 == len(nodes) || !s.again(ctx, q, outcome, f, repeatable) {
