--- a/transport/caller/ticket.go
+++ b/transport/caller/ticket.go
@@ -17,11 +17,10 @@
 
 // Codes of tickets.
 const (
-	CodeTicketBad     Code = "ticket-not-valid"
-	CodeTicketGone    Code = "ticket-node-gone"
-	CodeTicketLimit   Code = "ticket-limit"
-	CodeStopping      Code = "node-stopping"
-	ticketContentType      = "application/json"
+	CodeTicketBad   Code = "ticket-not-valid"
+	CodeTicketGone  Code = "ticket-node-gone"
+	CodeTicketLimit Code = "ticket-limit"
+	CodeStopping    Code = "node-stopping"
 )
 
 // ticketRequest is the body of a request for a ticket.
@@ -60,7 +59,7 @@
 	if err != nil {
 		return notRun(http.StatusServiceUnavailable, CodeTicketLimit, "the ticket could not be written: %v", err)
 	}
-	writeAnswer(w, q.id, &target.Answer{Status: http.StatusCreated, ContentType: ticketContentType}, body)
+	writeAnswer(w, q.id, &target.Answer{Status: http.StatusCreated, ContentType: "application/json"}, body)
 	return nil
 }
 
