Bound the writing of an answer by the request's own time

Cause: a caller that stopped reading its stream blocked the node in a write that no deadline ended; it held its place, its team's place and an engine's slot far past its own time, and a planned stop waited for it.

Ruled out: the request's context, which ended in time but does not end a write.

Change: each answer must be written by the request's deadline and two seconds; the bound is lifted for the connection's next request.

--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -66,6 +66,7 @@
 		start := s.c.Clock.Now()
 		s.c.Count("requests")
 		q, f := s.begin(w, r, forwarded)
+		defer s.boundWrites(w, q)()
 		if f == nil {
 			ctx, cancel := context.WithTimeout(r.Context(), s.c.Clock.Until(q.deadline))
 			f = h(ctx, w, r, q)
@@ -75,6 +76,24 @@
 	}
 }
 
+// writeGrace is how long after a request's time its answer may still be written.
+const writeGrace = 2 * time.Second
+
+// boundWrites keeps a caller that does not read from holding its place for
+// longer than its own time; the returned function lifts the bound for the
+// connection's next request.
+func (s *Server) boundWrites(w http.ResponseWriter, q *request) (lift func()) {
+	rc := http.NewResponseController(w)
+	end := q.deadline
+	if end.IsZero() {
+		end = s.c.Clock.Now()
+	}
+	if err := rc.SetWriteDeadline(end.Add(writeGrace)); err != nil {
+		return func() {}
+	}
+	return func() { _ = rc.SetWriteDeadline(time.Time{}) }
+}
+
 // finish counts and logs the end of a request and sends its failure, if any.
 func (s *Server) finish(w http.ResponseWriter, q *request, f *Failure, start time.Time) {
 	took := s.c.Clock.Since(start)
