Count a node as having the state only once it has held all of it

Cause, found by reading: a node that was still catching up with a long log counted as having the whole state after its first page, and could be ready and serve with configuration of the past until it heard of a peer that was further. A node in that state also handed its part to others as a source.

Change: the state counts as whole once the end of the log was read, or, while the log is silent, once a peer that has the whole state has no later entry. A node without it refuses to be a source.

Measured: the new test (catching up with the log, with a peer, with a peer that has nothing) fails with the old rule put back and passes now; the process tests of an outage, of a trimmed log and of a node cut from the platform pass (20 s).

--- a/coordination/statelog/follower.go
+++ b/coordination/statelog/follower.go
@@ -55,6 +55,7 @@
 
 	view         atomic.Pointer[View]
 	headAt       atomic.Int64
+	whole        atomic.Bool
 	lastSnapshot atomic.Uint64
 }
 
@@ -92,6 +93,10 @@
 	return f.clock.Since(time.Unix(0, at)), true
 }
 
+// Whole tells whether the node has once held all that the log, or while the log
+// was silent a peer, could show. Until then its state may be one of the past.
+func (f *Follower) Whole() bool { return f.whole.Load() }
+
 // Stopped returns why the fold has stopped, or nil.
 func (f *Follower) Stopped() error {
 	f.mu.RLock()
@@ -155,6 +160,7 @@
 	}
 	if f.Applied() >= page.Head {
 		f.headAt.Store(asked.UnixNano())
+		f.whole.Store(true)
 	}
 	return nil
 }
@@ -166,6 +172,9 @@
 	}
 	entries, err := f.peers.Records(ctx, from, f.cfg.PageSize)
 	if err == nil {
+		if len(entries) == 0 && from > 1 {
+			f.whole.Store(true)
+		}
 		return f.apply(entries)
 	}
 	snap, err := f.peers.Snapshot(ctx, from-1)
--- a/coordination/statelog/follower_test.go
+++ b/coordination/statelog/follower_test.go
@@ -217,3 +217,34 @@
 	g.Expect(f.Append(ctx, r)).To(Succeed())
 	g.Expect(errors.Is(f.Step(ctx), statelog.ErrStopped)).To(BeTrue())
 }
+
+// TestPartOfTheLogIsNotTheWholeState covers a node that is still catching up,
+// with the log or, while that is silent, with a peer.
+func TestPartOfTheLogIsNotTheWholeState(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	l := newFakeLog(time.Now())
+	source := statelog.NewFollower(config(), l, nil, clockwork.NewRealClock())
+	for i := range 4 {
+		g.Expect(source.Append(ctx, team(fmt.Sprint(i)))).To(Succeed())
+	}
+	g.Expect(source.Step(ctx)).To(Succeed())
+	g.Expect(source.Applied()).To(Equal(state.Offset(3)))
+	g.Expect(source.Whole()).To(BeFalse())
+	g.Expect(source.Step(ctx)).To(Succeed())
+	g.Expect(source.Whole()).To(BeTrue())
+
+	l.down = true
+	late := statelog.NewFollower(config(), l, &fakePeers{source}, clockwork.NewRealClock())
+	_ = late.Step(ctx)
+	g.Expect(late.Applied()).To(Equal(state.Offset(3)))
+	g.Expect(late.Whole()).To(BeFalse())
+	_ = late.Step(ctx)
+	_ = late.Step(ctx)
+	g.Expect(late.Applied()).To(Equal(state.Offset(4)))
+	g.Expect(late.Whole()).To(BeTrue())
+
+	empty := statelog.NewFollower(config(), l, &fakePeers{statelog.NewFollower(config(), l, nil, clockwork.NewRealClock())}, clockwork.NewRealClock())
+	_ = empty.Step(ctx)
+	g.Expect(empty.Whole()).To(BeFalse())
+}
--- a/protocol/peer/peer.go
+++ b/protocol/peer/peer.go
@@ -211,17 +211,20 @@
 	return list, Duration(resp.Msg.GetAgeMs()), nil
 }
 
-// Records implements statelog.Peers.
+// Records implements statelog.Peers. No entries and no error mean that a peer
+// with the whole state has none from the offset on.
 func (c *Client) Records(ctx context.Context, from state.Offset, most int) ([]state.Entry, error) {
-	last := fmt.Errorf("%w: no peer is known", ErrPeer)
+	err := fmt.Errorf("%w: no peer is known", ErrPeer)
 	for _, addr := range c.Addresses() {
-		entries, err := c.recordsFrom(ctx, addr, from, most)
-		if err == nil && len(entries) > 0 {
+		entries, one := c.recordsFrom(ctx, addr, from, most)
+		if one == nil && len(entries) > 0 {
 			return entries, nil
 		}
-		last = err
+		if one == nil || err != nil {
+			err = one
+		}
 	}
-	return nil, last
+	return nil, err
 }
 
 // recordsFrom asks one peer for entries.
--- a/transport/core/ready.go
+++ b/transport/core/ready.go
@@ -29,10 +29,7 @@
 }
 
 // HasState tells whether the node has held the whole state once, from the log or from a peer.
-func (c *Core) HasState() bool {
-	_, read := c.Follower.HeadAge()
-	return read || c.Follower.Applied() > 0
-}
+func (c *Core) HasState() bool { return c.Follower.Whole() }
 
 // behindPeers returns an error when a live peer has applied records that this
 // node has not seen for longer than the bound.
--- a/transport/peerapi/peerapi.go
+++ b/transport/peerapi/peerapi.go
@@ -89,8 +89,16 @@
 	return list
 }
 
+// errNoState is the answer of a node that has not held the whole state yet.
+func errNoState() error {
+	return connect.NewError(connect.CodeFailedPrecondition, core.ErrNeverRead)
+}
+
 // Snapshot implements rpcconnect.PeerHandler.
 func (s *Server) Snapshot(_ context.Context, req *connect.Request[rpc.SnapshotRequest]) (*connect.Response[rpc.SnapshotResponse], error) {
+	if !s.c.HasState() {
+		return nil, errNoState()
+	}
 	var snap *state.Snapshot
 	var err error
 	s.c.Follower.Read(func(st *state.State) {
@@ -122,6 +130,9 @@
 
 // Records implements rpcconnect.PeerHandler.
 func (s *Server) Records(_ context.Context, req *connect.Request[rpc.RecordsRequest]) (*connect.Response[rpc.RecordsResponse], error) {
+	if !s.c.HasState() {
+		return nil, errNoState()
+	}
 	entries, held := s.c.Follower.Recent(state.Offset(req.Msg.GetFrom()), int(req.Msg.GetMost()))
 	if !held {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("these entries are not held here"))
