Let a digest and a detached context stand once; take out what nothing uses

Cause: claimed and ticketed calls each built the same digest of a call and the same context that outlives its caller; a method, a field and a parameter had no use left.

Change: request.digest and Server.detached serve both ways; exchange.CloseIdle, the log in core.Core and the team in TeamLimit are gone. Nothing behaves differently.

--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -72,9 +72,6 @@
 	return resp, true, nil
 }
 
-// CloseIdle closes the connections that are not in use.
-func (c *Client) CloseIdle() { c.hc.CloseIdleConnections() }
-
 // eofReader is an empty body that net/http cannot rewind and so never sends twice.
 type eofReader struct{}
 
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -183,7 +183,7 @@
 
 // admit takes a place of the team and one of the pool; done gives both back.
 func (s *Server) admit(ctx context.Context, q *request, pool string) (done func(), f *Failure) {
-	limit := s.c.TeamLimit(q.team.Name, q.share)
+	limit := s.c.TeamLimit(q.share)
 	if !s.c.Teams.Acquire(q.team.Name, limit) {
 		s.note(q, "team %s has all its %d places here in use", q.team.Name, limit)
 		return nil, fromAdmission(&admission.Refusal{Code: admission.CodeTeamLimit, RetryAfter: admission.Jitter(time.Second)})
--- a/transport/caller/request.go
+++ b/transport/caller/request.go
@@ -59,6 +59,9 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// digest tells one call from another that is sent with the same key or ticket.
+func (q *request) digest() string { return HashKey(q.method + " " + q.path + "\n" + string(q.body)) }
+
 // begin reads what every request has: id, team, time and body.
 func (s *Server) begin(w http.ResponseWriter, r *http.Request, forwarded bool) (*request, *Failure) {
 	q := &request{
--- a/transport/caller/service.go
+++ b/transport/caller/service.go
@@ -66,7 +66,7 @@
 // claimed runs a call whose key must first be claimed in the log.
 func (s *Server) claimed(ctx context.Context, w http.ResponseWriter, q *request, svc *state.Service, pool string) *Failure {
 	key := state.ClaimKey{Team: q.team.Name, Service: svc.Name, Key: q.key}
-	holder, result, err := s.c.Claims.Claim(ctx, key, HashKey(q.method+" "+q.path+"\n"+string(q.body)))
+	holder, result, err := s.c.Claims.Claim(ctx, key, q.digest())
 	if err != nil {
 		return fromClaim(err)
 	}
@@ -74,12 +74,18 @@
 		return s.repeated(w, q, result)
 	}
 	s.note(q, "holds the claim of key %s", q.key)
-	// The claim is spent: a caller that leaves now must find the result when it repeats the call.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.c.Clock.Until(q.deadline))
+	ctx, cancel := s.detached(ctx, q)
 	defer cancel()
 	return s.once(ctx, w, q, pool, &held{claims: s.c.Claims, key: key, holder: holder})
 }
 
+// detached returns a context that ends with the request's time, but not when its
+// caller leaves: a claim or ticket is spent, so a caller that leaves now must
+// find the result when it repeats the call.
+func (s *Server) detached(ctx context.Context, q *request) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(ctx), s.c.Clock.Until(q.deadline))
+}
+
 // settler records how a call that may not be repeated ended; the result is set for retry.Run.
 type settler interface {
 	settle(o retry.Outcome, result *state.Result)
--- a/transport/caller/ticket.go
+++ b/transport/caller/ticket.go
@@ -95,7 +95,7 @@
 
 // ticketed runs a call that a ticket stands for.
 func (s *Server) ticketed(ctx context.Context, w http.ResponseWriter, q *request, svc *state.Service, pool string) *Failure {
-	result, err := s.c.Tickets.Spend(q.key, q.team.Name, svc.Name, HashKey(q.method+" "+q.path+"\n"+string(q.body)))
+	result, err := s.c.Tickets.Spend(q.key, q.team.Name, svc.Name, q.digest())
 	switch {
 	case errors.Is(err, ticket.ErrConflict):
 		return notRun(http.StatusUnprocessableEntity, CodeKeyConflict, "the ticket belongs to another call")
@@ -106,7 +106,7 @@
 	case result != nil:
 		return s.repeated(w, q, result)
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.c.Clock.Until(q.deadline))
+	ctx, cancel := s.detached(ctx, q)
 	defer cancel()
 	return s.once(ctx, w, q, pool, &spentTicket{s.c.Tickets, q.key})
 }
--- a/transport/core/capacity.go
+++ b/transport/core/capacity.go
@@ -22,7 +22,7 @@
 }
 
 // TeamLimit returns how many places of a team's share fall to this node.
-func (c *Core) TeamLimit(_ state.TeamName, share state.Share) int {
+func (c *Core) TeamLimit(share state.Share) int {
 	return membership.Split(share.Places, c.HallDemand(), c.Directory.Self().Name)
 }
 
--- a/transport/core/core.go
+++ b/transport/core/core.go
@@ -29,7 +29,6 @@
 	Settings  *settings.Settings
 	Clock     clockwork.Clock
 	Metrics   metrics.Registry
-	Log       statelog.Log
 	Follower  *statelog.Follower
 	Evidence  *evidence.Table
 	Feed      *evidence.Feed
--- a/transport/node/node.go
+++ b/transport/node/node.go
@@ -86,7 +86,6 @@
 		Settings:  set,
 		Clock:     clock,
 		Metrics:   metrics.NewRegistry(),
-		Log:       plat,
 		Follower:  follower,
 		Evidence:  evidence.NewTable(),
 		Feed:      evidence.NewFeed(),
--- a/transport/operator/show.go
+++ b/transport/operator/show.go
@@ -199,7 +199,7 @@
 	s.c.Follower.Read(func(st *state.State) {
 		for _, team := range st.Teams() {
 			share := team.Halls[s.c.Settings.Hall]
-			t.add("team", team.Name, s.c.TeamLimit(team.Name, share), s.c.Teams.Held(team.Name), 0)
+			t.add("team", team.Name, s.c.TeamLimit(share), s.c.Teams.Held(team.Name), 0)
 		}
 	})
 	for _, name := range s.c.Pools.Names() {
