--- a/cmd/troutmastd/troutmastd.go
+++ b/cmd/troutmastd/troutmastd.go
@@ -14,6 +14,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/troutmast/troutmast/platform"
 	"github.com/troutmast/troutmast/transport/node"
 	"github.com/troutmast/troutmast/transport/settings"
 )
@@ -25,7 +26,14 @@
 )
 
 // main reads the settings and runs the node until it is told to stop.
+//
+// Where the platform's settings file is named in the environment, the node
+// serves callers as the platform's clients speak; else it has its own interface.
 func main() {
+	if path := os.Getenv(platform.SettingsVariable); path != "" {
+		exit(runOnPlatform(path))
+		return
+	}
 	p := flaggy.NewParser("troutmastd")
 	p.Description = "entry node of troutmast; every flag can also be given as an environment variable"
 	set, err := settings.FromOS(p)
@@ -35,9 +43,13 @@
 	}
 	log.SetHandler(json.New(os.Stderr))
 	log.SetLevelFromString(set.LogLevel)
-	err = run(set)
+	exit(run(set))
+}
+
+// exit ends the process with the code of an error, unless there is none.
+func exit(err error) {
 	switch {
-	case errors.Is(err, settings.ErrSettings):
+	case errors.Is(err, settings.ErrSettings), errors.Is(err, errSettings):
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitSettings)
 	case err != nil && !errors.Is(err, context.Canceled):
--- /dev/null
+++ b/coordination/dispatch/candidate.go
@@ -0,0 +1,215 @@
+// Package dispatch chooses the instance or the head of a replica group that
+// answers a request, and keeps count of what each of them holds.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/internal/steady"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// Candidate is an instance that may take requests: one of a plain service, or
+// the head of an open group. The counters are safe for concurrent use.
+type Candidate struct {
+	fleet.Instance
+	// Members are the instances of the group, the head among them; none for a plain service.
+	Members []fleet.Instance
+	// Size is the number of members that the model needs.
+	Size int
+	load *load
+}
+
+// load counts what one instance holds; it outlives changes of the candidate.
+type load struct {
+	held   atomic.Int64
+	others atomic.Int64
+	// moved is when an answer of the instance last moved on, in nanoseconds.
+	moved atomic.Int64
+	// trouble is a decaying count of failures, in thousandths.
+	trouble atomic.Int64
+	// checked is when the group's members were last asked whether they live.
+	checked atomic.Int64
+}
+
+// Held returns the requests that this node holds at the instance.
+func (c *Candidate) Held() int64 { return c.load.held.Load() }
+
+// Load returns the requests that all nodes are known to hold at the instance.
+func (c *Candidate) Load() int64 { return c.load.held.Load() + c.load.others.Load() }
+
+// Begin counts a request that is sent to the instance.
+func (c *Candidate) Begin() { c.load.held.Add(1) }
+
+// End counts a request that has ended.
+func (c *Candidate) End() { c.load.held.Add(-1) }
+
+// Moved notes that an answer of the instance has moved on.
+func (c *Candidate) Moved(now time.Time) { c.load.moved.Store(steady.Nanos(now)) }
+
+// Check tells whether the members should be asked now; it says so once in an interval.
+func (c *Candidate) Check(now time.Time, every time.Duration) bool {
+	last, at := c.load.checked.Load(), steady.Nanos(now)
+	return at-last >= int64(every) && c.load.checked.CompareAndSwap(last, at)
+}
+
+// Weights of failures.
+const (
+	troubleUnit = 1000
+	// troubleCost is what one recent failure adds to the cost, in requests held for each place.
+	troubleCost = 0.15
+	// forgive is the part of the trouble that a good answer takes away.
+	forgive = 0.15
+)
+
+// Failed counts a failure of the instance.
+func (c *Candidate) Failed() { c.load.trouble.Add(troubleUnit) }
+
+// Answered counts a good answer of the instance.
+func (c *Candidate) Answered() {
+	t := c.load.trouble.Load()
+	c.load.trouble.Add(-int64(float64(t) * forgive))
+}
+
+// key finds the candidates of a service, and of a model of it.
+type key struct {
+	service state.ServiceName
+	model   string
+}
+
+// Table holds the candidates; readers take no lock.
+type Table struct {
+	hall  state.HallName
+	mu    sync.Mutex
+	loads map[state.InstanceID]*load
+	pools atomic.Pointer[map[key][]*Candidate]
+}
+
+// NewTable returns an empty Table for a node of a data hall.
+func NewTable(hall state.HallName) *Table {
+	t := &Table{hall: hall, loads: map[state.InstanceID]*load{}}
+	t.pools.Store(&map[key][]*Candidate{})
+	return t
+}
+
+// Update builds the candidates from what is known of the instances. Groups in
+// avoid take no new requests.
+func (t *Table) Update(c *catalog.Catalog, views []roster.View, avoid func(fleet.GroupKey) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	groups := map[fleet.GroupKey][]roster.View{}
+	for _, v := range views {
+		if v.Membership.Group != "" {
+			groups[v.Membership.Key()] = append(groups[v.Membership.Key()], v)
+		}
+	}
+	pools := map[key][]*Candidate{}
+	kept := map[state.InstanceID]*load{}
+	for _, v := range views {
+		l := t.loads[v.ID]
+		if l == nil {
+			l = &load{}
+		}
+		kept[v.ID] = l
+		service := c.Services[v.Service]
+		if service == nil || v.Lost || v.Draining {
+			continue
+		}
+		cand := &Candidate{Instance: v.Instance, load: l}
+		if service.Engine == nil {
+			pools[key{v.Service, ""}] = append(pools[key{v.Service, ""}], cand)
+			continue
+		}
+		if cand.formGroup(service.Engine, groups[v.Membership.Key()]) && !avoid(v.Membership.Key()) {
+			pools[key{v.Service, v.Model}] = append(pools[key{v.Service, v.Model}], cand)
+		}
+	}
+	t.loads = kept
+	t.pools.Store(&pools)
+}
+
+// formGroup gives a head its group's members and tells whether the group may take requests.
+func (c *Candidate) formGroup(engine *catalog.Engine, members []roster.View) bool {
+	model := engine.Model(c.Model)
+	if c.Membership.State != fleet.Open || c.Membership.Rank != 0 || model == nil {
+		return false
+	}
+	if engine.Slots > 0 {
+		c.Slots = engine.Slots
+	}
+	c.Size = model.Size
+	for _, m := range members {
+		if m.Lost {
+			return false
+		}
+		c.Members = append(c.Members, m.Instance)
+	}
+	return len(c.Members) >= model.Size
+}
+
+// SetOthers takes in how many requests the other nodes hold at each instance.
+func (t *Table) SetOthers(held map[state.InstanceID]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, l := range t.loads {
+		l.others.Store(int64(held[id]))
+	}
+}
+
+// Held returns the requests that this node holds at each instance.
+func (t *Table) Held() map[state.InstanceID]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := map[state.InstanceID]int{}
+	for id, l := range t.loads {
+		if n := l.held.Load(); n > 0 {
+			held[id] = int(n)
+		}
+	}
+	return held
+}
+
+// Pool returns the candidates of a service, or of a model of it; the slice must not be changed.
+func (t *Table) Pool(service state.ServiceName, model string) []*Candidate {
+	return (*t.pools.Load())[key{service, model}]
+}
+
+// farCost is what another data hall adds to the cost.
+const farCost = 0.03
+
+// Pick returns the cheapest candidate that is not to be avoided, or nil.
+func (t *Table) Pick(service state.ServiceName, model string, avoid func(state.InstanceID) bool) *Candidate {
+	pool := t.Pool(service, model)
+	if len(pool) == 0 {
+		return nil
+	}
+	var best *Candidate
+	var least float64
+	start := rand.IntN(len(pool))
+	for i := range pool {
+		c := pool[(start+i)%len(pool)]
+		if avoid(c.ID) {
+			continue
+		}
+		if cost := t.cost(c); best == nil || cost < least {
+			best, least = c, cost
+		}
+	}
+	return best
+}
+
+// cost is what it costs to send a request to a candidate, in parts of its places.
+func (t *Table) cost(c *Candidate) float64 {
+	cost := float64(c.Load()) / float64(max(c.Slots, 1))
+	cost += troubleCost * float64(c.load.trouble.Load()) / troubleUnit
+	if c.Hall != t.hall {
+		cost += farCost
+	}
+	return cost
+}
--- /dev/null
+++ b/coordination/placement/planner.go
@@ -0,0 +1,567 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// Member is one instance as the planner sees it.
+type Member struct {
+	fleet.Instance
+	// Orders is the number of orders taken, as of the instance's last report.
+	Orders int64
+	// Reported tells that the last report was asked for after the last order, and lately.
+	Reported bool
+	// Lost tells that the instance does not answer, Gone that its process has ended for certain.
+	Lost bool
+	Gone bool
+	// Pending tells that an order to it has not been answered.
+	Pending bool
+	// Seen is when the instance was first seen.
+	Seen time.Time
+	// Stray is the ended formation that the instance still names as its own.
+	Stray fleet.GroupKey
+}
+
+// usable tells whether the instance can become a member of a new group.
+func (m *Member) usable() bool { return !m.Lost && !m.Gone && !m.Draining }
+
+// formation is what the planner knows of one formation of a group.
+type formation struct {
+	model   string
+	members []state.InstanceID
+	since   time.Time
+	// failed is set once a member was missing: the formation is taken apart then, whatever comes back.
+	failed string
+	// opened is set once the head was seen open.
+	opened bool
+}
+
+// Bounds of the planner's waiting.
+const (
+	// settle is how long a domain's newest instance must have been seen before groups are formed of the domain.
+	settle = 700 * time.Millisecond
+	// joinMargin is added to the time that a member may take to become ready.
+	joinMargin = 4 * time.Second
+	// loadWindow is the span over which loads are counted.
+	loadWindow = 5 * time.Second
+	// loadPart is the part of the weight store's rate that is used.
+	loadPart = 0.8
+	// headUnknown is how long members whose head was never seen stay bound to it.
+	headUnknown = 8 * time.Second
+	// stageAgain is how long an order to stage a model is trusted to be under way.
+	stageAgain = 40 * time.Second
+)
+
+// Planner decides for the instances of one engine service; not safe for concurrent use.
+type Planner struct {
+	engine     *catalog.Engine
+	next       func(seen state.Epoch) state.Epoch
+	formations map[fleet.GroupKey]*formation
+	loads      []time.Time
+	staging    map[state.InstanceID]time.Time
+	ended      map[fleet.GroupKey]time.Time
+	// Quiet tells that no request has come yet, so that loads are nearly free.
+	Quiet bool
+	// Shares are the models' parts of the work; nil takes the configured ones.
+	Shares []float64
+}
+
+// NewPlanner returns a Planner; next returns a new epoch above one that was seen.
+func NewPlanner(engine *catalog.Engine, next func(seen state.Epoch) state.Epoch) *Planner {
+	return &Planner{
+		engine:     engine,
+		next:       next,
+		formations: map[fleet.GroupKey]*formation{},
+		staging:    map[state.InstanceID]time.Time{},
+		ended:      map[fleet.GroupKey]time.Time{},
+	}
+}
+
+// SetEngine takes in a new configuration of the service.
+func (p *Planner) SetEngine(engine *catalog.Engine) { p.engine = engine }
+
+// Plan is what is to be done now.
+type Plan struct {
+	Orders []Order
+	// Ask names the instances whose report is needed.
+	Ask []state.InstanceID
+	// Avoid are the formations that must not be sent new requests.
+	Avoid map[fleet.GroupKey]string
+}
+
+// step is the state of one call of Step.
+type step struct {
+	*Planner
+	now    time.Time
+	byID   map[state.InstanceID]*Member
+	groups map[fleet.GroupKey][]*Member
+	plan   Plan
+	newest state.Epoch
+}
+
+// Step decides what to do, given all instances of the service.
+func (p *Planner) Step(now time.Time, members []Member) Plan {
+	s := &step{
+		Planner: p,
+		now:     now,
+		byID:    make(map[state.InstanceID]*Member, len(members)),
+		groups:  map[fleet.GroupKey][]*Member{},
+		plan:    Plan{Avoid: map[fleet.GroupKey]string{}},
+	}
+	for i := range members {
+		m := &members[i]
+		s.byID[m.ID] = m
+		s.newest = max(s.newest, m.Membership.Epoch)
+		s.place(m)
+	}
+	for _, key := range s.keys() {
+		s.tend(key)
+	}
+	s.form()
+	s.tidy()
+	s.stage()
+	s.forget()
+	return s.plan
+}
+
+// place counts an instance to the formation that it says it belongs to. A
+// member of a formation that has been taken apart is free; a head is not, since
+// it would have to leave again.
+func (s *step) place(m *Member) {
+	key := m.Membership.Key()
+	if key.Group == "" {
+		return
+	}
+	if _, over := s.ended[key]; over && m.Membership.Rank > 0 {
+		m.Membership = fleet.Membership{}
+		m.Stray = key
+		return
+	}
+	s.groups[key] = append(s.groups[key], m)
+}
+
+// keys returns all formations seen or remembered, the oldest first.
+func (s *step) keys() []fleet.GroupKey {
+	var keys []fleet.GroupKey
+	for key := range s.groups {
+		keys = append(keys, key)
+	}
+	for key := range s.formations {
+		if s.groups[key] == nil {
+			keys = append(keys, key)
+		}
+		s.newest = max(s.newest, key.Epoch)
+	}
+	slices.SortFunc(keys, func(a, b fleet.GroupKey) int {
+		return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Group, b.Group))
+	})
+	return keys
+}
+
+// tend looks after one formation: joins, opens, closes or takes it apart.
+func (s *step) tend(key fleet.GroupKey) {
+	f := s.formations[key]
+	if f == nil {
+		f = s.recover(key)
+	}
+	if f.failed == "" {
+		f.failed = s.fault(key, f)
+	}
+	head := s.headOf(key, f)
+	switch {
+	case f.failed != "":
+		s.plan.Avoid[key] = f.failed
+		s.takeApart(key, f, head)
+	case s.draining(f):
+		s.plan.Avoid[key] = "a member is leaving"
+		s.handOver(key, f, head)
+	default:
+		s.bringUp(key, f, head)
+	}
+}
+
+// recover makes up a formation from what its members say of it.
+func (s *step) recover(key fleet.GroupKey) *formation {
+	f := &formation{since: s.now}
+	for _, m := range s.groups[key] {
+		if m.Model != "" {
+			f.model = m.Model
+		}
+	}
+	f.members = s.membersByRank(key)
+	if model := s.engine.Model(f.model); model != nil && len(f.members) < model.Size {
+		f.members = append(f.members, make([]state.InstanceID, model.Size-len(f.members))...)
+	}
+	s.formations[key] = f
+	return f
+}
+
+// membersByRank lists the instances that say they belong to a formation; a rank nobody has is empty.
+func (s *step) membersByRank(key fleet.GroupKey) []state.InstanceID {
+	var list []state.InstanceID
+	for _, m := range s.groups[key] {
+		for len(list) <= m.Membership.Rank {
+			list = append(list, "")
+		}
+		list[m.Membership.Rank] = m.ID
+	}
+	return list
+}
+
+// fault returns why a formation cannot serve, or nothing.
+func (s *step) fault(key fleet.GroupKey, f *formation) string {
+	model := s.engine.Model(f.model)
+	joinBy := f.since.Add(joinMargin)
+	if model != nil {
+		joinBy = f.since.Add(2*model.Load + joinMargin)
+	}
+	for rank, id := range f.members {
+		m := s.byID[id]
+		switch {
+		case id == "" && s.now.Sub(f.since) < settle:
+		case id == "":
+			return fmt.Sprintf("rank %d is unknown", rank)
+		case m == nil || m.Gone:
+			return fmt.Sprintf("%s is gone", id)
+		case m.Lost:
+			return fmt.Sprintf("%s does not answer", id)
+		case m.Membership.Key() != key && f.opened:
+			return fmt.Sprintf("%s has left", id)
+		case m.Membership.Key() != key && s.now.After(joinBy):
+			return fmt.Sprintf("%s did not join", id)
+		case m.Membership.Key() != key && m.Membership.Epoch > key.Epoch:
+			return fmt.Sprintf("%s has joined another group", id)
+		case m.Membership.Key() == key && m.Membership.State == fleet.Broken:
+			return fmt.Sprintf("%s says broken", id)
+		case m.Membership.Key() == key && m.Membership.State == fleet.Joining && s.now.After(joinBy):
+			return fmt.Sprintf("%s does not become ready", id)
+		}
+	}
+	return ""
+}
+
+// headOf returns the instance that is, or was, the head of a formation, or nil.
+func (s *step) headOf(_ fleet.GroupKey, f *formation) *Member {
+	if len(f.members) == 0 {
+		return nil
+	}
+	return s.byID[f.members[0]]
+}
+
+// draining tells whether a member of a formation is leaving.
+func (s *step) draining(f *formation) bool {
+	return slices.ContainsFunc(f.members, func(id state.InstanceID) bool { return s.byID[id] != nil && s.byID[id].Draining })
+}
+
+// bringUp joins the members that have not joined, and opens the head once all are ready.
+func (s *step) bringUp(key fleet.GroupKey, f *formation, head *Member) {
+	if head == nil {
+		return
+	}
+	if head.Membership.Key() == key && (head.Membership.State == fleet.Open || head.Membership.State == fleet.Closing) {
+		f.opened = true
+		return
+	}
+	ready := true
+	for _, id := range f.members {
+		m := s.byID[id]
+		if m == nil {
+			return
+		}
+		if m.Membership.Key() != key {
+			s.join(key, f, m)
+			ready = false
+			continue
+		}
+		if m.Membership.State != fleet.Ready {
+			ready = false
+			s.plan.Ask = append(s.plan.Ask, id)
+		}
+	}
+	model := s.engine.Model(f.model)
+	if ready && model != nil && len(f.members) == model.Size {
+		s.order(head, Order{Action: Open, Key: key, Why: "all members are ready"})
+		s.plan.Ask = append(s.plan.Ask, head.ID)
+	}
+}
+
+// join orders an instance to become a member, if its last report still holds.
+func (s *step) join(key fleet.GroupKey, f *formation, m *Member) {
+	expect := m.Orders
+	s.order(m, Order{Action: Join, Key: key, Model: f.model, Members: f.members, Expect: &expect, Why: "forming"})
+}
+
+// order adds an order. It needs a report that is younger than the last order to
+// the instance; without one, that is asked for.
+func (s *step) order(m *Member, o Order) {
+	if m.Pending {
+		return
+	}
+	if !m.Reported {
+		s.plan.Ask = append(s.plan.Ask, m.ID)
+		return
+	}
+	m.Pending = true
+	o.Instance, o.Address = m.ID, m.Address
+	s.plan.Orders = append(s.plan.Orders, o)
+}
+
+// takeApart ends a formation that cannot serve: the head closes and leaves,
+// then the members are free.
+func (s *step) takeApart(key fleet.GroupKey, f *formation, head *Member) {
+	if s.released(key, f, head) {
+		delete(s.formations, key)
+		s.ended[key] = s.now
+		for _, m := range s.groups[key] {
+			m.Membership, m.Stray = fleet.Membership{}, key
+		}
+		return
+	}
+	if head == nil || head.Lost || head.Gone {
+		return
+	}
+	s.plan.Ask = append(s.plan.Ask, head.ID)
+	switch head.Membership.State {
+	case fleet.Open, fleet.Closing:
+		s.order(head, Order{Action: Abort, Key: key, Why: f.failed})
+	default:
+		s.order(head, Order{Action: Leave, Key: key, Why: f.failed})
+	}
+}
+
+// released tells whether the members of a formation may join others: its head
+// is known and certainly not serving.
+func (s *step) released(key fleet.GroupKey, f *formation, head *Member) bool {
+	switch {
+	case head == nil && f.members[0] == "":
+		return s.now.Sub(f.since) > headUnknown
+	case head == nil, head.Gone:
+		return true
+	case head.Lost:
+		return false
+	}
+	return head.Reported && !head.Pending && head.Membership.Key() != key
+}
+
+// handOver closes a group with a leaving member once its requests are done.
+func (s *step) handOver(key fleet.GroupKey, f *formation, head *Member) {
+	if head == nil || head.Membership.Key() != key {
+		f.failed = "a member is leaving"
+		return
+	}
+	s.plan.Ask = append(s.plan.Ask, head.ID)
+	switch head.Membership.State {
+	case fleet.Open:
+		s.order(head, Order{Action: Close, Key: key, Why: "a member is leaving"})
+	case fleet.Closing:
+	default:
+		f.failed = "a member is leaving"
+	}
+}
+
+// form makes new groups of free instances.
+func (s *step) form() {
+	free := map[string][]*Member{}
+	alive := 0
+	for _, id := range sortedIDs(s.byID) {
+		m := s.byID[id]
+		if !m.usable() {
+			continue
+		}
+		alive++
+		if m.Membership.Group == "" && !s.claimed(id) {
+			free[m.Domain] = append(free[m.Domain], m)
+		}
+	}
+	shares := s.Shares
+	if shares == nil {
+		for _, m := range s.engine.Models {
+			shares = append(shares, m.Share)
+		}
+	}
+	stock := newSupply(s.engine.Models, shares, alive)
+	for _, f := range s.formations {
+		if i := s.modelIndex(f.model); i >= 0 && f.failed == "" && !s.draining(f) {
+			stock.have[i] += float64(len(f.members))
+		}
+	}
+	for _, domain := range sortedKeys(free) {
+		s.formDomain(free[domain], stock)
+	}
+}
+
+// modelIndex returns the place of a model in the configuration, or -1.
+func (s *step) modelIndex(name string) int {
+	return slices.IndexFunc(s.engine.Models, func(m catalog.Model) bool { return m.Name == name })
+}
+
+// claimed tells whether an instance is named by a formation that it has not joined.
+func (s *step) claimed(id state.InstanceID) bool {
+	for _, f := range s.formations {
+		if slices.Contains(f.members, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// formDomain makes groups of the free instances of one domain.
+func (s *step) formDomain(free []*Member, stock *supply) {
+	for _, m := range free {
+		if s.now.Sub(m.Seen) < settle {
+			return
+		}
+	}
+	for i, n := range stock.pack(len(free), s.engine.Models) {
+		model := &s.engine.Models[i]
+		for range n {
+			members := s.choose(free, model)
+			if len(members) < model.Size {
+				break
+			}
+			free = slices.DeleteFunc(free, func(m *Member) bool { return slices.Contains(members, m) })
+			s.start(model, members)
+			stock.have[i] += float64(model.Size)
+		}
+	}
+}
+
+// choose picks the members of a new group: those that are ready soonest.
+func (s *step) choose(free []*Member, model *catalog.Model) []*Member {
+	sorted := slices.Clone(free)
+	slices.SortStableFunc(sorted, func(a, b *Member) int {
+		return cmp.Compare(joinTime(a, model), joinTime(b, model))
+	})
+	if len(sorted) < model.Size {
+		return nil
+	}
+	chosen := sorted[:model.Size]
+	loads := 0
+	for _, m := range chosen {
+		if joinTime(m, model) == model.Load {
+			loads++
+		}
+	}
+	if !s.mayLoad(loads) {
+		return nil
+	}
+	return chosen
+}
+
+// joinTime is how long an instance takes to become ready in a group of a model.
+func joinTime(m *Member, model *catalog.Model) time.Duration {
+	switch {
+	case m.Model == model.Name:
+		return 0
+	case m.HasStaged(model.Name):
+		return model.Warm
+	}
+	return model.Load
+}
+
+// mayLoad takes a number of loads out of what the weight store carries, if it carries them.
+func (s *step) mayLoad(n int) bool {
+	if n == 0 {
+		return true
+	}
+	s.loads = slices.DeleteFunc(s.loads, func(t time.Time) bool { return s.now.Sub(t) > loadWindow })
+	most := int(s.engine.LoadsPerSecond * loadWindow.Seconds() * loadPart)
+	if !s.Quiet && len(s.loads)+n > max(most, n) {
+		return false
+	}
+	for range n {
+		s.loads = append(s.loads, s.now)
+	}
+	return true
+}
+
+// start makes a new formation and orders its members to join.
+func (s *step) start(model *catalog.Model, members []*Member) {
+	epoch := s.next(s.newest)
+	s.newest = epoch
+	key := fleet.GroupKey{Group: state.GroupName(fmt.Sprintf("g%d", epoch)), Epoch: epoch}
+	f := &formation{model: model.Name, since: s.now}
+	for _, m := range members {
+		f.members = append(f.members, m.ID)
+	}
+	s.formations[key] = f
+	for _, m := range members {
+		s.join(key, f, m)
+	}
+}
+
+// stage has instances load to their hosts the model that they may need next.
+func (s *step) stage() {
+	if len(s.engine.Models) < 2 {
+		return
+	}
+	for _, id := range sortedIDs(s.byID) {
+		m := s.byID[id]
+		if !m.usable() || m.Pending || m.Membership.State != fleet.Open || s.now.Sub(s.staging[id]) < stageAgain {
+			continue
+		}
+		other := s.otherModel(m.Model)
+		if other == "" || m.HasStaged(other) || !m.Reported || !s.mayLoad(1) {
+			continue
+		}
+		s.staging[id] = s.now
+		s.order(m, Order{Action: Stage, Model: other, Why: "for a later repair"})
+	}
+}
+
+// tidy has free instances leave the ended formations that they still name.
+func (s *step) tidy() {
+	for _, id := range sortedIDs(s.byID) {
+		m := s.byID[id]
+		if m.Stray.Group != "" && m.usable() && !s.claimed(id) {
+			s.order(m, Order{Action: Leave, Key: m.Stray, Why: "the group has ended"})
+		}
+	}
+}
+
+// remembered is how long ended formations and orders to stage are remembered.
+const remembered = time.Minute
+
+// forget drops what is no longer needed.
+func (s *step) forget() {
+	maps.DeleteFunc(s.ended, func(_ fleet.GroupKey, at time.Time) bool { return s.now.Sub(at) > remembered })
+	maps.DeleteFunc(s.staging, func(_ state.InstanceID, at time.Time) bool { return s.now.Sub(at) > remembered })
+}
+
+// otherModel returns the first model that is not the given one.
+func (s *step) otherModel(name string) string {
+	for _, m := range s.engine.Models {
+		if m.Name != name {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// sortedIDs returns the ids of instances in order.
+func sortedIDs(m map[state.InstanceID]*Member) []state.InstanceID {
+	ids := make([]state.InstanceID, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// sortedKeys returns the names of domains in order.
+func sortedKeys(m map[string][]*Member) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/coordination/roster/roster.go
@@ -0,0 +1,302 @@
+// Package roster keeps what a node knows of the target instances: what the
+// platform's list says, what each instance reported itself, and which of them
+// no longer answer.
+package roster
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// Config bounds what a Roster concludes from silence.
+type Config struct {
+	// Beat is the time between two entries that an instance writes into the list.
+	Beat time.Duration
+	// Stall is how long a group with a dead member stands still before it says that it is broken.
+	Stall time.Duration
+}
+
+// Bounds of the conclusions.
+const (
+	// lostFailures is how many questions in a row must fail for an instance to count as lost.
+	lostFailures = 2
+	// unlisted is how long an instance may be missing in the list before it must answer questions.
+	unlisted = time.Second
+	// goneMargin is added to the stall time before a silent process counts as ended.
+	goneMargin = 1500 * time.Millisecond
+	// reportAge is how old a report may be to be acted upon.
+	reportAge = 2 * time.Second
+	// forgetAfter is how long an ended instance is remembered.
+	forgetAfter = 20 * time.Second
+)
+
+// entry is what is known of one instance.
+type entry struct {
+	listed   fleet.Instance
+	inList   bool
+	unlisted time.Time
+	seen     time.Time
+	// beat is when the list last showed a sign of life, changed when its word on the membership last changed.
+	beat    time.Time
+	changed time.Time
+	report  fleet.Report
+	// heard is the last time at which the instance itself is known to have answered.
+	heard     time.Time
+	failures  int
+	suspected time.Time
+	gone      bool
+	goneAt    time.Time
+	pending   bool
+	ordered   time.Time
+}
+
+// Roster is safe for concurrent use.
+type Roster struct {
+	cfg     Config
+	mu      sync.Mutex
+	m       map[state.InstanceID]*entry
+	version uint64
+}
+
+// New returns an empty Roster.
+func New(cfg Config) *Roster { return &Roster{cfg: cfg, m: map[state.InstanceID]*entry{}} }
+
+// Version changes with everything that can change a routing decision.
+func (r *Roster) Version() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
+// Listed takes in the list's entry of an instance, read at a time.
+func (r *Roster) Listed(in fleet.Instance, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.m[in.ID]
+	if e == nil {
+		e = &entry{seen: now, changed: now}
+		r.m[in.ID] = e
+		r.version++
+	}
+	if e.inList && in.Position < e.listed.Position {
+		return
+	}
+	if in.Position != e.listed.Position || !e.inList {
+		e.beat = now
+	}
+	if in.Membership != e.listed.Membership || in.Model != e.listed.Model || !slices.Equal(in.Staged, e.listed.Staged) {
+		e.changed = now
+		r.version++
+	}
+	if in.Draining != e.listed.Draining || !e.inList {
+		r.version++
+	}
+	e.listed, e.inList = in, true
+}
+
+// Unlisted takes in that the list no longer shows an instance.
+func (r *Roster) Unlisted(id state.InstanceID, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.m[id]; e != nil && e.inList {
+		e.inList, e.unlisted = false, now
+		r.version++
+	}
+}
+
+// Retain takes in that the list shows exactly some instances.
+func (r *Roster) Retain(ids map[state.InstanceID]bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, e := range r.m {
+		if !ids[id] && e.inList {
+			e.inList, e.unlisted = false, now
+			r.version++
+		}
+	}
+}
+
+// Reported takes in what an instance answered to a question asked at rep.Asked.
+func (r *Roster) Reported(id state.InstanceID, rep fleet.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.m[id]
+	if e == nil || rep.Asked.Before(e.report.Asked) {
+		return
+	}
+	if rep.Membership != e.report.Membership {
+		r.version++
+	}
+	e.report = rep
+	e.hear(rep.Asked, r)
+}
+
+// hear notes a sign of life that is as old as the question.
+func (e *entry) hear(at time.Time, r *Roster) {
+	if at.After(e.heard) {
+		e.heard = at
+	}
+	if e.failures > 0 && at.After(e.suspected) {
+		if e.failures >= lostFailures {
+			r.version++
+		}
+		e.failures = 0
+	}
+}
+
+// Heard takes in that an instance answered a request sent at a time.
+func (r *Roster) Heard(id state.InstanceID, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.m[id]; e != nil {
+		e.hear(at, r)
+	}
+}
+
+// Failed takes in that an instance did not answer a question asked at a time.
+func (r *Roster) Failed(id state.InstanceID, asked time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.m[id]
+	if e == nil || asked.Before(e.heard) {
+		return
+	}
+	e.failures++
+	e.suspected = asked
+	if e.failures == lostFailures {
+		r.version++
+	}
+}
+
+// Replaced takes in that another process answers at an instance's address.
+func (r *Roster) Replaced(id state.InstanceID, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.m[id]; e != nil && !e.gone {
+		e.gone, e.goneAt = true, now
+		r.version++
+	}
+}
+
+// Ordered notes that an order to an instance is on its way, or no longer is.
+func (r *Roster) Ordered(id state.InstanceID, pending bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.m[id]; e != nil {
+		e.pending, e.ordered = pending, now
+	}
+}
+
+// lost tells whether an instance no longer answers, as far as is known.
+func (e *entry) lost(now time.Time) bool {
+	return e.gone || e.failures >= lostFailures || (!e.inList && now.Sub(e.unlisted) > unlisted && now.Sub(e.heard) > unlisted)
+}
+
+// silent tells whether nothing was heard of an instance for so long that its process must have ended.
+func (r *Roster) silent(e *entry, now time.Time) bool {
+	last := e.beat
+	if e.heard.After(last) {
+		last = e.heard
+	}
+	return e.failures >= lostFailures && now.Sub(last) > r.cfg.Stall+goneMargin
+}
+
+// membership returns the newest word on an instance's group, model and staged models.
+func (e *entry) current() fleet.Instance {
+	in := e.listed
+	if e.report.Asked.After(e.changed) {
+		in.Membership, in.Model, in.Staged = e.report.Membership, e.report.Model, e.report.Staged
+	}
+	return in
+}
+
+// Members returns the instances of a service as a planner sees them, by id.
+func (r *Roster) Members(service state.ServiceName, now time.Time) []placement.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []placement.Member
+	for id, e := range r.m {
+		r.age(id, e, now)
+		if e.listed.Service != service {
+			continue
+		}
+		list = append(list, placement.Member{
+			Instance: e.current(),
+			Orders:   e.report.Orders,
+			Reported: e.report.Asked.After(e.ordered) && now.Sub(e.report.Asked) < reportAge,
+			Lost:     e.lost(now),
+			Gone:     e.gone,
+			Pending:  e.pending,
+			Seen:     e.seen,
+		})
+	}
+	slices.SortFunc(list, func(a, b placement.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
+
+// age draws the conclusions that come with time alone.
+func (r *Roster) age(id state.InstanceID, e *entry, now time.Time) {
+	if !e.gone && r.silent(e, now) {
+		e.gone, e.goneAt = true, now
+		r.version++
+	}
+	if e.gone && now.Sub(e.goneAt) > forgetAfter {
+		delete(r.m, id)
+		r.version++
+	}
+}
+
+// Doubtful returns the instances that should be asked whether they still live:
+// those whose entries have stopped, and those that failed to answer.
+func (r *Roster) Doubtful(now time.Time) []fleet.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []fleet.Instance
+	for _, e := range r.m {
+		stopped := now.Sub(e.beat) > 2*r.cfg.Beat+r.cfg.Beat/4 || !e.inList
+		if !e.gone && (e.failures > 0 || stopped && now.Sub(e.heard) > r.cfg.Beat) {
+			list = append(list, e.listed)
+		}
+	}
+	return list
+}
+
+// View is one instance as the request path sees it.
+type View struct {
+	fleet.Instance
+	Lost bool
+}
+
+// All returns every instance that has not ended, by id.
+func (r *Roster) All(now time.Time) []View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]View, 0, len(r.m))
+	for _, e := range r.m {
+		if e.gone {
+			continue
+		}
+		v := View{Instance: e.current(), Lost: e.lost(now)}
+		v.Draining = v.Draining || !e.inList
+		list = append(list, v)
+	}
+	slices.SortFunc(list, func(a, b View) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
+
+// Get returns what is known of one instance.
+func (r *Roster) Get(id state.InstanceID, now time.Time) (View, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.m[id]
+	if e == nil || e.gone {
+		return View{}, false
+	}
+	return View{Instance: e.current(), Lost: e.lost(now)}, true
+}
--- /dev/null
+++ b/coordination/source/source.go
@@ -0,0 +1,42 @@
+// Package source names what a platform's store gives to troutmast: keyed topics
+// whose newest records are kept for good, and the errors of reading them.
+package source
+
+import "errors"
+
+// The errors of a store.
+var (
+	// ErrUnavailable means that the store did not answer, or would not.
+	ErrUnavailable = errors.New("source: store unavailable")
+	// ErrTrimmed means that the records asked for are gone.
+	ErrTrimmed = errors.New("source: records are gone")
+)
+
+// Topic names one of the keyed topics that the product uses.
+type Topic string
+
+// The topics.
+const (
+	// Configuration holds the operator's configuration, whole.
+	Configuration Topic = "configuration"
+	// Instances holds an entry of each target instance.
+	Instances Topic = "instances"
+	// Nodes holds an entry of each entry node.
+	Nodes Topic = "nodes"
+)
+
+// Item is one record; one without a value drops its key.
+type Item struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// Tail is the answer to a read.
+type Tail struct {
+	Items []Item
+	// End is the offset to read from next.
+	End int64
+	// Whole tells that no further record was there when the answer was given.
+	Whole bool
+}
--- /dev/null
+++ b/protocol/direct/pool.go
@@ -0,0 +1,195 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Times for which a connection may rest.
+const (
+	// restDefault is for how long a connection rests if its peer says nothing of it.
+	restDefault = 4 * time.Second
+	// restMargin is how long before the peer's own time a connection is given up.
+	restMargin = 1100 * time.Millisecond
+	// restFresh is for how long a connection may have rested to count as fresh.
+	restFresh = 900 * time.Millisecond
+)
+
+// Pool keeps connections that rest; safe for concurrent use.
+type Pool struct {
+	dialer Dialer
+	now    func() time.Time
+	// dialed counts the connections made.
+	dialed atomic.Int64
+
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*conn
+}
+
+// NewPool returns an empty Pool.
+func NewPool(d Dialer, now func() time.Time) *Pool {
+	return &Pool{dialer: d, now: now, idle: map[netip.AddrPort][]*conn{}}
+}
+
+// Dialed returns the number of connections made so far.
+func (p *Pool) Dialed() int64 { return p.dialed.Load() }
+
+// conn is one connection, at rest or in use by one exchange.
+type conn struct {
+	net.Conn
+	at    netip.AddrPort
+	br    *bufio.Reader
+	bw    *bufio.Writer
+	wrote bool
+	// since is when the connection came to rest, until when it may.
+	since time.Time
+	until time.Time
+	keep  time.Duration
+}
+
+// get returns a connection at rest, or a new one.
+func (p *Pool) get(ctx context.Context, at netip.AddrPort, fresh bool) (*conn, error) {
+	for {
+		c := p.take(at, fresh)
+		if c == nil {
+			break
+		}
+		if c.sound() {
+			return c, nil
+		}
+		p.drop(c)
+	}
+	p.dialed.Add(1)
+	raw, err := p.dialer.Dial(ctx, at)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, at: at}
+	c.newBuffers()
+	return c, nil
+}
+
+// take takes the connection that rested least out of the pool, if it may still be used.
+func (p *Pool) take(at netip.AddrPort, fresh bool) *conn {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[at]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	if now.After(c.until) || (fresh && now.Sub(c.since) > restFresh) {
+		return nil
+	}
+	list[len(list)-1] = nil
+	p.idle[at] = list[:len(list)-1]
+	return c
+}
+
+// put lets a connection rest.
+func (p *Pool) put(c *conn) {
+	c.since = p.now()
+	c.until = c.since.Add(c.keep)
+	if c.keep <= 0 {
+		p.drop(c)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[c.at] = append(p.idle[c.at], c)
+}
+
+// drop closes a connection.
+func (p *Pool) drop(c *conn) { _ = c.Close() }
+
+// Sweep closes the connections that have rested too long.
+func (p *Pool) Sweep() {
+	now := p.now()
+	p.mu.Lock()
+	var old []*conn
+	for at, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.After(c.until) {
+				old = append(old, c)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		clear(list[len(kept):])
+		if p.idle[at] = kept; len(kept) == 0 {
+			delete(p.idle, at)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
+
+// Forget closes the connections at rest to an address.
+func (p *Pool) Forget(at netip.AddrPort) {
+	p.mu.Lock()
+	list := p.idle[at]
+	delete(p.idle, at)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
+// kill makes every use of the connection fail from now on.
+func (c *conn) kill() { _ = c.SetDeadline(time.Unix(1, 0)) }
+
+// rest notes for how long the peer lets the connection rest, from its Keep-Alive header.
+func (c *conn) rest(keepAlive string) {
+	if c.keep == 0 {
+		c.keep = restDefault
+	}
+	for part := range strings.SplitSeq(keepAlive, ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if n, err := strconv.Atoi(text); ok && err == nil {
+			c.keep = time.Duration(n)*time.Second - restMargin
+		}
+	}
+}
+
+// errClosed is what a connection at rest shows when its peer has closed it or sent bytes nobody asked for.
+var errClosed = errors.New("direct: connection is used up")
+
+// sound tells whether a connection at rest is still open and silent.
+func (c *conn) sound() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var state error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, err := syscall.Read(int(fd), b[:])
+		if n >= 0 && err == nil {
+			state = errClosed
+		} else if !errors.Is(err, syscall.EAGAIN) {
+			state = err
+		}
+		return true
+	})
+	return err == nil && state == nil
+}
--- /dev/null
+++ b/state/fleet/instance.go
@@ -0,0 +1,85 @@
+// Package fleet holds what is known of the target instances of a platform that
+// lists them itself: where they are, which replica group each is in, and what
+// each last said.
+package fleet
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/troutmast/troutmast/state"
+)
+
+// MemberState is how far a member of a group has come.
+type MemberState string
+
+// The states of a member. Only the first member, the head, is ever open or closing.
+const (
+	Joining MemberState = "joining"
+	Ready   MemberState = "ready"
+	Open    MemberState = "open"
+	Closing MemberState = "closing"
+	Broken  MemberState = "broken"
+)
+
+// Membership is the group that an instance says it belongs to; the zero value is none.
+type Membership struct {
+	Group state.GroupName
+	Epoch state.Epoch
+	Rank  int
+	State MemberState
+}
+
+// GroupKey names one formation of a group.
+type GroupKey struct {
+	Group state.GroupName
+	Epoch state.Epoch
+}
+
+// Key returns the formation that the membership belongs to.
+func (m Membership) Key() GroupKey { return GroupKey{m.Group, m.Epoch} }
+
+// Instance is one life of a target process, as the platform's list shows it.
+type Instance struct {
+	ID      state.InstanceID
+	Service state.ServiceName
+	Address netip.AddrPort
+	Hall    state.HallName
+	Domain  string
+	// Slots is the number of requests that it works on at once.
+	Slots int
+	// Draining tells that the instance will end soon and takes no new work.
+	Draining bool
+	// Model is the model that it has loaded, Staged those that its host holds.
+	Model      string
+	Staged     []string
+	Membership Membership
+	// Position orders what the list said of the instance.
+	Position int64
+}
+
+// HasStaged tells whether the instance's host holds a model.
+func (i *Instance) HasStaged(model string) bool {
+	for _, s := range i.Staged {
+		if s == model {
+			return true
+		}
+	}
+	return false
+}
+
+// Report is what an instance answered when asked itself.
+type Report struct {
+	Membership Membership
+	Model      string
+	Staged     []string
+	// Busy tells that an order is under way.
+	Busy bool
+	// Orders is the number of orders that the instance has taken in this life.
+	Orders int64
+	// Waiting and Running are the requests that it holds.
+	Waiting int
+	Running int
+	// Asked is when the question left.
+	Asked time.Time
+}
--- /dev/null
+++ b/transport/entry/exchange.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/troutmast/troutmast/state"
+)
+
+// NodeEntry is what a node writes into the store of itself, and what nodes tell each other of nodes.
+type NodeEntry struct {
+	Name    string         `json:"name"`
+	Address string         `json:"address"`
+	Hall    state.HallName `json:"hall"`
+	// Number is the offset of the entry: unique among all lives of nodes.
+	Number int64 `json:"number,omitempty"`
+}
+
+// Suspicion is what a node found of an instance that did not answer.
+type Suspicion struct {
+	Instance state.InstanceID `json:"i"`
+	AgeMS    int64            `json:"a"`
+}
+
+// Word is what a node tells the placing node.
+type Word struct {
+	From NodeEntry `json:"from"`
+	// Held are the requests that the node holds at each instance.
+	Held map[state.InstanceID]int `json:"held,omitempty"`
+	// Arrived are the requests since the last word, by service and model.
+	Arrived map[state.ServiceName]map[string]int `json:"arrived,omitempty"`
+	// Suspects are instances that did not answer this node lately.
+	Suspects []Suspicion `json:"suspects,omitempty"`
+	// Version and AgeMS tell of the configuration in force at the node, and how old the knowledge of it may be.
+	Version int64  `json:"version"`
+	AgeMS   int64  `json:"age"`
+	Config  []byte `json:"config,omitempty"`
+	// StoreMS is how long ago the node's last read of the store was asked.
+	StoreMS int64 `json:"store"`
+}
+
+// Answer is what the placing node tells in turn.
+type Answer struct {
+	// Placing tells that the node places groups; else it is not to be asked for a while.
+	Placing bool `json:"placing"`
+	// Nodes are all nodes that the placing node knows to be alive.
+	Nodes []NodeEntry `json:"nodes,omitempty"`
+	// Held are the requests that all nodes hold at each instance.
+	Held map[state.InstanceID]int `json:"held,omitempty"`
+	// Avoid are formations that must not be sent new requests.
+	Avoid    []Formation `json:"avoid,omitempty"`
+	Suspects []Suspicion `json:"suspects,omitempty"`
+	// Heads are the groups that serve, as the placing node knows them.
+	Heads   []Formation `json:"heads,omitempty"`
+	Version int64       `json:"version"`
+	AgeMS   int64       `json:"age"`
+	Config  []byte      `json:"config,omitempty"`
+	// Quiet tells that no request has come yet.
+	Arrived bool `json:"arrived,omitempty"`
+}
+
+// Formation names one formation of a group.
+type Formation struct {
+	Group state.GroupName  `json:"g"`
+	Epoch state.Epoch      `json:"e"`
+	Head  state.InstanceID `json:"h,omitempty"`
+}
+
+// age returns an age in whole milliseconds, rounded up so that it never looks younger.
+func age(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
--- /dev/null
+++ b/transport/entry/health.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// probeTimeout bounds the time for an instance to report.
+const probeTimeout = 300 * time.Millisecond
+
+// suspectFor is how long the placing node is told of an instance that did not answer.
+const suspectFor = 2 * time.Second
+
+// Heard implements gateway.Health.
+func (n *Node) Heard(id state.InstanceID, at time.Time) { n.roster.Heard(id, at) }
+
+// Failed implements gateway.Health.
+func (n *Node) Failed(id state.InstanceID, at time.Time) {
+	n.roster.Failed(id, at)
+	n.suspect(id, at)
+	n.touch()
+}
+
+// Replaced implements gateway.Health.
+func (n *Node) Replaced(id state.InstanceID) {
+	n.roster.Replaced(id, n.clock.Now())
+	n.touch()
+}
+
+// Suspect implements gateway.Health: it asks all members of a group whether they
+// live, and gives the group's requests up if one does not.
+func (n *Node) Suspect(c *dispatch.Candidate) {
+	go func() {
+		silent := n.askAll(c.Members)
+		if len(silent) == 0 {
+			return
+		}
+		n.Count("group.stalled")
+		n.log.WithFields(log.Fields{
+			"group": c.Membership.Group, "epoch": c.Membership.Epoch, "head": c.ID, "silent": silent, "held": c.Held(),
+		}).Warn("group stands still")
+		n.touch()
+		n.gate.Watch.CutStalled(c.ID)
+	}()
+}
+
+// askAll asks instances for their reports and returns those that did not answer.
+func (n *Node) askAll(members []fleet.Instance) []state.InstanceID {
+	var mu sync.Mutex
+	var silent []state.InstanceID
+	var wg sync.WaitGroup
+	for _, m := range members {
+		wg.Go(func() {
+			if n.ask(context.Background(), m) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			silent = append(silent, m.ID)
+		})
+	}
+	wg.Wait()
+	return silent
+}
+
+// ask asks an instance for its report and tells whether it answered. One that
+// does not is asked once more.
+func (n *Node) ask(ctx context.Context, m fleet.Instance) bool {
+	for range 2 {
+		asked := n.clock.Now()
+		if n.report(ctx, m, asked) {
+			return true
+		}
+	}
+	return false
+}
+
+// report asks an instance for its report once.
+func (n *Node) report(ctx context.Context, m fleet.Instance, asked time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	n.Count("probes")
+	rep, err := n.ports.Targets.Report(ctx, m.Address)
+	if err != nil {
+		n.Failed(m.ID, asked)
+		return false
+	}
+	rep.Asked = asked
+	n.roster.Reported(m.ID, rep)
+	return true
+}
+
+// suspect remembers that an instance did not answer, and has the placing node told at once.
+func (n *Node) suspect(id state.InstanceID, at time.Time) {
+	n.mu.Lock()
+	n.suspects[id] = at
+	n.mu.Unlock()
+	select {
+	case n.news <- struct{}{}:
+	default:
+	}
+}
+
+// suspected returns the instances that did not answer lately.
+func (n *Node) suspected(now time.Time) []Suspicion {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []Suspicion
+	for id, at := range n.suspects {
+		if now.Sub(at) > suspectFor {
+			delete(n.suspects, id)
+			continue
+		}
+		list = append(list, Suspicion{Instance: id, AgeMS: age(now.Sub(at))})
+	}
+	return list
+}
--- /dev/null
+++ b/transport/entry/peers.go
@@ -0,0 +1,337 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/troutmast/troutmast/coordination/source"
+	"github.com/troutmast/troutmast/protocol/direct"
+	"github.com/troutmast/troutmast/protocol/peer"
+	"github.com/troutmast/troutmast/state"
+)
+
+// wordProcedure is the path of a node's word to the placing node.
+const wordProcedure = "/troutmast.Entry/Tell"
+
+// Bounds of the words.
+const (
+	// wordInterval is the time between two words of a node.
+	wordInterval = 250 * time.Millisecond
+	// wordTimeout bounds the time for an answer.
+	wordTimeout = 400 * time.Millisecond
+	// avoidNode is how long a node that did not answer, or does not place, is passed over.
+	avoidNode = 1500 * time.Millisecond
+	// nodeLives is how long after its last word a node counts as alive.
+	nodeLives = 1500 * time.Millisecond
+	// nodesInterval is the time between two reads of the nodes' entries.
+	nodesInterval = 5 * time.Second
+	// storeStale is the age of its last read of the store above which a node does not place if others do better.
+	storeStale = 2500 * time.Millisecond
+)
+
+// peers is what a node knows of the other nodes.
+type peers struct {
+	n  *Node
+	hc *http.Client
+
+	mu      sync.Mutex
+	known   map[string]NodeEntry
+	passed  map[string]time.Time
+	words   map[string]heardWord
+	clients map[string]*connect.Client[Word, Answer]
+	placing bool
+	// since is when the node began to place.
+	since time.Time
+	// arrived tells that some node has had requests.
+	arrived bool
+}
+
+// heardWord is the last word of a node.
+type heardWord struct {
+	word Word
+	at   time.Time
+}
+
+// newPeers returns the peers of a node.
+func newPeers(n *Node) *peers {
+	dialer := direct.Dialer{Timeout: wordTimeout, Silence: silence}
+	return &peers{
+		n:       n,
+		hc:      &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}},
+		known:   map[string]NodeEntry{},
+		passed:  map[string]time.Time{},
+		words:   map[string]heardWord{},
+		clients: map[string]*connect.Client[Word, Answer]{},
+	}
+}
+
+// self returns the node's own entry.
+func (p *peers) self() NodeEntry {
+	return NodeEntry{Name: p.n.set.Name, Address: p.n.set.Peer.String(), Hall: p.n.set.Hall, Number: p.n.number.Load()}
+}
+
+// run tells the placing node what this one knows, again and again.
+func (p *peers) run(ctx context.Context) {
+	p.seed()
+	var read time.Time
+	for {
+		if p.n.clock.Since(read) > nodesInterval {
+			read = p.n.clock.Now()
+			p.readNodes(ctx)
+		}
+		p.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.n.clock.After(wordInterval):
+		case <-p.n.news:
+		}
+	}
+}
+
+// seed takes in the nodes that the settings name.
+func (p *peers) seed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.n.set.Seeds {
+		if s != p.n.set.Peer {
+			p.known[s.String()] = NodeEntry{Address: s.String()}
+		}
+	}
+}
+
+// readNodes takes in the nodes' entries in the store.
+func (p *peers) readNodes(ctx context.Context) {
+	tail, err := p.n.readTail(ctx, source.Nodes, -1, 0)
+	if err != nil {
+		return
+	}
+	for _, item := range tail.Items {
+		var e NodeEntry
+		if json.Unmarshal(item.Value, &e) == nil {
+			p.learn(e)
+		}
+	}
+}
+
+// learn takes in a node's entry.
+func (p *peers) learn(e NodeEntry) {
+	if _, err := netip.ParseAddrPort(e.Address); err != nil || e.Name == "" || e.Name == p.n.set.Name {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.known[e.Address] = e
+}
+
+// rank orders nodes by rendezvous hashing: the first that answers places.
+func rank(address string) uint64 { return xxhash.Sum64String("placing\x00" + address) }
+
+// candidates returns the addresses of the nodes before this one in the order, without those passed over.
+func (p *peers) candidates(now time.Time) []string {
+	own := p.n.set.Peer.String()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []string
+	for a := range p.known {
+		if a == own || (p.mayPlace() && rank(a) < rank(own)) || now.Sub(p.passed[a]) < avoidNode {
+			continue
+		}
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
+	return list
+}
+
+// mayPlace tells whether this node can place groups.
+func (p *peers) mayPlace() bool {
+	return !p.n.stopping.Load() && p.n.number.Load() > 0 && p.n.know.Catalog() != nil && !p.behindOthers()
+}
+
+// behindOthers tells whether the node cannot read the store while another one lately could.
+func (p *peers) behindOthers() bool {
+	if p.n.storeAge() < storeStale {
+		return false
+	}
+	for _, h := range p.words {
+		if p.n.clock.Since(h.at) < nodeLives && time.Duration(h.word.StoreMS)*time.Millisecond < storeStale {
+			return true
+		}
+	}
+	return false
+}
+
+// round tells the first node that places; if there is none before this one, this one does.
+func (p *peers) round(ctx context.Context) {
+	for _, address := range p.candidates(p.n.clock.Now()) {
+		ans, err := p.tell(ctx, address)
+		if err == nil && ans.Placing {
+			p.setPlacing(false)
+			p.take(ans)
+			return
+		}
+		p.mu.Lock()
+		p.passed[address] = p.n.clock.Now()
+		p.mu.Unlock()
+	}
+	p.mu.Lock()
+	may := p.mayPlace()
+	p.mu.Unlock()
+	p.setPlacing(may)
+	if may {
+		p.n.gate.SetNodes(len(p.alive()) + 1)
+		p.n.table.SetOthers(p.heldByOthers(p.n.set.Name))
+	}
+}
+
+// setPlacing notes whether this node places groups.
+func (p *peers) setPlacing(on bool) {
+	p.mu.Lock()
+	was := p.placing
+	p.placing = on
+	if on && !was {
+		p.since = p.n.clock.Now()
+	}
+	p.mu.Unlock()
+	if on != was {
+		p.n.log.WithField("placing", on).Info("placing changed")
+	}
+}
+
+// isPlacing tells whether this node places groups, and since when.
+func (p *peers) isPlacing() (bool, time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placing, p.since
+}
+
+// tell sends this node's word to another.
+func (p *peers) tell(ctx context.Context, address string) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
+	defer cancel()
+	p.mu.Lock()
+	c := p.clients[address]
+	if c == nil {
+		c = connect.NewClient[Word, Answer](p.hc, "http://"+address+wordProcedure, connect.WithCodec(peer.JSONCodec{}))
+		p.clients[address] = c
+	}
+	p.mu.Unlock()
+	resp, err := c.CallUnary(ctx, connect.NewRequest(p.word()))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// word returns what this node tells.
+func (p *peers) word() *Word {
+	n := p.n
+	now := n.clock.Now()
+	w := &Word{
+		From:     p.self(),
+		Held:     n.table.Held(),
+		Suspects: n.suspected(now),
+		StoreMS:  age(n.storeAge()),
+		AgeMS:    age(time.Hour),
+	}
+	if n.gate.Arrived() > 0 {
+		w.Arrived = map[state.ServiceName]map[string]int{}
+	}
+	_, w.Version = n.know.Raw()
+	if a, ok := n.know.Age(); ok {
+		w.AgeMS = age(a)
+	}
+	return w
+}
+
+// take takes in what the placing node told; asked is when it was asked.
+func (p *peers) take(a *Answer) {
+	n := p.n
+	for _, e := range a.Nodes {
+		p.learn(e)
+	}
+	n.setAvoid(a.Avoid)
+	n.table.SetOthers(minus(a.Held, n.table.Held()))
+	n.gate.SetNodes(len(a.Nodes))
+}
+
+// minus returns what others hold, given what all hold and what this node does.
+func minus(all, own map[state.InstanceID]int) map[state.InstanceID]int {
+	out := make(map[state.InstanceID]int, len(all))
+	for id, n := range all {
+		out[id] = max(n-own[id], 0)
+	}
+	return out
+}
+
+// answer is what this node answers to the word of another.
+func (p *peers) answer(_ context.Context, req *connect.Request[Word]) (*connect.Response[Answer], error) {
+	n := p.n
+	now := n.clock.Now()
+	w := req.Msg
+	p.learn(w.From)
+	p.mu.Lock()
+	p.words[w.From.Name] = heardWord{word: *w, at: now}
+	p.arrived = p.arrived || w.Arrived != nil
+	a := &Answer{Placing: p.mayPlace()}
+	p.mu.Unlock()
+	for _, s := range w.Suspects {
+		n.placer.suspect(s.Instance)
+	}
+	if a.Placing {
+		a.Nodes = append(p.alive(), p.self())
+		a.Held = p.heldByOthers("")
+		for id, held := range n.table.Held() {
+			a.Held[id] += held
+		}
+		a.Avoid = n.placer.avoiding()
+	}
+	return connect.NewResponse(a), nil
+}
+
+// alive returns the nodes that were heard of lately.
+func (p *peers) alive() []NodeEntry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []NodeEntry
+	for name, h := range p.words {
+		if p.n.clock.Since(h.at) > nodeLives {
+			delete(p.words, name)
+			continue
+		}
+		list = append(list, h.word.From)
+	}
+	return list
+}
+
+// heldByOthers adds up what the nodes hold at each instance, without one of them.
+func (p *peers) heldByOthers(without string) map[state.InstanceID]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sum := map[state.InstanceID]int{}
+	for name, h := range p.words {
+		if name == without || p.n.clock.Since(h.at) > nodeLives {
+			continue
+		}
+		for id, held := range h.word.Held {
+			sum[id] += held
+		}
+	}
+	return sum
+}
+
+// anyArrived tells whether any node has had requests.
+func (p *peers) anyArrived() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.arrived || p.n.gate.Arrived() > 0
+}
--- /dev/null
+++ b/transport/entry/placer.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// Bounds of placing.
+const (
+	// placeInterval is the time between two steps of the planner.
+	placeInterval = 100 * time.Millisecond
+	// orderTimeout bounds the time for an instance to answer an order.
+	orderTimeout = 800 * time.Millisecond
+	// askInterval is the least time between two questions to one instance.
+	askInterval = 90 * time.Millisecond
+	// numberBits is the part of an epoch that holds the number of the node that made it.
+	numberBits = 20
+)
+
+// placer has the groups of all engine services formed and repaired while the node places.
+type placer struct {
+	n *Node
+
+	mu       sync.Mutex
+	planners map[state.ServiceName]*placement.Planner
+	avoid    []Formation
+	asking   map[state.InstanceID]bool
+	asked    map[state.InstanceID]time.Time
+	wake     chan struct{}
+}
+
+// newPlacer returns the placer of a node.
+func newPlacer(n *Node) *placer {
+	return &placer{
+		n:        n,
+		planners: map[state.ServiceName]*placement.Planner{},
+		asking:   map[state.InstanceID]bool{},
+		asked:    map[state.InstanceID]time.Time{},
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// run steps the planners while the node places.
+func (p *placer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.n.clock.After(placeInterval):
+		case <-p.wake:
+		}
+		on, _ := p.n.peers.isPlacing()
+		c := p.n.know.Catalog()
+		if !on || c == nil {
+			p.rest()
+			continue
+		}
+		p.step(ctx, c)
+	}
+}
+
+// rest forgets what was planned: another node places.
+func (p *placer) rest() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.planners)
+	p.avoid = nil
+}
+
+// step plans once for every engine service.
+func (p *placer) step(ctx context.Context, c *catalog.Catalog) {
+	now := p.n.clock.Now()
+	var avoid []Formation
+	for _, s := range c.Services {
+		if s.Engine == nil {
+			continue
+		}
+		planner := p.planner(s)
+		planner.Quiet = !p.n.peers.anyArrived()
+		members := p.n.roster.Members(s.Name, now)
+		plan := planner.Step(now, members)
+		for key := range plan.Avoid {
+			avoid = append(avoid, Formation{Group: key.Group, Epoch: key.Epoch})
+		}
+		p.carryOut(ctx, members, plan)
+	}
+	for _, m := range p.n.roster.Doubtful(now) {
+		if s := c.Services[m.Service]; s != nil && s.Engine != nil {
+			p.askOnce(ctx, m)
+		}
+	}
+	p.mu.Lock()
+	p.avoid = avoid
+	p.mu.Unlock()
+	p.n.setAvoid(avoid)
+}
+
+// planner returns the planner of a service.
+func (p *placer) planner(s *catalog.Service) *placement.Planner {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl := p.planners[s.Name]
+	if pl == nil {
+		pl = placement.NewPlanner(s.Engine, p.nextEpoch)
+		p.planners[s.Name] = pl
+	}
+	pl.SetEngine(s.Engine)
+	return pl
+}
+
+// nextEpoch returns an epoch above one that was seen. Its low bits are the number
+// of this life of the node, so that no two nodes ever make the same.
+func (p *placer) nextEpoch(seen state.Epoch) state.Epoch {
+	number := state.Epoch(p.n.number.Load()) & (1<<numberBits - 1)
+	return (seen>>numberBits+1)<<numberBits | number
+}
+
+// carryOut sends a plan's orders and questions.
+func (p *placer) carryOut(ctx context.Context, members []placement.Member, plan placement.Plan) {
+	byID := make(map[state.InstanceID]*placement.Member, len(members))
+	for i := range members {
+		byID[members[i].ID] = &members[i]
+	}
+	for _, o := range plan.Orders {
+		p.n.roster.Ordered(o.Instance, true, p.n.clock.Now())
+		go p.order(ctx, o, byID[o.Instance].Instance)
+	}
+	for _, id := range plan.Ask {
+		if m := byID[id]; m != nil {
+			p.askOnce(ctx, m.Instance)
+		}
+	}
+}
+
+// order sends one order and then asks the instance how it stands.
+func (p *placer) order(ctx context.Context, o placement.Order, m fleet.Instance) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	began := p.n.clock.Now()
+	reply, err := p.n.ports.Targets.Order(callCtx, o)
+	p.n.roster.Ordered(o.Instance, false, p.n.clock.Now())
+	p.n.Count("order." + string(o.Action) + "." + string(reply))
+	fields := log.Fields{
+		"action": o.Action, "instance": o.Instance, "group": o.Key.Group, "epoch": o.Key.Epoch, "model": o.Model,
+		"why": o.Why, "reply": reply, "ms": p.n.clock.Since(began).Milliseconds(),
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	if o.Expect != nil {
+		fields["expect"] = *o.Expect
+	}
+	p.n.log.WithFields(fields).Info("order")
+	if reply == placement.Unanswered {
+		p.n.roster.Failed(o.Instance, began)
+	}
+	p.mu.Lock()
+	delete(p.asked, o.Instance)
+	p.mu.Unlock()
+	p.askOnce(ctx, m)
+}
+
+// askOnce asks an instance for its report unless that is under way or was done a moment ago.
+func (p *placer) askOnce(ctx context.Context, m fleet.Instance) {
+	now := p.n.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asking[m.ID] || now.Sub(p.asked[m.ID]) < askInterval {
+		return
+	}
+	p.asking[m.ID], p.asked[m.ID] = true, now
+	go func() {
+		p.n.report(ctx, m, now)
+		p.mu.Lock()
+		delete(p.asking, m.ID)
+		p.mu.Unlock()
+		select {
+		case p.wake <- struct{}{}:
+		default:
+		}
+	}()
+}
+
+// suspect has an instance asked that another node could not reach.
+func (p *placer) suspect(id state.InstanceID) {
+	if on, _ := p.n.peers.isPlacing(); !on {
+		return
+	}
+	if v, ok := p.n.roster.Get(id, p.n.clock.Now()); ok && !v.Lost {
+		p.askOnce(context.Background(), v.Instance)
+	}
+}
+
+// avoiding returns the formations that must not be sent new requests.
+func (p *placer) avoiding() []Formation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.avoid
+}
--- /dev/null
+++ b/transport/entry/port.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/coordination/source"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+	"github.com/troutmast/troutmast/transport/gateway"
+)
+
+// Store reads and appends to the platform's topics.
+type Store interface {
+	Newest(ctx context.Context, topic source.Topic) (source.Tail, error)
+	Read(ctx context.Context, topic source.Topic, from int64, wait time.Duration) (source.Tail, error)
+	Append(ctx context.Context, topic source.Topic, key string, value []byte) (int64, error)
+}
+
+// Decoder reads the platform's records.
+type Decoder interface {
+	Catalog(raw []byte) (*catalog.Catalog, error)
+	Instance(id string, raw []byte) (fleet.Instance, error)
+}
+
+// Targets asks and orders instances.
+type Targets interface {
+	Report(ctx context.Context, at netip.AddrPort) (fleet.Report, error)
+	Order(ctx context.Context, o placement.Order) (placement.Reply, error)
+}
+
+// Ports are the parts of a node that speak to the platform.
+type Ports struct {
+	Store   Store
+	Decoder Decoder
+	Targets Targets
+	Dialect gateway.Dialect
+}
--- /dev/null
+++ b/transport/gateway/gateway.go
@@ -0,0 +1,370 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/retry"
+	"github.com/troutmast/troutmast/protocol/direct"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+)
+
+// Catalogs gives the configuration in force and tells how old the knowledge of it may be.
+type Catalogs interface {
+	// Catalog returns the configuration, or nil while none is known.
+	Catalog() *catalog.Catalog
+	// KeysFresh tells whether keys can still be trusted.
+	KeysFresh() bool
+}
+
+// Health takes in what requests show of instances.
+type Health interface {
+	// Heard tells that an instance answered a request sent at a time.
+	Heard(id state.InstanceID, at time.Time)
+	// Failed tells that an instance did not answer a request sent at a time.
+	Failed(id state.InstanceID, at time.Time)
+	// Replaced tells that another process answers at the instance's address.
+	Replaced(id state.InstanceID)
+	// Suspect asks that the members of a group be checked; moved is when its answers last moved on.
+	Suspect(c *dispatch.Candidate)
+}
+
+// Recorder counts and logs decisions that touch requests.
+type Recorder interface {
+	Count(name string)
+	Decide(event string, id string, fields map[string]any)
+}
+
+// Options are what a Gateway is made of.
+type Options struct {
+	Clock    clockwork.Clock
+	Dialect  Dialect
+	Catalogs Catalogs
+	Table    *dispatch.Table
+	Health   Health
+	Recorder Recorder
+	Pool     *direct.Pool
+	// Retry bounds the repeats that all nodes send to one service.
+	Retry retry.Bounds
+}
+
+// Gateway is the handler for callers.
+type Gateway struct {
+	Options
+	Watch    *Watch
+	stopping atomic.Bool
+	refusing atomic.Bool
+	arrived  atomic.Int64
+
+	mu      sync.Mutex
+	budgets map[state.ServiceName]*retry.SharedBudget
+	demand  map[demandKey]int
+	nodes   int
+}
+
+// demandKey counts the requests for a model of a service.
+type demandKey struct {
+	service state.ServiceName
+	model   string
+}
+
+// New returns a Gateway.
+func New(o Options) *Gateway {
+	return &Gateway{
+		Options: o,
+		Watch:   newWatch(o.Clock, o.Health),
+		budgets: map[state.ServiceName]*retry.SharedBudget{},
+		demand:  map[demandKey]int{},
+		nodes:   1,
+	}
+}
+
+// Stop has every answer tell its caller that the connection ends.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Refuse has every new request refused.
+func (g *Gateway) Refuse() { g.refusing.Store(true) }
+
+// Arrived returns the number of requests so far.
+func (g *Gateway) Arrived() int64 { return g.arrived.Load() }
+
+// SetNodes tells how many nodes share the retry budgets.
+func (g *Gateway) SetNodes(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nodes = n
+	for _, b := range g.budgets {
+		b.SetNodes(n)
+	}
+}
+
+// budget returns this node's part of a service's retry budget.
+func (g *Gateway) budget(service state.ServiceName) *retry.SharedBudget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[service]
+	if b == nil {
+		b = retry.NewSharedBudget(g.Retry, g.nodes, g.Clock.Now())
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// note counts the demand for a model.
+func (g *Gateway) note(service state.ServiceName, model string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.demand[demandKey{service, model}]++
+}
+
+// TakeDemand returns the requests for each model of a service since the last call.
+func (g *Gateway) TakeDemand(service state.ServiceName) map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := map[string]int{}
+	for k, n := range g.demand {
+		if k.service == service {
+			out[k.model] = n
+			delete(g.demand, k)
+		}
+	}
+	return out
+}
+
+// call is one request on its way.
+type call struct {
+	*Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	claims  Claims
+	catalog *catalog.Catalog
+	route   *catalog.Route
+	team    *catalog.Team
+	service state.ServiceName
+	model   string
+	body    []byte
+	ctx     context.Context
+	arrived time.Time
+	// deadline is when the caller or the operator gives the request up.
+	deadline time.Time
+	budget   *retry.SharedBudget
+
+	// runs counts the instances that may have run the request, sends all that it was sent to.
+	runs  int
+	sends int
+	tried []state.InstanceID
+	// last is the newest failure that an instance answered.
+	last *plain
+	stream
+}
+
+// refusal is an answer that the product itself gives.
+type refusal struct {
+	code  Code
+	after time.Duration
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.arrived.Add(1)
+	c := &call{Gateway: g, w: w, r: r, arrived: g.Clock.Now()}
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	no := c.admit()
+	if no == nil {
+		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+		defer cancel()
+		c.ctx = ctx
+		no = c.serve()
+	}
+	if no != nil {
+		c.refuse(no)
+	}
+}
+
+// comeBack is when callers are told to come back if nothing better is known.
+const comeBack = 300 * time.Millisecond
+
+// refusedAt returns a refusal with a jittered time to come back.
+func refusedAt(code Code, after time.Duration) *refusal {
+	return &refusal{code: code, after: after + rand.N(after/2+1)}
+}
+
+// defaultPatience bounds a request that names no deadline on a route without a time-out.
+const defaultPatience = 60 * time.Second
+
+// admit checks a request and reads its body.
+func (c *call) admit() *refusal {
+	claims, err := c.Dialect.Parse(c.r.Header)
+	c.claims = claims
+	if err != nil {
+		return &refusal{code: CodeBadRequest}
+	}
+	if c.refusing.Load() {
+		return refusedAt(CodeStopping, comeBack)
+	}
+	c.catalog = c.Catalogs.Catalog()
+	if c.catalog == nil {
+		return refusedAt(CodeNoConfig, comeBack)
+	}
+	if c.route = c.catalog.Route(hostOnly(c.r.Host), pathOf(c.r.RequestURI)); c.route == nil {
+		return &refusal{code: CodeNoRoute}
+	}
+	if no := c.authenticate(); no != nil {
+		return no
+	}
+	if no := c.readBody(); no != nil {
+		return no
+	}
+	patience := claims.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if c.route.Timeout > 0 {
+		patience = min(patience, c.route.Timeout)
+	}
+	c.deadline = c.arrived.Add(patience)
+	c.service = c.route.Pick()
+	if s := c.catalog.Services[c.service]; s != nil && s.Engine != nil {
+		c.model = claims.Model
+	}
+	c.budget = c.Gateway.budget(c.service)
+	c.budget.Attempt()
+	c.note(c.service, c.model)
+	return nil
+}
+
+// hostOnly returns a host without its port.
+func hostOnly(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
+}
+
+// pathOf returns the path of a request's target.
+func pathOf(uri string) string {
+	if i := strings.IndexByte(uri, '?'); i >= 0 {
+		return uri[:i]
+	}
+	return uri
+}
+
+// authenticate finds the team that holds the request's key.
+func (c *call) authenticate() *refusal {
+	if !c.catalog.Keyed || c.route.Public {
+		return nil
+	}
+	if !c.Catalogs.KeysFresh() {
+		return refusedAt(CodeStale, comeBack)
+	}
+	if c.team = c.catalog.Team(c.claims.Key); c.team == nil {
+		return &refusal{code: CodeBadKey}
+	}
+	return nil
+}
+
+// bodyTime bounds the reading of a request's body.
+const bodyTime = 10 * time.Second
+
+// readBody reads the whole body, within the limit.
+func (c *call) readBody() *refusal {
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	limit := c.catalog.Limits.BodyBytes
+	if limit > 0 && c.r.ContentLength > limit {
+		return &refusal{code: CodeTooLarge}
+	}
+	rc := http.NewResponseController(c.w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTime))
+	var in io.Reader = c.r.Body
+	if limit > 0 {
+		in = http.MaxBytesReader(c.w, c.r.Body, limit)
+	}
+	var err error
+	c.body, err = io.ReadAll(in)
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &refusal{code: CodeTooLarge}
+	case err != nil:
+		return &refusal{code: CodeBadRequest}
+	}
+	return nil
+}
+
+// refuse writes an answer of the product's own, or cuts an answer that has begun.
+func (c *call) refuse(no *refusal) {
+	c.Recorder.Count("refused." + string(no.code))
+	c.Recorder.Decide("request-ended", c.claims.ID, map[string]any{
+		"code": string(no.code), "sends": c.sends, "runs": c.runs, "tried": c.tried,
+		"route": c.routeName(), "model": c.model, "ms": c.Clock.Since(c.arrived).Milliseconds(), "begun": c.begun,
+	})
+	if c.begun {
+		panic(http.ErrAbortHandler)
+	}
+	h := c.w.Header()
+	if c.claims.ID != "" {
+		c.Dialect.Echo(h, c.claims.ID)
+	}
+	if no.after > 0 {
+		c.Dialect.RetryAfter(h, no.after)
+	}
+	h.Set("Content-Type", "text/plain")
+	c.w.WriteHeader(c.Dialect.Status(no.code))
+	_, _ = io.WriteString(c.w, string(no.code)+"\n")
+}
+
+// routeName returns the name of the request's route, if it has one.
+func (c *call) routeName() string {
+	if c.route == nil {
+		return ""
+	}
+	return c.route.Name
+}
+
+// perConnection are the headers that concern one connection only.
+var perConnection = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// travelling returns the headers that travel with a message.
+func travelling(h http.Header) http.Header {
+	out := make(http.Header, len(h)+4)
+	named := h.Values("Connection")
+	for name, values := range h {
+		if slices.Contains(perConnection, name) || namedIn(named, name) {
+			continue
+		}
+		out[name] = values
+	}
+	return out
+}
+
+// namedIn tells whether a Connection header names another header.
+func namedIn(lists []string, name string) bool {
+	for _, list := range lists {
+		for word := range strings.SplitSeq(list, ",") {
+			if strings.EqualFold(strings.TrimSpace(word), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/transport/gateway/port.go
@@ -0,0 +1,84 @@
+// Package gateway answers callers by the routes of a catalog: it checks a
+// request, sends it to an instance or a replica group, follows the answer, and
+// resumes a stream elsewhere when its group fails.
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/troutmast/troutmast/state"
+)
+
+// The faults of a request that cannot be read.
+var (
+	ErrNoID        = errors.New("gateway: the request names no id")
+	ErrBadDeadline = errors.New("gateway: the deadline is no number of milliseconds")
+)
+
+// Code is the reason of an answer that the product itself gives.
+type Code string
+
+// The reasons. All but the first six promise that the request has not run and will not.
+const (
+	CodeBadRequest Code = "bad-request"
+	CodeNoRoute    Code = "no-route"
+	CodeBadKey     Code = "bad-key"
+	CodeTooLarge   Code = "too-large"
+	CodeTimeout    Code = "timeout"
+	CodeBroken     Code = "broken"
+
+	CodeNoConfig    Code = "no-configuration"
+	CodeStale       Code = "keys-may-be-stale"
+	CodeNoTarget    Code = "no-target"
+	CodeOverloaded  Code = "overloaded"
+	CodeRefused     Code = "refused-by-targets"
+	CodeUnreachable Code = "targets-unreachable"
+	CodeNoTime      Code = "no-time-left"
+	CodeStopping    Code = "stopping"
+)
+
+// Claims is what a request says of itself.
+type Claims struct {
+	ID    string
+	Key   string
+	Model string
+	// LastEvent is the last event that the caller has of a stream.
+	LastEvent string
+	// Patience is how long the caller waits; 0 is without bound.
+	Patience time.Duration
+}
+
+// Forward is what an instance is told of a request.
+type Forward struct {
+	Instance  state.InstanceID
+	Team      state.TeamName
+	LastEvent string
+	// Left is the time that the caller still waits.
+	Left time.Duration
+	// Urgency ranks requests, 0 first; below 0 it is not told.
+	Urgency int
+}
+
+// Verdict is what an instance's answer says about itself.
+type Verdict struct {
+	// NotRun tells that the instance did not run the request, Other that it is another instance.
+	NotRun bool
+	Other  bool
+	// Culprit names the instance at fault, if the answer does.
+	Culprit string
+	// Sealed tells that a success can be believed.
+	Sealed bool
+}
+
+// Dialect knows the names under which requests and answers carry these things.
+type Dialect interface {
+	Parse(h http.Header) (Claims, error)
+	Forward(h http.Header, f Forward)
+	Belongs(h http.Header, id string) bool
+	Verdict(status int, h http.Header) Verdict
+	Status(c Code) int
+	RetryAfter(h http.Header, d time.Duration)
+	Echo(h http.Header, id string)
+}
--- /dev/null
+++ b/transport/gateway/serve.go
@@ -0,0 +1,327 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/protocol/direct"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+)
+
+// result is how one attempt ended.
+type result string
+
+// The results of an attempt.
+const (
+	// answered means that the caller has its whole answer.
+	answered result = "answered"
+	// notRun means that the instance did not run the request and will not.
+	notRun result = "not-run"
+	// unknown means that the request may have run, and its answer is lost.
+	unknown result = "unknown"
+	// failed means that the instance answered with a failure.
+	failed result = "failed"
+	// callerGone means that the caller has left.
+	callerGone result = "caller-gone"
+)
+
+// Bounds of the attempts.
+const (
+	// extraSends is how many more instances than may run a request it may be sent to.
+	extraSends = 2
+	// leastLeft is the time left under which a request is no longer sent.
+	leastLeft = 20 * time.Millisecond
+	// wire is taken off the time that an instance is told, for the way.
+	wire = 5 * time.Millisecond
+	// resumeWait is how long a begun stream waits for a group to go on at.
+	resumeWait = 1500 * time.Millisecond
+	resumeStep = 50 * time.Millisecond
+)
+
+// serve sends a request to instances until one has answered, or returns why it was given up.
+func (c *call) serve() *refusal {
+	for {
+		if no := c.mayGoOn(); no != nil {
+			return no
+		}
+		target := c.pick()
+		if target == nil && c.begun && c.waitForTarget() {
+			continue
+		}
+		if target == nil {
+			return c.noTarget()
+		}
+		if c.sends > 0 && !c.budget.Take(c.Clock.Now()) {
+			c.Recorder.Count("retry.no-budget")
+			return c.giveUp(CodeRefused)
+		}
+		if c.begun {
+			c.Recorder.Count("retry.resume")
+		}
+		res := c.attempt(target)
+		c.Recorder.Count("attempt." + string(res))
+		switch {
+		case res == answered || res == callerGone:
+			return nil
+		case res == notRun:
+			continue
+		case !c.route.Repeatable() || c.runs >= c.route.MaxAttempts:
+			return c.giveUp(CodeBroken)
+		}
+	}
+}
+
+// mayGoOn tells whether a request has time and sends left.
+func (c *call) mayGoOn() *refusal {
+	if c.r.Context().Err() != nil {
+		return c.giveUp(CodeBroken)
+	}
+	left := c.deadline.Sub(c.Clock.Now())
+	if left < leastLeft {
+		return c.giveUp(CodeNoTime)
+	}
+	if c.sends >= c.route.MaxAttempts+extraSends {
+		return c.giveUp(CodeRefused)
+	}
+	return nil
+}
+
+// giveUp returns the final answer of a request that is not tried again: what an
+// instance answered, if one did, else what is certain about it.
+func (c *call) giveUp(code Code) *refusal {
+	switch {
+	case c.begun:
+		return &refusal{code: CodeBroken}
+	case c.last != nil:
+		c.last.write(c)
+		return nil
+	case c.runs == 0:
+		return refusedAt(code, comeBack)
+	case !c.Clock.Now().Before(c.deadline.Add(-leastLeft)):
+		return &refusal{code: CodeTimeout}
+	}
+	return &refusal{code: CodeBroken}
+}
+
+// pick chooses where the request goes next; it never goes twice to the same instance.
+func (c *call) pick() *dispatch.Candidate {
+	return c.Table.Pick(c.service, c.model, func(id state.InstanceID) bool { return slices.Contains(c.tried, id) })
+}
+
+// waitForTarget waits a moment for a group at which a begun stream can go on.
+func (c *call) waitForTarget() bool {
+	if c.Clock.Since(c.moved) > resumeWait {
+		return false
+	}
+	select {
+	case <-c.ctx.Done():
+		return false
+	case <-c.Clock.After(resumeStep):
+		return true
+	}
+}
+
+// noTarget returns the refusal of a request that no instance can take.
+func (c *call) noTarget() *refusal {
+	if c.sends == 0 {
+		return refusedAt(CodeNoTarget, comeBack)
+	}
+	return c.giveUp(CodeUnreachable)
+}
+
+// attempt sends the request to one instance and follows its answer.
+func (c *call) attempt(target *dispatch.Candidate) result {
+	c.tried = append(c.tried, target.ID)
+	c.sends++
+	target.Begin()
+	defer target.End()
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	sent := c.Clock.Now()
+	c.runs++
+	watched := c.Watch.add(target, c.route.Kind == catalog.Stream, sent, cancel)
+	defer c.Watch.remove(watched)
+	resp, err := c.Pool.Do(ctx, target.Address, c.request(target, sent))
+	switch {
+	case errors.Is(err, direct.ErrUnsent):
+		c.runs--
+		if c.r.Context().Err() != nil {
+			return callerGone
+		}
+		c.trouble(target, sent, "not reached", err)
+		return notRun
+	case err != nil:
+		return c.lost(ctx, target, sent, err)
+	}
+	defer resp.Close()
+	c.Health.Heard(target.ID, sent)
+	return c.follow(ctx, target, resp, watched, sent)
+}
+
+// request returns the request as an instance gets it.
+func (c *call) request(target *dispatch.Candidate, now time.Time) *direct.Request {
+	h := travelling(c.r.Header)
+	f := Forward{
+		Instance:  target.ID,
+		Left:      c.deadline.Sub(now) - wire,
+		LastEvent: c.lastEvent,
+		Urgency:   -1,
+	}
+	if c.team != nil {
+		f.Team = c.team.Name
+	}
+	c.Dialect.Forward(h, f)
+	return &direct.Request{
+		Method:  c.r.Method,
+		URI:     c.r.RequestURI,
+		Host:    c.r.Host,
+		Header:  h,
+		Body:    c.body,
+		HasBody: c.r.ContentLength != 0 || c.r.Method == http.MethodPost || c.r.Method == http.MethodPut,
+		Match:   func(h http.Header) bool { return c.Dialect.Belongs(h, c.claims.ID) },
+		Fresh:   !c.route.Repeatable(),
+	}
+}
+
+// trouble notes that an instance failed a request.
+func (c *call) trouble(target *dispatch.Candidate, sent time.Time, what string, err error) {
+	target.Failed()
+	c.Health.Failed(target.ID, sent)
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{
+		"instance": target.ID, "group": target.Membership.Group, "epoch": target.Membership.Epoch, "what": what, "error": text,
+		"ms": c.Clock.Since(sent).Milliseconds(), "held": target.Held(), "event": c.lastEvent,
+	})
+}
+
+// lost judges an attempt whose answer did not come, or broke off.
+func (c *call) lost(ctx context.Context, target *dispatch.Candidate, sent time.Time, err error) result {
+	switch {
+	case c.r.Context().Err() != nil:
+		return callerGone
+	case errors.Is(context.Cause(ctx), errStalled):
+		c.trouble(target, sent, "stalled", err)
+	case c.ctx.Err() != nil:
+		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{"instance": target.ID, "what": "time is up", "held": target.Held()})
+	default:
+		target.Failed()
+		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{
+			"instance": target.ID, "what": "broken off", "error": err.Error(), "ms": c.Clock.Since(sent).Milliseconds(),
+		})
+	}
+	return unknown
+}
+
+// follow passes an answer on.
+func (c *call) follow(ctx context.Context, target *dispatch.Candidate, resp *direct.Response, w *watched, sent time.Time) result {
+	v := c.Dialect.Verdict(resp.Status, resp.Header)
+	if v.Other {
+		c.Health.Replaced(target.ID)
+	}
+	if v.NotRun {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered))
+		c.runs--
+		target.Failed()
+		c.Recorder.Decide("attempt-refused", c.claims.ID, map[string]any{
+			"instance": target.ID, "status": resp.Status, "culprit": v.Culprit, "held": target.Held(), "load": target.Load(),
+		})
+		if v.Culprit != "" && v.Culprit != string(target.ID) {
+			c.Health.Suspect(target)
+		}
+		return notRun
+	}
+	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
+	if success && !v.Sealed {
+		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{"instance": target.ID, "what": "no seal", "status": resp.Status})
+		return unknown
+	}
+	if success && c.route.Kind == catalog.Stream {
+		return c.relay(ctx, target, resp, w, sent)
+	}
+	return c.whole(ctx, target, resp, sent)
+}
+
+// maxBuffered is the size up to which an answer is read whole before it is passed on, in bytes.
+const maxBuffered = 1 << 20
+
+// plain is an answer that was read whole.
+type plain struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// whole reads an answer whole and passes it on, unless it is a failure that may be tried again.
+func (c *call) whole(ctx context.Context, target *dispatch.Candidate, resp *direct.Response, sent time.Time) result {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
+	if err != nil {
+		return c.lost(ctx, target, sent, err)
+	}
+	p := &plain{status: resp.Status, header: travelling(resp.Header), body: body}
+	if resp.Status >= http.StatusInternalServerError {
+		target.Failed()
+		if c.begun {
+			return unknown
+		}
+		c.last = p
+		return failed
+	}
+	if c.begun {
+		return unknown
+	}
+	target.Answered()
+	if len(body) == maxBuffered {
+		return c.large(ctx, target, resp, p, sent)
+	}
+	p.write(c)
+	return answered
+}
+
+// write passes a whole answer on.
+func (p *plain) write(c *call) {
+	c.head(p.status, p.header, int64(len(p.body)))
+	_, _ = c.w.Write(p.body)
+}
+
+// head writes the head of an answer; length is -1 when it is not known.
+func (c *call) head(status int, header http.Header, length int64) {
+	h := c.w.Header()
+	for name, values := range header {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	h.Del("Content-Length")
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	c.w.WriteHeader(status)
+}
+
+// large passes on an answer that is too large to be read whole first.
+func (c *call) large(ctx context.Context, target *dispatch.Candidate, resp *direct.Response, p *plain, sent time.Time) result {
+	c.head(p.status, p.header, resp.Length)
+	c.begun = true
+	if _, err := c.w.Write(p.body); err != nil {
+		return callerGone
+	}
+	if _, err := io.Copy(c.w, resp.Body); err != nil {
+		if c.r.Context().Err() != nil {
+			return callerGone
+		}
+		c.lost(ctx, target, sent, err)
+		panic(http.ErrAbortHandler)
+	}
+	return answered
+}
--- /dev/null
+++ b/transport/gateway/stream.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/protocol/direct"
+)
+
+// stream is how far the answer to a stream has come.
+type stream struct {
+	// begun tells that the head of the answer has been written.
+	begun bool
+	// lastEvent is the id of the last event that the caller was sent.
+	lastEvent string
+	// moved is when the last event was passed on.
+	moved  time.Time
+	events int
+}
+
+// errOrder means that an instance sent an event again, or out of order.
+var errOrder = errors.New("gateway: events out of order")
+
+// readSize is the size of one read of a stream, in bytes.
+const readSize = 4096
+
+// relay passes the events of a stream on, whole ones only.
+func (c *call) relay(ctx context.Context, target *dispatch.Candidate, resp *direct.Response, w *watched, sent time.Time) result {
+	var pending []byte
+	buf := make([]byte, readSize)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			now := c.Clock.Now()
+			w.move(now)
+			pending = append(pending, buf[:n]...)
+			rest, fault := c.pass(pending, resp, now)
+			if fault != nil {
+				return c.broken(ctx, target, sent, fault)
+			}
+			pending = append(pending[:0], rest...)
+		}
+		switch {
+		case err == io.EOF && len(pending) > 0 && !resp.Framed():
+			return c.broken(ctx, target, sent, io.ErrUnexpectedEOF)
+		case err == io.EOF:
+			target.Answered()
+			return c.finish(resp, pending)
+		case err != nil:
+			return c.broken(ctx, target, sent, err)
+		}
+	}
+}
+
+// broken judges a stream that broke off.
+func (c *call) broken(ctx context.Context, target *dispatch.Candidate, sent time.Time, err error) result {
+	if errors.Is(err, errCaller) {
+		return callerGone
+	}
+	return c.lost(ctx, target, sent, err)
+}
+
+// errCaller means that the caller no longer reads.
+var errCaller = errors.New("gateway: caller does not read")
+
+// pass writes the whole events at the front of what was read and returns the rest.
+func (c *call) pass(pending []byte, resp *direct.Response, now time.Time) ([]byte, error) {
+	end := 0
+	for {
+		n := eventEnd(pending[end:])
+		if n == 0 {
+			break
+		}
+		id := eventID(pending[end : end+n])
+		if id != "" {
+			if !follows(c.lastEvent, id) && c.events > 0 {
+				return nil, errOrder
+			}
+			c.lastEvent = id
+		}
+		c.events++
+		end += n
+	}
+	if end == 0 {
+		return pending, nil
+	}
+	c.begin(resp)
+	if _, err := c.w.Write(pending[:end]); err != nil {
+		return nil, errCaller
+	}
+	if err := http.NewResponseController(c.w).Flush(); err != nil {
+		return nil, errCaller
+	}
+	c.moved = now
+	return pending[end:], nil
+}
+
+// begin writes the head of the stream, once.
+func (c *call) begin(resp *direct.Response) {
+	if c.begun {
+		return
+	}
+	c.begun = true
+	c.head(resp.Status, travelling(resp.Header), -1)
+}
+
+// finish ends a stream whose last byte has come.
+func (c *call) finish(resp *direct.Response, rest []byte) result {
+	c.begin(resp)
+	if len(rest) > 0 {
+		_, _ = c.w.Write(rest)
+	}
+	return answered
+}
+
+// eventEnd returns the length of the first whole event, or 0.
+func eventEnd(b []byte) int {
+	lf := bytes.Index(b, []byte("\n\n"))
+	crlf := bytes.Index(b, []byte("\r\n\r\n"))
+	switch {
+	case lf >= 0 && (crlf < 0 || lf < crlf):
+		return lf + 2
+	case crlf >= 0:
+		return crlf + 4
+	}
+	return 0
+}
+
+// eventID returns the id of an event, or none.
+func eventID(event []byte) string {
+	for len(event) > 0 {
+		line := event
+		if i := bytes.IndexByte(event, '\n'); i >= 0 {
+			line, event = event[:i], event[i+1:]
+		} else {
+			event = nil
+		}
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return ""
+}
+
+// follows tells whether an event id comes after another.
+func follows(before, id string) bool {
+	a, errA := strconv.ParseInt(before, 10, 64)
+	b, errB := strconv.ParseInt(id, 10, 64)
+	return errA != nil || errB != nil || b > a
+}
--- /dev/null
+++ b/transport/gateway/watch.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/internal/steady"
+	"github.com/troutmast/troutmast/state"
+)
+
+// errStalled means that an attempt was given up because its group stands still.
+var errStalled = errors.New("gateway: the group stands still")
+
+// Bounds of the watch.
+const (
+	// firstSilence is how long a group may take to the first sign before it is checked.
+	firstSilence = 700 * time.Millisecond
+	// eventSilence is how long a stream may be silent before its group is checked.
+	eventSilence = 350 * time.Millisecond
+	// checkEvery is the least time between two checks of one group.
+	checkEvery = 300 * time.Millisecond
+)
+
+// watched is one attempt under watch.
+type watched struct {
+	target *dispatch.Candidate
+	stream bool
+	sent   time.Time
+	moved  atomic.Int64
+	cancel context.CancelCauseFunc
+}
+
+// move notes that the answer has moved on.
+func (w *watched) move(now time.Time) {
+	w.moved.Store(steady.Nanos(now))
+	w.target.Moved(now)
+}
+
+// silent tells whether nothing has come of the attempt for too long.
+func (w *watched) silent(now time.Time) bool {
+	if moved := w.moved.Load(); moved > 0 {
+		return steady.Nanos(now)-moved > int64(eventSilence)
+	}
+	return now.Sub(w.sent) > firstSilence
+}
+
+// Watch looks for attempts that stand still.
+type Watch struct {
+	clock  clockwork.Clock
+	health Health
+	mu     sync.Mutex
+	active map[*watched]struct{}
+}
+
+// newWatch returns an empty Watch.
+func newWatch(clock clockwork.Clock, health Health) *Watch {
+	return &Watch{clock: clock, health: health, active: map[*watched]struct{}{}}
+}
+
+// add puts an attempt under watch.
+func (w *Watch) add(target *dispatch.Candidate, stream bool, sent time.Time, cancel context.CancelCauseFunc) *watched {
+	a := &watched{target: target, stream: stream, sent: sent, cancel: cancel}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.active[a] = struct{}{}
+	return a
+}
+
+// remove takes an attempt off the watch.
+func (w *Watch) remove(a *watched) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.active, a)
+}
+
+// Look asks for a check of every group whose attempts are silent.
+func (w *Watch) Look() {
+	now := w.clock.Now()
+	silent := map[state.InstanceID]*dispatch.Candidate{}
+	w.mu.Lock()
+	for a := range w.active {
+		if a.silent(now) {
+			silent[a.target.ID] = a.target
+		}
+	}
+	w.mu.Unlock()
+	for _, target := range silent {
+		if target.Check(now, checkEvery) {
+			w.health.Suspect(target)
+		}
+	}
+}
+
+// CutStalled gives up the attempts at a head whose group cannot go on.
+func (w *Watch) CutStalled(head state.InstanceID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for a := range w.active {
+		if a.target.ID == head {
+			a.cancel(errStalled)
+		}
+	}
+}
+
+// Active returns the number of attempts under way.
+func (w *Watch) Active() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.active)
+}
