--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -15,10 +15,9 @@
 // Member is one instance as the planner sees it.
 type Member struct {
 	fleet.Instance
-	// Orders is the number of orders taken, as of the instance's last report.
-	Orders int64
-	// Reported tells that the last report was asked for after the last order, and lately.
-	Reported bool
+	// Orders is the number of orders taken; Counted tells that it is known.
+	Orders  int64
+	Counted bool
 	// Lost tells that the instance does not answer, Gone that its process has ended for certain.
 	Lost bool
 	Gone bool
@@ -54,18 +53,32 @@
 	loadWindow = 5 * time.Second
 	// loadPart is the part of the weight store's rate that is used.
 	loadPart = 0.8
+	// orderAgain is the least time between two equal orders to an instance.
+	orderAgain = 700 * time.Millisecond
 	// headUnknown is how long members whose head was never seen stay bound to it.
 	headUnknown = 8 * time.Second
 	// stageAgain is how long an order to stage a model is trusted to be under way.
 	stageAgain = 40 * time.Second
 )
 
+// sentOrder is an order that was sent, sentAt when.
+type sentOrder struct {
+	action Action
+	key    fleet.GroupKey
+}
+
+type sentAt struct {
+	sentOrder
+	at time.Time
+}
+
 // Planner decides for the instances of one engine service; not safe for concurrent use.
 type Planner struct {
 	engine     *catalog.Engine
 	next       func(seen state.Epoch) state.Epoch
 	formations map[fleet.GroupKey]*formation
 	loads      []time.Time
+	sent       map[state.InstanceID]sentAt
 	staging    map[state.InstanceID]time.Time
 	ended      map[fleet.GroupKey]time.Time
 	// Quiet tells that no request has come yet, so that loads are nearly free.
@@ -80,6 +93,7 @@
 		engine:     engine,
 		next:       next,
 		formations: map[fleet.GroupKey]*formation{},
+		sent:       map[state.InstanceID]sentAt{},
 		staging:    map[state.InstanceID]time.Time{},
 		ended:      map[fleet.GroupKey]time.Time{},
 	}
@@ -93,6 +107,8 @@
 	Orders []Order
 	// Ask names the instances whose report is needed.
 	Ask []state.InstanceID
+	// Watch tells that something is under way whose end should be seen soon.
+	Watch bool
 	// Avoid are the formations that must not be sent new requests.
 	Avoid map[fleet.GroupKey]string
 }
@@ -270,6 +286,7 @@
 		f.opened = true
 		return
 	}
+	s.plan.Watch = true
 	ready := true
 	for _, id := range f.members {
 		m := s.byID[id]
@@ -283,13 +300,11 @@
 		}
 		if m.Membership.State != fleet.Ready {
 			ready = false
-			s.plan.Ask = append(s.plan.Ask, id)
 		}
 	}
 	model := s.engine.Model(f.model)
 	if ready && model != nil && len(f.members) == model.Size {
 		s.order(head, Order{Action: Open, Key: key, Why: "all members are ready"})
-		s.plan.Ask = append(s.plan.Ask, head.ID)
 	}
 }
 
@@ -299,17 +314,19 @@
 	s.order(m, Order{Action: Join, Key: key, Model: f.model, Members: f.members, Expect: &expect, Why: "forming"})
 }
 
-// order adds an order. It needs a report that is younger than the last order to
-// the instance; without one, that is asked for.
+// order adds an order, unless the same was sent a moment ago. A join needs the
+// number of orders taken so far; where that is not known, it is asked for.
 func (s *step) order(m *Member, o Order) {
-	if m.Pending {
+	last := sentOrder{o.Action, o.Key}
+	if m.Pending || (s.sent[m.ID].sentOrder == last && s.now.Sub(s.sent[m.ID].at) < orderAgain) {
 		return
 	}
-	if !m.Reported {
+	if o.Action == Join && !m.Counted {
 		s.plan.Ask = append(s.plan.Ask, m.ID)
 		return
 	}
 	m.Pending = true
+	s.sent[m.ID] = sentAt{last, s.now}
 	o.Instance, o.Address = m.ID, m.Address
 	s.plan.Orders = append(s.plan.Orders, o)
 }
@@ -328,7 +345,7 @@
 	if head == nil || head.Lost || head.Gone {
 		return
 	}
-	s.plan.Ask = append(s.plan.Ask, head.ID)
+	s.plan.Watch = true
 	switch head.Membership.State {
 	case fleet.Open, fleet.Closing:
 		s.order(head, Order{Action: Abort, Key: key, Why: f.failed})
@@ -348,7 +365,7 @@
 	case head.Lost:
 		return false
 	}
-	return head.Reported && !head.Pending && head.Membership.Key() != key
+	return !head.Pending && head.Membership.Key() != key
 }
 
 // handOver closes a group with a leaving member once its requests are done.
@@ -357,7 +374,7 @@
 		f.failed = "a member is leaving"
 		return
 	}
-	s.plan.Ask = append(s.plan.Ask, head.ID)
+	s.plan.Watch = true
 	switch head.Membership.State {
 	case fleet.Open:
 		s.order(head, Order{Action: Close, Key: key, Why: "a member is leaving"})
@@ -509,7 +526,7 @@
 			continue
 		}
 		other := s.otherModel(m.Model)
-		if other == "" || m.HasStaged(other) || !m.Reported || !s.mayLoad(1) {
+		if other == "" || m.HasStaged(other) || !s.mayLoad(1) {
 			continue
 		}
 		s.staging[id] = s.now
@@ -533,6 +550,7 @@
 // forget drops what is no longer needed.
 func (s *step) forget() {
 	maps.DeleteFunc(s.ended, func(_ fleet.GroupKey, at time.Time) bool { return s.now.Sub(at) > remembered })
+	maps.DeleteFunc(s.sent, func(_ state.InstanceID, at sentAt) bool { return s.now.Sub(at.at) > remembered })
 	maps.DeleteFunc(s.staging, func(_ state.InstanceID, at time.Time) bool { return s.now.Sub(at) > remembered })
 }
 
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -20,6 +20,8 @@
 	Beat time.Duration
 	// Stall is how long a group with a dead member stands still before it says that it is broken.
 	Stall time.Duration
+	// ReportLag is how much older than the question what a report tells may be.
+	ReportLag time.Duration
 }
 
 // Bounds of the conclusions.
@@ -30,8 +32,8 @@
 	unlisted = time.Second
 	// goneMargin is added to the stall time before a silent process counts as ended.
 	goneMargin = 1500 * time.Millisecond
-	// reportAge is how old a report may be to be acted upon.
-	reportAge = 2 * time.Second
+	// orderEcho is for how long after an order the state before it may still be told.
+	orderEcho = 600 * time.Millisecond
 	// forgetAfter is how long an ended instance is remembered.
 	forgetAfter = 20 * time.Second
 )
@@ -45,7 +47,13 @@
 	// beat is when the list last showed a sign of life, changed when its word on the membership last changed.
 	beat    time.Time
 	changed time.Time
-	report  fleet.Report
+	// belief is the newest word on the membership, the model and the staged models.
+	belief fleet.Instance
+	// before is the membership that the last order ended.
+	before fleet.Membership
+	// orders is the number of orders taken; counted tells that it is known.
+	orders  int64
+	counted bool
 	// heard is the last time at which the instance itself is known to have answered.
 	heard     time.Time
 	failures  int
@@ -56,6 +64,19 @@
 	ordered   time.Time
 }
 
+// believe takes in what the list or a report says of the membership, as it
+// stood at a time. Word that may be older than the last order is passed over.
+func (e *entry) believe(m fleet.Membership, model string, staged []string, now time.Time) bool {
+	if now.Sub(e.ordered) < orderEcho && m == e.before && m != e.belief.Membership {
+		return false
+	}
+	if m == e.belief.Membership && model == e.belief.Model && slices.Equal(staged, e.belief.Staged) {
+		return false
+	}
+	e.belief.Membership, e.belief.Model, e.belief.Staged = m, model, staged
+	return true
+}
+
 // Roster is safe for concurrent use.
 type Roster struct {
 	cfg     Config
@@ -80,7 +101,7 @@
 	defer r.mu.Unlock()
 	e := r.m[in.ID]
 	if e == nil {
-		e = &entry{seen: now, changed: now}
+		e = &entry{seen: now, changed: now, belief: in}
 		r.m[in.ID] = e
 		r.version++
 	}
@@ -92,7 +113,9 @@
 	}
 	if in.Membership != e.listed.Membership || in.Model != e.listed.Model || !slices.Equal(in.Staged, e.listed.Staged) {
 		e.changed = now
-		r.version++
+		if e.believe(in.Membership, in.Model, in.Staged, now) {
+			r.version++
+		}
 	}
 	if in.Draining != e.listed.Draining || !e.inList {
 		r.version++
@@ -127,14 +150,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.m[id]
-	if e == nil || rep.Asked.Before(e.report.Asked) {
+	if e == nil {
 		return
 	}
-	if rep.Membership != e.report.Membership {
+	e.hear(rep.Asked, r)
+	stood := rep.Asked.Add(-r.cfg.ReportLag)
+	if stood.After(e.ordered) || rep.Orders > e.orders {
+		e.orders, e.counted = rep.Orders, true
+	}
+	if stood.After(e.changed) && e.believe(rep.Membership, rep.Model, rep.Staged, stood) {
 		r.version++
 	}
-	e.report = rep
-	e.hear(rep.Asked, r)
 }
 
 // hear notes a sign of life that is as old as the question.
@@ -184,13 +210,45 @@
 	}
 }
 
-// Ordered notes that an order to an instance is on its way, or no longer is.
-func (r *Roster) Ordered(id state.InstanceID, pending bool, now time.Time) {
+// Ordering notes that an order to an instance is on its way.
+func (r *Roster) Ordering(id state.InstanceID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if e := r.m[id]; e != nil {
-		e.pending, e.ordered = pending, now
+		e.pending = true
+	}
+}
+
+// Ordered takes in what an instance said of an order. What an accepted order
+// brings about is believed at once, since reports and the list tell it later.
+func (r *Roster) Ordered(o placement.Order, reply placement.Reply, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.m[o.Instance]
+	if e == nil {
+		return
+	}
+	e.pending = false
+	switch {
+	case reply == placement.Refused || reply == placement.Unanswered:
+		e.counted = false
+		e.ordered = now
+		return
+	case reply == placement.Begun:
+		e.orders++
+	}
+	e.ordered, e.before = now, e.belief.Membership
+	switch o.Action {
+	case placement.Join:
+		e.belief.Membership = fleet.Membership{
+			Group: o.Key.Group, Epoch: o.Key.Epoch, Rank: slices.Index(o.Members, o.Instance), State: fleet.Joining,
+		}
+	case placement.Leave:
+		if e.belief.Membership.Key() == o.Key {
+			e.belief.Membership = fleet.Membership{}
+		}
 	}
+	r.version++
 }
 
 // lost tells whether an instance no longer answers, as far as is known.
@@ -207,15 +265,20 @@
 	return e.failures >= lostFailures && now.Sub(last) > r.cfg.Stall+goneMargin
 }
 
-// membership returns the newest word on an instance's group, model and staged models.
+// current returns the newest word on an instance.
 func (e *entry) current() fleet.Instance {
 	in := e.listed
-	if e.report.Asked.After(e.changed) {
-		in.Membership, in.Model, in.Staged = e.report.Membership, e.report.Model, e.report.Staged
-	}
+	in.Membership, in.Model, in.Staged = e.belief.Membership, e.belief.Model, e.belief.Staged
 	return in
 }
 
+// SetReportLag changes how much older than the question what a report tells may be.
+func (r *Roster) SetReportLag(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cfg.ReportLag = d
+}
+
 // Members returns the instances of a service as a planner sees them, by id.
 func (r *Roster) Members(service state.ServiceName, now time.Time) []placement.Member {
 	r.mu.Lock()
@@ -228,8 +291,8 @@
 		}
 		list = append(list, placement.Member{
 			Instance: e.current(),
-			Orders:   e.report.Orders,
-			Reported: e.report.Asked.After(e.ordered) && now.Sub(e.report.Asked) < reportAge,
+			Orders:   e.orders,
+			Counted:  e.counted,
 			Lost:     e.lost(now),
 			Gone:     e.gone,
 			Pending:  e.pending,
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -108,8 +108,10 @@
 	LoadsPerSecond float64
 	LoadsAtOnce    int
 	// Form is the time that an open group needs before it serves.
-	Form   time.Duration
-	Models []Model
+	Form time.Duration
+	// ReportLag is how old what an instance reports may be.
+	ReportLag time.Duration
+	Models    []Model
 }
 
 // Model returns a model by name, or nil.
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -58,7 +58,8 @@
 	number   atomic.Int64
 	storeAt  atomic.Int64
 	stopping atomic.Bool
-	ready    atomic.Bool
+	// listSoon asks for frequent reads of the list.
+	listSoon atomic.Bool
 	// changed asks for the candidates to be built anew.
 	changed chan struct{}
 
@@ -315,8 +316,10 @@
 const (
 	configWait   = 1500 * time.Millisecond
 	listInterval = 500 * time.Millisecond
-	storeTimeout = time.Second
-	storeRetry   = 150 * time.Millisecond
+	// listIntervalSoon is the time between two reads while the node has groups formed or taken apart.
+	listIntervalSoon = 80 * time.Millisecond
+	storeTimeout     = time.Second
+	storeRetry       = 150 * time.Millisecond
 )
 
 // followConfig keeps up with the operator's configuration.
@@ -405,6 +408,9 @@
 			n.storeRead(asked)
 		}
 		wait := listInterval
+		if placing, _ := n.peers.isPlacing(); placing && n.listSoon.Load() {
+			wait = listIntervalSoon
+		}
 		if err == nil && !tail.Whole {
 			wait = 0
 		}
@@ -441,6 +447,7 @@
 	}
 	if n.roster.Version() != before {
 		n.touch()
+		n.placer.stir()
 	}
 }
 
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -19,6 +19,8 @@
 	placeInterval = 100 * time.Millisecond
 	// orderTimeout bounds the time for an instance to answer an order.
 	orderTimeout = 800 * time.Millisecond
+	// reportMargin is added to the lag that the configuration tells of reports.
+	reportMargin = 80 * time.Millisecond
 	// askInterval is the least time between two questions to one instance.
 	askInterval = 90 * time.Millisecond
 	// numberBits is the part of an epoch that holds the number of the node that made it.
@@ -79,6 +81,7 @@
 func (p *placer) step(ctx context.Context, c *catalog.Catalog) {
 	now := p.n.clock.Now()
 	var avoid []Formation
+	watch := false
 	for _, s := range c.Services {
 		if s.Engine == nil {
 			continue
@@ -90,6 +93,8 @@
 		for key := range plan.Avoid {
 			avoid = append(avoid, Formation{Group: key.Group, Epoch: key.Epoch})
 		}
+		watch = watch || plan.Watch
+		p.n.roster.SetReportLag(s.Engine.ReportLag + reportMargin)
 		p.carryOut(ctx, members, plan)
 	}
 	for _, m := range p.n.roster.Doubtful(now) {
@@ -101,6 +106,7 @@
 	p.avoid = avoid
 	p.mu.Unlock()
 	p.n.setAvoid(avoid)
+	p.n.listSoon.Store(watch)
 }
 
 // planner returns the planner of a service.
@@ -130,8 +136,8 @@
 		byID[members[i].ID] = &members[i]
 	}
 	for _, o := range plan.Orders {
-		p.n.roster.Ordered(o.Instance, true, p.n.clock.Now())
-		go p.order(ctx, o, byID[o.Instance].Instance)
+		p.n.roster.Ordering(o.Instance)
+		go p.order(ctx, o)
 	}
 	for _, id := range plan.Ask {
 		if m := byID[id]; m != nil {
@@ -140,13 +146,13 @@
 	}
 }
 
-// order sends one order and then asks the instance how it stands.
-func (p *placer) order(ctx context.Context, o placement.Order, m fleet.Instance) {
+// order sends one order and takes in what the instance says of it.
+func (p *placer) order(ctx context.Context, o placement.Order) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	began := p.n.clock.Now()
 	reply, err := p.n.ports.Targets.Order(callCtx, o)
-	p.n.roster.Ordered(o.Instance, false, p.n.clock.Now())
+	p.n.roster.Ordered(o, reply, p.n.clock.Now())
 	p.n.Count("order." + string(o.Action) + "." + string(reply))
 	fields := log.Fields{
 		"action": o.Action, "instance": o.Instance, "group": o.Key.Group, "epoch": o.Key.Epoch, "model": o.Model,
@@ -162,10 +168,15 @@
 	if reply == placement.Unanswered {
 		p.n.roster.Failed(o.Instance, began)
 	}
-	p.mu.Lock()
-	delete(p.asked, o.Instance)
-	p.mu.Unlock()
-	p.askOnce(ctx, m)
+	p.stir()
+}
+
+// stir has the planners step at once.
+func (p *placer) stir() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
 }
 
 // askOnce asks an instance for its report unless that is under way or was done a moment ago.
@@ -182,10 +193,7 @@
 		p.mu.Lock()
 		delete(p.asking, m.ID)
 		p.mu.Unlock()
-		select {
-		case p.wake <- struct{}{}:
-		default:
-		}
+		p.stir()
 	}()
 }
 
