Place by the worth of groups, close lesser groups for their members

Now: domains are packed by worth, a group is closed for its members where these are worth more with free ones, instances stage their other model ahead, and a model once held is remembered. A young node does not place (two placed for 1.5 s at the start).

--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -41,6 +41,8 @@
 	failed string
 	// opened is set once the head was seen open.
 	opened bool
+	// donor is set when the group is closed so that its members can form others.
+	donor time.Time
 }
 
 // Bounds of the planner's waiting.
@@ -121,6 +123,8 @@
 	groups map[fleet.GroupKey][]*Member
 	plan   Plan
 	newest state.Epoch
+	// slopes are what one more instance in groups of each model is worth.
+	slopes []float64
 }
 
 // Step decides what to do, given all instances of the service.
@@ -191,7 +195,7 @@
 	if f.failed == "" {
 		f.failed = s.fault(key, f)
 	}
-	head := s.headOf(key, f)
+	head := s.headOf(f)
 	switch {
 	case f.failed != "":
 		s.plan.Avoid[key] = f.failed
@@ -199,6 +203,9 @@
 	case s.draining(f):
 		s.plan.Avoid[key] = "a member is leaving"
 		s.handOver(key, f, head)
+	case !f.donor.IsZero():
+		s.plan.Avoid[key] = "its members are needed elsewhere"
+		s.handOver(key, f, head)
 	default:
 		s.bringUp(key, f, head)
 	}
@@ -234,11 +241,7 @@
 
 // fault returns why a formation cannot serve, or nothing.
 func (s *step) fault(key fleet.GroupKey, f *formation) string {
-	model := s.engine.Model(f.model)
-	joinBy := f.since.Add(joinMargin)
-	if model != nil {
-		joinBy = f.since.Add(2*model.Load + joinMargin)
-	}
+	joinBy := f.since.Add(s.joinTime(f.model) + joinMargin)
 	for rank, id := range f.members {
 		m := s.byID[id]
 		switch {
@@ -264,8 +267,19 @@
 	return ""
 }
 
+// joinTime is the longest that members of a model, or of an unknown one, may take to become ready.
+func (s *step) joinTime(model string) time.Duration {
+	var longest time.Duration
+	for i := range s.engine.Models {
+		if m := &s.engine.Models[i]; m.Name == model || model == "" {
+			longest = max(longest, 2*m.Load)
+		}
+	}
+	return longest
+}
+
 // headOf returns the instance that is, or was, the head of a formation, or nil.
-func (s *step) headOf(_ fleet.GroupKey, f *formation) *Member {
+func (s *step) headOf(f *formation) *Member {
 	if len(f.members) == 0 {
 		return nil
 	}
@@ -377,16 +391,22 @@
 	s.plan.Watch = true
 	switch head.Membership.State {
 	case fleet.Open:
-		s.order(head, Order{Action: Close, Key: key, Why: "a member is leaving"})
+		s.order(head, Order{Action: Close, Key: key, Why: s.plan.Avoid[key]})
 	case fleet.Closing:
+		if !f.donor.IsZero() && s.now.Sub(f.donor) > closeTime {
+			f.failed = "closing takes too long"
+		}
 	default:
-		f.failed = "a member is leaving"
+		f.failed = s.plan.Avoid[key]
 	}
 }
 
+// closeTime bounds the closing of a group whose members are needed elsewhere.
+const closeTime = 6 * time.Second
+
 // form makes new groups of free instances.
 func (s *step) form() {
-	free := map[string][]*Member{}
+	domains := map[string]*domain{}
 	alive := 0
 	for _, id := range sortedIDs(s.byID) {
 		m := s.byID[id]
@@ -394,10 +414,54 @@
 			continue
 		}
 		alive++
+		d := domains[m.Domain]
+		if d == nil {
+			d = &domain{}
+			domains[m.Domain] = d
+		}
 		if m.Membership.Group == "" && !s.claimed(id) {
-			free[m.Domain] = append(free[m.Domain], m)
+			d.free = append(d.free, m)
+		}
+	}
+	stock := s.stock(alive)
+	s.slopes = make([]float64, len(s.engine.Models))
+	for i := range s.engine.Models {
+		s.slopes[i] = stock.gain(i, 1)
+	}
+	for _, key := range s.keys() {
+		f := s.formations[key]
+		if f == nil {
+			continue
+		}
+		if head := s.headOf(f); head != nil && domains[head.Domain] != nil {
+			domains[head.Domain].add(f)
 		}
 	}
+	for _, name := range sortedKeys(domains) {
+		s.formDomain(domains[name], stock)
+	}
+}
+
+// domain is one fabric domain.
+type domain struct {
+	free []*Member
+	// groups are those that serve, donors tells that one is being closed for its members.
+	groups []*formation
+	donors bool
+}
+
+// add counts a formation to its domain.
+func (d *domain) add(f *formation) {
+	switch {
+	case !f.donor.IsZero():
+		d.donors = true
+	case f.opened && f.failed == "":
+		d.groups = append(d.groups, f)
+	}
+}
+
+// stock counts the instances in groups of each model.
+func (s *step) stock(alive int) *supply {
 	shares := s.Shares
 	if shares == nil {
 		for _, m := range s.engine.Models {
@@ -406,13 +470,11 @@
 	}
 	stock := newSupply(s.engine.Models, shares, alive)
 	for _, f := range s.formations {
-		if i := s.modelIndex(f.model); i >= 0 && f.failed == "" && !s.draining(f) {
+		if i := s.modelIndex(f.model); i >= 0 && f.failed == "" && f.donor.IsZero() && !s.draining(f) {
 			stock.have[i] += float64(len(f.members))
 		}
 	}
-	for _, domain := range sortedKeys(free) {
-		s.formDomain(free[domain], stock)
-	}
+	return stock
 }
 
 // modelIndex returns the place of a model in the configuration, or -1.
@@ -430,47 +492,100 @@
 	return false
 }
 
-// formDomain makes groups of the free instances of one domain.
-func (s *step) formDomain(free []*Member, stock *supply) {
-	for _, m := range free {
-		if s.now.Sub(m.Seen) < settle {
-			return
-		}
+// formDomain makes groups of the free instances of one domain, and closes a
+// group of it if its members are worth more together with the free ones.
+func (s *step) formDomain(d *domain, stock *supply) {
+	if len(d.free) == 0 || d.donors || s.settling(d.free) {
+		return
+	}
+	plan := stock.pack(len(d.free), s.able(d.free), s.engine.Models)
+	if donor := s.donor(d, stock, plan); donor != nil {
+		donor.donor = s.now
+		return
 	}
-	for i, n := range stock.pack(len(free), s.engine.Models) {
+	free := d.free
+	for i, n := range plan.counts {
 		model := &s.engine.Models[i]
 		for range n {
 			members := s.choose(free, model)
-			if len(members) < model.Size {
+			if members == nil {
 				break
 			}
-			free = slices.DeleteFunc(free, func(m *Member) bool { return slices.Contains(members, m) })
+			free = slices.DeleteFunc(slices.Clone(free), func(m *Member) bool { return slices.Contains(members, m) })
 			s.start(model, members)
 			stock.have[i] += float64(model.Size)
 		}
 	}
 }
 
+// settling tells whether an instance of a domain is so new that others may follow it.
+func (s *step) settling(free []*Member) bool {
+	return slices.ContainsFunc(free, func(m *Member) bool { return s.now.Sub(m.Seen) < settle })
+}
+
+// able returns how many instances can soon be members of a group of each model.
+func (s *step) able(free []*Member) []int {
+	counts := make([]int, len(s.engine.Models))
+	for i := range s.engine.Models {
+		for _, m := range free {
+			if s.fit(m, &s.engine.Models[i]) {
+				counts[i]++
+			}
+		}
+	}
+	return counts
+}
+
+// fit tells whether an instance can join a group of a model without a load from
+// the weight store; before the first request, loads are nearly free.
+func (s *step) fit(m *Member, model *catalog.Model) bool {
+	return s.Quiet || joinTime(m, model) < model.Load || model.Load <= 0
+}
+
+// donorGain is what closing a group must gain for each of its instances.
+const donorGain = 0.2
+
+// donor returns the group of a domain that should be closed for its members, or nil.
+func (s *step) donor(d *domain, stock *supply, plan option) *formation {
+	var best *formation
+	least := plan.worth
+	for _, f := range d.groups {
+		i := s.modelIndex(f.model)
+		if i < 0 {
+			continue
+		}
+		joined := slices.Clone(d.free)
+		for _, id := range f.members {
+			joined = append(joined, s.byID[id])
+		}
+		size := float64(len(f.members))
+		before := stock.value(i, stock.have[i])
+		stock.have[i] -= size
+		lost := before - stock.value(i, stock.have[i])
+		other := stock.pack(len(joined), s.able(joined), s.engine.Models)
+		stock.have[i] += size
+		if gain := other.worth - lost - donorGain*size; gain > least {
+			best, least = f, gain
+		}
+	}
+	return best
+}
+
 // choose picks the members of a new group: those that are ready soonest.
 func (s *step) choose(free []*Member, model *catalog.Model) []*Member {
-	sorted := slices.Clone(free)
-	slices.SortStableFunc(sorted, func(a, b *Member) int {
-		return cmp.Compare(joinTime(a, model), joinTime(b, model))
-	})
-	if len(sorted) < model.Size {
-		return nil
-	}
-	chosen := sorted[:model.Size]
-	loads := 0
-	for _, m := range chosen {
-		if joinTime(m, model) == model.Load {
-			loads++
+	var sorted []*Member
+	for _, m := range free {
+		if s.fit(m, model) {
+			sorted = append(sorted, m)
 		}
 	}
-	if !s.mayLoad(loads) {
+	if len(sorted) < model.Size {
 		return nil
 	}
-	return chosen
+	slices.SortStableFunc(sorted, func(a, b *Member) int {
+		return cmp.Compare(joinTime(a, model), joinTime(b, model))
+	})
+	return sorted[:model.Size]
 }
 
 // joinTime is how long an instance takes to become ready in a group of a model.
@@ -484,19 +599,14 @@
 	return model.Load
 }
 
-// mayLoad takes a number of loads out of what the weight store carries, if it carries them.
-func (s *step) mayLoad(n int) bool {
-	if n == 0 {
-		return true
-	}
+// mayLoad takes a load out of what the weight store carries, if it carries it.
+func (s *step) mayLoad() bool {
 	s.loads = slices.DeleteFunc(s.loads, func(t time.Time) bool { return s.now.Sub(t) > loadWindow })
 	most := int(s.engine.LoadsPerSecond * loadWindow.Seconds() * loadPart)
-	if !s.Quiet && len(s.loads)+n > max(most, n) {
+	if !s.Quiet && len(s.loads) >= most {
 		return false
 	}
-	for range n {
-		s.loads = append(s.loads, s.now)
-	}
+	s.loads = append(s.loads, s.now)
 	return true
 }
 
@@ -517,23 +627,50 @@
 
 // stage has instances load to their hosts the model that they may need next.
 func (s *step) stage() {
-	if len(s.engine.Models) < 2 {
-		return
-	}
 	for _, id := range sortedIDs(s.byID) {
 		m := s.byID[id]
-		if !m.usable() || m.Pending || m.Membership.State != fleet.Open || s.now.Sub(s.staging[id]) < stageAgain {
+		if !m.usable() || m.Pending || s.now.Sub(s.staging[id]) < stageAgain {
 			continue
 		}
-		other := s.otherModel(m.Model)
-		if other == "" || m.HasStaged(other) || !s.mayLoad(1) {
+		next := s.nextModel(m)
+		if next == "" || m.HasStaged(next) || !s.mayLoad() {
 			continue
 		}
 		s.staging[id] = s.now
-		s.order(m, Order{Action: Stage, Model: other, Why: "for a later repair"})
+		s.order(m, Order{Action: Stage, Model: next, Why: "for a later repair"})
 	}
 }
 
+// nextModel returns the model that an instance may need next: for a member of an
+// open group another one than it has, for a spare that has none the one that is
+// most wanted.
+func (s *step) nextModel(m *Member) string {
+	switch {
+	case s.serving(m):
+		return s.otherModel(m.Model)
+	case m.Membership.Group == "" && m.Model == "" && len(m.Staged) == 0 && !s.claimed(m.ID) && !s.Quiet:
+		return s.mostWanted()
+	}
+	return ""
+}
+
+// mostWanted returns the model of which one more instance is worth most.
+func (s *step) mostWanted() string {
+	best := 0
+	for i := range s.slopes {
+		if s.slopes[i] > s.slopes[best] {
+			best = i
+		}
+	}
+	return s.engine.Models[best].Name
+}
+
+// serving tells whether an instance belongs to an open group.
+func (s *step) serving(m *Member) bool {
+	f := s.formations[m.Membership.Key()]
+	return f != nil && f.opened && f.failed == ""
+}
+
 // tidy has free instances leave the ended formations that they still name.
 func (s *step) tidy() {
 	for _, id := range sortedIDs(s.byID) {
@@ -575,7 +712,7 @@
 }
 
 // sortedKeys returns the names of domains in order.
-func sortedKeys(m map[string][]*Member) []string {
+func sortedKeys(m map[string]*domain) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
 		keys = append(keys, k)
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -28,6 +28,8 @@
 const (
 	// lostFailures is how many questions in a row must fail for an instance to count as lost.
 	lostFailures = 2
+	// distinct is the least time between two questions that count as two.
+	distinct = 20 * time.Millisecond
 	// unlisted is how long an instance may be missing in the list before it must answer questions.
 	unlisted = time.Second
 	// goneMargin is added to the stall time before a silent process counts as ended.
@@ -70,6 +72,9 @@
 	if now.Sub(e.ordered) < orderEcho && m == e.before && m != e.belief.Membership {
 		return false
 	}
+	if model == "" {
+		model = e.belief.Model // it is still quick to join a group of its last model
+	}
 	if m == e.belief.Membership && model == e.belief.Model && slices.Equal(staged, e.belief.Staged) {
 		return false
 	}
@@ -190,7 +195,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.m[id]
-	if e == nil || asked.Before(e.heard) {
+	if e == nil || asked.Before(e.heard) || asked.Sub(e.suspected) < distinct && e.failures > 0 {
 		return
 	}
 	e.failures++
@@ -246,6 +251,9 @@
 	case placement.Leave:
 		if e.belief.Membership.Key() == o.Key {
 			e.belief.Membership = fleet.Membership{}
+			if reply == placement.Done {
+				e.orders++
+			}
 		}
 	}
 	r.version++
--- a/state/fleet/instance.go
+++ b/state/fleet/instance.go
@@ -50,7 +50,7 @@
 	Slots int
 	// Draining tells that the instance will end soon and takes no new work.
 	Draining bool
-	// Model is the model that it has loaded, Staged those that its host holds.
+	// Model is the model that it has loaded, or had in its last group, Staged those that its host holds.
 	Model      string
 	Staged     []string
 	Membership Membership
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -13,7 +13,7 @@
 )
 
 // probeTimeout bounds the time for an instance to report.
-const probeTimeout = 300 * time.Millisecond
+const probeTimeout = 160 * time.Millisecond
 
 // suspectFor is how long the placing node is told of an instance that did not answer.
 const suspectFor = 2 * time.Second
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -60,6 +60,7 @@
 	stopping atomic.Bool
 	// listSoon asks for frequent reads of the list.
 	listSoon atomic.Bool
+	listNow  chan struct{}
 	// changed asks for the candidates to be built anew.
 	changed chan struct{}
 
@@ -87,6 +88,7 @@
 		started:  clock.Now(),
 		changed:  make(chan struct{}, 1),
 		news:     make(chan struct{}, 1),
+		listNow:  make(chan struct{}, 1),
 		avoid:    map[fleet.GroupKey]bool{},
 		suspects: map[state.InstanceID]time.Time{},
 	}
@@ -137,6 +139,7 @@
 		n.register,
 		n.rebuild,
 		n.peers.run,
+		n.peers.follow,
 		n.placer.run,
 		n.every(50*time.Millisecond, func(context.Context) { n.gate.Watch.Look() }),
 		n.every(time.Second, func(context.Context) { n.pool.Sweep() }),
@@ -414,12 +417,35 @@
 		if err == nil && !tail.Whole {
 			wait = 0
 		}
-		if !n.sleep(ctx, wait) {
+		if !n.waitForList(ctx, wait) {
 			return
 		}
 	}
 }
 
+// waitForList waits for the next read of the list and tells whether the node still runs.
+func (n *Node) waitForList(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-n.clock.After(d):
+	case <-n.listNow:
+		return n.sleep(ctx, min(d, listIntervalSoon))
+	}
+	return true
+}
+
+// readListSoon asks for frequent reads of the list, or no longer.
+func (n *Node) readListSoon(on bool) {
+	if n.listSoon.Swap(on) || !on {
+		return
+	}
+	select {
+	case n.listNow <- struct{}{}:
+	default:
+	}
+}
+
 // learnInstances takes in records of the list; whole says that they are all there is.
 func (n *Node) learnInstances(tail source.Tail, whole bool) {
 	now := n.clock.Now()
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -28,12 +29,15 @@
 	wordInterval = 250 * time.Millisecond
 	// wordTimeout bounds the time for an answer.
 	wordTimeout = 400 * time.Millisecond
-	// avoidNode is how long a node that did not answer, or does not place, is passed over.
+	// avoidNode is how long a node that did not answer is passed over, avoidIdle one that does not place.
 	avoidNode = 1500 * time.Millisecond
+	avoidIdle = 400 * time.Millisecond
 	// nodeLives is how long after its last word a node counts as alive.
 	nodeLives = 1500 * time.Millisecond
-	// nodesInterval is the time between two reads of the nodes' entries.
-	nodesInterval = 5 * time.Second
+	// nodesWait is how long a read of the nodes' entries waits for a new one.
+	nodesWait = 8 * time.Second
+	// placeAfter is the age at which a node may place: until then it may not know of all others.
+	placeAfter = 1300 * time.Millisecond
 	// storeStale is the age of its last read of the store above which a node does not place if others do better.
 	storeStale = 2500 * time.Millisecond
 )
@@ -82,12 +86,7 @@
 // run tells the placing node what this one knows, again and again.
 func (p *peers) run(ctx context.Context) {
 	p.seed()
-	var read time.Time
 	for {
-		if p.n.clock.Since(read) > nodesInterval {
-			read = p.n.clock.Now()
-			p.readNodes(ctx)
-		}
 		p.round(ctx)
 		select {
 		case <-ctx.Done():
@@ -109,16 +108,28 @@
 	}
 }
 
-// readNodes takes in the nodes' entries in the store.
-func (p *peers) readNodes(ctx context.Context) {
-	tail, err := p.n.readTail(ctx, source.Nodes, -1, 0)
-	if err != nil {
-		return
-	}
-	for _, item := range tail.Items {
-		var e NodeEntry
-		if json.Unmarshal(item.Value, &e) == nil {
-			p.learn(e)
+// follow keeps up with the nodes' entries in the store.
+func (p *peers) follow(ctx context.Context) {
+	next := int64(-1)
+	for {
+		tail, err := p.n.readTail(ctx, source.Nodes, next, nodesWait)
+		switch {
+		case errors.Is(err, source.ErrTrimmed):
+			next = -1
+		case err == nil:
+			next = tail.End
+		}
+		for _, item := range tail.Items {
+			var e NodeEntry
+			if json.Unmarshal(item.Value, &e) == nil {
+				p.learn(e)
+			}
+		}
+		if err != nil && !p.n.sleep(ctx, 2*storeRetry) {
+			return
+		}
+		if ctx.Err() != nil {
+			return
 		}
 	}
 }
@@ -143,7 +154,7 @@
 	defer p.mu.Unlock()
 	var list []string
 	for a := range p.known {
-		if a == own || (p.mayPlace() && rank(a) < rank(own)) || now.Sub(p.passed[a]) < avoidNode {
+		if a == own || (p.mayPlace() && rank(a) < rank(own)) || now.Before(p.passed[a]) {
 			continue
 		}
 		list = append(list, a)
@@ -154,7 +165,7 @@
 
 // mayPlace tells whether this node can place groups.
 func (p *peers) mayPlace() bool {
-	return !p.n.stopping.Load() && p.n.number.Load() > 0 && p.n.know.Catalog() != nil && !p.behindOthers()
+	return !p.n.stopping.Load() && p.n.clock.Since(p.n.started) > placeAfter && p.n.number.Load() > 0 && p.n.know.Catalog() != nil && !p.behindOthers()
 }
 
 // behindOthers tells whether the node cannot read the store while another one lately could.
@@ -179,9 +190,7 @@
 			p.take(ans)
 			return
 		}
-		p.mu.Lock()
-		p.passed[address] = p.n.clock.Now()
-		p.mu.Unlock()
+		p.pass(address, err == nil)
 	}
 	p.mu.Lock()
 	may := p.mayPlace()
@@ -193,6 +202,17 @@
 	}
 }
 
+// pass has a node passed over for a while; one that answered, but does not place, for less.
+func (p *peers) pass(address string, answered bool) {
+	until := p.n.clock.Now().Add(avoidNode)
+	if answered {
+		until = p.n.clock.Now().Add(avoidIdle)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.passed[address] = until
+}
+
 // setPlacing notes whether this node places groups.
 func (p *peers) setPlacing(on bool) {
 	p.mu.Lock()
@@ -285,7 +305,7 @@
 	a := &Answer{Placing: p.mayPlace()}
 	p.mu.Unlock()
 	for _, s := range w.Suspects {
-		n.placer.suspect(s.Instance)
+		n.placer.suspect(s.Instance, now.Add(-time.Duration(s.AgeMS)*time.Millisecond))
 	}
 	if a.Placing {
 		a.Nodes = append(p.alive(), p.self())
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -106,7 +106,7 @@
 	p.avoid = avoid
 	p.mu.Unlock()
 	p.n.setAvoid(avoid)
-	p.n.listSoon.Store(watch)
+	p.n.readListSoon(watch)
 }
 
 // planner returns the planner of a service.
@@ -197,14 +197,17 @@
 	}()
 }
 
-// suspect has an instance asked that another node could not reach.
-func (p *placer) suspect(id state.InstanceID) {
+// suspect takes in that an instance did not answer another node when asked, and asks it too.
+func (p *placer) suspect(id state.InstanceID, asked time.Time) {
 	if on, _ := p.n.peers.isPlacing(); !on {
 		return
 	}
-	if v, ok := p.n.roster.Get(id, p.n.clock.Now()); ok && !v.Lost {
-		p.askOnce(context.Background(), v.Instance)
+	v, ok := p.n.roster.Get(id, p.n.clock.Now())
+	if !ok || v.Lost {
+		return
 	}
+	p.n.roster.Failed(id, asked)
+	p.askOnce(context.Background(), v.Instance)
 }
 
 // avoiding returns the formations that must not be sent new requests.
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -63,10 +63,11 @@
 
 // Verdict is what an instance's answer says about itself.
 type Verdict struct {
-	// NotRun tells that the instance did not run the request, Other that it is another instance.
+	// NotRun tells that the instance did not run the request.
 	NotRun bool
-	Other  bool
-	// Culprit names the instance at fault, if the answer does.
+	// Instance is the one that answers, if it says so.
+	Instance state.InstanceID
+	// Culprit is the address of the instance at fault, if the answer tells it.
 	Culprit string
 	// Sealed tells that a success can be believed.
 	Sealed bool
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -225,7 +225,7 @@
 // follow passes an answer on.
 func (c *call) follow(ctx context.Context, target *dispatch.Candidate, resp *direct.Response, w *watched, sent time.Time) result {
 	v := c.Dialect.Verdict(resp.Status, resp.Header)
-	if v.Other {
+	if v.NotRun && v.Instance != "" && v.Instance != target.ID {
 		c.Health.Replaced(target.ID)
 	}
 	if v.NotRun {
@@ -235,7 +235,7 @@
 		c.Recorder.Decide("attempt-refused", c.claims.ID, map[string]any{
 			"instance": target.ID, "status": resp.Status, "culprit": v.Culprit, "held": target.Held(), "load": target.Load(),
 		})
-		if v.Culprit != "" && v.Culprit != string(target.ID) {
+		if v.Culprit != "" && v.Culprit != target.Address.String() {
 			c.Health.Suspect(target)
 		}
 		return notRun
--- a/transport/gateway/watch.go
+++ b/transport/gateway/watch.go
@@ -20,9 +20,9 @@
 // Bounds of the watch.
 const (
 	// firstSilence is how long a group may take to the first sign before it is checked.
-	firstSilence = 700 * time.Millisecond
+	firstSilence = 600 * time.Millisecond
 	// eventSilence is how long a stream may be silent before its group is checked.
-	eventSilence = 350 * time.Millisecond
+	eventSilence = 250 * time.Millisecond
 	// checkEvery is the least time between two checks of one group.
 	checkEvery = 300 * time.Millisecond
 )
