--- a/coordination/placement/layout.go
+++ b/coordination/placement/layout.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"github.com/troutmast/troutmast/state/catalog"
 )
@@ -40,44 +42,134 @@
 type option struct {
 	// counts are the groups of each model.
 	counts []int
-	// worth is what the groups are worth.
-	worth float64
 }
 
-// pack returns how to make groups of a number of free instances of one domain,
-// so that what is formed is worth most. able is how many of the instances can be
-// members of a group of each model.
-func (s *supply) pack(free int, able []int, models []catalog.Model) option {
+// size returns the number of instances in the groups of a model.
+func (o option) size(i int, models []catalog.Model) float64 {
+	return float64(o.counts[i] * models[i].Size)
+}
+
+// options returns the ways of making as many groups as possible of a number of
+// free instances. able is how many of them can be members of a group of each model.
+func options(free int, able []int, models []catalog.Model) []option {
+	var list []option
 	counts := make([]int, len(models))
-	best := option{counts: make([]int, len(models))}
-	var try func(model, left int, worth float64)
-	try = func(model, left int, worth float64) {
+	var try func(model, left int)
+	try = func(model, left int) {
 		if model == len(models) {
-			if worth > best.worth {
-				best.worth = worth
-				copy(best.counts, counts)
-			}
+			list = append(list, option{counts: slices.Clone(counts)})
 			return
 		}
 		size := models[model].Size
-		for n := 0; n*size <= min(left, able[model]); n++ {
+		for n := min(left, able[model]) / size; n >= 0; n-- {
 			counts[model] = n
-			added := s.gain(model, float64(n*size))
-			if n > 0 && added < leastGain*float64(n*size) {
-				break
-			}
-			try(model+1, left-n*size, worth+added)
+			try(model+1, left-n*size)
+		}
+	}
+	try(0, free)
+	return slices.DeleteFunc(list, func(o option) bool { return extendable(o, free, able, models) })
+}
+
+// extendable tells whether one more group could be made beside those of an option.
+func extendable(o option, free int, able []int, models []catalog.Model) bool {
+	for i, n := range o.counts {
+		free -= n * models[i].Size
+	}
+	for i, n := range o.counts {
+		if free >= models[i].Size && able[i] >= (n+1)*models[i].Size {
+			return true
 		}
-		counts[model] = 0
 	}
-	try(0, free, 0)
-	return best
+	return false
+}
+
+// worth is what the groups of some options are worth beside those that there are.
+func (s *supply) worth(models []catalog.Model, chosen ...option) float64 {
+	var total float64
+	for i := range models {
+		have := s.have[i]
+		for _, o := range chosen {
+			have += o.size(i, models)
+		}
+		total += s.value(i, have) - s.value(i, s.have[i])
+	}
+	return total
+}
+
+// add counts the groups of an option, or takes them away again.
+func (s *supply) add(o option, models []catalog.Model, times float64) {
+	for i := range models {
+		s.have[i] += times * o.size(i, models)
+	}
+}
+
+// best returns the option of the most worth.
+func (s *supply) best(list []option, models []catalog.Model) option {
+	return slices.MaxFunc(list, func(a, b option) int {
+		return cmp.Compare(s.worth(models, a), s.worth(models, b))
+	})
 }
 
 // leastGain is what a group must be worth for each of its instances; below it
 // the instances are kept as spares.
 const leastGain = 0.12
 
+// pack chooses an option for each of several domains, so that all groups
+// together are worth most. Since a domain's best option depends on those of the
+// others, pairs of domains are changed together until nothing is gained.
+func (s *supply) pack(domains [][]option, models []catalog.Model) []option {
+	chosen := make([]option, len(domains))
+	for d, list := range domains {
+		chosen[d] = s.best(list, models)
+		s.add(chosen[d], models, 1)
+	}
+	for range domains {
+		if !s.improve(domains, chosen, models) {
+			break
+		}
+	}
+	for d := range chosen {
+		chosen[d] = s.prune(chosen[d], models)
+	}
+	return chosen
+}
+
+// improve changes the options of pairs of domains and tells whether that gained anything.
+func (s *supply) improve(domains [][]option, chosen []option, models []catalog.Model) bool {
+	const least = 1e-9
+	gained := false
+	for a := range domains {
+		for b := a + 1; b < len(domains); b++ {
+			s.add(chosen[a], models, -1)
+			s.add(chosen[b], models, -1)
+			most := s.worth(models, chosen[a], chosen[b]) + least
+			for _, oa := range domains[a] {
+				for _, ob := range domains[b] {
+					if w := s.worth(models, oa, ob); w > most {
+						chosen[a], chosen[b], most, gained = oa, ob, w, true
+					}
+				}
+			}
+			s.add(chosen[a], models, 1)
+			s.add(chosen[b], models, 1)
+		}
+	}
+	return gained
+}
+
+// prune leaves out the groups that are worth too little, and keeps their instances as spares.
+func (s *supply) prune(o option, models []catalog.Model) option {
+	out := option{counts: slices.Clone(o.counts)}
+	for i := range models {
+		size := float64(models[i].Size)
+		for out.counts[i] > 0 && s.value(i, s.have[i])-s.value(i, s.have[i]-size) < leastGain*size {
+			out.counts[i]--
+			s.have[i] -= size
+		}
+	}
+	return out
+}
+
 // gain is what some more instances in groups of a model are worth.
 func (s *supply) gain(model int, more float64) float64 {
 	return s.value(model, s.have[model]+more) - s.value(model, s.have[model])
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -437,8 +437,28 @@
 			domains[head.Domain].add(f)
 		}
 	}
+	s.formDomains(domains, stock)
+}
+
+// formDomains makes groups of the free instances of all domains.
+func (s *step) formDomains(domains map[string]*domain, stock *supply) {
+	var ready []*domain
+	var choices [][]option
 	for _, name := range sortedKeys(domains) {
-		s.formDomain(domains[name], stock)
+		d := domains[name]
+		if len(d.free) == 0 || d.donors || s.settling(d.free) {
+			continue
+		}
+		list := options(len(d.free), s.able(d.free), s.engine.Models)
+		if donor := s.donor(d, stock, list); donor != nil {
+			donor.donor = s.now
+			continue
+		}
+		ready = append(ready, d)
+		choices = append(choices, list)
+	}
+	for i, o := range stock.pack(choices, s.engine.Models) {
+		s.formDomain(ready[i].free, o)
 	}
 }
 
@@ -492,19 +512,9 @@
 	return false
 }
 
-// formDomain makes groups of the free instances of one domain, and closes a
-// group of it if its members are worth more together with the free ones.
-func (s *step) formDomain(d *domain, stock *supply) {
-	if len(d.free) == 0 || d.donors || s.settling(d.free) {
-		return
-	}
-	plan := stock.pack(len(d.free), s.able(d.free), s.engine.Models)
-	if donor := s.donor(d, stock, plan); donor != nil {
-		donor.donor = s.now
-		return
-	}
-	free := d.free
-	for i, n := range plan.counts {
+// formDomain makes the groups of an option.
+func (s *step) formDomain(free []*Member, o option) {
+	for i, n := range o.counts {
 		model := &s.engine.Models[i]
 		for range n {
 			members := s.choose(free, model)
@@ -513,7 +523,6 @@
 			}
 			free = slices.DeleteFunc(slices.Clone(free), func(m *Member) bool { return slices.Contains(members, m) })
 			s.start(model, members)
-			stock.have[i] += float64(model.Size)
 		}
 	}
 }
@@ -546,31 +555,42 @@
 const donorGain = 0.2
 
 // donor returns the group of a domain that should be closed for its members, or nil.
-func (s *step) donor(d *domain, stock *supply, plan option) *formation {
+func (s *step) donor(d *domain, stock *supply, list []option) *formation {
+	models := s.engine.Models
 	var best *formation
-	least := plan.worth
+	least := stock.worth(models, stock.best(list, models))
 	for _, f := range d.groups {
+		joined, whole := s.withMembers(d.free, f)
 		i := s.modelIndex(f.model)
-		if i < 0 {
+		if i < 0 || !whole {
 			continue
 		}
-		joined := slices.Clone(d.free)
-		for _, id := range f.members {
-			joined = append(joined, s.byID[id])
-		}
 		size := float64(len(f.members))
 		before := stock.value(i, stock.have[i])
 		stock.have[i] -= size
 		lost := before - stock.value(i, stock.have[i])
-		other := stock.pack(len(joined), s.able(joined), s.engine.Models)
+		other := stock.worth(models, stock.best(options(len(joined), s.able(joined), models), models))
 		stock.have[i] += size
-		if gain := other.worth - lost - donorGain*size; gain > least {
+		if gain := other - lost - donorGain*size; gain > least {
 			best, least = f, gain
 		}
 	}
 	return best
 }
 
+// withMembers returns instances together with the members of a formation; false if one of these is not known.
+func (s *step) withMembers(free []*Member, f *formation) ([]*Member, bool) {
+	joined := slices.Clone(free)
+	for _, id := range f.members {
+		m := s.byID[id]
+		if m == nil {
+			return nil, false
+		}
+		joined = append(joined, m)
+	}
+	return joined, true
+}
+
 // choose picks the members of a new group: those that are ready soonest.
 func (s *step) choose(free []*Member, model *catalog.Model) []*Member {
 	var sorted []*Member
