--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -74,6 +74,12 @@
 	at time.Time
 }
 
+// stagingModel is a model that an instance loads to its host.
+type stagingModel struct {
+	model string
+	since time.Time
+}
+
 // Planner decides for the instances of one engine service; not safe for concurrent use.
 type Planner struct {
 	engine     *catalog.Engine
@@ -81,7 +87,7 @@
 	formations map[fleet.GroupKey]*formation
 	loads      []time.Time
 	sent       map[state.InstanceID]sentAt
-	staging    map[state.InstanceID]time.Time
+	staging    map[state.InstanceID]stagingModel
 	ended      map[fleet.GroupKey]time.Time
 	// Quiet tells that no request has come yet, so that loads are nearly free.
 	Quiet bool
@@ -96,7 +102,7 @@
 		next:       next,
 		formations: map[fleet.GroupKey]*formation{},
 		sent:       map[state.InstanceID]sentAt{},
-		staging:    map[state.InstanceID]time.Time{},
+		staging:    map[state.InstanceID]stagingModel{},
 		ended:      map[fleet.GroupKey]time.Time{},
 	}
 }
@@ -111,6 +117,11 @@
 	Ask []state.InstanceID
 	// Watch tells that something is under way whose end should be seen soon.
 	Watch bool
+	// Serving is the number of open groups of each model, Free the number of usable instances in no group.
+	Serving map[string]int
+	Free    int
+	// Spares tells what each free instance has loaded.
+	Spares []string
 	// Avoid are the formations that must not be sent new requests.
 	Avoid map[fleet.GroupKey]string
 }
@@ -146,6 +157,7 @@
 		s.tend(key)
 	}
 	s.form()
+	s.census()
 	s.tidy()
 	s.stage()
 	s.forget()
@@ -157,7 +169,7 @@
 // it would have to leave again.
 func (s *step) place(m *Member) {
 	key := m.Membership.Key()
-	if key.Group == "" {
+	if key.Group == "" || m.Gone {
 		return
 	}
 	if _, over := s.ended[key]; over && m.Membership.Rank > 0 {
@@ -621,6 +633,9 @@
 
 // mayLoad takes a load out of what the weight store carries, if it carries it.
 func (s *step) mayLoad() bool {
+	if !s.Quiet && len(s.staging) >= max(s.engine.LoadsAtOnce, 1) {
+		return false
+	}
 	s.loads = slices.DeleteFunc(s.loads, func(t time.Time) bool { return s.now.Sub(t) > loadWindow })
 	most := int(s.engine.LoadsPerSecond * loadWindow.Seconds() * loadPart)
 	if !s.Quiet && len(s.loads) >= most {
@@ -646,43 +661,80 @@
 }
 
 // stage has instances load to their hosts the model that they may need next.
+// The weight store carries few loads at once, so instances that can join no
+// group for want of a model come first, and members of groups only while loads
+// are nearly free.
 func (s *step) stage() {
 	for _, id := range sortedIDs(s.byID) {
-		m := s.byID[id]
-		if !m.usable() || m.Pending || s.now.Sub(s.staging[id]) < stageAgain {
-			continue
+		if m := s.byID[id]; s.cold(m) {
+			s.stageModel(m, s.wantedIn(m.Domain))
 		}
-		next := s.nextModel(m)
-		if next == "" || m.HasStaged(next) || !s.mayLoad() {
-			continue
+	}
+	if !s.Quiet {
+		return
+	}
+	for _, id := range sortedIDs(s.byID) {
+		if m := s.byID[id]; s.serving(m) {
+			s.stageModel(m, s.otherModel(m.Model))
 		}
-		s.staging[id] = s.now
-		s.order(m, Order{Action: Stage, Model: next, Why: "for a later repair"})
 	}
 }
 
-// nextModel returns the model that an instance may need next: for a member of an
-// open group another one than it has, for a spare that has none the one that is
-// most wanted.
-func (s *step) nextModel(m *Member) string {
-	switch {
-	case s.serving(m):
-		return s.otherModel(m.Model)
-	case m.Membership.Group == "" && m.Model == "" && len(m.Staged) == 0 && !s.claimed(m.ID) && !s.Quiet:
-		return s.mostWanted()
+// cold tells whether an instance can join no group for want of a model.
+func (s *step) cold(m *Member) bool {
+	return m.usable() && m.Membership.Group == "" && m.Model == "" && len(m.Staged) == 0 &&
+		!s.claimed(m.ID) && s.now.Sub(m.Seen) > 2*settle
+}
+
+// stageModel orders an instance to load a model to its host, if the weight store carries it.
+func (s *step) stageModel(m *Member, model string) {
+	if m.Pending || !m.usable() || model == "" || m.HasStaged(model) || s.staging[m.ID].model != "" || !s.mayLoad() {
+		return
 	}
-	return ""
+	s.staging[m.ID] = stagingModel{model: model, since: s.now}
+	s.order(m, Order{Action: Stage, Model: model, Why: "for a later repair"})
+}
+
+// wantedIn returns the model for which one more instance of a domain is worth most.
+func (s *step) wantedIn(domain string) string {
+	able := make([]int, len(s.engine.Models))
+	for id, m := range s.byID {
+		if m.Domain != domain || !m.usable() || m.Membership.Group != "" {
+			continue
+		}
+		for i := range s.engine.Models {
+			model := &s.engine.Models[i]
+			if joinTime(m, model) < model.Load || s.staging[id].model == model.Name {
+				able[i]++
+			}
+		}
+	}
+	best, most := "", 0.0
+	for i := range s.engine.Models {
+		size := s.engine.Models[i].Size
+		part := float64(able[i]%size+1) / float64(size)
+		if worth := s.slopes[i] * part; worth > most {
+			best, most = s.engine.Models[i].Name, worth
+		}
+	}
+	return best
 }
 
-// mostWanted returns the model of which one more instance is worth most.
-func (s *step) mostWanted() string {
-	best := 0
-	for i := range s.slopes {
-		if s.slopes[i] > s.slopes[best] {
-			best = i
+// census counts what serves and what is free.
+func (s *step) census() {
+	s.plan.Serving = map[string]int{}
+	for _, f := range s.formations {
+		if f.opened && f.failed == "" {
+			s.plan.Serving[f.model]++
+		}
+	}
+	for _, id := range sortedIDs(s.byID) {
+		m := s.byID[id]
+		if m.usable() && m.Membership.Group == "" && !s.claimed(id) {
+			s.plan.Free++
+			s.plan.Spares = append(s.plan.Spares, fmt.Sprintf("%s: %s has %q and %v", m.Domain, id, m.Model, m.Staged))
 		}
 	}
-	return s.engine.Models[best].Name
 }
 
 // serving tells whether an instance belongs to an open group.
@@ -708,7 +760,10 @@
 func (s *step) forget() {
 	maps.DeleteFunc(s.ended, func(_ fleet.GroupKey, at time.Time) bool { return s.now.Sub(at) > remembered })
 	maps.DeleteFunc(s.sent, func(_ state.InstanceID, at sentAt) bool { return s.now.Sub(at.at) > remembered })
-	maps.DeleteFunc(s.staging, func(_ state.InstanceID, at time.Time) bool { return s.now.Sub(at) > remembered })
+	maps.DeleteFunc(s.staging, func(id state.InstanceID, st stagingModel) bool {
+		m := s.byID[id]
+		return m == nil || m.Gone || m.Lost || m.HasStaged(st.model) || s.now.Sub(st.since) > stageAgain
+	})
 }
 
 // otherModel returns the first model that is not the given one.
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	placeInterval = 100 * time.Millisecond
 	// orderTimeout bounds the time for an instance to answer an order.
 	orderTimeout = 800 * time.Millisecond
+	// tellInterval is the least time between two log lines on what serves.
+	tellInterval = time.Second
 	// reportMargin is added to the lag that the configuration tells of reports.
 	reportMargin = 80 * time.Millisecond
 	// askInterval is the least time between two questions to one instance.
@@ -37,6 +40,8 @@
 	asking   map[state.InstanceID]bool
 	asked    map[state.InstanceID]time.Time
 	wake     chan struct{}
+	// told is when what serves was last logged.
+	told time.Time
 }
 
 // newPlacer returns the placer of a node.
@@ -94,6 +99,7 @@
 			avoid = append(avoid, Formation{Group: key.Group, Epoch: key.Epoch})
 		}
 		watch = watch || plan.Watch
+		p.tell(now, s.Name, plan, len(members))
 		p.n.roster.SetReportLag(s.Engine.ReportLag + reportMargin)
 		p.carryOut(ctx, members, plan)
 	}
@@ -109,6 +115,27 @@
 	p.n.readListSoon(watch)
 }
 
+// tell logs now and then what serves.
+func (p *placer) tell(now time.Time, service state.ServiceName, plan placement.Plan, instances int) {
+	if now.Sub(p.told) < tellInterval {
+		return
+	}
+	p.told = now
+	p.n.log.WithFields(log.Fields{
+		"service": service, "groups": plan.Serving, "free": plan.Free, "spares": plan.Spares, "instances": instances, "failing": avoidedText(plan.Avoid),
+	}).Info("supply")
+}
+
+// avoidedText lists formations with why they take no requests.
+func avoidedText(avoid map[fleet.GroupKey]string) []string {
+	list := make([]string, 0, len(avoid))
+	for key, why := range avoid {
+		list = append(list, string(key.Group)+": "+why)
+	}
+	slices.Sort(list)
+	return list
+}
+
 // planner returns the planner of a service.
 func (p *placer) planner(s *catalog.Service) *placement.Planner {
 	p.mu.Lock()
