--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -129,11 +129,13 @@
 // step is the state of one call of Step.
 type step struct {
 	*Planner
-	now    time.Time
-	byID   map[state.InstanceID]*Member
-	groups map[fleet.GroupKey][]*Member
-	plan   Plan
-	newest state.Epoch
+	now     time.Time
+	byID    map[state.InstanceID]*Member
+	groups  map[fleet.GroupKey][]*Member
+	plan    Plan
+	newest  state.Epoch
+	domains map[string]*domain
+	supply  *supply
 	// slopes are what one more instance in groups of each model is worth.
 	slopes []float64
 }
@@ -436,6 +438,7 @@
 		}
 	}
 	stock := s.stock(alive)
+	s.supply, s.domains = stock, domains
 	s.slopes = make([]float64, len(s.engine.Models))
 	for i := range s.engine.Models {
 		s.slopes[i] = stock.gain(i, 1)
@@ -462,8 +465,10 @@
 			continue
 		}
 		list := options(len(d.free), s.able(d.free), s.engine.Models)
-		if donor := s.donor(d, stock, list); donor != nil {
-			donor.donor = s.now
+		if donors := s.donors(d, stock, list); donors != nil {
+			for _, f := range donors {
+				f.donor = s.now
+			}
 			continue
 		}
 		ready = append(ready, d)
@@ -558,36 +563,56 @@
 }
 
 // fit tells whether an instance can join a group of a model without a load from
-// the weight store; before the first request, loads are nearly free.
+// the weight store; before the first request, loads are nearly free. An instance
+// that would be quick in a group of a scarcer model is kept for that one.
 func (s *step) fit(m *Member, model *catalog.Model) bool {
-	return s.Quiet || joinTime(m, model) < model.Load || model.Load <= 0
+	if s.Quiet || model.Load <= 0 {
+		return true
+	}
+	kept := m.Model != model.Name && s.slope(m.Model) > scarcer*s.slope(model.Name)
+	return !kept && joinTime(m, model) < model.Load
 }
 
 // donorGain is what closing a group must gain for each of its instances.
 const donorGain = 0.2
 
-// donor returns the group of a domain that should be closed for its members, or nil.
-func (s *step) donor(d *domain, stock *supply, list []option) *formation {
+// donors returns the groups of a domain, two at most, that should be closed for their members.
+func (s *step) donors(d *domain, stock *supply, list []option) []*formation {
+	var best []*formation
+	least := stock.worth(s.engine.Models, stock.best(list, s.engine.Models))
+	consider := func(chosen ...*formation) {
+		if gain := s.donorWorth(d.free, stock, chosen); gain > least {
+			best, least = chosen, gain
+		}
+	}
+	for i, f := range d.groups {
+		consider(f)
+		for _, g := range d.groups[i+1:] {
+			consider(f, g)
+		}
+	}
+	return best
+}
+
+// donorWorth returns what can be formed of free instances and the members of some groups, less what these are worth.
+func (s *step) donorWorth(free []*Member, stock *supply, chosen []*formation) float64 {
 	models := s.engine.Models
-	var best *formation
-	least := stock.worth(models, stock.best(list, models))
-	for _, f := range d.groups {
-		joined, whole := s.withMembers(d.free, f)
+	before := slices.Clone(stock.have)
+	defer func() { stock.have = before }()
+	stock.have = slices.Clone(before)
+	lost := 0.0
+	for _, f := range chosen {
+		joined, whole := s.withMembers(free, f)
 		i := s.modelIndex(f.model)
 		if i < 0 || !whole {
-			continue
+			return 0
 		}
 		size := float64(len(f.members))
-		before := stock.value(i, stock.have[i])
+		lost += stock.value(i, stock.have[i]) - stock.value(i, stock.have[i]-size) + donorGain*size
 		stock.have[i] -= size
-		lost := before - stock.value(i, stock.have[i])
-		other := stock.worth(models, stock.best(options(len(joined), s.able(joined), models), models))
-		stock.have[i] += size
-		if gain := other - lost - donorGain*size; gain > least {
-			best, least = f, gain
-		}
+		free = joined
 	}
-	return best
+	return stock.worth(models, stock.best(options(len(free), s.able(free), models), models)) - lost
 }
 
 // withMembers returns instances together with the members of a formation; false if one of these is not known.
@@ -667,19 +692,33 @@
 func (s *step) stage() {
 	for _, id := range sortedIDs(s.byID) {
 		if m := s.byID[id]; s.cold(m) {
-			s.stageModel(m, s.wantedIn(m.Domain))
+			s.stageModel(m, s.wantedIn(s.domains[m.Domain], m))
 		}
 	}
-	if !s.Quiet {
-		return
-	}
 	for _, id := range sortedIDs(s.byID) {
-		if m := s.byID[id]; s.serving(m) {
-			s.stageModel(m, s.otherModel(m.Model))
+		m := s.byID[id]
+		if !s.serving(m) {
+			continue
+		}
+		other := s.otherModel(m.Model)
+		if s.Quiet || (len(s.staging) < s.engine.LoadsAtOnce/2 && s.slope(other) > scarcer*s.slope(m.Model)) {
+			s.stageModel(m, other)
 		}
 	}
 }
 
+// scarcer is how many times more one instance of a model must be worth than one
+// of another for instances to be kept for it, or to be made ready for it.
+const scarcer = 2
+
+// slope is what one more instance in groups of a model is worth.
+func (s *step) slope(model string) float64 {
+	if i := s.modelIndex(model); i >= 0 {
+		return s.slopes[i]
+	}
+	return 0
+}
+
 // cold tells whether an instance can join no group for want of a model.
 func (s *step) cold(m *Member) bool {
 	return m.usable() && m.Membership.Group == "" && m.Model == "" && len(m.Staged) == 0 &&
@@ -695,31 +734,61 @@
 	s.order(m, Order{Action: Stage, Model: model, Why: "for a later repair"})
 }
 
-// wantedIn returns the model for which one more instance of a domain is worth most.
-func (s *step) wantedIn(domain string) string {
-	able := make([]int, len(s.engine.Models))
-	for id, m := range s.byID {
-		if m.Domain != domain || !m.usable() || m.Membership.Group != "" {
-			continue
-		}
-		for i := range s.engine.Models {
-			model := &s.engine.Models[i]
-			if joinTime(m, model) < model.Load || s.staging[id].model == model.Name {
-				able[i]++
-			}
-		}
-	}
+// wantedIn returns the model that is worth most on the host of an instance: for
+// the groups that its domain could form now, and after the loss of one member of
+// each group that it holds.
+func (s *step) wantedIn(d *domain, m *Member) string {
 	best, most := "", 0.0
 	for i := range s.engine.Models {
-		size := s.engine.Models[i].Size
-		part := float64(able[i]%size+1) / float64(size)
-		if worth := s.slopes[i] * part; worth > most {
+		with := *m
+		with.Staged = []string{s.engine.Models[i].Name}
+		free := append(s.withStaging(d.free, m.ID), &with)
+		worth := s.bestWorth(free)
+		for _, f := range d.groups {
+			worth += s.worthAfterLoss(free, f) / float64(len(d.groups))
+		}
+		if worth > most {
 			best, most = s.engine.Models[i].Name, worth
 		}
 	}
 	return best
 }
 
+// withStaging returns free instances as they will be once they have loaded what they stage now, without one of them.
+func (s *step) withStaging(free []*Member, without state.InstanceID) []*Member {
+	var list []*Member
+	for _, m := range free {
+		if m.ID == without {
+			continue
+		}
+		will := *m
+		if st := s.staging[m.ID]; st.model != "" {
+			will.Staged = []string{st.model}
+		}
+		list = append(list, &will)
+	}
+	return list
+}
+
+// bestWorth returns what the best groups of some free instances are worth.
+func (s *step) bestWorth(free []*Member) float64 {
+	models := s.engine.Models
+	return s.supply.worth(models, s.supply.best(options(len(free), s.able(free), models), models))
+}
+
+// worthAfterLoss returns what can be formed of free instances and the rest of a group that loses a member.
+func (s *step) worthAfterLoss(free []*Member, f *formation) float64 {
+	joined, whole := s.withMembers(free, f)
+	i := s.modelIndex(f.model)
+	if !whole || i < 0 {
+		return 0
+	}
+	size := float64(len(f.members))
+	s.supply.have[i] -= size
+	defer func() { s.supply.have[i] += size }()
+	return s.bestWorth(joined[:len(joined)-1])
+}
+
 // census counts what serves and what is free.
 func (s *step) census() {
 	s.plan.Serving = map[string]int{}
