Plan only on memberships known as of a moment ago

Now a member counts only as known by a list read or a report asked since the takeover and in the last 1.5 s, recovered formations are completed as heads show up, and an ended formation with a head is none.

--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -18,6 +18,8 @@
 	// Orders is the number of orders taken; Counted tells that it is known.
 	Orders  int64
 	Counted bool
+	// Known tells that the membership is known as of a moment ago.
+	Known bool
 	// Lost tells that the instance does not answer, Gone that its process has ended for certain.
 	Lost bool
 	Gone bool
@@ -41,6 +43,8 @@
 	failed string
 	// opened is set once the head was seen open.
 	opened bool
+	// unknown is the number of members that no instance says it is.
+	unknown int
 	// donor is set when the group is closed so that its members can form others.
 	donor time.Time
 }
@@ -58,7 +62,9 @@
 	// orderAgain is the least time between two equal orders to an instance.
 	orderAgain = 700 * time.Millisecond
 	// headUnknown is how long members whose head was never seen stay bound to it.
-	headUnknown = 8 * time.Second
+	headUnknown = 15 * time.Second
+	// memberUnknown is how long a recovered formation may have a member that was never seen.
+	memberUnknown = 2 * time.Second
 	// stageAgain is how long an order to stage a model is trusted to be under way.
 	stageAgain = 40 * time.Second
 )
@@ -129,11 +135,13 @@
 // step is the state of one call of Step.
 type step struct {
 	*Planner
-	now     time.Time
-	byID    map[state.InstanceID]*Member
-	groups  map[fleet.GroupKey][]*Member
-	plan    Plan
-	newest  state.Epoch
+	now    time.Time
+	byID   map[state.InstanceID]*Member
+	groups map[fleet.GroupKey][]*Member
+	plan   Plan
+	newest state.Epoch
+	// headed are the formations that an instance says it is the head of.
+	headed  map[fleet.GroupKey]bool
 	domains map[string]*domain
 	supply  *supply
 	// slopes are what one more instance in groups of each model is worth.
@@ -147,6 +155,7 @@
 		now:     now,
 		byID:    make(map[state.InstanceID]*Member, len(members)),
 		groups:  map[fleet.GroupKey][]*Member{},
+		headed:  heads(members),
 		plan:    Plan{Avoid: map[fleet.GroupKey]string{}},
 	}
 	for i := range members {
@@ -167,14 +176,14 @@
 }
 
 // place counts an instance to the formation that it says it belongs to. A
-// member of a formation that has been taken apart is free; a head is not, since
-// it would have to leave again.
+// member of a formation that was taken apart is free, as long as no head says
+// that it still belongs to it.
 func (s *step) place(m *Member) {
 	key := m.Membership.Key()
 	if key.Group == "" || m.Gone {
 		return
 	}
-	if _, over := s.ended[key]; over && m.Membership.Rank > 0 {
+	if _, over := s.ended[key]; over && !s.headed[key] {
 		m.Membership = fleet.Membership{}
 		m.Stray = key
 		return
@@ -182,6 +191,17 @@
 	s.groups[key] = append(s.groups[key], m)
 }
 
+// heads returns the formations that an instance says it is the head of.
+func heads(members []Member) map[fleet.GroupKey]bool {
+	headed := map[fleet.GroupKey]bool{}
+	for i := range members {
+		if m := &members[i]; m.Membership.Group != "" && m.Membership.Rank == 0 && !m.Gone {
+			headed[m.Membership.Key()] = true
+		}
+	}
+	return headed
+}
+
 // keys returns all formations seen or remembered, the oldest first.
 func (s *step) keys() []fleet.GroupKey {
 	var keys []fleet.GroupKey
@@ -206,6 +226,9 @@
 	if f == nil {
 		f = s.recover(key)
 	}
+	if f.unknown > 0 {
+		s.complete(key, f)
+	}
 	if f.failed == "" {
 		f.failed = s.fault(key, f)
 	}
@@ -227,18 +250,35 @@
 
 // recover makes up a formation from what its members say of it.
 func (s *step) recover(key fleet.GroupKey) *formation {
-	f := &formation{since: s.now}
+	f := &formation{since: s.now, unknown: 1}
+	s.formations[key] = f
+	return f
+}
+
+// complete fills in the members of a recovered formation that were not known.
+func (s *step) complete(key fleet.GroupKey, f *formation) {
 	for _, m := range s.groups[key] {
 		if m.Model != "" {
 			f.model = m.Model
 		}
 	}
-	f.members = s.membersByRank(key)
+	for rank, id := range s.membersByRank(key) {
+		for len(f.members) <= rank {
+			f.members = append(f.members, "")
+		}
+		if f.members[rank] == "" {
+			f.members[rank] = id
+		}
+	}
 	if model := s.engine.Model(f.model); model != nil && len(f.members) < model.Size {
 		f.members = append(f.members, make([]state.InstanceID, model.Size-len(f.members))...)
 	}
-	s.formations[key] = f
-	return f
+	f.unknown = 0
+	for _, id := range f.members {
+		if id == "" {
+			f.unknown++
+		}
+	}
 }
 
 // membersByRank lists the instances that say they belong to a formation; a rank nobody has is empty.
@@ -259,13 +299,15 @@
 	for rank, id := range f.members {
 		m := s.byID[id]
 		switch {
-		case id == "" && s.now.Sub(f.since) < settle:
+		case id == "" && s.now.Sub(f.since) < memberUnknown:
 		case id == "":
 			return fmt.Sprintf("rank %d is unknown", rank)
 		case m == nil || m.Gone:
 			return fmt.Sprintf("%s is gone", id)
 		case m.Lost:
 			return fmt.Sprintf("%s does not answer", id)
+		case !m.Known:
+			s.plan.Ask = append(s.plan.Ask, id)
 		case m.Membership.Key() != key && f.opened:
 			return fmt.Sprintf("%s has left", id)
 		case m.Membership.Key() != key && s.now.After(joinBy):
@@ -349,7 +391,7 @@
 	if m.Pending || (s.sent[m.ID].sentOrder == last && s.now.Sub(s.sent[m.ID].at) < orderAgain) {
 		return
 	}
-	if o.Action == Join && !m.Counted {
+	if o.Action == Join && (!m.Counted || !m.Known) {
 		s.plan.Ask = append(s.plan.Ask, m.ID)
 		return
 	}
@@ -386,12 +428,15 @@
 // is known and certainly not serving.
 func (s *step) released(key fleet.GroupKey, f *formation, head *Member) bool {
 	switch {
-	case head == nil && f.members[0] == "":
+	case head == nil && (len(f.members) == 0 || f.members[0] == ""):
 		return s.now.Sub(f.since) > headUnknown
 	case head == nil, head.Gone:
 		return true
 	case head.Lost:
 		return false
+	case !head.Known:
+		s.plan.Ask = append(s.plan.Ask, head.ID)
+		return false
 	}
 	return !head.Pending && head.Membership.Key() != key
 }
@@ -433,7 +478,11 @@
 			d = &domain{}
 			domains[m.Domain] = d
 		}
-		if m.Membership.Group == "" && !s.claimed(id) {
+		switch {
+		case m.Membership.Group != "" || s.claimed(id):
+		case !m.Known:
+			s.plan.Ask = append(s.plan.Ask, id)
+		default:
 			d.free = append(d.free, m)
 		}
 	}
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -30,6 +30,8 @@
 	lostFailures = 2
 	// distinct is the least time between two questions that count as two.
 	distinct = 20 * time.Millisecond
+	// knownAge is the age up to which a membership counts as known.
+	knownAge = 1500 * time.Millisecond
 	// unlisted is how long an instance may be missing in the list before it must answer questions.
 	unlisted = time.Second
 	// goneMargin is added to the stall time before a silent process counts as ended.
@@ -49,6 +51,8 @@
 	// beat is when the list last showed a sign of life, changed when its word on the membership last changed.
 	beat    time.Time
 	changed time.Time
+	// reported is when the newest report was asked for.
+	reported time.Time
 	// belief is the newest word on the membership, the model and the staged models.
 	belief fleet.Instance
 	// before is the membership that the last order ended.
@@ -88,6 +92,8 @@
 	mu      sync.Mutex
 	m       map[state.InstanceID]*entry
 	version uint64
+	// listAsOf is when the question was asked that the list was last read whole with.
+	listAsOf time.Time
 }
 
 // New returns an empty Roster.
@@ -128,6 +134,24 @@
 	e.listed, e.inList = in, true
 }
 
+// Confirm takes in that the list was read up to its end by a question asked at a time.
+func (r *Roster) Confirm(asked time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if asked.After(r.listAsOf) {
+		r.listAsOf = asked
+	}
+}
+
+// known tells whether an instance's membership is known as of a moment ago and after since.
+func (r *Roster) known(e *entry, since, now time.Time) bool {
+	if e.inList && r.listAsOf.After(since) && now.Sub(r.listAsOf) < knownAge {
+		return true
+	}
+	stood := e.reported.Add(-r.cfg.ReportLag)
+	return stood.After(since) && now.Sub(stood) < knownAge
+}
+
 // Unlisted takes in that the list no longer shows an instance.
 func (r *Roster) Unlisted(id state.InstanceID, now time.Time) {
 	r.mu.Lock()
@@ -160,6 +184,9 @@
 	}
 	e.hear(rep.Asked, r)
 	stood := rep.Asked.Add(-r.cfg.ReportLag)
+	if rep.Asked.After(e.reported) {
+		e.reported = rep.Asked
+	}
 	if stood.After(e.ordered) || rep.Orders > e.orders {
 		e.orders, e.counted = rep.Orders, true
 	}
@@ -287,8 +314,8 @@
 	r.cfg.ReportLag = d
 }
 
-// Members returns the instances of a service as a planner sees them, by id.
-func (r *Roster) Members(service state.ServiceName, now time.Time) []placement.Member {
+// Members returns the instances of a service, by id, as a planner sees them that has planned since a time.
+func (r *Roster) Members(service state.ServiceName, since, now time.Time) []placement.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []placement.Member
@@ -301,6 +328,7 @@
 			Instance: e.current(),
 			Orders:   e.orders,
 			Counted:  e.counted,
+			Known:    r.known(e, since, now),
 			Lost:     e.lost(now),
 			Gone:     e.gone,
 			Pending:  e.pending,
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -408,6 +408,9 @@
 		case err == nil:
 			n.learnInstances(tail, next < 0)
 			next = tail.End
+			if tail.Whole {
+				n.roster.Confirm(asked)
+			}
 			n.storeRead(asked)
 		}
 		wait := listInterval
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -64,13 +64,13 @@
 		case <-p.n.clock.After(placeInterval):
 		case <-p.wake:
 		}
-		on, _ := p.n.peers.isPlacing()
+		on, since := p.n.peers.isPlacing()
 		c := p.n.know.Catalog()
 		if !on || c == nil {
 			p.rest()
 			continue
 		}
-		p.step(ctx, c)
+		p.step(ctx, c, since)
 	}
 }
 
@@ -83,7 +83,7 @@
 }
 
 // step plans once for every engine service.
-func (p *placer) step(ctx context.Context, c *catalog.Catalog) {
+func (p *placer) step(ctx context.Context, c *catalog.Catalog, since time.Time) {
 	now := p.n.clock.Now()
 	var avoid []Formation
 	watch := false
@@ -93,7 +93,7 @@
 		}
 		planner := p.planner(s)
 		planner.Quiet = !p.n.peers.anyArrived()
-		members := p.n.roster.Members(s.Name, now)
+		members := p.n.roster.Members(s.Name, since, now)
 		plan := planner.Step(now, members)
 		for key := range plan.Avoid {
 			avoid = append(avoid, Formation{Group: key.Group, Epoch: key.Epoch})
