--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -43,6 +43,8 @@
 	failed string
 	// opened is set once the head was seen open.
 	opened bool
+	// joined are the members that were seen in the group.
+	joined map[state.InstanceID]bool
 	// unknown is the number of members that no instance says it is.
 	unknown int
 	// donor is set when the group is closed so that its members can form others.
@@ -229,6 +231,9 @@
 	if f.unknown > 0 {
 		s.complete(key, f)
 	}
+	for _, m := range s.groups[key] {
+		f.joined[m.ID] = true
+	}
 	if f.failed == "" {
 		f.failed = s.fault(key, f)
 	}
@@ -250,7 +255,7 @@
 
 // recover makes up a formation from what its members say of it.
 func (s *step) recover(key fleet.GroupKey) *formation {
-	f := &formation{since: s.now, unknown: 1}
+	f := &formation{since: s.now, unknown: 1, joined: map[state.InstanceID]bool{}}
 	s.formations[key] = f
 	return f
 }
@@ -308,12 +313,12 @@
 			return fmt.Sprintf("%s does not answer", id)
 		case !m.Known:
 			s.plan.Ask = append(s.plan.Ask, id)
-		case m.Membership.Key() != key && f.opened:
+		case m.Membership.Key() != key && f.joined[id]:
 			return fmt.Sprintf("%s has left", id)
 		case m.Membership.Key() != key && s.now.After(joinBy):
 			return fmt.Sprintf("%s did not join", id)
-		case m.Membership.Key() != key && m.Membership.Epoch > key.Epoch:
-			return fmt.Sprintf("%s has joined another group", id)
+		case m.Membership.Key() != key && m.Membership.Group != "":
+			return fmt.Sprintf("%s is in another group", id)
 		case m.Membership.Key() == key && m.Membership.State == fleet.Broken:
 			return fmt.Sprintf("%s says broken", id)
 		case m.Membership.Key() == key && m.Membership.State == fleet.Joining && s.now.After(joinBy):
@@ -380,6 +385,9 @@
 
 // join orders an instance to become a member, if its last report still holds.
 func (s *step) join(key fleet.GroupKey, f *formation, m *Member) {
+	if m.Membership.Group != "" {
+		return
+	}
 	expect := m.Orders
 	s.order(m, Order{Action: Join, Key: key, Model: f.model, Members: f.members, Expect: &expect, Why: "forming"})
 }
@@ -724,7 +732,7 @@
 	epoch := s.next(s.newest)
 	s.newest = epoch
 	key := fleet.GroupKey{Group: state.GroupName(fmt.Sprintf("g%d", epoch)), Epoch: epoch}
-	f := &formation{model: model.Name, since: s.now}
+	f := &formation{model: model.Name, since: s.now, joined: map[state.InstanceID]bool{}}
 	for _, m := range members {
 		f.members = append(f.members, m.ID)
 	}
--- /dev/null
+++ b/coordination/placement/property_test.go
@@ -0,0 +1,47 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// Several planners at once, frozen and cut off from the list, with orders that
+// are late, lost or doubled and targets that die: no instance joins a group while
+// its own one serves, and no group opens without all of its members. Once the
+// faults end, one planner has the instances in groups again.
+func TestNoInstanceWorksTwiceUnderAnyPlanners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		w := newWorld(seed, rapid.IntRange(1, 2).Draw(t, "domains"), rapid.IntRange(4, 9).Draw(t, "targets"), 3)
+		w.place(w.nodes[0], true)
+		w.run(40 * time.Second)
+		if len(w.broken) > 0 {
+			t.Fatalf("seed %d: %v", seed, w.broken)
+		}
+		w.calm()
+		w.run(45 * time.Second)
+		if len(w.broken) > 0 {
+			t.Fatalf("seed %d, after the faults: %v", seed, w.broken)
+		}
+		alive, inGroups := w.serving()
+		if alive-inGroups > 3*2 {
+			t.Fatalf("seed %d: %d of %d instances are in groups that serve", seed, inGroups, alive)
+		}
+	})
+}
+
+// Without any fault, one planner forms groups of all instances that fit.
+func TestFormsGroupsOfAllInstances(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1, 2, 8, 1)
+	w.faults = false
+	w.place(w.nodes[0], true)
+	w.run(10 * time.Second)
+	g.Expect(w.broken).To(BeEmpty())
+	alive, inGroups := w.serving()
+	g.Expect(alive).To(Equal(16))
+	g.Expect(inGroups).To(Equal(16))
+}
--- /dev/null
+++ b/coordination/placement/world_test.go
@@ -0,0 +1,489 @@
+package placement_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// Times of the model.
+const (
+	tick      = 20 * time.Millisecond
+	beat      = 1200 * time.Millisecond
+	stall     = 4 * time.Second
+	reportLag = 200 * time.Millisecond
+	warm      = 1600 * time.Millisecond
+	form      = 300 * time.Millisecond
+)
+
+// engine is the engine service of the model.
+func engine() *catalog.Engine {
+	return &catalog.Engine{
+		Slots: 8, LoadsPerSecond: 4, LoadsAtOnce: 6, ReportLag: reportLag, Form: form,
+		Models: []catalog.Model{
+			{Name: "large", Size: 4, Share: 0.6, Pace: 1, Load: 16 * time.Second, Warm: warm},
+			{Name: "small", Size: 2, Share: 0.4, Pace: 1, Load: 12 * time.Second, Warm: warm},
+		},
+	}
+}
+
+// past is how a target stood at a time.
+type past struct {
+	at         time.Time
+	membership fleet.Membership
+	orders     int64
+}
+
+// target is a model of an engine that obeys orders as the users' engines do.
+type target struct {
+	fleet.Instance
+	dead    bool
+	orders  int64
+	newest  state.Epoch
+	members []state.InstanceID
+	history []past
+	readyAt time.Time
+	openAt  time.Time
+	shutAt  time.Time
+	stalled time.Time
+	written time.Time
+}
+
+// observer is a node with its own knowledge, that may or may not place.
+type observer struct {
+	number  state.Epoch
+	roster  *roster.Roster
+	planner *placement.Planner
+	placing bool
+	since   time.Time
+	frozen  time.Time
+	cut     bool
+	offset  int64
+	pollAt  time.Time
+	stepAt  time.Time
+}
+
+// event is something that happens later.
+type event struct {
+	at time.Time
+	do func()
+}
+
+// listing is one entry of the list; a nil instance is one that was dropped.
+type listing struct {
+	id     state.InstanceID
+	in     *fleet.Instance
+	offset int64
+}
+
+// world is a seeded run of targets, list and nodes.
+type world struct {
+	rng     *rand.Rand
+	now     time.Time
+	targets map[state.InstanceID]*target
+	list    []listing
+	nodes   []*observer
+	events  []event
+	ready   map[fleet.GroupKey]map[state.InstanceID]bool
+	faults  bool
+	next    int
+	broken  []string
+	late    float64
+	// trace, when set, is told of every order carried out.
+	trace func(text string)
+}
+
+// newWorld returns a world with some domains of targets and some nodes.
+func newWorld(seed uint64, domains, perDomain, nodes int) *world {
+	w := &world{
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		now:     time.Unix(1000, 0),
+		targets: map[state.InstanceID]*target{},
+		ready:   map[fleet.GroupKey]map[state.InstanceID]bool{},
+		faults:  true,
+		late:    0.06,
+	}
+	for d := range domains {
+		for range perDomain {
+			w.addTarget(fmt.Sprintf("d%d", d))
+		}
+	}
+	for n := range nodes {
+		w.nodes = append(w.nodes, &observer{
+			number: state.Epoch(n + 1),
+			roster: roster.New(roster.Config{Beat: beat, Stall: stall, ReportLag: reportLag + 80*time.Millisecond}),
+		})
+	}
+	return w
+}
+
+// addTarget adds an empty target that has both models staged.
+func (w *world) addTarget(domain string) {
+	w.next++
+	t := &target{Instance: fleet.Instance{
+		ID: state.InstanceID(fmt.Sprintf("i%03d", w.next)), Service: "lm", Domain: domain, Slots: 8,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(w.next >> 8), byte(w.next)}), 80),
+		Staged:  []string{"large", "small"},
+	}}
+	w.targets[t.ID] = t
+	w.changed(t)
+}
+
+// changed notes a change of a target, and writes it into the list.
+func (w *world) changed(t *target) {
+	t.history = append(t.history, past{w.now, t.Membership, t.orders})
+	w.write(t)
+}
+
+// write writes a target's entry into the list.
+func (w *world) write(t *target) {
+	in := t.Instance
+	t.written = w.now
+	w.list = append(w.list, listing{t.ID, &in, int64(len(w.list))})
+}
+
+// after plans an event.
+func (w *world) after(d time.Duration, do func()) {
+	w.events = append(w.events, event{w.now.Add(d), do})
+}
+
+// fail notes a broken rule.
+func (w *world) fail(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("%s: ", w.now.Sub(time.Unix(1000, 0)))+fmt.Sprintf(format, args...))
+}
+
+// headOf returns the living head of the group that a target belongs to, if it still is its head.
+func (w *world) headOf(t *target) *target {
+	if t.Membership.Group == "" {
+		return nil
+	}
+	head := w.targets[t.members[0]]
+	if head == nil || head.dead || head.Membership.Key() != t.Membership.Key() {
+		return nil
+	}
+	return head
+}
+
+// obey carries an order out and returns the reply.
+func (w *world) obey(t *target, o placement.Order) placement.Reply {
+	if w.trace != nil {
+		w.trace(fmt.Sprintf("%s: %s %s %s %s (%s), has %+v, took %d, expected %v", w.now.Sub(time.Unix(1000, 0)), o.Action, o.Instance,
+			o.Key.Group, o.Model, o.Why, t.Membership, t.orders, expected(o)))
+	}
+	if t.dead || (o.Expect != nil && *o.Expect != t.orders) {
+		return placement.Refused
+	}
+	if o.Action == placement.Join {
+		return w.join(t, o)
+	}
+	if o.Action == placement.Stage {
+		t.orders++
+		w.changed(t)
+		return placement.Begun
+	}
+	if t.Membership.Key() != o.Key {
+		return placement.Refused
+	}
+	switch o.Action {
+	case placement.Open:
+		if t.Membership.State != fleet.Ready {
+			return placement.Refused
+		}
+		t.openAt = w.now.Add(form)
+	case placement.Close, placement.Abort:
+		if t.Membership.State != fleet.Open && t.Membership.State != fleet.Closing {
+			return placement.Refused
+		}
+		t.Membership.State = fleet.Closing
+		t.shutAt = w.now.Add(60 * time.Millisecond)
+		if o.Action == placement.Close {
+			t.shutAt = w.now.Add(time.Second)
+		}
+	case placement.Leave:
+		t.Membership, t.members, t.openAt, t.shutAt = fleet.Membership{}, nil, time.Time{}, time.Time{}
+		t.orders++
+		w.changed(t)
+		return placement.Done
+	}
+	t.orders++
+	w.changed(t)
+	return placement.Begun
+}
+
+// expected returns the number of orders that an order expects, or -1.
+func expected(o placement.Order) int64 {
+	if o.Expect == nil {
+		return -1
+	}
+	return *o.Expect
+}
+
+// join makes a target a member, and checks that it leaves no group that serves.
+func (w *world) join(t *target, o placement.Order) placement.Reply {
+	key := o.Key
+	if t.Membership.Key() == key {
+		return placement.Done
+	}
+	if key.Epoch < t.newest {
+		return placement.Refused
+	}
+	if head := w.headOf(t); head != nil && (head.Membership.State == fleet.Open || head.Membership.State == fleet.Closing) {
+		w.fail("TWO: %s joins %s while %s of %s is %s", t.ID, key.Group, t.Membership.Group, head.ID, head.Membership.State)
+	}
+	t.newest, t.members = key.Epoch, o.Members
+	t.openAt, t.shutAt = time.Time{}, time.Time{}
+	t.Membership = fleet.Membership{Group: key.Group, Epoch: key.Epoch, Rank: slices.Index(o.Members, t.ID), State: fleet.Joining}
+	takes := warm
+	if t.Model == o.Model {
+		takes = 200 * time.Millisecond
+	}
+	t.Model = o.Model
+	t.readyAt = w.now.Add(takes)
+	t.orders++
+	w.changed(t)
+	return placement.Begun
+}
+
+// advance moves a target on by time alone.
+func (w *world) advance(t *target) {
+	if t.dead {
+		return
+	}
+	m := &t.Membership
+	switch {
+	case m.State == fleet.Joining && !w.now.Before(t.readyAt):
+		m.State = fleet.Ready
+		if w.ready[m.Key()] == nil {
+			w.ready[m.Key()] = map[state.InstanceID]bool{}
+		}
+		w.ready[m.Key()][t.ID] = true
+		w.changed(t)
+	case m.State == fleet.Ready && !t.openAt.IsZero() && !w.now.Before(t.openAt):
+		t.openAt = time.Time{}
+		m.State = fleet.Open
+		w.checkWhole(t)
+		w.changed(t)
+	case m.State == fleet.Closing && !t.shutAt.IsZero() && !w.now.Before(t.shutAt):
+		t.shutAt = time.Time{}
+		m.State = fleet.Ready
+		w.changed(t)
+	case m.State == fleet.Open:
+		w.standStill(t)
+	}
+	if w.now.Sub(t.written) >= beat {
+		w.write(t)
+	}
+}
+
+// checkWhole checks that all members of a group that opens were ready.
+func (w *world) checkWhole(t *target) {
+	for _, id := range t.members {
+		if !w.ready[t.Membership.Key()][id] {
+			w.fail("PARTIAL: %s opens %s without %s", t.ID, t.Membership.Group, id)
+		}
+	}
+}
+
+// standStill breaks a head whose members have been missing for the stall time.
+func (w *world) standStill(t *target) {
+	for _, id := range t.members {
+		m := w.targets[id]
+		if m != nil && !m.dead && m.Membership.Key() == t.Membership.Key() {
+			continue
+		}
+		if t.stalled.IsZero() {
+			t.stalled = w.now
+		}
+		if w.now.Sub(t.stalled) >= stall {
+			t.Membership.State, t.stalled = fleet.Broken, time.Time{}
+			w.changed(t)
+		}
+		return
+	}
+	t.stalled = time.Time{}
+}
+
+// stood returns how a target stood at a time.
+func (t *target) stood(at time.Time) past {
+	p := t.history[0]
+	for _, h := range t.history {
+		if !h.at.After(at) {
+			p = h
+		}
+	}
+	return p
+}
+
+// poll lets a node read the list.
+func (w *world) poll(n *observer) {
+	if n.cut {
+		return
+	}
+	for _, l := range w.list[n.offset:] {
+		if l.in == nil {
+			n.roster.Unlisted(l.id, w.now)
+			continue
+		}
+		in := *l.in
+		in.Position = l.offset
+		n.roster.Listed(in, w.now)
+	}
+	n.offset = int64(len(w.list))
+	n.roster.Confirm(w.now)
+}
+
+// ask lets a node ask a target for its report.
+func (w *world) ask(n *observer, id state.InstanceID) {
+	asked := w.now
+	t := w.targets[id]
+	if t == nil || t.dead {
+		w.after(160*time.Millisecond, func() { n.roster.Failed(id, asked) })
+		return
+	}
+	p := t.stood(asked.Add(-time.Duration(w.rng.Int64N(int64(reportLag)))))
+	rep := fleet.Report{Membership: p.membership, Model: t.Model, Staged: t.Staged, Orders: p.orders, Asked: asked}
+	w.after(4*time.Millisecond, func() { n.roster.Reported(id, rep) })
+}
+
+// step lets a node plan once and sends its orders.
+func (w *world) step(n *observer) {
+	if !n.placing || w.now.Before(n.frozen) {
+		return
+	}
+	plan := n.planner.Step(w.now, n.roster.Members("lm", n.since, w.now))
+	for _, o := range plan.Orders {
+		n.roster.Ordering(o.Instance)
+		w.send(n, o)
+	}
+	for _, id := range plan.Ask {
+		w.ask(n, id)
+	}
+	for _, in := range n.roster.Doubtful(w.now) {
+		w.ask(n, in.ID)
+	}
+}
+
+// send carries an order to its target: at once, later without an answer, or with a lost answer.
+func (w *world) send(n *observer, o placement.Order) {
+	t := w.targets[o.Instance]
+	delay := time.Duration(1+w.rng.IntN(8)) * time.Millisecond
+	if t == nil || t.dead {
+		w.after(400*time.Millisecond, func() { n.roster.Ordered(o, placement.Unanswered, w.now) })
+		return
+	}
+	if w.faults && w.rng.Float64() < w.late {
+		w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() { w.obey(t, o) })
+		w.after(800*time.Millisecond, func() { n.roster.Ordered(o, placement.Unanswered, w.now) })
+		return
+	}
+	lost := w.faults && w.rng.Float64() < w.late
+	w.after(delay, func() {
+		reply := w.obey(t, o)
+		if lost {
+			w.after(800*time.Millisecond, func() { n.roster.Ordered(o, placement.Unanswered, w.now) })
+			return
+		}
+		n.roster.Ordered(o, reply, w.now)
+	})
+}
+
+// place lets a node begin or end placing.
+func (w *world) place(n *observer, on bool) {
+	if on == n.placing {
+		return
+	}
+	n.placing, n.since = on, w.now
+	n.planner = placement.NewPlanner(engine(), func(seen state.Epoch) state.Epoch { return (seen>>20+1)<<20 | n.number })
+}
+
+// disturb brings about a fault now and then.
+func (w *world) disturb() {
+	if !w.faults || w.rng.Float64() > 0.02 {
+		return
+	}
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	switch w.rng.IntN(6) {
+	case 0, 1:
+		w.crash()
+	case 2:
+		n.frozen = w.now.Add(time.Duration(w.rng.IntN(4000)) * time.Millisecond)
+	case 3:
+		n.cut = !n.cut
+	default:
+		w.place(n, !n.placing)
+	}
+}
+
+// crash ends a target in silence, and has an empty one come.
+func (w *world) crash() {
+	ids := slices.Sorted(maps.Keys(w.targets))
+	t := w.targets[ids[w.rng.IntN(len(ids))]]
+	if t.dead {
+		return
+	}
+	t.dead = true
+	w.after(3*beat, func() { w.list = append(w.list, listing{t.ID, nil, int64(len(w.list))}) })
+	w.after(2*time.Second, func() { w.addTarget(t.Domain) })
+}
+
+// calm ends all faults: one node places, and all read the list.
+func (w *world) calm() {
+	w.faults = false
+	for i, n := range w.nodes {
+		n.cut, n.frozen = false, time.Time{}
+		w.place(n, i == 0)
+	}
+}
+
+// run lets a time pass.
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end) && len(w.broken) == 0; w.now = w.now.Add(tick) {
+		w.disturb()
+		due := w.events
+		w.events = nil
+		for _, e := range due {
+			if e.at.After(w.now) {
+				w.events = append(w.events, e)
+				continue
+			}
+			e.do()
+		}
+		for _, id := range slices.Sorted(maps.Keys(w.targets)) {
+			w.advance(w.targets[id])
+		}
+		for _, n := range w.nodes {
+			if !w.now.Before(n.pollAt) && !w.now.Before(n.frozen) {
+				w.poll(n)
+				n.pollAt = w.now.Add(80*time.Millisecond + time.Duration(w.rng.IntN(400))*time.Millisecond)
+			}
+			if !w.now.Before(n.stepAt) {
+				w.step(n)
+				n.stepAt = w.now.Add(100 * time.Millisecond)
+			}
+		}
+	}
+}
+
+// serving returns the number of living targets, and of those in groups that serve whole.
+func (w *world) serving() (alive, inGroups int) {
+	for _, t := range w.targets {
+		if t.dead {
+			continue
+		}
+		alive++
+		if t.Membership.State != fleet.Open {
+			continue
+		}
+		inGroups += len(t.members)
+	}
+	return alive, inGroups
+}
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -122,6 +122,9 @@
 	if in.Position != e.listed.Position || !e.inList {
 		e.beat = now
 	}
+	if in.Membership.Key() != e.listed.Membership.Key() {
+		e.counted = false
+	}
 	if in.Membership != e.listed.Membership || in.Model != e.listed.Model || !slices.Equal(in.Staged, e.listed.Staged) {
 		e.changed = now
 		if e.believe(in.Membership, in.Model, in.Staged, now) {
@@ -187,12 +190,13 @@
 	if rep.Asked.After(e.reported) {
 		e.reported = rep.Asked
 	}
-	if stood.After(e.ordered) || rep.Orders > e.orders {
-		e.orders, e.counted = rep.Orders, true
-	}
 	if stood.After(e.changed) && e.believe(rep.Membership, rep.Model, rep.Staged, stood) {
 		r.version++
 	}
+	// The number of orders is worth nothing without the membership that it goes with.
+	if rep.Membership.Key() == e.belief.Membership.Key() && stood.After(e.ordered) {
+		e.orders, e.counted = rep.Orders, true
+	}
 }
 
 // hear notes a sign of life that is as old as the question.
@@ -363,6 +367,7 @@
 			list = append(list, e.listed)
 		}
 	}
+	slices.SortFunc(list, func(a, b fleet.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return list
 }
 
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -152,9 +152,10 @@
 	own := p.n.set.Peer.String()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	placing := p.mayPlace()
 	var list []string
 	for a := range p.known {
-		if a == own || (p.mayPlace() && rank(a) < rank(own)) || now.Before(p.passed[a]) {
+		if a == own || (placing && rank(a) < rank(own)) || now.Before(p.passed[a]) {
 			continue
 		}
 		list = append(list, a)
@@ -163,9 +164,10 @@
 	return list
 }
 
-// mayPlace tells whether this node can place groups.
+// mayPlace tells whether this node can place groups, if not at once: until it
+// is old enough to know of all others, no node after it in the order does either.
 func (p *peers) mayPlace() bool {
-	return !p.n.stopping.Load() && p.n.clock.Since(p.n.started) > placeAfter && p.n.number.Load() > 0 && p.n.know.Catalog() != nil && !p.behindOthers()
+	return !p.n.stopping.Load() && p.n.number.Load() > 0 && p.n.know.Catalog() != nil && !p.behindOthers()
 }
 
 // behindOthers tells whether the node cannot read the store while another one lately could.
@@ -193,7 +195,7 @@
 		p.pass(address, err == nil)
 	}
 	p.mu.Lock()
-	may := p.mayPlace()
+	may := p.mayPlace() && p.n.clock.Since(p.n.started) > placeAfter
 	p.mu.Unlock()
 	p.setPlacing(may)
 	if may {
