--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -23,8 +23,9 @@
 	// Lost tells that the instance does not answer, Gone that its process has ended for certain.
 	Lost bool
 	Gone bool
-	// Pending tells that an order to it has not been answered.
-	Pending bool
+	// Pending tells that an order to it has not been answered yet, Unanswered when one last stayed without answer.
+	Pending    bool
+	Unanswered time.Time
 	// Seen is when the instance was first seen.
 	Seen time.Time
 	// Stray is the ended formation that the instance still names as its own.
@@ -43,6 +44,8 @@
 	failed string
 	// opened is set once the head was seen open.
 	opened bool
+	// own tells that this planner made the formation, so that it knows of all orders to join.
+	own bool
 	// joined are the members that were seen in the group.
 	joined map[state.InstanceID]bool
 	// unknown is the number of members that no instance says it is.
@@ -63,7 +66,8 @@
 	loadPart = 0.8
 	// orderAgain is the least time between two equal orders to an instance.
 	orderAgain = 700 * time.Millisecond
-	// headUnknown is how long members whose head was never seen stay bound to it.
+	// headUnknown is how long members whose head was never seen in the group stay
+	// bound to it. Orders may be carried out up to 12 s after they were sent.
 	headUnknown = 15 * time.Second
 	// memberUnknown is how long a recovered formation may have a member that was never seen.
 	memberUnknown = 2 * time.Second
@@ -433,7 +437,7 @@
 }
 
 // released tells whether the members of a formation may join others: its head
-// is known and certainly not serving.
+// is known, does not serve, and cannot come to serve any more.
 func (s *step) released(key fleet.GroupKey, f *formation, head *Member) bool {
 	switch {
 	case head == nil && (len(f.members) == 0 || f.members[0] == ""):
@@ -445,8 +449,23 @@
 	case !head.Known:
 		s.plan.Ask = append(s.plan.Ask, head.ID)
 		return false
+	case head.Pending || head.Membership.Key() == key:
+		return false
+	}
+	return s.neverHeads(key, f, head)
+}
+
+// neverHeads tells whether a head that is outside its group stays outside: it
+// was in it and left, has gone on to a later epoch, or no order to join can still
+// be on its way.
+func (s *step) neverHeads(key fleet.GroupKey, f *formation, head *Member) bool {
+	switch {
+	case f.joined[head.ID], head.Membership.Epoch > key.Epoch:
+		return true
+	case f.own:
+		return s.now.Sub(head.Unanswered) > headUnknown
 	}
-	return !head.Pending && head.Membership.Key() != key
+	return s.now.Sub(f.since) > headUnknown
 }
 
 // handOver closes a group with a leaving member once its requests are done.
@@ -732,7 +751,7 @@
 	epoch := s.next(s.newest)
 	s.newest = epoch
 	key := fleet.GroupKey{Group: state.GroupName(fmt.Sprintf("g%d", epoch)), Epoch: epoch}
-	f := &formation{model: model.Name, since: s.now, joined: map[state.InstanceID]bool{}}
+	f := &formation{model: model.Name, own: true, since: s.now, joined: map[state.InstanceID]bool{}}
 	for _, m := range members {
 		f.members = append(f.members, m.ID)
 	}
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -60,7 +60,8 @@
 
 // observer is a node with its own knowledge, that may or may not place.
 type observer struct {
-	number  state.Epoch
+	number  uint64
+	epochs  *placement.Epochs
 	roster  *roster.Roster
 	planner *placement.Planner
 	placing bool
@@ -119,7 +120,8 @@
 	}
 	for n := range nodes {
 		w.nodes = append(w.nodes, &observer{
-			number: state.Epoch(n + 1),
+			number: uint64(n + 1),
+			epochs: placement.NewEpochs(uint64(n + 1)),
 			roster: roster.New(roster.Config{Beat: beat, Stall: stall, ReportLag: reportLag + 80*time.Millisecond}),
 		})
 	}
@@ -374,6 +376,9 @@
 
 // send carries an order to its target: at once, later without an answer, or with a lost answer.
 func (w *world) send(n *observer, o placement.Order) {
+	if w.trace != nil {
+		w.trace(fmt.Sprintf("%s: node %d sends %s %s %s", w.now.Sub(time.Unix(1000, 0)), n.number, o.Action, o.Instance, o.Key.Group))
+	}
 	t := w.targets[o.Instance]
 	delay := time.Duration(1+w.rng.IntN(8)) * time.Millisecond
 	if t == nil || t.dead {
@@ -402,7 +407,7 @@
 		return
 	}
 	n.placing, n.since = on, w.now
-	n.planner = placement.NewPlanner(engine(), func(seen state.Epoch) state.Epoch { return (seen>>20+1)<<20 | n.number })
+	n.planner = placement.NewPlanner(engine(), n.epochs.Next)
 }
 
 // disturb brings about a fault now and then.
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -26,8 +26,6 @@
 	reportMargin = 80 * time.Millisecond
 	// askInterval is the least time between two questions to one instance.
 	askInterval = 90 * time.Millisecond
-	// numberBits is the part of an epoch that holds the number of the node that made it.
-	numberBits = 20
 )
 
 // placer has the groups of all engine services formed and repaired while the node places.
@@ -36,6 +34,7 @@
 
 	mu       sync.Mutex
 	planners map[state.ServiceName]*placement.Planner
+	epochs   *placement.Epochs
 	avoid    []Formation
 	asking   map[state.InstanceID]bool
 	asked    map[state.InstanceID]time.Time
@@ -149,11 +148,15 @@
 	return pl
 }
 
-// nextEpoch returns an epoch above one that was seen. Its low bits are the number
-// of this life of the node, so that no two nodes ever make the same.
+// nextEpoch returns an epoch above one that was seen, which no other life of a node makes.
 func (p *placer) nextEpoch(seen state.Epoch) state.Epoch {
-	number := state.Epoch(p.n.number.Load()) & (1<<numberBits - 1)
-	return (seen>>numberBits+1)<<numberBits | number
+	p.mu.Lock()
+	if p.epochs == nil {
+		p.epochs = placement.NewEpochs(uint64(p.n.number.Load()))
+	}
+	epochs := p.epochs
+	p.mu.Unlock()
+	return epochs.Next(seen)
 }
 
 // carryOut sends a plan's orders and questions.
