--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -129,9 +129,10 @@
 	}
 	if in.Membership != e.listed.Membership || in.Model != e.listed.Model || !slices.Equal(in.Staged, e.listed.Staged) {
 		e.changed = now
-		if e.believe(in.Membership, in.Model, in.Staged, now) {
-			r.version++
-		}
+	}
+	// Every entry says how the instance stands, also one that says the same again.
+	if e.believe(in.Membership, in.Model, in.Staged, now) {
+		r.version++
 	}
 	if in.Draining != e.listed.Draining || !e.inList {
 		r.version++
