Have each member of a failed group leave by itself

Ruled out: a longer wait, since a cut may last longer. Now members leave by order, each is free once it says so, and a head that cannot be reached stands still without them.

--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -23,13 +23,10 @@
 	// Lost tells that the instance does not answer, Gone that its process has ended for certain.
 	Lost bool
 	Gone bool
-	// Pending tells that an order to it has not been answered yet, Unanswered when one last stayed without answer.
-	Pending    bool
-	Unanswered time.Time
+	// Pending tells that an order to it has not been answered yet.
+	Pending bool
 	// Seen is when the instance was first seen.
 	Seen time.Time
-	// Stray is the ended formation that the instance still names as its own.
-	Stray fleet.GroupKey
 }
 
 // usable tells whether the instance can become a member of a new group.
@@ -44,8 +41,6 @@
 	failed string
 	// opened is set once the head was seen open.
 	opened bool
-	// own tells that this planner made the formation, so that it knows of all orders to join.
-	own bool
 	// joined are the members that were seen in the group.
 	joined map[state.InstanceID]bool
 	// unknown is the number of members that no instance says it is.
@@ -66,9 +61,6 @@
 	loadPart = 0.8
 	// orderAgain is the least time between two equal orders to an instance.
 	orderAgain = 700 * time.Millisecond
-	// headUnknown is how long members whose head was never seen in the group stay
-	// bound to it. Orders may be carried out up to 12 s after they were sent.
-	headUnknown = 15 * time.Second
 	// memberUnknown is how long a recovered formation may have a member that was never seen.
 	memberUnknown = 2 * time.Second
 	// stageAgain is how long an order to stage a model is trusted to be under way.
@@ -100,7 +92,6 @@
 	loads      []time.Time
 	sent       map[state.InstanceID]sentAt
 	staging    map[state.InstanceID]stagingModel
-	ended      map[fleet.GroupKey]time.Time
 	// Quiet tells that no request has come yet, so that loads are nearly free.
 	Quiet bool
 	// Shares are the models' parts of the work; nil takes the configured ones.
@@ -115,7 +106,6 @@
 		formations: map[fleet.GroupKey]*formation{},
 		sent:       map[state.InstanceID]sentAt{},
 		staging:    map[state.InstanceID]stagingModel{},
-		ended:      map[fleet.GroupKey]time.Time{},
 	}
 }
 
@@ -141,13 +131,11 @@
 // step is the state of one call of Step.
 type step struct {
 	*Planner
-	now    time.Time
-	byID   map[state.InstanceID]*Member
-	groups map[fleet.GroupKey][]*Member
-	plan   Plan
-	newest state.Epoch
-	// headed are the formations that an instance says it is the head of.
-	headed  map[fleet.GroupKey]bool
+	now     time.Time
+	byID    map[state.InstanceID]*Member
+	groups  map[fleet.GroupKey][]*Member
+	plan    Plan
+	newest  state.Epoch
 	domains map[string]*domain
 	supply  *supply
 	// slopes are what one more instance in groups of each model is worth.
@@ -161,53 +149,26 @@
 		now:     now,
 		byID:    make(map[state.InstanceID]*Member, len(members)),
 		groups:  map[fleet.GroupKey][]*Member{},
-		headed:  heads(members),
 		plan:    Plan{Avoid: map[fleet.GroupKey]string{}},
 	}
 	for i := range members {
 		m := &members[i]
 		s.byID[m.ID] = m
 		s.newest = max(s.newest, m.Membership.Epoch)
-		s.place(m)
+		if m.Membership.Group != "" && !m.Gone {
+			s.groups[m.Membership.Key()] = append(s.groups[m.Membership.Key()], m)
+		}
 	}
 	for _, key := range s.keys() {
 		s.tend(key)
 	}
 	s.form()
 	s.census()
-	s.tidy()
 	s.stage()
 	s.forget()
 	return s.plan
 }
 
-// place counts an instance to the formation that it says it belongs to. A
-// member of a formation that was taken apart is free, as long as no head says
-// that it still belongs to it.
-func (s *step) place(m *Member) {
-	key := m.Membership.Key()
-	if key.Group == "" || m.Gone {
-		return
-	}
-	if _, over := s.ended[key]; over && !s.headed[key] {
-		m.Membership = fleet.Membership{}
-		m.Stray = key
-		return
-	}
-	s.groups[key] = append(s.groups[key], m)
-}
-
-// heads returns the formations that an instance says it is the head of.
-func heads(members []Member) map[fleet.GroupKey]bool {
-	headed := map[fleet.GroupKey]bool{}
-	for i := range members {
-		if m := &members[i]; m.Membership.Group != "" && m.Membership.Rank == 0 && !m.Gone {
-			headed[m.Membership.Key()] = true
-		}
-	}
-	return headed
-}
-
 // keys returns all formations seen or remembered, the oldest first.
 func (s *step) keys() []fleet.GroupKey {
 	var keys []fleet.GroupKey
@@ -245,7 +206,7 @@
 	switch {
 	case f.failed != "":
 		s.plan.Avoid[key] = f.failed
-		s.takeApart(key, f, head)
+		s.takeApart(key, f)
 	case s.draining(f):
 		s.plan.Avoid[key] = "a member is leaving"
 		s.handOver(key, f, head)
@@ -413,59 +374,22 @@
 	s.plan.Orders = append(s.plan.Orders, o)
 }
 
-// takeApart ends a formation that cannot serve: the head closes and leaves,
-// then the members are free.
-func (s *step) takeApart(key fleet.GroupKey, f *formation, head *Member) {
-	if s.released(key, f, head) {
-		delete(s.formations, key)
-		s.ended[key] = s.now
-		for _, m := range s.groups[key] {
-			m.Membership, m.Stray = fleet.Membership{}, key
+// takeApart ends a formation that cannot serve: all of its members leave. A head
+// without one of its members stands still, so that it does not matter when it is
+// itself reached. A member is free once it says that it belongs to no group.
+func (s *step) takeApart(key fleet.GroupKey, f *formation) {
+	left := true
+	for _, m := range s.groups[key] {
+		if m.Lost {
+			continue
 		}
-		return
+		left = false
+		s.plan.Watch = true
+		s.order(m, Order{Action: Leave, Key: key, Why: f.failed})
 	}
-	if head == nil || head.Lost || head.Gone {
-		return
-	}
-	s.plan.Watch = true
-	switch head.Membership.State {
-	case fleet.Open, fleet.Closing:
-		s.order(head, Order{Action: Abort, Key: key, Why: f.failed})
-	default:
-		s.order(head, Order{Action: Leave, Key: key, Why: f.failed})
-	}
-}
-
-// released tells whether the members of a formation may join others: its head
-// is known, does not serve, and cannot come to serve any more.
-func (s *step) released(key fleet.GroupKey, f *formation, head *Member) bool {
-	switch {
-	case head == nil && (len(f.members) == 0 || f.members[0] == ""):
-		return s.now.Sub(f.since) > headUnknown
-	case head == nil, head.Gone:
-		return true
-	case head.Lost:
-		return false
-	case !head.Known:
-		s.plan.Ask = append(s.plan.Ask, head.ID)
-		return false
-	case head.Pending || head.Membership.Key() == key:
-		return false
-	}
-	return s.neverHeads(key, f, head)
-}
-
-// neverHeads tells whether a head that is outside its group stays outside: it
-// was in it and left, has gone on to a later epoch, or no order to join can still
-// be on its way.
-func (s *step) neverHeads(key fleet.GroupKey, f *formation, head *Member) bool {
-	switch {
-	case f.joined[head.ID], head.Membership.Epoch > key.Epoch:
-		return true
-	case f.own:
-		return s.now.Sub(head.Unanswered) > headUnknown
+	if left {
+		delete(s.formations, key)
 	}
-	return s.now.Sub(f.since) > headUnknown
 }
 
 // handOver closes a group with a leaving member once its requests are done.
@@ -751,7 +675,7 @@
 	epoch := s.next(s.newest)
 	s.newest = epoch
 	key := fleet.GroupKey{Group: state.GroupName(fmt.Sprintf("g%d", epoch)), Epoch: epoch}
-	f := &formation{model: model.Name, own: true, since: s.now, joined: map[state.InstanceID]bool{}}
+	f := &formation{model: model.Name, since: s.now, joined: map[state.InstanceID]bool{}}
 	for _, m := range members {
 		f.members = append(f.members, m.ID)
 	}
@@ -888,22 +812,11 @@
 	return f != nil && f.opened && f.failed == ""
 }
 
-// tidy has free instances leave the ended formations that they still name.
-func (s *step) tidy() {
-	for _, id := range sortedIDs(s.byID) {
-		m := s.byID[id]
-		if m.Stray.Group != "" && m.usable() && !s.claimed(id) {
-			s.order(m, Order{Action: Leave, Key: m.Stray, Why: "the group has ended"})
-		}
-	}
-}
-
-// remembered is how long ended formations and orders to stage are remembered.
+// remembered is how long the last order to an instance is remembered.
 const remembered = time.Minute
 
 // forget drops what is no longer needed.
 func (s *step) forget() {
-	maps.DeleteFunc(s.ended, func(_ fleet.GroupKey, at time.Time) bool { return s.now.Sub(at) > remembered })
 	maps.DeleteFunc(s.sent, func(_ state.InstanceID, at sentAt) bool { return s.now.Sub(at.at) > remembered })
 	maps.DeleteFunc(s.staging, func(id state.InstanceID, st stagingModel) bool {
 		m := s.byID[id]
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -68,8 +68,6 @@
 	goneAt    time.Time
 	pending   bool
 	ordered   time.Time
-	// unanswered is when an order last stayed without an answer.
-	unanswered time.Time
 }
 
 // believe takes in what the list or a report says of the membership, as it
@@ -272,9 +270,6 @@
 	case reply == placement.Refused || reply == placement.Unanswered:
 		e.counted = false
 		e.ordered = now
-		if reply == placement.Unanswered {
-			e.unanswered = now
-		}
 		return
 	case reply == placement.Begun:
 		e.orders++
@@ -335,15 +330,14 @@
 			continue
 		}
 		list = append(list, placement.Member{
-			Instance:   e.current(),
-			Orders:     e.orders,
-			Counted:    e.counted,
-			Known:      r.known(e, since, now),
-			Lost:       e.lost(now),
-			Gone:       e.gone,
-			Pending:    e.pending,
-			Unanswered: e.unanswered,
-			Seen:       e.seen,
+			Instance: e.current(),
+			Orders:   e.orders,
+			Counted:  e.counted,
+			Known:    r.known(e, since, now),
+			Lost:     e.lost(now),
+			Gone:     e.gone,
+			Pending:  e.pending,
+			Seen:     e.seen,
 		})
 	}
 	slices.SortFunc(list, func(a, b placement.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
