--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -56,6 +56,10 @@
 	shutAt  time.Time
 	stalled time.Time
 	written time.Time
+	// hidden is until when the target cannot write into the list.
+	hidden time.Time
+	// severed is until when a node cannot reach the target, by the node's number.
+	severed map[uint64]time.Time
 }
 
 // observer is a node with its own knowledge, that may or may not place.
@@ -131,7 +135,7 @@
 // addTarget adds an empty target that has both models staged.
 func (w *world) addTarget(domain string) {
 	w.next++
-	t := &target{Instance: fleet.Instance{
+	t := &target{severed: map[uint64]time.Time{}, Instance: fleet.Instance{
 		ID: state.InstanceID(fmt.Sprintf("i%03d", w.next)), Service: "lm", Domain: domain, Slots: 8,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(w.next >> 8), byte(w.next)}), 80),
 		Staged:  []string{"large", "small"},
@@ -148,6 +152,9 @@
 
 // write writes a target's entry into the list.
 func (w *world) write(t *target) {
+	if w.now.Before(t.hidden) {
+		return
+	}
 	in := t.Instance
 	t.written = w.now
 	w.list = append(w.list, listing{t.ID, &in, int64(len(w.list))})
@@ -347,7 +354,7 @@
 func (w *world) ask(n *observer, id state.InstanceID) {
 	asked := w.now
 	t := w.targets[id]
-	if t == nil || t.dead {
+	if !w.reaches(n, t) {
 		w.after(160*time.Millisecond, func() { n.roster.Failed(id, asked) })
 		return
 	}
@@ -374,6 +381,11 @@
 	}
 }
 
+// reaches tells whether a node reaches a target.
+func (w *world) reaches(n *observer, t *target) bool {
+	return t != nil && !t.dead && !w.now.Before(t.severed[n.number])
+}
+
 // send carries an order to its target: at once, later without an answer, or with a lost answer.
 func (w *world) send(n *observer, o placement.Order) {
 	if w.trace != nil {
@@ -381,7 +393,7 @@
 	}
 	t := w.targets[o.Instance]
 	delay := time.Duration(1+w.rng.IntN(8)) * time.Millisecond
-	if t == nil || t.dead {
+	if !w.reaches(n, t) {
 		w.after(400*time.Millisecond, func() { n.roster.Ordered(o, placement.Unanswered, w.now) })
 		return
 	}
@@ -416,9 +428,11 @@
 		return
 	}
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
-	switch w.rng.IntN(6) {
+	switch w.rng.IntN(9) {
 	case 0, 1:
 		w.crash()
+	case 7, 8:
+		w.hide(n)
 	case 2:
 		n.frozen = w.now.Add(time.Duration(w.rng.IntN(4000)) * time.Millisecond)
 	case 3:
@@ -428,6 +442,20 @@
 	}
 }
 
+// hide keeps a target from the list for a while, and maybe from one node.
+func (w *world) hide(n *observer) {
+	ids := slices.Sorted(maps.Keys(w.targets))
+	t := w.targets[ids[w.rng.IntN(len(ids))]]
+	lasts := time.Duration(1000+w.rng.IntN(8000)) * time.Millisecond
+	t.hidden = w.now.Add(lasts)
+	if w.rng.IntN(2) == 0 {
+		t.severed[n.number] = t.hidden
+	}
+	if lasts > 3*beat {
+		w.after(3*beat, func() { w.list = append(w.list, listing{t.ID, nil, int64(len(w.list))}) })
+	}
+}
+
 // crash ends a target in silence, and has an empty one come.
 func (w *world) crash() {
 	ids := slices.Sorted(maps.Keys(w.targets))
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -116,15 +116,12 @@
 		r.m[in.ID] = e
 		r.version++
 	}
-	if e.inList && in.Position < e.listed.Position {
-		return
-	}
-	if in.Position != e.listed.Position || !e.inList {
+	if e.beat.IsZero() || in.Position > e.listed.Position {
 		e.beat = now
+	} else if e.inList {
+		return
 	}
-	if in.Membership.Key() != e.listed.Membership.Key() {
-		e.counted = false
-	}
+	before := e.belief.Membership.Key()
 	if in.Membership != e.listed.Membership || in.Model != e.listed.Model || !slices.Equal(in.Staged, e.listed.Staged) {
 		e.changed = now
 	}
@@ -132,6 +129,10 @@
 	if e.believe(in.Membership, in.Model, in.Staged, now) {
 		r.version++
 	}
+	// The number of orders is worth nothing without the membership that it was told with.
+	if e.belief.Membership.Key() != before {
+		e.counted = false
+	}
 	if in.Draining != e.listed.Draining || !e.inList {
 		r.version++
 	}
@@ -147,9 +148,11 @@
 	}
 }
 
-// known tells whether an instance's membership is known as of a moment ago and after since.
+// known tells whether an instance's membership is known as of a moment ago and
+// after since: by the list, if the instance itself has lately written its entry, or by a report.
 func (r *Roster) known(e *entry, since, now time.Time) bool {
-	if e.inList && r.listAsOf.After(since) && now.Sub(r.listAsOf) < knownAge {
+	lately := now.Sub(e.beat) < r.cfg.Beat+r.cfg.Beat/2
+	if e.inList && lately && r.listAsOf.After(since) && now.Sub(r.listAsOf) < knownAge {
 		return true
 	}
 	stood := e.reported.Add(-r.cfg.ReportLag)
@@ -194,7 +197,6 @@
 	if stood.After(e.changed) && e.believe(rep.Membership, rep.Model, rep.Staged, stood) {
 		r.version++
 	}
-	// The number of orders is worth nothing without the membership that it goes with.
 	if rep.Membership.Key() == e.belief.Membership.Key() && stood.After(e.ordered) {
 		e.orders, e.counted = rep.Orders, true
 	}
