--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -180,6 +180,15 @@
 	return (*t.pools.Load())[key{service, model}]
 }
 
+// fullAt is the part of its places up to which an instance is given new requests:
+// beyond it a request waits so long for its first event that it is better refused.
+const fullAt = 1.0
+
+// Full tells whether an instance should be given no new request.
+func (c *Candidate) Full() bool {
+	return c.Size > 0 && float64(c.Load()) >= fullAt*float64(c.Slots)
+}
+
 // farCost is what another data hall adds to the cost.
 const farCost = 0.03
 
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -17,7 +17,7 @@
 )
 
 // Budget bounds retries to a fraction of the first attempts, so that a failing
-// back end is not buried under repeats; safe for concurrent use.
+// target is not buried under repeats; safe for concurrent use.
 type Budget struct {
 	mu     sync.Mutex
 	ratio  float64
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		planner := p.planner(s)
-		planner.Quiet = !p.n.peers.anyArrived()
+		planner.Quiet = p.n.set.FirstStart && !p.n.peers.anyArrived()
 		members := p.n.roster.Members(s.Name, since, now)
 		plan := planner.Step(now, members)
 		for key := range plan.Avoid {
--- a/transport/entry/settings.go
+++ b/transport/entry/settings.go
@@ -25,6 +25,8 @@
 	Store netip.AddrPort
 	// Seeds are peers that may be there at the start.
 	Seeds []netip.AddrPort
+	// FirstStart tells that the whole system starts for the first time.
+	FirstStart bool
 	// BeatInterval is the time between two entries that an instance writes into the list.
 	BeatInterval time.Duration
 	// StopWithin is how long a planned stop may take.
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -43,6 +43,9 @@
 	// resumeWait is how long a begun stream waits for a group to go on at.
 	resumeWait = 1500 * time.Millisecond
 	resumeStep = 50 * time.Millisecond
+	// overloadedFor is when a caller is told to come back where all groups are full, repairFor where there is none.
+	overloadedFor = 700 * time.Millisecond
+	repairFor     = 1200 * time.Millisecond
 )
 
 // serve sends a request to instances until one has answered, or returns why it was given up.
@@ -58,6 +61,9 @@
 		if target == nil {
 			return c.noTarget()
 		}
+		if c.sends == 0 && target.Full() {
+			return refusedAt(CodeOverloaded, overloadedFor)
+		}
 		if c.sends > 0 && !c.budget.Take(c.Clock.Now()) {
 			c.Recorder.Count("retry.no-budget")
 			return c.giveUp(CodeRefused)
@@ -131,7 +137,7 @@
 // noTarget returns the refusal of a request that no instance can take.
 func (c *call) noTarget() *refusal {
 	if c.sends == 0 {
-		return refusedAt(CodeNoTarget, comeBack)
+		return refusedAt(CodeNoTarget, repairFor)
 	}
 	return c.giveUp(CodeUnreachable)
 }
--- /dev/null
+++ b/transport/gateway/standin_test.go
@@ -0,0 +1,291 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/retry"
+	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/protocol/direct"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+	"github.com/troutmast/troutmast/transport/gateway"
+)
+
+// dialect is a stand-in for a platform's names.
+type dialect struct{}
+
+func (dialect) Parse(h http.Header) (gateway.Claims, error) {
+	ms, _ := strconv.Atoi(h.Get("Patience"))
+	c := gateway.Claims{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), LastEvent: h.Get("Last"), Patience: time.Duration(ms) * time.Millisecond}
+	if c.ID == "" {
+		return c, gateway.ErrNoID
+	}
+	return c, nil
+}
+
+func (dialect) Forward(h http.Header, f gateway.Forward) {
+	h.Del("Key")
+	h.Set("For", string(f.Instance))
+	h.Set("Left", strconv.FormatInt(f.Left.Milliseconds(), 10))
+	if f.LastEvent != "" {
+		h.Set("Last", f.LastEvent)
+	}
+}
+
+func (dialect) Belongs(h http.Header, id string) bool { return h.Get("Id") == id }
+
+func (dialect) Verdict(status int, h http.Header) gateway.Verdict {
+	return gateway.Verdict{NotRun: h.Get("Not-Run") != "", Sealed: h.Get("Seal") != ""}
+}
+
+func (dialect) Status(c gateway.Code) int {
+	switch c {
+	case gateway.CodeBadRequest:
+		return http.StatusBadRequest
+	case gateway.CodeNoRoute:
+		return http.StatusNotFound
+	case gateway.CodeBadKey:
+		return http.StatusUnauthorized
+	case gateway.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case gateway.CodeTimeout:
+		return http.StatusGatewayTimeout
+	case gateway.CodeBroken:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+func (dialect) RetryAfter(h http.Header, d time.Duration) {
+	h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+}
+
+func (dialect) Echo(h http.Header, id string) { h.Set("Id", id) }
+
+// knowledge gives a fixed catalog.
+type knowledge struct {
+	c     *catalog.Catalog
+	stale bool
+}
+
+func (k *knowledge) Catalog() *catalog.Catalog { return k.c }
+func (k *knowledge) KeysFresh() bool           { return !k.stale }
+
+// health remembers what it is told.
+type health struct {
+	mu        sync.Mutex
+	failed    []state.InstanceID
+	suspected int
+}
+
+func (h *health) Heard(state.InstanceID, time.Time) {}
+func (h *health) Replaced(state.InstanceID)         {}
+func (h *health) Failed(id state.InstanceID, _ time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failed = append(h.failed, id)
+}
+func (h *health) Suspect(*dispatch.Candidate) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.suspected++
+}
+
+// recorder counts decisions.
+type recorder struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (r *recorder) Count(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[name]++
+}
+func (r *recorder) Decide(string, string, map[string]any) {}
+
+// lab is a gateway before stand-in instances.
+type lab struct {
+	t       *testing.T
+	gate    *gateway.Gateway
+	front   *httptest.Server
+	table   *dispatch.Table
+	know    *knowledge
+	health  *health
+	counts  *recorder
+	views   []roster.View
+	journal *journal
+}
+
+// journal notes which instance ran which request.
+type journal struct {
+	mu   sync.Mutex
+	runs []run
+}
+
+type run struct {
+	instance, id, last, body string
+	header                   http.Header
+}
+
+func (j *journal) add(r run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs = append(j.runs, r)
+}
+
+func (j *journal) all() []run {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]run(nil), j.runs...)
+}
+
+// newLab returns a lab whose routes are /safe/, /unsafe/, /stream/, /once/ (a stream that cannot go on elsewhere) and /public/.
+func newLab(t *testing.T) *lab {
+	route := func(name string, kind catalog.RouteKind, service state.ServiceName) catalog.Route {
+		return catalog.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second, MaxAttempts: 2,
+			Shares: []catalog.Share{{Service: service, Weight: 1}}, Resumable: name == "stream",
+		}
+	}
+	public := route("public", catalog.Safe, "plain")
+	public.Public = true
+	routes := []catalog.Route{
+		route("safe", catalog.Safe, "plain"), route("unsafe", catalog.Unsafe, "plain"),
+		route("stream", catalog.Stream, "lm"), route("once", catalog.Stream, "lm"), public,
+	}
+	engine := &catalog.Engine{Slots: 4, Models: []catalog.Model{{Name: "m", Size: 1, Pace: 1}}}
+	services := []catalog.Service{{Name: "plain"}, {Name: "lm", Engine: engine}}
+	teams := map[string]*catalog.Team{"k": {Name: "team"}}
+	l := &lab{
+		t: t, know: &knowledge{c: catalog.New(1, routes, services, teams, catalog.Limits{BodyBytes: 1000})},
+		health: &health{}, counts: &recorder{counts: map[string]int{}}, table: dispatch.NewTable("hall"), journal: &journal{},
+	}
+	clock := clockwork.NewRealClock()
+	l.gate = gateway.New(gateway.Options{
+		Clock: clock, Dialect: dialect{}, Catalogs: l.know, Table: l.table, Health: l.health, Recorder: l.counts,
+		Pool:  direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now),
+		Retry: retry.Bounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+	})
+	l.front = httptest.NewServer(l.gate)
+	t.Cleanup(l.front.Close)
+	return l
+}
+
+// instance adds an instance whose requests a function answers; h notes the run and echoes the id first.
+func (l *lab) instance(id string, service state.ServiceName, answer http.HandlerFunc) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		l.journal.add(run{instance: id, id: r.Header.Get("Id"), last: r.Header.Get("Last"), body: string(body), header: r.Header.Clone()})
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "seal-of-"+id)
+		answer(w, r)
+	}))
+	l.t.Cleanup(srv.Close)
+	l.at(id, service, netip.MustParseAddrPort(srv.Listener.Addr().String()))
+}
+
+// at adds an instance at an address.
+func (l *lab) at(id string, service state.ServiceName, at netip.AddrPort) {
+	in := fleet.Instance{ID: state.InstanceID(id), Service: service, Address: at, Hall: "hall", Slots: 4}
+	if service == "lm" {
+		in.Model = "m"
+		in.Membership = fleet.Membership{Group: state.GroupName("g-" + id), Epoch: 1, State: fleet.Open}
+	}
+	l.views = append(l.views, roster.View{Instance: in})
+	l.table.Update(l.know.c, l.views, func(fleet.GroupKey) bool { return false })
+}
+
+// deadAddress returns an address at which nothing listens.
+func deadAddress(t *testing.T) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends a request with a key and a model, and reads the whole answer.
+func (l *lab) call(method, path, body string, header map[string]string) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return l.callWith(ctx, method, path, body, header)
+}
+
+func (l *lab) callWith(ctx context.Context, method, path, body string, header map[string]string) answer {
+	var in io.Reader
+	if body != "" {
+		in = &onlyReader{s: body}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, l.front.URL+path, in)
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = "h"
+	for name, value := range map[string]string{"Id": "r1", "Key": "k", "Model": "m", "Patience": "2000"} {
+		req.Header.Set(name, value)
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(text), err}
+}
+
+// onlyReader sends a body in chunks.
+type onlyReader struct{ s string }
+
+func (r *onlyReader) Read(p []byte) (int, error) {
+	if r.s == "" {
+		return 0, io.EOF
+	}
+	n := copy(p, r.s)
+	r.s = r.s[n:]
+	return n, nil
+}
+
+// events writes events with ids from first to last, and waits for the next to be wanted.
+func events(w http.ResponseWriter, first, last int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := first; i <= last; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x%d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// cut closes the connection of an answer without an end.
+func cut(w http.ResponseWriter) {
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = buf.Flush()
+		_ = conn.Close()
+	}
+}
