Pass on the events before one that is out of order

Cause: events read together with a later one that was out of order were not written, but counted as sent, so that a run elsewhere would have gone on after them.

--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -71,34 +71,39 @@
 
 // pass writes the whole events at the front of what was read and returns the rest.
 func (c *call) pass(pending []byte, resp *direct.Response, now time.Time) ([]byte, error) {
+	end, fault := c.take(pending)
+	if end == 0 {
+		return pending, fault
+	}
+	c.begin(resp)
+	if _, err := c.w.Write(pending[:end]); err != nil {
+		return nil, errCaller
+	}
+	if err := http.NewResponseController(c.w).Flush(); err != nil {
+		return nil, errCaller
+	}
+	c.moved = now
+	return pending[end:], fault
+}
+
+// take returns the length of the whole events at the front of what was read, up
+// to one that does not follow the event before it.
+func (c *call) take(pending []byte) (int, error) {
 	end := 0
 	for {
 		n := eventEnd(pending[end:])
 		if n == 0 {
-			break
+			return end, nil
 		}
-		id := eventID(pending[end : end+n])
-		if id != "" {
-			if !follows(c.lastEvent, id) && c.events > 0 {
-				return nil, errOrder
+		if id := eventID(pending[end : end+n]); id != "" {
+			if c.events > 0 && !follows(c.lastEvent, id) {
+				return end, errOrder
 			}
 			c.lastEvent = id
 		}
 		c.events++
 		end += n
 	}
-	if end == 0 {
-		return pending, nil
-	}
-	c.begin(resp)
-	if _, err := c.w.Write(pending[:end]); err != nil {
-		return nil, errCaller
-	}
-	if err := http.NewResponseController(c.w).Flush(); err != nil {
-		return nil, errCaller
-	}
-	c.moved = now
-	return pending[end:], nil
 }
 
 // begin writes the head of the stream, once.
