--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -182,7 +182,7 @@
 
 // fullAt is the part of its places up to which an instance is given new requests:
 // beyond it a request waits so long for its first event that it is better refused.
-const fullAt = 100.0
+const fullAt = 0.85
 
 // Full tells whether an instance should be given no new request.
 func (c *Candidate) Full() bool {
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -54,7 +54,7 @@
 	Version int64       `json:"version"`
 	AgeMS   int64       `json:"age"`
 	Config  []byte      `json:"config,omitempty"`
-	// Quiet tells that no request has come yet.
+	// Arrived tells that some node has had requests.
 	Arrived bool `json:"arrived,omitempty"`
 }
 
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -281,6 +281,9 @@
 	for _, e := range a.Nodes {
 		p.learn(e)
 	}
+	p.mu.Lock()
+	p.arrived = p.arrived || a.Arrived
+	p.mu.Unlock()
 	n.setAvoid(a.Avoid)
 	n.table.SetOthers(minus(a.Held, n.table.Held()))
 	n.gate.SetNodes(len(a.Nodes))
@@ -316,6 +319,7 @@
 			a.Held[id] += held
 		}
 		a.Avoid = n.placer.avoiding()
+		a.Arrived = p.anyArrived()
 	}
 	return connect.NewResponse(a), nil
 }
