--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -139,6 +139,28 @@
 	e.listed, e.inList = in, true
 }
 
+// Relayed takes in what another node knows of an instance, unless this node has read something newer itself.
+func (r *Roster) Relayed(in fleet.Instance, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.m[in.ID]
+	if e == nil {
+		e = &entry{seen: now, changed: now, belief: in}
+		r.m[in.ID] = e
+	}
+	if in.Position < e.listed.Position {
+		return
+	}
+	if in.Position > e.listed.Position {
+		e.beat = now
+	}
+	e.listed, e.inList = in, true
+	if e.believe(in.Membership, in.Model, in.Staged, now) {
+		e.counted = false
+	}
+	r.version++
+}
+
 // Confirm takes in that the list was read up to its end by a question asked at a time.
 func (r *Roster) Confirm(asked time.Time) {
 	r.mu.Lock()
--- /dev/null
+++ b/transport/entry/beliefs.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// beliefInterval is the time between two looks at what the node depends on.
+const beliefInterval = 200 * time.Millisecond
+
+// storeLostAfter is the age of the last read of the store at which it counts as lost.
+const storeLostAfter = 2 * time.Second
+
+// beliefs remembers what the node last logged of what it depends on and believes.
+type beliefs struct {
+	store, keys, ready bool
+	instances          map[state.InstanceID]belief
+}
+
+// belief is what the node last logged of one instance.
+type belief struct {
+	lost, draining bool
+	membership     fleet.Membership
+}
+
+// watchBeliefs logs every dependency that is lost or regained, and every change of what is believed of instances.
+func (n *Node) watchBeliefs(ctx context.Context) {
+	b := &beliefs{instances: map[state.InstanceID]belief{}}
+	for n.sleep(ctx, beliefInterval) {
+		n.logDependency("store", &b.store, n.storeAge() < storeLostAfter, n.storeAge())
+		age, _ := n.know.Age()
+		n.logDependency("fresh keys", &b.keys, n.know.KeysFresh(), age)
+		n.logDependency("readiness", &b.ready, n.isReady(), 0)
+		n.logInstances(b, n.roster.All(n.clock.Now()))
+	}
+}
+
+// logDependency logs a change of whether something is there.
+func (n *Node) logDependency(name string, was *bool, is bool, age time.Duration) {
+	if *was == is {
+		return
+	}
+	*was = is
+	event := "dependency lost"
+	if is {
+		event = "dependency regained"
+	}
+	n.Count("dependency." + name + "." + map[bool]string{true: "regained", false: "lost"}[is])
+	n.log.WithFields(log.Fields{"dependency": name, "age_ms": age.Milliseconds()}).Info(event)
+}
+
+// logInstances logs what changed of the instances.
+func (n *Node) logInstances(b *beliefs, views []roster.View) {
+	seen := make(map[state.InstanceID]bool, len(views))
+	for i := range views {
+		v := &views[i]
+		seen[v.ID] = true
+		is := belief{lost: v.Lost, draining: v.Draining, membership: v.Membership}
+		was, known := b.instances[v.ID]
+		if known && was == is {
+			continue
+		}
+		b.instances[v.ID] = is
+		if !known && is == (belief{}) {
+			continue
+		}
+		n.log.WithFields(log.Fields{
+			"instance": v.ID, "lost": is.lost, "draining": is.draining, "group": is.membership.Group, "epoch": is.membership.Epoch,
+			"rank": is.membership.Rank, "state": is.membership.State, "position": v.Position, "address": v.Address.String(),
+		}).Debug("instance")
+	}
+	for id := range b.instances {
+		if !seen[id] {
+			delete(b.instances, id)
+			n.log.WithField("instance", id).Info("instance ended")
+		}
+	}
+}
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // NodeEntry is what a node writes into the store of itself, and what nodes tell each other of nodes.
@@ -34,6 +35,8 @@
 	Version int64  `json:"version"`
 	AgeMS   int64  `json:"age"`
 	Config  []byte `json:"config,omitempty"`
+	// Blind asks for the instances: the node cannot read the list itself.
+	Blind bool `json:"blind,omitempty"`
 	// StoreMS is how long ago the node's last read of the store was asked.
 	StoreMS int64 `json:"store"`
 }
@@ -47,22 +50,21 @@
 	// Held are the requests that all nodes hold at each instance.
 	Held map[state.InstanceID]int `json:"held,omitempty"`
 	// Avoid are formations that must not be sent new requests.
-	Avoid    []Formation `json:"avoid,omitempty"`
-	Suspects []Suspicion `json:"suspects,omitempty"`
-	// Heads are the groups that serve, as the placing node knows them.
-	Heads   []Formation `json:"heads,omitempty"`
-	Version int64       `json:"version"`
-	AgeMS   int64       `json:"age"`
-	Config  []byte      `json:"config,omitempty"`
+	Avoid []Formation `json:"avoid,omitempty"`
+	// Version, AgeMS and Config tell of the configuration in force at the placing node, which a node behind it takes over.
+	Version int64  `json:"version"`
+	AgeMS   int64  `json:"age"`
+	Config  []byte `json:"config,omitempty"`
+	// Instances are what the placing node knows, for a node that cannot read the list.
+	Instances []fleet.Instance `json:"instances,omitempty"`
 	// Arrived tells that some node has had requests.
 	Arrived bool `json:"arrived,omitempty"`
 }
 
 // Formation names one formation of a group.
 type Formation struct {
-	Group state.GroupName  `json:"g"`
-	Epoch state.Epoch      `json:"e"`
-	Head  state.InstanceID `json:"h,omitempty"`
+	Group state.GroupName `json:"g"`
+	Epoch state.Epoch     `json:"e"`
 }
 
 // age returns an age in whole milliseconds, rounded up so that it never looks younger.
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -138,6 +138,7 @@
 		n.followInstances,
 		n.register,
 		n.rebuild,
+		n.watchBeliefs,
 		n.peers.run,
 		n.peers.follow,
 		n.placer.run,
@@ -298,10 +299,8 @@
 // setAvoid takes in the formations that take no new requests.
 func (n *Node) setAvoid(list []Formation) {
 	next := make(map[fleet.GroupKey]bool, len(list))
-	heads := make([]state.InstanceID, 0, len(list))
 	for _, f := range list {
 		next[fleet.GroupKey{Group: f.Group, Epoch: f.Epoch}] = true
-		heads = append(heads, f.Head)
 	}
 	n.mu.Lock()
 	same := len(next) == len(n.avoid)
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -18,6 +18,7 @@
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // wordProcedure is the path of a node's word to the placing node.
@@ -57,6 +58,8 @@
 	since time.Time
 	// arrived tells that some node has had requests.
 	arrived bool
+	// version is that of the configuration at the placing node, as last heard.
+	version int64
 }
 
 // heardWord is the last word of a node.
@@ -186,10 +189,11 @@
 // round tells the first node that places; if there is none before this one, this one does.
 func (p *peers) round(ctx context.Context) {
 	for _, address := range p.candidates(p.n.clock.Now()) {
+		asked := p.n.clock.Now()
 		ans, err := p.tell(ctx, address)
 		if err == nil && ans.Placing {
 			p.setPlacing(false)
-			p.take(ans)
+			p.take(ans, asked)
 			return
 		}
 		p.pass(address, err == nil)
@@ -268,16 +272,57 @@
 	if n.gate.Arrived() > 0 {
 		w.Arrived = map[state.ServiceName]map[string]int{}
 	}
-	_, w.Version = n.know.Raw()
+	raw, version := n.know.Raw()
+	w.Version = version
+	if heard := p.heardVersion(); heard > 0 && version > heard {
+		w.Config = raw
+	}
+	w.Blind = n.storeAge() > storeStale
 	if a, ok := n.know.Age(); ok {
 		w.AgeMS = age(a)
 	}
 	return w
 }
 
+// heardVersion returns the version of the configuration at the placing node, as last heard.
+func (p *peers) heardVersion() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.version
+}
+
+// takeConfig takes in the placing node's configuration. What it knew was that old
+// when it answered, so it is at most that much older than the question.
+func (p *peers) takeConfig(a *Answer, asked time.Time) {
+	n := p.n
+	p.mu.Lock()
+	p.version = a.Version
+	p.mu.Unlock()
+	if len(a.Config) > 0 {
+		n.learnConfig(a.Config, "peer")
+	}
+	if _, version := n.know.Raw(); version == a.Version && version > 0 {
+		n.know.Confirm(asked.Add(-time.Duration(a.AgeMS) * time.Millisecond))
+	}
+}
+
+// takeInstances takes in what the placing node knows of the instances.
+func (p *peers) takeInstances(list []fleet.Instance) {
+	if len(list) == 0 {
+		return
+	}
+	now := p.n.clock.Now()
+	for _, in := range list {
+		p.n.roster.Relayed(in, now)
+	}
+	p.n.touch()
+}
+
 // take takes in what the placing node told; asked is when it was asked.
-func (p *peers) take(a *Answer) {
+func (p *peers) take(a *Answer, asked time.Time) {
 	n := p.n
+	p.takeConfig(a, asked)
+	p.takeInstances(a.Instances)
 	for _, e := range a.Nodes {
 		p.learn(e)
 	}
@@ -309,6 +354,7 @@
 	p.arrived = p.arrived || w.Arrived != nil
 	a := &Answer{Placing: p.mayPlace()}
 	p.mu.Unlock()
+	n.learnConfig(w.Config, "peer")
 	for _, s := range w.Suspects {
 		n.placer.suspect(s.Instance, now.Add(-time.Duration(s.AgeMS)*time.Millisecond))
 	}
@@ -320,10 +366,28 @@
 		}
 		a.Avoid = n.placer.avoiding()
 		a.Arrived = p.anyArrived()
+		p.giveConfig(a, w)
+		if w.Blind && n.storeAge() < storeStale {
+			for _, v := range n.roster.All(now) {
+				a.Instances = append(a.Instances, v.Instance)
+			}
+		}
 	}
 	return connect.NewResponse(a), nil
 }
 
+// giveConfig tells the configuration in force here, whole to a node that is behind.
+func (p *peers) giveConfig(a *Answer, w *Word) {
+	raw, version := p.n.know.Raw()
+	a.Version, a.AgeMS = version, age(time.Hour)
+	if d, ok := p.n.know.Age(); ok {
+		a.AgeMS = age(d)
+	}
+	if w.Version < version {
+		a.Config = raw
+	}
+}
+
 // alive returns the nodes that were heard of lately.
 func (p *peers) alive() []NodeEntry {
 	p.mu.Lock()
