--- a/coordination/placement/epochs.go
+++ b/coordination/placement/epochs.go
@@ -29,3 +29,20 @@
 	e.highest = (max(seen, e.highest)>>numberBits+1)<<numberBits | e.number
 	return e.highest
 }
+
+// seenStep is by how many epochs a node goes on when an instance has seen one that the node has not.
+const seenStep = 64
+
+// Behind goes on past epochs that some instance has seen and this node has not.
+func (e *Epochs) Behind() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.highest += seenStep << numberBits
+}
+
+// Observe takes in an epoch that was seen.
+func (e *Epochs) Observe(seen state.Epoch) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.highest = max(e.highest, seen)
+}
--- a/coordination/placement/order.go
+++ b/coordination/placement/order.go
@@ -57,4 +57,6 @@
 	Done Reply = "done"
 	// Refused orders change nothing.
 	Refused Reply = "refused"
+	// Superseded orders change nothing: the instance has seen a later epoch, or the same one with other members.
+	Superseded Reply = "superseded"
 )
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -25,6 +25,8 @@
 	Gone bool
 	// Pending tells that an order to it has not been answered yet.
 	Pending bool
+	// Superseded is the formation that it last refused to join for a later one.
+	Superseded fleet.GroupKey
 	// Seen is when the instance was first seen.
 	Seen time.Time
 }
@@ -276,6 +278,8 @@
 			return fmt.Sprintf("%s is gone", id)
 		case m.Lost:
 			return fmt.Sprintf("%s does not answer", id)
+		case m.Superseded == key:
+			return fmt.Sprintf("%s has seen a later epoch", id)
 		case !m.Known:
 			s.plan.Ask = append(s.plan.Ask, id)
 		case m.Membership.Key() != key && f.joined[id]:
@@ -695,20 +699,27 @@
 			s.stageModel(m, s.wantedIn(s.domains[m.Domain], m))
 		}
 	}
+	s.stageOther(s.idle, s.engine.LoadsAtOnce)
+	s.stageOther(s.serving, max(s.engine.LoadsAtOnce/2, 1))
+}
+
+// stageOther has instances of a kind load another model than they have, while
+// fewer than a number load.
+func (s *step) stageOther(kind func(m *Member) bool, most int) {
 	for _, id := range sortedIDs(s.byID) {
-		m := s.byID[id]
-		if !s.serving(m) {
-			continue
-		}
-		other := s.otherModel(m.Model)
-		if s.Quiet || (len(s.staging) < s.engine.LoadsAtOnce/2 && s.slope(other) > scarcer*s.slope(m.Model)) {
-			s.stageModel(m, other)
+		if m := s.byID[id]; kind(m) && (s.Quiet || len(s.staging) < most) {
+			s.stageModel(m, s.otherModel(m.Model))
 		}
 	}
 }
 
+// idle tells whether an instance that has had a model is in no group.
+func (s *step) idle(m *Member) bool {
+	return m.usable() && m.Membership.Group == "" && m.Model != "" && !s.claimed(m.ID)
+}
+
 // scarcer is how many times more one instance of a model must be worth than one
-// of another for instances to be kept for it, or to be made ready for it.
+// of another for instances to be kept for it.
 const scarcer = 2
 
 // slope is what one more instance in groups of a model is worth.
--- a/coordination/placement/property_test.go
+++ b/coordination/placement/property_test.go
@@ -45,3 +45,19 @@
 	g.Expect(alive).To(Equal(16))
 	g.Expect(inGroups).To(Equal(16))
 }
+
+// Instances that have seen later epochs than the planner refuse its first groups;
+// it goes on past those epochs instead of asking again and again.
+func TestAPlannerThatIsBehindGetsAhead(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1, 1, 8, 1)
+	w.faults = false
+	for _, target := range w.targets {
+		target.newest = 200 << 20
+	}
+	w.place(w.nodes[0], true)
+	w.run(20 * time.Second)
+	g.Expect(w.broken).To(BeEmpty())
+	_, inGroups := w.serving()
+	g.Expect(inGroups).To(Equal(8))
+}
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -243,7 +243,7 @@
 		return placement.Done
 	}
 	if key.Epoch < t.newest {
-		return placement.Refused
+		return placement.Superseded
 	}
 	if head := w.headOf(t); head != nil && (head.Membership.State == fleet.Open || head.Membership.State == fleet.Closing) {
 		w.fail("TWO: %s joins %s while %s of %s is %s", t.ID, key.Group, t.Membership.Group, head.ID, head.Membership.State)
@@ -344,6 +344,7 @@
 		}
 		in := *l.in
 		in.Position = l.offset
+		n.epochs.Observe(in.Membership.Epoch)
 		n.roster.Listed(in, w.now)
 	}
 	n.offset = int64(len(w.list))
@@ -410,6 +411,9 @@
 			return
 		}
 		n.roster.Ordered(o, reply, w.now)
+		if reply == placement.Superseded {
+			n.epochs.Behind()
+		}
 	})
 }
 
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -68,6 +68,8 @@
 	goneAt    time.Time
 	pending   bool
 	ordered   time.Time
+	// superseded is the formation that the instance last refused to join for a later one.
+	superseded fleet.GroupKey
 }
 
 // believe takes in what the list or a report says of the membership, as it
@@ -291,6 +293,9 @@
 	}
 	e.pending = false
 	switch {
+	case reply == placement.Superseded:
+		e.superseded = o.Key
+		return
 	case reply == placement.Refused || reply == placement.Unanswered:
 		e.counted = false
 		e.ordered = now
@@ -354,14 +359,15 @@
 			continue
 		}
 		list = append(list, placement.Member{
-			Instance: e.current(),
-			Orders:   e.orders,
-			Counted:  e.counted,
-			Known:    r.known(e, since, now),
-			Lost:     e.lost(now),
-			Gone:     e.gone,
-			Pending:  e.pending,
-			Seen:     e.seen,
+			Instance:   e.current(),
+			Orders:     e.orders,
+			Counted:    e.counted,
+			Known:      r.known(e, since, now),
+			Lost:       e.lost(now),
+			Gone:       e.gone,
+			Pending:    e.pending,
+			Superseded: e.superseded,
+			Seen:       e.seen,
 		})
 	}
 	slices.SortFunc(list, func(a, b placement.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -467,6 +467,7 @@
 			continue
 		}
 		in.Position = item.Offset
+		n.placer.observe(in.Membership.Epoch, false)
 		seen[id] = true
 		n.roster.Listed(in, now)
 	}
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -151,12 +151,31 @@
 // nextEpoch returns an epoch above one that was seen, which no other life of a node makes.
 func (p *placer) nextEpoch(seen state.Epoch) state.Epoch {
 	p.mu.Lock()
+	epochs := p.makeEpochs()
+	p.mu.Unlock()
+	return epochs.Next(seen)
+}
+
+// makeEpochs returns the node's epochs; p.mu is held.
+func (p *placer) makeEpochs() *placement.Epochs {
 	if p.epochs == nil {
 		p.epochs = placement.NewEpochs(uint64(p.n.number.Load()))
 	}
-	epochs := p.epochs
+	return p.epochs
+}
+
+// observe takes in the newest epoch that instances name, and whether one of them has seen a later one.
+func (p *placer) observe(seen state.Epoch, behind bool) {
+	if p.n.number.Load() == 0 {
+		return
+	}
+	p.mu.Lock()
+	epochs := p.makeEpochs()
 	p.mu.Unlock()
-	return epochs.Next(seen)
+	epochs.Observe(seen)
+	if behind {
+		epochs.Behind()
+	}
 }
 
 // carryOut sends a plan's orders and questions.
@@ -183,6 +202,7 @@
 	began := p.n.clock.Now()
 	reply, err := p.n.ports.Targets.Order(callCtx, o)
 	p.n.roster.Ordered(o, reply, p.n.clock.Now())
+	p.observe(0, reply == placement.Superseded)
 	p.n.Count("order." + string(o.Action) + "." + string(reply))
 	fields := log.Fields{
 		"action": o.Action, "instance": o.Instance, "group": o.Key.Group, "epoch": o.Key.Epoch, "model": o.Model,
