--- a/cmd/troutmastd/onplatform.go
+++ b/cmd/troutmastd/onplatform.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log/handlers/json"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/troutmast/troutmast/internal/logsink"
 	"github.com/troutmast/troutmast/platform"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/transport/entry"
@@ -23,6 +24,8 @@
 	dialTimeout = 400 * time.Millisecond
 	silence     = 2 * time.Second
 	restTime    = 4 * time.Second
+	// logTime bounds the writing of the last log lines.
+	logTime = 200 * time.Millisecond
 )
 
 // errSettings means that the platform's settings cannot be used.
@@ -37,7 +40,9 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
-	logger := &log.Logger{Handler: json.New(os.Stdout), Level: log.InfoLevel}
+	sink := logsink.New(os.Stdout, logsink.DefaultOptions())
+	defer sink.Close(logTime)
+	logger := &log.Logger{Handler: json.New(sink), Level: log.InfoLevel}
 	ports := entry.Ports{
 		Store:   &platform.Store{Client: newHTTPClient(4), Address: set.Store},
 		Decoder: platform.Decoder{},
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -292,16 +292,17 @@
 		return
 	}
 	e.pending = false
-	switch {
-	case reply == placement.Superseded:
+	switch reply {
+	case placement.Superseded:
 		e.superseded = o.Key
 		return
-	case reply == placement.Refused || reply == placement.Unanswered:
+	case placement.Refused, placement.Unanswered:
 		e.counted = false
 		e.ordered = now
 		return
-	case reply == placement.Begun:
+	case placement.Begun:
 		e.orders++
+	case placement.Done:
 	}
 	e.ordered, e.before = now, e.belief.Membership
 	switch o.Action {
--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -75,7 +75,7 @@
 		p.drop(c)
 		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
-	resp, err := c.answer(req, r.Match)
+	resp, err := c.answer(req, r.Match) //nolint:bodyclose // Response.Close ends the exchange
 	if err != nil {
 		stop()
 		p.drop(c)
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -103,6 +103,22 @@
 // Count implements gateway.Recorder.
 func (n *Node) Count(name string) { metrics.GetOrRegisterCounter(name, n.metrics).Inc(1) }
 
+// sampleSize and sampleAlpha are go-metrics' customary reservoir for histograms.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Time implements gateway.Recorder: histograms are in microseconds.
+func (n *Node) Time(name string, d time.Duration) {
+	h := n.metrics.GetOrRegister(name+".us", func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	})
+	if histogram, ok := h.(metrics.Histogram); ok {
+		histogram.Update(d.Microseconds())
+	}
+}
+
 // Decide implements gateway.Recorder.
 func (n *Node) Decide(event, id string, fields map[string]any) {
 	f := log.Fields(fields)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -44,6 +44,8 @@
 // Recorder counts and logs decisions that touch requests.
 type Recorder interface {
 	Count(name string)
+	// Time adds a duration to a histogram.
+	Time(name string, d time.Duration)
 	Decide(event string, id string, fields map[string]any)
 }
 
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -73,6 +73,9 @@
 		}
 		res := c.attempt(target)
 		c.Recorder.Count("attempt." + string(res))
+		if res == answered {
+			c.Recorder.Time("answer", c.Clock.Since(c.arrived))
+		}
 		switch {
 		case res == answered || res == callerGone:
 			return nil
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -116,6 +116,7 @@
 	defer r.mu.Unlock()
 	r.counts[name]++
 }
+func (r *recorder) Time(string, time.Duration)            {}
 func (r *recorder) Decide(string, string, map[string]any) {}
 
 // lab is a gateway before stand-in instances.
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -112,6 +112,7 @@
 		return
 	}
 	c.begun = true
+	c.Recorder.Time("first-event", c.Clock.Since(c.arrived))
 	c.head(resp.Status, travelling(resp.Header), -1)
 }
 
