--- a/cmd/troutmastd/onplatform.go
+++ b/cmd/troutmastd/onplatform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -39,7 +40,7 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE)
 	sink := logsink.New(os.Stdout, logsink.DefaultOptions())
 	defer sink.Close(logTime)
 	logger := &log.Logger{Handler: json.New(sink), Level: log.InfoLevel}
@@ -49,7 +50,40 @@
 		Targets: &platform.Targets{Client: newHTTPClient(2)},
 		Dialect: platform.Dialect{},
 	}
-	return entry.New(set, ports, clockwork.NewRealClock(), logger).Run(ctx)
+	node := entry.New(set, ports, clockwork.NewRealClock(), logger)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go reloadOnChange(ctx, path, hup, node, logger)
+	return node.Run(ctx)
+}
+
+// reloadInterval is the time between two looks at the settings file.
+const reloadInterval = 5 * time.Second
+
+// reloadOnChange reads the settings anew on SIGHUP and when the file's text has
+// changed. Settings that cannot be used leave the old ones in force.
+func reloadOnChange(ctx context.Context, path string, hup <-chan os.Signal, node *entry.Node, logger *log.Logger) {
+	last, _ := os.ReadFile(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-time.After(reloadInterval):
+		}
+		text, err := os.ReadFile(path)
+		if err != nil || bytes.Equal(text, last) {
+			continue
+		}
+		last = text
+		set, err := platform.ParseSettings(string(text))
+		if err == nil {
+			err = node.Reload(set)
+		}
+		if err != nil {
+			logger.WithError(err).Error("reload refused, the old settings stay in force")
+		}
+	}
 }
 
 // newHTTPClient returns a client that keeps a number of connections to each address.
--- a/transport/caller/codes_test.go
+++ b/transport/caller/codes_test.go
@@ -15,7 +15,7 @@
 // TestOperatorsPageExplainsEveryCode holds the page against the codes that callers can be told.
 func TestOperatorsPageExplainsEveryCode(t *testing.T) {
 	g := NewWithT(t)
-	page, err := os.ReadFile("../../docs/OPERATORS.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	g.Expect(err).NotTo(HaveOccurred())
 	for _, code := range caller.Codes() {
 		g.Expect(string(page)).To(ContainSubstring("`" + string(code) + "`"))
@@ -28,7 +28,7 @@
 // TestEveryCodeInTheSourceIsExplained finds codes that the lists have forgotten.
 func TestEveryCodeInTheSourceIsExplained(t *testing.T) {
 	g := NewWithT(t)
-	page, err := os.ReadFile("../../docs/OPERATORS.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	g.Expect(err).NotTo(HaveOccurred())
 	listed := map[string]bool{}
 	for _, code := range caller.Codes() {
--- a/transport/entry/knowledge.go
+++ b/transport/entry/knowledge.go
@@ -23,8 +23,8 @@
 type Knowledge struct {
 	clock   clockwork.Clock
 	decoder Decoder
-	strict  bool
-	within  time.Duration
+	// within is for how long keys are trusted, in nanoseconds; 0 is without bound.
+	within atomic.Int64
 
 	mu      sync.Mutex
 	raw     []byte
@@ -34,7 +34,17 @@
 
 // NewKnowledge returns a Knowledge without configuration.
 func NewKnowledge(decoder Decoder, strict bool, within time.Duration, clock clockwork.Clock) *Knowledge {
-	return &Knowledge{clock: clock, decoder: decoder, strict: strict, within: within}
+	k := &Knowledge{clock: clock, decoder: decoder}
+	k.SetBound(strict, within)
+	return k
+}
+
+// SetBound changes for how long keys are trusted; without strict, they always are.
+func (k *Knowledge) SetBound(strict bool, within time.Duration) {
+	if !strict {
+		within = 0
+	}
+	k.within.Store(int64(within))
 }
 
 // Catalog returns the configuration, or nil while none is known.
@@ -87,9 +97,10 @@
 
 // KeysFresh tells whether keys can still be trusted.
 func (k *Knowledge) KeysFresh() bool {
-	if !k.strict {
+	within := time.Duration(k.within.Load())
+	if within == 0 {
 		return true
 	}
 	age, ok := k.Age()
-	return ok && age < k.within-keysMargin
+	return ok && age < within-keysMargin
 }
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -147,6 +147,21 @@
 	return nil
 }
 
+// Reload takes in settings that were read anew. Addresses and names need a new
+// start; where they differ, the settings are refused and the old ones stay.
+func (n *Node) Reload(set *Settings) error {
+	if set.Name != n.set.Name || set.Callers != n.set.Callers || set.Ready != n.set.Ready || set.Peer != n.set.Peer || set.Store != n.set.Store {
+		return ErrNeedsRestart
+	}
+	n.know.SetBound(set.StrictKeys, set.KeysWithin)
+	n.gate.SetRetry(set.Retry)
+	n.log.Info("settings reloaded")
+	return nil
+}
+
+// ErrNeedsRestart means that changed settings take effect only with a new start.
+var ErrNeedsRestart = errors.New("entry: the name or an address differs, which needs a new start")
+
 // loops returns what runs for the life of the node.
 func (n *Node) loops() []func(context.Context) {
 	return []func(context.Context){
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -20,6 +20,8 @@
 	placeInterval = 100 * time.Millisecond
 	// orderTimeout bounds the time for an instance to answer an order.
 	orderTimeout = 800 * time.Millisecond
+	// doubtInterval is the least time between two questions to an instance that may have ended.
+	doubtInterval = 400 * time.Millisecond
 	// tellInterval is the least time between two log lines on what serves.
 	tellInterval = time.Second
 	// reportMargin is added to the lag that the configuration tells of reports.
@@ -104,7 +106,7 @@
 	}
 	for _, m := range p.n.roster.Doubtful(now) {
 		if s := c.Services[m.Service]; s != nil && s.Engine != nil {
-			p.askOnce(ctx, m)
+			p.askEvery(ctx, m, doubtInterval)
 		}
 	}
 	p.mu.Lock()
@@ -230,11 +232,14 @@
 }
 
 // askOnce asks an instance for its report unless that is under way or was done a moment ago.
-func (p *placer) askOnce(ctx context.Context, m fleet.Instance) {
+func (p *placer) askOnce(ctx context.Context, m fleet.Instance) { p.askEvery(ctx, m, askInterval) }
+
+// askEvery asks an instance for its report unless that is under way or was done within an interval.
+func (p *placer) askEvery(ctx context.Context, m fleet.Instance, interval time.Duration) {
 	now := p.n.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.asking[m.ID] || now.Sub(p.asked[m.ID]) < askInterval {
+	if p.asking[m.ID] || now.Sub(p.asked[m.ID]) < interval {
 		return
 	}
 	p.asking[m.ID], p.asked[m.ID] = true, now
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -112,6 +112,17 @@
 	}
 }
 
+// SetRetry changes the bounds of the repeats.
+func (g *Gateway) SetRetry(b retry.Bounds) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if b == g.Retry {
+		return
+	}
+	g.Retry = b
+	clear(g.budgets)
+}
+
 // budget returns this node's part of a service's retry budget.
 func (g *Gateway) budget(service state.ServiceName) *retry.SharedBudget {
 	g.mu.Lock()
--- a/transport/settings/settings_test.go
+++ b/transport/settings/settings_test.go
@@ -51,7 +51,7 @@
 // TestOperatorsPageListsEverySetting holds the page's table against the code.
 func TestOperatorsPageListsEverySetting(t *testing.T) {
 	g := NewWithT(t)
-	page, err := os.ReadFile("../../docs/OPERATORS.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	g.Expect(err).NotTo(HaveOccurred())
 	s := &settings.Settings{}
 	rows := 0
