--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -20,6 +20,9 @@
 	Counted bool
 	// Known tells that the membership is known as of a moment ago.
 	Known bool
+	// Unlisted tells that the list has not shown the instance for more than a
+	// beat: it may be leaving, and as a head it would get no requests.
+	Unlisted bool
 	// Lost tells that the instance does not answer, Gone that its process has ended for certain.
 	Lost bool
 	Gone bool
@@ -32,7 +35,7 @@
 }
 
 // usable tells whether the instance can become a member of a new group.
-func (m *Member) usable() bool { return !m.Lost && !m.Gone && !m.Draining }
+func (m *Member) usable() bool { return !m.Lost && !m.Gone && !m.Draining && !m.Unlisted }
 
 // formation is what the planner knows of one formation of a group.
 type formation struct {
@@ -316,8 +319,11 @@
 	return s.byID[f.members[0]]
 }
 
-// draining tells whether a member of a formation is leaving.
+// draining tells whether a member of a formation is leaving, or its head no longer listed.
 func (s *step) draining(f *formation) bool {
+	if head := s.headOf(f); head != nil && head.Unlisted {
+		return true
+	}
 	return slices.ContainsFunc(f.members, func(id state.InstanceID) bool { return s.byID[id] != nil && s.byID[id].Draining })
 }
 
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -32,6 +32,9 @@
 	distinct = 20 * time.Millisecond
 	// knownAge is the age up to which a membership counts as known.
 	knownAge = 1500 * time.Millisecond
+	// unlistedGrace is how long an instance that the list has dropped goes on
+	// taking requests: after an outage of the store, entries come back with the next beat.
+	unlistedGrace = 300 * time.Millisecond
 	// unlisted is how long an instance may be missing in the list before it must answer questions.
 	unlisted = time.Second
 	// goneMargin is added to the stall time before a silent process counts as ended.
@@ -406,7 +409,9 @@
 // View is one instance as the request path sees it.
 type View struct {
 	fleet.Instance
-	Lost bool
+	// Lost tells that it does not answer, Unlisted that the list no longer shows it.
+	Lost     bool
+	Unlisted bool
 }
 
 // All returns every instance that has not ended, by id.
@@ -418,8 +423,8 @@
 		if e.gone {
 			continue
 		}
-		v := View{Instance: e.current(), Lost: e.lost(now)}
-		v.Draining = v.Draining || !e.inList
+		v := View{Instance: e.current(), Lost: e.lost(now), Unlisted: !e.inList}
+		v.Draining = v.Draining || (v.Unlisted && now.Sub(e.unlisted) > unlistedGrace)
 		list = append(list, v)
 	}
 	slices.SortFunc(list, func(a, b View) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -305,7 +305,7 @@
 // timed tells whether an instance may have come to count as lost by time alone.
 func (n *Node) timed(views []roster.View) bool {
 	for i := range views {
-		if views[i].Lost || views[i].Draining {
+		if views[i].Lost || views[i].Draining || views[i].Unlisted {
 			return true
 		}
 	}
@@ -347,29 +347,33 @@
 
 // Bounds of following the store.
 const (
-	configWait   = 1500 * time.Millisecond
+	configWait   = 3 * time.Second
 	listInterval = 500 * time.Millisecond
 	// listIntervalSoon is the time between two reads while the node has groups formed or taken apart.
 	listIntervalSoon = 80 * time.Millisecond
 	storeTimeout     = time.Second
 	storeRetry       = 150 * time.Millisecond
+	// storeRetryMost bounds the time between two tries of a store that does not answer.
+	storeRetryMost = 700 * time.Millisecond
 )
 
 // followConfig keeps up with the operator's configuration.
 func (n *Node) followConfig(ctx context.Context) {
-	next := int64(-1)
+	next, wait := int64(-1), storeRetry
 	for {
 		asked := n.clock.Now()
-		tail, err := n.readTail(ctx, source.Configuration, next, configWait)
+		tail, err := n.readTail(ctx, source.Configuration, next, n.configWait())
 		if err != nil {
 			if errors.Is(err, source.ErrTrimmed) {
 				next = -1
 			}
-			if !n.sleep(ctx, storeRetry) {
+			if !n.sleep(ctx, wait) {
 				return
 			}
+			wait = min(2*wait, storeRetryMost)
 			continue
 		}
+		wait = storeRetry
 		next = tail.End
 		for _, item := range tail.Items {
 			n.learnConfig(item.Value, "store")
@@ -381,6 +385,16 @@
 	}
 }
 
+// configWait returns how long a read of the configuration waits for a new one.
+// Keys are trusted for a time from the last question on, so where that is
+// bounded, questions must be asked several times as often.
+func (n *Node) configWait() time.Duration {
+	if n.set.StrictKeys {
+		return min(configWait, n.set.KeysWithin/4)
+	}
+	return configWait
+}
+
 // learnConfig takes in a configuration; one that cannot be read leaves the last in force.
 func (n *Node) learnConfig(raw []byte, from string) {
 	if len(raw) == 0 {
@@ -444,7 +458,7 @@
 			n.storeRead(asked)
 		}
 		wait := listInterval
-		if placing, _ := n.peers.isPlacing(); placing && n.listSoon.Load() {
+		if placing, _ := n.peers.isPlacing(); err == nil && placing && n.listSoon.Load() {
 			wait = listIntervalSoon
 		}
 		if err == nil && !tail.Whole {
