Take no report from another instance at the address; spend the retry budget by a sliding window

Now repeats are counted over the window itself; property: no window on all nodes holds more than allowed.

--- a/coordination/placement/order.go
+++ b/coordination/placement/order.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"errors"
 	"net/netip"
 
 	"github.com/troutmast/troutmast/state"
@@ -29,6 +30,9 @@
 	Stage Action = "stage"
 )
 
+// ErrReplaced means that another instance answers at an instance's address, so that it has ended.
+var ErrReplaced = errors.New("placement: another instance has the address")
+
 // Order is one order to one life of an instance.
 type Order struct {
 	Action   Action
--- /dev/null
+++ b/coordination/retry/shared_test.go
@@ -0,0 +1,83 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/troutmast/troutmast/coordination/retry"
+)
+
+// moment is when something was counted.
+type moment struct {
+	at     time.Time
+	repeat bool
+}
+
+// Whatever the schedule, no window holds more repeats on all nodes than the
+// bounds allow for the first attempts in it and just before it.
+func TestNoWindowHoldsMoreRepeatsThanAllowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := retry.Bounds{
+			Ratio: rapid.Float64Range(0, 0.5).Draw(t, "ratio"), Slack: rapid.Float64Range(0, 60).Draw(t, "slack"), Window: 10 * time.Second,
+		}
+		start := time.Unix(1000, 0)
+		nodes := make([]*retry.SharedBudget, rapid.IntRange(1, 5).Draw(t, "nodes"))
+		for i := range nodes {
+			nodes[i] = retry.NewSharedBudget(b, len(nodes), start)
+		}
+		var log []moment
+		now := start
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			n := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
+			if rapid.Bool().Draw(t, "attempt") {
+				n.Attempt(now)
+				log = append(log, moment{at: now})
+				continue
+			}
+			if n.Take(now) {
+				log = append(log, moment{now, true})
+			}
+		}
+		for _, end := range log {
+			checkWindow(t, b, log, end.at)
+		}
+	})
+}
+
+// checkWindow checks the window that ends at a time; attempts count from half a second before it.
+func checkWindow(t *rapid.T, b retry.Bounds, log []moment, end time.Time) {
+	repeats, attempts := 0, 0
+	for _, m := range log {
+		age := end.Sub(m.at)
+		switch {
+		case age < 0:
+		case m.repeat && age < b.Window:
+			repeats++
+		case !m.repeat && age < b.Window+b.Window/20:
+			attempts++
+		}
+	}
+	if float64(repeats) > b.Ratio*float64(attempts)+b.Slack {
+		t.Fatalf("%d repeats in a window with %d attempts", repeats, attempts)
+	}
+}
+
+func TestABurstMaySpendWhatTheWindowHolds(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s := retry.NewSharedBudget(retry.Bounds{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}, 9, now)
+	for i := range 100 {
+		s.Attempt(now.Add(time.Duration(i) * 90 * time.Millisecond))
+	}
+	taken := 0
+	for range 100 {
+		if s.Take(now.Add(9 * time.Second)) {
+			taken++
+		}
+	}
+	g.Expect(taken).To(Equal(25), "0.85 of 0.2 x 100 + 90/9")
+}
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -87,7 +89,11 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	n.Count("probes")
-	rep, err := n.ports.Targets.Report(ctx, m.Address)
+	rep, err := n.ports.Targets.Report(ctx, m.Address, m.ID)
+	if errors.Is(err, placement.ErrReplaced) {
+		n.Replaced(m.ID)
+		return false
+	}
 	if err != nil {
 		n.Failed(m.ID, asked)
 		return false
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -203,7 +203,7 @@
 	p.mu.Unlock()
 	p.setPlacing(may)
 	if may {
-		p.n.gate.SetNodes(len(p.alive()) + 1)
+		p.n.gate.SetNodes(p.count())
 		p.n.table.SetOthers(p.heldByOthers(p.n.set.Name))
 	}
 }
@@ -331,7 +331,7 @@
 	p.mu.Unlock()
 	n.setAvoid(a.Avoid)
 	n.table.SetOthers(minus(a.Held, n.table.Held()))
-	n.gate.SetNodes(len(a.Nodes))
+	n.gate.SetNodes(p.count())
 }
 
 // minus returns what others hold, given what all hold and what this node does.
@@ -403,6 +403,20 @@
 	return list
 }
 
+// count returns the number of nodes that ever registered, as far as is known, this
+// one among them: those that cannot be heard may still repeat requests.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 1
+	for _, e := range p.known {
+		if e.Name != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // heldByOthers adds up what the nodes hold at each instance, without one of them.
 func (p *peers) heldByOthers(without string) map[state.InstanceID]int {
 	p.mu.Lock()
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -217,7 +218,10 @@
 		fields["expect"] = *o.Expect
 	}
 	p.n.log.WithFields(fields).Info("order")
-	if reply == placement.Unanswered {
+	switch {
+	case errors.Is(err, placement.ErrReplaced):
+		p.n.Replaced(o.Instance)
+	case reply == placement.Unanswered:
 		p.n.roster.Failed(o.Instance, began)
 	}
 	p.stir()
--- a/transport/entry/port.go
+++ b/transport/entry/port.go
@@ -7,6 +7,7 @@
 
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/source"
+	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
 	"github.com/troutmast/troutmast/transport/gateway"
@@ -27,7 +28,7 @@
 
 // Targets asks and orders instances.
 type Targets interface {
-	Report(ctx context.Context, at netip.AddrPort) (fleet.Report, error)
+	Report(ctx context.Context, at netip.AddrPort, id state.InstanceID) (fleet.Report, error)
 	Order(ctx context.Context, o placement.Order) (placement.Reply, error)
 }
 
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -255,7 +255,7 @@
 		c.model = claims.Model
 	}
 	c.budget = c.Gateway.budget(c.service)
-	c.budget.Attempt()
+	c.budget.Attempt(c.arrived)
 	c.note(c.service, c.model)
 	return nil
 }
