--- /dev/null
+++ b/coordination/placement/domain.go
@@ -0,0 +1,267 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// form makes new groups of free instances.
+func (s *step) form() {
+	domains := map[string]*domain{}
+	alive := 0
+	for _, id := range sortedIDs(s.byID) {
+		m := s.byID[id]
+		if !m.usable() {
+			continue
+		}
+		alive++
+		d := domains[m.Domain]
+		if d == nil {
+			d = &domain{}
+			domains[m.Domain] = d
+		}
+		switch {
+		case m.Membership.Group != "" || s.claimed(id):
+		case !m.Known:
+			s.plan.Ask = append(s.plan.Ask, id)
+		default:
+			d.free = append(d.free, m)
+		}
+	}
+	stock := s.stock(alive)
+	s.supply, s.domains = stock, domains
+	s.slopes = make([]float64, len(s.engine.Models))
+	for i := range s.engine.Models {
+		s.slopes[i] = stock.gain(i, 1)
+	}
+	for _, key := range s.keys() {
+		f := s.formations[key]
+		if f == nil {
+			continue
+		}
+		if head := s.headOf(f); head != nil && domains[head.Domain] != nil {
+			domains[head.Domain].add(f)
+		}
+	}
+	s.formDomains(domains, stock)
+}
+
+// formDomains makes groups of the free instances of all domains.
+func (s *step) formDomains(domains map[string]*domain, stock *supply) {
+	var ready []*domain
+	var choices [][]option
+	for _, name := range sortedKeys(domains) {
+		d := domains[name]
+		if len(d.free) == 0 || d.donors || s.settling(d.free) {
+			continue
+		}
+		list := options(len(d.free), s.able(d.free), s.engine.Models)
+		if donors := s.donors(d, stock, list); donors != nil {
+			for _, f := range donors {
+				f.donor = s.now
+			}
+			continue
+		}
+		ready = append(ready, d)
+		choices = append(choices, list)
+	}
+	for i, o := range stock.pack(choices, s.engine.Models) {
+		s.formDomain(ready[i].free, o)
+	}
+}
+
+// domain is one fabric domain.
+type domain struct {
+	free []*Member
+	// groups are those that serve, donors tells that one is being closed for its members.
+	groups []*formation
+	donors bool
+}
+
+// add counts a formation to its domain.
+func (d *domain) add(f *formation) {
+	switch {
+	case !f.donor.IsZero():
+		d.donors = true
+	case f.opened && f.failed == "":
+		d.groups = append(d.groups, f)
+	}
+}
+
+// stock counts the instances in groups of each model.
+func (s *step) stock(alive int) *supply {
+	shares := s.Shares
+	if shares == nil {
+		for _, m := range s.engine.Models {
+			shares = append(shares, m.Share)
+		}
+	}
+	stock := newSupply(s.engine.Models, shares, alive)
+	for _, f := range s.formations {
+		if i := s.modelIndex(f.model); i >= 0 && f.failed == "" && f.donor.IsZero() && !s.draining(f) {
+			stock.have[i] += float64(len(f.members))
+		}
+	}
+	return stock
+}
+
+// modelIndex returns the place of a model in the configuration, or -1.
+func (s *step) modelIndex(name string) int {
+	return slices.IndexFunc(s.engine.Models, func(m catalog.Model) bool { return m.Name == name })
+}
+
+// claimed tells whether an instance is named by a formation that it has not joined.
+func (s *step) claimed(id state.InstanceID) bool {
+	for _, f := range s.formations {
+		if slices.Contains(f.members, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// formDomain makes the groups of an option.
+func (s *step) formDomain(free []*Member, o option) {
+	for i, n := range o.counts {
+		model := &s.engine.Models[i]
+		for range n {
+			members := s.choose(free, model)
+			if members == nil {
+				break
+			}
+			free = slices.DeleteFunc(slices.Clone(free), func(m *Member) bool { return slices.Contains(members, m) })
+			s.start(model, members)
+		}
+	}
+}
+
+// settling tells whether an instance of a domain is so new that others may follow it.
+func (s *step) settling(free []*Member) bool {
+	return slices.ContainsFunc(free, func(m *Member) bool { return s.now.Sub(m.Seen) < settle })
+}
+
+// able returns how many instances can soon be members of a group of each model.
+func (s *step) able(free []*Member) []int {
+	counts := make([]int, len(s.engine.Models))
+	for i := range s.engine.Models {
+		for _, m := range free {
+			if s.fit(m, &s.engine.Models[i]) {
+				counts[i]++
+			}
+		}
+	}
+	return counts
+}
+
+// fit tells whether an instance can join a group of a model without a load from
+// the weight store; before the first request, loads are nearly free. An instance
+// that would be quick in a group of a scarcer model is kept for that one.
+func (s *step) fit(m *Member, model *catalog.Model) bool {
+	if s.Quiet || model.Load <= 0 {
+		return true
+	}
+	kept := m.Model != model.Name && s.slope(m.Model) > scarcer*s.slope(model.Name)
+	return !kept && joinTime(m, model) < model.Load
+}
+
+// donorGain is what closing a group must gain for each of its instances.
+const donorGain = 0.2
+
+// donors returns the groups of a domain, two at most, that should be closed for their members.
+func (s *step) donors(d *domain, stock *supply, list []option) []*formation {
+	var best []*formation
+	least := stock.worth(s.engine.Models, stock.best(list, s.engine.Models))
+	consider := func(chosen ...*formation) {
+		if gain := s.donorWorth(d.free, stock, chosen); gain > least {
+			best, least = chosen, gain
+		}
+	}
+	for i, f := range d.groups {
+		consider(f)
+		for _, g := range d.groups[i+1:] {
+			consider(f, g)
+		}
+	}
+	return best
+}
+
+// donorWorth returns what can be formed of free instances and the members of some groups, less what these are worth.
+func (s *step) donorWorth(free []*Member, stock *supply, chosen []*formation) float64 {
+	models := s.engine.Models
+	before := slices.Clone(stock.have)
+	defer func() { stock.have = before }()
+	stock.have = slices.Clone(before)
+	lost := 0.0
+	for _, f := range chosen {
+		joined, whole := s.withMembers(free, f)
+		i := s.modelIndex(f.model)
+		if i < 0 || !whole {
+			return 0
+		}
+		size := float64(len(f.members))
+		lost += stock.value(i, stock.have[i]) - stock.value(i, stock.have[i]-size) + donorGain*size
+		stock.have[i] -= size
+		free = joined
+	}
+	return stock.worth(models, stock.best(options(len(free), s.able(free), models), models)) - lost
+}
+
+// withMembers returns instances together with the members of a formation; false if one of these is not known.
+func (s *step) withMembers(free []*Member, f *formation) ([]*Member, bool) {
+	joined := slices.Clone(free)
+	for _, id := range f.members {
+		m := s.byID[id]
+		if m == nil {
+			return nil, false
+		}
+		joined = append(joined, m)
+	}
+	return joined, true
+}
+
+// choose picks the members of a new group: those that are ready soonest.
+func (s *step) choose(free []*Member, model *catalog.Model) []*Member {
+	var sorted []*Member
+	for _, m := range free {
+		if s.fit(m, model) {
+			sorted = append(sorted, m)
+		}
+	}
+	if len(sorted) < model.Size {
+		return nil
+	}
+	slices.SortStableFunc(sorted, func(a, b *Member) int {
+		return cmp.Compare(joinTime(a, model), joinTime(b, model))
+	})
+	return sorted[:model.Size]
+}
+
+// start makes a new formation and orders its members to join.
+func (s *step) start(model *catalog.Model, members []*Member) {
+	epoch := s.next(s.newest)
+	s.newest = epoch
+	key := fleet.GroupKey{Group: state.GroupName(fmt.Sprintf("g%d", epoch)), Epoch: epoch}
+	f := &formation{model: model.Name, since: s.now, joined: map[state.InstanceID]bool{}}
+	for _, m := range members {
+		f.members = append(f.members, m.ID)
+	}
+	s.formations[key] = f
+	for _, m := range members {
+		s.join(key, f, m)
+	}
+}
+
+// sortedKeys returns the names of domains in order.
+func sortedKeys(m map[string]*domain) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/coordination/placement/stage.go
@@ -0,0 +1,149 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/troutmast/troutmast/state"
+)
+
+// stagingModel is a model that an instance loads to its host.
+type stagingModel struct {
+	model string
+	since time.Time
+}
+
+// mayLoad takes a load out of what the weight store carries, if it carries it.
+func (s *step) mayLoad() bool {
+	if !s.Quiet && len(s.staging) >= max(s.engine.LoadsAtOnce, 1) {
+		return false
+	}
+	s.loads = slices.DeleteFunc(s.loads, func(t time.Time) bool { return s.now.Sub(t) > loadWindow })
+	most := int(s.engine.LoadsPerSecond * loadWindow.Seconds() * loadPart)
+	if !s.Quiet && len(s.loads) >= most {
+		return false
+	}
+	s.loads = append(s.loads, s.now)
+	return true
+}
+
+// stage has instances load to their hosts the model that they may need next.
+// The weight store carries few loads at once, so instances that can join no
+// group for want of a model come first, and members of groups only while loads
+// are nearly free.
+func (s *step) stage() {
+	for _, id := range sortedIDs(s.byID) {
+		if m := s.byID[id]; s.cold(m) {
+			s.stageModel(m, s.wantedIn(s.domains[m.Domain], m))
+		}
+	}
+	s.stageOther(s.idle, s.engine.LoadsAtOnce)
+	s.stageOther(s.serving, max(s.engine.LoadsAtOnce/2, 1))
+}
+
+// stageOther has instances of a kind load another model than they have, while
+// fewer than a number load.
+func (s *step) stageOther(kind func(m *Member) bool, most int) {
+	for _, id := range sortedIDs(s.byID) {
+		if m := s.byID[id]; kind(m) && (s.Quiet || len(s.staging) < most) {
+			s.stageModel(m, s.otherModel(m.Model))
+		}
+	}
+}
+
+// idle tells whether an instance that has had a model is in no group.
+func (s *step) idle(m *Member) bool {
+	return m.usable() && m.Membership.Group == "" && m.Model != "" && !s.claimed(m.ID)
+}
+
+// scarcer is how many times more one instance of a model must be worth than one
+// of another for instances to be kept for it.
+const scarcer = 2
+
+// slope is what one more instance in groups of a model is worth.
+func (s *step) slope(model string) float64 {
+	if i := s.modelIndex(model); i >= 0 {
+		return s.slopes[i]
+	}
+	return 0
+}
+
+// cold tells whether an instance can join no group for want of a model.
+func (s *step) cold(m *Member) bool {
+	return m.usable() && m.Membership.Group == "" && m.Model == "" && len(m.Staged) == 0 &&
+		!s.claimed(m.ID) && s.now.Sub(m.Seen) > 2*settle
+}
+
+// stageModel orders an instance to load a model to its host, if the weight store carries it.
+func (s *step) stageModel(m *Member, model string) {
+	if m.Pending || !m.usable() || model == "" || m.HasStaged(model) || s.staging[m.ID].model != "" || !s.mayLoad() {
+		return
+	}
+	s.staging[m.ID] = stagingModel{model: model, since: s.now}
+	s.order(m, Order{Action: Stage, Model: model, Why: "for a later repair"})
+}
+
+// wantedIn returns the model that is worth most on the host of an instance: for
+// the groups that its domain could form now, and after the loss of one member of
+// each group that it holds.
+func (s *step) wantedIn(d *domain, m *Member) string {
+	best, most := "", 0.0
+	for i := range s.engine.Models {
+		with := *m
+		with.Staged = []string{s.engine.Models[i].Name}
+		free := append(s.withStaging(d.free, m.ID), &with)
+		worth := s.bestWorth(free)
+		for _, f := range d.groups {
+			worth += s.worthAfterLoss(free, f) / float64(len(d.groups))
+		}
+		if worth > most {
+			best, most = s.engine.Models[i].Name, worth
+		}
+	}
+	return best
+}
+
+// withStaging returns free instances as they will be once they have loaded what they stage now, without one of them.
+func (s *step) withStaging(free []*Member, without state.InstanceID) []*Member {
+	var list []*Member
+	for _, m := range free {
+		if m.ID == without {
+			continue
+		}
+		will := *m
+		if st := s.staging[m.ID]; st.model != "" {
+			will.Staged = []string{st.model}
+		}
+		list = append(list, &will)
+	}
+	return list
+}
+
+// bestWorth returns what the best groups of some free instances are worth.
+func (s *step) bestWorth(free []*Member) float64 {
+	models := s.engine.Models
+	return s.supply.worth(models, s.supply.best(options(len(free), s.able(free), models), models))
+}
+
+// worthAfterLoss returns what can be formed of free instances and the rest of a group that loses a member.
+func (s *step) worthAfterLoss(free []*Member, f *formation) float64 {
+	joined, whole := s.withMembers(free, f)
+	i := s.modelIndex(f.model)
+	if !whole || i < 0 {
+		return 0
+	}
+	size := float64(len(f.members))
+	s.supply.have[i] -= size
+	defer func() { s.supply.have[i] += size }()
+	return s.bestWorth(joined[:len(joined)-1])
+}
+
+// otherModel returns the first model that is not the given one.
+func (s *step) otherModel(name string) string {
+	for _, m := range s.engine.Models {
+		if m.Name != name {
+			return m.Name
+		}
+	}
+	return ""
+}
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -2,25 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/roster"
-	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/protocol/direct"
-	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
@@ -147,37 +139,6 @@
 	return nil
 }
 
-// Reload takes in settings that were read anew. Addresses and names need a new
-// start; where they differ, the settings are refused and the old ones stay.
-func (n *Node) Reload(set *Settings) error {
-	if set.Name != n.set.Name || set.Callers != n.set.Callers || set.Ready != n.set.Ready || set.Peer != n.set.Peer || set.Store != n.set.Store {
-		return ErrNeedsRestart
-	}
-	n.know.SetBound(set.StrictKeys, set.KeysWithin)
-	n.gate.SetRetry(set.Retry)
-	n.log.Info("settings reloaded")
-	return nil
-}
-
-// ErrNeedsRestart means that changed settings take effect only with a new start.
-var ErrNeedsRestart = errors.New("entry: the name or an address differs, which needs a new start")
-
-// loops returns what runs for the life of the node.
-func (n *Node) loops() []func(context.Context) {
-	return []func(context.Context){
-		n.followConfig,
-		n.followInstances,
-		n.register,
-		n.rebuild,
-		n.watchBeliefs,
-		n.peers.run,
-		n.peers.follow,
-		n.placer.run,
-		n.every(50*time.Millisecond, func(context.Context) { n.gate.Watch.Look() }),
-		n.every(time.Second, func(context.Context) { n.pool.Sweep() }),
-	}
-}
-
 // every returns a loop that calls a function again and again.
 func (n *Node) every(interval time.Duration, f func(context.Context)) func(context.Context) {
 	return func(ctx context.Context) {
@@ -197,88 +158,6 @@
 	}
 }
 
-// listener is one server of the node.
-type listener struct {
-	srv *http.Server
-	ln  net.Listener
-}
-
-// listen opens all listeners and serves them.
-func (n *Node) listen() ([]*http.Server, error) {
-	inner := http.NewServeMux()
-	inner.Handle(wordProcedure, connect.NewUnaryHandler(wordProcedure, n.peers.answer, connect.WithCodec(peer.JSONCodec{})))
-	ready := http.NewServeMux()
-	ready.HandleFunc("/", n.serveReady)
-	measures := http.NewServeMux()
-	measures.HandleFunc("/metrics", n.serveMetrics)
-	plan := []struct {
-		at string
-		h  http.Handler
-	}{
-		{n.set.Callers.String(), n.gate},
-		{n.set.Ready.String(), ready},
-		{n.set.Peer.String(), inner},
-		{n.set.Metrics.String(), measures},
-	}
-	var list []*listener
-	for _, p := range plan {
-		ln, err := net.Listen("tcp4", p.at)
-		if err != nil {
-			return nil, fmt.Errorf("entry: listen on %s: %w", p.at, err)
-		}
-		srv := &http.Server{Handler: p.h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: nil}
-		list = append(list, &listener{srv: srv, ln: ln})
-	}
-	var servers []*http.Server
-	for _, l := range list {
-		servers = append(servers, l.srv)
-		go func() {
-			if err := l.srv.Serve(l.ln); !errors.Is(err, http.ErrServerClosed) {
-				n.log.WithError(err).Error("listener ended")
-			}
-		}()
-	}
-	return servers, nil
-}
-
-// serveReady answers whether the node takes new connections.
-func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !n.isReady() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-// isReady tells whether the node can answer callers.
-func (n *Node) isReady() bool { return !n.stopping.Load() && n.know.Catalog() != nil }
-
-// serveMetrics writes all counters.
-func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(n.metrics, w) }
-
-// Bounds of a planned stop.
-const (
-	// leaveTime is how long new connections still come after the node is no longer ready.
-	leaveTime = 2900 * time.Millisecond
-	// stopMargin is kept of the time for a planned stop.
-	stopMargin = 400 * time.Millisecond
-)
-
-// stop ends the node: it is no longer ready, answers on, then takes nothing new and finishes what it holds.
-func (n *Node) stop(servers []*http.Server) {
-	began := n.clock.Now()
-	n.log.Info("stopping")
-	n.stopping.Store(true)
-	n.gate.Stop()
-	n.clock.Sleep(min(leaveTime, n.set.StopWithin/2))
-	n.gate.Refuse()
-	ctx, cancel := context.WithTimeout(context.Background(), n.set.StopWithin-stopMargin-n.clock.Since(began))
-	defer cancel()
-	if err := servers[0].Shutdown(ctx); err != nil {
-		n.log.WithError(err).WithField("held", n.gate.Watch.Active()).Warn("requests cut off by the stop")
-	}
-}
-
 // rebuild builds the candidates anew whenever something has changed.
 func (n *Node) rebuild(ctx context.Context) {
 	var version uint64
@@ -344,205 +223,3 @@
 		n.touch()
 	}
 }
-
-// Bounds of following the store.
-const (
-	configWait   = 3 * time.Second
-	listInterval = 500 * time.Millisecond
-	// listIntervalSoon is the time between two reads while the node has groups formed or taken apart.
-	listIntervalSoon = 80 * time.Millisecond
-	storeTimeout     = time.Second
-	storeRetry       = 150 * time.Millisecond
-	// storeRetryMost bounds the time between two tries of a store that does not answer.
-	storeRetryMost = 700 * time.Millisecond
-)
-
-// followConfig keeps up with the operator's configuration.
-func (n *Node) followConfig(ctx context.Context) {
-	next, wait := int64(-1), storeRetry
-	for {
-		asked := n.clock.Now()
-		tail, err := n.readTail(ctx, source.Configuration, next, n.configWait())
-		if err != nil {
-			if errors.Is(err, source.ErrTrimmed) {
-				next = -1
-			}
-			if !n.sleep(ctx, wait) {
-				return
-			}
-			wait = min(2*wait, storeRetryMost)
-			continue
-		}
-		wait = storeRetry
-		next = tail.End
-		for _, item := range tail.Items {
-			n.learnConfig(item.Value, "store")
-		}
-		if tail.Whole {
-			n.know.Confirm(asked)
-		}
-		n.storeRead(asked)
-	}
-}
-
-// configWait returns how long a read of the configuration waits for a new one.
-// Keys are trusted for a time from the last question on, so where that is
-// bounded, questions must be asked several times as often.
-func (n *Node) configWait() time.Duration {
-	if n.set.StrictKeys {
-		return min(configWait, n.set.KeysWithin/4)
-	}
-	return configWait
-}
-
-// learnConfig takes in a configuration; one that cannot be read leaves the last in force.
-func (n *Node) learnConfig(raw []byte, from string) {
-	if len(raw) == 0 {
-		return
-	}
-	newer, err := n.know.Learn(raw)
-	if err != nil {
-		n.Count("config.unreadable")
-		n.log.WithError(err).WithField("from", from).Error("configuration not read")
-		return
-	}
-	if newer {
-		_, version := n.know.Raw()
-		n.log.WithFields(log.Fields{"version": version, "from": from}).Info("configuration in force")
-		n.touch()
-	}
-}
-
-// storeRead notes that the store answered a question asked at a time.
-func (n *Node) storeRead(asked time.Time) {
-	n.storeAt.Store(int64(asked.Sub(n.started)) + 1)
-}
-
-// storeAge returns how long ago the last question was asked that the store answered.
-func (n *Node) storeAge() time.Duration {
-	at := n.storeAt.Load()
-	if at == 0 {
-		return time.Hour
-	}
-	return n.clock.Since(n.started) - time.Duration(at)
-}
-
-// readTail reads a topic from an offset on, or its newest records for an offset below 0.
-func (n *Node) readTail(ctx context.Context, topic source.Topic, from int64, wait time.Duration) (source.Tail, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout+wait)
-	defer cancel()
-	n.Count("store." + string(topic))
-	if from < 0 {
-		tail, err := n.ports.Store.Newest(ctx, topic)
-		tail.Whole = err == nil
-		return tail, err
-	}
-	return n.ports.Store.Read(ctx, topic, from, wait)
-}
-
-// followInstances keeps up with the platform's list of instances.
-func (n *Node) followInstances(ctx context.Context) {
-	next := int64(-1)
-	for {
-		asked := n.clock.Now()
-		tail, err := n.readTail(ctx, source.Instances, next, 0)
-		switch {
-		case errors.Is(err, source.ErrTrimmed):
-			next = -1
-		case err == nil:
-			n.learnInstances(tail, next < 0)
-			next = tail.End
-			if tail.Whole {
-				n.roster.Confirm(asked)
-			}
-			n.storeRead(asked)
-		}
-		wait := listInterval
-		if placing, _ := n.peers.isPlacing(); err == nil && placing && n.listSoon.Load() {
-			wait = listIntervalSoon
-		}
-		if err == nil && !tail.Whole {
-			wait = 0
-		}
-		if !n.waitForList(ctx, wait) {
-			return
-		}
-	}
-}
-
-// waitForList waits for the next read of the list and tells whether the node still runs.
-func (n *Node) waitForList(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-n.clock.After(d):
-	case <-n.listNow:
-		return n.sleep(ctx, min(d, listIntervalSoon))
-	}
-	return true
-}
-
-// readListSoon asks for frequent reads of the list, or no longer.
-func (n *Node) readListSoon(on bool) {
-	if n.listSoon.Swap(on) || !on {
-		return
-	}
-	select {
-	case n.listNow <- struct{}{}:
-	default:
-	}
-}
-
-// learnInstances takes in records of the list; whole says that they are all there is.
-func (n *Node) learnInstances(tail source.Tail, whole bool) {
-	now := n.clock.Now()
-	before := n.roster.Version()
-	seen := map[state.InstanceID]bool{}
-	for _, item := range tail.Items {
-		id := state.InstanceID(item.Key)
-		if len(item.Value) == 0 {
-			n.roster.Unlisted(id, now)
-			delete(seen, id)
-			continue
-		}
-		in, err := n.ports.Decoder.Instance(item.Key, item.Value)
-		if err != nil {
-			n.Count("instances.unreadable")
-			n.log.WithError(err).Warn("entry not read")
-			continue
-		}
-		in.Position = item.Offset
-		n.placer.observe(in.Membership.Epoch, false)
-		seen[id] = true
-		n.roster.Listed(in, now)
-	}
-	if whole {
-		n.roster.Retain(seen, now)
-	}
-	if n.roster.Version() != before {
-		n.touch()
-		n.placer.stir()
-	}
-}
-
-// register writes the node's entry into the store, whose offset is the node's number.
-func (n *Node) register(ctx context.Context) {
-	value, err := json.Marshal(n.peers.self())
-	if err != nil {
-		n.log.WithError(err).Error("entry of the node")
-		return
-	}
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		offset, err := n.ports.Store.Append(callCtx, source.Nodes, n.set.Name, value)
-		cancel()
-		if err == nil {
-			n.number.Store(offset + 1)
-			n.log.WithField("number", offset+1).Info("registered")
-			return
-		}
-		if !n.sleep(ctx, 2*storeRetry) {
-			return
-		}
-	}
-}
--- /dev/null
+++ b/transport/entry/serve.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/troutmast/troutmast/protocol/peer"
+)
+
+// Bounds of a planned stop.
+const (
+	// leaveTime is how long new connections still come after the node is no longer ready.
+	leaveTime = 2900 * time.Millisecond
+	// stopMargin is kept of the time for a planned stop.
+	stopMargin = 400 * time.Millisecond
+)
+
+// Reload takes in settings that were read anew. Addresses and names need a new
+// start; where they differ, the settings are refused and the old ones stay.
+func (n *Node) Reload(set *Settings) error {
+	if set.Name != n.set.Name || set.Callers != n.set.Callers || set.Ready != n.set.Ready || set.Peer != n.set.Peer || set.Store != n.set.Store {
+		return ErrNeedsRestart
+	}
+	n.know.SetBound(set.StrictKeys, set.KeysWithin)
+	n.gate.SetRetry(set.Retry)
+	n.log.Info("settings reloaded")
+	return nil
+}
+
+// ErrNeedsRestart means that changed settings take effect only with a new start.
+var ErrNeedsRestart = errors.New("entry: the name or an address differs, which needs a new start")
+
+// loops returns what runs for the life of the node.
+func (n *Node) loops() []func(context.Context) {
+	return []func(context.Context){
+		n.followConfig,
+		n.followInstances,
+		n.register,
+		n.rebuild,
+		n.watchBeliefs,
+		n.peers.run,
+		n.peers.follow,
+		n.placer.run,
+		n.every(50*time.Millisecond, func(context.Context) { n.gate.Watch.Look() }),
+		n.every(time.Second, func(context.Context) { n.pool.Sweep() }),
+	}
+}
+
+// listener is one server of the node.
+type listener struct {
+	srv *http.Server
+	ln  net.Listener
+}
+
+// listen opens all listeners and serves them.
+func (n *Node) listen() ([]*http.Server, error) {
+	inner := http.NewServeMux()
+	inner.Handle(wordProcedure, connect.NewUnaryHandler(wordProcedure, n.peers.answer, connect.WithCodec(peer.JSONCodec{})))
+	ready := http.NewServeMux()
+	ready.HandleFunc("/", n.serveReady)
+	measures := http.NewServeMux()
+	measures.HandleFunc("/metrics", n.serveMetrics)
+	plan := []struct {
+		at string
+		h  http.Handler
+	}{
+		{n.set.Callers.String(), n.gate},
+		{n.set.Ready.String(), ready},
+		{n.set.Peer.String(), inner},
+		{n.set.Metrics.String(), measures},
+	}
+	var list []*listener
+	for _, p := range plan {
+		ln, err := net.Listen("tcp4", p.at)
+		if err != nil {
+			return nil, fmt.Errorf("entry: listen on %s: %w", p.at, err)
+		}
+		srv := &http.Server{Handler: p.h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: nil}
+		list = append(list, &listener{srv: srv, ln: ln})
+	}
+	var servers []*http.Server
+	for _, l := range list {
+		servers = append(servers, l.srv)
+		go func() {
+			if err := l.srv.Serve(l.ln); !errors.Is(err, http.ErrServerClosed) {
+				n.log.WithError(err).Error("listener ended")
+			}
+		}()
+	}
+	return servers, nil
+}
+
+// serveReady answers whether the node takes new connections.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// isReady tells whether the node can answer callers.
+func (n *Node) isReady() bool { return !n.stopping.Load() && n.know.Catalog() != nil }
+
+// serveMetrics writes all counters.
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(n.metrics, w) }
+
+// stop ends the node: it is no longer ready, answers on, then takes nothing new and finishes what it holds.
+func (n *Node) stop(servers []*http.Server) {
+	began := n.clock.Now()
+	n.log.Info("stopping")
+	n.stopping.Store(true)
+	n.gate.Stop()
+	n.clock.Sleep(min(leaveTime, n.set.StopWithin/2))
+	n.gate.Refuse()
+	ctx, cancel := context.WithTimeout(context.Background(), n.set.StopWithin-stopMargin-n.clock.Since(began))
+	defer cancel()
+	if err := servers[0].Shutdown(ctx); err != nil {
+		n.log.WithError(err).WithField("held", n.gate.Watch.Active()).Warn("requests cut off by the stop")
+	}
+}
--- /dev/null
+++ b/transport/entry/tell.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/troutmast/troutmast/protocol/peer"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// tell sends this node's word to another.
+func (p *peers) tell(ctx context.Context, address string) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
+	defer cancel()
+	p.mu.Lock()
+	c := p.clients[address]
+	if c == nil {
+		c = connect.NewClient[Word, Answer](p.hc, "http://"+address+wordProcedure, connect.WithCodec(peer.JSONCodec{}))
+		p.clients[address] = c
+	}
+	p.mu.Unlock()
+	resp, err := c.CallUnary(ctx, connect.NewRequest(p.word()))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// word returns what this node tells.
+func (p *peers) word() *Word {
+	n := p.n
+	now := n.clock.Now()
+	w := &Word{
+		From:     p.self(),
+		Held:     n.table.Held(),
+		Suspects: n.suspected(now),
+		StoreMS:  age(n.storeAge()),
+		AgeMS:    age(time.Hour),
+	}
+	if n.gate.Arrived() > 0 {
+		w.Arrived = map[state.ServiceName]map[string]int{}
+	}
+	raw, version := n.know.Raw()
+	w.Version = version
+	if heard := p.heardVersion(); heard > 0 && version > heard {
+		w.Config = raw
+	}
+	w.Blind = n.storeAge() > storeStale
+	if a, ok := n.know.Age(); ok {
+		w.AgeMS = age(a)
+	}
+	return w
+}
+
+// heardVersion returns the version of the configuration at the placing node, as last heard.
+func (p *peers) heardVersion() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.version
+}
+
+// takeConfig takes in the placing node's configuration. What it knew was that old
+// when it answered, so it is at most that much older than the question.
+func (p *peers) takeConfig(a *Answer, asked time.Time) {
+	n := p.n
+	p.mu.Lock()
+	p.version = a.Version
+	p.mu.Unlock()
+	if len(a.Config) > 0 {
+		n.learnConfig(a.Config, "peer")
+	}
+	if _, version := n.know.Raw(); version == a.Version && version > 0 {
+		n.know.Confirm(asked.Add(-time.Duration(a.AgeMS) * time.Millisecond))
+	}
+}
+
+// takeInstances takes in what the placing node knows of the instances.
+func (p *peers) takeInstances(list []fleet.Instance) {
+	if len(list) == 0 {
+		return
+	}
+	now := p.n.clock.Now()
+	for _, in := range list {
+		p.n.roster.Relayed(in, now)
+	}
+	p.n.touch()
+}
+
+// take takes in what the placing node told; asked is when it was asked.
+func (p *peers) take(a *Answer, asked time.Time) {
+	n := p.n
+	p.takeConfig(a, asked)
+	p.takeInstances(a.Instances)
+	for _, e := range a.Nodes {
+		p.learn(e)
+	}
+	p.mu.Lock()
+	p.arrived = p.arrived || a.Arrived
+	p.mu.Unlock()
+	n.setAvoid(a.Avoid)
+	n.table.SetOthers(minus(a.Held, n.table.Held()))
+	n.gate.SetNodes(p.count())
+}
+
+// minus returns what others hold, given what all hold and what this node does.
+func minus(all, own map[state.InstanceID]int) map[state.InstanceID]int {
+	out := make(map[state.InstanceID]int, len(all))
+	for id, n := range all {
+		out[id] = max(n-own[id], 0)
+	}
+	return out
+}
+
+// answer is what this node answers to the word of another.
+func (p *peers) answer(_ context.Context, req *connect.Request[Word]) (*connect.Response[Answer], error) {
+	n := p.n
+	now := n.clock.Now()
+	w := req.Msg
+	p.learn(w.From)
+	p.mu.Lock()
+	p.words[w.From.Name] = heardWord{word: *w, at: now}
+	p.arrived = p.arrived || w.Arrived != nil
+	a := &Answer{Placing: p.mayPlace()}
+	p.mu.Unlock()
+	n.learnConfig(w.Config, "peer")
+	for _, s := range w.Suspects {
+		n.placer.suspect(s.Instance, now.Add(-time.Duration(s.AgeMS)*time.Millisecond))
+	}
+	if a.Placing {
+		a.Nodes = append(p.alive(), p.self())
+		a.Held = p.heldByOthers("")
+		for id, held := range n.table.Held() {
+			a.Held[id] += held
+		}
+		a.Avoid = n.placer.avoiding()
+		a.Arrived = p.anyArrived()
+		p.giveConfig(a, w)
+		if w.Blind && n.storeAge() < storeStale {
+			for _, v := range n.roster.All(now) {
+				a.Instances = append(a.Instances, v.Instance)
+			}
+		}
+	}
+	return connect.NewResponse(a), nil
+}
+
+// giveConfig tells the configuration in force here, whole to a node that is behind.
+func (p *peers) giveConfig(a *Answer, w *Word) {
+	raw, version := p.n.know.Raw()
+	a.Version, a.AgeMS = version, age(time.Hour)
+	if d, ok := p.n.know.Age(); ok {
+		a.AgeMS = age(d)
+	}
+	if w.Version < version {
+		a.Config = raw
+	}
+}
