--- /dev/null
+++ b/transport/entry/entry_test.go
@@ -0,0 +1,288 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/coordination/retry"
+	"github.com/troutmast/troutmast/coordination/source"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+	"github.com/troutmast/troutmast/transport/entry"
+	"github.com/troutmast/troutmast/transport/gateway"
+)
+
+// store is a stand-in for a platform's store; each node has a view of it that can be cut.
+type store struct {
+	mu     sync.Mutex
+	topics map[source.Topic][]source.Item
+}
+
+func (s *store) add(topic source.Topic, key string, value any) int64 {
+	raw, _ := json.Marshal(value)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	offset := int64(len(s.topics[topic]))
+	s.topics[topic] = append(s.topics[topic], source.Item{Key: key, Value: raw, Offset: offset})
+	return offset
+}
+
+// view is one node's way to the store.
+type view struct {
+	*store
+	mu  sync.Mutex
+	cut bool
+}
+
+func (v *view) setCut(on bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.cut = on
+}
+
+func (v *view) isCut() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.cut
+}
+
+func (v *view) Newest(ctx context.Context, topic source.Topic) (source.Tail, error) {
+	return v.Read(ctx, topic, 0, 0)
+}
+
+func (v *view) Read(ctx context.Context, topic source.Topic, from int64, wait time.Duration) (source.Tail, error) {
+	end := time.After(wait)
+	for {
+		if v.isCut() {
+			return source.Tail{}, source.ErrUnavailable
+		}
+		v.store.mu.Lock()
+		items := append([]source.Item(nil), v.topics[topic][from:]...)
+		v.store.mu.Unlock()
+		if len(items) > 0 || wait == 0 {
+			return source.Tail{Items: items, End: from + int64(len(items)), Whole: true}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return source.Tail{}, source.ErrUnavailable
+		case <-end:
+			return source.Tail{End: from, Whole: true}, nil
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (v *view) Append(_ context.Context, topic source.Topic, key string, value []byte) (int64, error) {
+	if v.isCut() {
+		return 0, source.ErrUnavailable
+	}
+	return v.add(topic, key, json.RawMessage(value)), nil
+}
+
+// decoder reads the stand-in's records: a configuration is its version.
+type decoder struct{}
+
+func (decoder) Catalog(raw []byte) (*catalog.Catalog, error) {
+	version, err := strconv.ParseInt(string(raw), 10, 64)
+	if err != nil {
+		return nil, errors.New("unreadable")
+	}
+	route := catalog.Route{Name: "r", Host: "h", Prefix: "/", Kind: catalog.Safe, MaxAttempts: 1, Shares: []catalog.Share{{Service: "plain", Weight: 1}}}
+	return catalog.New(version, []catalog.Route{route}, []catalog.Service{{Name: "plain"}}, map[string]*catalog.Team{"k": {Name: "t"}}, catalog.Limits{}), nil
+}
+
+func (decoder) Instance(_ string, raw []byte) (fleet.Instance, error) {
+	var in fleet.Instance
+	return in, json.Unmarshal(raw, &in)
+}
+
+// targets answers no question: the stand-in has no engines.
+type targets struct{}
+
+func (targets) Report(context.Context, netip.AddrPort, state.InstanceID) (fleet.Report, error) {
+	return fleet.Report{}, errors.New("no engine")
+}
+
+func (targets) Order(context.Context, placement.Order) (placement.Reply, error) {
+	return placement.Unanswered, errors.New("no engine")
+}
+
+// dialect is the stand-in's way of writing requests.
+type dialect struct{}
+
+func (dialect) Parse(h http.Header) (gateway.Claims, error) {
+	return gateway.Claims{ID: h.Get("Id"), Key: h.Get("Key"), Patience: 2 * time.Second}, nil
+}
+func (dialect) Forward(http.Header, gateway.Forward)      {}
+func (dialect) Belongs(h http.Header, id string) bool     { return h.Get("Id") == id }
+func (dialect) Verdict(int, http.Header) gateway.Verdict  { return gateway.Verdict{Sealed: true} }
+func (dialect) RetryAfter(h http.Header, d time.Duration) { h.Set("Retry-After", d.String()) }
+func (dialect) Echo(h http.Header, id string)             { h.Set("Id", id) }
+func (dialect) Status(c gateway.Code) int {
+	if c == gateway.CodeBadKey {
+		return http.StatusUnauthorized
+	}
+	return http.StatusServiceUnavailable
+}
+
+// running is a node under test.
+type running struct {
+	set  *entry.Settings
+	view *view
+	stop context.CancelFunc
+	done chan error
+}
+
+// start runs a node on loopback.
+func start(t *testing.T, s *store, name string, seeds ...netip.AddrPort) *running {
+	set := &entry.Settings{
+		Name: name, Hall: "hall", Callers: freeAddress(t), Ready: freeAddress(t), Peer: freeAddress(t), Metrics: freeAddress(t), Seeds: seeds,
+		BeatInterval: time.Second, StopWithin: time.Second, LeaveWithin: 2 * time.Second, StallTime: 4 * time.Second,
+		StrictKeys: true, KeysWithin: 3 * time.Second, Retry: retry.Bounds{Ratio: 0.2, Slack: 10, Window: 10 * time.Second},
+	}
+	r := &running{set: set, view: &view{store: s}, done: make(chan error, 1)}
+	ports := entry.Ports{Store: r.view, Decoder: decoder{}, Targets: targets{}, Dialect: dialect{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	node := entry.New(set, ports, clockwork.NewRealClock(), &log.Logger{Handler: discard.New(), Level: log.InfoLevel})
+	go func() { r.done <- node.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-r.done
+	})
+	return r
+}
+
+// freeAddress returns a loopback address at which nothing listens.
+func freeAddress(t *testing.T) netip.AddrPort {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// status returns the status of a request to an address, 0 if there is no answer.
+func status(at netip.AddrPort, key string) int {
+	req, _ := http.NewRequest(http.MethodGet, "http://"+at.String()+"/x", nil)
+	req.Host = "h"
+	req.Header.Set("Id", "r1")
+	req.Header.Set("Key", key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+func TestANodeIsReadyOnceItHasAConfigurationAndServesIt(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	n := start(t, s, "a")
+	g.Eventually(func() int { return status(n.set.Ready, "") }, 10*time.Second).Should(Equal(http.StatusServiceUnavailable))
+	g.Expect(status(n.set.Callers, "k")).To(Equal(http.StatusServiceUnavailable))
+	s.add(source.Configuration, "config", 1)
+	g.Eventually(func() int { return status(n.set.Ready, "") }, 10*time.Second).Should(Equal(http.StatusOK))
+	g.Expect(status(n.set.Callers, "other")).To(Equal(http.StatusUnauthorized))
+	g.Expect(status(n.set.Metrics, "")).NotTo(BeZero())
+}
+
+func TestANodeThatCannotReadTheStoreServesByTheConfigurationOfAnother(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	s.add(source.Configuration, "config", 1)
+	a := start(t, s, "a")
+	b := start(t, s, "b", a.set.Peer)
+	for _, n := range []*running{a, b} {
+		g.Eventually(func() int { return status(n.set.Callers, "other") }, 10*time.Second).Should(Equal(http.StatusUnauthorized))
+	}
+	for _, cut := range []*running{a, b} {
+		cut.view.setCut(true)
+		// Well past the bound on keys, the node still knows that they hold.
+		g.Consistently(func() int { return status(cut.set.Callers, "other") }, 4*time.Second, 50*time.Millisecond).
+			Should(Equal(http.StatusUnauthorized))
+		cut.view.setCut(false)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func TestKeysAreNotTrustedWithoutWordOfTheStore(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	s.add(source.Configuration, "config", 1)
+	n := start(t, s, "a")
+	g.Eventually(func() int { return status(n.set.Callers, "other") }, 10*time.Second).Should(Equal(http.StatusUnauthorized))
+	n.view.setCut(true)
+	g.Eventually(func() int { return status(n.set.Callers, "other") }, 10*time.Second).Should(Equal(http.StatusServiceUnavailable))
+	n.view.setCut(false)
+	g.Eventually(func() int { return status(n.set.Callers, "other") }, 10*time.Second).Should(Equal(http.StatusUnauthorized))
+}
+
+func TestAStoppingNodeIsNotReadyAndEnds(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	s.add(source.Configuration, "config", 1)
+	n := start(t, s, "a")
+	g.Eventually(func() int { return status(n.set.Ready, "") }, 10*time.Second).Should(Equal(http.StatusOK))
+	n.stop()
+	g.Eventually(func() int { return status(n.set.Ready, "") }, 10*time.Second).ShouldNot(Equal(http.StatusOK))
+	g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
+	n.done <- nil
+}
+
+func TestKnowledgeNeverGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	k := entry.NewKnowledge(decoder{}, true, 5*time.Second, clockwork.NewFakeClock())
+	for _, c := range []struct {
+		raw     string
+		newer   bool
+		fails   bool
+		version int64
+	}{
+		{"3", true, false, 3}, {"2", false, false, 3}, {"x", false, true, 3}, {"3", false, false, 3}, {"7", true, false, 7},
+	} {
+		newer, err := k.Learn([]byte(c.raw))
+		g.Expect(newer).To(Equal(c.newer), c.raw)
+		g.Expect(err != nil).To(Equal(c.fails), c.raw)
+		_, version := k.Raw()
+		g.Expect(version).To(Equal(c.version), c.raw)
+	}
+}
+
+func TestKnowledgeIsAsOldAsTheQuestion(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	k := entry.NewKnowledge(decoder{}, true, 5*time.Second, clock)
+	g.Expect(k.KeysFresh()).To(BeFalse())
+	asked := clock.Now()
+	clock.Advance(3 * time.Second) // the answer took its time
+	k.Confirm(asked)
+	g.Expect(k.KeysFresh()).To(BeTrue())
+	clock.Advance(1500 * time.Millisecond)
+	g.Expect(k.KeysFresh()).To(BeTrue())
+	clock.Advance(200 * time.Millisecond)
+	g.Expect(k.KeysFresh()).To(BeFalse())
+	k.Confirm(asked.Add(-time.Second)) // an older word changes nothing
+	g.Expect(k.KeysFresh()).To(BeFalse())
+	k.SetBound(false, 0)
+	g.Expect(k.KeysFresh()).To(BeTrue())
+}
