Let relayed word bring no leaving instance back; count the store's age from the newest question

Now relayed word counts only if it is newer than the node's own, and the age follows the newest question. Tests: TestWordOfAnotherNodeBringsNoLeavingInstanceBack fails on the version before. Failed reads of the store are logged, the first of a row.

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -144,21 +144,26 @@
 	e.listed, e.inList = in, true
 }
 
-// Relayed takes in what another node knows of an instance, unless this node has read something newer itself.
+// Relayed takes in what another node knows of an instance, if that is newer than
+// what this node has read itself. Of an entry that this node has read too, it
+// counts only that the instance is leaving: word of another node brings none back.
 func (r *Roster) Relayed(in fleet.Instance, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.m[in.ID]
 	if e == nil {
 		e = &entry{seen: now, changed: now, belief: in}
+		e.listed.Position = in.Position - 1
 		r.m[in.ID] = e
 	}
-	if in.Position < e.listed.Position {
+	if in.Position <= e.listed.Position {
+		if in.Draining && in.Position == e.listed.Position {
+			e.listed.Draining = true
+			r.version++
+		}
 		return
 	}
-	if in.Position > e.listed.Position {
-		e.beat = now
-	}
+	e.beat = now
 	e.listed, e.inList = in, true
 	if e.believe(in.Membership, in.Model, in.Staged, now) {
 		e.counted = false
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -106,3 +106,32 @@
 	r.Heard("i1", start.Add(1300*time.Millisecond))
 	g.Expect(only(r, start.Add(1300*time.Millisecond)).Lost).To(BeFalse())
 }
+
+func TestWordOfAnotherNodeBringsNoLeavingInstanceBack(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		relayed func() fleet.Instance
+		leaving bool
+	}{
+		{"the same entry", func() fleet.Instance { return free }, true},
+		{"an older entry", func() fleet.Instance { in := free; in.Position = 4; return in }, true},
+		{"a newer entry", func() fleet.Instance { in := free; in.Position = 6; return in }, false},
+		{"a newer entry that is leaving", func() fleet.Instance { in := free; in.Position = 6; in.Draining = true; return in }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRoster()
+			r.Unlisted("i1", start)
+			r.Relayed(c.relayed(), start.Add(time.Second))
+			NewWithT(t).Expect(r.All(start.Add(2 * time.Second))[0].Draining).To(Equal(c.leaving))
+		})
+	}
+}
+
+func TestWordThatAnInstanceIsLeavingCounts(t *testing.T) {
+	g := NewWithT(t)
+	r := newRoster()
+	leaving := free
+	leaving.Draining = true
+	r.Relayed(leaving, start.Add(time.Second))
+	g.Expect(r.All(start.Add(time.Second))[0].Draining).To(BeTrue())
+}
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -80,9 +80,16 @@
 	}
 }
 
-// storeRead notes that the store answered a question asked at a time.
+// storeRead notes that the store answered a question asked at a time. A question
+// that waited long for its answer does not make the last one look older.
 func (n *Node) storeRead(asked time.Time) {
-	n.storeAt.Store(int64(asked.Sub(n.started)) + 1)
+	at := int64(asked.Sub(n.started)) + 1
+	for {
+		old := n.storeAt.Load()
+		if at <= old || n.storeAt.CompareAndSwap(old, at) {
+			return
+		}
+	}
 }
 
 // storeAge returns how long ago the last question was asked that the store answered.
@@ -99,12 +106,29 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+wait)
 	defer cancel()
 	n.Count("store." + string(topic))
-	if from < 0 {
-		tail, err := n.ports.Store.Newest(ctx, topic)
-		tail.Whole = err == nil
-		return tail, err
-	}
-	return n.ports.Store.Read(ctx, topic, from, wait)
+	began := n.clock.Now()
+	tail, err := n.readOnce(ctx, topic, from, wait)
+	if err == nil {
+		n.storeFailed.Store(false)
+		return tail, nil
+	}
+	n.Count("store." + string(topic) + ".failed")
+	if !n.storeFailed.Swap(true) {
+		n.log.WithError(err).WithFields(log.Fields{
+			"topic": topic, "from": from, "ms": n.clock.Since(began).Milliseconds(),
+		}).Info("read of the store failed")
+	}
+	return tail, err
+}
+
+// readOnce makes one read of a topic.
+func (n *Node) readOnce(ctx context.Context, topic source.Topic, from int64, wait time.Duration) (source.Tail, error) {
+	if from >= 0 {
+		return n.ports.Store.Read(ctx, topic, from, wait)
+	}
+	tail, err := n.ports.Store.Newest(ctx, topic)
+	tail.Whole = err == nil
+	return tail, err
 }
 
 // followInstances keeps up with the platform's list of instances.
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -47,9 +47,11 @@
 	placer  *placer
 	started time.Time
 
-	number   atomic.Int64
-	storeAt  atomic.Int64
-	stopping atomic.Bool
+	number  atomic.Int64
+	storeAt atomic.Int64
+	// storeFailed tells that the last read of the store failed: only the first of a row is logged.
+	storeFailed atomic.Bool
+	stopping    atomic.Bool
 	// listSoon asks for frequent reads of the list.
 	listSoon atomic.Bool
 	listNow  chan struct{}
