--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -164,7 +164,7 @@
 	go func() { r.done <- node.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		<-r.done
+		_ = <-r.done
 	})
 	return r
 }
