--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -164,7 +164,9 @@
 	go func() { r.done <- node.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		_ = <-r.done
+		if err := <-r.done; err != nil {
+			t.Errorf("node %s ended: %v", name, err)
+		}
 	})
 	return r
 }
