--- a/transport/entry/beliefs.go
+++ b/transport/entry/beliefs.go
@@ -25,8 +25,8 @@
 
 // belief is what the node last logged of one instance.
 type belief struct {
-	lost, draining bool
-	membership     fleet.Membership
+	lost, draining, unlisted bool
+	membership               fleet.Membership
 }
 
 // watchBeliefs logs every dependency that is lost or regained, and every change of what is believed of instances.
@@ -61,7 +61,7 @@
 	for i := range views {
 		v := &views[i]
 		seen[v.ID] = true
-		is := belief{lost: v.Lost, draining: v.Draining, membership: v.Membership}
+		is := belief{lost: v.Lost, draining: v.Draining, unlisted: v.Unlisted, membership: v.Membership}
 		was, known := b.instances[v.ID]
 		if known && was == is {
 			continue
@@ -71,9 +71,9 @@
 			continue
 		}
 		n.log.WithFields(log.Fields{
-			"instance": v.ID, "lost": is.lost, "draining": is.draining, "group": is.membership.Group, "epoch": is.membership.Epoch,
+			"instance": v.ID, "unlisted": v.Unlisted, "lost": is.lost, "draining": is.draining, "group": is.membership.Group, "epoch": is.membership.Epoch,
 			"rank": is.membership.Rank, "state": is.membership.State, "position": v.Position, "address": v.Address.String(),
-		}).Debug("instance")
+		}).Info("instance")
 	}
 	for id := range b.instances {
 		if !seen[id] {
