Pass placing on before keys go stale; test leaving, planned stops, recovery, loads and candidates

TestANodeThatCannotReadTheStoreServesByTheConfigurationOfAnother failed once of three runs: a placing node that is cut off gave placing up only after 2.5 s, and keys were trusted for 2.6 s in the test. Tests without the bench for DRAIN, LOST, RECOVER and CEILING, which had none.

--- /dev/null
+++ b/coordination/dispatch/candidate_test.go
@@ -0,0 +1,104 @@
+package dispatch_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// config has a plain service and one with groups of two.
+func config() *catalog.Catalog {
+	engine := &catalog.Engine{Slots: 10, Models: []catalog.Model{{Name: "m", Size: 2, Pace: 1}}}
+	return catalog.New(1, nil, []catalog.Service{{Name: "plain"}, {Name: "lm", Engine: engine}}, nil, catalog.Limits{})
+}
+
+// plain returns an instance of the plain service.
+func plain(id string) roster.View {
+	return roster.View{Instance: fleet.Instance{ID: state.InstanceID(id), Service: "plain", Slots: 4, Hall: "h"}}
+}
+
+// member returns a member of group g at a rank.
+func member(id string, rank int, s fleet.MemberState) roster.View {
+	return roster.View{Instance: fleet.Instance{
+		ID: state.InstanceID(id), Service: "lm", Model: "m", Hall: "h",
+		Membership: fleet.Membership{Group: "g", Epoch: 3, Rank: rank, State: s},
+	}}
+}
+
+// nobody avoids no instance.
+func nobody(state.InstanceID) bool { return false }
+
+func TestOnlySoundTargetsAreCandidates(t *testing.T) {
+	with := func(v roster.View, change func(*roster.View)) roster.View {
+		change(&v)
+		return v
+	}
+	for _, c := range []struct {
+		name    string
+		service state.ServiceName
+		views   []roster.View
+		avoided bool
+		found   bool
+	}{
+		{"a plain instance", "plain", []roster.View{plain("a")}, false, true},
+		{"one that is leaving", "plain", []roster.View{with(plain("a"), func(v *roster.View) { v.Draining = true })}, false, false},
+		{"one that does not answer", "plain", []roster.View{with(plain("a"), func(v *roster.View) { v.Lost = true })}, false, false},
+		{"a whole open group", "lm", []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready)}, false, true},
+		{"a group that is not open", "lm", []roster.View{member("a", 0, fleet.Ready), member("b", 1, fleet.Ready)}, false, false},
+		{"a group that lacks a member", "lm", []roster.View{member("a", 0, fleet.Open)}, false, false},
+		{"a group whose member does not answer", "lm",
+			[]roster.View{member("a", 0, fleet.Open), with(member("b", 1, fleet.Ready), func(v *roster.View) { v.Lost = true })}, false, false},
+		{"a group whose head is leaving", "lm",
+			[]roster.View{with(member("a", 0, fleet.Open), func(v *roster.View) { v.Draining = true }), member("b", 1, fleet.Ready)}, false, false},
+		{"a group that is taken apart", "lm", []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready)}, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := dispatch.NewTable("h")
+			table.Update(config(), c.views, func(fleet.GroupKey) bool { return c.avoided })
+			model := ""
+			if c.service == "lm" {
+				model = "m"
+			}
+			NewWithT(t).Expect(table.Pick(c.service, model, nobody) != nil).To(Equal(c.found))
+		})
+	}
+}
+
+func TestTheLeastLoadedIsPickedOverWhatAllNodesHold(t *testing.T) {
+	g := NewWithT(t)
+	table := dispatch.NewTable("h")
+	table.Update(config(), []roster.View{plain("a"), plain("b")}, func(fleet.GroupKey) bool { return false })
+	table.SetOthers(map[state.InstanceID]int{"a": 3})
+	for range 20 {
+		g.Expect(table.Pick("plain", "", nobody).ID).To(Equal(state.InstanceID("b")))
+	}
+	held := table.Pick("plain", "", nobody)
+	for range 4 {
+		held.Begin()
+	}
+	g.Expect(table.Held()).To(Equal(map[state.InstanceID]int{"b": 4}))
+	for range 20 {
+		g.Expect(table.Pick("plain", "", nobody).ID).To(Equal(state.InstanceID("a")))
+	}
+}
+
+func TestAGroupIsFullBelowItsPlaces(t *testing.T) {
+	g := NewWithT(t)
+	table := dispatch.NewTable("h")
+	table.Update(config(), []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready)}, func(fleet.GroupKey) bool { return false })
+	head := table.Pick("lm", "m", nobody)
+	for range 8 {
+		head.Begin()
+	}
+	g.Expect(head.Full()).To(BeFalse())
+	head.Begin()
+	g.Expect(head.Full()).To(BeTrue())
+	head.End()
+	g.Expect(head.Full()).To(BeFalse())
+}
--- a/coordination/placement/property_test.go
+++ b/coordination/placement/property_test.go
@@ -1,11 +1,16 @@
 package placement_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/state"
 )
 
 // Several planners at once, frozen and cut off from the list, with orders that
@@ -61,3 +66,49 @@
 	_, inGroups := w.serving()
 	g.Expect(inGroups).To(Equal(8))
 }
+
+// However many empty instances come at once, and whoever places, the loads from
+// the weight store that begin in any five seconds stay under its ceiling.
+func TestLoadsStayUnderTheCeiling(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(3, 2, 4, 2)
+	w.faults = false
+	for _, target := range w.targets {
+		target.Staged = []string{"large"}
+		w.changed(target)
+	}
+	var began []time.Time
+	w.ordered = func(o placement.Order) {
+		if o.Action == placement.Stage {
+			began = append(began, w.now)
+		}
+	}
+	for i := range 6 {
+		w.place(w.nodes[i%2], true)
+		w.place(w.nodes[(i+1)%2], false)
+		for range 10 {
+			w.addTarget("d0")
+			w.targets[newest(w)].Staged = nil
+			w.changed(w.targets[newest(w)])
+		}
+		w.run(3 * time.Second)
+	}
+	g.Expect(w.broken).To(BeEmpty())
+	g.Expect(len(began)).To(BeNumerically(">", 6), "instances load what they lack")
+	e := engine()
+	ceiling := int(e.LoadsPerSecond*5*1.1) + 3
+	for i := range began {
+		in := 0
+		for _, at := range began[i:] {
+			if at.Sub(began[i]) < 5*time.Second {
+				in++
+			}
+		}
+		g.Expect(in).To(BeNumerically("<=", ceiling))
+	}
+}
+
+// newest returns the target that was added last.
+func newest(w *world) state.InstanceID {
+	return slices.Max(slices.Collect(maps.Keys(w.targets)))
+}
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -103,6 +103,8 @@
 	next    int
 	broken  []string
 	late    float64
+	// ordered, when set, is told of every order that a node sends.
+	ordered func(o placement.Order)
 	// trace, when set, is told of every order carried out.
 	trace func(text string)
 }
@@ -389,6 +391,9 @@
 
 // send carries an order to its target: at once, later without an answer, or with a lost answer.
 func (w *world) send(n *observer, o placement.Order) {
+	if w.ordered != nil {
+		w.ordered(o)
+	}
 	if w.trace != nil {
 		w.trace(fmt.Sprintf("%s: node %d sends %s %s %s", w.now.Sub(time.Unix(1000, 0)), n.number, o.Action, o.Instance, o.Key.Group))
 	}
--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -43,6 +44,13 @@
 	return offset
 }
 
+// drop drops a key of a topic.
+func (s *store) drop(topic source.Topic, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics[topic] = append(s.topics[topic], source.Item{Key: key, Offset: int64(len(s.topics[topic]))})
+}
+
 // view is one node's way to the store.
 type view struct {
 	*store
@@ -288,3 +296,111 @@
 	k.SetBound(false, 0)
 	g.Expect(k.KeysFresh()).To(BeTrue())
 }
+
+// plainInstance lists an instance of the plain service that a function answers, and returns how many requests it had.
+func plainInstance(t *testing.T, s *store, id string, answer http.HandlerFunc) (list func(change func(*fleet.Instance)), had func() int) {
+	var mu sync.Mutex
+	n := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		n++
+		mu.Unlock()
+		w.Header().Set("Id", r.Header.Get("Id"))
+		answer(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	in := fleet.Instance{ID: state.InstanceID(id), Service: "plain", Slots: 4, Hall: "hall", Address: netip.MustParseAddrPort(srv.Listener.Addr().String())}
+	list = func(change func(*fleet.Instance)) {
+		entry := in
+		change(&entry)
+		s.add(source.Instances, id, entry)
+	}
+	had = func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return n
+	}
+	return list, had
+}
+
+// unchanged leaves an entry as it is.
+func unchanged(*fleet.Instance) {}
+
+// answerOK answers with nothing.
+func answerOK(http.ResponseWriter, *http.Request) {}
+
+func TestALeavingInstanceGetsNoNewRequests(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		leave func(s *store, list func(func(*fleet.Instance)))
+	}{
+		{"it says so", func(_ *store, list func(func(*fleet.Instance))) {
+			list(func(in *fleet.Instance) { in.Draining = true })
+		}},
+		{"its entry is dropped", func(s *store, _ func(func(*fleet.Instance))) { s.drop(source.Instances, "i1") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := &store{topics: map[source.Topic][]source.Item{}}
+			s.add(source.Configuration, "config", 1)
+			n := start(t, s, "a")
+			list, had := plainInstance(t, s, "i1", answerOK)
+			list(unchanged)
+			g.Eventually(func() int { return status(n.set.Callers, "k") }, 10*time.Second).Should(Equal(http.StatusOK))
+			c.leave(s, list)
+			g.Eventually(func() int { return status(n.set.Callers, "k") }, 10*time.Second).Should(Equal(http.StatusServiceUnavailable))
+			before := had()
+			for range 20 {
+				g.Expect(status(n.set.Callers, "k")).To(Equal(http.StatusServiceUnavailable))
+			}
+			g.Expect(had()).To(Equal(before))
+			list(unchanged) // it is back
+			g.Eventually(func() int { return status(n.set.Callers, "k") }, 10*time.Second).Should(Equal(http.StatusOK))
+		})
+	}
+}
+
+func TestAPlannedStopCutsNothingOff(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	s.add(source.Configuration, "config", 1)
+	n := start(t, s, "a")
+	working, finish := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	list, _ := plainInstance(t, s, "i1", func(http.ResponseWriter, *http.Request) {
+		once.Do(func() { close(working) })
+		<-finish
+	})
+	list(unchanged)
+	got := make(chan int, 1)
+	go func() {
+		for {
+			if code := status(n.set.Callers, "k"); code != http.StatusServiceUnavailable && code != 0 {
+				got <- code
+				return
+			}
+		}
+	}()
+	g.Eventually(working, 10*time.Second).Should(BeClosed())
+	n.stop()
+	g.Eventually(func() int { return status(n.set.Ready, "") }, 10*time.Second).ShouldNot(Equal(http.StatusOK))
+	close(finish)
+	g.Eventually(got, 10*time.Second).Should(Receive(Equal(http.StatusOK)))
+	g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
+	n.done <- nil
+}
+
+func TestNewNodesServeFromTheStoreAlone(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	s.add(source.Configuration, "config", 1)
+	list, _ := plainInstance(t, s, "i1", answerOK)
+	list(unchanged)
+	for _, name := range []string{"a", "b"} {
+		n := start(t, s, name)
+		g.Eventually(func() int { return status(n.set.Callers, "k") }, 10*time.Second).Should(Equal(http.StatusOK))
+		n.stop()
+		g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
+		n.done <- nil
+	}
+}
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -173,17 +173,28 @@
 
 // behindOthers tells whether the node cannot read the store while another one lately could.
 func (p *peers) behindOthers() bool {
-	if p.n.storeAge() < storeStale {
+	stale := p.n.storeStale()
+	if p.n.storeAge() < stale {
 		return false
 	}
 	for _, h := range p.words {
-		if p.n.clock.Since(h.at) < nodeLives && time.Duration(h.word.StoreMS)*time.Millisecond < storeStale {
+		if p.n.clock.Since(h.at) < nodeLives && time.Duration(h.word.StoreMS)*time.Millisecond < stale {
 			return true
 		}
 	}
 	return false
 }
 
+// storeStale returns the age of its last read of the store from which on a node
+// counts as cut off from it. Where keys are trusted only for a time, it must hear of
+// them from another node well before that is over.
+func (n *Node) storeStale() time.Duration {
+	if n.set.StrictKeys {
+		return min(storeStale, n.set.KeysWithin/3)
+	}
+	return storeStale
+}
+
 // round tells the first node that places; if there is none before this one, this one does.
 func (p *peers) round(ctx context.Context) {
 	for _, address := range p.candidates(p.n.clock.Now()) {
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -48,7 +48,7 @@
 	if heard := p.heardVersion(); heard > 0 && version > heard {
 		w.Config = raw
 	}
-	w.Blind = n.storeAge() > storeStale
+	w.Blind = n.storeAge() > n.storeStale()
 	if a, ok := n.know.Age(); ok {
 		w.AgeMS = age(a)
 	}
@@ -138,7 +138,7 @@
 		a.Avoid = n.placer.avoiding()
 		a.Arrived = p.anyArrived()
 		p.giveConfig(a, w)
-		if w.Blind && n.storeAge() < storeStale {
+		if w.Blind && n.storeAge() < n.storeStale() {
 			for _, v := range n.roster.All(now) {
 				a.Instances = append(a.Instances, v.Instance)
 			}
