Take an answer that is no report for a sign of life, and keep what was known

Two unreadable answers made an instance count as lost, so that its group was taken apart; a worker that spoils its answers lives. Such answers are counted, the first of an instance is logged.

--- a/coordination/placement/order.go
+++ b/coordination/placement/order.go
@@ -33,6 +33,9 @@
 // ErrReplaced means that another instance answers at an instance's address, so that it has ended.
 var ErrReplaced = errors.New("placement: another instance has the address")
 
+// ErrUnreadable means that an instance answered something that is no report.
+var ErrUnreadable = errors.New("placement: report not readable")
+
 // Order is one order to one life of an instance.
 type Order struct {
 	Action   Action
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -94,6 +94,10 @@
 		n.Replaced(m.ID)
 		return false
 	}
+	if errors.Is(err, placement.ErrUnreadable) {
+		n.unreadable(m.ID, asked, err)
+		return true
+	}
 	if err != nil {
 		n.Failed(m.ID, asked)
 		return false
@@ -103,6 +107,16 @@
 	return true
 }
 
+// unreadable takes in that an instance answered no report: it lives, and what was
+// known of it stays. The first such answer of an instance is logged.
+func (n *Node) unreadable(id state.InstanceID, asked time.Time, err error) {
+	n.Count("reports.unreadable")
+	n.roster.Heard(id, asked)
+	if _, known := n.garbled.LoadOrStore(id, true); !known {
+		n.log.WithError(err).WithField("instance", id).Warn("report not read")
+	}
+}
+
 // suspect remembers that an instance did not answer, and has the placing node told at once.
 func (n *Node) suspect(id state.InstanceID, at time.Time) {
 	n.mu.Lock()
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -58,6 +58,9 @@
 	// changed asks for the candidates to be built anew.
 	changed chan struct{}
 
+	// garbled are the instances that answered something that is no report.
+	garbled sync.Map
+
 	mu sync.Mutex
 	// avoid are formations that the placing node takes apart.
 	avoid map[fleet.GroupKey]bool
