Take a recovered group's model only from members that have loaded it

Where that model is smaller, the group counted as complete without the member whose join came late, and was opened. Found by reading; TestARecoveredGroupIsNotOpenedWithoutAllMembers fails on the version before.

--- a/coordination/placement/formation.go
+++ b/coordination/placement/formation.go
@@ -67,8 +67,9 @@
 // complete fills in the members of a recovered formation that were not known.
 func (s *step) complete(key fleet.GroupKey, f *formation) {
 	for _, m := range s.groups[key] {
-		if m.Model != "" {
-			f.model = m.Model
+		// A member that is joining may still name the model of its last group.
+		if m.Loaded != "" && m.Membership.State != fleet.Joining {
+			f.model = m.Loaded
 		}
 	}
 	for rank, id := range s.membersByRank(key) {
@@ -83,6 +84,9 @@
 		f.members = append(f.members, make([]state.InstanceID, model.Size-len(f.members))...)
 	}
 	f.unknown = 0
+	if s.engine.Model(f.model) == nil {
+		f.unknown++ // how many members there are is not known either
+	}
 	for _, id := range f.members {
 		if id == "" {
 			f.unknown++
--- a/coordination/placement/property_test.go
+++ b/coordination/placement/property_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // Several planners at once, frozen and cut off from the list, with orders that
@@ -108,6 +109,35 @@
 	}
 }
 
+// A planner that takes over while a group is joining must not take the model of a
+// member's last group for that of the new one: it would open the group too small.
+func TestARecoveredGroupIsNotOpenedWithoutAllMembers(t *testing.T) {
+	g := NewWithT(t)
+	p := placement.NewPlanner(engine(), placement.NewEpochs(1).Next)
+	now := time.Unix(1000, 0)
+	members := func(s fleet.MemberState, loaded string) []placement.Member {
+		var list []placement.Member
+		for rank, id := range []state.InstanceID{"a", "b"} {
+			m := placement.Member{Known: true, Counted: true, Seen: now.Add(-time.Minute)}
+			m.ID, m.Service, m.Domain, m.Model, m.Loaded = id, "lm", "d", "small", loaded
+			if loaded != "" {
+				m.Model = loaded
+			}
+			m.Membership = fleet.Membership{Group: "g", Epoch: 16 << 20, Rank: rank, State: s}
+			list = append(list, m)
+		}
+		return list
+	}
+	p.Step(now, members(fleet.Joining, ""))
+	plan := p.Step(now.Add(time.Second), members(fleet.Ready, "large"))
+	for _, o := range plan.Orders {
+		g.Expect(o.Action).NotTo(Equal(placement.Open), "two members of a model of four")
+	}
+	plan = placement.NewPlanner(engine(), placement.NewEpochs(1).Next).Step(now, members(fleet.Ready, "small"))
+	g.Expect(plan.Orders).To(HaveLen(1), "two members of a model of two")
+	g.Expect(plan.Orders[0].Action).To(Equal(placement.Open))
+}
+
 // newest returns the target that was added last.
 func newest(w *world) state.InstanceID {
 	return slices.Max(slices.Collect(maps.Keys(w.targets)))
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -257,7 +257,7 @@
 	if t.Model == o.Model {
 		takes = 200 * time.Millisecond
 	}
-	t.Model = o.Model
+	t.Model, t.Loaded = o.Model, ""
 	t.readyAt = w.now.Add(takes)
 	t.orders++
 	w.changed(t)
@@ -273,6 +273,7 @@
 	switch {
 	case m.State == fleet.Joining && !w.now.Before(t.readyAt):
 		m.State = fleet.Ready
+		t.Loaded = t.Model
 		if w.ready[m.Key()] == nil {
 			w.ready[m.Key()] = map[state.InstanceID]bool{}
 		}
@@ -362,7 +363,7 @@
 		return
 	}
 	p := t.stood(asked.Add(-time.Duration(w.rng.Int64N(int64(reportLag)))))
-	rep := fleet.Report{Membership: p.membership, Model: t.Model, Staged: t.Staged, Orders: p.orders, Asked: asked}
+	rep := fleet.Report{Membership: p.membership, Model: t.Loaded, Staged: t.Staged, Orders: p.orders, Asked: asked}
 	w.after(4*time.Millisecond, func() { n.roster.Reported(id, rep) })
 }
 
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -81,13 +81,14 @@
 	if now.Sub(e.ordered) < orderEcho && m == e.before && m != e.belief.Membership {
 		return false
 	}
+	loaded := model
 	if model == "" {
 		model = e.belief.Model // it is still quick to join a group of its last model
 	}
-	if m == e.belief.Membership && model == e.belief.Model && slices.Equal(staged, e.belief.Staged) {
+	if m == e.belief.Membership && model == e.belief.Model && loaded == e.belief.Loaded && slices.Equal(staged, e.belief.Staged) {
 		return false
 	}
-	e.belief.Membership, e.belief.Model, e.belief.Staged = m, model, staged
+	e.belief.Membership, e.belief.Model, e.belief.Loaded, e.belief.Staged = m, model, loaded, staged
 	return true
 }
 
@@ -315,6 +316,7 @@
 	e.ordered, e.before = now, e.belief.Membership
 	switch o.Action {
 	case placement.Join:
+		e.belief.Loaded = ""
 		e.belief.Membership = fleet.Membership{
 			Group: o.Key.Group, Epoch: o.Key.Epoch, Rank: slices.Index(o.Members, o.Instance), State: fleet.Joining,
 		}
@@ -346,7 +348,7 @@
 // current returns the newest word on an instance.
 func (e *entry) current() fleet.Instance {
 	in := e.listed
-	in.Membership, in.Model, in.Staged = e.belief.Membership, e.belief.Model, e.belief.Staged
+	in.Membership, in.Model, in.Loaded, in.Staged = e.belief.Membership, e.belief.Model, e.belief.Loaded, e.belief.Staged
 	return in
 }
 
--- a/state/fleet/instance.go
+++ b/state/fleet/instance.go
@@ -54,6 +54,8 @@
 	Model      string
 	Staged     []string
 	Membership Membership
+	// Loaded is the model that it has loaded now, or none.
+	Loaded string
 	// Position orders what the list said of the instance.
 	Position int64
 }
