--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -30,8 +30,6 @@
 type load struct {
 	held   atomic.Int64
 	others atomic.Int64
-	// moved is when an answer of the instance last moved on, in nanoseconds.
-	moved atomic.Int64
 	// trouble is a decaying count of failures, in thousandths.
 	trouble atomic.Int64
 	// checked is when the group's members were last asked whether they live.
@@ -50,9 +48,6 @@
 // End counts a request that has ended.
 func (c *Candidate) End() { c.load.held.Add(-1) }
 
-// Moved notes that an answer of the instance has moved on.
-func (c *Candidate) Moved(now time.Time) { c.load.moved.Store(steady.Nanos(now)) }
-
 // Check tells whether the members should be asked now; it says so once in an interval.
 func (c *Candidate) Check(now time.Time, every time.Duration) bool {
 	last, at := c.load.checked.Load(), steady.Nanos(now)
--- a/protocol/direct/pool.go
+++ b/protocol/direct/pool.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,11 +27,8 @@
 type Pool struct {
 	dialer Dialer
 	now    func() time.Time
-	// dialed counts the connections made.
-	dialed atomic.Int64
-
-	mu   sync.Mutex
-	idle map[netip.AddrPort][]*conn
+	mu     sync.Mutex
+	idle   map[netip.AddrPort][]*conn
 }
 
 // NewPool returns an empty Pool.
@@ -40,9 +36,6 @@
 	return &Pool{dialer: d, now: now, idle: map[netip.AddrPort][]*conn{}}
 }
 
-// Dialed returns the number of connections made so far.
-func (p *Pool) Dialed() int64 { return p.dialed.Load() }
-
 // conn is one connection, at rest or in use by one exchange.
 type conn struct {
 	net.Conn
@@ -68,7 +61,6 @@
 		}
 		p.drop(c)
 	}
-	p.dialed.Add(1)
 	raw, err := p.dialer.Dial(ctx, at)
 	if err != nil {
 		return nil, err
@@ -137,17 +129,6 @@
 	}
 }
 
-// Forget closes the connections at rest to an address.
-func (p *Pool) Forget(at netip.AddrPort) {
-	p.mu.Lock()
-	list := p.idle[at]
-	delete(p.idle, at)
-	p.mu.Unlock()
-	for _, c := range list {
-		_ = c.Close()
-	}
-}
-
 // kill makes every use of the connection fail from now on.
 func (c *conn) kill() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -199,6 +199,3 @@
 
 // Team returns the team that holds a key, or nil.
 func (c *Catalog) Team(key string) *Team { return c.teams[key] }
-
-// Routes returns the number of routes.
-func (c *Catalog) Routes() int { return len(c.routes) }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -72,23 +72,15 @@
 
 	mu      sync.Mutex
 	budgets map[state.ServiceName]*retry.SharedBudget
-	demand  map[demandKey]int
 	nodes   int
 }
 
-// demandKey counts the requests for a model of a service.
-type demandKey struct {
-	service state.ServiceName
-	model   string
-}
-
 // New returns a Gateway.
 func New(o Options) *Gateway {
 	return &Gateway{
 		Options: o,
 		Watch:   newWatch(o.Clock, o.Health),
 		budgets: map[state.ServiceName]*retry.SharedBudget{},
-		demand:  map[demandKey]int{},
 		nodes:   1,
 	}
 }
@@ -135,27 +127,6 @@
 	return b
 }
 
-// note counts the demand for a model.
-func (g *Gateway) note(service state.ServiceName, model string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.demand[demandKey{service, model}]++
-}
-
-// TakeDemand returns the requests for each model of a service since the last call.
-func (g *Gateway) TakeDemand(service state.ServiceName) map[string]int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	out := map[string]int{}
-	for k, n := range g.demand {
-		if k.service == service {
-			out[k.model] = n
-			delete(g.demand, k)
-		}
-	}
-	return out
-}
-
 // call is one request on its way.
 type call struct {
 	*Gateway
@@ -256,7 +227,6 @@
 	}
 	c.budget = c.Gateway.budget(c.service)
 	c.budget.Attempt(c.arrived)
-	c.note(c.service, c.model)
 	return nil
 }
 
--- a/transport/gateway/watch.go
+++ b/transport/gateway/watch.go
@@ -37,10 +37,7 @@
 }
 
 // move notes that the answer has moved on.
-func (w *watched) move(now time.Time) {
-	w.moved.Store(steady.Nanos(now))
-	w.target.Moved(now)
-}
+func (w *watched) move(now time.Time) { w.moved.Store(steady.Nanos(now)) }
 
 // silent tells whether nothing has come of the attempt for too long.
 func (w *watched) silent(now time.Time) bool {
