Let larger nodes place first, and take no own delay for a failure of others

Change: nodes tell their share of a processor, and larger ones come first in the order; a call that timed out while the process itself ran late proves nothing (Lifeguard, arXiv:1707.00788); a node that runs late again and again lets another place; the list of nodes goes only to a node that knows another number of them, and what all nodes hold is added up once in 100 ms.

Ruled out: requests themselves (0.016 of a core a node).

The tests' loopback addresses were handed out again to outgoing connections once (address already in use); each now has an address of its own.

--- /dev/null
+++ b/coordination/localhealth/localhealth_test.go
@@ -0,0 +1,47 @@
+package localhealth_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/localhealth"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestAnOwnDelayExcusesOthersForAMoment(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		delay   time.Duration
+		asked   time.Duration
+		now     time.Duration
+		delayed bool
+	}{
+		{"on time", 10 * time.Millisecond, -100 * time.Millisecond, 10 * time.Millisecond, false},
+		{"late after the question", 90 * time.Millisecond, -100 * time.Millisecond, time.Second, true},
+		{"late just before the question", 90 * time.Millisecond, 20 * time.Millisecond, 100 * time.Millisecond, true},
+		{"late long before the question", 90 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var m localhealth.Monitor
+			m.Observe(c.delay, start)
+			NewWithT(t).Expect(m.Delayed(start.Add(c.asked), start.Add(c.now))).To(Equal(c.delayed))
+		})
+	}
+}
+
+func TestOverloadIsLatenessAgainAndAgain(t *testing.T) {
+	g := NewWithT(t)
+	var m localhealth.Monitor
+	now := start
+	for range 5 {
+		m.Observe(60*time.Millisecond, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	g.Expect(m.Overloaded(now)).To(BeFalse())
+	m.Observe(60*time.Millisecond, now)
+	g.Expect(m.Overloaded(now)).To(BeTrue())
+	g.Expect(m.Overloaded(now.Add(3 * time.Second))).To(BeFalse())
+}
--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -179,9 +181,15 @@
 	return r
 }
 
-// freeAddress returns a loopback address at which nothing listens.
+// addresses numbers the loopback addresses that were given out.
+var addresses atomic.Int32
+
+// freeAddress returns a loopback address of its own, so that no outgoing
+// connection, whose ports are those of 127.0.0.1, can take its port meanwhile.
 func freeAddress(t *testing.T) netip.AddrPort {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	n := addresses.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, 1 + byte(os.Getpid()%250), byte(n >> 8), 1 + byte(n%250)})
+	ln, err := net.Listen("tcp4", netip.AddrPortFrom(ip, 0).String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -12,6 +12,8 @@
 	Name    string         `json:"name"`
 	Address string         `json:"address"`
 	Hall    state.HallName `json:"hall"`
+	// Capacity is the node's share of a processor, in cores; 0 is unknown.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Number is the offset of the entry: unique among all lives of nodes.
 	Number int64 `json:"number,omitempty"`
 }
@@ -39,13 +41,17 @@
 	Blind bool `json:"blind,omitempty"`
 	// StoreMS is how long ago the node's last read of the store was asked.
 	StoreMS int64 `json:"store"`
+	// Nodes is the number of nodes that the node knows, itself among them.
+	Nodes int `json:"nodes"`
+	// Late tells that the node runs late itself.
+	Late bool `json:"late,omitempty"`
 }
 
 // Answer is what the placing node tells in turn.
 type Answer struct {
 	// Placing tells that the node places groups; else it is not to be asked for a while.
 	Placing bool `json:"placing"`
-	// Nodes are all nodes that the placing node knows to be alive.
+	// Nodes are all nodes that the placing node knows, for a node that knows another number of them.
 	Nodes []NodeEntry `json:"nodes,omitempty"`
 	// Held are the requests that all nodes hold at each instance.
 	Held map[state.InstanceID]int `json:"held,omitempty"`
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -17,6 +17,9 @@
 // probeTimeout bounds the time for an instance to report.
 const probeTimeout = 160 * time.Millisecond
 
+// healthInterval is the time between two looks at requests that stand still and at the node's own delay.
+const healthInterval = 50 * time.Millisecond
+
 // suspectFor is how long the placing node is told of an instance that did not answer.
 const suspectFor = 2 * time.Second
 
@@ -98,6 +101,10 @@
 		n.unreadable(m.ID, asked, err)
 		return true
 	}
+	if err != nil && n.delayed(ctx, asked) {
+		n.Count("probes.inconclusive")
+		return true
+	}
 	if err != nil {
 		n.Failed(m.ID, asked)
 		return false
@@ -107,6 +114,25 @@
 	return true
 }
 
+// delayed tells whether a call begun at a time ran out of time while this process
+// itself ran late, so that its end says nothing of the other side.
+func (n *Node) delayed(ctx context.Context, began time.Time) bool {
+	return ctx.Err() != nil && n.health.Delayed(began, n.clock.Now())
+}
+
+// watchHealth measures how late the node's own timers are.
+func (n *Node) watchHealth(ctx context.Context) {
+	for {
+		began := n.clock.Now()
+		if !n.sleep(ctx, healthInterval) {
+			return
+		}
+		now := n.clock.Now()
+		n.health.Observe(now.Sub(began)-healthInterval, now)
+		n.gate.Watch.Look()
+	}
+}
+
 // unreadable takes in that an instance answered no report: it lives, and what was
 // known of it stays. The first such answer of an instance is logged.
 func (n *Node) unreadable(id state.InstanceID, asked time.Time, err error) {
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -11,6 +11,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/localhealth"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
@@ -45,6 +46,7 @@
 	log     *log.Logger
 	peers   *peers
 	placer  *placer
+	health  localhealth.Monitor
 	started time.Time
 
 	number  atomic.Int64
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -58,6 +57,11 @@
 	arrived bool
 	// version is that of the configuration at the placing node, as last heard.
 	version int64
+	// resting is until when this node does not place because it ran late.
+	resting time.Time
+	// held is what all nodes hold at each instance, added up at heldAt.
+	held   map[state.InstanceID]int
+	heldAt time.Time
 }
 
 // heardWord is the last word of a node.
@@ -81,7 +85,7 @@
 
 // self returns the node's own entry.
 func (p *peers) self() NodeEntry {
-	return NodeEntry{Name: p.n.set.Name, Address: p.n.set.Peer.String(), Hall: p.n.set.Hall, Number: p.n.number.Load()}
+	return NodeEntry{Name: p.n.set.Name, Address: p.n.set.Peer.String(), Hall: p.n.set.Hall, Capacity: p.n.set.Capacity, Number: p.n.number.Load()}
 }
 
 // run tells the placing node what this one knows, again and again.
@@ -145,30 +149,71 @@
 	p.known[e.Address] = e
 }
 
-// rank orders nodes by rendezvous hashing: the first that answers places.
+// precedes tells whether a node comes before another in the order in which nodes
+// place: the first that answers does. Larger nodes come first, since the work of
+// placing grows with the number of nodes and instances; among equals it is
+// rendezvous hashing.
+func precedes(a, b NodeEntry) bool {
+	if a.Capacity != b.Capacity {
+		return a.Capacity > b.Capacity
+	}
+	return rank(a.Address) > rank(b.Address)
+}
+
+// rank is the place of a node by rendezvous hashing.
 func rank(address string) uint64 { return xxhash.Sum64String("placing\x00" + address) }
 
 // candidates returns the addresses of the nodes before this one in the order, without those passed over.
 func (p *peers) candidates(now time.Time) []string {
-	own := p.n.set.Peer.String()
+	own := p.self()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	placing := p.mayPlace()
-	var list []string
-	for a := range p.known {
-		if a == own || (placing && rank(a) < rank(own)) || now.Before(p.passed[a]) {
+	placing := p.mayPlace(now)
+	var list []NodeEntry
+	for a, e := range p.known {
+		if a == own.Address || (placing && precedes(own, e)) || now.Before(p.passed[a]) {
 			continue
 		}
-		list = append(list, a)
+		list = append(list, e)
 	}
-	slices.SortFunc(list, func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
-	return list
+	slices.SortFunc(list, func(a, b NodeEntry) int {
+		if precedes(a, b) {
+			return -1
+		}
+		return 1
+	})
+	addresses := make([]string, len(list))
+	for i, e := range list {
+		addresses[i] = e.Address
+	}
+	return addresses
 }
 
 // mayPlace tells whether this node can place groups, if not at once: until it
 // is old enough to know of all others, no node after it in the order does either.
-func (p *peers) mayPlace() bool {
-	return !p.n.stopping.Load() && p.n.number.Load() > 0 && p.n.know.Catalog() != nil && !p.behindOthers()
+func (p *peers) mayPlace(now time.Time) bool {
+	return !p.n.stopping.Load() && p.n.number.Load() > 0 && p.n.know.Catalog() != nil && !p.behindOthers() && !p.slowerThanOthers(now)
+}
+
+// restTime is how long a node does not place after it ran late.
+const restTime = 5 * time.Second
+
+// slowerThanOthers tells whether the node lately ran late again and again while another one did not.
+func (p *peers) slowerThanOthers(now time.Time) bool {
+	if now.Before(p.resting) {
+		return true
+	}
+	if !p.n.health.Overloaded(now) {
+		return false
+	}
+	for _, h := range p.words {
+		if now.Sub(h.at) < nodeLives && !h.word.Late {
+			p.resting = now.Add(restTime)
+			p.n.Count("placing.rested")
+			return true
+		}
+	}
+	return false
 }
 
 // behindOthers tells whether the node cannot read the store while another one lately could.
@@ -208,12 +253,12 @@
 		p.pass(address, err == nil)
 	}
 	p.mu.Lock()
-	may := p.mayPlace() && p.n.clock.Since(p.n.started) > placeAfter
+	may := p.mayPlace(p.n.clock.Now()) && p.n.clock.Since(p.n.started) > placeAfter
 	p.mu.Unlock()
 	p.setPlacing(may)
 	if may {
 		p.n.gate.SetNodes(p.count())
-		p.n.table.SetOthers(p.heldByOthers(p.n.set.Name))
+		p.n.table.SetOthers(minus(p.heldByAll(), p.n.table.Held()))
 	}
 }
 
@@ -249,17 +294,15 @@
 	return p.placing, p.since
 }
 
-// alive returns the nodes that were heard of lately.
-func (p *peers) alive() []NodeEntry {
+// named returns all nodes that are known by name, this one among them.
+func (p *peers) named() []NodeEntry {
+	list := []NodeEntry{p.self()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []NodeEntry
-	for name, h := range p.words {
-		if p.n.clock.Since(h.at) > nodeLives {
-			delete(p.words, name)
-			continue
+	for _, e := range p.known {
+		if e.Name != "" {
+			list = append(list, e)
 		}
-		list = append(list, h.word.From)
 	}
 	return list
 }
@@ -278,19 +321,28 @@
 	return n
 }
 
-// heldByOthers adds up what the nodes hold at each instance, without one of them.
-func (p *peers) heldByOthers(without string) map[state.InstanceID]int {
+// heldInterval is the least time between two sums of what nodes hold.
+const heldInterval = 100 * time.Millisecond
+
+// heldByAll adds up what all nodes hold at each instance; the map must not be changed.
+func (p *peers) heldByAll() map[state.InstanceID]int {
+	now := p.n.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	sum := map[state.InstanceID]int{}
+	if p.held != nil && now.Sub(p.heldAt) < heldInterval {
+		return p.held
+	}
+	sum := p.n.table.Held()
 	for name, h := range p.words {
-		if name == without || p.n.clock.Since(h.at) > nodeLives {
+		if now.Sub(h.at) > nodeLives {
+			delete(p.words, name)
 			continue
 		}
 		for id, held := range h.word.Held {
 			sum[id] += held
 		}
 	}
+	p.held, p.heldAt = sum, now
 	return sum
 }
 
--- /dev/null
+++ b/transport/entry/peers_test.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// testAddress returns the inner address of the nth node of a test.
+func testAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
+}
+
+// anyConfiguration reads every record as the same configuration.
+type anyConfiguration struct{}
+
+func (anyConfiguration) Catalog([]byte) (*catalog.Catalog, error) {
+	return catalog.New(1, nil, nil, nil, catalog.Limits{}), nil
+}
+
+func (anyConfiguration) Instance(string, []byte) (fleet.Instance, error) {
+	return fleet.Instance{}, nil
+}
+
+// newTestNode returns a node that does not run, of some capacity.
+func newTestNode(capacity float64) *Node {
+	set := &Settings{Name: "own", Hall: "hall", Peer: testAddress(1), Capacity: capacity, KeysWithin: time.Second}
+	return New(set, Ports{Decoder: anyConfiguration{}}, clockwork.NewFakeClock(), &log.Logger{Handler: discard.New()})
+}
+
+// ableNode returns a node that does not run, but has all it needs to place.
+func ableNode(g *WithT) *Node {
+	n := newTestNode(1)
+	n.number.Store(1)
+	g.Expect(n.know.Learn([]byte("x"))).Error().NotTo(HaveOccurred())
+	n.storeRead(n.clock.Now())
+	return n
+}
+
+func TestLargerNodesAreAskedToPlaceFirst(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestNode(1)
+	var all []NodeEntry
+	for i, capacity := range []float64{0.2, 0.8, 0, 0.8, 0.2} {
+		e := NodeEntry{Name: string(rune('a' + i)), Address: testAddress(2 + i).String(), Capacity: capacity}
+		n.peers.learn(e)
+		all = append(all, e)
+	}
+	var order []float64
+	for _, address := range n.peers.candidates(n.clock.Now()) {
+		i := slices.IndexFunc(all, func(e NodeEntry) bool { return e.Address == address })
+		order = append(order, all[i].Capacity)
+	}
+	g.Expect(order).To(Equal([]float64{0.8, 0.8, 0.2, 0.2, 0}))
+}
+
+func TestNodesAreListedOnlyForANodeThatKnowsAnotherNumber(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		knows  int
+		listed bool
+	}{
+		{"as many", 3, false},
+		{"fewer", 1, true},
+		{"more", 5, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := ableNode(g)
+			n.peers.learn(NodeEntry{Name: "a", Address: testAddress(2).String()})
+			word := &Word{From: NodeEntry{Name: "b", Address: testAddress(3).String()}, Nodes: c.knows}
+			resp, err := n.peers.answer(context.Background(), connect.NewRequest(word))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.Msg.Placing).To(BeTrue())
+			g.Expect(len(resp.Msg.Nodes) > 0).To(Equal(c.listed))
+		})
+	}
+}
+
+func TestANodeThatRunsLateDoesNotPlaceBesideOneThatDoesNot(t *testing.T) {
+	g := NewWithT(t)
+	n := ableNode(g)
+	mayPlace := func() bool { return n.peers.mayPlace(n.clock.Now()) }
+	for range 8 {
+		n.health.Observe(100*time.Millisecond, n.clock.Now())
+	}
+	g.Expect(mayPlace()).To(BeTrue(), "no other node is known to do better")
+	n.peers.words["b"] = heardWord{word: Word{Late: true}, at: n.clock.Now()}
+	g.Expect(mayPlace()).To(BeTrue())
+	n.peers.words["c"] = heardWord{word: Word{}, at: n.clock.Now()}
+	g.Expect(mayPlace()).To(BeFalse())
+}
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -48,7 +48,7 @@
 		n.peers.run,
 		n.peers.follow,
 		n.placer.run,
-		n.every(50*time.Millisecond, func(context.Context) { n.gate.Watch.Look() }),
+		n.watchHealth,
 		n.every(time.Second, func(context.Context) { n.pool.Sweep() }),
 	}
 }
--- a/transport/entry/settings.go
+++ b/transport/entry/settings.go
@@ -21,6 +21,8 @@
 	Ready   netip.AddrPort
 	Peer    netip.AddrPort
 	Metrics netip.AddrPort
+	// Capacity is the node's share of a processor, in cores; larger nodes are first to place.
+	Capacity float64
 	// Store is the platform's store.
 	Store netip.AddrPort
 	// Seeds are peers that may be there at the start.
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -38,6 +38,8 @@
 		Held:     n.table.Held(),
 		Suspects: n.suspected(now),
 		StoreMS:  age(n.storeAge()),
+		Nodes:    p.count(),
+		Late:     n.health.Overloaded(now),
 		AgeMS:    age(time.Hour),
 	}
 	if n.gate.Arrived() > 0 {
@@ -123,18 +125,17 @@
 	p.mu.Lock()
 	p.words[w.From.Name] = heardWord{word: *w, at: now}
 	p.arrived = p.arrived || w.Arrived != nil
-	a := &Answer{Placing: p.mayPlace()}
+	a := &Answer{Placing: p.mayPlace(now)}
 	p.mu.Unlock()
 	n.learnConfig(w.Config, "peer")
 	for _, s := range w.Suspects {
 		n.placer.suspect(s.Instance, now.Add(-time.Duration(s.AgeMS)*time.Millisecond))
 	}
 	if a.Placing {
-		a.Nodes = append(p.alive(), p.self())
-		a.Held = p.heldByOthers("")
-		for id, held := range n.table.Held() {
-			a.Held[id] += held
+		if w.Nodes != p.count() {
+			a.Nodes = p.named()
 		}
+		a.Held = p.heldByAll()
 		a.Avoid = n.placer.avoiding()
 		a.Arrived = p.anyArrived()
 		p.giveConfig(a, w)
