Have the placing node hand the instances on; read the store only without it

Change: a node's word names the changes of the instances that it has, and the answer brings the later ones, with how old the list and the configuration at the placing node may be. A node whose feed is younger than 0.8 s does not read the store; the first three in the order read it every 2 s all the same, to know that they can. An entry that was read with the whole list, after a pause, or from another node no longer proves a membership: only one written since a read a moment ago does, or a report (a new placing node would else open a head on an old entry).

Tests: TestAnEntryThatMayBeOldProvesNoMembership, TestAnotherNodeIsToldWhatChangedSince, TestASnapshotDropsOnlyWhatItCouldHaveShown.

--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -342,7 +342,7 @@
 	}
 	for _, l := range w.list[n.offset:] {
 		if l.in == nil {
-			n.roster.Unlisted(l.id, w.now)
+			n.roster.Unlisted(l.id, l.offset, w.now)
 			continue
 		}
 		in := *l.in
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -5,7 +5,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -54,6 +53,10 @@
 	// beat is when the list last showed a sign of life, changed when its word on the membership last changed.
 	beat    time.Time
 	changed time.Time
+	// vouched is when an entry was read that had just been written.
+	vouched time.Time
+	// stamp is the roster's version at the newest change of what others need to know.
+	stamp uint64
 	// reported is when the newest report was asked for.
 	reported time.Time
 	// belief is the newest word on the membership, the model and the staged models.
@@ -112,79 +115,16 @@
 	return r.version
 }
 
-// Listed takes in the list's entry of an instance, read at a time.
-func (r *Roster) Listed(in fleet.Instance, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	e := r.m[in.ID]
-	if e == nil {
-		e = &entry{seen: now, changed: now, belief: in}
-		r.m[in.ID] = e
-		r.version++
-	}
-	if e.beat.IsZero() || in.Position > e.listed.Position {
-		e.beat = now
-	} else if e.inList {
-		return
-	}
-	before := e.belief.Membership.Key()
-	if in.Membership != e.listed.Membership || in.Model != e.listed.Model || !slices.Equal(in.Staged, e.listed.Staged) {
-		e.changed = now
-	}
-	// Every entry says how the instance stands, also one that says the same again.
-	if e.believe(in.Membership, in.Model, in.Staged, now) {
-		r.version++
-	}
-	// The number of orders is worth nothing without the membership that it was told with.
-	if e.belief.Membership.Key() != before {
-		e.counted = false
-	}
-	if in.Draining != e.listed.Draining || !e.inList {
-		r.version++
-	}
-	e.listed, e.inList = in, true
-}
-
-// Relayed takes in what another node knows of an instance, if that is newer than
-// what this node has read itself. Of an entry that this node has read too, it
-// counts only that the instance is leaving: word of another node brings none back.
-func (r *Roster) Relayed(in fleet.Instance, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	e := r.m[in.ID]
-	if e == nil {
-		e = &entry{seen: now, changed: now, belief: in}
-		e.listed.Position = in.Position - 1
-		r.m[in.ID] = e
-	}
-	if in.Position <= e.listed.Position {
-		if in.Draining && in.Position == e.listed.Position {
-			e.listed.Draining = true
-			r.version++
-		}
-		return
-	}
-	e.beat = now
-	e.listed, e.inList = in, true
-	if e.believe(in.Membership, in.Model, in.Staged, now) {
-		e.counted = false
-	}
+// touch notes that something changed of an instance. r.mu is held.
+func (r *Roster) touch(e *entry) {
 	r.version++
-}
-
-// Confirm takes in that the list was read up to its end by a question asked at a time.
-func (r *Roster) Confirm(asked time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if asked.After(r.listAsOf) {
-		r.listAsOf = asked
-	}
+	e.stamp = r.version
 }
 
 // known tells whether an instance's membership is known as of a moment ago and
 // after since: by the list, if the instance itself has lately written its entry, or by a report.
 func (r *Roster) known(e *entry, since, now time.Time) bool {
-	lately := now.Sub(e.beat) < r.cfg.Beat+r.cfg.Beat/2
+	lately := now.Sub(e.vouched) < r.cfg.Beat+r.cfg.Beat/2
 	if e.inList && lately && r.listAsOf.After(since) && now.Sub(r.listAsOf) < knownAge {
 		return true
 	}
@@ -192,28 +132,6 @@
 	return stood.After(since) && now.Sub(stood) < knownAge
 }
 
-// Unlisted takes in that the list no longer shows an instance.
-func (r *Roster) Unlisted(id state.InstanceID, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if e := r.m[id]; e != nil && e.inList {
-		e.inList, e.unlisted = false, now
-		r.version++
-	}
-}
-
-// Retain takes in that the list shows exactly some instances.
-func (r *Roster) Retain(ids map[state.InstanceID]bool, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, e := range r.m {
-		if !ids[id] && e.inList {
-			e.inList, e.unlisted = false, now
-			r.version++
-		}
-	}
-}
-
 // Reported takes in what an instance answered to a question asked at rep.Asked.
 func (r *Roster) Reported(id state.InstanceID, rep fleet.Report) {
 	r.mu.Lock()
@@ -228,7 +146,7 @@
 		e.reported = rep.Asked
 	}
 	if stood.After(e.changed) && e.believe(rep.Membership, rep.Model, rep.Staged, stood) {
-		r.version++
+		r.touch(e)
 	}
 	if rep.Membership.Key() == e.belief.Membership.Key() && stood.After(e.ordered) {
 		e.orders, e.counted = rep.Orders, true
@@ -328,7 +246,7 @@
 			}
 		}
 	}
-	r.version++
+	r.touch(e)
 }
 
 // lost tells whether an instance no longer answers, as far as is known.
@@ -336,6 +254,11 @@
 	return e.gone || e.failures >= lostFailures || (!e.inList && now.Sub(e.unlisted) > unlisted && now.Sub(e.heard) > unlisted)
 }
 
+// forgotten tells whether an instance was in no list for so long, and silent, that it need not be remembered.
+func (e *entry) forgotten(now time.Time) bool {
+	return !e.inList && now.Sub(e.unlisted) > forgetAfter && now.Sub(e.heard) > forgetAfter
+}
+
 // silent tells whether nothing was heard of an instance for so long that its process must have ended.
 func (r *Roster) silent(e *entry, now time.Time) bool {
 	last := e.beat
@@ -359,32 +282,6 @@
 	r.cfg.ReportLag = d
 }
 
-// Members returns the instances of a service, by id, as a planner sees them that has planned since a time.
-func (r *Roster) Members(service state.ServiceName, since, now time.Time) []placement.Member {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var list []placement.Member
-	for id, e := range r.m {
-		r.age(id, e, now)
-		if e.listed.Service != service {
-			continue
-		}
-		list = append(list, placement.Member{
-			Instance:   e.current(),
-			Orders:     e.orders,
-			Counted:    e.counted,
-			Known:      r.known(e, since, now),
-			Lost:       e.lost(now),
-			Gone:       e.gone,
-			Pending:    e.pending,
-			Superseded: e.superseded,
-			Seen:       e.seen,
-		})
-	}
-	slices.SortFunc(list, func(a, b placement.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return list
-}
-
 // age draws the conclusions that come with time alone.
 func (r *Roster) age(id state.InstanceID, e *entry, now time.Time) {
 	if !e.gone && r.silent(e, now) {
@@ -396,55 +293,3 @@
 		r.version++
 	}
 }
-
-// Doubtful returns the instances that should be asked whether they still live:
-// those whose entries have stopped, and those that failed to answer.
-func (r *Roster) Doubtful(now time.Time) []fleet.Instance {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var list []fleet.Instance
-	for _, e := range r.m {
-		stopped := now.Sub(e.beat) > 2*r.cfg.Beat+r.cfg.Beat/4 || !e.inList
-		if !e.gone && (e.failures > 0 || stopped && now.Sub(e.heard) > r.cfg.Beat) {
-			list = append(list, e.listed)
-		}
-	}
-	slices.SortFunc(list, func(a, b fleet.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return list
-}
-
-// View is one instance as the request path sees it.
-type View struct {
-	fleet.Instance
-	// Lost tells that it does not answer, Unlisted that the list no longer shows it.
-	Lost     bool
-	Unlisted bool
-}
-
-// All returns every instance that has not ended, by id.
-func (r *Roster) All(now time.Time) []View {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	list := make([]View, 0, len(r.m))
-	for _, e := range r.m {
-		if e.gone {
-			continue
-		}
-		v := View{Instance: e.current(), Lost: e.lost(now), Unlisted: !e.inList}
-		v.Draining = v.Draining || (v.Unlisted && now.Sub(e.unlisted) > unlistedGrace)
-		list = append(list, v)
-	}
-	slices.SortFunc(list, func(a, b View) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return list
-}
-
-// Get returns what is known of one instance.
-func (r *Roster) Get(id state.InstanceID, now time.Time) (View, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	e := r.m[id]
-	if e == nil || e.gone {
-		return View{}, false
-	}
-	return View{Instance: e.current(), Lost: e.lost(now)}, true
-}
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -115,13 +115,14 @@
 	}{
 		{"the same entry", func() fleet.Instance { return free }, true},
 		{"an older entry", func() fleet.Instance { in := free; in.Position = 4; return in }, true},
-		{"a newer entry", func() fleet.Instance { in := free; in.Position = 6; return in }, false},
-		{"a newer entry that is leaving", func() fleet.Instance { in := free; in.Position = 6; in.Draining = true; return in }, true},
+		{"the position at which it was dropped", func() fleet.Instance { in := free; in.Position = 6; return in }, true},
+		{"a newer entry", func() fleet.Instance { in := free; in.Position = 7; return in }, false},
+		{"a newer entry that is leaving", func() fleet.Instance { in := free; in.Position = 7; in.Draining = true; return in }, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newRoster()
-			r.Unlisted("i1", start)
-			r.Relayed(c.relayed(), start.Add(time.Second))
+			r.Unlisted("i1", 6, start)
+			r.Relayed(roster.Change{Instance: c.relayed()}, start.Add(time.Second))
 			NewWithT(t).Expect(r.All(start.Add(2 * time.Second))[0].Draining).To(Equal(c.leaving))
 		})
 	}
@@ -132,6 +133,77 @@
 	r := newRoster()
 	leaving := free
 	leaving.Draining = true
-	r.Relayed(leaving, start.Add(time.Second))
+	r.Relayed(roster.Change{Instance: leaving}, start.Add(time.Second))
 	g.Expect(r.All(start.Add(time.Second))[0].Draining).To(BeTrue())
 }
+
+func TestAnEntryThatMayBeOldProvesNoMembership(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		read  func(r *roster.Roster, in fleet.Instance, now time.Time)
+		known bool
+	}{
+		{"written since the last read", func(r *roster.Roster, in fleet.Instance, now time.Time) { r.Listed(in, now) }, true},
+		{"read after a pause", func(r *roster.Roster, in fleet.Instance, now time.Time) { r.Recalled(in, now) }, false},
+		{"read with the whole list", func(r *roster.Roster, in fleet.Instance, now time.Time) { r.Snapshot([]fleet.Instance{in}, 9, now) }, false},
+		{"told by another node", func(r *roster.Roster, in fleet.Instance, now time.Time) { r.Relayed(roster.Change{Instance: in}, now) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRoster()
+			now := start.Add(5 * time.Second)
+			in := free
+			in.Position = 8
+			c.read(r, in, now)
+			r.Confirm(now)
+			NewWithT(t).Expect(only(r, now).Known).To(Equal(c.known))
+		})
+	}
+}
+
+func TestAnotherNodeIsToldWhatChangedSince(t *testing.T) {
+	g := NewWithT(t)
+	from, to := newRoster(), roster.New(roster.Config{Beat: time.Second})
+	second := fleet.Instance{ID: "i2", Service: "lm", Position: 6}
+	from.Listed(second, start)
+	tell := func(after uint64, expect int) uint64 {
+		changes, version := from.Changes(after)
+		g.Expect(changes).To(HaveLen(expect))
+		for _, c := range changes {
+			to.Relayed(c, start.Add(time.Second))
+		}
+		return version
+	}
+	version := tell(0, 2)
+	g.Expect(to.All(start)).To(HaveLen(2))
+	version = tell(version, 0)
+
+	again := free
+	again.Position = 7 // a beat that says the same again is not told
+	from.Listed(again, start.Add(time.Second))
+	version = tell(version, 0)
+
+	from.Unlisted("i1", 8, start.Add(time.Second))
+	joined := second
+	joined.Position, joined.Membership = 9, member
+	from.Listed(joined, start.Add(time.Second))
+	version = tell(version, 2)
+	views := to.All(start.Add(time.Second))
+	g.Expect(views[0].Unlisted).To(BeTrue())
+	g.Expect(views[1].Membership).To(Equal(member))
+
+	again.Position = 10 // it is back
+	from.Listed(again, start.Add(2*time.Second))
+	tell(version, 1)
+	g.Expect(to.All(start.Add(2 * time.Second))[0].Unlisted).To(BeFalse())
+}
+
+func TestASnapshotDropsOnlyWhatItCouldHaveShown(t *testing.T) {
+	g := NewWithT(t)
+	r := newRoster()
+	newer := fleet.Instance{ID: "i2", Service: "lm", Position: 12}
+	r.Relayed(roster.Change{Instance: newer}, start)
+	r.Snapshot(nil, 10, start.Add(time.Second))
+	views := r.All(start.Add(time.Second))
+	g.Expect(views[0].Unlisted).To(BeTrue())
+	g.Expect(views[1].Unlisted).To(BeFalse())
+}
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/state"
-	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // NodeEntry is what a node writes into the store of itself, and what nodes tell each other of nodes.
@@ -37,8 +37,10 @@
 	Version int64  `json:"version"`
 	AgeMS   int64  `json:"age"`
 	Config  []byte `json:"config,omitempty"`
-	// Blind asks for the instances: the node cannot read the list itself.
-	Blind bool `json:"blind,omitempty"`
+	// Feed and After say which changes of the instances the node has: those of the
+	// node with the number Feed up to its version After.
+	Feed  int64  `json:"feed,omitempty"`
+	After uint64 `json:"after,omitempty"`
 	// StoreMS is how long ago the node's last read of the store was asked.
 	StoreMS int64 `json:"store"`
 	// Nodes is the number of nodes that the node knows, itself among them.
@@ -61,8 +63,12 @@
 	Version int64  `json:"version"`
 	AgeMS   int64  `json:"age"`
 	Config  []byte `json:"config,omitempty"`
-	// Instances are what the placing node knows, for a node that cannot read the list.
-	Instances []fleet.Instance `json:"instances,omitempty"`
+	// Changes are those of the instances since what the word names, up to the version Now of the node with the number Feed.
+	Changes []roster.Change `json:"changes,omitempty"`
+	Feed    int64           `json:"feed,omitempty"`
+	Now     uint64          `json:"now,omitempty"`
+	// ListAgeMS is how old the list at the placing node may be.
+	ListAgeMS int64 `json:"list_age"`
 	// Arrived tells that some node has had requests.
 	Arrived bool `json:"arrived,omitempty"`
 }
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -10,24 +10,42 @@
 
 	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // Bounds of following the store.
 const (
 	configWait   = 3 * time.Second
-	listInterval = 500 * time.Millisecond
+	listInterval = 300 * time.Millisecond
+	// recentRead is the time between two reads of the list up to which what the later one shows has just been written.
+	recentRead = time.Second
+	// fedAge is the age up to which a node relies on what the placing node tells of the store.
+	fedAge = 800 * time.Millisecond
+	// fedPause is the time between two looks at whether it still does.
+	fedPause = 100 * time.Millisecond
+	// standbyRead is the time between two reads of the store by a node that would place next.
+	standbyRead = 2 * time.Second
 	// listIntervalSoon is the time between two reads while the node has groups formed or taken apart.
 	listIntervalSoon = 80 * time.Millisecond
 	storeTimeout     = time.Second
 	storeRetry       = 150 * time.Millisecond
 	// storeRetryMost bounds the time between two tries of a store that does not answer.
 	storeRetryMost = 700 * time.Millisecond
+	// storeRetryOthers bounds it at nodes that neither place nor would do so next.
+	storeRetryOthers = 1500 * time.Millisecond
 )
 
 // followConfig keeps up with the operator's configuration.
 func (n *Node) followConfig(ctx context.Context) {
 	next, wait := int64(-1), storeRetry
 	for {
+		if n.feed.configAge(n.clock.Now()) < fedAge && n.relies() {
+			next = -1
+			if !n.sleep(ctx, fedPause) {
+				return
+			}
+			continue
+		}
 		asked := n.clock.Now()
 		tail, err := n.readTail(ctx, source.Configuration, next, n.configWait())
 		if err != nil {
@@ -52,6 +70,15 @@
 	}
 }
 
+// relies tells whether the node leaves reading the store to the placing node. A
+// node that would place next reads now and then itself, to know that it can.
+func (n *Node) relies() bool {
+	if placing, _ := n.peers.isPlacing(); placing || n.storeFailed.Load() {
+		return false
+	}
+	return n.ownStoreAge() < standbyRead || !n.peers.standby()
+}
+
 // configWait returns how long a read of the configuration waits for a new one.
 // Keys are trusted for a time from the last question on, so where that is
 // bounded, questions must be asked several times as often.
@@ -92,8 +119,18 @@
 	}
 }
 
-// storeAge returns how long ago the last question was asked that the store answered.
+// storeAge returns how long ago the last question was asked that the store
+// answered, to this node or to the placing one if this one has not failed since.
 func (n *Node) storeAge() time.Duration {
+	own := n.ownStoreAge()
+	if n.storeFailed.Load() {
+		return own
+	}
+	return min(own, n.feed.configAge(n.clock.Now()))
+}
+
+// ownStoreAge returns how long ago the last question was asked that the store answered to this node.
+func (n *Node) ownStoreAge() time.Duration {
 	at := n.storeAt.Load()
 	if at == 0 {
 		return time.Hour
@@ -134,33 +171,52 @@
 // followInstances keeps up with the platform's list of instances.
 func (n *Node) followInstances(ctx context.Context) {
 	next := int64(-1)
+	var last time.Time
+	pause := listInterval
 	for {
 		asked := n.clock.Now()
+		if placing, _ := n.peers.isPlacing(); !placing && n.feed.listAge(asked) < fedAge {
+			next = -1
+			if !n.waitForList(ctx, fedPause) {
+				return
+			}
+			continue
+		}
 		tail, err := n.readTail(ctx, source.Instances, next, 0)
-		switch {
-		case errors.Is(err, source.ErrTrimmed):
+		if errors.Is(err, source.ErrTrimmed) {
 			next = -1
-		case err == nil:
-			n.learnInstances(tail, next < 0)
-			next = tail.End
+		}
+		if err == nil {
+			n.learnInstances(tail, next < 0, asked.Sub(last) < recentRead)
+			next, last = tail.End, asked
 			if tail.Whole {
 				n.roster.Confirm(asked)
 			}
 			n.storeRead(asked)
 		}
-		wait := listInterval
-		if placing, _ := n.peers.isPlacing(); err == nil && placing && n.listSoon.Load() {
-			wait = listIntervalSoon
-		}
-		if err == nil && !tail.Whole {
-			wait = 0
-		}
-		if !n.waitForList(ctx, wait) {
+		pause = n.listPause(pause, tail, err)
+		if !n.waitForList(ctx, pause) {
 			return
 		}
 	}
 }
 
+// listPause returns the time until the next read of the list, given the one before the last read.
+func (n *Node) listPause(before time.Duration, tail source.Tail, err error) time.Duration {
+	placing, _ := n.peers.isPlacing()
+	switch {
+	case err != nil && (placing || n.peers.standby()):
+		return min(2*before, storeRetryMost)
+	case err != nil:
+		return min(2*before, storeRetryOthers)
+	case !tail.Whole:
+		return 0
+	case placing && n.listSoon.Load():
+		return listIntervalSoon
+	}
+	return listInterval
+}
+
 // waitForList waits for the next read of the list and tells whether the node still runs.
 func (n *Node) waitForList(ctx context.Context, d time.Duration) bool {
 	select {
@@ -178,22 +234,27 @@
 	if n.listSoon.Swap(on) || !on {
 		return
 	}
+	n.readListNow()
+}
+
+// readListNow has the list read at once.
+func (n *Node) readListNow() {
 	select {
 	case n.listNow <- struct{}{}:
 	default:
 	}
 }
 
-// learnInstances takes in records of the list; whole says that they are all there is.
-func (n *Node) learnInstances(tail source.Tail, whole bool) {
+// learnInstances takes in records of the list; whole says that they are all
+// there is, recent that they were written since a read a moment ago.
+func (n *Node) learnInstances(tail source.Tail, whole, recent bool) {
 	now := n.clock.Now()
 	before := n.roster.Version()
-	seen := map[state.InstanceID]bool{}
+	var entries []fleet.Instance
 	for _, item := range tail.Items {
 		id := state.InstanceID(item.Key)
 		if len(item.Value) == 0 {
-			n.roster.Unlisted(id, now)
-			delete(seen, id)
+			n.roster.Unlisted(id, item.Offset, now)
 			continue
 		}
 		in, err := n.ports.Decoder.Instance(item.Key, item.Value)
@@ -204,11 +265,17 @@
 		}
 		in.Position = item.Offset
 		n.placer.observe(in.Membership.Epoch, false)
-		seen[id] = true
-		n.roster.Listed(in, now)
+		switch {
+		case whole:
+			entries = append(entries, in)
+		case recent:
+			n.roster.Listed(in, now)
+		default:
+			n.roster.Recalled(in, now)
+		}
 	}
 	if whole {
-		n.roster.Retain(seen, now)
+		n.roster.Snapshot(entries, tail.End, now)
 	}
 	if n.roster.Version() != before {
 		n.touch()
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -47,6 +47,7 @@
 	peers   *peers
 	placer  *placer
 	health  localhealth.Monitor
+	feed    feed
 	started time.Time
 
 	number  atomic.Int64
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -57,6 +57,9 @@
 	arrived bool
 	// version is that of the configuration at the placing node, as last heard.
 	version int64
+	// feedFrom and feedVersion say which changes of the instances this node has: those of a node up to a version.
+	feedFrom    int64
+	feedVersion uint64
 	// resting is until when this node does not place because it ran late.
 	resting time.Time
 	// held is what all nodes hold at each instance, added up at heldAt.
@@ -117,6 +120,13 @@
 func (p *peers) follow(ctx context.Context) {
 	next := int64(-1)
 	for {
+		if next >= 0 && p.n.feed.configAge(p.n.clock.Now()) < 2*fedAge {
+			// The placing node tells of new ones.
+			if !p.n.sleep(ctx, fedAge) {
+				return
+			}
+			continue
+		}
 		tail, err := p.n.readTail(ctx, source.Nodes, next, nodesWait)
 		switch {
 		case errors.Is(err, source.ErrTrimmed):
@@ -189,6 +199,23 @@
 	return addresses
 }
 
+// standbys is how many nodes after the placing one keep themselves ready to place.
+const standbys = 3
+
+// standby tells whether this node is among the first in the order.
+func (p *peers) standby() bool {
+	own := p.self()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := 0
+	for _, e := range p.known {
+		if e.Address != own.Address && e.Name != "" && precedes(e, own) {
+			before++
+		}
+	}
+	return before <= standbys
+}
+
 // mayPlace tells whether this node can place groups, if not at once: until it
 // is old enough to know of all others, no node after it in the order does either.
 func (p *peers) mayPlace(now time.Time) bool {
@@ -282,6 +309,9 @@
 		p.since = p.n.clock.Now()
 	}
 	p.mu.Unlock()
+	if on && !was {
+		p.n.readListNow()
+	}
 	if on != was {
 		p.n.log.WithField("placing", on).Info("placing changed")
 	}
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -8,7 +8,6 @@
 
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/state"
-	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // tell sends this node's word to another.
@@ -40,8 +39,9 @@
 		StoreMS:  age(n.storeAge()),
 		Nodes:    p.count(),
 		Late:     n.health.Overloaded(now),
-		AgeMS:    age(time.Hour),
+		AgeMS:    age(never),
 	}
+	w.Feed, w.After = p.hasFeed()
 	if n.gate.Arrived() > 0 {
 		w.Arrived = map[state.ServiceName]map[string]int{}
 	}
@@ -50,7 +50,6 @@
 	if heard := p.heardVersion(); heard > 0 && version > heard {
 		w.Config = raw
 	}
-	w.Blind = n.storeAge() > n.storeStale()
 	if a, ok := n.know.Age(); ok {
 		w.AgeMS = age(a)
 	}
@@ -79,23 +78,48 @@
 	}
 }
 
-// takeInstances takes in what the placing node knows of the instances.
-func (p *peers) takeInstances(list []fleet.Instance) {
-	if len(list) == 0 {
-		return
-	}
+// hasFeed returns which changes of the instances this node has.
+func (p *peers) hasFeed() (int64, uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.feedFrom, p.feedVersion
+}
+
+// takeChanges takes in what changed of the instances at the placing node.
+func (p *peers) takeChanges(a *Answer) {
 	now := p.n.clock.Now()
-	for _, in := range list {
-		p.n.roster.Relayed(in, now)
+	for _, c := range a.Changes {
+		p.n.roster.Relayed(c, now)
 	}
-	p.n.touch()
+	p.mu.Lock()
+	p.feedFrom, p.feedVersion = a.Feed, a.Now
+	p.mu.Unlock()
+	if len(a.Changes) > 0 {
+		p.n.touch()
+	}
+}
+
+// giveChanges tells what changed of the instances since what a word names.
+func (p *peers) giveChanges(a *Answer, w *Word) {
+	n := p.n
+	a.Feed = n.number.Load()
+	after := w.After
+	if w.Feed != a.Feed {
+		after = 0
+	}
+	a.ListAgeMS = age(n.roster.ListAge(n.clock.Now()))
+	a.Changes, a.Now = n.roster.Changes(after)
 }
 
 // take takes in what the placing node told; asked is when it was asked.
 func (p *peers) take(a *Answer, asked time.Time) {
 	n := p.n
 	p.takeConfig(a, asked)
-	p.takeInstances(a.Instances)
+	p.takeChanges(a)
+	config := asked.Add(-time.Duration(a.AgeMS) * time.Millisecond)
+	list := asked.Add(-time.Duration(a.ListAgeMS) * time.Millisecond)
+	n.roster.Confirm(list)
+	n.feed.take(config, list)
 	for _, e := range a.Nodes {
 		p.learn(e)
 	}
@@ -139,11 +163,7 @@
 		a.Avoid = n.placer.avoiding()
 		a.Arrived = p.anyArrived()
 		p.giveConfig(a, w)
-		if w.Blind && n.storeAge() < n.storeStale() {
-			for _, v := range n.roster.All(now) {
-				a.Instances = append(a.Instances, v.Instance)
-			}
-		}
+		p.giveChanges(a, w)
 	}
 	return connect.NewResponse(a), nil
 }
@@ -151,7 +171,7 @@
 // giveConfig tells the configuration in force here, whole to a node that is behind.
 func (p *peers) giveConfig(a *Answer, w *Word) {
 	raw, version := p.n.know.Raw()
-	a.Version, a.AgeMS = version, age(time.Hour)
+	a.Version, a.AgeMS = version, age(never)
 	if d, ok := p.n.know.Age(); ok {
 		a.AgeMS = age(d)
 	}
