Place by the measured work of each model; spread requests over old knowledge

(2) In the first two seconds, with no fault, only 80 of 100 were in time at 18 groups that were 40% full: all nodes know the same counts of the others, 250 ms old, and all sent to the same least loaded group. (3) The placing node's question for the configuration was up to 1.25 s old, so that the others read it too.

Changes: nodes measure requests and tokens by model and tell them; the planner divides instances by work (share, size, pace). A node spreads the requests that all send while its knowledge is old, filling the cheapest groups first, and draws by what each gets (Dahlin, Interpreting Stale Load Information, 1999); full groups are drawn only where all are. The placing node asks every 250 ms. Groups closed for their members count as what will be formed of them, and at most a third of the domains, or one, change at once.

The stand-in's shares in the planner's tests are changed so that the work of the models stays in the same proportion as before.

--- /dev/null
+++ b/coordination/demand/demand.go
@@ -0,0 +1,173 @@
+// Package demand measures the work that callers ask for, by service and model,
+// so that groups are placed and requests spread by what comes and not by what
+// was expected at the start.
+package demand
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+)
+
+// decay is the time in which older requests lose all but 1/e of their weight.
+const decay = 2 * time.Second
+
+// Flow is the work that is asked of one model of a service, per second.
+type Flow struct {
+	Service state.ServiceName `json:"s"`
+	Model   string            `json:"m,omitempty"`
+	// Requests are new requests, Prompt the tokens they bring, Answer those they are expected to get.
+	Requests float64 `json:"r"`
+	Prompt   float64 `json:"p,omitempty"`
+	Answer   float64 `json:"a,omitempty"`
+}
+
+// key names one flow.
+type key struct {
+	service state.ServiceName
+	model   string
+}
+
+// key returns what the flow belongs to.
+func (f *Flow) key() key { return key{f.Service, f.Model} }
+
+// Meter measures the flows that one node sees; safe for concurrent use.
+type Meter struct {
+	mu    sync.Mutex
+	cells map[key]*cell
+}
+
+// cell holds sums that decay with time.
+type cell struct {
+	Flow
+	at time.Time
+}
+
+// fade lets a cell's sums decay up to a time.
+func (c *cell) fade(now time.Time) {
+	past := now.Sub(c.at)
+	if past <= 0 {
+		return
+	}
+	left := math.Exp(-past.Seconds() / decay.Seconds())
+	c.Requests *= left
+	c.Prompt *= left
+	c.Answer *= left
+	c.at = now
+}
+
+// NewMeter returns a Meter that has seen nothing.
+func NewMeter() *Meter { return &Meter{cells: map[key]*cell{}} }
+
+// Add counts one new request with its numbers of tokens.
+func (m *Meter) Add(service state.ServiceName, model string, prompt, answer int, now time.Time) {
+	k := key{service, model}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.cells[k]
+	if c == nil {
+		c = &cell{Flow: Flow{Service: service, Model: model}, at: now}
+		m.cells[k] = c
+	}
+	c.fade(now)
+	c.Requests++
+	c.Prompt += float64(prompt)
+	c.Answer += float64(answer)
+}
+
+// least is the number of requests a second below which a flow is not told.
+const least = 0.01
+
+// Flows returns the measured flows, in order.
+func (m *Meter) Flows(now time.Time) []Flow {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []Flow
+	for _, c := range m.cells {
+		c.fade(now)
+		f := c.Flow
+		f.Requests /= decay.Seconds()
+		f.Prompt /= decay.Seconds()
+		f.Answer /= decay.Seconds()
+		if f.Requests >= least {
+			list = append(list, f)
+		}
+	}
+	return sorted(list)
+}
+
+// Sum adds up the flows of several nodes.
+func Sum(lists ...[]Flow) []Flow {
+	total := map[key]*Flow{}
+	for _, list := range lists {
+		for _, f := range list {
+			t := total[f.key()]
+			if t == nil {
+				t = &Flow{Service: f.Service, Model: f.Model}
+				total[f.key()] = t
+			}
+			t.Requests += f.Requests
+			t.Prompt += f.Prompt
+			t.Answer += f.Answer
+		}
+	}
+	list := make([]Flow, 0, len(total))
+	for _, f := range total {
+		list = append(list, *f)
+	}
+	return sorted(list)
+}
+
+// sorted orders flows by service and model.
+func sorted(list []Flow) []Flow {
+	slices.SortFunc(list, func(a, b Flow) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model))
+	})
+	return list
+}
+
+// enough is the number of requests a second of a service from which on its measured shares are believed.
+const enough = 10
+
+// Shares returns the part of an engine service's work that each of its models
+// has, or nil while too little was measured. Work is the time for which a request
+// holds a place of a group of pace 1.
+func Shares(service state.ServiceName, engine *catalog.Engine, flows []Flow) []float64 {
+	shares := make([]float64, len(engine.Models))
+	var requests, total float64
+	for _, f := range flows {
+		i := slices.IndexFunc(engine.Models, func(m catalog.Model) bool { return f.Service == service && m.Name == f.Model })
+		if i < 0 {
+			continue
+		}
+		shares[i] = Work(engine, f)
+		requests += f.Requests
+		total += shares[i]
+	}
+	if requests < enough || total <= 0 {
+		return nil
+	}
+	for i := range shares {
+		shares[i] /= total
+	}
+	return shares
+}
+
+// Work returns how many places of groups of pace 1 a flow holds on average, in batches that are half full.
+func Work(engine *catalog.Engine, f Flow) float64 {
+	token := engine.Step.Seconds() + engine.PerSequence.Seconds()*float64(engine.Slots)/2
+	answer := f.Answer
+	if answer == 0 {
+		answer = f.Requests * engine.UsualAnswer
+	}
+	work := answer * token
+	if engine.ReadPerSecond > 0 {
+		work += f.Prompt / engine.ReadPerSecond
+	}
+	return work
+}
--- /dev/null
+++ b/coordination/demand/demand_test.go
@@ -0,0 +1,79 @@
+package demand_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/demand"
+	"github.com/troutmast/troutmast/state/catalog"
+)
+
+var start = time.Unix(1000, 0)
+
+// engine has two models, the second expected to have half of the work.
+var engine = &catalog.Engine{
+	Slots: 10, Step: 10 * time.Millisecond, ReadPerSecond: 10_000, UsualAnswer: 100,
+	Models: []catalog.Model{{Name: "long", Size: 4, Share: 0.5}, {Name: "short", Size: 2, Share: 0.5}},
+}
+
+// feed counts requests at an even rate for a time.
+func feed(m *demand.Meter, model string, perSecond int, answer int, span time.Duration) {
+	n := int(span.Seconds() * float64(perSecond))
+	for i := range n {
+		m.Add("lm", model, 1000, answer, start.Add(span*time.Duration(i)/time.Duration(n)))
+	}
+}
+
+func TestAMeterMeasuresRatesAndForgets(t *testing.T) {
+	g := NewWithT(t)
+	m := demand.NewMeter()
+	feed(m, "long", 50, 80, 20*time.Second)
+	flows := m.Flows(start.Add(20 * time.Second))
+	g.Expect(flows).To(HaveLen(1))
+	g.Expect(flows[0].Requests).To(BeNumerically("~", 50, 2))
+	g.Expect(flows[0].Prompt).To(BeNumerically("~", 50_000, 2000))
+	g.Expect(flows[0].Answer).To(BeNumerically("~", 4000, 200))
+	g.Expect(m.Flows(start.Add(60 * time.Second))).To(BeEmpty())
+}
+
+func TestSharesFollowTheMeasuredWork(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		flows []demand.Flow
+		want  []float64
+	}{
+		{"nothing measured", nil, nil},
+		{"too little", []demand.Flow{{Service: "lm", Model: "long", Requests: 2, Answer: 300}}, nil},
+		{"another service", []demand.Flow{{Service: "x", Model: "long", Requests: 90, Answer: 300}}, nil},
+		{"by tokens, not by requests", []demand.Flow{
+			{Service: "lm", Model: "long", Requests: 10, Answer: 3000},
+			{Service: "lm", Model: "short", Requests: 30, Answer: 1000},
+		}, []float64{0.75, 0.25}},
+		{"prompts count too", []demand.Flow{
+			{Service: "lm", Model: "long", Requests: 10, Answer: 1000, Prompt: 100_000},
+			{Service: "lm", Model: "short", Requests: 10, Answer: 2000},
+		}, []float64{0.5, 0.5}},
+		{"the usual answer where none is told", []demand.Flow{
+			{Service: "lm", Model: "long", Requests: 10},
+			{Service: "lm", Model: "short", Requests: 30},
+		}, []float64{0.25, 0.75}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			got := demand.Shares("lm", engine, c.flows)
+			g.Expect(got).To(HaveLen(len(c.want)))
+			for i := range c.want {
+				g.Expect(got[i]).To(BeNumerically("~", c.want[i], 0.001))
+			}
+		})
+	}
+}
+
+func TestFlowsOfNodesAddUp(t *testing.T) {
+	g := NewWithT(t)
+	a := []demand.Flow{{Service: "lm", Model: "long", Requests: 2, Prompt: 10}}
+	b := []demand.Flow{{Service: "lm", Model: "long", Requests: 3, Prompt: 5}, {Service: "plain", Requests: 1}}
+	g.Expect(demand.Sum(a, b)).To(Equal([]demand.Flow{{Service: "lm", Model: "long", Requests: 5, Prompt: 15}, {Service: "plain", Requests: 1}}))
+}
--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -3,11 +3,11 @@
 package dispatch
 
 import (
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/internal/steady"
 	"github.com/troutmast/troutmast/state"
@@ -84,12 +84,15 @@
 	mu    sync.Mutex
 	loads map[state.InstanceID]*load
 	pools atomic.Pointer[map[key][]*Candidate]
+	// coming is how many requests all nodes send while what is known of the other nodes is as old as it is.
+	coming atomic.Pointer[map[key]float64]
 }
 
 // NewTable returns an empty Table for a node of a data hall.
 func NewTable(hall state.HallName) *Table {
 	t := &Table{hall: hall, loads: map[state.InstanceID]*load{}}
 	t.pools.Store(&map[key][]*Candidate{})
+	t.coming.Store(&map[key]float64{})
 	return t
 }
 
@@ -148,8 +151,14 @@
 	return len(c.Members) >= model.Size
 }
 
-// SetOthers takes in how many requests the other nodes hold at each instance.
-func (t *Table) SetOthers(held map[state.InstanceID]int) {
+// SetOthers takes in how many requests the other nodes hold at each instance, and
+// what callers ask of all nodes.
+func (t *Table) SetOthers(held map[state.InstanceID]int, asked []demand.Flow) {
+	coming := make(map[key]float64, len(asked))
+	for _, f := range asked {
+		coming[key{f.Service, f.Model}] = f.Requests * othersAge.Seconds()
+	}
+	t.coming.Store(&coming)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, l := range t.loads {
@@ -170,11 +179,6 @@
 	return held
 }
 
-// Pool returns the candidates of a service, or of a model of it; the slice must not be changed.
-func (t *Table) Pool(service state.ServiceName, model string) []*Candidate {
-	return (*t.pools.Load())[key{service, model}]
-}
-
 // fullAt is the part of its places up to which an instance is given new requests:
 // beyond it a request waits so long for its first event that it is better refused.
 const fullAt = 0.85
@@ -183,37 +187,3 @@
 func (c *Candidate) Full() bool {
 	return c.Size > 0 && float64(c.Load()) >= fullAt*float64(c.Slots)
 }
-
-// farCost is what another data hall adds to the cost.
-const farCost = 0.03
-
-// Pick returns the cheapest candidate that is not to be avoided, or nil.
-func (t *Table) Pick(service state.ServiceName, model string, avoid func(state.InstanceID) bool) *Candidate {
-	pool := t.Pool(service, model)
-	if len(pool) == 0 {
-		return nil
-	}
-	var best *Candidate
-	var least float64
-	start := rand.IntN(len(pool))
-	for i := range pool {
-		c := pool[(start+i)%len(pool)]
-		if avoid(c.ID) {
-			continue
-		}
-		if cost := t.cost(c); best == nil || cost < least {
-			best, least = c, cost
-		}
-	}
-	return best
-}
-
-// cost is what it costs to send a request to a candidate, in parts of its places.
-func (t *Table) cost(c *Candidate) float64 {
-	cost := float64(c.Load()) / float64(max(c.Slots, 1))
-	cost += troubleCost * float64(c.load.trouble.Load()) / troubleUnit
-	if c.Hall != t.hall {
-		cost += farCost
-	}
-	return cost
-}
--- a/coordination/dispatch/candidate_test.go
+++ b/coordination/dispatch/candidate_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/state"
@@ -74,7 +75,7 @@
 	g := NewWithT(t)
 	table := dispatch.NewTable("h")
 	table.Update(config(), []roster.View{plain("a"), plain("b")}, func(fleet.GroupKey) bool { return false })
-	table.SetOthers(map[state.InstanceID]int{"a": 3})
+	table.SetOthers(map[state.InstanceID]int{"a": 3}, nil)
 	for range 20 {
 		g.Expect(table.Pick("plain", "", nobody).ID).To(Equal(state.InstanceID("b")))
 	}
@@ -102,3 +103,38 @@
 	head.End()
 	g.Expect(head.Full()).To(BeFalse())
 }
+
+// With old knowledge of the others, requests go to all that will be cheapest
+// meanwhile, each by its share, and to none that stays dearer.
+func TestComingRequestsAreSpread(t *testing.T) {
+	g := NewWithT(t)
+	table := dispatch.NewTable("h")
+	table.Update(config(), []roster.View{plain("a"), plain("b"), plain("c")}, func(fleet.GroupKey) bool { return false })
+	asked := []demand.Flow{{Service: "plain", Requests: 16}} // four while the knowledge is old
+	table.SetOthers(map[state.InstanceID]int{"b": 2, "c": 9}, asked)
+	const draws = 6000
+	got := map[state.InstanceID]int{}
+	for range draws {
+		got[table.Pick("plain", "", nobody).ID]++
+	}
+	g.Expect(got["c"]).To(BeZero())
+	g.Expect(got["a"]).To(BeNumerically("~", 3*draws/4, draws/20))
+	g.Expect(got["b"]).To(BeNumerically("~", draws/4, draws/20))
+}
+
+func TestAFullGroupIsPickedOnlyWhereAllAre(t *testing.T) {
+	g := NewWithT(t)
+	table := dispatch.NewTable("h")
+	other := member("c", 0, fleet.Open)
+	other.Membership.Group = "h"
+	mate := member("d", 1, fleet.Ready)
+	mate.Membership.Group = "h"
+	table.Update(config(), []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready), other, mate}, func(fleet.GroupKey) bool { return false })
+	asked := []demand.Flow{{Service: "lm", Model: "m", Requests: 1000}}
+	table.SetOthers(map[state.InstanceID]int{"a": 9, "c": 5}, asked)
+	for range 50 {
+		g.Expect(table.Pick("lm", "m", nobody).ID).To(Equal(state.InstanceID("c")))
+	}
+	table.SetOthers(map[state.InstanceID]int{"a": 9, "c": 9}, asked)
+	g.Expect(table.Pick("lm", "m", nobody).Full()).To(BeTrue())
+}
--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -55,16 +55,26 @@
 func (s *step) formDomains(domains map[string]*domain, stock *supply) {
 	var ready []*domain
 	var choices [][]option
+	changing := 0
+	for _, d := range domains {
+		if d.donors {
+			changing++
+		}
+	}
 	for _, name := range sortedKeys(domains) {
 		d := domains[name]
-		if len(d.free) == 0 || d.donors || s.settling(d.free) {
+		if d.donors || s.settling(d.free) {
 			continue
 		}
 		list := options(len(d.free), s.able(d.free), s.engine.Models)
-		if donors := s.donors(d, stock, list); donors != nil {
-			for _, f := range donors {
-				f.donor = s.now
+		if changing <= len(domains)/changingPart {
+			if donors := s.donors(d, stock, list); donors != nil {
+				s.giveUp(donors, d.free, stock)
+				changing++
+				continue
 			}
+		}
+		if len(d.free) == 0 {
 			continue
 		}
 		ready = append(ready, d)
@@ -75,6 +85,24 @@
 	}
 }
 
+// changingPart bounds the domains that close groups for their members at the same
+// time: beyond one, no more than one in so many.
+const changingPart = 3
+
+// giveUp has groups closed for their members, and counts what will be formed of
+// these and the free ones.
+func (s *step) giveUp(donors []*formation, free []*Member, stock *supply) {
+	for _, f := range donors {
+		f.donor = s.now
+		free, _ = s.withMembers(free, f)
+		if i := s.modelIndex(f.model); i >= 0 {
+			stock.have[i] -= float64(len(f.members))
+		}
+	}
+	models := s.engine.Models
+	stock.add(stock.best(options(len(free), s.able(free), models), models), models, 1)
+}
+
 // domain is one fabric domain.
 type domain struct {
 	free []*Member
--- a/coordination/placement/layout.go
+++ b/coordination/placement/layout.go
@@ -14,16 +14,20 @@
 	want []float64
 }
 
-// newSupply divides a number of instances over models by their shares.
+// newSupply divides a number of instances over models by the work that each has
+// for an instance: its share of the requests, times the instances of a group and
+// the time that the group takes for a request.
 func newSupply(models []catalog.Model, shares []float64, instances int) *supply {
 	s := &supply{have: make([]float64, len(models)), want: make([]float64, len(models))}
+	work := make([]float64, len(models))
 	var total float64
-	for _, share := range shares {
-		total += share
+	for i, share := range shares {
+		work[i] = share * float64(models[i].Size) * cmp.Or(models[i].Pace, 1)
+		total += work[i]
 	}
 	for i := range models {
 		if total > 0 {
-			s.want[i] = shares[i] / total * float64(instances)
+			s.want[i] = work[i] / total * float64(instances)
 		}
 		s.want[i] = max(s.want[i], 1)
 	}
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -30,8 +30,8 @@
 	return &catalog.Engine{
 		Slots: 8, LoadsPerSecond: 4, LoadsAtOnce: 6, ReportLag: reportLag, Form: form,
 		Models: []catalog.Model{
-			{Name: "large", Size: 4, Share: 0.6, Pace: 1, Load: 16 * time.Second, Warm: warm},
-			{Name: "small", Size: 2, Share: 0.4, Pace: 1, Load: 12 * time.Second, Warm: warm},
+			{Name: "large", Size: 4, Share: 0.43, Pace: 1, Load: 16 * time.Second, Warm: warm},
+			{Name: "small", Size: 2, Share: 0.57, Pace: 1, Load: 12 * time.Second, Warm: warm},
 		},
 	}
 }
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/state"
 )
@@ -29,8 +30,9 @@
 	From NodeEntry `json:"from"`
 	// Held are the requests that the node holds at each instance.
 	Held map[state.InstanceID]int `json:"held,omitempty"`
-	// Arrived are the requests since the last word, by service and model.
-	Arrived map[state.ServiceName]map[string]int `json:"arrived,omitempty"`
+	// Arrived tells that the node has had requests, Demand how much work they ask for lately.
+	Arrived bool          `json:"arrived,omitempty"`
+	Demand  []demand.Flow `json:"demand,omitempty"`
 	// Suspects are instances that did not answer this node lately.
 	Suspects []Suspicion `json:"suspects,omitempty"`
 	// Version and AgeMS tell of the configuration in force at the node, and how old the knowledge of it may be.
@@ -69,6 +71,8 @@
 	Now     uint64          `json:"now,omitempty"`
 	// ListAgeMS is how old the list at the placing node may be.
 	ListAgeMS int64 `json:"list_age"`
+	// Demand is the work that callers ask of all nodes.
+	Demand []demand.Flow `json:"demand,omitempty"`
 	// Arrived tells that some node has had requests.
 	Arrived bool `json:"arrived,omitempty"`
 }
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -15,8 +15,10 @@
 
 // Bounds of following the store.
 const (
-	configWait   = 3 * time.Second
-	listInterval = 300 * time.Millisecond
+	configWait = 3 * time.Second
+	// configWaitPlacing is how long the placing node's read of the configuration waits.
+	configWaitPlacing = 250 * time.Millisecond
+	listInterval      = 300 * time.Millisecond
 	// recentRead is the time between two reads of the list up to which what the later one shows has just been written.
 	recentRead = time.Second
 	// fedAge is the age up to which a node relies on what the placing node tells of the store.
@@ -81,8 +83,12 @@
 
 // configWait returns how long a read of the configuration waits for a new one.
 // Keys are trusted for a time from the last question on, so where that is
-// bounded, questions must be asked several times as often.
+// bounded, questions must be asked several times as often. What the placing node
+// tells the others is as old as its last question, so that it asks often.
 func (n *Node) configWait() time.Duration {
+	if placing, _ := n.peers.isPlacing(); placing {
+		return configWaitPlacing
+	}
 	if n.set.StrictKeys {
 		return min(configWait, n.set.KeysWithin/4)
 	}
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/localhealth"
 	"github.com/troutmast/troutmast/coordination/roster"
@@ -41,6 +42,7 @@
 	roster  *roster.Roster
 	table   *dispatch.Table
 	gate    *gateway.Gateway
+	demand  *demand.Meter
 	pool    *direct.Pool
 	metrics metrics.Registry
 	log     *log.Logger
@@ -84,6 +86,7 @@
 		table:    dispatch.NewTable(set.Hall),
 		pool:     direct.NewPool(direct.Dialer{Timeout: dialTimeout, Silence: silence}, clock.Now),
 		metrics:  metrics.NewRegistry(),
+		demand:   demand.NewMeter(),
 		log:      logger,
 		started:  clock.Now(),
 		changed:  make(chan struct{}, 1),
@@ -93,7 +96,7 @@
 		suspects: map[state.InstanceID]time.Time{},
 	}
 	n.gate = gateway.New(gateway.Options{
-		Clock: clock, Dialect: ports.Dialect, Catalogs: n.know, Table: n.table, Health: n, Recorder: n, Pool: n.pool, Retry: set.Retry,
+		Clock: clock, Dialect: ports.Dialect, Catalogs: n.know, Table: n.table, Health: n, Recorder: n, Pool: n.pool, Demand: n.demand, Retry: set.Retry,
 	})
 	n.peers = newPeers(n)
 	n.placer = newPlacer(n)
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
@@ -62,9 +63,10 @@
 	feedVersion uint64
 	// resting is until when this node does not place because it ran late.
 	resting time.Time
-	// held is what all nodes hold at each instance, added up at heldAt.
-	held   map[state.InstanceID]int
-	heldAt time.Time
+	// held is what all nodes hold at each instance, asked what callers ask of them, added up at totalAt.
+	held    map[state.InstanceID]int
+	asked   []demand.Flow
+	totalAt time.Time
 }
 
 // heardWord is the last word of a node.
@@ -285,7 +287,8 @@
 	p.setPlacing(may)
 	if may {
 		p.n.gate.SetNodes(p.count())
-		p.n.table.SetOthers(minus(p.heldByAll(), p.n.table.Held()))
+		held, asked := p.total()
+		p.n.table.SetOthers(minus(held, p.n.table.Held()), asked)
 	}
 }
 
@@ -351,29 +354,32 @@
 	return n
 }
 
-// heldInterval is the least time between two sums of what nodes hold.
-const heldInterval = 100 * time.Millisecond
+// totalInterval is the least time between two sums of what nodes hold and are asked for.
+const totalInterval = 100 * time.Millisecond
 
-// heldByAll adds up what all nodes hold at each instance; the map must not be changed.
-func (p *peers) heldByAll() map[state.InstanceID]int {
+// total adds up what all nodes hold at each instance, and what callers ask of
+// them; neither must be changed.
+func (p *peers) total() (map[state.InstanceID]int, []demand.Flow) {
 	now := p.n.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.held != nil && now.Sub(p.heldAt) < heldInterval {
-		return p.held
+	if p.held != nil && now.Sub(p.totalAt) < totalInterval {
+		return p.held, p.asked
 	}
-	sum := p.n.table.Held()
+	held := p.n.table.Held()
+	flows := [][]demand.Flow{p.n.demand.Flows(now)}
 	for name, h := range p.words {
 		if now.Sub(h.at) > nodeLives {
 			delete(p.words, name)
 			continue
 		}
-		for id, held := range h.word.Held {
-			sum[id] += held
+		for id, n := range h.word.Held {
+			held[id] += n
 		}
+		flows = append(flows, h.word.Demand)
 	}
-	p.held, p.heldAt = sum, now
-	return sum
+	p.held, p.asked, p.totalAt = held, demand.Sum(flows...), now
+	return p.held, p.asked
 }
 
 // anyArrived tells whether any node has had requests.
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
@@ -89,12 +90,14 @@
 	now := p.n.clock.Now()
 	var avoid []Formation
 	watch := false
+	_, asked := p.n.peers.total()
 	for _, s := range c.Services {
 		if s.Engine == nil {
 			continue
 		}
 		planner := p.planner(s)
 		planner.Quiet = p.n.set.FirstStart && !p.n.peers.anyArrived()
+		planner.Shares = demand.Shares(s.Name, s.Engine, asked)
 		members := p.n.roster.Members(s.Name, since, now)
 		plan := planner.Step(now, members)
 		for key := range plan.Avoid {
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -42,9 +42,8 @@
 		AgeMS:    age(never),
 	}
 	w.Feed, w.After = p.hasFeed()
-	if n.gate.Arrived() > 0 {
-		w.Arrived = map[state.ServiceName]map[string]int{}
-	}
+	w.Arrived = n.gate.Arrived() > 0
+	w.Demand = n.demand.Flows(now)
 	raw, version := n.know.Raw()
 	w.Version = version
 	if heard := p.heardVersion(); heard > 0 && version > heard {
@@ -127,7 +126,7 @@
 	p.arrived = p.arrived || a.Arrived
 	p.mu.Unlock()
 	n.setAvoid(a.Avoid)
-	n.table.SetOthers(minus(a.Held, n.table.Held()))
+	n.table.SetOthers(minus(a.Held, n.table.Held()), a.Demand)
 	n.gate.SetNodes(p.count())
 }
 
@@ -148,7 +147,7 @@
 	p.learn(w.From)
 	p.mu.Lock()
 	p.words[w.From.Name] = heardWord{word: *w, at: now}
-	p.arrived = p.arrived || w.Arrived != nil
+	p.arrived = p.arrived || w.Arrived
 	a := &Answer{Placing: p.mayPlace(now)}
 	p.mu.Unlock()
 	n.learnConfig(w.Config, "peer")
@@ -159,7 +158,7 @@
 		if w.Nodes != p.count() {
 			a.Nodes = p.named()
 		}
-		a.Held = p.heldByAll()
+		a.Held, a.Demand = p.total()
 		a.Avoid = n.placer.avoiding()
 		a.Arrived = p.anyArrived()
 		p.giveConfig(a, w)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/protocol/direct"
@@ -58,6 +59,7 @@
 	Health   Health
 	Recorder Recorder
 	Pool     *direct.Pool
+	Demand   *demand.Meter
 	// Retry bounds the repeats that all nodes send to one service.
 	Retry retry.Bounds
 }
@@ -227,6 +229,7 @@
 	}
 	c.budget = c.Gateway.budget(c.service)
 	c.budget.Attempt(c.arrived)
+	c.Demand.Add(c.service, c.model, claims.Prompt, claims.Answer, c.arrived)
 	return nil
 }
 
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -46,6 +46,9 @@
 	Model string
 	// LastEvent is the last event that the caller has of a stream.
 	LastEvent string
+	// Prompt is the number of tokens of the prompt, Answer that which the caller expects; 0 is unknown.
+	Prompt int
+	Answer int
 	// Patience is how long the caller waits; 0 is without bound.
 	Patience time.Duration
 }
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/coordination/roster"
@@ -178,7 +179,8 @@
 	}
 	clock := clockwork.NewRealClock()
 	l.gate = gateway.New(gateway.Options{
-		Clock: clock, Dialect: dialect{}, Catalogs: l.know, Table: l.table, Health: l.health, Recorder: l.counts,
+		Demand: demand.NewMeter(),
+		Clock:  clock, Dialect: dialect{}, Catalogs: l.know, Table: l.table, Health: l.health, Recorder: l.counts,
 		Pool:  direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now),
 		Retry: retry.Bounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	})
