Want instances by the measured need of each model; load to hosts what gains most

Later 21 instances were spare and 2 groups of four stood: free instances loaded the other model than they had, whether it was needed or not.

Change: a model wants 2.5 times the instances that its measured work would fill, whatever the other wants; the shares of the configuration count only until there is a measurement. Of all free instances and models, that load comes first which gains most for the groups that its domain can form now and after the loss of a member of each group.

--- a/coordination/demand/demand.go
+++ b/coordination/demand/demand.go
@@ -131,43 +131,38 @@
 	return list
 }
 
-// enough is the number of requests a second of a service from which on its measured shares are believed.
+// enough is the number of requests a second of a service from which on its measured work is believed.
 const enough = 10
 
-// Shares returns the part of an engine service's work that each of its models
-// has, or nil while too little was measured. Work is the time for which a request
-// holds a place of a group of pace 1.
-func Shares(service state.ServiceName, engine *catalog.Engine, flows []Flow) []float64 {
-	shares := make([]float64, len(engine.Models))
-	var requests, total float64
+// WorkOf returns how many places of groups of pace 1 the requests for each model
+// of an engine service hold on average, or nil while too little was measured.
+func WorkOf(service state.ServiceName, engine *catalog.Engine, flows []Flow) []float64 {
+	work := make([]float64, len(engine.Models))
+	var requests float64
 	for _, f := range flows {
 		i := slices.IndexFunc(engine.Models, func(m catalog.Model) bool { return f.Service == service && m.Name == f.Model })
 		if i < 0 {
 			continue
 		}
-		shares[i] = Work(engine, f)
+		work[i] = held(engine, f)
 		requests += f.Requests
-		total += shares[i]
 	}
-	if requests < enough || total <= 0 {
+	if requests < enough {
 		return nil
 	}
-	for i := range shares {
-		shares[i] /= total
-	}
-	return shares
+	return work
 }
 
-// Work returns how many places of groups of pace 1 a flow holds on average, in batches that are half full.
-func Work(engine *catalog.Engine, f Flow) float64 {
+// held returns how many places of groups of pace 1 a flow holds on average, in batches that are half full.
+func held(engine *catalog.Engine, f Flow) float64 {
 	token := engine.Step.Seconds() + engine.PerSequence.Seconds()*float64(engine.Slots)/2
 	answer := f.Answer
 	if answer == 0 {
 		answer = f.Requests * engine.UsualAnswer
 	}
-	work := answer * token
+	places := answer * token
 	if engine.ReadPerSecond > 0 {
-		work += f.Prompt / engine.ReadPerSecond
+		places += f.Prompt / engine.ReadPerSecond
 	}
-	return work
+	return places
 }
--- a/coordination/demand/demand_test.go
+++ b/coordination/demand/demand_test.go
@@ -38,7 +38,7 @@
 	g.Expect(m.Flows(start.Add(60 * time.Second))).To(BeEmpty())
 }
 
-func TestSharesFollowTheMeasuredWork(t *testing.T) {
+func TestWorkFollowsTheMeasuredTokens(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		flows []demand.Flow
@@ -50,19 +50,19 @@
 		{"by tokens, not by requests", []demand.Flow{
 			{Service: "lm", Model: "long", Requests: 10, Answer: 3000},
 			{Service: "lm", Model: "short", Requests: 30, Answer: 1000},
-		}, []float64{0.75, 0.25}},
+		}, []float64{30, 10}},
 		{"prompts count too", []demand.Flow{
 			{Service: "lm", Model: "long", Requests: 10, Answer: 1000, Prompt: 100_000},
 			{Service: "lm", Model: "short", Requests: 10, Answer: 2000},
-		}, []float64{0.5, 0.5}},
+		}, []float64{20, 20}},
 		{"the usual answer where none is told", []demand.Flow{
 			{Service: "lm", Model: "long", Requests: 10},
 			{Service: "lm", Model: "short", Requests: 30},
-		}, []float64{0.25, 0.75}},
+		}, []float64{10, 30}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			got := demand.Shares("lm", engine, c.flows)
+			got := demand.WorkOf("lm", engine, c.flows)
 			g.Expect(got).To(HaveLen(len(c.want)))
 			for i := range c.want {
 				g.Expect(got[i]).To(BeNumerically("~", c.want[i], 0.001))
--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -123,13 +123,10 @@
 
 // stock counts the instances in groups of each model.
 func (s *step) stock(alive int) *supply {
-	shares := s.Shares
-	if shares == nil {
-		for _, m := range s.engine.Models {
-			shares = append(shares, m.Share)
-		}
+	stock := newSupply(s.engine.Models, alive)
+	if len(s.Work) == len(s.engine.Models) {
+		stock = newNeededSupply(s.engine, s.Work)
 	}
-	stock := newSupply(s.engine.Models, shares, alive)
 	for _, f := range s.formations {
 		if i := s.modelIndex(f.model); i >= 0 && f.failed == "" && f.donor.IsZero() && !s.draining(f) {
 			stock.have[i] += float64(len(f.members))
--- a/coordination/placement/layout.go
+++ b/coordination/placement/layout.go
@@ -14,26 +14,36 @@
 	want []float64
 }
 
-// newSupply divides a number of instances over models by the work that each has
-// for an instance: its share of the requests, times the instances of a group and
-// the time that the group takes for a request.
-func newSupply(models []catalog.Model, shares []float64, instances int) *supply {
+// newSupply divides a number of instances over models by their shares, as long as
+// it is not known how many each model needs.
+func newSupply(models []catalog.Model, instances int) *supply {
 	s := &supply{have: make([]float64, len(models)), want: make([]float64, len(models))}
-	work := make([]float64, len(models))
 	var total float64
-	for i, share := range shares {
-		work[i] = share * float64(models[i].Size) * cmp.Or(models[i].Pace, 1)
-		total += work[i]
+	for i := range models {
+		total += models[i].Share
 	}
 	for i := range models {
 		if total > 0 {
-			s.want[i] = work[i] / total * float64(instances)
+			s.want[i] = models[i].Share / total * float64(instances)
 		}
 		s.want[i] = max(s.want[i], 1)
 	}
 	return s
 }
 
+// newNeededSupply wants so many instances of each model as hold the work that is
+// asked of it several times over: batches that are not full answer sooner, and
+// groups fail.
+func newNeededSupply(engine *catalog.Engine, work []float64) *supply {
+	n := len(engine.Models)
+	s := &supply{have: make([]float64, n), want: make([]float64, n)}
+	for i, m := range engine.Models {
+		need := work[i] * cmp.Or(m.Pace, 1) * float64(m.Size) / float64(max(engine.Slots, 1))
+		s.want[i] = max(concave*need, float64(m.Size))
+	}
+	return s
+}
+
 // concave is how quickly more groups of a model lose in value.
 const concave = 2.5
 
@@ -116,7 +126,7 @@
 
 // leastGain is what a group must be worth for each of its instances; below it
 // the instances are kept as spares.
-const leastGain = 0.12
+const leastGain = 0.04
 
 // pack chooses an option for each of several domains, so that all groups
 // together are worth most. Since a domain's best option depends on those of the
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -76,8 +76,9 @@
 	staging    map[state.InstanceID]stagingModel
 	// Quiet tells that no request has come yet, so that loads are nearly free.
 	Quiet bool
-	// Shares are the models' parts of the work; nil takes the configured ones.
-	Shares []float64
+	// Work is how many places of groups of pace 1 the requests for each model hold
+	// on average; nil is unknown.
+	Work []float64
 }
 
 // NewPlanner returns a Planner; next returns a new epoch above one that was seen.
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -28,32 +29,58 @@
 }
 
 // stage has instances load to their hosts the model that they may need next.
-// The weight store carries few loads at once, so instances that can join no
-// group for want of a model come first, and members of groups only while loads
-// are nearly free.
+// The weight store carries few loads at once, so instances in no group come
+// first, those whose domain gains most by it before the others, and members of
+// groups only while loads are nearly free.
 func (s *step) stage() {
+	if s.Quiet || len(s.staging) < max(s.engine.LoadsAtOnce, 1) {
+		for _, l := range s.wantedLoads() {
+			s.stageModel(l.member, l.model)
+		}
+	}
+	if s.Quiet {
+		s.stageOther(s.serving)
+	}
+}
+
+// wantedLoad is a model that an instance in no group should load to its host.
+type wantedLoad struct {
+	member *Member
+	model  string
+	gain   float64
+}
+
+// leastStaging is what loading a model to a host must be worth.
+const leastStaging = 0.02
+
+// wantedLoads returns for each instance in no group the load that is worth most, the best first.
+func (s *step) wantedLoads() []wantedLoad {
+	var list []wantedLoad
 	for _, id := range sortedIDs(s.byID) {
-		if m := s.byID[id]; s.cold(m) {
-			s.stageModel(m, s.wantedIn(s.domains[m.Domain], m))
+		m := s.byID[id]
+		if !s.spare(m) || s.staging[id].model != "" {
+			continue
+		}
+		if model, gain := s.wantedIn(s.domains[m.Domain], m); gain > leastStaging || s.Quiet && model != "" {
+			list = append(list, wantedLoad{m, model, gain})
 		}
 	}
-	s.stageOther(s.idle, s.engine.LoadsAtOnce)
-	s.stageOther(s.serving, max(s.engine.LoadsAtOnce/2, 1))
+	slices.SortStableFunc(list, func(a, b wantedLoad) int { return cmp.Compare(b.gain, a.gain) })
+	return list
 }
 
-// stageOther has instances of a kind load another model than they have, while
-// fewer than a number load.
-func (s *step) stageOther(kind func(m *Member) bool, most int) {
+// stageOther has instances of a kind load another model than they have.
+func (s *step) stageOther(kind func(m *Member) bool) {
 	for _, id := range sortedIDs(s.byID) {
-		if m := s.byID[id]; kind(m) && (s.Quiet || len(s.staging) < most) {
+		if m := s.byID[id]; kind(m) {
 			s.stageModel(m, s.otherModel(m.Model))
 		}
 	}
 }
 
-// idle tells whether an instance that has had a model is in no group.
-func (s *step) idle(m *Member) bool {
-	return m.usable() && m.Membership.Group == "" && m.Model != "" && !s.claimed(m.ID)
+// spare tells whether an instance is in no group, nor named by one, and has been seen for a while.
+func (s *step) spare(m *Member) bool {
+	return m.usable() && m.Membership.Group == "" && !s.claimed(m.ID) && s.now.Sub(m.Seen) > 2*settle && s.domains[m.Domain] != nil
 }
 
 // scarcer is how many times more one instance of a model must be worth than one
@@ -68,12 +95,6 @@
 	return 0
 }
 
-// cold tells whether an instance can join no group for want of a model.
-func (s *step) cold(m *Member) bool {
-	return m.usable() && m.Membership.Group == "" && m.Model == "" && len(m.Staged) == 0 &&
-		!s.claimed(m.ID) && s.now.Sub(m.Seen) > 2*settle
-}
-
 // stageModel orders an instance to load a model to its host, if the weight store carries it.
 func (s *step) stageModel(m *Member, model string) {
 	if m.Pending || !m.usable() || model == "" || m.HasStaged(model) || s.staging[m.ID].model != "" || !s.mayLoad() {
@@ -83,24 +104,35 @@
 	s.order(m, Order{Action: Stage, Model: model, Why: "for a later repair"})
 }
 
-// wantedIn returns the model that is worth most on the host of an instance: for
-// the groups that its domain could form now, and after the loss of one member of
-// each group that it holds.
-func (s *step) wantedIn(d *domain, m *Member) string {
+// wantedIn returns the model whose load to an instance's host gains most, for the
+// groups that its domain could form now, and after the loss of one member of each
+// group that it holds; and that gain.
+func (s *step) wantedIn(d *domain, m *Member) (string, float64) {
+	before := s.prospect(d, s.withStaging(d.free, m.ID), m)
 	best, most := "", 0.0
 	for i := range s.engine.Models {
-		with := *m
-		with.Staged = []string{s.engine.Models[i].Name}
-		free := append(s.withStaging(d.free, m.ID), &with)
-		worth := s.bestWorth(free)
-		for _, f := range d.groups {
-			worth += s.worthAfterLoss(free, f) / float64(len(d.groups))
+		name := s.engine.Models[i].Name
+		if m.Model == name || m.HasStaged(name) {
+			continue
 		}
-		if worth > most {
-			best, most = s.engine.Models[i].Name, worth
+		with := *m
+		with.Staged = []string{name}
+		if gain := s.prospect(d, s.withStaging(d.free, m.ID), &with) - before; gain > most || best == "" {
+			best, most = name, gain
 		}
 	}
-	return best
+	return best, most
+}
+
+// prospect returns what the groups are worth that a domain can form of free
+// instances and one more, now and after the loss of a member of each of its groups.
+func (s *step) prospect(d *domain, free []*Member, m *Member) float64 {
+	free = append(free, m)
+	worth := s.bestWorth(free)
+	for _, f := range d.groups {
+		worth += s.worthAfterLoss(free, f) / float64(len(d.groups))
+	}
+	return worth
 }
 
 // withStaging returns free instances as they will be once they have loaded what they stage now, without one of them.
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -97,7 +97,7 @@
 		}
 		planner := p.planner(s)
 		planner.Quiet = p.n.set.FirstStart && !p.n.peers.anyArrived()
-		planner.Shares = demand.Shares(s.Name, s.Engine, asked)
+		planner.Work = demand.WorkOf(s.Name, s.Engine, asked)
 		members := p.n.roster.Members(s.Name, since, now)
 		plan := planner.Step(now, members)
 		for key := range plan.Avoid {
