--- a/coordination/demand/demand.go
+++ b/coordination/demand/demand.go
@@ -153,7 +153,9 @@
 	return work
 }
 
-// held returns how many places of groups of pace 1 a flow holds on average, in batches that are half full.
+// held returns how many places of groups of pace 1 a flow holds on average, in
+// batches that are half full. A group that reads a prompt does nothing else, so
+// that reading holds all of its places.
 func held(engine *catalog.Engine, f Flow) float64 {
 	token := engine.Step.Seconds() + engine.PerSequence.Seconds()*float64(engine.Slots)/2
 	answer := f.Answer
@@ -162,7 +164,7 @@
 	}
 	places := answer * token
 	if engine.ReadPerSecond > 0 {
-		places += f.Prompt / engine.ReadPerSecond
+		places += float64(max(engine.Slots, 1)) * f.Prompt / engine.ReadPerSecond
 	}
 	return places
 }
