Stage models on spares before the first request

What a load gains was weighed as if loads went on being free, when it gains nothing.

Change: loads are weighed for the time after the first request; before it, what has nothing on its host loads anything.

Test that fails before: TestSparesAreStagedBeforeTheFirstRequest (the model of the planner's tests now stages what it is told to).

--- a/coordination/placement/property_test.go
+++ b/coordination/placement/property_test.go
@@ -160,3 +160,20 @@
 func newest(w *world) state.InstanceID {
 	return slices.Max(slices.Collect(maps.Keys(w.targets)))
 }
+
+// Before the first request loads are nearly free: then an instance that is in no
+// group loads a model to its host, for when loads are not free any more.
+func TestSparesAreStagedBeforeTheFirstRequest(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1, 2, 8, 1)
+	w.faults = false
+	w.place(w.nodes[0], true)
+	w.nodes[0].planner.Quiet = true
+	w.run(10 * time.Second)
+	spare := w.addTarget("d0")
+	spare.Staged = nil
+	w.run(10 * time.Second)
+	_, inGroups := w.serving()
+	g.Expect(inGroups).To(Equal(16))
+	g.Expect(spare.Staged).NotTo(BeEmpty())
+}
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -38,6 +38,7 @@
 	}
 	if s.Quiet {
 		s.stageOther(s.serving)
+		s.stageOther(s.spare)
 	}
 }
 
@@ -62,6 +63,10 @@
 		return nil
 	}
 	s.Planner.staged = s.now
+	// What is prepared now serves when loads are no longer nearly free.
+	quiet := s.Quiet
+	s.Quiet = false
+	defer func() { s.Quiet = quiet }()
 	var list []wantedLoad
 	for _, name := range sortedKeys(s.domains) {
 		for i := range s.engine.Models {
@@ -98,10 +103,10 @@
 	return list
 }
 
-// stageOther has instances of a kind load another model than they have.
+// stageOther has instances of a kind that have staged nothing load another model than they have.
 func (s *step) stageOther(kind func(m *Member) bool) {
 	for _, id := range sortedIDs(s.byID) {
-		if m := s.byID[id]; kind(m) {
+		if m := s.byID[id]; kind(m) && (m.Model != "" || len(m.Staged) == 0) {
 			s.stageModel(m, s.otherModel(m.Model))
 		}
 	}
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -93,7 +93,7 @@
 // world is a seeded run of targets, list and nodes.
 type world struct {
 	// work is what the planners are told of the demand.
-	work []float64
+	work    []float64
 	rng     *rand.Rand
 	now     time.Time
 	targets map[state.InstanceID]*target
@@ -137,7 +137,7 @@
 }
 
 // addTarget adds an empty target that has both models staged.
-func (w *world) addTarget(domain string) {
+func (w *world) addTarget(domain string) *target {
 	w.next++
 	t := &target{severed: map[uint64]time.Time{}, Instance: fleet.Instance{
 		ID: state.InstanceID(fmt.Sprintf("i%03d", w.next)), Service: "lm", Domain: domain, Slots: 8,
@@ -146,6 +146,7 @@
 	}}
 	w.targets[t.ID] = t
 	w.changed(t)
+	return t
 }
 
 // changed notes a change of a target, and writes it into the list.
@@ -200,6 +201,9 @@
 	}
 	if o.Action == placement.Stage {
 		t.orders++
+		if !t.HasStaged(o.Model) {
+			t.Staged = append(slices.Clone(t.Staged), o.Model)
+		}
 		w.changed(t)
 		return placement.Begun
 	}
