Take what another node lists for alive after a takeover; bound questions at once

A node that is told of the list by another hears only changes, so that by its own count every instance had been silent since it last changed: the new placing node asked all 171 at once, its questions timed out by their number, and two failures of a silent instance count as its end.

Change: what another node's list shows counts as beating as of then, and a placing node has 32 questions under way at most.

Test that fails before: TestInstancesThatAnotherNodeListsAreNotDoubted.

--- a/coordination/roster/list.go
+++ b/coordination/roster/list.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// Fed takes in that another node told all changes of the list as of a time.
+func (r *Roster) Fed(asOf time.Time) {
+	r.Confirm(asOf)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if asOf.After(r.fedAsOf) {
+		r.fedAsOf = asOf
+	}
+}
+
 // ListAge returns how old the knowledge of the list may be.
 func (r *Roster) ListAge(now time.Time) time.Duration {
 	r.mu.Lock()
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -103,6 +103,8 @@
 	version uint64
 	// listAsOf is when the question was asked that the list was last read whole with.
 	listAsOf time.Time
+	// fedAsOf is as of when another node last told what the list shows.
+	fedAsOf time.Time
 }
 
 // New returns an empty Roster.
@@ -259,9 +261,18 @@
 	return !e.inList && now.Sub(e.unlisted) > forgetAfter && now.Sub(e.heard) > forgetAfter
 }
 
+// lastBeat returns when the list last showed a sign of life. Another node that
+// reads the list tells only what changes: what it has not dropped goes on beating.
+func (r *Roster) lastBeat(e *entry) time.Time {
+	if e.inList && r.fedAsOf.After(e.beat) {
+		return r.fedAsOf
+	}
+	return e.beat
+}
+
 // silent tells whether nothing was heard of an instance for so long that its process must have ended.
 func (r *Roster) silent(e *entry, now time.Time) bool {
-	last := e.beat
+	last := r.lastBeat(e)
 	if e.heard.After(last) {
 		last = e.heard
 	}
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -207,3 +207,18 @@
 	g.Expect(views[0].Unlisted).To(BeTrue())
 	g.Expect(views[1].Unlisted).To(BeFalse())
 }
+
+// A node that takes placing over has been told of the list by another one, which
+// tells only changes: it must not take the instances for silent.
+func TestInstancesThatAnotherNodeListsAreNotDoubted(t *testing.T) {
+	g := NewWithT(t)
+	r := newRoster()
+	now := start.Add(20 * time.Second)
+	g.Expect(r.Doubtful(now)).To(HaveLen(1))
+	r.Fed(now.Add(-time.Second))
+	g.Expect(r.Doubtful(now)).To(BeEmpty())
+	r.Failed("i1", now.Add(-100*time.Millisecond))
+	r.Failed("i1", now)
+	g.Expect(only(r, now).Gone).To(BeFalse())
+	g.Expect(r.Doubtful(now)).To(HaveLen(1))
+}
--- a/coordination/roster/view.go
+++ b/coordination/roster/view.go
@@ -43,7 +43,7 @@
 	defer r.mu.Unlock()
 	var list []fleet.Instance
 	for _, e := range r.m {
-		stopped := now.Sub(e.beat) > 2*r.cfg.Beat+r.cfg.Beat/4 || !e.inList
+		stopped := now.Sub(r.lastBeat(e)) > 2*r.cfg.Beat+r.cfg.Beat/4 || !e.inList
 		if !e.gone && (e.failures > 0 || stopped && now.Sub(e.heard) > r.cfg.Beat) {
 			list = append(list, e.listed)
 		}
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -30,6 +30,8 @@
 	reportMargin = 80 * time.Millisecond
 	// askInterval is the least time between two questions to one instance.
 	askInterval = 90 * time.Millisecond
+	// asksAtOnce bounds the questions under way: more would only wait for this node itself.
+	asksAtOnce = 32
 )
 
 // placer has the groups of all engine services formed and repaired while the node places.
@@ -246,7 +248,7 @@
 	now := p.n.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.asking[m.ID] || now.Sub(p.asked[m.ID]) < interval {
+	if len(p.asking) >= asksAtOnce || p.asking[m.ID] || now.Sub(p.asked[m.ID]) < interval {
 		return
 	}
 	p.asking[m.ID], p.asked[m.ID] = true, now
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -117,7 +117,7 @@
 	p.takeChanges(a)
 	config := asked.Add(-time.Duration(a.AgeMS) * time.Millisecond)
 	list := asked.Add(-time.Duration(a.ListAgeMS) * time.Millisecond)
-	n.roster.Confirm(list)
+	n.roster.Fed(list)
 	n.feed.take(config, list)
 	for _, e := range a.Nodes {
 		p.learn(e)
