Pause between reads of the nodes' entries

Change: 0.6 s between two such reads.

Test that fails before: TestReadsOfTheNodesDoNotGrowWithEveryEntry (40 reads for 40 entries); TestOnlyThePlacingNodeReadsTheList is new with it.

--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -56,8 +56,9 @@
 // view is one node's way to the store.
 type view struct {
 	*store
-	mu  sync.Mutex
-	cut bool
+	mu    sync.Mutex
+	cut   bool
+	reads map[source.Topic]int
 }
 
 func (v *view) setCut(on bool) {
@@ -77,6 +78,7 @@
 }
 
 func (v *view) Read(ctx context.Context, topic source.Topic, from int64, wait time.Duration) (source.Tail, error) {
+	v.count(topic)
 	end := time.After(wait)
 	for {
 		if v.isCut() {
@@ -98,6 +100,23 @@
 	}
 }
 
+// count counts a read of a topic.
+func (v *view) count(topic source.Topic) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.reads == nil {
+		v.reads = map[source.Topic]int{}
+	}
+	v.reads[topic]++
+}
+
+// readsOf returns the number of reads of a topic so far.
+func (v *view) readsOf(topic source.Topic) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.reads[topic]
+}
+
 func (v *view) Append(_ context.Context, topic source.Topic, key string, value []byte) (int64, error) {
 	if v.isCut() {
 		return 0, source.ErrUnavailable
@@ -412,3 +431,45 @@
 		n.done <- nil
 	}
 }
+
+// Nodes that start together do not each read once for every other one.
+func TestReadsOfTheNodesDoNotGrowWithEveryEntry(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	n := start(t, s, "a")
+	g.Eventually(func() int { return n.view.readsOf(source.Nodes) }, 10*time.Second).Should(BeNumerically(">", 0))
+	const others = 40
+	before := n.view.readsOf(source.Nodes)
+	for i := range others {
+		s.add(source.Nodes, strconv.Itoa(i), entry.NodeEntry{Name: "n" + strconv.Itoa(i), Address: "127.0.0.1:1"})
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.Expect(n.view.readsOf(source.Nodes) - before).To(BeNumerically("<", others/4))
+}
+
+// A node that is told by the placing one leaves the store alone, and goes on by
+// itself once that one has ended.
+func TestOnlyThePlacingNodeReadsTheList(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	s.add(source.Configuration, "config", 1)
+	a := start(t, s, "a")
+	b := start(t, s, "b", a.set.Peer)
+	reads := func(n *running) func() int { return func() int { return n.view.readsOf(source.Instances) } }
+	var placing, told *running
+	g.Eventually(func() bool {
+		beforeA, beforeB := reads(a)(), reads(b)()
+		time.Sleep(time.Second)
+		placing, told = a, b
+		if reads(b)() > beforeB {
+			placing, told = b, a
+		}
+		return reads(told)() == map[*running]int{a: beforeA, b: beforeB}[told] && reads(placing)() > map[*running]int{a: beforeA, b: beforeB}[placing]
+	}, 20*time.Second).Should(BeTrue())
+	list, _ := plainInstance(t, s, "i1", answerOK)
+	list(unchanged)
+	g.Eventually(func() int { return status(told.set.Callers, "k") }, 10*time.Second).Should(Equal(http.StatusOK))
+	placing.stop()
+	before := reads(told)()
+	g.Eventually(reads(told), 10*time.Second).Should(BeNumerically(">", before))
+}
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -35,6 +35,8 @@
 	nodeLives = 1500 * time.Millisecond
 	// nodesWait is how long a read of the nodes' entries waits for a new one.
 	nodesWait = 8 * time.Second
+	// nodesPause is the time between two such reads.
+	nodesPause = 600 * time.Millisecond
 	// placeAfter is the age at which a node may place: until then it may not know of all others.
 	placeAfter = 1300 * time.Millisecond
 	// storeStale is the age of its last read of the store above which a node does not place if others do better.
@@ -142,10 +144,9 @@
 				p.learn(e)
 			}
 		}
-		if err != nil && !p.n.sleep(ctx, 2*storeRetry) {
-			return
-		}
-		if ctx.Err() != nil {
+		// Each new entry ends all waiting reads: without a pause, nodes that start
+		// together would read once for each of the others.
+		if !p.n.sleep(ctx, nodesPause) {
 			return
 		}
 	}
