--- a/coordination/control/control_test.go
+++ b/coordination/control/control_test.go
@@ -9,6 +9,8 @@
 	"github.com/google/uuid"
 	"pgregory.net/rapid"
 
+	_ "github.com/troutmast/troutmast/internal/fixedseed" // the same cases in every run
+
 	"github.com/troutmast/troutmast/coordination/control"
 	"github.com/troutmast/troutmast/coordination/evidence"
 	"github.com/troutmast/troutmast/coordination/statelog"
--- a/coordination/evidence/evidence_test.go
+++ b/coordination/evidence/evidence_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	_ "github.com/troutmast/troutmast/internal/fixedseed" // the same cases in every run
+
 	"github.com/troutmast/troutmast/coordination/evidence"
 	_ "github.com/troutmast/troutmast/internal/seed"
 	"github.com/troutmast/troutmast/state"
--- a/coordination/placement/property_test.go
+++ b/coordination/placement/property_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	_ "github.com/troutmast/troutmast/internal/fixedseed" // the same cases in every run
+
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -62,7 +62,7 @@
 	if !s.Quiet && s.now.Sub(s.staged) < stageInterval {
 		return nil
 	}
-	s.Planner.staged = s.now
+	s.staged = s.now
 	// What is prepared now serves when loads are no longer nearly free.
 	quiet := s.Quiet
 	s.Quiet = false
--- a/coordination/retry/shared_test.go
+++ b/coordination/retry/shared_test.go
@@ -7,6 +7,8 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	_ "github.com/troutmast/troutmast/internal/fixedseed" // the same cases in every run
+
 	"github.com/troutmast/troutmast/coordination/retry"
 )
 
--- a/state/fold_test.go
+++ b/state/fold_test.go
@@ -12,6 +12,8 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	_ "github.com/troutmast/troutmast/internal/fixedseed" // the same cases in every run
+
 	_ "github.com/troutmast/troutmast/internal/seed"
 	"github.com/troutmast/troutmast/state"
 )
