Count an instance again that writes after a long silence

An instance that was silent for longer than the stall time counted as ended for 20 s more, whatever it wrote.

Change: a new entry takes that back, unless another process has answered at the instance's address.

Test that fails before: TestAnInstanceThatWritesAgainHasNotEnded.

--- a/coordination/roster/list.go
+++ b/coordination/roster/list.go
@@ -53,6 +53,7 @@
 	}
 	if e.beat.IsZero() || in.Position > e.listed.Position {
 		e.beat = now
+		r.revive(e)
 	} else if e.inList {
 		return nil
 	}
@@ -173,6 +174,7 @@
 func (r *Roster) relay(in fleet.Instance, e *entry, now time.Time) {
 	if in.Position > e.listed.Position {
 		e.beat = now
+		r.revive(e)
 	}
 	in.Draining = in.Draining || in.Position == e.listed.Position && e.listed.Draining
 	if e.believe(in.Membership, in.Model, in.Staged, now) {
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -70,10 +70,12 @@
 	heard     time.Time
 	failures  int
 	suspected time.Time
-	gone      bool
-	goneAt    time.Time
-	pending   bool
-	ordered   time.Time
+	// gone tells that its process counts as ended, replaced that this is certain.
+	gone     bool
+	goneAt   time.Time
+	replaced bool
+	pending  bool
+	ordered  time.Time
 	// superseded is the formation that the instance last refused to join for a later one.
 	superseded fleet.GroupKey
 }
@@ -196,12 +198,26 @@
 func (r *Roster) Replaced(id state.InstanceID, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e := r.m[id]; e != nil && !e.gone {
+	e := r.m[id]
+	if e == nil {
+		return
+	}
+	e.replaced = true
+	if !e.gone {
 		e.gone, e.goneAt = true, now
 		r.version++
 	}
 }
 
+// revive takes back that an instance has ended: it was only silent for long, as
+// behind a cut, and has written a new entry.
+func (r *Roster) revive(e *entry) {
+	if e.gone && !e.replaced {
+		e.gone, e.failures = false, 0
+		r.touch(e)
+	}
+}
+
 // Ordering notes that an order to an instance is on its way.
 func (r *Roster) Ordering(id state.InstanceID) {
 	r.mu.Lock()
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -222,3 +222,33 @@
 	g.Expect(only(r, now).Gone).To(BeFalse())
 	g.Expect(r.Doubtful(now)).To(HaveLen(1))
 }
+
+// An instance that was silent for long behind a cut counts again with its next
+// entry; one whose address has gone to another process does not.
+func TestAnInstanceThatWritesAgainHasNotEnded(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		replaced bool
+		back     bool
+	}{
+		{"it was silent", false, true},
+		{"another process answers at its address", true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newRoster()
+			r.Failed("i1", start.Add(7*time.Second))
+			r.Failed("i1", start.Add(8*time.Second))
+			if c.replaced {
+				r.Replaced("i1", start.Add(8*time.Second))
+			}
+			g.Expect(only(r, start.Add(9*time.Second)).Gone).To(BeTrue())
+			again := free
+			again.Position = 9
+			r.Listed(again, start.Add(10*time.Second))
+			m := only(r, start.Add(10*time.Second))
+			g.Expect(m.Gone).To(Equal(!c.back))
+			g.Expect(m.Lost).To(Equal(!c.back))
+		})
+	}
+}
