Greet nodes that were not heard of; hand the configuration on without placing

Change: a placing node greets nodes that it knows and has not heard of, three a round and each every 2 s at most. A node that does not place hands on the configuration all the same.

Ruled out: the load itself (the log shows both nodes on time).

--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -52,6 +52,7 @@
 	known   map[string]NodeEntry
 	passed  map[string]time.Time
 	words   map[string]heardWord
+	greeted map[string]time.Time
 	clients map[string]*connect.Client[Word, Answer]
 	placing bool
 	// since is when the node began to place.
@@ -86,6 +87,7 @@
 		known:   map[string]NodeEntry{},
 		passed:  map[string]time.Time{},
 		words:   map[string]heardWord{},
+		greeted: map[string]time.Time{},
 		clients: map[string]*connect.Client[Word, Answer]{},
 	}
 }
@@ -280,6 +282,10 @@
 			p.take(ans, asked)
 			return
 		}
+		if err == nil {
+			// It does not place, but what it knows of the configuration counts all the same.
+			p.takeConfig(ans, asked)
+		}
 		p.pass(address, err == nil)
 	}
 	p.mu.Lock()
@@ -287,12 +293,44 @@
 	p.mu.Unlock()
 	p.setPlacing(may)
 	if may {
+		p.greet(ctx)
 		p.n.gate.SetNodes(p.count())
 		held, asked := p.total()
 		p.n.table.SetOthers(minus(held, p.n.table.Held()), asked)
 	}
 }
 
+// Bounds of greetings.
+const (
+	// greetInterval is the least time between two greetings of one node.
+	greetInterval = 2 * time.Second
+	// greetAtOnce is how many nodes are greeted in one round.
+	greetAtOnce = 3
+)
+
+// greet tells a few nodes that were not heard of lately that this one places: one
+// that could not read the store since this one registered knows nothing of it.
+func (p *peers) greet(ctx context.Context) {
+	now := p.n.clock.Now()
+	own := p.n.set.Peer.String()
+	var silent []string
+	p.mu.Lock()
+	heard := map[string]bool{}
+	for _, h := range p.words {
+		heard[h.word.From.Address] = now.Sub(h.at) < nodeLives
+	}
+	for a := range p.known {
+		if a != own && !heard[a] && now.Sub(p.greeted[a]) > greetInterval && len(silent) < greetAtOnce {
+			p.greeted[a] = now
+			silent = append(silent, a)
+		}
+	}
+	p.mu.Unlock()
+	for _, a := range silent {
+		go func() { _, _ = p.tell(ctx, a) }()
+	}
+}
+
 // pass has a node passed over for a while; one that answered, but does not place, for less.
 func (p *peers) pass(address string, answered bool) {
 	until := p.n.clock.Now().Add(avoidNode)
--- a/transport/entry/peers_test.go
+++ b/transport/entry/peers_test.go
@@ -101,3 +101,18 @@
 	n.peers.words["c"] = heardWord{word: Word{}, at: n.clock.Now()}
 	g.Expect(mayPlace()).To(BeFalse())
 }
+
+// A node that does not place, because it runs late, hands the configuration on all
+// the same: the asker may have nobody else to hear from.
+func TestANodeThatDoesNotPlaceHandsTheConfigurationOn(t *testing.T) {
+	g := NewWithT(t)
+	n := ableNode(g)
+	n.know.Confirm(n.clock.Now())
+	n.peers.resting = n.clock.Now().Add(time.Second)
+	word := &Word{From: NodeEntry{Name: "b", Address: testAddress(3).String()}}
+	resp, err := n.peers.answer(context.Background(), connect.NewRequest(word))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Msg.Placing).To(BeFalse())
+	g.Expect(resp.Msg.Config).NotTo(BeEmpty())
+	g.Expect(resp.Msg.AgeMS).To(BeZero())
+}
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -154,6 +154,7 @@
 	for _, s := range w.Suspects {
 		n.placer.suspect(s.Instance, now.Add(-time.Duration(s.AgeMS)*time.Millisecond))
 	}
+	p.giveConfig(a, w)
 	if a.Placing {
 		if w.Nodes != p.count() {
 			a.Nodes = p.named()
@@ -161,7 +162,6 @@
 		a.Held, a.Demand = p.total()
 		a.Avoid = n.placer.avoiding()
 		a.Arrived = p.anyArrived()
-		p.giveConfig(a, w)
 		p.giveChanges(a, w)
 	}
 	return connect.NewResponse(a), nil
