--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# The front door: make run, make test, make properties, make lint, make bench, make fuzz, make generate.
+# The front door: make run, make test, make properties, make lint, make bench, make compare, make fuzz, make generate.
 
 BIN := $(CURDIR)/bin
 TOOLS := $(CURDIR)/.tools
@@ -6,7 +6,7 @@
 GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 FUZZTIME ?= 20s
 
-.PHONY: all build run test race properties lint bench fuzz generate clean
+.PHONY: all build run test race properties lint bench compare fuzz generate clean
 
 all: build
 
@@ -40,6 +40,16 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
+# Plays the same days and seeds for two variants: make compare BENCH=... SITE=... A=HEAD B=work,gateway-full=0.7 WHY="..."
+A ?= HEAD
+B ?= work
+DAYS ?= trouble-1,scale-1,trouble-2,scale-2,trouble-3
+SEEDS ?= 8
+FIRST ?= 1
+JOBS ?= 7
+compare:
+	@go run ./bench/compare --bench "$(BENCH)" --site "$(SITE)" --from "$(A)" --to "$(B)" --days "$(DAYS)" --seeds $(SEEDS) --first-seed $(FIRST) --jobs $(JOBS) --why "$(WHY)"
+
 fuzz:
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./protocol/lang
 	go test -run '^$$' -fuzz FuzzDecodeRecord -fuzztime $(FUZZTIME) ./state
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -151,6 +151,8 @@
 	runs  int
 	sends int
 	tried []state.InstanceID
+	// loadWhenPicked is the number of requests that the last target was known to hold when it was chosen.
+	loadWhenPicked int64
 	// last is the newest failure that an instance answered.
 	last *plain
 	stream
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -74,7 +74,7 @@
 		res := c.attempt(target)
 		c.Recorder.Count("attempt." + string(res))
 		if res == answered {
-			c.Recorder.Time("answer", c.Clock.Since(c.arrived))
+			c.recordAnswer(target)
 		}
 		switch {
 		case res == answered || res == callerGone:
@@ -149,6 +149,7 @@
 func (c *call) attempt(target *dispatch.Candidate) result {
 	c.tried = append(c.tried, target.ID)
 	c.sends++
+	c.loadWhenPicked = target.Load()
 	target.Begin()
 	defer target.End()
 	ctx, cancel := context.WithCancelCause(c.ctx)
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -22,6 +22,10 @@
 	// moved is when the last event was passed on.
 	moved  time.Time
 	events int
+	// firstAfter is the time from the arrival of the request to its first event.
+	firstAfter time.Duration
+	// longestGap is the longest time between two writes of events to the caller.
+	longestGap time.Duration
 }
 
 // errOrder means that an instance sent an event again, or out of order.
@@ -82,6 +86,9 @@
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return nil, errCaller
 	}
+	if !c.moved.IsZero() {
+		c.longestGap = max(c.longestGap, now.Sub(c.moved))
+	}
 	c.moved = now
 	return pending[end:], fault
 }
@@ -112,7 +119,8 @@
 		return
 	}
 	c.begun = true
-	c.Recorder.Time("first-event", c.Clock.Since(c.arrived))
+	c.firstAfter = c.Clock.Since(c.arrived)
+	c.Recorder.Time("first-event", c.firstAfter)
 	c.head(resp.Status, travelling(resp.Header), -1)
 }
 
