--- a/cmd/troutmastd/onplatform.go
+++ b/cmd/troutmastd/onplatform.go
@@ -12,12 +12,14 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
+	"github.com/integrii/flaggy"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/troutmast/troutmast/internal/logsink"
 	"github.com/troutmast/troutmast/platform"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/transport/entry"
+	"github.com/troutmast/troutmast/transport/settings"
 )
 
 // Bounds of the connections to the platform.
@@ -34,9 +36,9 @@
 
 // runOnPlatform runs the node by the platform's settings file until a signal ends it.
 func runOnPlatform(path string) error {
-	set, err := platform.ReadSettings(path)
+	set, err := readPlatformSettings(path)
 	if err != nil {
-		return errors.Join(errSettings, err)
+		return err
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
@@ -57,6 +59,24 @@
 	return node.Run(ctx)
 }
 
+// readPlatformSettings reads the platform's settings file, and the policy from the
+// program's own flags and environment. The error names all faults of both.
+func readPlatformSettings(path string) (*entry.Settings, error) {
+	policy := entry.DefaultPolicy()
+	p := flaggy.NewParser("troutmastd")
+	p.Description = "entry node of troutmast on a platform; every flag can also be given as an environment variable"
+	policyErr := settings.PolicyFromOS(p, &policy)
+	set, err := platform.ReadSettings(path)
+	if err != nil {
+		err = errors.Join(errSettings, err)
+	}
+	if err := errors.Join(err, policyErr); err != nil {
+		return nil, err
+	}
+	set.Policy = policy
+	return set, nil
+}
+
 // reloadInterval is the time between two looks at the settings file.
 const reloadInterval = 5 * time.Second
 
--- a/coordination/demand/demand.go
+++ b/coordination/demand/demand.go
@@ -14,9 +14,6 @@
 	"github.com/troutmast/troutmast/state/catalog"
 )
 
-// decay is the time in which older requests lose all but 1/e of their weight.
-const decay = 2 * time.Second
-
 // Flow is the work that is asked of one model of a service, per second.
 type Flow struct {
 	Service state.ServiceName `json:"s"`
@@ -38,8 +35,9 @@
 
 // Meter measures the flows that one node sees; safe for concurrent use.
 type Meter struct {
-	mu    sync.Mutex
-	cells map[key]*cell
+	policy Policy
+	mu     sync.Mutex
+	cells  map[key]*cell
 }
 
 // cell holds sums that decay with time.
@@ -49,7 +47,7 @@
 }
 
 // fade lets a cell's sums decay up to a time.
-func (c *cell) fade(now time.Time) {
+func (c *cell) fade(now time.Time, decay time.Duration) {
 	past := now.Sub(c.at)
 	if past <= 0 {
 		return
@@ -62,7 +60,7 @@
 }
 
 // NewMeter returns a Meter that has seen nothing.
-func NewMeter() *Meter { return &Meter{cells: map[key]*cell{}} }
+func NewMeter(policy Policy) *Meter { return &Meter{policy: policy, cells: map[key]*cell{}} }
 
 // Add counts one new request with its numbers of tokens.
 func (m *Meter) Add(service state.ServiceName, model string, prompt, answer int, now time.Time) {
@@ -74,7 +72,7 @@
 		c = &cell{Flow: Flow{Service: service, Model: model}, at: now}
 		m.cells[k] = c
 	}
-	c.fade(now)
+	c.fade(now, m.policy.Decay)
 	c.Requests++
 	c.Prompt += float64(prompt)
 	c.Answer += float64(answer)
@@ -89,11 +87,11 @@
 	defer m.mu.Unlock()
 	var list []Flow
 	for _, c := range m.cells {
-		c.fade(now)
+		c.fade(now, m.policy.Decay)
 		f := c.Flow
-		f.Requests /= decay.Seconds()
-		f.Prompt /= decay.Seconds()
-		f.Answer /= decay.Seconds()
+		f.Requests /= m.policy.Decay.Seconds()
+		f.Prompt /= m.policy.Decay.Seconds()
+		f.Answer /= m.policy.Decay.Seconds()
 		if f.Requests >= least {
 			list = append(list, f)
 		}
@@ -131,12 +129,9 @@
 	return list
 }
 
-// enough is the number of requests a second of a service from which on its measured work is believed.
-const enough = 10
-
 // WorkOf returns how many places of groups of pace 1 the requests for each model
 // of an engine service hold on average, or nil while too little was measured.
-func WorkOf(service state.ServiceName, engine *catalog.Engine, flows []Flow) []float64 {
+func (p Policy) WorkOf(service state.ServiceName, engine *catalog.Engine, flows []Flow) []float64 {
 	work := make([]float64, len(engine.Models))
 	var requests float64
 	for _, f := range flows {
@@ -147,7 +142,7 @@
 		work[i] = held(engine, f)
 		requests += f.Requests
 	}
-	if requests < enough {
+	if requests < p.MinRate {
 		return nil
 	}
 	return work
--- a/coordination/demand/demand_test.go
+++ b/coordination/demand/demand_test.go
@@ -28,7 +28,7 @@
 
 func TestAMeterMeasuresRatesAndForgets(t *testing.T) {
 	g := NewWithT(t)
-	m := demand.NewMeter()
+	m := demand.NewMeter(demand.DefaultPolicy())
 	feed(m, "long", 50, 80, 20*time.Second)
 	flows := m.Flows(start.Add(20 * time.Second))
 	g.Expect(flows).To(HaveLen(1))
@@ -62,7 +62,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			got := demand.WorkOf("lm", engine, c.flows)
+			got := demand.DefaultPolicy().WorkOf("lm", engine, c.flows)
 			g.Expect(got).To(HaveLen(len(c.want)))
 			for i := range c.want {
 				g.Expect(got[i]).To(BeNumerically("~", c.want[i], 0.001))
--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -22,8 +22,9 @@
 	// Members are the instances of the group, the head among them; none for a plain service.
 	Members []fleet.Instance
 	// Size is the number of members that the model needs.
-	Size int
-	load *load
+	Size   int
+	load   *load
+	policy *Policy
 }
 
 // load counts what one instance holds; it outlives changes of the candidate.
@@ -57,10 +58,6 @@
 // Weights of failures.
 const (
 	troubleUnit = 1000
-	// troubleCost is what one recent failure adds to the cost, in requests held for each place.
-	troubleCost = 0.15
-	// forgive is the part of the trouble that a good answer takes away.
-	forgive = 0.15
 )
 
 // Failed counts a failure of the instance.
@@ -69,7 +66,7 @@
 // Answered counts a good answer of the instance.
 func (c *Candidate) Answered() {
 	t := c.load.trouble.Load()
-	c.load.trouble.Add(-int64(float64(t) * forgive))
+	c.load.trouble.Add(-int64(float64(t) * c.policy.FailureRecovery))
 }
 
 // key finds the candidates of a service, and of a model of it.
@@ -80,17 +77,18 @@
 
 // Table holds the candidates; readers take no lock.
 type Table struct {
-	hall  state.HallName
-	mu    sync.Mutex
-	loads map[state.InstanceID]*load
-	pools atomic.Pointer[map[key][]*Candidate]
+	hall   state.HallName
+	policy Policy
+	mu     sync.Mutex
+	loads  map[state.InstanceID]*load
+	pools  atomic.Pointer[map[key][]*Candidate]
 	// coming is how many requests all nodes send while what is known of the other nodes is as old as it is.
 	coming atomic.Pointer[map[key]float64]
 }
 
 // NewTable returns an empty Table for a node of a data hall.
-func NewTable(hall state.HallName) *Table {
-	t := &Table{hall: hall, loads: map[state.InstanceID]*load{}}
+func NewTable(hall state.HallName, policy Policy) *Table {
+	t := &Table{hall: hall, policy: policy, loads: map[state.InstanceID]*load{}}
 	t.pools.Store(&map[key][]*Candidate{})
 	t.coming.Store(&map[key]float64{})
 	return t
@@ -119,7 +117,7 @@
 		if service == nil || v.Lost || v.Draining {
 			continue
 		}
-		cand := &Candidate{Instance: v.Instance, load: l}
+		cand := &Candidate{Instance: v.Instance, load: l, policy: &t.policy}
 		if service.Engine == nil {
 			pools[key{v.Service, ""}] = append(pools[key{v.Service, ""}], cand)
 			continue
@@ -156,7 +154,7 @@
 func (t *Table) SetOthers(held map[state.InstanceID]int, asked []demand.Flow) {
 	coming := make(map[key]float64, len(asked))
 	for _, f := range asked {
-		coming[key{f.Service, f.Model}] = f.Requests * othersAge.Seconds()
+		coming[key{f.Service, f.Model}] = f.Requests * t.policy.MeanReportAge.Seconds()
 	}
 	t.coming.Store(&coming)
 	t.mu.Lock()
@@ -179,11 +177,7 @@
 	return held
 }
 
-// fullAt is the part of its places up to which an instance is given new requests:
-// beyond it a request waits so long for its first event that it is better refused.
-const fullAt = 0.85
-
 // Full tells whether an instance should be given no new request.
 func (c *Candidate) Full() bool {
-	return c.Size > 0 && float64(c.Load()) >= fullAt*float64(c.Slots)
+	return c.Size > 0 && float64(c.Load()) >= c.policy.FullAt*float64(c.Slots)
 }
--- a/coordination/dispatch/candidate_test.go
+++ b/coordination/dispatch/candidate_test.go
@@ -60,7 +60,7 @@
 		{"a group that is taken apart", "lm", []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready)}, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			table := dispatch.NewTable("h")
+			table := dispatch.NewTable("h", dispatch.DefaultPolicy())
 			table.Update(config(), c.views, func(fleet.GroupKey) bool { return c.avoided })
 			model := ""
 			if c.service == "lm" {
@@ -73,7 +73,7 @@
 
 func TestTheLeastLoadedIsPickedOverWhatAllNodesHold(t *testing.T) {
 	g := NewWithT(t)
-	table := dispatch.NewTable("h")
+	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
 	table.Update(config(), []roster.View{plain("a"), plain("b")}, func(fleet.GroupKey) bool { return false })
 	table.SetOthers(map[state.InstanceID]int{"a": 3}, nil)
 	for range 20 {
@@ -91,7 +91,7 @@
 
 func TestAGroupIsFullBelowItsPlaces(t *testing.T) {
 	g := NewWithT(t)
-	table := dispatch.NewTable("h")
+	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
 	table.Update(config(), []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready)}, func(fleet.GroupKey) bool { return false })
 	head := table.Pick("lm", "m", nobody)
 	for range 8 {
@@ -108,7 +108,7 @@
 // meanwhile, each by its share, and to none that stays dearer.
 func TestComingRequestsAreSpread(t *testing.T) {
 	g := NewWithT(t)
-	table := dispatch.NewTable("h")
+	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
 	table.Update(config(), []roster.View{plain("a"), plain("b"), plain("c")}, func(fleet.GroupKey) bool { return false })
 	asked := []demand.Flow{{Service: "plain", Requests: 16}} // four while the knowledge is old
 	table.SetOthers(map[state.InstanceID]int{"b": 2, "c": 9}, asked)
@@ -124,7 +124,7 @@
 
 func TestAFullGroupIsPickedOnlyWhereAllAre(t *testing.T) {
 	g := NewWithT(t)
-	table := dispatch.NewTable("h")
+	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
 	other := member("c", 0, fleet.Open)
 	other.Membership.Group = "h"
 	mate := member("d", 1, fleet.Ready)
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -4,14 +4,10 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/troutmast/troutmast/state"
 )
 
-// othersAge is how old what is known of the other nodes is on average.
-const othersAge = 250 * time.Millisecond
-
 // Pick draws a candidate that is not to be avoided, or returns nil. One that is
 // full is drawn only where all are.
 //
@@ -77,15 +73,12 @@
 	return 0
 }
 
-// farCost is what another data hall adds to the cost.
-const farCost = 0.03
-
 // cost is what it costs to send a request to a candidate, in parts of its places.
 func (t *Table) cost(c *Candidate) float64 {
 	cost := float64(c.Load()) / float64(max(c.Slots, 1))
-	cost += troubleCost * float64(c.load.trouble.Load()) / troubleUnit
+	cost += t.policy.FailureCost * float64(c.load.trouble.Load()) / troubleUnit
 	if c.Hall != t.hall {
-		cost += farCost
+		cost += t.policy.RemoteHallCost
 	}
 	return cost
 }
--- /dev/null
+++ b/coordination/dispatch/policy.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import "time"
+
+// Policy holds the weights and limits of choosing a target.
+type Policy struct {
+	// FullAt is the part of its places up to which a group is given new requests.
+	// Measured: docs/PLATFORM.md, "refuse above 0.85 of the places".
+	FullAt float64 `flag:"full-at" help:"part of a group's places up to which it is given new requests" min:"0.05" max:"10"`
+	// FailureCost is what one recent failure adds to the cost of a target, in requests
+	// held for each of its places. Chosen by hand, not measured.
+	FailureCost float64 `flag:"failure-cost" help:"cost of a recent failure, in requests held for each place" min:"0" max:"10"`
+	// FailureRecovery is the part of the failure score that a good answer takes away.
+	// Chosen by hand, not measured.
+	FailureRecovery float64 `flag:"failure-recovery" help:"part of the failure score that a good answer takes away" min:"0" max:"1"`
+	// RemoteHallCost is what another data hall adds to the cost, in requests held for
+	// each place. Chosen by hand, not measured.
+	RemoteHallCost float64 `flag:"remote-hall-cost" help:"cost of another data hall, in requests held for each place" min:"0" max:"10"`
+	// MeanReportAge is the mean age of another node's load report: half of the
+	// interval between two reports, for each of the two hops by way of the leader.
+	MeanReportAge time.Duration `flag:"mean-report-age" help:"mean age of another node's load report" min:"0s" max:"10s"`
+}
+
+// DefaultPolicy returns the policy that nodes start with.
+func DefaultPolicy() Policy {
+	return Policy{
+		FullAt:          0.85,
+		FailureCost:     0.15,
+		FailureRecovery: 0.15,
+		RemoteHallCost:  0.03,
+		MeanReportAge:   250 * time.Millisecond,
+	}
+}
--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"time"
 
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
@@ -89,7 +88,7 @@
 // change has groups of a domain closed for their members if that gains enough and
 // not too many domains change already, and tells whether it did.
 func (s *step) change(d *domain, stock *supply, changing *int, domains int) bool {
-	if *changing > domains/changingPart {
+	if *changing > domains/s.policy.ChangingPart {
 		return false
 	}
 	donors := s.donors(d, stock, options(len(d.free), s.able(d.free), s.engine.Models))
@@ -101,10 +100,6 @@
 	return true
 }
 
-// changingPart bounds the domains that close groups for their members at the same
-// time: beyond one, no more than one in so many.
-const changingPart = 3
-
 // giveUp has groups closed for their members, and counts what will be formed of
 // these and the free ones.
 func (s *step) giveUp(donors []*formation, free []*Member, stock *supply) {
@@ -139,9 +134,9 @@
 
 // stock counts the instances in groups of each model.
 func (s *step) stock(alive int) *supply {
-	stock := newSupply(s.engine.Models, alive)
+	stock := newSupply(s.engine.Models, alive, &s.policy)
 	if len(s.Work) == len(s.engine.Models) {
-		stock = newNeededSupply(s.engine, s.Work)
+		stock = newNeededSupply(s.engine, s.Work, &s.policy)
 	}
 	for _, f := range s.formations {
 		if i := s.modelIndex(f.model); i >= 0 && f.failed == "" && f.donor.IsZero() && !s.draining(f) {
@@ -183,7 +178,7 @@
 
 // settling tells whether an instance of a domain is so new that others may follow it.
 func (s *step) settling(free []*Member) bool {
-	return slices.ContainsFunc(free, func(m *Member) bool { return s.now.Sub(m.Seen) < settle })
+	return slices.ContainsFunc(free, func(m *Member) bool { return s.now.Sub(m.Seen) < s.policy.SettleDelay })
 }
 
 // able returns how many instances can soon be members of a group of each model.
@@ -206,16 +201,10 @@
 	if s.Quiet || model.Load <= 0 {
 		return true
 	}
-	kept := m.Model != model.Name && s.slope(m.Model) > scarcer*s.slope(model.Name)
+	kept := m.Model != model.Name && s.slope(m.Model) > s.policy.ScarcityRatio*s.slope(model.Name)
 	return !kept && joinTime(m, model) < model.Load
 }
 
-// donorGain is what closing a group must gain for each of its instances.
-const donorGain = 0.2
-
-// donorAge is how long a group stands before it may be closed for its members.
-const donorAge = 6 * time.Second
-
 // donors returns the groups of a domain, two at most, that should be closed for their members.
 func (s *step) donors(d *domain, stock *supply, list []option) []*formation {
 	var best []*formation
@@ -225,7 +214,7 @@
 			best, least = chosen, gain
 		}
 	}
-	old := slices.DeleteFunc(slices.Clone(d.groups), func(f *formation) bool { return s.now.Sub(f.since) < donorAge })
+	old := slices.DeleteFunc(slices.Clone(d.groups), func(f *formation) bool { return s.now.Sub(f.since) < s.policy.DonorAge })
 	for i, f := range old {
 		consider(f)
 		for _, g := range old[i+1:] {
@@ -249,7 +238,7 @@
 			return 0
 		}
 		size := float64(len(f.members))
-		lost += stock.value(i, stock.have[i]) - stock.value(i, stock.have[i]-size) + donorGain*size
+		lost += stock.value(i, stock.have[i]) - stock.value(i, stock.have[i]-size) + s.policy.DonorGain*size
 		stock.have[i] -= size
 		free = joined
 	}
--- a/coordination/placement/formation.go
+++ b/coordination/placement/formation.go
@@ -110,11 +110,11 @@
 
 // fault returns why a formation cannot serve, or nothing.
 func (s *step) fault(key fleet.GroupKey, f *formation) string {
-	joinBy := f.since.Add(s.joinTime(f.model) + joinMargin)
+	joinBy := f.since.Add(s.joinTime(f.model) + s.policy.JoinMargin)
 	for rank, id := range f.members {
 		m := s.byID[id]
 		switch {
-		case id == "" && s.now.Sub(f.since) < memberUnknown:
+		case id == "" && s.now.Sub(f.since) < s.policy.UnknownMemberTimeout:
 		case id == "":
 			return fmt.Sprintf("rank %d is unknown", rank)
 		case m == nil || m.Gone:
@@ -196,7 +196,7 @@
 		f.closing = time.Time{}
 	case f.closing.IsZero():
 		f.closing = s.now
-	case s.now.Sub(f.closing) > closeTime:
+	case s.now.Sub(f.closing) > s.policy.CloseTimeout:
 		f.failed = "closing takes too long"
 	}
 }
@@ -239,7 +239,7 @@
 	case fleet.Open:
 		s.order(head, Order{Action: Close, Key: key, Why: s.plan.Avoid[key]})
 	case fleet.Closing:
-		if !f.donor.IsZero() && s.now.Sub(f.donor) > closeTime {
+		if !f.donor.IsZero() && s.now.Sub(f.donor) > s.policy.CloseTimeout {
 			f.failed = "closing takes too long"
 		}
 	default:
@@ -247,9 +247,6 @@
 	}
 }
 
-// closeTime bounds the closing of a group whose members are needed elsewhere.
-const closeTime = 6 * time.Second
-
 // serving tells whether an instance belongs to an open group.
 func (s *step) serving(m *Member) bool {
 	f := s.formations[m.Membership.Key()]
--- a/coordination/placement/layout.go
+++ b/coordination/placement/layout.go
@@ -10,14 +10,15 @@
 
 // supply is the number of instances in groups of each model, and how many there ought to be.
 type supply struct {
-	have []float64
-	want []float64
+	policy *Policy
+	have   []float64
+	want   []float64
 }
 
 // newSupply divides a number of instances over models by their shares, as long as
 // it is not known how many each model needs.
-func newSupply(models []catalog.Model, instances int) *supply {
-	s := &supply{have: make([]float64, len(models)), want: make([]float64, len(models))}
+func newSupply(models []catalog.Model, instances int, policy *Policy) *supply {
+	s := &supply{policy: policy, have: make([]float64, len(models)), want: make([]float64, len(models))}
 	var total float64
 	for i := range models {
 		total += models[i].Share
@@ -34,22 +35,19 @@
 // newNeededSupply wants so many instances of each model as hold the work that is
 // asked of it several times over: batches that are not full answer sooner, and
 // groups fail.
-func newNeededSupply(engine *catalog.Engine, work []float64) *supply {
+func newNeededSupply(engine *catalog.Engine, work []float64, policy *Policy) *supply {
 	n := len(engine.Models)
-	s := &supply{have: make([]float64, n), want: make([]float64, n)}
+	s := &supply{policy: policy, have: make([]float64, n), want: make([]float64, n)}
 	for i, m := range engine.Models {
 		need := work[i] * cmp.Or(m.Pace, 1) * float64(m.Size) / float64(max(engine.Slots, 1))
-		s.want[i] = max(concave*need, float64(m.Size))
+		s.want[i] = max(s.policy.Concavity*need, float64(m.Size))
 	}
 	return s
 }
 
-// concave is how quickly more groups of a model lose in value.
-const concave = 2.5
-
 // value is what a number of instances in groups of a model is worth.
 func (s *supply) value(model int, have float64) float64 {
-	return s.want[model] * (1 - math.Exp(-concave*have/s.want[model]))
+	return s.want[model] * (1 - math.Exp(-s.policy.Concavity*have/s.want[model]))
 }
 
 // option is a way of making groups of the instances of one domain.
@@ -124,10 +122,6 @@
 	})
 }
 
-// leastGain is what a group must be worth for each of its instances; below it
-// the instances are kept as spares.
-const leastGain = 0.04
-
 // pack chooses an option for each of several domains, so that all groups
 // together are worth most. Since a domain's best option depends on those of the
 // others, pairs of domains are changed together until nothing is gained.
@@ -176,7 +170,7 @@
 	out := option{counts: slices.Clone(o.counts)}
 	for i := range models {
 		size := float64(models[i].Size)
-		for out.counts[i] > 0 && s.value(i, s.have[i])-s.value(i, s.have[i]-size) < leastGain*size {
+		for out.counts[i] > 0 && s.value(i, s.have[i])-s.value(i, s.have[i]-size) < s.policy.MinGroupGain*size {
 			out.counts[i]--
 			s.have[i] -= size
 		}
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -37,24 +37,6 @@
 // usable tells whether the instance can become a member of a new group.
 func (m *Member) usable() bool { return !m.Lost && !m.Gone && !m.Draining && !m.Unlisted }
 
-// Bounds of the planner's waiting.
-const (
-	// settle is how long a domain's newest instance must have been seen before groups are formed of the domain.
-	settle = 700 * time.Millisecond
-	// joinMargin is added to the time that a member may take to become ready.
-	joinMargin = 4 * time.Second
-	// loadWindow is the span over which loads are counted.
-	loadWindow = 5 * time.Second
-	// loadPart is the part of the weight store's rate that is used.
-	loadPart = 0.8
-	// orderAgain is the least time between two equal orders to an instance.
-	orderAgain = 700 * time.Millisecond
-	// memberUnknown is how long a recovered formation may have a member that was never seen.
-	memberUnknown = 2 * time.Second
-	// stageAgain is how long an order to stage a model is trusted to be under way.
-	stageAgain = 40 * time.Second
-)
-
 // sentOrder is an order that was sent, sentAt when.
 type sentOrder struct {
 	action Action
@@ -69,6 +51,7 @@
 // Planner decides for the instances of one engine service; not safe for concurrent use.
 type Planner struct {
 	engine     *catalog.Engine
+	policy     Policy
 	next       func(seen state.Epoch) state.Epoch
 	formations map[fleet.GroupKey]*formation
 	loads      []time.Time
@@ -84,9 +67,10 @@
 }
 
 // NewPlanner returns a Planner; next returns a new epoch above one that was seen.
-func NewPlanner(engine *catalog.Engine, next func(seen state.Epoch) state.Epoch) *Planner {
+func NewPlanner(engine *catalog.Engine, policy Policy, next func(seen state.Epoch) state.Epoch) *Planner {
 	return &Planner{
 		engine:     engine,
+		policy:     policy,
 		next:       next,
 		formations: map[fleet.GroupKey]*formation{},
 		sent:       map[state.InstanceID]sentAt{},
@@ -187,7 +171,7 @@
 // number of orders taken so far; where that is not known, it is asked for.
 func (s *step) order(m *Member, o Order) {
 	last := sentOrder{o.Action, o.Key}
-	if m.Pending || (s.sent[m.ID].sentOrder == last && s.now.Sub(s.sent[m.ID].at) < orderAgain) {
+	if m.Pending || (s.sent[m.ID].sentOrder == last && s.now.Sub(s.sent[m.ID].at) < s.policy.OrderInterval) {
 		return
 	}
 	if o.Action == Join && (!m.Counted || !m.Known) {
@@ -236,7 +220,7 @@
 	maps.DeleteFunc(s.sent, func(_ state.InstanceID, at sentAt) bool { return s.now.Sub(at.at) > remembered })
 	maps.DeleteFunc(s.staging, func(id state.InstanceID, st stagingModel) bool {
 		m := s.byID[id]
-		return m == nil || m.Gone || m.Lost || m.HasStaged(st.model) || s.now.Sub(st.since) > stageAgain
+		return m == nil || m.Gone || m.Lost || m.HasStaged(st.model) || s.now.Sub(st.since) > s.policy.StagingTimeout
 	})
 }
 
--- a/coordination/placement/property_test.go
+++ b/coordination/placement/property_test.go
@@ -133,7 +133,7 @@
 // member's last group for that of the new one: it would open the group too small.
 func TestARecoveredGroupIsNotOpenedWithoutAllMembers(t *testing.T) {
 	g := NewWithT(t)
-	p := placement.NewPlanner(engine(), placement.NewEpochs(1).Next)
+	p := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(1).Next)
 	now := time.Unix(1000, 0)
 	members := func(s fleet.MemberState, loaded string) []placement.Member {
 		var list []placement.Member
@@ -153,7 +153,7 @@
 	for _, o := range plan.Orders {
 		g.Expect(o.Action).NotTo(Equal(placement.Open), "two members of a model of four")
 	}
-	plan = placement.NewPlanner(engine(), placement.NewEpochs(1).Next).Step(now, members(fleet.Ready, "small"))
+	plan = placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(1).Next).Step(now, members(fleet.Ready, "small"))
 	g.Expect(plan.Orders).To(HaveLen(1), "two members of a model of two")
 	g.Expect(plan.Orders[0].Action).To(Equal(placement.Open))
 }
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -17,8 +17,8 @@
 	if !s.Quiet && len(s.staging) >= max(s.engine.LoadsAtOnce, 1) {
 		return false
 	}
-	s.loads = slices.DeleteFunc(s.loads, func(t time.Time) bool { return s.now.Sub(t) > loadWindow })
-	most := int(s.engine.LoadsPerSecond * loadWindow.Seconds() * loadPart)
+	s.loads = slices.DeleteFunc(s.loads, func(t time.Time) bool { return s.now.Sub(t) > s.policy.LoadWindow })
+	most := int(s.engine.LoadsPerSecond * s.policy.LoadWindow.Seconds() * s.policy.LoadPart)
 	if !s.Quiet && len(s.loads) >= most {
 		return false
 	}
@@ -49,17 +49,9 @@
 	gain   float64
 }
 
-// Bounds of the loads to hosts.
-const (
-	// leastStaging is what loading a model to a host must be worth.
-	leastStaging = 0.01
-	// stageInterval is the least time between two looks at what to load.
-	stageInterval = 300 * time.Millisecond
-)
-
 // wantedLoads returns the loads to instances in no group that are worth most, the best first.
 func (s *step) wantedLoads() []wantedLoad {
-	if !s.Quiet && s.now.Sub(s.staged) < stageInterval {
+	if !s.Quiet && s.now.Sub(s.staged) < s.policy.StagingInterval {
 		return nil
 	}
 	s.staged = s.now
@@ -89,7 +81,7 @@
 	slices.SortStableFunc(lacking, func(a, b *Member) int { return cmp.Compare(s.slope(a.Model), s.slope(b.Model)) })
 	before := s.prospect(d, s.withStaging(d.free, nil, ""))
 	var best []*Member
-	gain := leastStaging
+	gain := s.policy.MinStagingGain
 	for n := 1; n <= min(len(lacking), most); n++ {
 		after := s.prospect(d, s.withStaging(d.free, lacking[:n], model))
 		if each := (after - before) / float64(n); each > gain {
@@ -114,13 +106,9 @@
 
 // spare tells whether an instance is in no group, nor named by one, and has been seen for a while.
 func (s *step) spare(m *Member) bool {
-	return m.usable() && m.Membership.Group == "" && !s.claimed(m.ID) && s.now.Sub(m.Seen) > 2*settle && s.domains[m.Domain] != nil
+	return m.usable() && m.Membership.Group == "" && !s.claimed(m.ID) && s.now.Sub(m.Seen) > 2*s.policy.SettleDelay && s.domains[m.Domain] != nil
 }
 
-// scarcer is how many times more one instance of a model must be worth than one
-// of another for instances to be kept for it.
-const scarcer = 2
-
 // slope is what one more instance in groups of a model is worth.
 func (s *step) slope(model string) float64 {
 	if i := s.modelIndex(model); i >= 0 {
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -130,7 +130,7 @@
 		w.nodes = append(w.nodes, &observer{
 			number: uint64(n + 1),
 			epochs: placement.NewEpochs(uint64(n + 1)),
-			roster: roster.New(roster.Config{Beat: beat, Stall: stall, ReportLag: reportLag + 80*time.Millisecond}),
+			roster: roster.New(roster.Config{Beat: beat, Stall: stall, ReportLag: reportLag + 80*time.Millisecond, Policy: roster.DefaultPolicy()}),
 		})
 	}
 	return w
@@ -435,7 +435,7 @@
 		return
 	}
 	n.placing, n.since = on, w.now
-	n.planner = placement.NewPlanner(engine(), n.epochs.Next)
+	n.planner = placement.NewPlanner(engine(), placement.DefaultPolicy(), n.epochs.Next)
 	n.planner.Work = w.work
 }
 
--- a/coordination/roster/list.go
+++ b/coordination/roster/list.go
@@ -47,7 +47,7 @@
 func (r *Roster) list(in fleet.Instance, now time.Time) *entry {
 	e := r.m[in.ID]
 	if e == nil {
-		e = &entry{seen: now, changed: now, belief: in}
+		e = &entry{policy: &r.cfg.Policy, seen: now, changed: now, belief: in}
 		r.m[in.ID] = e
 		r.touch(e)
 	}
@@ -153,7 +153,7 @@
 	defer r.mu.Unlock()
 	e := r.m[c.ID]
 	if e == nil {
-		e = &entry{seen: now, changed: now, belief: c.Instance}
+		e = &entry{policy: &r.cfg.Policy, seen: now, changed: now, belief: c.Instance}
 		e.listed.Position = c.Position - 1
 		r.m[c.ID] = e
 	}
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -21,31 +21,12 @@
 	Stall time.Duration
 	// ReportLag is how much older than the question what a report tells may be.
 	ReportLag time.Duration
+	Policy    Policy
 }
 
-// Bounds of the conclusions.
-const (
-	// lostFailures is how many questions in a row must fail for an instance to count as lost.
-	lostFailures = 2
-	// distinct is the least time between two questions that count as two.
-	distinct = 20 * time.Millisecond
-	// knownAge is the age up to which a membership counts as known.
-	knownAge = 1500 * time.Millisecond
-	// unlistedGrace is how long an instance that the list has dropped goes on
-	// taking requests: after an outage of the store, entries come back with the next beat.
-	unlistedGrace = 300 * time.Millisecond
-	// unlisted is how long an instance may be missing in the list before it must answer questions.
-	unlisted = time.Second
-	// goneMargin is added to the stall time before a silent process counts as ended.
-	goneMargin = 1500 * time.Millisecond
-	// orderEcho is for how long after an order the state before it may still be told.
-	orderEcho = 600 * time.Millisecond
-	// forgetAfter is how long an ended instance is remembered.
-	forgetAfter = 20 * time.Second
-)
-
 // entry is what is known of one instance.
 type entry struct {
+	policy   *Policy
 	listed   fleet.Instance
 	inList   bool
 	unlisted time.Time
@@ -83,7 +64,7 @@
 // believe takes in what the list or a report says of the membership, as it
 // stood at a time. Word that may be older than the last order is passed over.
 func (e *entry) believe(m fleet.Membership, model string, staged []string, now time.Time) bool {
-	if now.Sub(e.ordered) < orderEcho && m == e.before && m != e.belief.Membership {
+	if now.Sub(e.ordered) < e.policy.OrderEcho && m == e.before && m != e.belief.Membership {
 		return false
 	}
 	loaded := model
@@ -129,11 +110,11 @@
 // after since: by the list, if the instance itself has lately written its entry, or by a report.
 func (r *Roster) known(e *entry, since, now time.Time) bool {
 	lately := now.Sub(e.vouched) < r.cfg.Beat+r.cfg.Beat/2
-	if e.inList && lately && r.listAsOf.After(since) && now.Sub(r.listAsOf) < knownAge {
+	if e.inList && lately && r.listAsOf.After(since) && now.Sub(r.listAsOf) < r.cfg.Policy.KnownAge {
 		return true
 	}
 	stood := e.reported.Add(-r.cfg.ReportLag)
-	return stood.After(since) && now.Sub(stood) < knownAge
+	return stood.After(since) && now.Sub(stood) < r.cfg.Policy.KnownAge
 }
 
 // Reported takes in what an instance answered to a question asked at rep.Asked.
@@ -163,7 +144,7 @@
 		e.heard = at
 	}
 	if e.failures > 0 && at.After(e.suspected) {
-		if e.failures >= lostFailures {
+		if e.failures >= e.policy.LostFailures {
 			r.version++
 		}
 		e.failures = 0
@@ -184,12 +165,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.m[id]
-	if e == nil || asked.Before(e.heard) || asked.Sub(e.suspected) < distinct && e.failures > 0 {
+	if e == nil || asked.Before(e.heard) || asked.Sub(e.suspected) < r.cfg.Policy.MinProbeSpacing && e.failures > 0 {
 		return
 	}
 	e.failures++
 	e.suspected = asked
-	if e.failures == lostFailures {
+	if e.failures == e.policy.LostFailures {
 		r.version++
 	}
 }
@@ -269,12 +250,12 @@
 
 // lost tells whether an instance no longer answers, as far as is known.
 func (e *entry) lost(now time.Time) bool {
-	return e.gone || e.failures >= lostFailures || (!e.inList && now.Sub(e.unlisted) > unlisted && now.Sub(e.heard) > unlisted)
+	return e.gone || e.failures >= e.policy.LostFailures || (!e.inList && now.Sub(e.unlisted) > e.policy.UnlistedTimeout && now.Sub(e.heard) > e.policy.UnlistedTimeout)
 }
 
 // forgotten tells whether an instance was in no list for so long, and silent, that it need not be remembered.
 func (e *entry) forgotten(now time.Time) bool {
-	return !e.inList && now.Sub(e.unlisted) > forgetAfter && now.Sub(e.heard) > forgetAfter
+	return !e.inList && now.Sub(e.unlisted) > e.policy.ForgetAfter && now.Sub(e.heard) > e.policy.ForgetAfter
 }
 
 // lastBeat returns when the list last showed a sign of life. Another node that
@@ -292,7 +273,7 @@
 	if e.heard.After(last) {
 		last = e.heard
 	}
-	return e.failures >= lostFailures && now.Sub(last) > r.cfg.Stall+goneMargin
+	return e.failures >= e.policy.LostFailures && now.Sub(last) > r.cfg.Stall+r.cfg.Policy.GoneMargin
 }
 
 // current returns the newest word on an instance.
@@ -315,7 +296,7 @@
 		e.gone, e.goneAt = true, now
 		r.version++
 	}
-	if e.gone && now.Sub(e.goneAt) > forgetAfter {
+	if e.gone && now.Sub(e.goneAt) > e.policy.ForgetAfter {
 		delete(r.m, id)
 		r.version++
 	}
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -20,7 +20,7 @@
 
 // newRoster returns a roster that has read one free instance.
 func newRoster() *roster.Roster {
-	r := roster.New(roster.Config{Beat: 1200 * time.Millisecond, Stall: 4 * time.Second, ReportLag: 200 * time.Millisecond})
+	r := roster.New(roster.Config{Beat: 1200 * time.Millisecond, Stall: 4 * time.Second, ReportLag: 200 * time.Millisecond, Policy: roster.DefaultPolicy()})
 	r.Listed(free, start)
 	r.Confirm(start)
 	return r
@@ -162,7 +162,7 @@
 
 func TestAnotherNodeIsToldWhatChangedSince(t *testing.T) {
 	g := NewWithT(t)
-	from, to := newRoster(), roster.New(roster.Config{Beat: time.Second})
+	from, to := newRoster(), roster.New(roster.Config{Beat: time.Second, Policy: roster.DefaultPolicy()})
 	second := fleet.Instance{ID: "i2", Service: "lm", Position: 6}
 	from.Listed(second, start)
 	tell := func(after uint64, expect int) uint64 {
--- a/coordination/roster/view.go
+++ b/coordination/roster/view.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		v := View{Instance: e.current(), Lost: e.lost(now), Unlisted: !e.inList}
-		v.Draining = v.Draining || (v.Unlisted && now.Sub(e.unlisted) > unlistedGrace)
+		v.Draining = v.Draining || (v.Unlisted && now.Sub(e.unlisted) > e.policy.UnlistedGrace)
 		list = append(list, v)
 	}
 	slices.SortFunc(list, func(a, b View) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/transport/entry/beliefs.go
+++ b/transport/entry/beliefs.go
@@ -11,12 +11,6 @@
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
-// beliefInterval is the time between two looks at what the node depends on.
-const beliefInterval = 200 * time.Millisecond
-
-// storeLostAfter is the age of the last read of the store at which it counts as lost.
-const storeLostAfter = 2 * time.Second
-
 // beliefs remembers what the node last logged of what it depends on and believes.
 type beliefs struct {
 	store, keys, ready bool
@@ -32,8 +26,8 @@
 // watchBeliefs logs every dependency that is lost or regained, and every change of what is believed of instances.
 func (n *Node) watchBeliefs(ctx context.Context) {
 	b := &beliefs{instances: map[state.InstanceID]belief{}}
-	for n.sleep(ctx, beliefInterval) {
-		n.logDependency("store", &b.store, n.storeAge() < storeLostAfter, n.storeAge())
+	for n.sleep(ctx, n.policy.LogInterval) {
+		n.logDependency("store", &b.store, n.storeAge() < n.policy.StoreLostAfter, n.storeAge())
 		age, _ := n.know.Age()
 		n.logDependency("fresh keys", &b.keys, n.know.KeysFresh(), age)
 		n.logDependency("readiness", &b.ready, n.isReady(), 0)
--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -181,7 +181,8 @@
 // start runs a node on loopback.
 func start(t *testing.T, s *store, name string, seeds ...netip.AddrPort) *running {
 	set := &entry.Settings{
-		Name: name, Hall: "hall", Callers: freeAddress(t), Ready: freeAddress(t), Peer: freeAddress(t), Metrics: freeAddress(t), Seeds: seeds,
+		Policy: entry.DefaultPolicy(),
+		Name:   name, Hall: "hall", Callers: freeAddress(t), Ready: freeAddress(t), Peer: freeAddress(t), Metrics: freeAddress(t), Seeds: seeds,
 		BeatInterval: time.Second, StopWithin: time.Second, LeaveWithin: 2 * time.Second, StallTime: 4 * time.Second,
 		StrictKeys: true, KeysWithin: 3 * time.Second, Retry: retry.Bounds{Ratio: 0.2, Slack: 10, Window: 10 * time.Second},
 	}
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -13,37 +13,13 @@
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
-// Bounds of following the store.
-const (
-	configWait = 3 * time.Second
-	// configWaitPlacing is how long the placing node's read of the configuration waits.
-	configWaitPlacing = 250 * time.Millisecond
-	listInterval      = 300 * time.Millisecond
-	// recentRead is the time between two reads of the list up to which what the later one shows has just been written.
-	recentRead = time.Second
-	// fedAge is the age up to which a node relies on what the placing node tells of the store.
-	fedAge = 800 * time.Millisecond
-	// fedPause is the time between two looks at whether it still does.
-	fedPause = 100 * time.Millisecond
-	// standbyRead is the time between two reads of the store by a node that would place next.
-	standbyRead = 2 * time.Second
-	// listIntervalSoon is the time between two reads while the node has groups formed or taken apart.
-	listIntervalSoon = 80 * time.Millisecond
-	storeTimeout     = time.Second
-	storeRetry       = 150 * time.Millisecond
-	// storeRetryMost bounds the time between two tries of a store that does not answer.
-	storeRetryMost = 700 * time.Millisecond
-	// storeRetryOthers bounds it at nodes that neither place nor would do so next.
-	storeRetryOthers = 1500 * time.Millisecond
-)
-
 // followConfig keeps up with the operator's configuration.
 func (n *Node) followConfig(ctx context.Context) {
-	next, wait := int64(-1), storeRetry
+	next, wait := int64(-1), n.policy.StoreRetry
 	for {
-		if n.feed.configAge(n.clock.Now()) < fedAge && n.relies() {
+		if n.feed.configAge(n.clock.Now()) < n.policy.FeedAge && n.relies() {
 			next = -1
-			if !n.sleep(ctx, fedPause) {
+			if !n.sleep(ctx, n.policy.FeedPause) {
 				return
 			}
 			continue
@@ -57,10 +33,10 @@
 			if !n.sleep(ctx, wait) {
 				return
 			}
-			wait = min(2*wait, storeRetryMost)
+			wait = min(2*wait, n.policy.StoreRetryMax)
 			continue
 		}
-		wait = storeRetry
+		wait = n.policy.StoreRetry
 		next = tail.End
 		for _, item := range tail.Items {
 			n.learnConfig(item.Value, "store")
@@ -78,7 +54,7 @@
 	if placing, _ := n.peers.isPlacing(); placing || n.storeFailed.Load() {
 		return false
 	}
-	return n.ownStoreAge() < standbyRead || !n.peers.standby()
+	return n.ownStoreAge() < n.policy.StandbyRead || !n.peers.standby()
 }
 
 // configWait returns how long a read of the configuration waits for a new one.
@@ -87,12 +63,12 @@
 // tells the others is as old as its last question, so that it asks often.
 func (n *Node) configWait() time.Duration {
 	if placing, _ := n.peers.isPlacing(); placing {
-		return configWaitPlacing
+		return n.policy.ConfigWaitLeading
 	}
 	if n.set.StrictKeys {
-		return min(configWait, n.set.KeysWithin/4)
+		return min(n.policy.ConfigWait, n.set.KeysWithin/4)
 	}
-	return configWait
+	return n.policy.ConfigWait
 }
 
 // learnConfig takes in a configuration; one that cannot be read leaves the last in force.
@@ -146,7 +122,7 @@
 
 // readTail reads a topic from an offset on, or its newest records for an offset below 0.
 func (n *Node) readTail(ctx context.Context, topic source.Topic, from int64, wait time.Duration) (source.Tail, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout+wait)
+	ctx, cancel := context.WithTimeout(ctx, n.policy.StoreTimeout+wait)
 	defer cancel()
 	n.Count("store." + string(topic))
 	began := n.clock.Now()
@@ -178,12 +154,12 @@
 func (n *Node) followInstances(ctx context.Context) {
 	next := int64(-1)
 	var last time.Time
-	pause := listInterval
+	pause := n.policy.ListInterval
 	for {
 		asked := n.clock.Now()
-		if placing, _ := n.peers.isPlacing(); !placing && n.feed.listAge(asked) < fedAge {
+		if placing, _ := n.peers.isPlacing(); !placing && n.feed.listAge(asked) < n.policy.FeedAge {
 			next = -1
-			if !n.waitForList(ctx, fedPause) {
+			if !n.waitForList(ctx, n.policy.FeedPause) {
 				return
 			}
 			continue
@@ -193,7 +169,7 @@
 			next = -1
 		}
 		if err == nil {
-			n.learnInstances(tail, next < 0, asked.Sub(last) < recentRead)
+			n.learnInstances(tail, next < 0, asked.Sub(last) < n.policy.RecentRead)
 			next, last = tail.End, asked
 			if tail.Whole {
 				n.roster.Confirm(asked)
@@ -212,15 +188,15 @@
 	placing, _ := n.peers.isPlacing()
 	switch {
 	case err != nil && (placing || n.peers.standby()):
-		return min(2*before, storeRetryMost)
+		return min(2*before, n.policy.StoreRetryMax)
 	case err != nil:
-		return min(2*before, storeRetryOthers)
+		return min(2*before, n.policy.StoreRetryFed)
 	case !tail.Whole:
 		return 0
 	case placing && n.listSoon.Load():
-		return listIntervalSoon
+		return n.policy.ListIntervalBusy
 	}
-	return listInterval
+	return n.policy.ListInterval
 }
 
 // waitForList waits for the next read of the list and tells whether the node still runs.
@@ -230,7 +206,7 @@
 		return false
 	case <-n.clock.After(d):
 	case <-n.listNow:
-		return n.sleep(ctx, min(d, listIntervalSoon))
+		return n.sleep(ctx, min(d, n.policy.ListIntervalBusy))
 	}
 	return true
 }
@@ -297,7 +273,7 @@
 		return
 	}
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, n.policy.StoreTimeout)
 		offset, err := n.ports.Store.Append(callCtx, source.Nodes, n.set.Name, value)
 		cancel()
 		if err == nil {
@@ -305,7 +281,7 @@
 			n.log.WithField("number", offset+1).Info("registered")
 			return
 		}
-		if !n.sleep(ctx, 2*storeRetry) {
+		if !n.sleep(ctx, 2*n.policy.StoreRetry) {
 			return
 		}
 	}
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -14,15 +14,6 @@
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
-// probeTimeout bounds the time for an instance to report.
-const probeTimeout = 160 * time.Millisecond
-
-// healthInterval is the time between two looks at requests that stand still and at the node's own delay.
-const healthInterval = 50 * time.Millisecond
-
-// suspectFor is how long the placing node is told of an instance that did not answer.
-const suspectFor = 2 * time.Second
-
 // Heard implements gateway.Health.
 func (n *Node) Heard(id state.InstanceID, at time.Time) { n.roster.Heard(id, at) }
 
@@ -89,7 +80,7 @@
 
 // report asks an instance for its report once.
 func (n *Node) report(ctx context.Context, m fleet.Instance, asked time.Time) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.policy.ProbeTimeout)
 	defer cancel()
 	n.Count("probes")
 	rep, err := n.ports.Targets.Report(ctx, m.Address, m.ID)
@@ -124,11 +115,11 @@
 func (n *Node) watchHealth(ctx context.Context) {
 	for {
 		began := n.clock.Now()
-		if !n.sleep(ctx, healthInterval) {
+		if !n.sleep(ctx, n.policy.HealthInterval) {
 			return
 		}
 		now := n.clock.Now()
-		n.health.Observe(now.Sub(began)-healthInterval, now)
+		n.health.Observe(now.Sub(began)-n.policy.HealthInterval, now)
 		n.gate.Watch.Look()
 	}
 }
@@ -160,7 +151,7 @@
 	defer n.mu.Unlock()
 	var list []Suspicion
 	for id, at := range n.suspects {
-		if now.Sub(at) > suspectFor {
+		if now.Sub(at) > n.policy.SuspectFor {
 			delete(n.suspects, id)
 			continue
 		}
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -36,6 +36,7 @@
 // Node is one entry node.
 type Node struct {
 	set     *Settings
+	policy  NodePolicy
 	clock   clockwork.Clock
 	ports   Ports
 	know    *Knowledge
@@ -79,14 +80,15 @@
 func New(set *Settings, ports Ports, clock clockwork.Clock, logger *log.Logger) *Node {
 	n := &Node{
 		set:      set,
+		policy:   set.Policy.Node,
 		clock:    clock,
 		ports:    ports,
 		know:     NewKnowledge(ports.Decoder, set.StrictKeys, set.KeysWithin, clock),
-		roster:   roster.New(roster.Config{Beat: set.BeatInterval, Stall: set.StallTime}),
-		table:    dispatch.NewTable(set.Hall),
+		roster:   roster.New(roster.Config{Beat: set.BeatInterval, Stall: set.StallTime, Policy: set.Policy.Roster}),
+		table:    dispatch.NewTable(set.Hall, set.Policy.Dispatch),
 		pool:     direct.NewPool(direct.Dialer{Timeout: dialTimeout, Silence: silence}, clock.Now),
 		metrics:  metrics.NewRegistry(),
-		demand:   demand.NewMeter(),
+		demand:   demand.NewMeter(set.Policy.Demand),
 		log:      logger,
 		started:  clock.Now(),
 		changed:  make(chan struct{}, 1),
@@ -96,7 +98,8 @@
 		suspects: map[state.InstanceID]time.Time{},
 	}
 	n.gate = gateway.New(gateway.Options{
-		Clock: clock, Dialect: ports.Dialect, Catalogs: n.know, Table: n.table, Health: n, Recorder: n, Pool: n.pool, Demand: n.demand, Retry: set.Retry,
+		Clock: clock, Dialect: ports.Dialect, Catalogs: n.know, Table: n.table, Health: n, Recorder: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
+		Retry: set.Retry,
 	})
 	n.peers = newPeers(n)
 	n.placer = newPlacer(n)
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -22,27 +22,6 @@
 // wordProcedure is the path of a node's word to the placing node.
 const wordProcedure = "/troutmast.Entry/Tell"
 
-// Bounds of the words.
-const (
-	// wordInterval is the time between two words of a node.
-	wordInterval = 250 * time.Millisecond
-	// wordTimeout bounds the time for an answer.
-	wordTimeout = 400 * time.Millisecond
-	// avoidNode is how long a node that did not answer is passed over, avoidIdle one that does not place.
-	avoidNode = 1500 * time.Millisecond
-	avoidIdle = 400 * time.Millisecond
-	// nodeLives is how long after its last word a node counts as alive.
-	nodeLives = 1500 * time.Millisecond
-	// nodesWait is how long a read of the nodes' entries waits for a new one.
-	nodesWait = 8 * time.Second
-	// nodesPause is the time between two such reads.
-	nodesPause = 600 * time.Millisecond
-	// placeAfter is the age at which a node may place: until then it may not know of all others.
-	placeAfter = 1300 * time.Millisecond
-	// storeStale is the age of its last read of the store above which a node does not place if others do better.
-	storeStale = 2500 * time.Millisecond
-)
-
 // peers is what a node knows of the other nodes.
 type peers struct {
 	n  *Node
@@ -80,7 +59,7 @@
 
 // newPeers returns the peers of a node.
 func newPeers(n *Node) *peers {
-	dialer := direct.Dialer{Timeout: wordTimeout, Silence: silence}
+	dialer := direct.Dialer{Timeout: n.policy.StatusTimeout, Silence: silence}
 	return &peers{
 		n:       n,
 		hc:      &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}},
@@ -105,7 +84,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.n.clock.After(wordInterval):
+		case <-p.n.clock.After(p.n.policy.StatusInterval):
 		case <-p.n.news:
 		}
 	}
@@ -126,14 +105,14 @@
 func (p *peers) follow(ctx context.Context) {
 	next := int64(-1)
 	for {
-		if next >= 0 && p.n.feed.configAge(p.n.clock.Now()) < 2*fedAge {
+		if next >= 0 && p.n.feed.configAge(p.n.clock.Now()) < 2*p.n.policy.FeedAge {
 			// The placing node tells of new ones.
-			if !p.n.sleep(ctx, fedAge) {
+			if !p.n.sleep(ctx, p.n.policy.FeedAge) {
 				return
 			}
 			continue
 		}
-		tail, err := p.n.readTail(ctx, source.Nodes, next, nodesWait)
+		tail, err := p.n.readTail(ctx, source.Nodes, next, p.n.policy.NodesWait)
 		switch {
 		case errors.Is(err, source.ErrTrimmed):
 			next = -1
@@ -148,7 +127,7 @@
 		}
 		// Each new entry ends all waiting reads: without a pause, nodes that start
 		// together would read once for each of the others.
-		if !p.n.sleep(ctx, nodesPause) {
+		if !p.n.sleep(ctx, p.n.policy.NodesPause) {
 			return
 		}
 	}
@@ -204,9 +183,6 @@
 	return addresses
 }
 
-// standbys is how many nodes after the placing one keep themselves ready to place.
-const standbys = 3
-
 // standby tells whether this node is among the first in the order.
 func (p *peers) standby() bool {
 	own := p.self()
@@ -218,7 +194,7 @@
 			before++
 		}
 	}
-	return before <= standbys
+	return before <= p.n.policy.Standbys
 }
 
 // mayPlace tells whether this node can place groups, if not at once: until it
@@ -227,9 +203,6 @@
 	return !p.n.stopping.Load() && p.n.number.Load() > 0 && p.n.know.Catalog() != nil && !p.behindOthers() && !p.slowerThanOthers(now)
 }
 
-// restTime is how long a node does not place after it ran late.
-const restTime = 5 * time.Second
-
 // slowerThanOthers tells whether the node lately ran late again and again while another one did not.
 func (p *peers) slowerThanOthers(now time.Time) bool {
 	if now.Before(p.resting) {
@@ -239,8 +212,8 @@
 		return false
 	}
 	for _, h := range p.words {
-		if now.Sub(h.at) < nodeLives && !h.word.Late {
-			p.resting = now.Add(restTime)
+		if now.Sub(h.at) < p.n.policy.NodeTimeout && !h.word.Late {
+			p.resting = now.Add(p.n.policy.LateRest)
 			p.n.Count("placing.rested")
 			return true
 		}
@@ -255,7 +228,7 @@
 		return false
 	}
 	for _, h := range p.words {
-		if p.n.clock.Since(h.at) < nodeLives && time.Duration(h.word.StoreMS)*time.Millisecond < stale {
+		if p.n.clock.Since(h.at) < p.n.policy.NodeTimeout && time.Duration(h.word.StoreMS)*time.Millisecond < stale {
 			return true
 		}
 	}
@@ -267,9 +240,9 @@
 // them from another node well before that is over.
 func (n *Node) storeStale() time.Duration {
 	if n.set.StrictKeys {
-		return min(storeStale, n.set.KeysWithin/3)
+		return min(n.policy.StoreStale, n.set.KeysWithin/3)
 	}
-	return storeStale
+	return n.policy.StoreStale
 }
 
 // round tells the first node that places; if there is none before this one, this one does.
@@ -289,7 +262,7 @@
 		p.pass(address, err == nil)
 	}
 	p.mu.Lock()
-	may := p.mayPlace(p.n.clock.Now()) && p.n.clock.Since(p.n.started) > placeAfter
+	may := p.mayPlace(p.n.clock.Now()) && p.n.clock.Since(p.n.started) > p.n.policy.LeadAfter
 	p.mu.Unlock()
 	p.setPlacing(may)
 	if may {
@@ -300,14 +273,6 @@
 	}
 }
 
-// Bounds of greetings.
-const (
-	// greetInterval is the least time between two greetings of one node.
-	greetInterval = 2 * time.Second
-	// greetAtOnce is how many nodes are greeted in one round.
-	greetAtOnce = 3
-)
-
 // greet tells a few nodes that were not heard of lately that this one places: one
 // that could not read the store since this one registered knows nothing of it.
 func (p *peers) greet(ctx context.Context) {
@@ -317,10 +282,10 @@
 	p.mu.Lock()
 	heard := map[string]bool{}
 	for _, h := range p.words {
-		heard[h.word.From.Address] = now.Sub(h.at) < nodeLives
+		heard[h.word.From.Address] = now.Sub(h.at) < p.n.policy.NodeTimeout
 	}
 	for a := range p.known {
-		if a != own && !heard[a] && now.Sub(p.greeted[a]) > greetInterval && len(silent) < greetAtOnce {
+		if a != own && !heard[a] && now.Sub(p.greeted[a]) > p.n.policy.GreetInterval && len(silent) < p.n.policy.GreetAtOnce {
 			p.greeted[a] = now
 			silent = append(silent, a)
 		}
@@ -333,9 +298,9 @@
 
 // pass has a node passed over for a while; one that answered, but does not place, for less.
 func (p *peers) pass(address string, answered bool) {
-	until := p.n.clock.Now().Add(avoidNode)
+	until := p.n.clock.Now().Add(p.n.policy.UnreachableBackoff)
 	if answered {
-		until = p.n.clock.Now().Add(avoidIdle)
+		until = p.n.clock.Now().Add(p.n.policy.NotLeadingBackoff)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -393,22 +358,19 @@
 	return n
 }
 
-// totalInterval is the least time between two sums of what nodes hold and are asked for.
-const totalInterval = 100 * time.Millisecond
-
 // total adds up what all nodes hold at each instance, and what callers ask of
 // them; neither must be changed.
 func (p *peers) total() (map[state.InstanceID]int, []demand.Flow) {
 	now := p.n.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.held != nil && now.Sub(p.totalAt) < totalInterval {
+	if p.held != nil && now.Sub(p.totalAt) < p.n.policy.SumInterval {
 		return p.held, p.asked
 	}
 	held := p.n.table.Held()
 	flows := [][]demand.Flow{p.n.demand.Flows(now)}
 	for name, h := range p.words {
-		if now.Sub(h.at) > nodeLives {
+		if now.Sub(h.at) > p.n.policy.NodeTimeout {
 			delete(p.words, name)
 			continue
 		}
--- a/transport/entry/peers_test.go
+++ b/transport/entry/peers_test.go
@@ -35,7 +35,7 @@
 
 // newTestNode returns a node that does not run, of some capacity.
 func newTestNode(capacity float64) *Node {
-	set := &Settings{Name: "own", Hall: "hall", Peer: testAddress(1), Capacity: capacity, KeysWithin: time.Second}
+	set := &Settings{Name: "own", Hall: "hall", Peer: testAddress(1), Capacity: capacity, KeysWithin: time.Second, Policy: DefaultPolicy()}
 	return New(set, Ports{Decoder: anyConfiguration{}}, clockwork.NewFakeClock(), &log.Logger{Handler: discard.New()})
 }
 
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -9,31 +9,12 @@
 
 	"github.com/apex/log"
 
-	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
-// Bounds of placing.
-const (
-	// placeInterval is the time between two steps of the planner.
-	placeInterval = 100 * time.Millisecond
-	// orderTimeout bounds the time for an instance to answer an order.
-	orderTimeout = 800 * time.Millisecond
-	// doubtInterval is the least time between two questions to an instance that may have ended.
-	doubtInterval = 400 * time.Millisecond
-	// tellInterval is the least time between two log lines on what serves.
-	tellInterval = time.Second
-	// reportMargin is added to the lag that the configuration tells of reports.
-	reportMargin = 80 * time.Millisecond
-	// askInterval is the least time between two questions to one instance.
-	askInterval = 90 * time.Millisecond
-	// asksAtOnce bounds the questions under way: more would only wait for this node itself.
-	asksAtOnce = 32
-)
-
 // placer has the groups of all engine services formed and repaired while the node places.
 type placer struct {
 	n *Node
@@ -66,7 +47,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.n.clock.After(placeInterval):
+		case <-p.n.clock.After(p.n.policy.PlanInterval):
 		case <-p.wake:
 		}
 		on, since := p.n.peers.isPlacing()
@@ -99,7 +80,7 @@
 		}
 		planner := p.planner(s)
 		planner.Quiet = p.n.set.FirstStart && !p.n.peers.anyArrived()
-		planner.Work = demand.WorkOf(s.Name, s.Engine, asked)
+		planner.Work = p.n.set.Policy.Demand.WorkOf(s.Name, s.Engine, asked)
 		members := p.n.roster.Members(s.Name, since, now)
 		plan := planner.Step(now, members)
 		for key := range plan.Avoid {
@@ -107,12 +88,12 @@
 		}
 		watch = watch || plan.Watch
 		p.tell(now, s.Name, plan, len(members))
-		p.n.roster.SetReportLag(s.Engine.ReportLag + reportMargin)
+		p.n.roster.SetReportLag(s.Engine.ReportLag + p.n.policy.ReportMargin)
 		p.carryOut(ctx, members, plan)
 	}
 	for _, m := range p.n.roster.Doubtful(now) {
 		if s := c.Services[m.Service]; s != nil && s.Engine != nil {
-			p.askEvery(ctx, m, doubtInterval)
+			p.askEvery(ctx, m, p.n.policy.DoubtInterval)
 		}
 	}
 	p.mu.Lock()
@@ -124,7 +105,7 @@
 
 // tell logs now and then what serves.
 func (p *placer) tell(now time.Time, service state.ServiceName, plan placement.Plan, instances int) {
-	if now.Sub(p.told) < tellInterval {
+	if now.Sub(p.told) < p.n.policy.SupplyLogInterval {
 		return
 	}
 	p.told = now
@@ -149,7 +130,7 @@
 	defer p.mu.Unlock()
 	pl := p.planners[s.Name]
 	if pl == nil {
-		pl = placement.NewPlanner(s.Engine, p.nextEpoch)
+		pl = placement.NewPlanner(s.Engine, p.n.set.Policy.Placement, p.nextEpoch)
 		p.planners[s.Name] = pl
 	}
 	pl.SetEngine(s.Engine)
@@ -205,7 +186,7 @@
 
 // order sends one order and takes in what the instance says of it.
 func (p *placer) order(ctx context.Context, o placement.Order) {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, p.n.policy.OrderTimeout)
 	defer cancel()
 	began := p.n.clock.Now()
 	reply, err := p.n.ports.Targets.Order(callCtx, o)
@@ -241,14 +222,16 @@
 }
 
 // askOnce asks an instance for its report unless that is under way or was done a moment ago.
-func (p *placer) askOnce(ctx context.Context, m fleet.Instance) { p.askEvery(ctx, m, askInterval) }
+func (p *placer) askOnce(ctx context.Context, m fleet.Instance) {
+	p.askEvery(ctx, m, p.n.policy.ProbeInterval)
+}
 
 // askEvery asks an instance for its report unless that is under way or was done within an interval.
 func (p *placer) askEvery(ctx context.Context, m fleet.Instance, interval time.Duration) {
 	now := p.n.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.asking) >= asksAtOnce || p.asking[m.ID] || now.Sub(p.asked[m.ID]) < interval {
+	if len(p.asking) >= p.n.policy.ProbesAtOnce || p.asking[m.ID] || now.Sub(p.asked[m.ID]) < interval {
 		return
 	}
 	p.asking[m.ID], p.asked[m.ID] = true, now
--- a/transport/entry/settings.go
+++ b/transport/entry/settings.go
@@ -42,4 +42,6 @@
 	StallTime time.Duration
 	// Retry bounds the repeats that all nodes send to one service.
 	Retry retry.Bounds
+	// Policy is how the node decides.
+	Policy Policy
 }
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -12,7 +12,7 @@
 
 // tell sends this node's word to another.
 func (p *peers) tell(ctx context.Context, address string) (*Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.n.policy.StatusTimeout)
 	defer cancel()
 	p.mu.Lock()
 	c := p.clients[address]
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -60,6 +60,7 @@
 	Recorder Recorder
 	Pool     *direct.Pool
 	Demand   *demand.Meter
+	Policy   Policy
 	// Retry bounds the repeats that all nodes send to one service.
 	Retry retry.Bounds
 }
@@ -81,7 +82,7 @@
 func New(o Options) *Gateway {
 	return &Gateway{
 		Options: o,
-		Watch:   newWatch(o.Clock, o.Health),
+		Watch:   newWatch(o.Clock, o.Health, &o.Policy),
 		budgets: map[state.ServiceName]*retry.SharedBudget{},
 		nodes:   1,
 	}
@@ -183,17 +184,11 @@
 	}
 }
 
-// comeBack is when callers are told to come back if nothing better is known.
-const comeBack = 300 * time.Millisecond
-
 // refusedAt returns a refusal with a jittered time to come back.
 func refusedAt(code Code, after time.Duration) *refusal {
 	return &refusal{code: code, after: after + rand.N(after/2+1)}
 }
 
-// defaultPatience bounds a request that names no deadline on a route without a time-out.
-const defaultPatience = 60 * time.Second
-
 // admit checks a request and reads its body.
 func (c *call) admit() *refusal {
 	claims, err := c.Dialect.Parse(c.r.Header)
@@ -202,11 +197,11 @@
 		return &refusal{code: CodeBadRequest}
 	}
 	if c.refusing.Load() {
-		return refusedAt(CodeStopping, comeBack)
+		return refusedAt(CodeStopping, c.Policy.RetryAfter)
 	}
 	c.catalog = c.Catalogs.Catalog()
 	if c.catalog == nil {
-		return refusedAt(CodeNoConfig, comeBack)
+		return refusedAt(CodeNoConfig, c.Policy.RetryAfter)
 	}
 	if c.route = c.catalog.Route(hostOnly(c.r.Host), pathOf(c.r.RequestURI)); c.route == nil {
 		return &refusal{code: CodeNoRoute}
@@ -219,7 +214,7 @@
 	}
 	patience := claims.Patience
 	if patience <= 0 {
-		patience = defaultPatience
+		patience = c.Policy.DefaultTimeout
 	}
 	if c.route.Timeout > 0 {
 		patience = min(patience, c.route.Timeout)
@@ -257,7 +252,7 @@
 		return nil
 	}
 	if !c.Catalogs.KeysFresh() {
-		return refusedAt(CodeStale, comeBack)
+		return refusedAt(CodeStale, c.Policy.RetryAfter)
 	}
 	if c.team = c.catalog.Team(c.claims.Key); c.team == nil {
 		return &refusal{code: CodeBadKey}
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -32,22 +32,6 @@
 	callerGone result = "caller-gone"
 )
 
-// Bounds of the attempts.
-const (
-	// extraSends is how many more instances than may run a request it may be sent to.
-	extraSends = 2
-	// leastLeft is the time left under which a request is no longer sent.
-	leastLeft = 20 * time.Millisecond
-	// wire is taken off the time that an instance is told, for the way.
-	wire = 5 * time.Millisecond
-	// resumeWait is how long a begun stream waits for a group to go on at.
-	resumeWait = 1500 * time.Millisecond
-	resumeStep = 50 * time.Millisecond
-	// overloadedFor is when a caller is told to come back where all groups are full, repairFor where there is none.
-	overloadedFor = 700 * time.Millisecond
-	repairFor     = 1200 * time.Millisecond
-)
-
 // serve sends a request to instances until one has answered, or returns why it was given up.
 func (c *call) serve() *refusal {
 	for {
@@ -62,7 +46,7 @@
 			return c.noTarget()
 		}
 		if c.sends == 0 && target.Full() {
-			return refusedAt(CodeOverloaded, overloadedFor)
+			return refusedAt(CodeOverloaded, c.Policy.OverloadRetryAfter)
 		}
 		if c.sends > 0 && !c.budget.Take(c.Clock.Now()) {
 			c.Recorder.Count("retry.no-budget")
@@ -93,10 +77,10 @@
 		return c.giveUp(CodeBroken)
 	}
 	left := c.deadline.Sub(c.Clock.Now())
-	if left < leastLeft {
+	if left < c.Policy.MinTimeLeft {
 		return c.giveUp(CodeNoTime)
 	}
-	if c.sends >= c.route.MaxAttempts+extraSends {
+	if c.sends >= c.route.MaxAttempts+c.Policy.ExtraSends {
 		return c.giveUp(CodeRefused)
 	}
 	return nil
@@ -112,8 +96,8 @@
 		c.last.write(c)
 		return nil
 	case c.runs == 0:
-		return refusedAt(code, comeBack)
-	case !c.Clock.Now().Before(c.deadline.Add(-leastLeft)):
+		return refusedAt(code, c.Policy.RetryAfter)
+	case !c.Clock.Now().Before(c.deadline.Add(-c.Policy.MinTimeLeft)):
 		return &refusal{code: CodeTimeout}
 	}
 	return &refusal{code: CodeBroken}
@@ -126,13 +110,13 @@
 
 // waitForTarget waits a moment for a group at which a begun stream can go on.
 func (c *call) waitForTarget() bool {
-	if c.Clock.Since(c.moved) > resumeWait {
+	if c.Clock.Since(c.moved) > c.Policy.ResumeWait {
 		return false
 	}
 	select {
 	case <-c.ctx.Done():
 		return false
-	case <-c.Clock.After(resumeStep):
+	case <-c.Clock.After(c.Policy.ResumePoll):
 		return true
 	}
 }
@@ -140,7 +124,7 @@
 // noTarget returns the refusal of a request that no instance can take.
 func (c *call) noTarget() *refusal {
 	if c.sends == 0 {
-		return refusedAt(CodeNoTarget, repairFor)
+		return refusedAt(CodeNoTarget, c.Policy.RepairRetryAfter)
 	}
 	return c.giveUp(CodeUnreachable)
 }
@@ -180,7 +164,7 @@
 	h := travelling(c.r.Header)
 	f := Forward{
 		Instance:  target.ID,
-		Left:      c.deadline.Sub(now) - wire,
+		Left:      c.deadline.Sub(now) - c.Policy.NetworkAllowance,
 		LastEvent: c.lastEvent,
 		Urgency:   -1,
 	}
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -175,12 +175,12 @@
 	teams := map[string]*catalog.Team{"k": {Name: "team"}}
 	l := &lab{
 		t: t, know: &knowledge{c: catalog.New(1, routes, services, teams, catalog.Limits{BodyBytes: 1000})},
-		health: &health{}, counts: &recorder{counts: map[string]int{}}, table: dispatch.NewTable("hall"), journal: &journal{},
+		health: &health{}, counts: &recorder{counts: map[string]int{}}, table: dispatch.NewTable("hall", dispatch.DefaultPolicy()), journal: &journal{},
 	}
 	clock := clockwork.NewRealClock()
 	l.gate = gateway.New(gateway.Options{
-		Demand: demand.NewMeter(),
-		Clock:  clock, Dialect: dialect{}, Catalogs: l.know, Table: l.table, Health: l.health, Recorder: l.counts,
+		Demand: demand.NewMeter(demand.DefaultPolicy()), Policy: gateway.DefaultPolicy(),
+		Clock: clock, Dialect: dialect{}, Catalogs: l.know, Table: l.table, Health: l.health, Recorder: l.counts,
 		Pool:  direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now),
 		Retry: retry.Bounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	})
--- a/transport/gateway/watch.go
+++ b/transport/gateway/watch.go
@@ -17,16 +17,6 @@
 // errStalled means that an attempt was given up because its group stands still.
 var errStalled = errors.New("gateway: the group stands still")
 
-// Bounds of the watch.
-const (
-	// firstSilence is how long a group may take to the first sign before it is checked.
-	firstSilence = 600 * time.Millisecond
-	// eventSilence is how long a stream may be silent before its group is checked.
-	eventSilence = 250 * time.Millisecond
-	// checkEvery is the least time between two checks of one group.
-	checkEvery = 300 * time.Millisecond
-)
-
 // watched is one attempt under watch.
 type watched struct {
 	target *dispatch.Candidate
@@ -40,24 +30,25 @@
 func (w *watched) move(now time.Time) { w.moved.Store(steady.Nanos(now)) }
 
 // silent tells whether nothing has come of the attempt for too long.
-func (w *watched) silent(now time.Time) bool {
+func (w *watched) silent(now time.Time, policy *Policy) bool {
 	if moved := w.moved.Load(); moved > 0 {
-		return steady.Nanos(now)-moved > int64(eventSilence)
+		return steady.Nanos(now)-moved > int64(policy.EventSilence)
 	}
-	return now.Sub(w.sent) > firstSilence
+	return now.Sub(w.sent) > policy.FirstSilence
 }
 
 // Watch looks for attempts that stand still.
 type Watch struct {
 	clock  clockwork.Clock
 	health Health
+	policy *Policy
 	mu     sync.Mutex
 	active map[*watched]struct{}
 }
 
 // newWatch returns an empty Watch.
-func newWatch(clock clockwork.Clock, health Health) *Watch {
-	return &Watch{clock: clock, health: health, active: map[*watched]struct{}{}}
+func newWatch(clock clockwork.Clock, health Health, policy *Policy) *Watch {
+	return &Watch{clock: clock, health: health, policy: policy, active: map[*watched]struct{}{}}
 }
 
 // add puts an attempt under watch.
@@ -82,13 +73,13 @@
 	silent := map[state.InstanceID]*dispatch.Candidate{}
 	w.mu.Lock()
 	for a := range w.active {
-		if a.silent(now) {
+		if a.silent(now, w.policy) {
 			silent[a.target.ID] = a.target
 		}
 	}
 	w.mu.Unlock()
 	for _, target := range silent {
-		if target.Check(now, checkEvery) {
+		if target.Check(now, w.policy.CheckInterval) {
 			w.health.Suspect(target)
 		}
 	}
--- a/transport/settings/settings.go
+++ b/transport/settings/settings.go
@@ -122,13 +122,21 @@
 // Parse reads the settings; the error names every fault with its flag and environment variable.
 func Parse(p *flaggy.Parser, args []string, lookup func(string) (string, bool)) (*Settings, error) {
 	s := &Settings{}
-	table := s.Table()
+	if err := parse(p, s.Table(), args, lookup, s.check); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// parse reads the settings of a table, then asks checks for the faults that concern
+// more than one of them. The error names all faults together.
+func parse(p *flaggy.Parser, table []*Setting, args []string, lookup func(string) (string, bool), checks ...func() []error) error {
 	values := make([]string, len(table))
 	for i, t := range table {
 		p.String(&values[i], "", t.Flag, fmt.Sprintf("%s (%s, default %q)", t.Help, EnvName(t.Flag), t.Default))
 	}
 	if err := p.ParseArgs(args); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrSettings, err)
+		return fmt.Errorf("%w: %w", ErrSettings, err)
 	}
 	var faults []error
 	for i, t := range table {
@@ -136,11 +144,13 @@
 			faults = append(faults, fmt.Errorf("--%s (%s): %w", t.Flag, EnvName(t.Flag), err))
 		}
 	}
-	faults = append(faults, s.check()...)
+	for _, check := range checks {
+		faults = append(faults, check()...)
+	}
 	if len(faults) > 0 {
-		return nil, fmt.Errorf("%w:\n%w", ErrSettings, errors.Join(faults...))
+		return fmt.Errorf("%w:\n%w", ErrSettings, errors.Join(faults...))
 	}
-	return s, nil
+	return nil
 }
 
 // FromOS reads the settings from the program's own arguments and environment.
