Bound what one group draws, and count prompts that are still being read (both off)

All nodes fill the emptiest group with the arrivals of 250 ms, and it reads their prompts one after another.

Change: dispatch-max-share bounds a group's part of the requests, dispatch-reading-cost adds the prompts that this node has sent and that brought no event yet.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,14 +24,18 @@
 	Members []fleet.Instance
 	// Size is the number of members that the model needs.
 	Size   int
-	load   *load
-	policy *Policy
+	// readTime is the time to read one token of a prompt, in nanoseconds.
+	readTime float64
+	load     *load
+	policy   *Policy
 }
 
 // load counts what one instance holds; it outlives changes of the candidate.
 type load struct {
 	held   atomic.Int64
 	others atomic.Int64
+	// reading is the number of prompt tokens that this node has sent and that have brought no event yet.
+	reading atomic.Int64
 	// trouble is a decaying count of failures, in thousandths.
 	trouble atomic.Int64
 	// checked is when the group's members were last asked whether they live.
@@ -43,11 +48,11 @@
 // Load returns the requests that all nodes are known to hold at the instance.
 func (c *Candidate) Load() int64 { return c.load.held.Load() + c.load.others.Load() }
 
-// Begin counts a request that is sent to the instance.
-func (c *Candidate) Begin() { c.load.held.Add(1) }
-
-// End counts a request that has ended.
-func (c *Candidate) End() { c.load.held.Add(-1) }
+// Reading returns how long the group takes to read the prompts that this node has
+// sent to it and that have brought no event yet.
+func (c *Candidate) Reading() time.Duration {
+	return time.Duration(float64(c.load.reading.Load()) * c.readTime)
+}
 
 // Check tells whether the members should be asked now; it says so once in an interval.
 func (c *Candidate) Check(now time.Time, every time.Duration) bool {
@@ -140,6 +145,9 @@
 		c.Slots = engine.Slots
 	}
 	c.Size = model.Size
+	if engine.ReadPerSecond > 0 {
+		c.readTime = cmp.Or(model.Pace, 1) * float64(time.Second) / engine.ReadPerSecond
+	}
 	for _, m := range members {
 		if m.Lost {
 			return false
--- a/coordination/dispatch/candidate_test.go
+++ b/coordination/dispatch/candidate_test.go
@@ -81,7 +81,7 @@
 	}
 	held := table.Pick("plain", "", nobody)
 	for range 4 {
-		held.Begin()
+		held.Hold(0)
 	}
 	g.Expect(table.Held()).To(Equal(map[state.InstanceID]int{"b": 4}))
 	for range 20 {
@@ -95,12 +95,12 @@
 	table.Update(config(), []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready)}, func(fleet.GroupKey) bool { return false })
 	head := table.Pick("lm", "m", nobody)
 	for range 8 {
-		head.Begin()
+		head.Hold(0)
 	}
 	g.Expect(head.Full()).To(BeFalse())
-	head.Begin()
+	last := head.Hold(0)
 	g.Expect(head.Full()).To(BeTrue())
-	head.End()
+	last.End()
 	g.Expect(head.Full()).To(BeFalse())
 }
 
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -35,7 +36,11 @@
 	if len(pool) == 0 {
 		return nil
 	}
-	return draw(pool, max((*t.coming.Load())[k], 1)).Candidate
+	share := t.policy.MaxShare
+	if pool[0].Size == 0 {
+		share = 0
+	}
+	return draw(pool, max((*t.coming.Load())[k], 1), share).Candidate
 }
 
 // offer is a candidate with what it costs to send a request to it, in parts of its places.
@@ -45,37 +50,66 @@
 	places float64
 }
 
-// draw picks an offer by how many of some requests it gets when the cheapest are filled up first.
-func draw(pool []offer, requests float64) offer {
+// draw picks an offer by how many of some requests it gets when the cheapest are
+// filled up first, each with at most maxShare times its part of the places; 0 is no bound.
+func draw(pool []offer, requests, maxShare float64) offer {
 	slices.SortFunc(pool, func(a, b offer) int { return cmp.Compare(a.cost, b.cost) })
-	level := fillLevel(pool, requests)
+	most := math.Inf(1)
+	if maxShare > 0 {
+		most = max(maxShare, 1) * requests / totalPlaces(pool)
+	}
+	level := fillLevel(pool, requests, most)
 	at := rand.Float64() * requests
 	for _, o := range pool {
-		if at -= o.places * max(level-o.cost, 0); at < 0 {
+		if at -= o.filled(level, most); at < 0 {
 			return o
 		}
 	}
 	return pool[0]
 }
 
-// fillLevel returns the cost that all offers below it rise to when they share a
-// number of requests; the offers are sorted by cost.
-func fillLevel(pool []offer, requests float64) float64 {
-	var places, filled float64
-	for i, o := range pool {
+// totalPlaces adds up the places of all offers.
+func totalPlaces(pool []offer) float64 {
+	var places float64
+	for _, o := range pool {
 		places += o.places
-		filled += o.places * o.cost
-		level := (requests + filled) / places
-		if i+1 == len(pool) || level <= pool[i+1].cost {
-			return level
+	}
+	return places
+}
+
+// filled returns how many requests the offer gets when all rise to a level of cost,
+// with at most so many for each of its places.
+func (o offer) filled(level, most float64) float64 {
+	return o.places * min(max(level-o.cost, 0), most)
+}
+
+// fillSteps is the number of halvings in the search for a level: more than a double's digits need.
+const fillSteps = 60
+
+// fillLevel returns the cost that all offers below it rise to when they share a
+// number of requests, each with at most so many for each of its places; the offers
+// are sorted by cost.
+func fillLevel(pool []offer, requests, most float64) float64 {
+	low, high := pool[0].cost, pool[len(pool)-1].cost+requests/pool[0].places
+	for range fillSteps {
+		level := (low + high) / 2
+		got := 0.0
+		for _, o := range pool {
+			got += o.filled(level, most)
+		}
+		if got < requests {
+			low = level
+		} else {
+			high = level
 		}
 	}
-	return 0
+	return high
 }
 
 // cost is what it costs to send a request to a candidate, in parts of its places.
 func (t *Table) cost(c *Candidate) float64 {
 	cost := float64(c.Load()) / float64(max(c.Slots, 1))
+	cost += t.policy.ReadingCost * c.Reading().Seconds()
 	cost += t.policy.FailureCost * float64(c.load.trouble.Load()) / troubleUnit
 	if c.Hall != t.hall {
 		cost += t.policy.RemoteHallCost
--- a/coordination/dispatch/policy.go
+++ b/coordination/dispatch/policy.go
@@ -16,6 +16,14 @@
 	// RemoteHallCost is what another data hall adds to the cost, in requests held for
 	// each place. Chosen by hand, not measured.
 	RemoteHallCost float64 `flag:"remote-hall-cost" help:"cost of another data hall, in requests held for each place" min:"0" max:"10"`
+	// ReadingCost is what a second of reading prompts that this node has sent adds to
+	// the cost of a group, in requests held for each place: a group reads prompts one
+	// after another, and a request behind them waits for its first event.
+	ReadingCost float64 `flag:"reading-cost" help:"cost of a second of prompts still being read, in requests held for each place" min:"0" max:"1000"`
+	// MaxShare bounds the part of the requests that one group of a model draws, as a
+	// multiple of its part of all places; 0 is no bound. A group that has just opened is
+	// the emptiest for all nodes at once, and reads what they all send one after another.
+	MaxShare float64 `flag:"max-share" help:"largest part of the requests that a group draws, as a multiple of its part of the places; 0 is no bound" min:"0" max:"1000"`
 	// MeanReportAge is the mean age of another node's load report: half of the
 	// interval between two reports, for each of the two hops by way of the leader.
 	MeanReportAge time.Duration `flag:"mean-report-age" help:"mean age of another node's load report" min:"0s" max:"10s"`
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -152,6 +152,8 @@
 	runs  int
 	sends int
 	tried []state.InstanceID
+	// hold is the attempt under way, as the target's load counts it.
+	hold *dispatch.Hold
 	// loadWhenPicked is the number of requests that the last target was known to hold when it was chosen.
 	loadWhenPicked int64
 	// last is the newest failure that an instance answered.
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -134,8 +134,8 @@
 	c.tried = append(c.tried, target.ID)
 	c.sends++
 	c.loadWhenPicked = target.Load()
-	target.Begin()
-	defer target.End()
+	c.hold = target.Hold(c.claims.Prompt)
+	defer c.hold.End()
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	sent := c.Clock.Now()
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -43,6 +43,7 @@
 		if n > 0 {
 			now := c.Clock.Now()
 			w.move(now)
+			c.hold.Started()
 			pending = append(pending, buf[:n]...)
 			rest, fault := c.pass(pending, resp, now)
 			if fault != nil {
