Hand loads under way to the next leader; do not wait for instances without a model

The weight store carries 6 loads of 16 s at once; each new leader ordered 6 more beside those under way, which then all went on slower, or ordered the same again (refused 3 times). A new instance also held up all groups of its domain for 0.7 s, though it cannot join one before its load.

Change: the leader tells the loads under way, the next one adopts them; settling passes over instances without a model once requests come. Two switches, off: placement-restage-loads (serving instances load a second model again while none lacks one), placement-swap-loads (bounds loads to hosts that hold a model).

Tests fail first: TestLoadsOfTheLastLeaderAreNotOrderedAgain, TestANewInstanceWithoutAModelIsNotWaitedFor.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -23,7 +23,7 @@
 	// Members are the instances of the group, the head among them; none for a plain service.
 	Members []fleet.Instance
 	// Size is the number of members that the model needs.
-	Size   int
+	Size int
 	// readTime is the time to read one token of a prompt, in nanoseconds.
 	readTime float64
 	load     *load
--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -176,9 +176,13 @@
 	}
 }
 
-// settling tells whether an instance of a domain is so new that others may follow it.
+// settling reports whether an instance of a domain is so new that others may follow
+// it, with which larger groups could be formed. One that has no model yet cannot
+// join a group for as long as a load takes, so it is not waited for.
 func (s *step) settling(free []*Member) bool {
-	return slices.ContainsFunc(free, func(m *Member) bool { return s.now.Sub(m.Seen) < s.policy.SettleDelay })
+	return slices.ContainsFunc(free, func(m *Member) bool {
+		return s.now.Sub(m.Seen) < s.policy.SettleDelay && (s.Quiet || !m.empty())
+	})
 }
 
 // able returns how many instances can soon be members of a group of each model.
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -37,6 +37,9 @@
 // usable tells whether the instance can become a member of a new group.
 func (m *Member) usable() bool { return !m.Lost && !m.Gone && !m.Draining && !m.Unlisted }
 
+// empty reports whether the instance has no model, neither loaded nor on its host.
+func (m *Member) empty() bool { return m.Model == "" && len(m.Staged) == 0 }
+
 // sentOrder is an order that was sent, sentAt when.
 type sentOrder struct {
 	action Action
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -4,12 +4,43 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/troutmast/troutmast/state"
 )
 
 // stagingModel is a model that an instance loads to its host.
 type stagingModel struct {
 	model string
 	since time.Time
+	// spare tells that the instance could already join groups of another model quickly.
+	spare bool
+}
+
+// Staging is a load to a host that is under way.
+type Staging struct {
+	Instance state.InstanceID
+	Model    string
+	Since    time.Time
+}
+
+// Stagings returns the loads to hosts that are under way, by instance.
+func (p *Planner) Stagings() []Staging {
+	var list []Staging
+	for id, st := range p.staging {
+		list = append(list, Staging{Instance: id, Model: st.model, Since: st.since})
+	}
+	slices.SortFunc(list, func(a, b Staging) int { return cmp.Compare(a.Instance, b.Instance) })
+	return list
+}
+
+// Adopt records loads that another planner has ordered, so that they are neither
+// ordered again nor left out of what the weight store carries.
+func (p *Planner) Adopt(list []Staging) {
+	for _, st := range list {
+		if _, known := p.staging[st.Instance]; !known {
+			p.staging[st.Instance] = stagingModel{model: st.Model, since: st.Since}
+		}
+	}
 }
 
 // mayLoad takes a load out of what the weight store carries, if it carries it.
@@ -39,6 +70,39 @@
 	if s.Quiet {
 		s.stageOther(s.serving)
 		s.stageOther(s.spare)
+	} else if s.sparesLoading() < s.policy.RestageLoads && len(s.staging) < max(s.engine.LoadsAtOnce, 1) {
+		s.restage()
+	}
+}
+
+// sparesLoading returns the number of loads under way to instances that could join groups without them.
+func (s *step) sparesLoading() int {
+	n := 0
+	for _, st := range s.staging {
+		if st.spare {
+			n++
+		}
+	}
+	return n
+}
+
+// restage has one instance of a serving group load another model to its host, if the
+// host holds only the model that the instance serves: after a loss it can then join
+// groups of either. Loads are scarce, so this is done only while no instance lacks a model.
+func (s *step) restage() {
+	for _, id := range sortedIDs(s.byID) {
+		if m := s.byID[id]; m.usable() && m.empty() {
+			return
+		}
+	}
+	for _, id := range sortedIDs(s.byID) {
+		m := s.byID[id]
+		other := s.otherModel(m.Model)
+		if !s.serving(m) || m.HasStaged(other) || s.staging[id].model != "" {
+			continue
+		}
+		s.stageModel(m, other)
+		return
 	}
 }
 
@@ -74,7 +138,7 @@
 func (s *step) loadsOf(d *domain, model string, most int) []wantedLoad {
 	var lacking []*Member
 	for _, m := range d.free {
-		if s.spare(m) && s.staging[m.ID].model == "" && m.Model != model && !m.HasStaged(model) {
+		if s.spare(m) && s.staging[m.ID].model == "" && m.Model != model && !m.HasStaged(model) && s.maySwap(m) {
 			lacking = append(lacking, m)
 		}
 	}
@@ -95,6 +159,12 @@
 	return list
 }
 
+// maySwap reports whether a host may be loaded again: always one without a model,
+// others only while few such loads are under way.
+func (s *step) maySwap(m *Member) bool {
+	return s.Quiet || m.empty() || s.sparesLoading() < s.policy.SwapLoads
+}
+
 // stageOther has instances of a kind that have staged nothing load another model than they have.
 func (s *step) stageOther(kind func(m *Member) bool) {
 	for _, id := range sortedIDs(s.byID) {
@@ -122,7 +192,7 @@
 	if m.Pending || !m.usable() || model == "" || m.HasStaged(model) || s.staging[m.ID].model != "" || !s.mayLoad() {
 		return
 	}
-	s.staging[m.ID] = stagingModel{model: model, since: s.now}
+	s.staging[m.ID] = stagingModel{model: model, since: s.now, spare: !m.empty()}
 	s.order(m, Order{Action: Stage, Model: model, Why: "for a later repair"})
 }
 
--- /dev/null
+++ b/coordination/placement/staging_test.go
@@ -0,0 +1,119 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// stagingNow is when the tests of staging take place.
+var stagingNow = time.Unix(1000, 0)
+
+// free returns an instance of domain d in no group, with a last model and one on its host.
+func free(id state.InstanceID, model string, staged ...string) placement.Member {
+	m := placement.Member{Known: true, Counted: true, Seen: stagingNow.Add(-time.Minute)}
+	m.ID, m.Service, m.Domain, m.Model, m.Staged = id, "lm", "d", model, staged
+	return m
+}
+
+// inGroup returns a member of an open group of the small model.
+func inGroup(id state.InstanceID, group state.GroupName, rank int, staged ...string) placement.Member {
+	m := free(id, "small", staged...)
+	m.Loaded = "small"
+	m.Membership = fleet.Membership{Group: group, Epoch: 16 << 20, Rank: rank, State: fleet.Ready}
+	if rank == 0 {
+		m.Membership.State = fleet.Open
+	}
+	return m
+}
+
+// staged returns the instances that a plan orders to load a model to their hosts.
+func staged(plan placement.Plan) []state.InstanceID {
+	var ids []state.InstanceID
+	for _, o := range plan.Orders {
+		if o.Action == placement.Stage {
+			ids = append(ids, o.Instance)
+		}
+	}
+	return ids
+}
+
+// F13: a leader that took over ordered the loads under way once more, and all of
+// them together went on slower.
+func TestLoadsOfTheLastLeaderAreNotOrderedAgain(t *testing.T) {
+	g := NewWithT(t)
+	members := func() []placement.Member {
+		return []placement.Member{inGroup("a", "g", 0), inGroup("b", "g", 1), free("c", ""), free("e", "")}
+	}
+	first := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(1).Next)
+	loading := staged(first.Step(stagingNow, members()))
+	g.Expect(loading).NotTo(BeEmpty())
+	next := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(2).Next)
+	next.Adopt(first.Stagings())
+	g.Expect(next.Stagings()).To(Equal(first.Stagings()))
+	again := staged(next.Step(stagingNow.Add(time.Second), members()))
+	g.Expect(again).NotTo(ContainElements(loading))
+	late := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(3).Next)
+	g.Expect(staged(late.Step(stagingNow.Add(time.Second), members()))).To(ContainElements(loading), "one that was not told")
+}
+
+// F14: a new instance without a model held up the repair of its whole domain.
+func TestANewInstanceWithoutAModelIsNotWaitedFor(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		model string
+		forms bool
+	}{
+		{"without a model", "", true},
+		{"with a model", "small", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			young := free("z", c.model)
+			young.Seen = stagingNow
+			members := []placement.Member{free("a", "small"), free("b", "small"), young}
+			p := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(1).Next)
+			joins := 0
+			for _, o := range p.Step(stagingNow, members).Orders {
+				if o.Action == placement.Join {
+					joins++
+				}
+			}
+			NewWithT(t).Expect(joins > 0).To(Equal(c.forms))
+		})
+	}
+}
+
+func TestServingInstancesAreRestagedOnlyWhileNoneLacksAModel(t *testing.T) {
+	serving := []placement.Member{inGroup("a", "g", 0, "small"), inGroup("b", "g", 1, "small")}
+	for _, c := range []struct {
+		name    string
+		restage int
+		more    []placement.Member
+		want    int
+	}{
+		{"switched off", 0, nil, 0},
+		{"nothing else to load", 1, nil, 1},
+		{"an instance has no model", 1, []placement.Member{free("z", "")}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			policy := placement.DefaultPolicy()
+			policy.RestageLoads = c.restage
+			p := placement.NewPlanner(engine(), policy, placement.NewEpochs(1).Next)
+			members := append(append([]placement.Member{}, serving...), c.more...)
+			n := 0
+			for i := range 4 {
+				for _, id := range staged(p.Step(stagingNow.Add(time.Duration(i)*time.Second), members)) {
+					if id != "z" {
+						n++
+					}
+				}
+			}
+			NewWithT(t).Expect(n).To(Equal(c.want))
+		})
+	}
+}
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -75,6 +75,16 @@
 	Demand []demand.Flow `json:"demand,omitempty"`
 	// Arrived tells that some node has had requests.
 	Arrived bool `json:"arrived,omitempty"`
+	// Staging are the loads to hosts under way, for the next leader.
+	Staging []Staging `json:"staging,omitempty"`
+}
+
+// Staging is a load to an instance's host that the leader has ordered.
+type Staging struct {
+	Service  state.ServiceName `json:"s"`
+	Instance state.InstanceID  `json:"i"`
+	Model    string            `json:"m"`
+	AgeMS    int64             `json:"a"`
 }
 
 // Formation names one formation of a group.
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -26,6 +26,9 @@
 	asking   map[state.InstanceID]bool
 	asked    map[state.InstanceID]time.Time
 	wake     chan struct{}
+	// staging are the loads to hosts under way, by service: those of the own planners
+	// while this node leads, else those that the leader told of.
+	staging map[state.ServiceName][]placement.Staging
 	// told is when what serves was last logged.
 	told time.Time
 }
@@ -72,6 +75,7 @@
 func (p *placer) step(ctx context.Context, c *catalog.Catalog, since time.Time) {
 	now := p.n.clock.Now()
 	var avoid []Formation
+	staging := map[state.ServiceName][]placement.Staging{}
 	watch := false
 	_, asked := p.n.peers.total()
 	for _, s := range c.Services {
@@ -83,6 +87,7 @@
 		planner.Work = p.n.set.Policy.Demand.WorkOf(s.Name, s.Engine, asked)
 		members := p.n.roster.Members(s.Name, since, now)
 		plan := planner.Step(now, members)
+		staging[s.Name] = planner.Stagings()
 		for key := range plan.Avoid {
 			avoid = append(avoid, Formation{Group: key.Group, Epoch: key.Epoch})
 		}
@@ -97,7 +102,7 @@
 		}
 	}
 	p.mu.Lock()
-	p.avoid = avoid
+	p.avoid, p.staging = avoid, staging
 	p.mu.Unlock()
 	p.n.setAvoid(avoid)
 	p.n.readListSoon(watch)
@@ -131,12 +136,39 @@
 	pl := p.planners[s.Name]
 	if pl == nil {
 		pl = placement.NewPlanner(s.Engine, p.n.set.Policy.Placement, p.nextEpoch)
+		pl.Adopt(p.staging[s.Name])
 		p.planners[s.Name] = pl
 	}
 	pl.SetEngine(s.Engine)
 	return pl
 }
 
+// stagings returns the loads to hosts that are under way, as other nodes are told.
+func (p *placer) stagings(now time.Time) []Staging {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []Staging
+	for service, under := range p.staging {
+		for _, st := range under {
+			list = append(list, Staging{Service: service, Instance: st.Instance, Model: st.Model, AgeMS: age(now.Sub(st.Since))})
+		}
+	}
+	return list
+}
+
+// handOver records the loads that the leader told of in an answer to a question
+// asked at a time, for the case that this node leads next.
+func (p *placer) handOver(list []Staging, asked time.Time) {
+	byService := map[state.ServiceName][]placement.Staging{}
+	for _, st := range list {
+		since := asked.Add(-time.Duration(st.AgeMS) * time.Millisecond)
+		byService[st.Service] = append(byService[st.Service], placement.Staging{Instance: st.Instance, Model: st.Model, Since: since})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.staging = byService
+}
+
 // nextEpoch returns an epoch above one that was seen, which no other life of a node makes.
 func (p *placer) nextEpoch(seen state.Epoch) state.Epoch {
 	p.mu.Lock()
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -126,6 +126,7 @@
 	p.arrived = p.arrived || a.Arrived
 	p.mu.Unlock()
 	n.setAvoid(a.Avoid)
+	n.placer.handOver(a.Staging, asked)
 	n.table.SetOthers(minus(a.Held, n.table.Held()), a.Demand)
 	n.gate.SetNodes(p.count())
 }
@@ -161,6 +162,7 @@
 		}
 		a.Held, a.Demand = p.total()
 		a.Avoid = n.placer.avoiding()
+		a.Staging = n.placer.stagings(now)
 		a.Arrived = p.anyArrived()
 		p.giveChanges(a, w)
 	}
