Spread requests over a second of arrivals, at most twice its part to one group

Hypothesis: late first events come in clusters because all nodes fill the emptiest group with the arrivals of 250 ms, and it reads their prompts one after another; spreading wider and counting the own unread prompts ends that.

Change: dispatch-spread-horizon 1 s (was the mean report age, 250 ms), dispatch-max-share 2, dispatch-reading-cost 5.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 FIRST ?= 1
 JOBS ?= 7
 compare:
-	@go run ./bench/compare --bench "$(BENCH)" --site "$(SITE)" --from "$(A)" --to "$(B)" --days "$(DAYS)" --seeds $(SEEDS) --first-seed $(FIRST) --jobs $(JOBS) --why "$(WHY)"
+	@go run ./bench/compare --bench "$(BENCH)" --site "$(SITE)" --from "$(A)" --to "$(B)" --days "$(DAYS)" --seeds $(SEEDS) --first-seed $(FIRST) --jobs $(JOBS) --why "$(WHY)" --cache "$(CACHE)"
 
 fuzz:
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./protocol/lang
--- a/bench/compare/compare.go
+++ b/bench/compare/compare.go
@@ -21,7 +21,7 @@
 
 // options are the command line.
 type options struct {
-	bench, site, days, a, b, why, out string
+	bench, site, days, a, b, why, out, cache string
 	seeds, first, jobs                int
 }
 
@@ -39,6 +39,7 @@
 	flaggy.Int(&o.jobs, "", "jobs", "days to play at once")
 	flaggy.String(&o.why, "", "why", "hypothesis, for the journal")
 	flaggy.String(&o.out, "", "out", "file for the table; without it, standard output")
+	flaggy.String(&o.cache, "", "cache", "file that keeps the results of committed variants")
 	flaggy.Parse()
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "compare:", err)
@@ -56,6 +57,9 @@
 		return err
 	}
 	pairs, playErr := e.Run(ctx, bench)
+	if e.Cache != nil {
+		playErr = errors.Join(playErr, e.Cache.Save())
+	}
 	var table strings.Builder
 	fmt.Fprintf(&table, "Site %s. Again: `%s`\n\n", filepath.Base(e.Site), command(o))
 	paired.WriteTable(&table, e.A, e.B, pairs)
@@ -73,6 +77,11 @@
 	}
 	e := &paired.Experiment{Days: strings.Split(o.days, ","), Jobs: o.jobs}
 	var err error
+	if o.cache != "" {
+		if e.Cache, err = paired.OpenCache(o.cache); err != nil {
+			return nil, nil, err
+		}
+	}
 	if e.A, err = paired.ParseVariant(o.a); err != nil {
 		return nil, nil, err
 	}
--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -87,15 +87,15 @@
 	mu     sync.Mutex
 	loads  map[state.InstanceID]*load
 	pools  atomic.Pointer[map[key][]*Candidate]
-	// coming is how many requests all nodes send while what is known of the other nodes is as old as it is.
-	coming atomic.Pointer[map[key]float64]
+	// arrivals is the expected number of requests from all nodes within the spread horizon.
+	arrivals atomic.Pointer[map[key]float64]
 }
 
 // NewTable returns an empty Table for a node of a data hall.
 func NewTable(hall state.HallName, policy Policy) *Table {
 	t := &Table{hall: hall, policy: policy, loads: map[state.InstanceID]*load{}}
 	t.pools.Store(&map[key][]*Candidate{})
-	t.coming.Store(&map[key]float64{})
+	t.arrivals.Store(&map[key]float64{})
 	return t
 }
 
@@ -160,11 +160,11 @@
 // SetOthers takes in how many requests the other nodes hold at each instance, and
 // what callers ask of all nodes.
 func (t *Table) SetOthers(held map[state.InstanceID]int, asked []demand.Flow) {
-	coming := make(map[key]float64, len(asked))
+	arrivals := make(map[key]float64, len(asked))
 	for _, f := range asked {
-		coming[key{f.Service, f.Model}] = f.Requests * t.policy.MeanReportAge.Seconds()
+		arrivals[key{f.Service, f.Model}] = f.Requests * t.policy.SpreadHorizon.Seconds()
 	}
-	t.coming.Store(&coming)
+	t.arrivals.Store(&arrivals)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, l := range t.loads {
--- a/coordination/dispatch/candidate_test.go
+++ b/coordination/dispatch/candidate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -108,9 +109,11 @@
 // meanwhile, each by its share, and to none that stays dearer.
 func TestComingRequestsAreSpread(t *testing.T) {
 	g := NewWithT(t)
-	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
+	policy := dispatch.DefaultPolicy()
+	policy.SpreadHorizon = 250 * time.Millisecond
+	table := dispatch.NewTable("h", policy)
 	table.Update(config(), []roster.View{plain("a"), plain("b"), plain("c")}, func(fleet.GroupKey) bool { return false })
-	asked := []demand.Flow{{Service: "plain", Requests: 16}} // four while the knowledge is old
+	asked := []demand.Flow{{Service: "plain", Requests: 16}} // four in the horizon
 	table.SetOthers(map[state.InstanceID]int{"b": 2, "c": 9}, asked)
 	const draws = 6000
 	got := map[state.InstanceID]int{}
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -40,7 +40,7 @@
 	if pool[0].Size == 0 {
 		share = 0
 	}
-	return draw(pool, max((*t.coming.Load())[k], 1), share).Candidate
+	return draw(pool, max((*t.arrivals.Load())[k], 1), share).Candidate
 }
 
 // offer is a candidate with what it costs to send a request to it, in parts of its places.
--- a/coordination/dispatch/policy.go
+++ b/coordination/dispatch/policy.go
@@ -19,14 +19,17 @@
 	// ReadingCost is what a second of reading prompts that this node has sent adds to
 	// the cost of a group, in requests held for each place: a group reads prompts one
 	// after another, and a request behind them waits for its first event.
+	// Measured together with MaxShare: docs/EXPERIMENTS.md, "spread".
 	ReadingCost float64 `flag:"reading-cost" help:"cost of a second of prompts still being read, in requests held for each place" min:"0" max:"1000"`
 	// MaxShare bounds the part of the requests that one group of a model draws, as a
 	// multiple of its part of all places; 0 is no bound. A group that has just opened is
 	// the emptiest for all nodes at once, and reads what they all send one after another.
 	MaxShare float64 `flag:"max-share" help:"largest part of the requests that a group draws, as a multiple of its part of the places; 0 is no bound" min:"0" max:"1000"`
-	// MeanReportAge is the mean age of another node's load report: half of the
-	// interval between two reports, for each of the two hops by way of the leader.
-	MeanReportAge time.Duration `flag:"mean-report-age" help:"mean age of another node's load report" min:"0s" max:"10s"`
+	// SpreadHorizon is the span of arrivals at all nodes that a node spreads over the
+	// groups, the cheapest first. It is at least the mean age of the other nodes' load
+	// reports (250 ms): with that alone the arrivals of a moment all go to one or two
+	// groups. Measured: docs/EXPERIMENTS.md, "spread".
+	SpreadHorizon time.Duration `flag:"spread-horizon" help:"span of arrivals that is spread over the groups" min:"0s" max:"1m"`
 }
 
 // DefaultPolicy returns the policy that nodes start with.
@@ -36,6 +39,8 @@
 		FailureCost:     0.15,
 		FailureRecovery: 0.15,
 		RemoteHallCost:  0.03,
-		MeanReportAge:   250 * time.Millisecond,
+		ReadingCost:     5,
+		MaxShare:        2,
+		SpreadHorizon:   time.Second,
 	}
 }
--- a/coordination/dispatch/spread_test.go
+++ b/coordination/dispatch/spread_test.go
@@ -58,7 +58,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			policy := dispatch.DefaultPolicy()
-			policy.MaxShare, policy.MeanReportAge = c.maxShare, 250*time.Millisecond
+			policy.MaxShare, policy.SpreadHorizon = c.maxShare, 250*time.Millisecond
 			table := dispatch.NewTable("h", policy)
 			table.Update(readingConfig(), heads(5), func(fleet.GroupKey) bool { return false })
 			others := map[state.InstanceID]int{"head-1": 10, "head-2": 10, "head-3": 10, "head-4": 10}
--- a/coordination/placement/staging_test.go
+++ b/coordination/placement/staging_test.go
@@ -21,11 +21,11 @@
 	return m
 }
 
-// inGroup returns a member of an open group of the small model.
-func inGroup(id state.InstanceID, group state.GroupName, rank int, staged ...string) placement.Member {
+// inGroup returns a member of the open group g of the small model.
+func inGroup(id state.InstanceID, rank int, staged ...string) placement.Member {
 	m := free(id, "small", staged...)
 	m.Loaded = "small"
-	m.Membership = fleet.Membership{Group: group, Epoch: 16 << 20, Rank: rank, State: fleet.Ready}
+	m.Membership = fleet.Membership{Group: "g", Epoch: 16 << 20, Rank: rank, State: fleet.Ready}
 	if rank == 0 {
 		m.Membership.State = fleet.Open
 	}
@@ -48,7 +48,7 @@
 func TestLoadsOfTheLastLeaderAreNotOrderedAgain(t *testing.T) {
 	g := NewWithT(t)
 	members := func() []placement.Member {
-		return []placement.Member{inGroup("a", "g", 0), inGroup("b", "g", 1), free("c", ""), free("e", "")}
+		return []placement.Member{inGroup("a", 0), inGroup("b", 1), free("c", ""), free("e", "")}
 	}
 	first := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(1).Next)
 	loading := staged(first.Step(stagingNow, members()))
@@ -89,7 +89,7 @@
 }
 
 func TestServingInstancesAreRestagedOnlyWhileNoneLacksAModel(t *testing.T) {
-	serving := []placement.Member{inGroup("a", "g", 0, "small"), inGroup("b", "g", 1, "small")}
+	serving := []placement.Member{inGroup("a", 0, "small"), inGroup("b", 1, "small")}
 	for _, c := range []struct {
 		name    string
 		restage int
--- a/internal/paired/experiment.go
+++ b/internal/paired/experiment.go
@@ -25,6 +25,8 @@
 	A, B  Variant
 	// Jobs is how many days are played at once.
 	Jobs int
+	// Cache keeps results between experiments; nil is none.
+	Cache *Cache
 }
 
 // trees are the copies of the two variants' sources.
@@ -42,7 +44,12 @@
 	if err := e.makeTrees(ctx, t); err != nil {
 		return nil, err
 	}
-	pairs, err := e.playAll(ctx, p, t)
+	a, errA := e.A.through(ctx, e.Root, p, e.Cache)
+	b, errB := e.B.through(ctx, e.Root, p, e.Cache)
+	if err := errors.Join(errA, errB); err != nil {
+		return nil, err
+	}
+	pairs, err := e.playAll(ctx, a, b, t)
 	for _, tree := range []string{t.a, t.b} {
 		err = errors.Join(err, CollectJournal(tree, e.Root))
 	}
@@ -66,7 +73,7 @@
 }
 
 // playAll plays every day and seed with both variants, Jobs at a time.
-func (e *Experiment) playAll(ctx context.Context, p Player, t trees) ([]Pair, error) {
+func (e *Experiment) playAll(ctx context.Context, a, b Player, t trees) ([]Pair, error) {
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, max(e.Jobs, 1))
 	var pairs []Pair
@@ -76,7 +83,7 @@
 		}
 	}
 	errs := make([][2]error, len(pairs))
-	play := func(dir string, pair *Pair, res *Result, err *error) {
+	play := func(p Player, dir string, pair *Pair, res *Result, err *error) {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
@@ -84,8 +91,8 @@
 		})
 	}
 	for i := range pairs {
-		play(t.a, &pairs[i], &pairs[i].A, &errs[i][0])
-		play(t.b, &pairs[i], &pairs[i].B, &errs[i][1])
+		play(a, t.a, &pairs[i], &pairs[i].A, &errs[i][0])
+		play(b, t.b, &pairs[i], &pairs[i].B, &errs[i][1])
 	}
 	wg.Wait()
 	return wholePairs(pairs, errs)
--- a/internal/paired/paired_test.go
+++ b/internal/paired/paired_test.go
@@ -167,3 +167,29 @@
 	g.Expect(text.String()).To(ContainSubstring("B broke TWICE on one busy seed 7."))
 	g.Expect(text.String()).To(ContainSubstring("| all | 3 |"))
 }
+
+func TestAVariantThatWasPlayedIsNotPlayedAgain(t *testing.T) {
+	g := NewWithT(t)
+	root := project(t)
+	bench := filepath.Join(t.TempDir(), "bench")
+	g.Expect(os.WriteFile(bench, []byte(fakeBench), 0o755)).To(Succeed())
+	file := filepath.Join(t.TempDir(), "cache.json")
+	run := func(commit, program string) ([]paired.Pair, error) {
+		cache, err := paired.OpenCache(file)
+		g.Expect(err).NotTo(HaveOccurred())
+		e := &paired.Experiment{
+			Root: root, Site: "one.toml", Days: []string{"quiet"}, Seeds: []int64{1, 2}, Jobs: 1, Cache: cache,
+			A: paired.Variant{Commit: commit}, B: paired.Variant{Commit: "HEAD", Settings: []string{"gain=2"}},
+		}
+		pairs, err := e.Run(context.Background(), &paired.Bench{Program: program})
+		g.Expect(cache.Save()).To(Succeed())
+		return pairs, err
+	}
+	first, err := run("HEAD", bench)
+	g.Expect(err).NotTo(HaveOccurred())
+	again, err := run("HEAD", "/no/bench")
+	g.Expect(err).NotTo(HaveOccurred(), "all results are known")
+	g.Expect(again).To(Equal(first))
+	_, err = run(paired.WorkTree, "/no/bench")
+	g.Expect(err).To(MatchError(paired.ErrPlay), "the working tree is played anew")
+}
