Pace the prompts that a node sends to one group (off)

Change: a token bucket for each group, in seconds of the group's reading; a node fills its part of dispatch-read-limit by its part of the demand. Tests: TestAGroupIsSentPromptsAtTheNodesPartOfItsReading, TestAGroupThatRestedIsSentNoMoreThanTheBurst.

--- a/bench/compare/compare.go
+++ b/bench/compare/compare.go
@@ -22,7 +22,7 @@
 // options are the command line.
 type options struct {
 	bench, site, days, a, b, why, out, cache string
-	seeds, first, jobs                int
+	seeds, first, jobs                       int
 }
 
 func main() {
--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -28,6 +28,7 @@
 	readTime float64
 	load     *load
 	policy   *Policy
+	table    *Table
 }
 
 // load counts what one instance holds; it outlives changes of the candidate.
@@ -38,6 +39,7 @@
 	reading atomic.Int64
 	// trouble is a decaying count of failures, in thousandths.
 	trouble atomic.Int64
+	pacer   pacer
 	// checked is when the group's members were last asked whether they live.
 	checked atomic.Int64
 }
@@ -89,6 +91,8 @@
 	pools  atomic.Pointer[map[key][]*Candidate]
 	// arrivals is the expected number of requests from all nodes within the spread horizon.
 	arrivals atomic.Pointer[map[key]float64]
+	// parts are this node's part of what callers ask of all nodes.
+	parts atomic.Pointer[map[key]float64]
 }
 
 // NewTable returns an empty Table for a node of a data hall.
@@ -96,6 +100,7 @@
 	t := &Table{hall: hall, policy: policy, loads: map[state.InstanceID]*load{}}
 	t.pools.Store(&map[key][]*Candidate{})
 	t.arrivals.Store(&map[key]float64{})
+	t.parts.Store(&map[key]float64{})
 	return t
 }
 
@@ -122,7 +127,7 @@
 		if service == nil || v.Lost || v.Draining {
 			continue
 		}
-		cand := &Candidate{Instance: v.Instance, load: l, policy: &t.policy}
+		cand := &Candidate{Instance: v.Instance, load: l, policy: &t.policy, table: t}
 		if service.Engine == nil {
 			pools[key{v.Service, ""}] = append(pools[key{v.Service, ""}], cand)
 			continue
@@ -157,14 +162,23 @@
 	return len(c.Members) >= model.Size
 }
 
-// SetOthers takes in how many requests the other nodes hold at each instance, and
-// what callers ask of all nodes.
-func (t *Table) SetOthers(held map[state.InstanceID]int, asked []demand.Flow) {
+// SetOthers records how many requests the other nodes hold at each instance, what
+// callers ask of all nodes, and what they ask of this one.
+func (t *Table) SetOthers(held map[state.InstanceID]int, asked, own []demand.Flow) {
 	arrivals := make(map[key]float64, len(asked))
+	parts := make(map[key]float64, len(asked))
 	for _, f := range asked {
-		arrivals[key{f.Service, f.Model}] = f.Requests * t.policy.SpreadHorizon.Seconds()
+		k := key{f.Service, f.Model}
+		arrivals[k] = f.Requests * t.policy.SpreadHorizon.Seconds()
+		parts[k] = minPart
+		for _, o := range own {
+			if o.Service == f.Service && o.Model == f.Model && f.Requests > 0 {
+				parts[k] = min(max(o.Requests/f.Requests, minPart), 1)
+			}
+		}
 	}
 	t.arrivals.Store(&arrivals)
+	t.parts.Store(&parts)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, l := range t.loads {
@@ -172,6 +186,10 @@
 	}
 }
 
+// minPart is the least part of the requests that a node counts as its own, so that
+// one that has just begun to take requests may send some.
+const minPart = 0.01
+
 // Held returns the requests that this node holds at each instance.
 func (t *Table) Held() map[state.InstanceID]int {
 	t.mu.Lock()
@@ -185,7 +203,22 @@
 	return held
 }
 
-// Full tells whether an instance should be given no new request.
-func (c *Candidate) Full() bool {
-	return c.Size > 0 && float64(c.Load()) >= c.policy.FullAt*float64(c.Slots)
+// Full reports whether an instance should be given no new request.
+func (c *Candidate) Full(now time.Time) bool {
+	if c.Size == 0 {
+		return false
+	}
+	return float64(c.Load()) >= c.policy.FullAt*float64(c.Slots) || c.paced() && !c.load.pacer.ready(now, c.pace())
+}
+
+// paced reports whether the prompts sent to the instance are bounded.
+func (c *Candidate) paced() bool { return c.policy.ReadLimit > 0 && c.readTime > 0 }
+
+// pace returns how fast this node may send prompts to the group.
+func (c *Candidate) pace() pace {
+	part, known := (*c.table.parts.Load())[key{c.Service, c.Model}]
+	if !known {
+		part = 1
+	}
+	return pace{rate: part * c.policy.ReadLimit, burst: c.policy.PaceBurst}
 }
--- a/coordination/dispatch/candidate_test.go
+++ b/coordination/dispatch/candidate_test.go
@@ -33,6 +33,9 @@
 	}}
 }
 
+// start is when the tests take place.
+var start = time.Unix(1000, 0)
+
 // nobody avoids no instance.
 func nobody(state.InstanceID) bool { return false }
 
@@ -67,7 +70,7 @@
 			if c.service == "lm" {
 				model = "m"
 			}
-			NewWithT(t).Expect(table.Pick(c.service, model, nobody) != nil).To(Equal(c.found))
+			NewWithT(t).Expect(table.Pick(c.service, model, start, nobody) != nil).To(Equal(c.found))
 		})
 	}
 }
@@ -76,17 +79,17 @@
 	g := NewWithT(t)
 	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
 	table.Update(config(), []roster.View{plain("a"), plain("b")}, func(fleet.GroupKey) bool { return false })
-	table.SetOthers(map[state.InstanceID]int{"a": 3}, nil)
+	table.SetOthers(map[state.InstanceID]int{"a": 3}, nil, nil)
 	for range 20 {
-		g.Expect(table.Pick("plain", "", nobody).ID).To(Equal(state.InstanceID("b")))
+		g.Expect(table.Pick("plain", "", start, nobody).ID).To(Equal(state.InstanceID("b")))
 	}
-	held := table.Pick("plain", "", nobody)
+	held := table.Pick("plain", "", start, nobody)
 	for range 4 {
-		held.Hold(0)
+		held.Hold(0, start)
 	}
 	g.Expect(table.Held()).To(Equal(map[state.InstanceID]int{"b": 4}))
 	for range 20 {
-		g.Expect(table.Pick("plain", "", nobody).ID).To(Equal(state.InstanceID("a")))
+		g.Expect(table.Pick("plain", "", start, nobody).ID).To(Equal(state.InstanceID("a")))
 	}
 }
 
@@ -94,15 +97,15 @@
 	g := NewWithT(t)
 	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
 	table.Update(config(), []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready)}, func(fleet.GroupKey) bool { return false })
-	head := table.Pick("lm", "m", nobody)
+	head := table.Pick("lm", "m", start, nobody)
 	for range 8 {
-		head.Hold(0)
+		head.Hold(0, start)
 	}
-	g.Expect(head.Full()).To(BeFalse())
-	last := head.Hold(0)
-	g.Expect(head.Full()).To(BeTrue())
+	g.Expect(head.Full(start)).To(BeFalse())
+	last := head.Hold(0, start)
+	g.Expect(head.Full(start)).To(BeTrue())
 	last.End()
-	g.Expect(head.Full()).To(BeFalse())
+	g.Expect(head.Full(start)).To(BeFalse())
 }
 
 // With old knowledge of the others, requests go to all that will be cheapest
@@ -114,11 +117,11 @@
 	table := dispatch.NewTable("h", policy)
 	table.Update(config(), []roster.View{plain("a"), plain("b"), plain("c")}, func(fleet.GroupKey) bool { return false })
 	asked := []demand.Flow{{Service: "plain", Requests: 16}} // four in the horizon
-	table.SetOthers(map[state.InstanceID]int{"b": 2, "c": 9}, asked)
+	table.SetOthers(map[state.InstanceID]int{"b": 2, "c": 9}, asked, nil)
 	const draws = 6000
 	got := map[state.InstanceID]int{}
 	for range draws {
-		got[table.Pick("plain", "", nobody).ID]++
+		got[table.Pick("plain", "", start, nobody).ID]++
 	}
 	g.Expect(got["c"]).To(BeZero())
 	g.Expect(got["a"]).To(BeNumerically("~", 3*draws/4, draws/20))
@@ -134,10 +137,10 @@
 	mate.Membership.Group = "h"
 	table.Update(config(), []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready), other, mate}, func(fleet.GroupKey) bool { return false })
 	asked := []demand.Flow{{Service: "lm", Model: "m", Requests: 1000}}
-	table.SetOthers(map[state.InstanceID]int{"a": 9, "c": 5}, asked)
+	table.SetOthers(map[state.InstanceID]int{"a": 9, "c": 5}, asked, nil)
 	for range 50 {
-		g.Expect(table.Pick("lm", "m", nobody).ID).To(Equal(state.InstanceID("c")))
+		g.Expect(table.Pick("lm", "m", start, nobody).ID).To(Equal(state.InstanceID("c")))
 	}
-	table.SetOthers(map[state.InstanceID]int{"a": 9, "c": 9}, asked)
-	g.Expect(table.Pick("lm", "m", nobody).Full()).To(BeTrue())
+	table.SetOthers(map[state.InstanceID]int{"a": 9, "c": 9}, asked, nil)
+	g.Expect(table.Pick("lm", "m", start, nobody).Full(start)).To(BeTrue())
 }
--- a/coordination/dispatch/hold.go
+++ b/coordination/dispatch/hold.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Hold is one request that this node has sent to a candidate and that has not
 // ended. It is safe for concurrent use.
@@ -10,8 +13,11 @@
 	prompt atomic.Int64
 }
 
-// Hold counts a request with a number of prompt tokens as sent to the instance.
-func (c *Candidate) Hold(prompt int) *Hold {
+// Hold counts a request with a number of prompt tokens as sent to the instance now.
+func (c *Candidate) Hold(prompt int, now time.Time) *Hold {
+	if c.paced() {
+		c.load.pacer.spend(now, c.pace(), time.Duration(float64(prompt)*c.readTime))
+	}
 	h := &Hold{load: c.load}
 	h.prompt.Store(int64(prompt))
 	c.load.held.Add(1)
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/troutmast/troutmast/state"
 )
@@ -17,7 +18,7 @@
 // the requests that all of them send meanwhile as if it were alone, filling up
 // the cheapest first, and draws by how many each candidate gets (load
 // interpretation; Dahlin, Interpreting Stale Load Information, 1999).
-func (t *Table) Pick(service state.ServiceName, model string, avoid func(state.InstanceID) bool) *Candidate {
+func (t *Table) Pick(service state.ServiceName, model string, now time.Time, avoid func(state.InstanceID) bool) *Candidate {
 	k := key{service, model}
 	pool := make([]offer, 0, len((*t.pools.Load())[k]))
 	full := true
@@ -25,11 +26,12 @@
 		if avoid(c.ID) {
 			continue
 		}
-		if full && !c.Full() {
+		cFull := c.Full(now)
+		if full && !cFull {
 			full = false
 			pool = pool[:0]
 		}
-		if full || !c.Full() {
+		if full || !cFull {
 			pool = append(pool, offer{c, t.cost(c), float64(max(c.Slots, 1))})
 		}
 	}
--- a/coordination/dispatch/policy.go
+++ b/coordination/dispatch/policy.go
@@ -25,6 +25,11 @@
 	// multiple of its part of all places; 0 is no bound. A group that has just opened is
 	// the emptiest for all nodes at once, and reads what they all send one after another.
 	MaxShare float64 `flag:"max-share" help:"largest part of the requests that a group draws, as a multiple of its part of the places; 0 is no bound" min:"0" max:"1000"`
+	// ReadLimit is the part of its time that a group may be kept reading prompts, PaceBurst
+	// the span over which a rest is made up for; a limit of 0 is none. Each node sends a
+	// group prompts at its own part of that rate.
+	ReadLimit float64       `flag:"read-limit" help:"part of its time that a group may be kept reading prompts; 0 is no limit" min:"0" max:"10"`
+	PaceBurst time.Duration `flag:"pace-burst" help:"span over which a group that was sent few prompts may be sent more" min:"0s" max:"1m"`
 	// SpreadHorizon is the span of arrivals at all nodes that a node spreads over the
 	// groups, the cheapest first. It is at least the mean age of the other nodes' load
 	// reports (250 ms): with that alone the arrivals of a moment all go to one or two
@@ -41,6 +46,8 @@
 		RemoteHallCost:  0.03,
 		ReadingCost:     5,
 		MaxShare:        2,
+		ReadLimit:       0,
+		PaceBurst:       200 * time.Millisecond,
 		SpreadHorizon:   time.Second,
 	}
 }
--- a/coordination/dispatch/spread_test.go
+++ b/coordination/dispatch/spread_test.go
@@ -37,7 +37,7 @@
 	const draws = 4000
 	got := map[state.InstanceID]float64{}
 	for range draws {
-		got[table.Pick("lm", "m", nobody).ID] += 1.0 / draws
+		got[table.Pick("lm", "m", start, nobody).ID] += 1.0 / draws
 	}
 	return got
 }
@@ -62,7 +62,7 @@
 			table := dispatch.NewTable("h", policy)
 			table.Update(readingConfig(), heads(5), func(fleet.GroupKey) bool { return false })
 			others := map[state.InstanceID]int{"head-1": 10, "head-2": 10, "head-3": 10, "head-4": 10}
-			table.SetOthers(others, []demand.Flow{{Service: "lm", Model: "m", Requests: 16}})
+			table.SetOthers(others, []demand.Flow{{Service: "lm", Model: "m", Requests: 16}}, nil)
 			got := drawn(table)
 			g.Expect(got["head-0"]).To(BeNumerically("~", c.want, 0.03))
 			for _, id := range []state.InstanceID{"head-1", "head-2", "head-3", "head-4"} {
@@ -78,19 +78,64 @@
 	policy.ReadingCost = 1
 	table := dispatch.NewTable("h", policy)
 	table.Update(readingConfig(), heads(2), func(fleet.GroupKey) bool { return false })
-	first := table.Pick("lm", "m", nobody)
-	hold := first.Hold(1000)
+	first := table.Pick("lm", "m", start, nobody)
+	hold := first.Hold(1000, start)
 	g.Expect(first.Reading()).To(Equal(500*time.Millisecond), "1,000 tokens at 1,000 a second and pace 0.5")
 	for range 50 {
-		g.Expect(table.Pick("lm", "m", nobody).ID).NotTo(Equal(first.ID))
+		g.Expect(table.Pick("lm", "m", start, nobody).ID).NotTo(Equal(first.ID))
 	}
 	hold.Started()
 	hold.Started()
 	g.Expect(first.Reading()).To(BeZero())
 	g.Expect(first.Held()).To(Equal(int64(1)))
-	other := first.Hold(300)
+	other := first.Hold(300, start)
 	hold.End()
 	other.End()
 	g.Expect(first.Reading()).To(BeZero())
 	g.Expect(first.Held()).To(BeZero())
 }
+
+// pacedTable returns a table with one group and a limit on reading, at a node that
+// callers ask for half of all requests.
+func pacedTable() *dispatch.Table {
+	policy := dispatch.DefaultPolicy()
+	policy.ReadLimit, policy.PaceBurst = 0.8, 250*time.Millisecond
+	table := dispatch.NewTable("h", policy)
+	table.Update(readingConfig(), heads(1), func(fleet.GroupKey) bool { return false })
+	asked := []demand.Flow{{Service: "lm", Model: "m", Requests: 10}}
+	own := []demand.Flow{{Service: "lm", Model: "m", Requests: 5}}
+	table.SetOthers(nil, asked, own)
+	return table
+}
+
+// F12: a node sends a group prompts no faster than its part of what the group can
+// read, also where every other group is full.
+func TestAGroupIsSentPromptsAtTheNodesPartOfItsReading(t *testing.T) {
+	g := NewWithT(t)
+	head := pacedTable().Pick("lm", "m", start, nobody)
+	now := start
+	var read time.Duration
+	for range 10000 {
+		now = now.Add(time.Millisecond)
+		if head.Full(now) {
+			continue
+		}
+		head.Hold(100, now).End()
+		read += 50 * time.Millisecond // 100 tokens at 1,000 a second and pace 0.5
+	}
+	// Half of 0.8 of 10 s, and at most one prompt more than the level allows.
+	g.Expect(read).To(BeNumerically("~", 4*time.Second, 200*time.Millisecond))
+}
+
+func TestAGroupThatRestedIsSentNoMoreThanTheBurst(t *testing.T) {
+	g := NewWithT(t)
+	head := pacedTable().Pick("lm", "m", start, nobody)
+	now := start.Add(time.Hour)
+	g.Expect(head.Full(now)).To(BeFalse())
+	sent := 0
+	for ; !head.Full(now); sent++ {
+		head.Hold(100, now)
+	}
+	// The burst is 0.4 of 250 ms: two prompts of 50 ms bring the level to 0, a third below it.
+	g.Expect(sent).To(Equal(3))
+}
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -127,7 +127,7 @@
 	p.mu.Unlock()
 	n.setAvoid(a.Avoid)
 	n.placer.handOver(a.Staging, asked)
-	n.table.SetOthers(minus(a.Held, n.table.Held()), a.Demand)
+	n.table.SetOthers(minus(a.Held, n.table.Held()), a.Demand, n.demand.Flows(n.clock.Now()))
 	n.gate.SetNodes(p.count())
 }
 
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -45,7 +45,7 @@
 		if target == nil {
 			return c.noTarget()
 		}
-		if c.sends == 0 && target.Full() {
+		if c.sends == 0 && target.Full(c.Clock.Now()) {
 			return refusedAt(CodeOverloaded, c.Policy.OverloadRetryAfter)
 		}
 		if c.sends > 0 && !c.budget.Take(c.Clock.Now()) {
@@ -105,7 +105,7 @@
 
 // pick chooses where the request goes next; it never goes twice to the same instance.
 func (c *call) pick() *dispatch.Candidate {
-	return c.Table.Pick(c.service, c.model, func(id state.InstanceID) bool { return slices.Contains(c.tried, id) })
+	return c.Table.Pick(c.service, c.model, c.Clock.Now(), func(id state.InstanceID) bool { return slices.Contains(c.tried, id) })
 }
 
 // waitForTarget waits a moment for a group at which a begun stream can go on.
@@ -134,11 +134,11 @@
 	c.tried = append(c.tried, target.ID)
 	c.sends++
 	c.loadWhenPicked = target.Load()
-	c.hold = target.Hold(c.claims.Prompt)
-	defer c.hold.End()
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	sent := c.Clock.Now()
+	c.hold = target.Hold(c.claims.Prompt, sent)
+	defer c.hold.End()
 	c.runs++
 	watched := c.Watch.add(target, c.route.Kind == catalog.Stream, sent, cancel)
 	defer c.Watch.remove(watched)
