Take out loads to serving instances and the bound on swapped models

Hypothesis: while no instance lacks a model, serving instances that hold one model alone should load the other (placement-restage-loads 2), and hosts that hold a model should take at most 2 of the 6 loads (placement-swap-loads 2), so that new instances do not wait for a load.

--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -43,11 +43,6 @@
 	MinStagingGain float64 `flag:"min-staging-gain" help:"least worth of loading a model to a host" min:"0" max:"10"`
 	// StagingInterval is the least time between two looks at what to load.
 	StagingInterval time.Duration `flag:"staging-interval" help:"least time between two looks at what to load to hosts" min:"0s" max:"1m"`
-	// RestageLoads is how many loads may be under way to hosts of serving instances, and
-	// SwapLoads to hosts of free ones, that hold another model already. Loads are the
-	// scarcest thing when instances are replaced: the weight store carries few at once.
-	RestageLoads int `flag:"restage-loads" help:"loads under way to hosts of serving instances that hold another model" min:"0" max:"1000"`
-	SwapLoads    int `flag:"swap-loads" help:"loads under way to hosts of free instances that hold another model" min:"0" max:"1000"`
 	// StagingTimeout is how long an order to stage a model is trusted to be under way.
 	StagingTimeout time.Duration `flag:"staging-timeout" help:"how long an order to stage a model is trusted to be under way" min:"1s" max:"1h"`
 }
@@ -71,8 +66,6 @@
 		LoadPart:             0.8,
 		MinStagingGain:       0.01,
 		StagingInterval:      300 * time.Millisecond,
-		RestageLoads:         0,
-		SwapLoads:            1000,
 		StagingTimeout:       40 * time.Second,
 	}
 }
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -12,8 +12,6 @@
 type stagingModel struct {
 	model string
 	since time.Time
-	// spare tells that the instance could already join groups of another model quickly.
-	spare bool
 }
 
 // Staging is a load to a host that is under way.
@@ -70,39 +68,6 @@
 	if s.Quiet {
 		s.stageOther(s.serving)
 		s.stageOther(s.spare)
-	} else if s.sparesLoading() < s.policy.RestageLoads && len(s.staging) < max(s.engine.LoadsAtOnce, 1) {
-		s.restage()
-	}
-}
-
-// sparesLoading returns the number of loads under way to instances that could join groups without them.
-func (s *step) sparesLoading() int {
-	n := 0
-	for _, st := range s.staging {
-		if st.spare {
-			n++
-		}
-	}
-	return n
-}
-
-// restage has one instance of a serving group load another model to its host, if the
-// host holds only the model that the instance serves: after a loss it can then join
-// groups of either. Loads are scarce, so this is done only while no instance lacks a model.
-func (s *step) restage() {
-	for _, id := range sortedIDs(s.byID) {
-		if m := s.byID[id]; m.usable() && m.empty() {
-			return
-		}
-	}
-	for _, id := range sortedIDs(s.byID) {
-		m := s.byID[id]
-		other := s.otherModel(m.Model)
-		if !s.serving(m) || m.HasStaged(other) || s.staging[id].model != "" {
-			continue
-		}
-		s.stageModel(m, other)
-		return
 	}
 }
 
@@ -138,7 +103,7 @@
 func (s *step) loadsOf(d *domain, model string, most int) []wantedLoad {
 	var lacking []*Member
 	for _, m := range d.free {
-		if s.spare(m) && s.staging[m.ID].model == "" && m.Model != model && !m.HasStaged(model) && s.maySwap(m) {
+		if s.spare(m) && s.staging[m.ID].model == "" && m.Model != model && !m.HasStaged(model) {
 			lacking = append(lacking, m)
 		}
 	}
@@ -159,12 +124,6 @@
 	return list
 }
 
-// maySwap reports whether a host may be loaded again: always one without a model,
-// others only while few such loads are under way.
-func (s *step) maySwap(m *Member) bool {
-	return s.Quiet || m.empty() || s.sparesLoading() < s.policy.SwapLoads
-}
-
 // stageOther has instances of a kind that have staged nothing load another model than they have.
 func (s *step) stageOther(kind func(m *Member) bool) {
 	for _, id := range sortedIDs(s.byID) {
@@ -192,7 +151,7 @@
 	if m.Pending || !m.usable() || model == "" || m.HasStaged(model) || s.staging[m.ID].model != "" || !s.mayLoad() {
 		return
 	}
-	s.staging[m.ID] = stagingModel{model: model, since: s.now, spare: !m.empty()}
+	s.staging[m.ID] = stagingModel{model: model, since: s.now}
 	s.order(m, Order{Action: Stage, Model: model, Why: "for a later repair"})
 }
 
--- a/coordination/placement/staging_test.go
+++ b/coordination/placement/staging_test.go
@@ -87,33 +87,3 @@
 		})
 	}
 }
-
-func TestServingInstancesAreRestagedOnlyWhileNoneLacksAModel(t *testing.T) {
-	serving := []placement.Member{inGroup("a", 0, "small"), inGroup("b", 1, "small")}
-	for _, c := range []struct {
-		name    string
-		restage int
-		more    []placement.Member
-		want    int
-	}{
-		{"switched off", 0, nil, 0},
-		{"nothing else to load", 1, nil, 1},
-		{"an instance has no model", 1, []placement.Member{free("z", "")}, 0},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			policy := placement.DefaultPolicy()
-			policy.RestageLoads = c.restage
-			p := placement.NewPlanner(engine(), policy, placement.NewEpochs(1).Next)
-			members := append(append([]placement.Member{}, serving...), c.more...)
-			n := 0
-			for i := range 4 {
-				for _, id := range staged(p.Step(stagingNow.Add(time.Duration(i)*time.Second), members)) {
-					if id != "z" {
-						n++
-					}
-				}
-			}
-			NewWithT(t).Expect(n).To(Equal(c.want))
-		})
-	}
-}
