Pace prompts to 0.7 of a group's reading

Hypothesis: late first events are prompts that wait for each other; sent no faster than the group reads them, most come in time, and what cannot be read in time is better refused at once.

--- a/coordination/dispatch/policy.go
+++ b/coordination/dispatch/policy.go
@@ -27,7 +27,7 @@
 	MaxShare float64 `flag:"max-share" help:"largest part of the requests that a group draws, as a multiple of its part of the places; 0 is no bound" min:"0" max:"1000"`
 	// ReadLimit is the part of its time that a group may be kept reading prompts, PaceBurst
 	// the span over which a rest is made up for; a limit of 0 is none. Each node sends a
-	// group prompts at its own part of that rate.
+	// group prompts at its own part of that rate. Measured: docs/EXPERIMENTS.md, "pacing".
 	ReadLimit float64       `flag:"read-limit" help:"part of its time that a group may be kept reading prompts; 0 is no limit" min:"0" max:"10"`
 	PaceBurst time.Duration `flag:"pace-burst" help:"span over which a group that was sent few prompts may be sent more" min:"0s" max:"1m"`
 	// SpreadHorizon is the span of arrivals at all nodes that a node spreads over the
@@ -46,7 +46,7 @@
 		RemoteHallCost:  0.03,
 		ReadingCost:     5,
 		MaxShare:        2,
-		ReadLimit:       0,
+		ReadLimit:       0.7,
 		PaceBurst:       200 * time.Millisecond,
 		SpreadHorizon:   time.Second,
 	}
