--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -58,8 +59,10 @@
 	next       func(seen state.Epoch) state.Epoch
 	formations map[fleet.GroupKey]*formation
 	loads      []time.Time
-	sent       map[state.InstanceID]sentAt
-	staging    map[state.InstanceID]stagingModel
+	// began is when the planner first planned.
+	began   time.Time
+	sent    map[state.InstanceID]sentAt
+	staging map[state.InstanceID]stagingModel
 	// staged is when it was last looked at what to load to hosts.
 	staged time.Time
 	// Quiet tells that no request has come yet, so that loads are nearly free.
@@ -94,6 +97,8 @@
 	// Serving is the number of open groups of each model, Free the number of usable instances in no group.
 	Serving map[string]int
 	Free    int
+	// Wanted is the number of instances that should be in groups of each model.
+	Wanted map[string]float64
 	// Spares tells what each free instance has loaded.
 	Spares []string
 	// Avoid are the formations that must not be sent new requests.
@@ -123,6 +128,9 @@
 		groups:  map[fleet.GroupKey][]*Member{},
 		plan:    Plan{Avoid: map[fleet.GroupKey]string{}},
 	}
+	if p.began.IsZero() {
+		p.began = now
+	}
 	for i := range members {
 		m := &members[i]
 		s.byID[m.ID] = m
@@ -201,6 +209,10 @@
 // census counts what serves and what is free.
 func (s *step) census() {
 	s.plan.Serving = map[string]int{}
+	s.plan.Wanted = map[string]float64{}
+	for i, m := range s.engine.Models {
+		s.plan.Wanted[m.Name] = math.Round(s.supply.want[i])
+	}
 	for _, f := range s.formations {
 		if f.opened && f.failed == "" {
 			s.plan.Serving[f.model]++
--- a/coordination/placement/staging_test.go
+++ b/coordination/placement/staging_test.go
@@ -87,3 +87,41 @@
 		})
 	}
 }
+
+// F15: with a pair of the model that is worth little in every domain, new instances
+// were given that model again, since two loads complete a pair and four a group of
+// the model that is short. Members of the pair load the other model instead.
+func TestMembersOfAGroupThatIsWorthLittleLoadTheModelThatIsShort(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		convert bool
+		want    []state.InstanceID
+	}{
+		{"switched off", false, []state.InstanceID{"c", "e"}},
+		{"switched on", true, []state.InstanceID{"c", "e", "a", "b"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			policy := placement.DefaultPolicy()
+			policy.ConvertLoads = c.convert
+			p := placement.NewPlanner(engine(), policy, placement.NewEpochs(1).Next)
+			p.Work = []float64{400, 0.1} // the large model is short of everything, the small one needs hardly any
+			loading := map[state.InstanceID]string{}
+			for i := range 4 {
+				members := []placement.Member{inGroup("a", 0, "small"), inGroup("b", 1, "small"), free("c", ""), free("e", "")}
+				for _, o := range p.Step(stagingNow.Add(time.Duration(i)*time.Second), members).Orders {
+					if o.Action == placement.Stage {
+						loading[o.Instance] = o.Model
+					}
+				}
+			}
+			g := NewWithT(t)
+			g.Expect(loading).To(HaveLen(len(c.want)))
+			for _, id := range c.want {
+				g.Expect(loading).To(HaveKey(id))
+			}
+			if c.convert {
+				g.Expect(loading).To(HaveEach("large"))
+			}
+		})
+	}
+}
