--- a/coordination/dispatch/spread_test.go
+++ b/coordination/dispatch/spread_test.go
@@ -42,7 +42,7 @@
 	return got
 }
 
-// F12: a group that has just opened is the emptiest for all nodes at once. Without
+// F23: a group that has just opened is the emptiest for all nodes at once. Without
 // a bound it draws every request, and reads their prompts one after another.
 func TestAGroupThatJustOpenedDrawsABoundedShare(t *testing.T) {
 	for _, c := range []struct {
@@ -108,7 +108,7 @@
 	return table
 }
 
-// F12: a node sends a group prompts no faster than its part of what the group can
+// F23: a node sends a group prompts no faster than its part of what the group can
 // read, also where every other group is full.
 func TestAGroupIsSentPromptsAtTheNodesPartOfItsReading(t *testing.T) {
 	g := NewWithT(t)
--- a/coordination/placement/staging_test.go
+++ b/coordination/placement/staging_test.go
@@ -43,7 +43,7 @@
 	return ids
 }
 
-// F13: a leader that took over ordered the loads under way once more, and all of
+// F24: a leader that took over ordered the loads under way once more, and all of
 // them together went on slower.
 func TestLoadsOfTheLastLeaderAreNotOrderedAgain(t *testing.T) {
 	g := NewWithT(t)
@@ -62,7 +62,7 @@
 	g.Expect(staged(late.Step(stagingNow.Add(time.Second), members()))).To(ContainElements(loading), "one that was not told")
 }
 
-// F14: a new instance without a model held up the repair of its whole domain.
+// F25: a new instance without a model held up the repair of its whole domain.
 func TestANewInstanceWithoutAModelIsNotWaitedFor(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -88,7 +88,7 @@
 	}
 }
 
-// F15: with a pair of the model that is worth little in every domain, new instances
+// F26: with a pair of the model that is worth little in every domain, new instances
 // were given that model again, since two loads complete a pair and four a group of
 // the model that is short. Members of the pair load the other model instead.
 func TestMembersOfAGroupThatIsWorthLittleLoadTheModelThatIsShort(t *testing.T) {
