--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -209,10 +209,7 @@
 	return !kept && joinTime(m, model) < model.Load
 }
 
-// maxDonors is the number of groups of a domain that may be given up at once.
-const maxDonors = 2
-
-// donors returns the groups of a domain, maxDonors at most, that should be closed for their members.
+// donors returns the groups of a domain, two at most, that should be closed for their members.
 func (s *step) donors(d *domain, stock *supply, list []option) []*formation {
 	var best []*formation
 	least := stock.worth(s.engine.Models, stock.best(list, s.engine.Models))
--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -41,9 +41,6 @@
 	LoadPart   float64       `flag:"load-part" help:"part of the weight store's rate that is used" min:"0.05" max:"1"`
 	// MinStagingGain is what loading a model to a host must be worth.
 	MinStagingGain float64 `flag:"min-staging-gain" help:"least worth of loading a model to a host" min:"0" max:"10"`
-	// ConvertLoads has members of groups load a model that is worth much more than their
-	// own, where enough of them could then form a group of it.
-	ConvertLoads bool `flag:"convert-loads" help:"members of groups load a model that is worth much more than their own"`
 	// StagingInterval is the least time between two looks at what to load.
 	StagingInterval time.Duration `flag:"staging-interval" help:"least time between two looks at what to load to hosts" min:"0s" max:"1m"`
 	// StagingTimeout is how long an order to stage a model is trusted to be under way.
@@ -68,7 +65,6 @@
 		LoadWindow:           5 * time.Second,
 		LoadPart:             0.8,
 		MinStagingGain:       0.01,
-		ConvertLoads:         true,
 		StagingInterval:      300 * time.Millisecond,
 		StagingTimeout:       40 * time.Second,
 	}
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -107,21 +107,16 @@
 func (s *step) loadsOf(d *domain, model string, most int) []wantedLoad {
 	var lacking []*Member
 	for _, m := range d.free {
-		if s.spare(m) && s.lacks(m, model) {
+		if s.spare(m) && s.staging[m.ID].model == "" && m.Model != model && !m.HasStaged(model) {
 			lacking = append(lacking, m)
 		}
 	}
 	slices.SortStableFunc(lacking, func(a, b *Member) int { return cmp.Compare(s.slope(a.Model), s.slope(b.Model)) })
-	donors := s.convertible(d, model)
-	for _, f := range donors {
-		members, _ := s.withMembers(nil, f)
-		lacking = append(lacking, slices.DeleteFunc(members, func(m *Member) bool { return !m.usable() || !s.lacks(m, model) })...)
-	}
-	before := s.prospect(d, donors, nil, "")
+	before := s.prospect(d, s.withStaging(d.free, nil, ""))
 	var best []*Member
 	gain := s.policy.MinStagingGain
 	for n := 1; n <= min(len(lacking), most); n++ {
-		after := s.prospect(d, donors, lacking[:n], model)
+		after := s.prospect(d, s.withStaging(d.free, lacking[:n], model))
 		if each := (after - before) / float64(n); each > gain {
 			best, gain = lacking[:n], each
 		}
@@ -133,28 +128,6 @@
 	return list
 }
 
-// lacks reports whether an instance neither has a model nor loads one.
-func (s *step) lacks(m *Member, model string) bool {
-	return s.staging[m.ID].model == "" && m.Model != model && !m.HasStaged(model)
-}
-
-// convertible returns groups of a domain, maxDonors at most, whose models are worth so
-// much less than another that their members may load that one: once they have, the
-// groups can be closed and their members form one of it.
-func (s *step) convertible(d *domain, model string) []*formation {
-	if s.Quiet || !s.policy.ConvertLoads {
-		return nil
-	}
-	var list []*formation
-	for _, f := range d.groups {
-		_, whole := s.withMembers(nil, f)
-		if whole && f.model != model && s.slope(f.model)*s.policy.ScarcityRatio < s.slope(model) && len(list) < maxDonors {
-			list = append(list, f)
-		}
-	}
-	return list
-}
-
 // stageOther has instances of a kind that have staged nothing load another model than they have.
 func (s *step) stageOther(kind func(m *Member) bool) {
 	for _, id := range sortedIDs(s.byID) {
@@ -186,12 +159,10 @@
 	s.order(m, Order{Action: Stage, Model: model, Why: "for a later repair"})
 }
 
-// prospect returns what the groups are worth that a domain can form of its free
-// instances, with or without the members of some groups that it gives up, once some
-// instances have loaded a model: now, and after the loss of a member of each group.
-func (s *step) prospect(d *domain, donors []*formation, some []*Member, model string) float64 {
-	free := s.withStaging(d.free, some, model)
-	worth := max(s.bestWorth(free), s.worthWithDonors(free, donors, some, model))
+// prospect returns what the groups are worth that a domain can form of free
+// instances, now and after the loss of a member of each of its groups.
+func (s *step) prospect(d *domain, free []*Member) float64 {
+	worth := s.bestWorth(free)
 	for _, f := range d.groups {
 		worth += s.worthAfterLoss(free, f) / float64(len(d.groups))
 	}
@@ -221,23 +192,6 @@
 	return s.supply.worth(models, s.supply.best(options(len(free), s.able(free), models), models))
 }
 
-// worthWithDonors returns what can be formed of free instances and the members of the
-// first or the first two donors, less what these are worth, for the better of the two.
-func (s *step) worthWithDonors(free []*Member, donors []*formation, some []*Member, model string) float64 {
-	have := slices.Clone(s.supply.have)
-	defer func() { copy(s.supply.have, have) }()
-	best, lost := 0.0, 0.0
-	for _, f := range donors {
-		members, _ := s.withMembers(nil, f)
-		i, size := s.modelIndex(f.model), float64(len(members))
-		lost += s.supply.value(i, s.supply.have[i]) - s.supply.value(i, s.supply.have[i]-size) + s.policy.DonorGain*size
-		s.supply.have[i] -= size
-		free = append(slices.Clone(free), s.withStaging(members, some, model)...)
-		best = max(best, s.bestWorth(free)-lost)
-	}
-	return best
-}
-
 // worthAfterLoss returns what can be formed of free instances and the rest of a group that loses a member.
 func (s *step) worthAfterLoss(free []*Member, f *formation) float64 {
 	joined, whole := s.withMembers(free, f)
