--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -298,7 +298,7 @@
 	c.Recorder.Count("refused." + string(no.code))
 	c.Recorder.Decide("request-ended", c.claims.ID, map[string]any{
 		"code": string(no.code), "sends": c.sends, "runs": c.runs, "tried": c.tried,
-		"route": c.routeName(), "model": c.model, "ms": c.Clock.Since(c.arrived).Milliseconds(), "begun": c.begun,
+		"route": c.routeName(), "model": c.model, "timeout_ms": c.claims.Patience.Milliseconds(), "ms": c.Clock.Since(c.arrived).Milliseconds(), "begun": c.begun,
 	})
 	if c.begun {
 		panic(http.ErrAbortHandler)
