Take out what was kept for callers that come back

Hypothesis: a request that comes back should not be refused again, so it may use all places of a group and be sent half a second early.

Not tried: keeping the places from new callers instead.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -203,17 +203,12 @@
 	return held
 }
 
-// Full reports whether an instance should be given no new request. One that has come
-// back after a refusal is given the places and the reading that are kept for those.
-func (c *Candidate) Full(now time.Time, returned bool) bool {
+// Full reports whether an instance should be given no new request.
+func (c *Candidate) Full(now time.Time) bool {
 	if c.Size == 0 {
 		return false
 	}
-	fullAt, debt := c.policy.FullAt, time.Duration(0)
-	if returned {
-		fullAt, debt = max(fullAt, c.policy.ReturnedFullAt), c.policy.ReturnedDebt
-	}
-	return float64(c.Load()) >= fullAt*float64(c.Slots) || c.paced() && !c.load.pacer.ready(now, c.pace(), debt)
+	return float64(c.Load()) >= c.policy.FullAt*float64(c.Slots) || c.paced() && !c.load.pacer.ready(now, c.pace())
 }
 
 // paced reports whether the prompts sent to the instance are bounded.
--- a/coordination/dispatch/candidate_test.go
+++ b/coordination/dispatch/candidate_test.go
@@ -36,12 +36,6 @@
 // start is when the tests take place.
 var start = time.Unix(1000, 0)
 
-// lm and plainService are requests for the two services.
-var (
-	lm           = dispatch.Request{Service: "lm", Model: "m"}
-	plainService = dispatch.Request{Service: "plain"}
-)
-
 // nobody avoids no instance.
 func nobody(state.InstanceID) bool { return false }
 
@@ -76,7 +70,7 @@
 			if c.service == "lm" {
 				model = "m"
 			}
-			NewWithT(t).Expect(table.Pick(dispatch.Request{Service: c.service, Model: model}, start, nobody) != nil).To(Equal(c.found))
+			NewWithT(t).Expect(table.Pick(c.service, model, start, nobody) != nil).To(Equal(c.found))
 		})
 	}
 }
@@ -87,15 +81,15 @@
 	table.Update(config(), []roster.View{plain("a"), plain("b")}, func(fleet.GroupKey) bool { return false })
 	table.SetOthers(map[state.InstanceID]int{"a": 3}, nil, nil)
 	for range 20 {
-		g.Expect(table.Pick(plainService, start, nobody).ID).To(Equal(state.InstanceID("b")))
+		g.Expect(table.Pick("plain", "", start, nobody).ID).To(Equal(state.InstanceID("b")))
 	}
-	held := table.Pick(plainService, start, nobody)
+	held := table.Pick("plain", "", start, nobody)
 	for range 4 {
 		held.Hold(0, start)
 	}
 	g.Expect(table.Held()).To(Equal(map[state.InstanceID]int{"b": 4}))
 	for range 20 {
-		g.Expect(table.Pick(plainService, start, nobody).ID).To(Equal(state.InstanceID("a")))
+		g.Expect(table.Pick("plain", "", start, nobody).ID).To(Equal(state.InstanceID("a")))
 	}
 }
 
@@ -103,15 +97,15 @@
 	g := NewWithT(t)
 	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
 	table.Update(config(), []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready)}, func(fleet.GroupKey) bool { return false })
-	head := table.Pick(lm, start, nobody)
+	head := table.Pick("lm", "m", start, nobody)
 	for range 8 {
 		head.Hold(0, start)
 	}
-	g.Expect(head.Full(start, false)).To(BeFalse())
+	g.Expect(head.Full(start)).To(BeFalse())
 	last := head.Hold(0, start)
-	g.Expect(head.Full(start, false)).To(BeTrue())
+	g.Expect(head.Full(start)).To(BeTrue())
 	last.End()
-	g.Expect(head.Full(start, false)).To(BeFalse())
+	g.Expect(head.Full(start)).To(BeFalse())
 }
 
 // With old knowledge of the others, requests go to all that will be cheapest
@@ -127,7 +121,7 @@
 	const draws = 6000
 	got := map[state.InstanceID]int{}
 	for range draws {
-		got[table.Pick(plainService, start, nobody).ID]++
+		got[table.Pick("plain", "", start, nobody).ID]++
 	}
 	g.Expect(got["c"]).To(BeZero())
 	g.Expect(got["a"]).To(BeNumerically("~", 3*draws/4, draws/20))
@@ -145,8 +139,8 @@
 	asked := []demand.Flow{{Service: "lm", Model: "m", Requests: 1000}}
 	table.SetOthers(map[state.InstanceID]int{"a": 9, "c": 5}, asked, nil)
 	for range 50 {
-		g.Expect(table.Pick(lm, start, nobody).ID).To(Equal(state.InstanceID("c")))
+		g.Expect(table.Pick("lm", "m", start, nobody).ID).To(Equal(state.InstanceID("c")))
 	}
 	table.SetOthers(map[state.InstanceID]int{"a": 9, "c": 9}, asked, nil)
-	g.Expect(table.Pick(lm, start, nobody).Full(start, false)).To(BeTrue())
+	g.Expect(table.Pick("lm", "m", start, nobody).Full(start)).To(BeTrue())
 }
--- a/coordination/dispatch/pace.go
+++ b/coordination/dispatch/pace.go
@@ -35,12 +35,12 @@
 	p.at = now
 }
 
-// ready reports whether a prompt may be sent now, or up to so much time too early.
-func (p *pacer) ready(now time.Time, by pace, early time.Duration) bool {
+// ready reports whether a prompt may be sent now.
+func (p *pacer) ready(now time.Time, by pace) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refill(now, by)
-	return p.level >= -by.rate*early.Seconds()
+	return p.level >= 0
 }
 
 // spend takes the reading of a prompt off the level.
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -10,14 +10,6 @@
 	"github.com/troutmast/troutmast/state"
 )
 
-// Request is what a request needs of a target.
-type Request struct {
-	Service state.ServiceName
-	Model   string
-	// Returned tells that the caller has come back after it was refused.
-	Returned bool
-}
-
 // Pick draws a candidate that is not to be avoided, or returns nil. One that is
 // full is drawn only where all are.
 //
@@ -26,15 +18,15 @@
 // the requests that all of them send meanwhile as if it were alone, filling up
 // the cheapest first, and draws by how many each candidate gets (load
 // interpretation; Dahlin, Interpreting Stale Load Information, 1999).
-func (t *Table) Pick(r Request, now time.Time, avoid func(state.InstanceID) bool) *Candidate {
-	k := key{r.Service, r.Model}
+func (t *Table) Pick(service state.ServiceName, model string, now time.Time, avoid func(state.InstanceID) bool) *Candidate {
+	k := key{service, model}
 	pool := make([]offer, 0, len((*t.pools.Load())[k]))
 	full := true
 	for _, c := range (*t.pools.Load())[k] {
 		if avoid(c.ID) {
 			continue
 		}
-		cFull := c.Full(now, r.Returned)
+		cFull := c.Full(now)
 		if full && !cFull {
 			full = false
 			pool = pool[:0]
--- a/coordination/dispatch/policy.go
+++ b/coordination/dispatch/policy.go
@@ -7,11 +7,6 @@
 	// FullAt is the part of its places up to which a group is given new requests.
 	// Measured: docs/PLATFORM.md, "refuse above 0.85 of the places".
 	FullAt float64 `flag:"full-at" help:"part of a group's places up to which it is given new requests" min:"0.05" max:"10"`
-	// ReturnedFullAt is FullAt for callers that come back after a refusal, ReturnedDebt
-	// how much earlier than others they may be sent to a group: to refuse them again loses
-	// them for good. Measured: docs/EXPERIMENTS.md, "callers that come back".
-	ReturnedFullAt float64       `flag:"returned-full-at" help:"part of a group's places up to which it is given callers that come back" min:"0" max:"10"`
-	ReturnedDebt   time.Duration `flag:"returned-debt" help:"how much earlier than others callers that come back are sent to a group" min:"0s" max:"1m"`
 	// FailureCost is what one recent failure adds to the cost of a target, in requests
 	// held for each of its places. Chosen by hand, not measured.
 	FailureCost float64 `flag:"failure-cost" help:"cost of a recent failure, in requests held for each place" min:"0" max:"10"`
@@ -46,8 +41,6 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		FullAt:          0.85,
-		ReturnedFullAt:  1,
-		ReturnedDebt:    500 * time.Millisecond,
 		FailureCost:     0.15,
 		FailureRecovery: 0.15,
 		RemoteHallCost:  0.03,
--- a/coordination/dispatch/spread_test.go
+++ b/coordination/dispatch/spread_test.go
@@ -37,7 +37,7 @@
 	const draws = 4000
 	got := map[state.InstanceID]float64{}
 	for range draws {
-		got[table.Pick(lm, start, nobody).ID] += 1.0 / draws
+		got[table.Pick("lm", "m", start, nobody).ID] += 1.0 / draws
 	}
 	return got
 }
@@ -78,11 +78,11 @@
 	policy.ReadingCost = 1
 	table := dispatch.NewTable("h", policy)
 	table.Update(readingConfig(), heads(2), func(fleet.GroupKey) bool { return false })
-	first := table.Pick(lm, start, nobody)
+	first := table.Pick("lm", "m", start, nobody)
 	hold := first.Hold(1000, start)
 	g.Expect(first.Reading()).To(Equal(500*time.Millisecond), "1,000 tokens at 1,000 a second and pace 0.5")
 	for range 50 {
-		g.Expect(table.Pick(lm, start, nobody).ID).NotTo(Equal(first.ID))
+		g.Expect(table.Pick("lm", "m", start, nobody).ID).NotTo(Equal(first.ID))
 	}
 	hold.Started()
 	hold.Started()
@@ -112,12 +112,12 @@
 // read, also where every other group is full.
 func TestAGroupIsSentPromptsAtTheNodesPartOfItsReading(t *testing.T) {
 	g := NewWithT(t)
-	head := pacedTable().Pick(lm, start, nobody)
+	head := pacedTable().Pick("lm", "m", start, nobody)
 	now := start
 	var read time.Duration
 	for range 10000 {
 		now = now.Add(time.Millisecond)
-		if head.Full(now, false) {
+		if head.Full(now) {
 			continue
 		}
 		head.Hold(100, now).End()
@@ -129,54 +129,13 @@
 
 func TestAGroupThatRestedIsSentNoMoreThanTheBurst(t *testing.T) {
 	g := NewWithT(t)
-	head := pacedTable().Pick(lm, start, nobody)
+	head := pacedTable().Pick("lm", "m", start, nobody)
 	now := start.Add(time.Hour)
-	g.Expect(head.Full(now, false)).To(BeFalse())
+	g.Expect(head.Full(now)).To(BeFalse())
 	sent := 0
-	for ; !head.Full(now, false); sent++ {
+	for ; !head.Full(now); sent++ {
 		head.Hold(100, now)
 	}
 	// The burst is 0.4 of 250 ms: two prompts of 50 ms bring the level to 0, a third below it.
 	g.Expect(sent).To(Equal(3))
 }
-
-// F27: callers that came back after a refusal were refused again more often than
-// new ones (23 to 48 in 100 against 15), since overload lasts.
-func TestCallersThatComeBackAreGivenWhatIsKeptForThem(t *testing.T) {
-	policy := dispatch.DefaultPolicy()
-	policy.FullAt, policy.ReturnedFullAt, policy.ReadLimit = 0.5, 0.75, 0
-	for _, c := range []struct {
-		name        string
-		held        int
-		first, back bool
-	}{
-		{"with room for all", 9, false, false},
-		{"with room for those that come back", 10, true, false},
-		{"without room", 15, true, true},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			g := NewWithT(t)
-			table := dispatch.NewTable("h", policy)
-			table.Update(readingConfig(), heads(1), func(fleet.GroupKey) bool { return false })
-			table.SetOthers(map[state.InstanceID]int{"head-0": c.held}, nil, nil)
-			head := table.Pick(lm, start, nobody)
-			g.Expect(head.Full(start, false)).To(Equal(c.first))
-			g.Expect(head.Full(start, true)).To(Equal(c.back))
-		})
-	}
-}
-
-func TestCallersThatComeBackAreSentEarlier(t *testing.T) {
-	g := NewWithT(t)
-	table := pacedTable()
-	head := table.Pick(lm, start, nobody)
-	now := start.Add(time.Hour)
-	for !head.Full(now, false) {
-		head.Hold(100, now)
-	}
-	g.Expect(head.Full(now, true)).To(BeFalse(), "half a second early at 0.4 a second is 0.2 s of reading")
-	for range 4 {
-		head.Hold(100, now)
-	}
-	g.Expect(head.Full(now, true)).To(BeTrue())
-}
--- a/transport/gateway/outcome_test.go
+++ b/transport/gateway/outcome_test.go
@@ -35,24 +35,3 @@
 		})
 	}
 }
-
-func TestACallerThatComesBackHasLessTimeThanItsRouteGives(t *testing.T) {
-	for _, c := range []struct {
-		name                         string
-		timeout, patience, threshold time.Duration
-		want                         bool
-	}{
-		{"a new request", 5 * time.Second, 5 * time.Second, 500 * time.Millisecond, false},
-		{"one that came back", 5 * time.Second, 4200 * time.Millisecond, 500 * time.Millisecond, true},
-		{"one that only connected anew", 5 * time.Second, 4800 * time.Millisecond, 500 * time.Millisecond, false},
-		{"a route without a time-out", 0, 4200 * time.Millisecond, 500 * time.Millisecond, false},
-		{"a request without a deadline", 5 * time.Second, 0, 500 * time.Millisecond, false},
-		{"switched off", 5 * time.Second, 4200 * time.Millisecond, 0, false},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			call := &call{Gateway: &Gateway{}, route: &catalog.Route{Timeout: c.timeout}}
-			call.Policy.ReturnedAfter, call.claims.Patience = c.threshold, c.patience
-			NewWithT(t).Expect(call.returned()).To(Equal(c.want))
-		})
-	}
-}
--- a/transport/gateway/policy.go
+++ b/transport/gateway/policy.go
@@ -13,11 +13,6 @@
 	// ExtraSends is how many more instances than may run a request it may be sent to.
 	ExtraSends int `flag:"extra-sends" help:"how many more instances than may run a request it may be sent to" min:"0" max:"100"`
 
-	// ReturnedAfter is how much less time than the route's time-out a request must have
-	// left to count as one that comes back after a refusal; 0 counts none. It is below
-	// OverloadRetryAfter, the least time after which a caller is told to come back.
-	ReturnedAfter time.Duration `flag:"returned-after" help:"time that a request must have lost to count as one that comes back; 0 counts none" min:"0s" max:"1m"`
-
 	// ResumeWait is how long a begun stream waits for a group to go on at, ResumePoll
 	// the time between two looks for one.
 	ResumeWait time.Duration `flag:"resume-wait" help:"how long a begun stream waits for a group to go on at" min:"0s" max:"1m"`
@@ -46,7 +41,6 @@
 		MinTimeLeft:        20 * time.Millisecond,
 		NetworkAllowance:   5 * time.Millisecond,
 		ExtraSends:         2,
-		ReturnedAfter:      500 * time.Millisecond,
 		ResumeWait:         1500 * time.Millisecond,
 		ResumePoll:         50 * time.Millisecond,
 		RetryAfter:         300 * time.Millisecond,
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -45,7 +45,7 @@
 		if target == nil {
 			return c.noTarget()
 		}
-		if c.sends == 0 && target.Full(c.Clock.Now(), c.returned()) {
+		if c.sends == 0 && target.Full(c.Clock.Now()) {
 			return refusedAt(CodeOverloaded, c.Policy.OverloadRetryAfter)
 		}
 		if c.sends > 0 && !c.budget.Take(c.Clock.Now()) {
@@ -105,13 +105,7 @@
 
 // pick chooses where the request goes next; it never goes twice to the same instance.
 func (c *call) pick() *dispatch.Candidate {
-	return c.Table.Pick(dispatch.Request{Service: c.service, Model: c.model, Returned: c.returned()}, c.Clock.Now(), func(id state.InstanceID) bool { return slices.Contains(c.tried, id) })
-}
-
-// returned reports whether the caller has waited before: it gives the request less
-// time than the route does, as one does that was refused and comes back.
-func (c *call) returned() bool {
-	return c.Policy.ReturnedAfter > 0 && c.claims.Patience > 0 && c.route.Timeout-c.claims.Patience >= c.Policy.ReturnedAfter
+	return c.Table.Pick(c.service, c.model, c.Clock.Now(), func(id state.InstanceID) bool { return slices.Contains(c.tried, id) })
 }
 
 // waitForTarget waits a moment for a group at which a begun stream can go on.
