--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -105,7 +105,7 @@
 	return holder
 }
 
-// look tells whether the key is settled, and how it stands for this holder.
+// look reports whether the key is settled, and how it stands for this holder.
 func (m *Manager) look(key state.ClaimKey, holder, request string) (settled bool, result *state.Result, err error) {
 	m.follower.Read(func(s *state.State) {
 		c, ok := s.Claim(key)
--- a/coordination/control/control.go
+++ b/coordination/control/control.go
@@ -54,12 +54,12 @@
 	return Order{Instance: r.Instance, Epoch: v.Offset}, true
 }
 
-// Released tells whether an instance has itself reported the release it was ordered.
+// Released reports whether an instance has itself reported the release it was ordered.
 func Released(a *state.Assignment, r evidence.Report) bool {
 	return a.Group == "" && r.Group == "" && r.Phase == evidence.PhaseIdle && r.Epoch == a.Epoch
 }
 
-// Cleared tells whether no node holds a request of a group any longer.
+// Cleared reports whether no node holds a request of a group any longer.
 type Cleared func(g *state.Group) bool
 
 // Proposals returns the changes that follow from what instances have reported:
--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -56,7 +56,7 @@
 	return time.Duration(float64(c.load.reading.Load()) * c.readTime)
 }
 
-// Check tells whether the members should be asked now; it says so once in an interval.
+// Check reports whether the members should be asked now; it says so once in an interval.
 func (c *Candidate) Check(now time.Time, every time.Duration) bool {
 	last, at := c.load.checked.Load(), steady.Nanos(now)
 	return at-last >= int64(every) && c.load.checked.CompareAndSwap(last, at)
@@ -140,7 +140,7 @@
 	t.pools.Store(&pools)
 }
 
-// formGroup gives a head its group's members and tells whether the group may take requests.
+// formGroup gives a head its group's members and reports whether the group may take requests.
 func (c *Candidate) formGroup(engine *catalog.Engine, members []roster.View) bool {
 	model := engine.Model(c.Model)
 	if c.Membership.State != fleet.Open || c.Membership.Rank != 0 || model == nil {
@@ -181,33 +181,6 @@
 	}
 }
 
-// part is a node's part of what callers ask of one model.
-type part struct {
-	// share is the node's part of the requests, from minShare to 1.
-	share float64
-	// prompt is the mean number of tokens of a prompt at all nodes.
-	prompt float64
-}
-
-// minShare is the least part of the requests that a node counts as its own, so that
-// one that has just begun to take requests may send some.
-const minShare = 0.01
-
-// partOf returns the part of a flow that a node's own flows are.
-func partOf(all demand.Flow, own []demand.Flow) part {
-	p := part{share: minShare}
-	if all.Requests <= 0 {
-		return p
-	}
-	p.prompt = all.Prompt / all.Requests
-	for _, o := range own {
-		if o.Service == all.Service && o.Model == all.Model {
-			p.share = min(max(o.Requests/all.Requests, minShare), 1)
-		}
-	}
-	return p
-}
-
 // Held returns the requests that this node holds at each instance.
 func (t *Table) Held() map[state.InstanceID]int {
 	t.mu.Lock()
@@ -232,20 +205,3 @@
 	by, paced := c.pace()
 	return paced && !c.load.pacer.ready(now, by)
 }
-
-// pacedSpan is the span in which a node's part of a group's reading must hold a prompt
-// for the node to pace what it sends there. Where many nodes share the demand, a node
-// sends a group a prompt now and then; its waiting would only keep groups idle.
-// Measured: docs/EXPERIMENTS.md, "pacing with 68 nodes".
-const pacedSpan = time.Second
-
-// pace returns how fast this node may send prompts to the group, and whether it is bounded at all.
-func (c *Candidate) pace() (pace, bool) {
-	p, known := (*c.table.parts.Load())[key{c.Service, c.Model}]
-	if !known {
-		p.share = 1
-	}
-	by := pace{rate: p.share * c.policy.ReadLimit, burst: c.policy.PaceBurst}
-	prompt := p.prompt * c.readTime / float64(time.Second)
-	return by, c.readTime > 0 && by.rate > 0 && by.rate*pacedSpan.Seconds() >= prompt
-}
--- a/coordination/dispatch/pace.go
+++ b/coordination/dispatch/pace.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/troutmast/troutmast/coordination/demand"
 )
 
 // pacer bounds how fast this node sends prompts to one group: a token bucket that
@@ -50,3 +52,47 @@
 	p.refill(now, by)
 	p.level -= reading.Seconds()
 }
+
+// part is a node's part of what callers ask of one model.
+type part struct {
+	// share is the node's part of the requests, from minShare to 1.
+	share float64
+	// prompt is the mean number of tokens of a prompt at all nodes.
+	prompt float64
+}
+
+// minShare is the least part of the requests that a node counts as its own, so that
+// one that has just begun to take requests may send some.
+const minShare = 0.01
+
+// partOf returns the part of a flow that a node's own flows are.
+func partOf(all demand.Flow, own []demand.Flow) part {
+	p := part{share: minShare}
+	if all.Requests <= 0 {
+		return p
+	}
+	p.prompt = all.Prompt / all.Requests
+	for _, o := range own {
+		if o.Service == all.Service && o.Model == all.Model {
+			p.share = min(max(o.Requests/all.Requests, minShare), 1)
+		}
+	}
+	return p
+}
+
+// pacedSpan is the span in which a node's part of a group's reading must hold a prompt
+// for the node to pace what it sends there. Where many nodes share the demand, a node
+// sends a group a prompt now and then; its waiting would only keep groups idle.
+// Measured: docs/EXPERIMENTS.md, "pacing with 68 nodes".
+const pacedSpan = time.Second
+
+// pace returns how fast this node may send prompts to the group, and whether it is bounded at all.
+func (c *Candidate) pace() (pace, bool) {
+	p, known := (*c.table.parts.Load())[key{c.Service, c.Model}]
+	if !known {
+		p.share = 1
+	}
+	by := pace{rate: p.share * c.policy.ReadLimit, burst: c.policy.PaceBurst}
+	prompt := p.prompt * c.readTime / float64(time.Second)
+	return by, c.readTime > 0 && by.rate > 0 && by.rate*pacedSpan.Seconds() >= prompt
+}
--- a/coordination/evidence/evidence.go
+++ b/coordination/evidence/evidence.go
@@ -111,7 +111,7 @@
 	t.listed = m
 }
 
-// Leaving tells whether the list or the instance itself says that it is leaving.
+// Leaving reports whether the list or the instance itself says that it is leaving.
 func (t *Table) Leaving(id state.InstanceID) bool {
 	t.mu.Lock()
 	listed := t.listed[id]
--- a/coordination/localhealth/localhealth.go
+++ b/coordination/localhealth/localhealth.go
@@ -1,4 +1,4 @@
-// Package localhealth tells whether this process itself runs late, so that it
+// Package localhealth reports whether this process itself runs late, so that it
 // does not take its own delay for the failure of others (the idea of local
 // health in Lifeguard, Dadgar et al., 2018, arXiv:1707.00788).
 package localhealth
@@ -39,7 +39,7 @@
 	m.late = append(m.late, now)
 }
 
-// Delayed tells whether the process ran late at any moment since a time, so that
+// Delayed reports whether the process ran late at any moment since a time, so that
 // a deadline of its own that passed since then proves nothing.
 func (m *Monitor) Delayed(since, now time.Time) bool {
 	m.mu.Lock()
@@ -51,7 +51,7 @@
 	return !newest.Before(since) || now.Sub(newest) < lateFor
 }
 
-// Overloaded tells whether the process has run late again and again.
+// Overloaded reports whether the process has run late again and again.
 func (m *Monitor) Overloaded(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -132,7 +132,7 @@
 	d.suspects[name] = now
 }
 
-// suspected tells whether a node could not be reached after it was last heard of.
+// suspected reports whether a node could not be reached after it was last heard of.
 func (d *Directory) suspected(n Node) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
@@ -149,12 +149,12 @@
 	return names
 }
 
-// Mine tells whether a piece of the hall's work falls to this node.
+// Mine reports whether a piece of the hall's work falls to this node.
 func (d *Directory) Mine(key string, now time.Time) bool {
 	return Owner(key, d.HallNames(now)) == d.self.Name
 }
 
-// ClearedOf tells whether every node of the hall has applied an offset and holds no request of a group.
+// ClearedOf reports whether every node of the hall has applied an offset and holds no request of a group.
 //
 // Only the node's own word counts, with the offset that it had applied when it
 // gave it: what others relay may be newer than the count of its requests. A node
--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -86,7 +86,7 @@
 }
 
 // change has groups of a domain closed for their members if that gains enough and
-// not too many domains change already, and tells whether it did.
+// not too many domains change already, and reports whether it did.
 func (s *step) change(d *domain, stock *supply, changing *int, domains int) bool {
 	if *changing > domains/s.policy.ChangingPart {
 		return false
@@ -151,7 +151,7 @@
 	return slices.IndexFunc(s.engine.Models, func(m catalog.Model) bool { return m.Name == name })
 }
 
-// claimed tells whether an instance is named by a formation that it has not joined.
+// claimed reports whether an instance is named by a formation that it has not joined.
 func (s *step) claimed(id state.InstanceID) bool {
 	for _, f := range s.formations {
 		if slices.Contains(f.members, id) {
@@ -198,7 +198,7 @@
 	return counts
 }
 
-// fit tells whether an instance can join a group of a model without a load from
+// fit reports whether an instance can join a group of a model without a load from
 // the weight store; before the first request, loads are nearly free. An instance
 // that would be quick in a group of a scarcer model is kept for that one.
 func (s *step) fit(m *Member, model *catalog.Model) bool {
--- a/coordination/placement/formation.go
+++ b/coordination/placement/formation.go
@@ -148,7 +148,7 @@
 	return s.byID[f.members[0]]
 }
 
-// draining tells whether a member of a formation is leaving, or its head no longer listed.
+// draining reports whether a member of a formation is leaving, or its head no longer listed.
 func (s *step) draining(f *formation) bool {
 	if head := s.headOf(f); head != nil && head.Unlisted {
 		return true
@@ -247,7 +247,7 @@
 	}
 }
 
-// serving tells whether an instance belongs to an open group.
+// serving reports whether an instance belongs to an open group.
 func (s *step) serving(m *Member) bool {
 	f := s.formations[m.Membership.Key()]
 	return f != nil && f.opened && f.failed == ""
--- a/coordination/placement/layout.go
+++ b/coordination/placement/layout.go
@@ -82,7 +82,7 @@
 	return slices.DeleteFunc(list, func(o option) bool { return extendable(o, free, able, models) })
 }
 
-// extendable tells whether one more group could be made beside those of an option.
+// extendable reports whether one more group could be made beside those of an option.
 func extendable(o option, free int, able []int, models []catalog.Model) bool {
 	for i, n := range o.counts {
 		free -= n * models[i].Size
@@ -142,7 +142,7 @@
 	return chosen
 }
 
-// improve changes the options of pairs of domains and tells whether that gained anything.
+// improve changes the options of pairs of domains and reports whether that gained anything.
 func (s *supply) improve(domains [][]option, chosen []option, models []catalog.Model) bool {
 	const least = 1e-9
 	gained := false
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -35,7 +35,7 @@
 	Seen time.Time
 }
 
-// usable tells whether the instance can become a member of a new group.
+// usable reports whether the instance can become a member of a new group.
 func (m *Member) usable() bool { return !m.Lost && !m.Gone && !m.Draining && !m.Unlisted }
 
 // empty reports whether the instance has no model, neither loaded nor on its host.
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -137,7 +137,7 @@
 	}
 }
 
-// spare tells whether an instance is in no group, nor named by one, and has been seen for a while.
+// spare reports whether an instance is in no group, nor named by one, and has been seen for a while.
 func (s *step) spare(m *Member) bool {
 	return m.usable() && m.Membership.Group == "" && !s.claimed(m.ID) && s.now.Sub(m.Seen) > 2*s.policy.SettleDelay && s.domains[m.Domain] != nil
 }
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -391,7 +391,7 @@
 	}
 }
 
-// reaches tells whether a node reaches a target.
+// reaches reports whether a node reaches a target.
 func (w *world) reaches(n *observer, t *target) bool {
 	return t != nil && !t.dead && !w.now.Before(t.severed[n.number])
 }
--- a/coordination/probe/probe.go
+++ b/coordination/probe/probe.go
@@ -39,10 +39,10 @@
 type Sources struct {
 	// Instances returns the addresses of the hall's instances.
 	Instances func() map[state.InstanceID]netip.AddrPort
-	// Mine tells whether probing an instance falls to this node.
+	// Mine reports whether probing an instance falls to this node.
 	Mine func(id state.InstanceID) bool
 	View func() *statelog.View
-	// MayOrder tells whether the node's state is fresh enough to give orders.
+	// MayOrder reports whether the node's state is fresh enough to give orders.
 	MayOrder func() bool
 	// Observed is called after a report of an instance was taken in.
 	Observed func(r evidence.Report)
@@ -94,7 +94,7 @@
 	p.feed.Expire(now.Add(-p.cfg.Window))
 }
 
-// stale tells whether the evidence of an instance is about to run out, or has.
+// stale reports whether the evidence of an instance is about to run out, or has.
 func (p *Prober) stale(id state.InstanceID, now time.Time) bool {
 	e, ok := p.table.Get(id)
 	return !ok || now.Sub(e.Asked) > p.cfg.Window*2/3
--- a/coordination/repair/history_test.go
+++ b/coordination/repair/history_test.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// up tells whether an instance is there.
+// up reports whether an instance is there.
 func (h *history) up(id state.InstanceID) bool { return !h.now.Before(h.backAt[id]) }
 
 // fail lets instances fail and return; what a failure costs is drawn from the seed alone.
--- a/coordination/repair/repair.go
+++ b/coordination/repair/repair.go
@@ -50,7 +50,7 @@
 // alive returns the number of members that are there.
 func (g *Group) alive() int { return len(g.Members) - len(g.Seats) }
 
-// missing tells whether the member of a rank is missing.
+// missing reports whether the member of a rank is missing.
 func (g *Group) missing(rank int) bool {
 	return slices.ContainsFunc(g.Seats, func(s Seat) bool { return s.Rank == rank })
 }
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -48,7 +48,7 @@
 	return true
 }
 
-// Allowed tells whether an attempt that ended so may be made again.
+// Allowed reports whether an attempt that ended so may be made again.
 func Allowed(o Outcome, repeatable bool) bool {
 	return o == NotRun || (o == Unknown && repeatable)
 }
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -106,7 +106,7 @@
 	e.stamp = r.version
 }
 
-// known tells whether an instance's membership is known as of a moment ago and
+// known reports whether an instance's membership is known as of a moment ago and
 // after since: by the list, if the instance itself has lately written its entry, or by a report.
 func (r *Roster) known(e *entry, since, now time.Time) bool {
 	lately := now.Sub(e.vouched) < r.cfg.Beat+r.cfg.Beat/2
@@ -248,12 +248,12 @@
 	r.touch(e)
 }
 
-// lost tells whether an instance no longer answers, as far as is known.
+// lost reports whether an instance no longer answers, as far as is known.
 func (e *entry) lost(now time.Time) bool {
 	return e.gone || e.failures >= e.policy.LostFailures || (!e.inList && now.Sub(e.unlisted) > e.policy.UnlistedTimeout && now.Sub(e.heard) > e.policy.UnlistedTimeout)
 }
 
-// forgotten tells whether an instance was in no list for so long, and silent, that it need not be remembered.
+// forgotten reports whether an instance was in no list for so long, and silent, that it need not be remembered.
 func (e *entry) forgotten(now time.Time) bool {
 	return !e.inList && now.Sub(e.unlisted) > e.policy.ForgetAfter && now.Sub(e.heard) > e.policy.ForgetAfter
 }
@@ -267,7 +267,7 @@
 	return e.beat
 }
 
-// silent tells whether nothing was heard of an instance for so long that its process must have ended.
+// silent reports whether nothing was heard of an instance for so long that its process must have ended.
 func (r *Roster) silent(e *entry, now time.Time) bool {
 	last := r.lastBeat(e)
 	if e.heard.After(last) {
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -39,10 +39,10 @@
 // Slots returns how many requests the group's engine batches, as last reported.
 func (c *Candidate) Slots() int { return int(c.slots.Load()) }
 
-// Whole tells whether evidence shows the group whole at a time.
+// Whole reports whether evidence shows the group whole at a time.
 func (c *Candidate) Whole(now time.Time) bool { return now.UnixNano() < c.until.Load() }
 
-// Open tells whether a new request may go to the group at a time.
+// Open reports whether a new request may go to the group at a time.
 func (c *Candidate) Open(now time.Time) bool {
 	return c.Whole(now) && !c.leaving.Load() && c.group.Load().Drained == 0
 }
@@ -117,7 +117,7 @@
 // Candidate returns where the request was booked.
 func (d *Dispatch) Candidate() *Candidate { return d.c }
 
-// Valid tells whether the group is still whole at a time, in the same epoch and with the same member processes.
+// Valid reports whether the group is still whole at a time, in the same epoch and with the same member processes.
 //
 // Wholeness is read first: Rejudge stores it last, so a group that has become
 // whole again with other processes is seen with its new identity.
@@ -292,7 +292,7 @@
 	return nil
 }
 
-// usable tells whether a request may go to a candidate.
+// usable reports whether a request may go to a candidate.
 func usable(c *Candidate, r Request, now time.Time) bool {
 	return c.Name != r.Avoid && c.Open(now)
 }
--- a/coordination/routing/sweep_test.go
+++ b/coordination/routing/sweep_test.go
@@ -47,7 +47,7 @@
 	cache   []int
 }
 
-// cached tells whether the engine holds a family's prefix, and makes it the newest.
+// cached reports whether the engine holds a family's prefix, and makes it the newest.
 func (e *engine) cached(family int) bool {
 	i := slices.Index(e.cache, family)
 	if i >= 0 {
--- a/coordination/statelog/follower.go
+++ b/coordination/statelog/follower.go
@@ -93,7 +93,7 @@
 	return f.clock.Since(time.Unix(0, at)), true
 }
 
-// Whole tells whether the node has once held all that the log, or while the log
+// Whole reports whether the node has once held all that the log, or while the log
 // was silent a peer, could show. Until then its state may be one of the past.
 func (f *Follower) Whole() bool { return f.whole.Load() }
 
@@ -220,7 +220,7 @@
 	return newest, nil
 }
 
-// usable tells whether a record holds a snapshot from which the retained log goes on.
+// usable reports whether a record holds a snapshot from which the retained log goes on.
 func usable(r *state.Record, first state.Offset) bool {
 	return r.Kind == state.KindSnapshot && r.Snapshot != nil && r.Snapshot.At+1 >= first
 }
--- a/coordination/ticket/ticket.go
+++ b/coordination/ticket/ticket.go
@@ -53,7 +53,7 @@
 	return parts[1], parts[2], nil
 }
 
-// Is tells whether a text looks like a ticket.
+// Is reports whether a text looks like a ticket.
 func Is(text string) bool { return strings.HasPrefix(text, prefix+"~") }
 
 // entry is what is remembered of one ticket.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -111,7 +111,7 @@
 	writeJSON(w, platform.Appended{Offset: offset})
 }
 
-// store appends data, twice if a duplicate is due; it tells whether the answer is to be lost.
+// store appends data, twice if a duplicate is due; it reports whether the answer is to be lost.
 func (p *Platform) store(data []byte) (offset state.Offset, lose bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -1,6 +1,6 @@
 // Package direct sends one HTTP/1.1 request over one connection and reads its
 // answer, without ever sending it a second time. It keeps connections for later
-// requests, tells whether a failed request can have arrived, and lets out no
+// requests, reports whether a failed request can have arrived, and lets out no
 // answer that belongs to another request.
 package direct
 
@@ -39,7 +39,7 @@
 	Body   []byte
 	// HasBody tells that the request has a body, if an empty one.
 	HasBody bool
-	// Match tells whether an answer belongs to the request.
+	// Match reports whether an answer belongs to the request.
 	Match func(http.Header) bool
 	// Fresh asks for a connection that has not rested for longer than a moment.
 	Fresh bool
@@ -154,7 +154,7 @@
 	return n, err
 }
 
-// Framed tells whether the answer itself says where it ends, apart from the end of its connection.
+// Framed reports whether the answer itself says where it ends, apart from the end of its connection.
 func (r *Response) Framed() bool { return r.Length >= 0 || len(r.inner.TransferEncoding) > 0 }
 
 // Close ends the exchange. The connection is kept if the whole answer was read, else it is cut.
--- a/protocol/direct/pool.go
+++ b/protocol/direct/pool.go
@@ -148,7 +148,7 @@
 // errClosed is what a connection at rest shows when its peer has closed it or sent bytes nobody asked for.
 var errClosed = errors.New("direct: connection is used up")
 
-// sound tells whether a connection at rest is still open and silent.
+// sound reports whether a connection at rest is still open and silent.
 func (c *conn) sound() bool {
 	if c.br.Buffered() > 0 {
 		return false
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -55,7 +55,7 @@
 	return &Client{hc: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
 
-// Do sends a request. When it fails, sent tells whether a byte of it may have
+// Do sends a request. When it fails, sent reports whether a byte of it may have
 // left; after a failure no further byte of it leaves.
 func (c *Client) Do(req *http.Request) (resp *http.Response, sent bool, err error) {
 	used := &usedConns{}
@@ -103,7 +103,7 @@
 	u.base = append(u.base, c.begun())
 }
 
-// cut ends all writing and tells whether anything was written.
+// cut ends all writing and reports whether anything was written.
 func (u *usedConns) cut() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -53,7 +53,7 @@
 	Resumable bool
 }
 
-// Repeatable tells whether a request of the route may be run more than once.
+// Repeatable reports whether a request of the route may be run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Safe || (r.Kind == Stream && r.Resumable)
 }
--- a/state/claim.go
+++ b/state/claim.go
@@ -67,13 +67,13 @@
 	At  time.Time
 }
 
-// KeyCovered tells whether the claim history reaches back to the age of a key.
+// KeyCovered reports whether the claim history reaches back to the age of a key.
 func (s *State) KeyCovered(key string) bool {
 	at, ok := IDTime(key)
 	return ok && covered(at, s.now, ClaimHorizon)
 }
 
-// covered tells whether a time lies within the horizon before now and not too far ahead.
+// covered reports whether a time lies within the horizon before now and not too far ahead.
 func covered(at, now time.Time, horizon time.Duration) bool {
 	return !at.Before(now.Add(-horizon)) && !at.After(now.Add(MaxSkew))
 }
--- a/state/fleet/instance.go
+++ b/state/fleet/instance.go
@@ -60,7 +60,7 @@
 	Position int64
 }
 
-// HasStaged tells whether the instance's host holds a model.
+// HasStaged reports whether the instance's host holds a model.
 func (i *Instance) HasStaged(model string) bool {
 	for _, s := range i.Staged {
 		if s == model {
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -155,7 +155,7 @@
 	return false, s.passOn(ctx, w, q, pool, allowedHere)
 }
 
-// openHere tells whether a pool has an open candidate in this hall.
+// openHere reports whether a pool has an open candidate in this hall.
 func (s *Server) openHere(pool string) bool {
 	now := s.c.Clock.Now()
 	return slices.ContainsFunc(s.c.Routing.Pool(pool), func(c *routing.Candidate) bool { return c.Open(now) })
@@ -172,7 +172,7 @@
 	return notRun(http.StatusServiceUnavailable, Code(admission.CodeNoGroup), "no hall that team %s may use has a whole group for %s", q.team.Name, pool)
 }
 
-// known tells whether any group or service of that name is configured in any hall.
+// known reports whether any group or service of that name is configured in any hall.
 func (s *Server) known(pool string) bool {
 	view := s.c.Follower.View()
 	if name, ok := strings.CutPrefix(pool, core.ServicePool("")); ok {
@@ -199,7 +199,7 @@
 	}, nil
 }
 
-// again tells whether a failed attempt may be repeated, and counts why or why not.
+// again reports whether a failed attempt may be repeated, and counts why or why not.
 func (s *Server) again(ctx context.Context, q *request, o retry.Outcome, f *Failure, repeatable bool) bool {
 	switch {
 	case !retry.Allowed(o, repeatable):
--- a/transport/caller/stream.go
+++ b/transport/caller/stream.go
@@ -163,12 +163,12 @@
 	return events
 }
 
-// isLast tells whether a relayed stream ends with an event, as a whole or with an error.
+// isLast reports whether a relayed stream ends with an event, as a whole or with an error.
 func isLast(event []byte) bool {
 	return isEnd(event) || bytes.HasPrefix(event, []byte("event: error\n"))
 }
 
-// isEnd tells whether an event ends a whole stream.
+// isEnd reports whether an event ends a whole stream.
 func isEnd(event []byte) bool {
 	data, ok := bytes.CutPrefix(event, []byte("data:"))
 	return ok && bytes.Equal(bytes.TrimSpace(data), streamEnd)
--- a/transport/caller/ticket.go
+++ b/transport/caller/ticket.go
@@ -63,7 +63,7 @@
 	return nil
 }
 
-// ticketHere tells whether a ticket was minted by this node; if not, the request
+// ticketHere reports whether a ticket was minted by this node; if not, the request
 // is passed on to the node that did, or is of unknown outcome when that is gone.
 func (s *Server) ticketHere(ctx context.Context, w http.ResponseWriter, q *request) (here bool, f *Failure) {
 	node, incarnation, err := ticket.Parse(q.key)
--- a/transport/core/core.go
+++ b/transport/core/core.go
@@ -76,7 +76,7 @@
 // InForce returns the offset up to which records have their effect on requests.
 func (c *Core) InForce() state.Offset { return state.Offset(c.Routed.Load()) }
 
-// LogFresh tells whether the node has lately held all that the log held.
+// LogFresh reports whether the node has lately held all that the log held.
 func (c *Core) LogFresh() bool {
 	age, ok := c.Follower.HeadAge()
 	return ok && age < c.Settings.Behind
--- a/transport/core/ready.go
+++ b/transport/core/ready.go
@@ -28,7 +28,7 @@
 	return c.behindPeers()
 }
 
-// HasState tells whether the node has held the whole state once, from the log or from a peer.
+// HasState reports whether the node has held the whole state once, from the log or from a peer.
 func (c *Core) HasState() bool { return c.Follower.Whole() }
 
 // behindPeers returns an error when a live peer has applied records that this
--- a/transport/core/resolve.go
+++ b/transport/core/resolve.go
@@ -65,7 +65,7 @@
 	return free
 }
 
-// idle tells whether an instance has lately reported that it holds nothing.
+// idle reports whether an instance has lately reported that it holds nothing.
 func (c *Core) idle(id state.InstanceID, now time.Time) bool {
 	e, ok := c.Evidence.Get(id)
 	return ok && now.Sub(e.Asked) < c.Settings.EvidenceWindow && e.Phase == evidence.PhaseIdle && e.Group == ""
--- a/transport/ctl/ctl.go
+++ b/transport/ctl/ctl.go
@@ -242,7 +242,7 @@
 	return ExitUnknown
 }
 
-// isQuestion tells whether a text cannot change anything.
+// isQuestion reports whether a text cannot change anything.
 func isQuestion(text string) bool {
 	s, err := lang.Parse(text)
 	return err != nil || (len(s.Statements) == 1 && (s.Statements[0].Show != nil || s.Statements[0].Why != nil))
--- a/transport/ctl/diff.go
+++ b/transport/ctl/diff.go
@@ -131,7 +131,7 @@
 	return fmt.Sprintf("~ %s %s: %s", table, describe(key), strings.Join(changes, ", ")), nil
 }
 
-// contains tells whether a row holds all of a key.
+// contains reports whether a row holds all of a key.
 func contains(r, key row) bool {
 	for col, value := range key {
 		if r[col] != value {
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// relies tells whether the node leaves reading the store to the placing node. A
+// relies reports whether the node leaves reading the store to the placing node. A
 // node that would place next reads now and then itself, to know that it can.
 func (n *Node) relies() bool {
 	if placing, _ := n.peers.isPlacing(); placing || n.storeFailed.Load() {
@@ -199,7 +199,7 @@
 	return n.policy.ListInterval
 }
 
-// waitForList waits for the next read of the list and tells whether the node still runs.
+// waitForList waits for the next read of the list and reports whether the node still runs.
 func (n *Node) waitForList(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -66,7 +66,7 @@
 	return silent
 }
 
-// ask asks an instance for its report and tells whether it answered. One that
+// ask asks an instance for its report and reports whether it answered. One that
 // does not is asked once more.
 func (n *Node) ask(ctx context.Context, m fleet.Instance) bool {
 	for range 2 {
@@ -105,7 +105,7 @@
 	return true
 }
 
-// delayed tells whether a call begun at a time ran out of time while this process
+// delayed reports whether a call begun at a time ran out of time while this process
 // itself ran late, so that its end says nothing of the other side.
 func (n *Node) delayed(ctx context.Context, began time.Time) bool {
 	return ctx.Err() != nil && n.health.Delayed(began, n.clock.Now())
--- a/transport/entry/knowledge.go
+++ b/transport/entry/knowledge.go
@@ -60,7 +60,7 @@
 	return nil, 0
 }
 
-// Learn takes in a configuration, unless a newer one is in force. It tells whether it is in force now for the first time.
+// Learn takes in a configuration, unless a newer one is in force. It reports whether it is in force now for the first time.
 func (k *Knowledge) Learn(raw []byte) (bool, error) {
 	c, err := k.decoder.Catalog(raw)
 	if err != nil {
@@ -95,7 +95,7 @@
 	return time.Duration(steady.Nanos(k.clock.Now()) - at), true
 }
 
-// KeysFresh tells whether keys can still be trusted.
+// KeysFresh reports whether keys can still be trusted.
 func (k *Knowledge) KeysFresh() bool {
 	within := time.Duration(k.within.Load())
 	if within == 0 {
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -162,7 +162,7 @@
 	}
 }
 
-// sleep waits and tells whether the node still runs.
+// sleep waits and reports whether the node still runs.
 func (n *Node) sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
@@ -195,7 +195,7 @@
 	}
 }
 
-// timed tells whether an instance may have come to count as lost by time alone.
+// timed reports whether an instance may have come to count as lost by time alone.
 func (n *Node) timed(views []roster.View) bool {
 	for i := range views {
 		if views[i].Lost || views[i].Draining || views[i].Unlisted {
@@ -213,7 +213,7 @@
 	}
 }
 
-// avoided tells whether a formation takes no new requests.
+// avoided reports whether a formation takes no new requests.
 func (n *Node) avoided(key fleet.GroupKey) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -143,7 +143,7 @@
 	p.known[e.Address] = e
 }
 
-// precedes tells whether a node comes before another in the order in which nodes
+// precedes reports whether a node comes before another in the order in which nodes
 // place: the first that answers does. Larger nodes come first, since the work of
 // placing grows with the number of nodes and instances; among equals it is
 // rendezvous hashing.
@@ -183,7 +183,7 @@
 	return addresses
 }
 
-// standby tells whether this node is among the first in the order.
+// standby reports whether this node is among the first in the order.
 func (p *peers) standby() bool {
 	own := p.self()
 	p.mu.Lock()
@@ -197,13 +197,13 @@
 	return before <= p.n.policy.Standbys
 }
 
-// mayPlace tells whether this node can place groups, if not at once: until it
+// mayPlace reports whether this node can place groups, if not at once: until it
 // is old enough to know of all others, no node after it in the order does either.
 func (p *peers) mayPlace(now time.Time) bool {
 	return !p.n.stopping.Load() && p.n.number.Load() > 0 && p.n.know.Catalog() != nil && !p.behindOthers() && !p.slowerThanOthers(now)
 }
 
-// slowerThanOthers tells whether the node lately ran late again and again while another one did not.
+// slowerThanOthers reports whether the node lately ran late again and again while another one did not.
 func (p *peers) slowerThanOthers(now time.Time) bool {
 	if now.Before(p.resting) {
 		return true
@@ -221,7 +221,7 @@
 	return false
 }
 
-// behindOthers tells whether the node cannot read the store while another one lately could.
+// behindOthers reports whether the node cannot read the store while another one lately could.
 func (p *peers) behindOthers() bool {
 	stale := p.n.storeStale()
 	if p.n.storeAge() < stale {
@@ -324,7 +324,7 @@
 	}
 }
 
-// isPlacing tells whether this node places groups, and since when.
+// isPlacing reports whether this node places groups, and since when.
 func (p *peers) isPlacing() (bool, time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -383,7 +383,7 @@
 	return p.held, p.asked
 }
 
-// anyArrived tells whether any node has had requests.
+// anyArrived reports whether any node has had requests.
 func (p *peers) anyArrived() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -106,7 +106,7 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// isReady tells whether the node can answer callers.
+// isReady reports whether the node can answer callers.
 func (n *Node) isReady() bool { return !n.stopping.Load() && n.know.Catalog() != nil }
 
 // serveMetrics writes all counters.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -6,8 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,7 +24,7 @@
 type Catalogs interface {
 	// Catalog returns the configuration, or nil while none is known.
 	Catalog() *catalog.Catalog
-	// KeysFresh tells whether keys can still be trusted.
+	// KeysFresh reports whether keys can still be trusted.
 	KeysFresh() bool
 }
 
@@ -232,22 +230,6 @@
 	return nil
 }
 
-// hostOnly returns a host without its port.
-func hostOnly(host string) string {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		return host[:i]
-	}
-	return host
-}
-
-// pathOf returns the path of a request's target.
-func pathOf(uri string) string {
-	if i := strings.IndexByte(uri, '?'); i >= 0 {
-		return uri[:i]
-	}
-	return uri
-}
-
 // authenticate finds the team that holds the request's key.
 func (c *call) authenticate() *refusal {
 	if !c.catalog.Keyed || c.route.Public {
@@ -322,34 +304,3 @@
 	}
 	return c.route.Name
 }
-
-// perConnection are the headers that concern one connection only.
-var perConnection = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
-// travelling returns the headers that travel with a message.
-func travelling(h http.Header) http.Header {
-	out := make(http.Header, len(h)+4)
-	named := h.Values("Connection")
-	for name, values := range h {
-		if slices.Contains(perConnection, name) || namedIn(named, name) {
-			continue
-		}
-		out[name] = values
-	}
-	return out
-}
-
-// namedIn tells whether a Connection header names another header.
-func namedIn(lists []string, name string) bool {
-	for _, list := range lists {
-		for word := range strings.SplitSeq(list, ",") {
-			if strings.EqualFold(strings.TrimSpace(word), name) {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// mayGoOn tells whether a request has time and sends left.
+// mayGoOn reports whether a request has time and sends left.
 func (c *call) mayGoOn() *refusal {
 	if c.r.Context().Err() != nil {
 		return c.giveUp(CodeBroken)
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -163,7 +163,7 @@
 	return ""
 }
 
-// follows tells whether an event id comes after another.
+// follows reports whether an event id comes after another.
 func follows(before, id string) bool {
 	a, errA := strconv.ParseInt(before, 10, 64)
 	b, errB := strconv.ParseInt(id, 10, 64)
--- a/transport/gateway/watch.go
+++ b/transport/gateway/watch.go
@@ -29,7 +29,7 @@
 // move notes that the answer has moved on.
 func (w *watched) move(now time.Time) { w.moved.Store(steady.Nanos(now)) }
 
-// silent tells whether nothing has come of the attempt for too long.
+// silent reports whether nothing has come of the attempt for too long.
 func (w *watched) silent(now time.Time, policy *Policy) bool {
 	if moved := w.moved.Load(); moved > 0 {
 		return steady.Nanos(now)-moved > int64(policy.EventSilence)
--- a/transport/node/control.go
+++ b/transport/node/control.go
@@ -78,7 +78,7 @@
 	n.Measures.Add(now, down, stranded)
 }
 
-// cleared tells whether no node, and not the group's leader either, holds a request of a group.
+// cleared reports whether no node, and not the group's leader either, holds a request of a group.
 func (n *Node) cleared(g *state.Group, now time.Time) bool {
 	if c := n.Routing.Get(g.Name); c != nil && c.Held() > 0 {
 		return false
@@ -91,7 +91,7 @@
 	return !fresh || e.Group != g.Name || e.Load.Held == 0
 }
 
-// proposalMine tells whether a proposal falls to this node.
+// proposalMine reports whether a proposal falls to this node.
 func (n *Node) proposalMine(view *statelog.View, op state.Op, now time.Time) bool {
 	var hall state.HallName
 	var key string
@@ -190,7 +190,7 @@
 	return seats
 }
 
-// isMissing tells whether a member is silent, or leaving while nothing is left at its group.
+// isMissing reports whether a member is silent, or leaving while nothing is left at its group.
 func (n *Node) isMissing(g *state.Group, id state.InstanceID, now time.Time) bool {
 	if n.Evidence.Leaving(id) {
 		return n.cleared(g, now)
--- a/transport/node/exchange.go
+++ b/transport/node/exchange.go
@@ -128,7 +128,7 @@
 // nodesInterval is how often a node asks a peer what it knows of the others.
 const nodesInterval = time.Second
 
-// wantNodes tells whether this exchange is to ask for what the peer knows of other nodes.
+// wantNodes reports whether this exchange is to ask for what the peer knows of other nodes.
 func (n *Node) wantNodes(now time.Time) bool {
 	last := n.nodesAsked.Load()
 	return now.UnixNano()-last >= int64(nodesInterval) && n.nodesAsked.CompareAndSwap(last, now.UnixNano())
--- a/transport/operator/show.go
+++ b/transport/operator/show.go
@@ -10,7 +10,7 @@
 	"github.com/troutmast/troutmast/transport/core"
 )
 
-// show builds the table of a question; perHall tells whether other halls know more about their own rows.
+// show builds the table of a question; perHall reports whether other halls know more about their own rows.
 func (s *Server) show(q *lang.Show) (t *table, perHall bool, err error) {
 	switch q.What {
 	case "groups":
