--- a/coordination/dispatch/pace.go
+++ b/coordination/dispatch/pace.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,12 +24,12 @@
 	burst time.Duration
 }
 
-// refill brings the level up to date. A new pacer begins at a random level below 0,
-// so that the nodes do not send their first prompts to a new group together.
+// refill brings the level up to date. A new pacer is full: a node that has just begun
+// to take requests would else refuse the first of them.
 func (p *pacer) refill(now time.Time, by pace) {
 	full := by.rate * by.burst.Seconds()
 	if p.at.IsZero() {
-		p.level = -rand.Float64() * 2 * full
+		p.level = full
 	} else if past := now.Sub(p.at); past > 0 {
 		p.level = min(p.level+by.rate*past.Seconds(), full)
 	}
--- a/coordination/dispatch/spread_test.go
+++ b/coordination/dispatch/spread_test.go
@@ -167,3 +167,12 @@
 		})
 	}
 }
+
+// F29: a bucket that began empty refused the first request of each node and model.
+func TestTheFirstRequestFindsNoGroupFull(t *testing.T) {
+	g := NewWithT(t)
+	head := pacedTable().Pick("lm", "m", start, nobody)
+	g.Expect(head.Full(start)).To(BeFalse())
+	head.Hold(300, start)
+	g.Expect(head.Full(start)).To(BeTrue(), "300 tokens take 150 ms, the burst is 100 ms")
+}
