One type for a load under way, one map of the demand, one place that sets loads

Found on the last read of the change: stagingModel repeated Staging, the table kept two maps of the same flows, a candidate held its table's policy beside the table, and two places called SetOthers with the same arguments. No behaviour changes; tests, linter and assertions as before.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -27,7 +27,6 @@
 	// readTime is the time to read one token of a prompt, in nanoseconds.
 	readTime float64
 	load     *load
-	policy   *Policy
 	table    *Table
 }
 
@@ -73,7 +72,7 @@
 // Answered counts a good answer of the instance.
 func (c *Candidate) Answered() {
 	t := c.load.trouble.Load()
-	c.load.trouble.Add(-int64(float64(t) * c.policy.FailureRecovery))
+	c.load.trouble.Add(-int64(float64(t) * c.table.policy.FailureRecovery))
 }
 
 // key finds the candidates of a service, and of a model of it.
@@ -89,18 +88,15 @@
 	mu     sync.Mutex
 	loads  map[state.InstanceID]*load
 	pools  atomic.Pointer[map[key][]*Candidate]
-	// arrivals is the expected number of requests from all nodes within the spread horizon.
-	arrivals atomic.Pointer[map[key]float64]
-	// parts are this node's part of what callers ask of all nodes.
-	parts atomic.Pointer[map[key]part]
+	// asked is what callers ask of each model.
+	asked atomic.Pointer[map[key]part]
 }
 
 // NewTable returns an empty Table for a node of a data hall.
 func NewTable(hall state.HallName, policy Policy) *Table {
 	t := &Table{hall: hall, policy: policy, loads: map[state.InstanceID]*load{}}
 	t.pools.Store(&map[key][]*Candidate{})
-	t.arrivals.Store(&map[key]float64{})
-	t.parts.Store(&map[key]part{})
+	t.asked.Store(&map[key]part{})
 	return t
 }
 
@@ -127,7 +123,7 @@
 		if service == nil || v.Lost || v.Draining {
 			continue
 		}
-		cand := &Candidate{Instance: v.Instance, load: l, policy: &t.policy, table: t}
+		cand := &Candidate{Instance: v.Instance, load: l, table: t}
 		if service.Engine == nil {
 			pools[key{v.Service, ""}] = append(pools[key{v.Service, ""}], cand)
 			continue
@@ -165,15 +161,11 @@
 // SetOthers records how many requests the other nodes hold at each instance, what
 // callers ask of all nodes, and what they ask of this one.
 func (t *Table) SetOthers(held map[state.InstanceID]int, asked, own []demand.Flow) {
-	arrivals := make(map[key]float64, len(asked))
 	parts := make(map[key]part, len(asked))
 	for _, f := range asked {
-		k := key{f.Service, f.Model}
-		arrivals[k] = f.Requests * t.policy.SpreadHorizon.Seconds()
-		parts[k] = partOf(f, own)
+		parts[key{f.Service, f.Model}] = partOf(f, own)
 	}
-	t.arrivals.Store(&arrivals)
-	t.parts.Store(&parts)
+	t.asked.Store(&parts)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, l := range t.loads {
@@ -199,7 +191,7 @@
 	if c.Size == 0 {
 		return false
 	}
-	if float64(c.Load()) >= c.policy.FullAt*float64(c.Slots) {
+	if float64(c.Load()) >= c.table.policy.FullAt*float64(c.Slots) {
 		return true
 	}
 	by, paced := c.pace()
--- a/coordination/dispatch/pace.go
+++ b/coordination/dispatch/pace.go
@@ -52,8 +52,10 @@
 	p.level -= reading.Seconds()
 }
 
-// part is a node's part of what callers ask of one model.
+// part is what callers ask of one model, and a node's part of it.
 type part struct {
+	// rate is the number of requests a second at all nodes.
+	rate float64
 	// share is the node's part of the requests, from minShare to 1.
 	share float64
 	// prompt is the mean number of tokens of a prompt at all nodes.
@@ -66,7 +68,7 @@
 
 // partOf returns the part of a flow that a node's own flows are.
 func partOf(all demand.Flow, own []demand.Flow) part {
-	p := part{share: minShare}
+	p := part{rate: all.Requests, share: minShare}
 	if all.Requests <= 0 {
 		return p
 	}
@@ -87,11 +89,11 @@
 
 // pace returns how fast this node may send prompts to the group, and whether it is bounded at all.
 func (c *Candidate) pace() (pace, bool) {
-	p, known := (*c.table.parts.Load())[key{c.Service, c.Model}]
+	p, known := (*c.table.asked.Load())[key{c.Service, c.Model}]
 	if !known {
 		p.share = 1
 	}
-	by := pace{rate: p.share * c.policy.ReadLimit, burst: c.policy.PaceBurst}
+	by := pace{rate: p.share * c.table.policy.ReadLimit, burst: c.table.policy.PaceBurst}
 	prompt := p.prompt * c.readTime / float64(time.Second)
 	return by, c.readTime > 0 && by.rate > 0 && by.rate*pacedSpan.Seconds() >= prompt
 }
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -42,7 +42,8 @@
 	if pool[0].Size == 0 {
 		share = 0
 	}
-	return draw(pool, max((*t.arrivals.Load())[k], 1), share).Candidate
+	arrivals := (*t.asked.Load())[k].rate * t.policy.SpreadHorizon.Seconds()
+	return draw(pool, max(arrivals, 1), share).Candidate
 }
 
 // offer is a candidate with what it costs to send a request to it, in parts of its places.
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -62,7 +62,7 @@
 	// began is when the planner first planned.
 	began   time.Time
 	sent    map[state.InstanceID]sentAt
-	staging map[state.InstanceID]stagingModel
+	staging map[state.InstanceID]Staging
 	// staged is when it was last looked at what to load to hosts.
 	staged time.Time
 	// Quiet tells that no request has come yet, so that loads are nearly free.
@@ -80,7 +80,7 @@
 		next:       next,
 		formations: map[fleet.GroupKey]*formation{},
 		sent:       map[state.InstanceID]sentAt{},
-		staging:    map[state.InstanceID]stagingModel{},
+		staging:    map[state.InstanceID]Staging{},
 	}
 }
 
@@ -233,9 +233,9 @@
 // forget drops what is no longer needed.
 func (s *step) forget() {
 	maps.DeleteFunc(s.sent, func(_ state.InstanceID, at sentAt) bool { return s.now.Sub(at.at) > remembered })
-	maps.DeleteFunc(s.staging, func(id state.InstanceID, st stagingModel) bool {
+	maps.DeleteFunc(s.staging, func(id state.InstanceID, st Staging) bool {
 		m := s.byID[id]
-		return m == nil || m.Gone || m.Lost || m.HasStaged(st.model) || s.now.Sub(st.since) > s.policy.StagingTimeout
+		return m == nil || m.Gone || m.Lost || m.HasStaged(st.Model) || s.now.Sub(st.Since) > s.policy.StagingTimeout
 	})
 }
 
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -8,12 +8,6 @@
 	"github.com/troutmast/troutmast/state"
 )
 
-// stagingModel is a model that an instance loads to its host.
-type stagingModel struct {
-	model string
-	since time.Time
-}
-
 // Staging is a load to a host that is under way.
 type Staging struct {
 	Instance state.InstanceID
@@ -24,8 +18,8 @@
 // Stagings returns the loads to hosts that are under way, by instance.
 func (p *Planner) Stagings() []Staging {
 	var list []Staging
-	for id, st := range p.staging {
-		list = append(list, Staging{Instance: id, Model: st.model, Since: st.since})
+	for _, st := range p.staging {
+		list = append(list, st)
 	}
 	slices.SortFunc(list, func(a, b Staging) int { return cmp.Compare(a.Instance, b.Instance) })
 	return list
@@ -36,7 +30,7 @@
 func (p *Planner) Adopt(list []Staging) {
 	for _, st := range list {
 		if _, known := p.staging[st.Instance]; !known {
-			p.staging[st.Instance] = stagingModel{model: st.Model, since: st.Since}
+			p.staging[st.Instance] = st
 			p.loads = append(p.loads, st.Since)
 		}
 	}
@@ -107,7 +101,7 @@
 func (s *step) loadsOf(d *domain, model string, most int) []wantedLoad {
 	var lacking []*Member
 	for _, m := range d.free {
-		if s.spare(m) && s.staging[m.ID].model == "" && m.Model != model && !m.HasStaged(model) {
+		if s.spare(m) && s.staging[m.ID].Model == "" && m.Model != model && !m.HasStaged(model) {
 			lacking = append(lacking, m)
 		}
 	}
@@ -152,10 +146,10 @@
 
 // stageModel orders an instance to load a model to its host, if the weight store carries it.
 func (s *step) stageModel(m *Member, model string) {
-	if m.Pending || !m.usable() || model == "" || m.HasStaged(model) || s.staging[m.ID].model != "" || !s.mayLoad() {
+	if m.Pending || !m.usable() || model == "" || m.HasStaged(model) || s.staging[m.ID].Model != "" || !s.mayLoad() {
 		return
 	}
-	s.staging[m.ID] = stagingModel{model: model, since: s.now}
+	s.staging[m.ID] = Staging{Instance: m.ID, Model: model, Since: s.now}
 	s.order(m, Order{Action: Stage, Model: model, Why: "for a later repair"})
 }
 
@@ -175,8 +169,8 @@
 	list := make([]*Member, 0, len(free))
 	for _, m := range free {
 		will := *m
-		if st := s.staging[m.ID]; st.model != "" {
-			will.Staged = []string{st.model}
+		if st := s.staging[m.ID]; st.Model != "" {
+			will.Staged = []string{st.Model}
 		}
 		if slices.Contains(some, m) {
 			will.Staged = []string{model}
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -268,8 +268,7 @@
 	if may {
 		p.greet(ctx)
 		p.n.gate.SetNodes(p.count())
-		held, asked := p.total()
-		p.n.table.SetOthers(minus(held, p.n.table.Held()), asked, p.n.demand.Flows(p.n.clock.Now()))
+		p.n.setLoads(p.total())
 	}
 }
 
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/state"
 )
@@ -127,10 +128,15 @@
 	p.mu.Unlock()
 	n.setAvoid(a.Avoid)
 	n.placer.handOver(a.Staging, asked)
-	n.table.SetOthers(minus(a.Held, n.table.Held()), a.Demand, n.demand.Flows(n.clock.Now()))
+	n.setLoads(a.Held, a.Demand)
 	n.gate.SetNodes(p.count())
 }
 
+// setLoads hands the table what all nodes hold at each instance, and what callers ask of them.
+func (n *Node) setLoads(held map[state.InstanceID]int, asked []demand.Flow) {
+	n.table.SetOthers(minus(held, n.table.Held()), asked, n.demand.Flows(n.clock.Now()))
+}
+
 // minus returns what others hold, given what all hold and what this node does.
 func minus(all, own map[state.InstanceID]int) map[state.InstanceID]int {
 	out := make(map[state.InstanceID]int, len(all))
