Log failed probes and what leading costs

The logs could not tell why 173 living instances counted as lost before traffic. Two lines are new: 'probe failed', at most twice for each loss and node, with the time and the error; and 'leader load' beside 'supply', with steps of the planner, status reports answered, probes and the longest delay of a timer.

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -175,6 +175,16 @@
 	}
 }
 
+// Failures returns how many questions in a row an instance has not answered.
+func (r *Roster) Failures(id state.InstanceID) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.m[id]; e != nil {
+		return e.failures
+	}
+	return 0
+}
+
 // Replaced takes in that another process answers at an instance's address.
 func (r *Roster) Replaced(id state.InstanceID, now time.Time) {
 	r.mu.Lock()
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -92,12 +92,15 @@
 		n.unreadable(m.ID, asked, err)
 		return true
 	}
-	if err != nil && n.delayed(ctx, asked) {
+	late := err != nil && n.delayed(ctx, asked)
+	n.load.probe(err != nil, late)
+	if late {
 		n.Count("probes.inconclusive")
 		return true
 	}
 	if err != nil {
 		n.Failed(m.ID, asked)
+		n.logFailedProbe(m.ID, asked, err)
 		return false
 	}
 	rep.Asked = asked
@@ -105,6 +108,18 @@
 	return true
 }
 
+// logFailedProbe logs a failed probe as long as the instance does not yet count as
+// lost for it, so that a dead instance is logged once or twice.
+func (n *Node) logFailedProbe(id state.InstanceID, asked time.Time, err error) {
+	failures := n.roster.Failures(id)
+	if failures > n.set.Policy.Roster.LostFailures {
+		return
+	}
+	n.log.WithError(err).WithFields(log.Fields{
+		"instance": id, "failures": failures, "ms": n.clock.Since(asked).Milliseconds(),
+	}).Info("probe failed")
+}
+
 // delayed reports whether a call begun at a time ran out of time while this process
 // itself ran late, so that its end says nothing of the other side.
 func (n *Node) delayed(ctx context.Context, began time.Time) bool {
@@ -119,7 +134,9 @@
 			return
 		}
 		now := n.clock.Now()
-		n.health.Observe(now.Sub(began)-n.policy.HealthInterval, now)
+		delay := now.Sub(began) - n.policy.HealthInterval
+		n.health.Observe(delay, now)
+		n.load.timer(delay)
 		n.gate.Watch.Look()
 	}
 }
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -50,6 +50,7 @@
 	peers   *peers
 	placer  *placer
 	health  localhealth.Monitor
+	load    leaderLoad
 	feed    feed
 	started time.Time
 
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -74,6 +74,7 @@
 // step plans once for every engine service.
 func (p *placer) step(ctx context.Context, c *catalog.Catalog, since time.Time) {
 	now := p.n.clock.Now()
+	defer func() { p.n.load.step(p.n.clock.Since(now)) }()
 	var avoid []Formation
 	staging := map[state.ServiceName][]placement.Staging{}
 	watch := false
@@ -117,6 +118,7 @@
 	p.n.log.WithFields(log.Fields{
 		"service": service, "groups": plan.Serving, "wanted": plan.Wanted, "free": plan.Free, "spares": plan.Spares, "instances": instances, "failing": avoidedText(plan.Avoid),
 	}).Info("supply")
+	p.n.log.WithFields(p.n.load.fields()).Info("leader load")
 }
 
 // avoidedText lists formations with why they take no requests.
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -150,6 +150,7 @@
 func (p *peers) answer(_ context.Context, req *connect.Request[Word]) (*connect.Response[Answer], error) {
 	n := p.n
 	now := n.clock.Now()
+	defer func() { n.load.statusReport(n.clock.Since(now)) }()
 	w := req.Msg
 	p.learn(w.From)
 	p.mu.Lock()
