--- /dev/null
+++ b/coordination/placement/relayout_test.go
@@ -0,0 +1,84 @@
+package placement_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// sixteensAndFours is an engine whose large groups take the members of four small ones.
+func sixteensAndFours() *catalog.Engine {
+	return &catalog.Engine{
+		Slots: 23, LoadsPerSecond: 25, LoadsAtOnce: 37, Form: form,
+		Models: []catalog.Model{
+			{Name: "large", Size: 16, Share: 0.5, Pace: 1, Load: 16 * time.Second, Warm: warm},
+			{Name: "small", Size: 4, Share: 0.5, Pace: 0.6, Load: 12 * time.Second, Warm: warm},
+		},
+	}
+}
+
+// fours returns the members of some open groups of four in domain d, with both models on their hosts.
+func fours(groups int) []placement.Member {
+	var list []placement.Member
+	for n := range groups {
+		for rank := range 4 {
+			m := free(state.InstanceID(fmt.Sprintf("i%02d", 4*n+rank)), "small", "large", "small")
+			m.Loaded = "small"
+			m.Membership = fleet.Membership{Group: state.GroupName(fmt.Sprintf("g%d", n)), Epoch: state.Epoch(n+1) << 20, Rank: rank, State: fleet.Ready}
+			if rank == 0 {
+				m.Membership.State = fleet.Open
+			}
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// closed returns the groups that a plan closes.
+func closed(plan placement.Plan) []state.GroupName {
+	var names []state.GroupName
+	for _, o := range plan.Orders {
+		if o.Action == placement.Close {
+			names = append(names, o.Key.Group)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Callers of the model in groups of 16 waited in front of five groups all day,
+// though nine were wanted: domains had been laid out in groups of 4 before
+// traffic. For one group of 16, four of 4 must be closed at once, and no more than
+// two were ever considered.
+//
+// Evidence: 148 instances wanted for each model, 80 in groups of 16 and 208 in
+// groups of 4 from the first second to the last, and one group closed for its members.
+func TestADomainOfSmallGroupsTurnsWhereLargeOnesAreMissing(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		work   []float64
+		closes int
+	}{
+		{"half of the work is the large model's", nil, 4},
+		{"the large model has no work", []float64{0, 60}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := placement.NewPlanner(sixteensAndFours(), placement.DefaultPolicy(), placement.NewEpochs(1).Next)
+			p.Work = c.work
+			old := stagingNow.Add(placement.DefaultPolicy().DonorAge)
+			p.Step(stagingNow, fours(9))
+			p.Step(old, fours(9))
+			plan := p.Step(old.Add(time.Second), fours(9))
+			g.Expect(closed(plan)).To(HaveLen(c.closes))
+		})
+	}
+}
--- /dev/null
+++ b/transport/entry/busyleader_test.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// Callers of the model in large groups waited for their first events or were refused,
+// on a day without a single fault. Before traffic, the leader had formed groups of
+// 16 and of 4 in equal parts. Each answer of an instance made it plan anew, 250 to
+// 420 times a second, which took all of its processor. Its probes then ran out
+// of time: 173 living members counted as lost, and their groups were taken apart and
+// formed again, which brought still more answers. A group of 16 met with a
+// false loss four times as often as one of 4, so that small groups remained.
+//
+// Evidence: the log of the leader showed up to 420 steps a second, and failed probes
+// that all ended 20 to 150 ms after their own timeout, while its timers were on time.
+
+// slowProbes answers no probe, and lets the end of each be noticed late.
+type slowProbes struct {
+	clock *clockwork.FakeClock
+	late  time.Duration
+}
+
+func (p slowProbes) Report(ctx context.Context, _ netip.AddrPort, _ state.InstanceID) (fleet.Report, error) {
+	<-ctx.Done()
+	p.clock.Advance(DefaultPolicy().Node.ProbeTimeout + p.late)
+	return fleet.Report{}, ctx.Err()
+}
+
+func (slowProbes) Order(context.Context, placement.Order) (placement.Reply, error) {
+	return placement.Unanswered, context.DeadlineExceeded
+}
+
+func TestAProbeWhoseTimeoutIsNoticedLateProvesNothing(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		late time.Duration
+		lost bool
+	}{
+		{"on time", 2 * time.Millisecond, true},
+		{"late", 40 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			clock := clockwork.NewFakeClock()
+			set := &Settings{Name: "own", Peer: testAddress(1), BeatInterval: time.Second, Policy: DefaultPolicy()}
+			n := New(set, Ports{Decoder: anyConfiguration{}, Targets: slowProbes{clock, c.late}}, clock, &log.Logger{Handler: discard.New()})
+			in := fleet.Instance{ID: "i", Service: "lm", Address: testAddress(9)}
+			n.roster.Listed(in, clock.Now())
+			for range set.Policy.Roster.LostFailures {
+				n.report(t.Context(), in, clock.Now())
+			}
+			v, known := n.roster.Get(in.ID, clock.Now())
+			g.Expect(known).To(BeTrue())
+			g.Expect(v.Lost).To(Equal(c.lost))
+		})
+	}
+}
+
+// engineConfiguration reads every record as a configuration with one engine service.
+type engineConfiguration struct{ anyConfiguration }
+
+func (engineConfiguration) Catalog([]byte) (*catalog.Catalog, error) {
+	engine := &catalog.Engine{Slots: 8, Models: []catalog.Model{{Name: "m", Size: 2, Share: 1}}}
+	return catalog.New(1, nil, []catalog.Service{{Name: "lm", Engine: engine}}, nil, catalog.Limits{}), nil
+}
+
+func TestAnswersThatComeTogetherMakeOneStepOfThePlanner(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestNode(1)
+	n.know = NewKnowledge(engineConfiguration{}, false, time.Second, n.clock)
+	g.Expect(n.know.Learn([]byte("x"))).Error().NotTo(HaveOccurred())
+	n.peers.setPlacing(true)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.placer.run(ctx)
+	}()
+	for range 200 {
+		n.placer.stir()
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-ended
+	// The clock of the node stands still all the while.
+	g.Expect(n.load.steps).To(BeNumerically("<=", 1))
+}
