Consider any number of a domain's groups for closing

A planner considered one or two groups of a domain to be closed for their members. For a group of 16 it takes four of 4, so that a domain that was laid out in fours stayed so, whatever was wanted. All counts of groups of each model are considered now, those first whose members can join others soonest; for a domain of 9 groups of one model that is 9 sets in place of 45.

The second case of the test passed for a wrong reason (a model without work still wants one group); it now has the smaller model short as well. The steps look up who is named by a formation and sort the ids once a step. The worth of it is not yet measured.

--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -14,7 +14,7 @@
 func (s *step) form() {
 	domains := map[string]*domain{}
 	alive := 0
-	for _, id := range sortedIDs(s.byID) {
+	for _, id := range s.ids {
 		m := s.byID[id]
 		if !m.usable() {
 			continue
@@ -26,7 +26,7 @@
 			domains[m.Domain] = d
 		}
 		switch {
-		case m.Membership.Group != "" || s.claimed(id):
+		case m.Membership.Group != "" || s.named[id]:
 		case !m.Known:
 			s.plan.Ask = append(s.plan.Ask, id)
 		default:
@@ -151,14 +151,16 @@
 	return slices.IndexFunc(s.engine.Models, func(m catalog.Model) bool { return m.Name == name })
 }
 
-// claimed reports whether an instance is named by a formation that it has not joined.
-func (s *step) claimed(id state.InstanceID) bool {
+// namedMembers returns the instances that a formation names as members, also those
+// that have not joined it.
+func (s *step) namedMembers() map[state.InstanceID]bool {
+	named := make(map[state.InstanceID]bool, len(s.byID))
 	for _, f := range s.formations {
-		if slices.Contains(f.members, id) {
-			return true
+		for _, id := range f.members {
+			named[id] = true
 		}
 	}
-	return false
+	return named
 }
 
 // formDomain makes the groups of an option.
@@ -209,23 +211,51 @@
 	return !kept && joinTime(m, model) < model.Load
 }
 
-// donors returns the groups of a domain, two at most, that should be closed for their members.
+// donors returns the groups of a domain that should be closed for their members.
 func (s *step) donors(d *domain, stock *supply, list []option) []*formation {
 	var best []*formation
 	least := stock.worth(s.engine.Models, stock.best(list, s.engine.Models))
-	consider := func(chosen ...*formation) {
+	for _, chosen := range s.donorSets(d) {
 		if gain := s.donorWorth(d.free, stock, chosen); gain > least {
 			best, least = chosen, gain
 		}
 	}
-	old := slices.DeleteFunc(slices.Clone(d.groups), func(f *formation) bool { return s.now.Sub(f.since) < s.policy.DonorAge })
-	for i, f := range old {
-		consider(f)
-		for _, g := range old[i+1:] {
-			consider(f, g)
+	return best
+}
+
+// donorSets returns the sets of groups that may be closed for their members: any
+// number of each model, those first whose members can join other groups soonest. A
+// group of 16 takes the members of four groups of 4, so that no fixed number of
+// groups is enough.
+func (s *step) donorSets(d *domain) [][]*formation {
+	sets := [][]*formation{nil}
+	for _, m := range s.engine.Models {
+		var old []*formation
+		for _, f := range d.groups {
+			if f.model == m.Name && s.now.Sub(f.since) >= s.policy.DonorAge {
+				old = append(old, f)
+			}
+		}
+		slices.SortStableFunc(old, func(a, b *formation) int { return cmp.Compare(s.transferable(b), s.transferable(a)) })
+		for _, before := range slices.Clone(sets) {
+			for n := 1; n <= len(old); n++ {
+				sets = append(sets, slices.Concat(before, old[:n]))
+			}
 		}
 	}
-	return best
+	return sets[1:]
+}
+
+// transferable returns how many members of a group can join one of another model without a load.
+func (s *step) transferable(f *formation) int {
+	n := 0
+	for _, id := range f.members {
+		m := s.byID[id]
+		if m != nil && slices.ContainsFunc(s.engine.Models, func(o catalog.Model) bool { return o.Name != f.model && s.fit(m, &o) }) {
+			n++
+		}
+	}
+	return n
 }
 
 // donorWorth returns what can be formed of free instances and the members of some groups, less what these are worth.
@@ -289,6 +319,7 @@
 	f := &formation{model: model.Name, since: s.now, joined: map[state.InstanceID]bool{}}
 	for _, m := range members {
 		f.members = append(f.members, m.ID)
+		s.named[m.ID] = true
 	}
 	s.formations[key] = f
 	for _, m := range members {
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -108,8 +108,11 @@
 // step is the state of one call of Step.
 type step struct {
 	*Planner
-	now     time.Time
-	byID    map[state.InstanceID]*Member
+	now  time.Time
+	byID map[state.InstanceID]*Member
+	// ids are the instances in order, named those that a formation names as members.
+	ids     []state.InstanceID
+	named   map[state.InstanceID]bool
 	groups  map[fleet.GroupKey][]*Member
 	plan    Plan
 	newest  state.Epoch
@@ -139,9 +142,11 @@
 			s.groups[m.Membership.Key()] = append(s.groups[m.Membership.Key()], m)
 		}
 	}
+	s.ids = sortedIDs(s.byID)
 	for _, key := range s.keys() {
 		s.tend(key)
 	}
+	s.named = s.namedMembers()
 	s.form()
 	s.census()
 	s.stage()
@@ -218,9 +223,9 @@
 			s.plan.Serving[f.model]++
 		}
 	}
-	for _, id := range sortedIDs(s.byID) {
+	for _, id := range s.ids {
 		m := s.byID[id]
-		if m.usable() && m.Membership.Group == "" && !s.claimed(id) {
+		if m.usable() && m.Membership.Group == "" && !s.named[id] {
 			s.plan.Free++
 			s.plan.Spares = append(s.plan.Spares, fmt.Sprintf("%s: %s has %q and %v", m.Domain, id, m.Model, m.Staged))
 		}
--- a/coordination/placement/relayout_test.go
+++ b/coordination/placement/relayout_test.go
@@ -68,7 +68,7 @@
 		closes int
 	}{
 		{"half of the work is the large model's", nil, 4},
-		{"the large model has no work", []float64{0, 60}, 0},
+		{"the small model is short of instances too", []float64{0, 300}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -124,7 +124,7 @@
 
 // stageOther has instances of a kind that have staged nothing load another model than they have.
 func (s *step) stageOther(kind func(m *Member) bool) {
-	for _, id := range sortedIDs(s.byID) {
+	for _, id := range s.ids {
 		if m := s.byID[id]; kind(m) && (m.Model != "" || len(m.Staged) == 0) {
 			s.stageModel(m, s.otherModel(m.Model))
 		}
@@ -133,7 +133,7 @@
 
 // spare reports whether an instance is in no group, nor named by one, and has been seen for a while.
 func (s *step) spare(m *Member) bool {
-	return m.usable() && m.Membership.Group == "" && !s.claimed(m.ID) && s.now.Sub(m.Seen) > 2*s.policy.SettleDelay && s.domains[m.Domain] != nil
+	return m.usable() && m.Membership.Group == "" && !s.named[m.ID] && s.now.Sub(m.Seen) > 2*s.policy.SettleDelay && s.domains[m.Domain] != nil
 }
 
 // slope is what one more instance in groups of a model is worth.
