Paired plays charge processor time

The stand-in bench refuses plays without it. Results in old cache files are from plays without; use a new file.

--- a/internal/paired/paired_test.go
+++ b/internal/paired/paired_test.go
@@ -85,12 +85,14 @@
 }
 
 // fakeBench stands in for the bench: worth is a tenth of the seed, and twice that
-// with a setting in the deploy file; seed 3 breaks a rule and seed 4 is not played.
+// with a setting in the deploy file; seed 3 breaks a rule, seed 4 is not played, nor is
+// anything without processor time charged, since that hides what an overloaded node does.
 const fakeBench = `#!/bin/sh
 while [ $# -gt 0 ]; do
   case $1 in
     --seed) seed=$2 ;;
     --report) report=$2 ;;
+    --no-cpu) echo "processor time must be charged"; exit 1 ;;
   esac
   shift
 done
--- a/internal/paired/play.go
+++ b/internal/paired/play.go
@@ -28,8 +28,9 @@
 	Breaks map[string]json.RawMessage `json:"breaks"`
 }
 
-// Play plays one day of a site with the sources in dir. Processor time is not
-// charged, so that a play depends as little as possible on the machine.
+// Play plays one day of a site with the sources in dir. Processor time is charged:
+// plays without it repeat better, but hide all that an overloaded node does. On a
+// site of 85 nodes the same day earned 0.80 of a class without and 0.52 with it.
 func (b *Bench) Play(ctx context.Context, dir, site, day string, seed int64) (Result, error) {
 	file, err := os.CreateTemp("", "report-*.json")
 	if err != nil {
@@ -39,7 +40,7 @@
 	if err := file.Close(); err != nil {
 		return Result{}, fmt.Errorf("%w: %w", ErrPlay, err)
 	}
-	cmd := exec.CommandContext(ctx, b.Program, "run", site, day, "--no-cpu",
+	cmd := exec.CommandContext(ctx, b.Program, "run", site, day,
 		"--seed", strconv.FormatInt(seed, 10), "--report", file.Name(), "--why", b.Why)
 	cmd.Dir = dir
 	out, err := cmd.CombinedOutput()
