--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -64,7 +64,10 @@
 	for _, name := range sortedKeys(domains) {
 		d := domains[name]
 		switch {
-		case d.donors || s.settling(d.free):
+		case d.donors:
+			s.keep(keptClosing)
+		case s.settling(d.free):
+			s.keep(keptSettling)
 		case len(d.free) == 0:
 			idle = append(idle, d)
 		case s.change(d, stock, &changing, len(domains)):
@@ -85,14 +88,31 @@
 	}
 }
 
+// Reasons why no group of a domain is closed for its members.
+const (
+	// keptClosing: another group of it is being closed for them.
+	keptClosing = "closing"
+	// keptSettling: an instance of it is too new.
+	keptSettling = "settling"
+	// keptLimit: enough domains change already.
+	keptLimit = "limit"
+	// keptGain: nothing is worth more.
+	keptGain = "no gain"
+)
+
+// keep counts a domain whose groups stay for a reason.
+func (s *step) keep(reason string) { s.plan.Kept[reason]++ }
+
 // change has groups of a domain closed for their members if that gains enough and
 // not too many domains change already, and reports whether it did.
 func (s *step) change(d *domain, stock *supply, changing *int, domains int) bool {
 	if *changing > domains/s.policy.ChangingPart {
+		s.keep(keptLimit)
 		return false
 	}
 	donors := s.donors(d, stock, options(len(d.free), s.able(d.free), s.engine.Models))
 	if donors == nil {
+		s.keep(keptGain)
 		return false
 	}
 	s.giveUp(donors, d.free, stock)
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -99,6 +99,8 @@
 	Free    int
 	// Wanted is the number of instances that should be in groups of each model.
 	Wanted map[string]float64
+	// Kept is the number of domains of which no group is closed for its members, by reason.
+	Kept map[string]int
 	// Spares tells what each free instance has loaded.
 	Spares []string
 	// Avoid are the formations that must not be sent new requests.
@@ -129,7 +131,7 @@
 		now:     now,
 		byID:    make(map[state.InstanceID]*Member, len(members)),
 		groups:  map[fleet.GroupKey][]*Member{},
-		plan:    Plan{Avoid: map[fleet.GroupKey]string{}},
+		plan:    Plan{Avoid: map[fleet.GroupKey]string{}, Kept: map[string]int{}},
 	}
 	if p.began.IsZero() {
 		p.began = now
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -129,7 +129,7 @@
 	}
 	p.told = now
 	p.n.log.WithFields(log.Fields{
-		"service": service, "groups": plan.Serving, "wanted": plan.Wanted, "free": plan.Free, "spares": plan.Spares, "instances": instances, "failing": avoidedText(plan.Avoid),
+		"service": service, "groups": plan.Serving, "wanted": plan.Wanted, "kept": plan.Kept, "free": plan.Free, "spares": plan.Spares, "instances": instances, "failing": avoidedText(plan.Avoid),
 	}).Info("supply")
 	p.n.log.WithFields(p.n.load.fields()).Info("leader load")
 }
