Bound the sets of groups considered for closing; typed reasons; drop work added up while not leading

Found on reading the change: with several models of small groups the sets grew with the product of their groups. At most the members of two of the largest groups are considered, which still holds four groups of 4 for one of 16. No other change of behaviour.

--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -65,9 +65,9 @@
 		d := domains[name]
 		switch {
 		case d.donors:
-			s.keep(keptClosing)
+			s.keep(KeptClosing)
 		case s.settling(d.free):
-			s.keep(keptSettling)
+			s.keep(KeptSettling)
 		case len(d.free) == 0:
 			idle = append(idle, d)
 		case s.change(d, stock, &changing, len(domains)):
@@ -88,31 +88,34 @@
 	}
 }
 
-// Reasons why no group of a domain is closed for its members.
+// KeptReason is why no group of a domain is closed for its members.
+type KeptReason string
+
+// The reasons.
 const (
-	// keptClosing: another group of it is being closed for them.
-	keptClosing = "closing"
-	// keptSettling: an instance of it is too new.
-	keptSettling = "settling"
-	// keptLimit: enough domains change already.
-	keptLimit = "limit"
-	// keptGain: nothing is worth more.
-	keptGain = "no gain"
+	// KeptClosing: another group of the domain is being closed for them.
+	KeptClosing KeptReason = "closing"
+	// KeptSettling: an instance of the domain is too new.
+	KeptSettling KeptReason = "settling"
+	// KeptLimit: enough domains change already.
+	KeptLimit KeptReason = "limit"
+	// KeptNoGain: no other groups are worth more.
+	KeptNoGain KeptReason = "no gain"
 )
 
 // keep counts a domain whose groups stay for a reason.
-func (s *step) keep(reason string) { s.plan.Kept[reason]++ }
+func (s *step) keep(reason KeptReason) { s.plan.Kept[reason]++ }
 
 // change has groups of a domain closed for their members if that gains enough and
 // not too many domains change already, and reports whether it did.
 func (s *step) change(d *domain, stock *supply, changing *int, domains int) bool {
 	if *changing > domains/s.policy.ChangingPart {
-		s.keep(keptLimit)
+		s.keep(KeptLimit)
 		return false
 	}
 	donors := s.donors(d, stock, options(len(d.free), s.able(d.free), s.engine.Models))
 	if donors == nil {
-		s.keep(keptGain)
+		s.keep(KeptNoGain)
 		return false
 	}
 	s.giveUp(donors, d.free, stock)
@@ -244,11 +247,12 @@
 }
 
 // donorSets returns the sets of groups that may be closed for their members: any
-// number of each model, those first whose members can join other groups soonest. A
-// group of 16 takes the members of four groups of 4, so that no fixed number of
-// groups is enough.
+// number of each model, those first whose members can join other groups soonest, with
+// no more members than two of the largest groups have. A group of 16 takes the
+// members of four groups of 4, so that no fixed number of groups is enough.
 func (s *step) donorSets(d *domain) [][]*formation {
 	sets := [][]*formation{nil}
+	most := 2 * s.largestSize()
 	for _, m := range s.engine.Models {
 		var old []*formation
 		for _, f := range d.groups {
@@ -258,7 +262,7 @@
 		}
 		slices.SortStableFunc(old, func(a, b *formation) int { return cmp.Compare(s.transferable(b), s.transferable(a)) })
 		for _, before := range slices.Clone(sets) {
-			for n := 1; n <= len(old); n++ {
+			for n := 1; n <= len(old) && memberCount(before)+memberCount(old[:n]) <= most; n++ {
 				sets = append(sets, slices.Concat(before, old[:n]))
 			}
 		}
@@ -266,6 +270,24 @@
 	return sets[1:]
 }
 
+// largestSize returns the number of instances in a group of the largest model.
+func (s *step) largestSize() int {
+	largest := 0
+	for _, m := range s.engine.Models {
+		largest = max(largest, m.Size)
+	}
+	return largest
+}
+
+// memberCount returns how many instances some groups have.
+func memberCount(groups []*formation) int {
+	n := 0
+	for _, f := range groups {
+		n += len(f.members)
+	}
+	return n
+}
+
 // transferable returns how many members of a group can join one of another model without a load.
 func (s *step) transferable(f *formation) int {
 	n := 0
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -100,7 +100,7 @@
 	// Wanted is the number of instances that should be in groups of each model.
 	Wanted map[string]float64
 	// Kept is the number of domains of which no group is closed for its members, by reason.
-	Kept map[string]int
+	Kept map[KeptReason]int
 	// Spares tells what each free instance has loaded.
 	Spares []string
 	// Avoid are the formations that must not be sent new requests.
@@ -131,7 +131,7 @@
 		now:     now,
 		byID:    make(map[state.InstanceID]*Member, len(members)),
 		groups:  map[fleet.GroupKey][]*Member{},
-		plan:    Plan{Avoid: map[fleet.GroupKey]string{}, Kept: map[string]int{}},
+		plan:    Plan{Avoid: map[fleet.GroupKey]string{}, Kept: map[KeptReason]int{}},
 	}
 	if p.began.IsZero() {
 		p.began = now
--- a/transport/entry/leaderload.go
+++ b/transport/entry/leaderload.go
@@ -7,8 +7,8 @@
 	"github.com/apex/log"
 )
 
-// leaderLoad adds up what leading costs between two log lines: where the leader is
-// busy, its own calls end late and say little of instances and nodes.
+// leaderLoad adds up what leading costs between two log lines. The calls of a busy
+// leader end late and say little of instances and nodes.
 type leaderLoad struct {
 	mu sync.Mutex
 	leaderWork
@@ -69,6 +69,13 @@
 	l.timerDelay = max(l.timerDelay, delay)
 }
 
+// reset forgets what was added up while the node did not lead.
+func (l *leaderLoad) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaderWork = leaderWork{}
+}
+
 // fields returns the work since the last call as fields of a log line.
 func (l *leaderLoad) fields() log.Fields {
 	l.mu.Lock()
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -76,6 +76,7 @@
 
 // rest forgets what was planned: another node places.
 func (p *placer) rest() {
+	p.n.load.reset()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.planners)
