--- a/coordination/dispatch/spread_test.go
+++ b/coordination/dispatch/spread_test.go
@@ -42,7 +42,7 @@
 	return got
 }
 
-// F23: a group that has just opened is the emptiest for all nodes at once. Without
+// A group that has just opened is the emptiest for all nodes at once. Without
 // a bound it draws every request, and reads their prompts one after another.
 func TestAGroupThatJustOpenedDrawsABoundedShare(t *testing.T) {
 	for _, c := range []struct {
@@ -108,7 +108,7 @@
 	return table
 }
 
-// F23: a node sends a group prompts no faster than its part of what the group can
+// A node sends a group prompts no faster than its part of what the group can
 // read, also where every other group is full.
 func TestAGroupIsSentPromptsAtTheNodesPartOfItsReading(t *testing.T) {
 	g := NewWithT(t)
@@ -140,7 +140,7 @@
 	g.Expect(sent).To(Equal(3))
 }
 
-// F28: with 68 nodes each may send a group a prompt every few seconds; waiting for
+// With 68 nodes each may send a group a prompt every few seconds; waiting for
 // that refused requests while groups were idle.
 func TestANodeWithASmallPartIsNotPaced(t *testing.T) {
 	for _, c := range []struct {
@@ -168,7 +168,7 @@
 	}
 }
 
-// F29: a bucket that began empty refused the first request of each node and model.
+// A bucket that began empty refused the first request of each node and model.
 func TestTheFirstRequestFindsNoGroupFull(t *testing.T) {
 	g := NewWithT(t)
 	head := pacedTable().Pick("lm", "m", start, nobody)
--- a/coordination/placement/staging_test.go
+++ b/coordination/placement/staging_test.go
@@ -43,7 +43,7 @@
 	return ids
 }
 
-// F24: a leader that took over ordered the loads under way once more, and all of
+// A leader that took over ordered the loads under way once more, and all of
 // them together went on slower.
 func TestLoadsOfTheLastLeaderAreNotOrderedAgain(t *testing.T) {
 	g := NewWithT(t)
@@ -62,7 +62,7 @@
 	g.Expect(staged(late.Step(stagingNow.Add(time.Second), members()))).To(ContainElements(loading), "one that was not told")
 }
 
-// F25: a new instance without a model held up the repair of its whole domain.
+// A new instance without a model held up the repair of its whole domain.
 func TestANewInstanceWithoutAModelIsNotWaitedFor(t *testing.T) {
 	for _, c := range []struct {
 		name  string
