Property: groups come to rest in drawn deployments

Domains of 4 to 40, one to three models in groups of 2 to 32, a change of the demand: the instances come into groups, no rule of the model breaks, and 45 s later nothing changes any more.

--- /dev/null
+++ b/coordination/placement/drawn_test.go
@@ -0,0 +1,104 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/troutmast/troutmast/internal/fixedseed" // the same cases in every run
+
+	"github.com/troutmast/troutmast/state/catalog"
+)
+
+// drawEngine draws an engine service whose models' groups fit into a domain.
+func drawEngine(t *rapid.T, domain int) *catalog.Engine {
+	e := &catalog.Engine{
+		Slots: rapid.IntRange(4, 40).Draw(t, "slots"), LoadsPerSecond: 10, LoadsAtOnce: 10, ReportLag: reportLag, Form: form,
+	}
+	sizes := rapid.SliceOfNDistinct(rapid.SampledFrom([]int{2, 3, 4, 8, 16, 32}), 1, 3, rapid.ID[int]).Draw(t, "sizes")
+	for _, size := range sizes {
+		e.Models = append(e.Models, catalog.Model{
+			Name: fmt.Sprintf("m%d", size), Size: min(size, domain), Pace: rapid.Float64Range(0.4, 1.5).Draw(t, "pace"),
+			Share: rapid.Float64Range(0.2, 1).Draw(t, "share"), Load: 16 * time.Second, Warm: warm,
+		})
+	}
+	return e
+}
+
+// drawWork draws how many places the requests for each model hold.
+func drawWork(t *rapid.T, e *catalog.Engine, instances int, name string) []float64 {
+	work := make([]float64, len(e.Models))
+	for i, m := range e.Models {
+		places := float64(instances*e.Slots) / float64(m.Size)
+		work[i] = places * rapid.Float64Range(0, 0.6).Draw(t, name)
+	}
+	return work
+}
+
+// drawWorld draws a world of one service without faults, one planner leading it.
+func drawWorld(t *rapid.T) *world {
+	domains, perDomain := rapid.IntRange(1, 4).Draw(t, "domains"), rapid.IntRange(4, 40).Draw(t, "instances of a domain")
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), 0, 0, 1)
+	w.faults = false
+	w.engine = drawEngine(t, perDomain)
+	for d := range domains {
+		for range perDomain {
+			target := w.addTarget(fmt.Sprintf("d%d", d))
+			target.Staged = nil
+			for _, m := range w.engine.Models {
+				target.Staged = append(target.Staged, m.Name)
+			}
+			w.changed(target)
+		}
+	}
+	w.place(w.nodes[0], true)
+	return w
+}
+
+// Whatever the sizes of domains and groups, the instances come into groups, and
+// after a change of the demand the groups come to rest.
+func TestGroupsComeToRestInDrawnDeployments(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		w.run(14 * time.Second)
+		checkGroupsStand(t, w)
+		alive, _ := w.serving()
+		w.nodes[0].planner.Work = drawWork(t, w.engine, alive, "work")
+		w.run(45 * time.Second)
+		before := w.formations()
+		w.run(10 * time.Second)
+		if len(w.broken) > 0 {
+			t.Fatalf("%v", w.broken)
+		}
+		for id, key := range w.formations() {
+			if key != before[id] {
+				t.Fatalf("%s went from %v to %v though nothing changed", id, before[id], key)
+			}
+		}
+	})
+}
+
+// checkGroupsStand checks that no rule was broken, and that not more instances of a
+// domain are in no group than its largest group could have left over.
+func checkGroupsStand(t *rapid.T, w *world) {
+	if len(w.broken) > 0 {
+		t.Fatalf("%v", w.broken)
+	}
+	largest := 0
+	for _, m := range w.engine.Models {
+		largest = max(largest, m.Size)
+	}
+	free := map[string]int{}
+	for _, target := range w.targets {
+		if target.Membership.Group == "" {
+			free[target.Domain]++
+		}
+	}
+	for domain, n := range free {
+		if n >= largest {
+			t.Fatalf("%d instances of %s are in no group, the largest group has %d", n, domain, largest)
+		}
+	}
+}
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -92,6 +92,8 @@
 
 // world is a seeded run of targets, list and nodes.
 type world struct {
+	// engine is the engine service, the one of engine() unless a test sets another.
+	engine *catalog.Engine
 	// work is what the planners are told of the demand.
 	work    []float64
 	rng     *rand.Rand
@@ -118,6 +120,7 @@
 		now:     time.Unix(1000, 0),
 		targets: map[state.InstanceID]*target{},
 		ready:   map[fleet.GroupKey]map[state.InstanceID]bool{},
+		engine:  engine(),
 		faults:  true,
 		late:    0.06,
 	}
@@ -435,7 +438,7 @@
 		return
 	}
 	n.placing, n.since = on, w.now
-	n.planner = placement.NewPlanner(engine(), placement.DefaultPolicy(), n.epochs.Next)
+	n.planner = placement.NewPlanner(w.engine, placement.DefaultPolicy(), n.epochs.Next)
 	n.planner.Work = w.work
 }
 
