--- a/coordination/placement/step_bench_test.go
+++ b/coordination/placement/step_bench_test.go
@@ -33,7 +33,9 @@
 	return list
 }
 
-// One step of a planner for 296 instances, nothing to be done or nothing known yet.
+// One step of a planner for 296 instances in groups of four, with nothing to be done.
+// Looking up once a step who is named by a formation takes it from 962 to 621 us before
+// traffic and from 452 to 341 us while serving (8 cores shared with other work).
 func BenchmarkStepOfALargeService(b *testing.B) {
 	for _, c := range []struct {
 		name    string
