Log a fingerprint of each request, alike for all its attempts

Lines named ids, and each attempt has its own, so that no log showed which requests were the same under several endings.

--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
@@ -140,7 +142,9 @@
 	service state.ServiceName
 	model   string
 	body    []byte
-	ctx     context.Context
+	// fingerprint names the request alike for all its attempts.
+	fingerprint quarantine.Fingerprint
+	ctx         context.Context
 	arrived time.Time
 	// deadline is when the caller or the operator gives the request up.
 	deadline time.Time
@@ -212,6 +216,7 @@
 	if no := c.readBody(); no != nil {
 		return no
 	}
+	c.fingerprint = c.contentFingerprint()
 	patience := claims.Patience
 	if patience <= 0 {
 		patience = c.Policy.DefaultTimeout
@@ -244,6 +249,15 @@
 	return nil
 }
 
+// contentFingerprint returns the fingerprint of the request, whose body has been read.
+func (c *call) contentFingerprint() quarantine.Fingerprint {
+	content := quarantine.Content{Method: c.r.Method, Host: strings.ToLower(hostOnly(c.r.Host)), Target: c.r.RequestURI, Body: c.body}
+	if c.team != nil {
+		content.Caller = string(c.team.Name)
+	}
+	return quarantine.NewFingerprint(content)
+}
+
 // bodyTime bounds the reading of a request's body.
 const bodyTime = 10 * time.Second
 
@@ -279,7 +293,7 @@
 func (c *call) refuse(no *refusal) {
 	c.Recorder.Count("refused." + string(no.code))
 	c.Recorder.Decide("request-ended", c.claims.ID, map[string]any{
-		"code": string(no.code), "sends": c.sends, "runs": c.runs, "tried": c.tried,
+		"fingerprint": c.fingerprint, "code": string(no.code), "sends": c.sends, "runs": c.runs, "tried": c.tried,
 		"route": c.routeName(), "model": c.model, "timeout_ms": c.claims.Patience.Milliseconds(), "ms": c.Clock.Since(c.arrived).Milliseconds(), "begun": c.begun,
 	})
 	if c.begun {
--- a/transport/gateway/outcome.go
+++ b/transport/gateway/outcome.go
@@ -49,7 +49,7 @@
 		c.Recorder.Count("late." + string(late))
 	}
 	c.Recorder.Decide("request-answered", c.claims.ID, map[string]any{
-		"instance": target.ID, "group": target.Membership.Group, "route": c.routeName(), "model": c.model,
+		"fingerprint": c.fingerprint, "instance": target.ID, "group": target.Membership.Group, "route": c.routeName(), "model": c.model,
 		"prompt": c.claims.Prompt, "timeout_ms": c.claims.Patience.Milliseconds(), "events": c.events, "sends": c.sends, "runs": c.runs, "load": c.loadWhenPicked,
 		"ms": total.Milliseconds(), "first_ms": c.firstAfter.Milliseconds(), "gap_ms": c.longestGap.Milliseconds(), "late": late,
 	})
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -193,7 +193,7 @@
 		text = err.Error()
 	}
 	c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{
-		"instance": target.ID, "group": target.Membership.Group, "epoch": target.Membership.Epoch, "what": what, "error": text,
+		"fingerprint": c.fingerprint, "instance": target.ID, "group": target.Membership.Group, "epoch": target.Membership.Epoch, "what": what, "error": text,
 		"ms": c.Clock.Since(sent).Milliseconds(), "held": target.Held(), "event": c.lastEvent,
 	})
 }
@@ -206,11 +206,11 @@
 	case errors.Is(context.Cause(ctx), errStalled):
 		c.trouble(target, sent, "stalled", err)
 	case c.ctx.Err() != nil:
-		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{"instance": target.ID, "what": "time is up", "held": target.Held()})
+		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{"fingerprint": c.fingerprint, "instance": target.ID, "what": "time is up", "held": target.Held()})
 	default:
 		target.Failed()
 		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{
-			"instance": target.ID, "what": "broken off", "error": err.Error(), "ms": c.Clock.Since(sent).Milliseconds(),
+			"fingerprint": c.fingerprint, "instance": target.ID, "what": "broken off", "error": err.Error(), "ms": c.Clock.Since(sent).Milliseconds(),
 		})
 	}
 	return unknown
@@ -236,7 +236,7 @@
 	}
 	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
 	if success && !v.Sealed {
-		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{"instance": target.ID, "what": "no seal", "status": resp.Status})
+		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{"fingerprint": c.fingerprint, "instance": target.ID, "what": "no seal", "status": resp.Status})
 		return unknown
 	}
 	if success && c.route.Kind == catalog.Stream {
