--- /dev/null
+++ b/coordination/quarantine/ledger.go
@@ -0,0 +1,279 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// Ledger keeps which instances ended under which requests, as far as this node
+// and those that it hears from know; safe for concurrent use.
+//
+// A request that broke off waits for proof that its instance ended: a cut, a
+// reset or a stall alone is none. What nodes know joins as sets do, so that the
+// order and number of exchanges don't matter.
+type Ledger struct {
+	policy Policy
+
+	mu      sync.Mutex
+	pending map[fleet.Incarnation]*doubt
+	endings map[fleet.Incarnation]*record
+	cleared map[Fingerprint]*clearing
+	// version counts the changes of endings and cleared.
+	version uint64
+	// dirty tells that the verdicts are older than the endings, judged when they were last made.
+	dirty  bool
+	judged time.Time
+
+	verdicts atomic.Pointer[map[Fingerprint]Verdict]
+}
+
+// doubt is an instance on which requests broke off, and that may have ended.
+type doubt struct {
+	broken []broken
+	// asked counts the questions to the instance, askAt is when the next one is due.
+	asked int
+	askAt time.Time
+}
+
+// broken is one attempt without a whole answer.
+type broken struct {
+	request Fingerprint
+	at      time.Time
+}
+
+// record is an ending with what sharing it needs.
+type record struct {
+	at       time.Time
+	requests []Fingerprint
+	change
+}
+
+// clearing is when a request last got a whole answer after instances ended under it.
+type clearing struct {
+	at time.Time
+	change
+}
+
+// change tells at which version of the ledger something last changed, and by whose word.
+type change struct {
+	version uint64
+	from    Source
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger(p Policy) *Ledger {
+	l := &Ledger{
+		policy:  p,
+		pending: map[fleet.Incarnation]*doubt{},
+		endings: map[fleet.Incarnation]*record{},
+		cleared: map[Fingerprint]*clearing{},
+	}
+	l.verdicts.Store(&map[Fingerprint]Verdict{})
+	return l
+}
+
+// Verdict returns what is concluded about a request.
+func (l *Ledger) Verdict(f Fingerprint, now time.Time) Verdict {
+	l.judge(now)
+	return (*l.verdicts.Load())[f]
+}
+
+// Verdicts returns what is concluded about all requests that instances ended
+// under; the map must not be changed.
+func (l *Ledger) Verdicts(now time.Time) map[Fingerprint]Verdict {
+	l.judge(now)
+	return *l.verdicts.Load()
+}
+
+// Broken records that an attempt of a request got no whole answer from a group,
+// whose members may have ended.
+func (l *Ledger) Broken(f Fingerprint, members []fleet.Incarnation, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range members {
+		if r := l.endings[m]; r != nil {
+			if now.Sub(r.at) < l.policy.EvidenceWindow {
+				l.add(r, f)
+			}
+			continue
+		}
+		d := l.pending[m]
+		if d == nil {
+			d = &doubt{askAt: now}
+			l.pending[m] = d
+		}
+		if len(d.broken) < l.policy.MaxRequests {
+			d.broken = append(d.broken, broken{f, now})
+		}
+	}
+}
+
+// add adds a request to an ending that this node has seen itself. l.mu is held.
+func (l *Ledger) add(r *record, f Fingerprint) {
+	if slices.Contains(r.requests, f) || len(r.requests) >= l.policy.MaxRequests {
+		return
+	}
+	r.requests = append(r.requests, f)
+	l.touch(&r.change, self)
+}
+
+// touch marks a change of what others need to know. l.mu is held.
+func (l *Ledger) touch(c *change, from Source) {
+	l.version++
+	*c = change{version: l.version, from: from}
+	l.dirty = true
+}
+
+// Alive records that an instance answered a question asked at a time: what broke
+// off before has another cause than its end.
+func (l *Ledger) Alive(in fleet.Incarnation, asked time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.pending[in]
+	if d == nil {
+		return
+	}
+	d.broken = slices.DeleteFunc(d.broken, func(b broken) bool { return b.at.Before(asked) })
+	if len(d.broken) == 0 {
+		delete(l.pending, in)
+	}
+}
+
+// Ended records that an instance has ended for certain, and returns the requests
+// that it had under way, if that is news.
+func (l *Ledger) Ended(in fleet.Incarnation, now time.Time) []Fingerprint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.pending[in]
+	if d == nil {
+		return nil
+	}
+	delete(l.pending, in)
+	r := &record{at: d.broken[0].at}
+	if known := l.endings[in]; known != nil {
+		r = known
+	}
+	var news []Fingerprint
+	for _, b := range d.broken {
+		if now.Sub(b.at) < l.policy.EvidenceWindow && !slices.Contains(r.requests, b.request) {
+			l.add(r, b.request)
+			news = append(news, b.request)
+		}
+	}
+	if len(r.requests) > 0 {
+		l.endings[in] = r
+		l.bound()
+	}
+	return news
+}
+
+// Answered records that a request got a whole answer, which clears it if the next
+// ending under it would have it held back.
+func (l *Ledger) Answered(f Fingerprint, now time.Time) {
+	if l.Verdict(f, now).Endings >= max(l.policy.Endings-1, 1) {
+		l.Clear(f, now)
+	}
+}
+
+// Clear has the endings so far no longer count against a request.
+func (l *Ledger) Clear(f Fingerprint, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.clear(f, now, self)
+}
+
+// clear records when a request was last cleared, by whose word. l.mu is held.
+func (l *Ledger) clear(f Fingerprint, at time.Time, from Source) {
+	c := l.cleared[f]
+	if c == nil {
+		c = &clearing{}
+		l.cleared[f] = c
+	}
+	if at.Sub(c.at) < l.policy.Spacing {
+		return
+	}
+	c.at = at
+	l.touch(&c.change, from)
+}
+
+// Due returns the instances that are to be asked now whether they live.
+func (l *Ledger) Due(now time.Time) []fleet.Incarnation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var due []fleet.Incarnation
+	for in, d := range l.pending {
+		last := d.broken[len(d.broken)-1].at
+		switch {
+		case now.Sub(last) > l.policy.EvidenceWindow:
+			delete(l.pending, in)
+		case !now.Before(d.askAt):
+			d.askAt = now.Add(l.policy.CheckInterval << d.asked)
+			d.asked++
+			due = append(due, in)
+		}
+	}
+	return due
+}
+
+// judge makes the verdicts anew if endings have changed, and forgets what is old.
+func (l *Ledger) judge(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since := now.Sub(l.judged)
+	if !l.dirty && since < l.policy.Hold/judgePart || since < l.policy.JudgeInterval {
+		return
+	}
+	l.forget(now)
+	endings := make([]Ending, 0, len(l.endings))
+	for in, r := range l.endings {
+		endings = append(endings, Ending{Instance: in, At: r.at, Requests: r.requests})
+	}
+	cleared := make(map[Fingerprint]time.Time, len(l.cleared))
+	for f, c := range l.cleared {
+		cleared[f] = c.at
+	}
+	verdicts := judge(endings, cleared, &l.policy)
+	l.verdicts.Store(&verdicts)
+	l.dirty, l.judged = false, now
+}
+
+// judgePart is the part of the holding time after which verdicts are made anew though nothing has changed.
+const judgePart = 10
+
+// forget drops what is older than the memory. l.mu is held.
+func (l *Ledger) forget(now time.Time) {
+	for in, r := range l.endings {
+		if now.Sub(r.at) > l.policy.Memory {
+			delete(l.endings, in)
+		}
+	}
+	for f, c := range l.cleared {
+		if now.Sub(c.at) > l.policy.Memory {
+			delete(l.cleared, f)
+		}
+	}
+}
+
+// bound drops the oldest endings beyond the bound. l.mu is held.
+func (l *Ledger) bound() {
+	for len(l.endings) > l.policy.MaxEndings {
+		var oldest fleet.Incarnation
+		var at time.Time
+		for in, r := range l.endings {
+			if at.IsZero() || r.at.Before(at) {
+				oldest, at = in, r.at
+			}
+		}
+		delete(l.endings, oldest)
+	}
+	for len(l.cleared) > l.policy.MaxEndings {
+		for f := range l.cleared {
+			delete(l.cleared, f)
+			break
+		}
+	}
+}
--- /dev/null
+++ b/coordination/quarantine/ledger_test.go
@@ -0,0 +1,236 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/quarantine"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// start is when the tests begin.
+var start = time.Unix(1000, 0)
+
+// request returns the fingerprint of a request with a body.
+func request(body string) quarantine.Fingerprint {
+	return quarantine.NewFingerprint(quarantine.Content{Method: "POST", Host: "h", Target: "/x", Caller: "team", Body: []byte(body)})
+}
+
+// instance returns one life of an instance.
+func instance(id string) fleet.Incarnation {
+	return fleet.Incarnation{ID: state.InstanceID(id)}
+}
+
+// end has an instance end under requests at a time after the start.
+func end(l *quarantine.Ledger, id string, after time.Duration, requests ...string) {
+	at := start.Add(after)
+	for _, r := range requests {
+		l.Broken(request(r), []fleet.Incarnation{instance(id)}, at)
+	}
+	l.Ended(instance(id), at.Add(10*time.Millisecond))
+}
+
+// held reports whether a request is held back at a time after the start.
+func held(l *quarantine.Ledger, r string, after time.Duration) bool {
+	now := start.Add(after)
+	return l.Verdict(request(r), now).Held(now)
+}
+
+func TestAFingerprintNamesWhatIsAskedFor(t *testing.T) {
+	g := NewWithT(t)
+	base := quarantine.Content{Method: "POST", Host: "h", Target: "/x?q=1", Caller: "team", Body: []byte("body")}
+	g.Expect(quarantine.NewFingerprint(base)).To(Equal(quarantine.NewFingerprint(base)))
+	seen := map[quarantine.Fingerprint]string{quarantine.NewFingerprint(base): "base"}
+	for _, c := range []struct {
+		name   string
+		change func(*quarantine.Content)
+	}{
+		{"method", func(c *quarantine.Content) { c.Method = "PUT" }},
+		{"host", func(c *quarantine.Content) { c.Host = "g" }},
+		{"query", func(c *quarantine.Content) { c.Target = "/x?q=2" }},
+		{"caller", func(c *quarantine.Content) { c.Caller = "other" }},
+		{"body", func(c *quarantine.Content) { c.Body = nil }},
+		{"bytes moved to the next field", func(c *quarantine.Content) { c.Caller, c.Body = "teambo", []byte("dy") }},
+	} {
+		content := base
+		c.change(&content)
+		f := quarantine.NewFingerprint(content)
+		g.Expect(seen).NotTo(HaveKey(f), c.name)
+		seen[f] = c.name
+	}
+}
+
+func TestAFingerprintIsReadAsItWasWritten(t *testing.T) {
+	g := NewWithT(t)
+	f := request("a")
+	var back quarantine.Fingerprint
+	g.Expect(back.UnmarshalText([]byte(f.String()))).To(Succeed())
+	g.Expect(back).To(Equal(f))
+	for _, bad := range []string{"", "xy", f.String() + "00"} {
+		g.Expect(back.UnmarshalText([]byte(bad))).To(MatchError(quarantine.ErrBadFingerprint), bad)
+	}
+}
+
+// The request under which three instances ended is held back on its own: those that
+// were beside it go on.
+func TestTheRequestUnderEachEndingIsHeldBack(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger(quarantine.DefaultPolicy())
+	end(l, "a", time.Second, "deadly", "s1", "s2", "s3")
+	end(l, "b", 2*time.Second, "deadly", "s1", "s2", "s4")
+	g.Expect(held(l, "deadly", 2500*time.Millisecond)).To(BeFalse())
+	end(l, "c", 3*time.Second, "deadly", "s5")
+	end(l, "d", 4*time.Second, "s3", "s4")
+	g.Expect(held(l, "deadly", 5*time.Second)).To(BeTrue())
+	for _, s := range []string{"s1", "s2", "s3", "s4", "s5", "never seen"} {
+		g.Expect(held(l, s, 5*time.Second)).To(BeFalse(), s)
+	}
+	g.Expect(l.Verdict(request("deadly"), start.Add(5*time.Second)).Instances()).To(ConsistOf(state.InstanceID("a"), state.InstanceID("b"), state.InstanceID("c")))
+}
+
+// A request that was beside the deadly one under three endings is no longer held
+// back once a fourth one tells them apart.
+func TestAnEndingThatAnotherRequestAccountsForDoesNotCount(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger(quarantine.DefaultPolicy())
+	for i, id := range []string{"a", "b", "c"} {
+		end(l, id, time.Duration(i+1)*time.Second, "deadly", "beside")
+	}
+	end(l, "d", 4*time.Second, "deadly")
+	g.Expect(held(l, "deadly", 5*time.Second)).To(BeTrue())
+	g.Expect(held(l, "beside", 5*time.Second)).To(BeFalse())
+}
+
+func TestTwoDeadlyRequestsAreBothFound(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger(quarantine.DefaultPolicy())
+	for i := range 4 {
+		end(l, fmt.Sprintf("a%d", i), time.Duration(2*i+1)*time.Second, "deadly one", fmt.Sprintf("s%d", i))
+	}
+	for i := range 3 {
+		end(l, fmt.Sprintf("b%d", i), time.Duration(2*i+2)*time.Second, "deadly two", fmt.Sprintf("t%d", i))
+	}
+	g.Expect(held(l, "deadly one", 9*time.Second)).To(BeTrue())
+	g.Expect(held(l, "deadly two", 9*time.Second)).To(BeTrue())
+}
+
+func TestWhatProvesNoFaultOfARequest(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play func(l *quarantine.Ledger)
+	}{
+		{"two endings", func(l *quarantine.Ledger) {
+			end(l, "a", time.Second, "popular")
+			end(l, "b", 2*time.Second, "popular")
+		}},
+		{"many instances end together, as a rack does", func(l *quarantine.Ledger) {
+			for i := range 9 {
+				end(l, fmt.Sprintf("i%d", i), time.Second+time.Duration(i)*10*time.Millisecond, "popular")
+			}
+		}},
+		{"a whole answer in between", func(l *quarantine.Ledger) {
+			end(l, "a", time.Second, "popular")
+			end(l, "b", 2*time.Second, "popular")
+			l.Answered(request("popular"), start.Add(2500*time.Millisecond))
+			end(l, "c", 3*time.Second, "popular")
+			end(l, "d", 4*time.Second, "popular")
+		}},
+		{"it broke off on instances that live", func(l *quarantine.Ledger) {
+			for i := range 9 {
+				in := instance(fmt.Sprintf("i%d", i))
+				at := start.Add(time.Duration(i) * time.Second / 2)
+				l.Broken(request("popular"), []fleet.Incarnation{in}, at)
+				l.Alive(in, at.Add(time.Millisecond))
+				l.Ended(in, at.Add(10*time.Millisecond))
+			}
+		}},
+		{"its instances ended long after it broke off", func(l *quarantine.Ledger) {
+			for i := range 9 {
+				in := instance(fmt.Sprintf("i%d", i))
+				l.Broken(request("popular"), []fleet.Incarnation{in}, start.Add(-time.Minute+time.Duration(i)*time.Second))
+				l.Ended(in, start.Add(time.Duration(i)*time.Second/2))
+			}
+		}},
+		{"an operator cleared it", func(l *quarantine.Ledger) {
+			for i := range 3 {
+				end(l, fmt.Sprintf("i%d", i), time.Duration(i)*time.Second, "popular")
+			}
+			l.Clear(request("popular"), start.Add(4*time.Second))
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := quarantine.NewLedger(quarantine.DefaultPolicy())
+			c.play(l)
+			NewWithT(t).Expect(held(l, "popular", 5*time.Second)).To(BeFalse())
+		})
+	}
+}
+
+func TestARequestIsHeldBackLongerWithEachEnding(t *testing.T) {
+	g := NewWithT(t)
+	p := quarantine.DefaultPolicy()
+	l := quarantine.NewLedger(p)
+	for i := range 3 {
+		end(l, fmt.Sprintf("i%d", i), time.Duration(i)*time.Second, "deadly")
+	}
+	over := 2*time.Second + p.Hold
+	g.Expect(held(l, "deadly", over-time.Second)).To(BeTrue())
+	g.Expect(held(l, "deadly", over+time.Second)).To(BeFalse())
+	again := over + 2*time.Second
+	end(l, "again", again, "deadly")
+	g.Expect(held(l, "deadly", again+p.Hold+time.Second)).To(BeTrue())
+	g.Expect(held(l, "deadly", again+2*p.Hold+time.Second)).To(BeFalse())
+	g.Expect(held(l, "deadly", again+2*p.Memory)).To(BeFalse())
+}
+
+// A late break-off counts under an ending that is known already, whoever told of it.
+func TestABreakOffThatIsNoticedLateCounts(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		tell  func(l *quarantine.Ledger, in fleet.Incarnation, at time.Time)
+		first bool
+	}{
+		{"after the ending is known", func(l *quarantine.Ledger, in fleet.Incarnation, at time.Time) {
+			l.Merge(quarantine.Delta{Endings: []quarantine.Ending{{Instance: in, At: at, Requests: []quarantine.Fingerprint{request("other")}}}}, 7)
+		}, false},
+		{"before another node tells of it", func(l *quarantine.Ledger, in fleet.Incarnation, at time.Time) {
+			l.Merge(quarantine.Delta{Endings: []quarantine.Ending{{Instance: in, At: at, Requests: []quarantine.Fingerprint{request("other")}}}}, 7)
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := quarantine.NewLedger(quarantine.DefaultPolicy())
+			for i := range 3 {
+				in, at := instance(fmt.Sprintf("i%d", i)), start.Add(time.Duration(i)*time.Second)
+				if c.first {
+					l.Broken(request("deadly"), []fleet.Incarnation{in}, at)
+				}
+				c.tell(l, in, at)
+				if !c.first {
+					l.Broken(request("deadly"), []fleet.Incarnation{in}, at.Add(time.Second))
+				}
+			}
+			NewWithT(t).Expect(held(l, "deadly", 5*time.Second)).To(BeTrue())
+		})
+	}
+}
+
+func TestWhatIsKeptIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	p := quarantine.DefaultPolicy()
+	l := quarantine.NewLedger(p)
+	for i := range 4 * p.MaxEndings {
+		for r := range 2 * p.MaxRequests {
+			l.Broken(request(fmt.Sprint(r)), []fleet.Incarnation{instance(fmt.Sprint(i))}, start.Add(time.Duration(i)*time.Millisecond))
+		}
+		l.Ended(instance(fmt.Sprint(i)), start.Add(time.Duration(i)*time.Millisecond))
+	}
+	d, _ := l.Since(0, 0)
+	g.Expect(d.Endings).To(HaveLen(p.MaxEndings))
+	for _, e := range d.Endings {
+		g.Expect(len(e.Requests)).To(BeNumerically("<=", p.MaxRequests))
+	}
+}
--- a/coordination/source/source.go
+++ b/coordination/source/source.go
@@ -23,6 +23,8 @@
 	Instances Topic = "instances"
 	// Nodes holds an entry of each entry node.
 	Nodes Topic = "nodes"
+	// Quarantine holds the requests that are held back because instances ended under them.
+	Quarantine Topic = "quarantine"
 )
 
 // Item is one record; one without a value drops its key.
--- a/state/fleet/instance.go
+++ b/state/fleet/instance.go
@@ -39,9 +39,19 @@
 // Key returns the formation that the membership belongs to.
 func (m Membership) Key() GroupKey { return GroupKey{m.Group, m.Epoch} }
 
+// Incarnation names one life of a target process: a process may start again
+// under the id that it had.
+type Incarnation struct {
+	ID state.InstanceID
+	// Born is when it started by its own clock, in whole milliseconds; zero if it does not say so.
+	Born time.Time
+}
+
 // Instance is one life of a target process, as the platform's list shows it.
 type Instance struct {
-	ID      state.InstanceID
+	ID state.InstanceID
+	// Born is when the process started, as in Incarnation.
+	Born    time.Time
 	Service state.ServiceName
 	Address netip.AddrPort
 	Hall    state.HallName
@@ -60,6 +70,9 @@
 	Position int64
 }
 
+// Incarnation returns which life of the process the entry is of.
+func (i *Instance) Incarnation() Incarnation { return Incarnation{ID: i.ID, Born: i.Born} }
+
 // HasStaged reports whether the instance's host holds a model.
 func (i *Instance) HasStaged(model string) bool {
 	for _, s := range i.Staged {
@@ -72,6 +85,8 @@
 
 // Report is what an instance answered when asked itself.
 type Report struct {
+	// Born is when the process started, as in Incarnation.
+	Born       time.Time
 	Membership Membership
 	Model      string
 	Staged     []string
--- a/transport/entry/beliefs.go
+++ b/transport/entry/beliefs.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
@@ -26,12 +27,14 @@
 // watchBeliefs logs every dependency that is lost or regained, and every change of what is believed of instances.
 func (n *Node) watchBeliefs(ctx context.Context) {
 	b := &beliefs{instances: map[state.InstanceID]belief{}}
+	held := map[quarantine.Fingerprint]time.Time{}
 	for n.sleep(ctx, n.policy.LogInterval) {
 		n.logDependency("store", &b.store, n.storeAge() < n.policy.StoreLostAfter, n.storeAge())
 		age, _ := n.know.Age()
 		n.logDependency("fresh keys", &b.keys, n.know.KeysFresh(), age)
 		n.logDependency("readiness", &b.ready, n.isReady(), 0)
 		n.logInstances(b, n.roster.All(n.clock.Now()))
+		n.logQuarantine(held)
 	}
 }
 
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -49,6 +49,10 @@
 	Nodes int `json:"nodes"`
 	// Late tells that the node runs late itself.
 	Late bool `json:"late,omitempty"`
+	// Ledger tells which instances ended under which requests, as far as the leader may not
+	// know it, LedgerAfter up to which version of the leader's own the node has it.
+	Ledger      *LedgerReport `json:"ledger,omitempty"`
+	LedgerAfter uint64        `json:"ledger_after,omitempty"`
 }
 
 // Answer is what the placing node tells in turn.
@@ -77,6 +81,9 @@
 	Arrived bool `json:"arrived,omitempty"`
 	// Staging are the loads to hosts under way, for the next leader.
 	Staging []Staging `json:"staging,omitempty"`
+	// Ledger tells which instances ended under which requests, up to the version LedgerNow.
+	Ledger    *LedgerReport `json:"ledger,omitempty"`
+	LedgerNow uint64        `json:"ledger_now,omitempty"`
 }
 
 // Staging is a load to an instance's host that the leader has ordered.
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -85,6 +85,7 @@
 	defer cancel()
 	n.Count("probes")
 	rep, err := n.ports.Targets.Report(ctx, m.Address, m.ID)
+	n.judgeReport(m.Incarnation(), asked, rep, err)
 	if errors.Is(err, placement.ErrReplaced) {
 		n.Replaced(m.ID)
 		return false
@@ -143,6 +144,7 @@
 		n.health.Observe(delay, now)
 		n.load.timer(delay)
 		n.gate.Watch.Look()
+		n.askDoubted()
 	}
 }
 
@@ -161,6 +163,11 @@
 	n.mu.Lock()
 	n.suspects[id] = at
 	n.mu.Unlock()
+	n.tellSoon()
+}
+
+// tellSoon has the leader told at once what this node knows.
+func (n *Node) tellSoon() {
 	select {
 	case n.news <- struct{}{}:
 	default:
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -13,6 +13,7 @@
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/localhealth"
+	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
@@ -44,6 +45,7 @@
 	table   *dispatch.Table
 	gate    *gateway.Gateway
 	demand  *demand.Meter
+	ledger  *quarantine.Ledger
 	pool    *direct.Pool
 	metrics metrics.Registry
 	log     *log.Logger
@@ -90,6 +92,7 @@
 		pool:     direct.NewPool(direct.Dialer{Timeout: dialTimeout, Silence: silence}, clock.Now),
 		metrics:  metrics.NewRegistry(),
 		demand:   demand.NewMeter(set.Policy.Demand),
+		ledger:   quarantine.NewLedger(set.Policy.Quarantine),
 		log:      logger,
 		started:  clock.Now(),
 		changed:  make(chan struct{}, 1),
@@ -99,7 +102,7 @@
 		suspects: map[state.InstanceID]time.Time{},
 	}
 	n.gate = gateway.New(gateway.Options{
-		Clock: clock, Dialect: ports.Dialect, Catalogs: n.know, Table: n.table, Health: n, Recorder: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
+		Clock: clock, Dialect: ports.Dialect, Catalogs: n.know, Table: n.table, Health: n, Recorder: n, Quarantine: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
 		Retry: set.Retry,
 	})
 	n.peers = newPeers(n)
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -43,6 +43,10 @@
 	// feedFrom and feedVersion say which changes of the instances this node has: those of a node up to a version.
 	feedFrom    int64
 	feedVersion uint64
+	// ledgerSent is the version of this node's ledger that the leader was told, ledgerHas that
+	// of the leader's own that this node has.
+	ledgerSent uint64
+	ledgerHas  uint64
 	// resting is until when this node does not place because it ran late.
 	resting time.Time
 	// held is what all nodes hold at each instance, asked what callers ask of them, added up at totalAt.
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -6,6 +6,7 @@
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/transport/gateway"
 )
@@ -19,6 +20,8 @@
 	Roster    roster.Policy    `flag:"roster"`
 	Demand    demand.Policy    `flag:"demand"`
 	Node      NodePolicy       `flag:"node"`
+	// Quarantine holds back requests that end instances.
+	Quarantine quarantine.Policy `flag:"quarantine"`
 }
 
 // NodePolicy holds the intervals and timeouts between nodes, to the store and to instances.
@@ -118,11 +121,12 @@
 // were chosen by hand, with the store's rates in docs/CAPACITY.md as the bound.
 func DefaultPolicy() Policy {
 	return Policy{
-		Dispatch:  dispatch.DefaultPolicy(),
-		Gateway:   gateway.DefaultPolicy(),
-		Placement: placement.DefaultPolicy(),
-		Roster:    roster.DefaultPolicy(),
-		Demand:    demand.DefaultPolicy(),
+		Dispatch:   dispatch.DefaultPolicy(),
+		Gateway:    gateway.DefaultPolicy(),
+		Placement:  placement.DefaultPolicy(),
+		Roster:     roster.DefaultPolicy(),
+		Demand:     demand.DefaultPolicy(),
+		Quarantine: quarantine.DefaultPolicy(),
 		Node: NodePolicy{
 			PlanInterval:       100 * time.Millisecond,
 			PlanPause:          25 * time.Millisecond,
--- /dev/null
+++ b/transport/entry/quarantine.go
@@ -0,0 +1,258 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/coordination/quarantine"
+	"github.com/troutmast/troutmast/coordination/source"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// endProof names what proved that an instance ended.
+type endProof string
+
+// The proofs that a process has ended. Silence is none: a cut looks alike.
+const (
+	proofRefused  endProof = "its address refuses connections"
+	proofReplaced endProof = "another process answers at its address"
+	proofReborn   endProof = "it has started again"
+)
+
+// HeldUntil implements gateway.Quarantine.
+func (n *Node) HeldUntil(f quarantine.Fingerprint) (time.Time, bool) {
+	now := n.clock.Now()
+	v := n.ledger.Verdict(f, now)
+	return v.Until, v.Held(now)
+}
+
+// Broken implements gateway.Quarantine.
+func (n *Node) Broken(f quarantine.Fingerprint, c *dispatch.Candidate) {
+	members := []fleet.Incarnation{c.Incarnation()}
+	for i := range c.Members {
+		if in := c.Members[i].Incarnation(); in != members[0] {
+			members = append(members, in)
+		}
+	}
+	n.ledger.Broken(f, members, n.clock.Now())
+}
+
+// Answered implements gateway.Quarantine.
+func (n *Node) Answered(f quarantine.Fingerprint) { n.ledger.Answered(f, n.clock.Now()) }
+
+// Refused implements gateway.Quarantine.
+func (n *Node) Refused(c *dispatch.Candidate) { n.ended(c.Incarnation(), proofRefused) }
+
+// ended records that an instance has ended, and has the leader told at once of the
+// requests that it had under way.
+func (n *Node) ended(in fleet.Incarnation, proof endProof) {
+	requests := n.ledger.Ended(in, n.clock.Now())
+	if len(requests) == 0 {
+		return
+	}
+	n.Count("quarantine.endings")
+	n.log.WithFields(log.Fields{"instance": in.ID, "proof": proof, "requests": requests}).Info("instance ended under requests")
+	n.tellSoon()
+}
+
+// judgeReport concludes from the answer to a question, or the lack of one, whether
+// the instance has ended since requests broke off on it.
+func (n *Node) judgeReport(in fleet.Incarnation, asked time.Time, rep fleet.Report, err error) {
+	switch {
+	case errors.Is(err, placement.ErrReplaced):
+		n.ended(in, proofReplaced)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		n.ended(in, proofRefused)
+	case err == nil && rep.Born.After(in.Born) && !in.Born.IsZero():
+		n.ended(in, proofReborn)
+	case err == nil || errors.Is(err, placement.ErrUnreadable):
+		n.ledger.Alive(in, asked)
+	}
+}
+
+// askDoubted asks the instances on which requests broke off whether they live.
+func (n *Node) askDoubted() {
+	for _, in := range n.ledger.Due(n.clock.Now()) {
+		v, known := n.roster.Get(in.ID, n.clock.Now())
+		switch {
+		case !known:
+		case v.Born.After(in.Born) && !in.Born.IsZero():
+			n.ended(in, proofReborn)
+		default:
+			go n.report(context.Background(), v.Instance, n.clock.Now())
+		}
+	}
+}
+
+// Times of keeping the quarantine in the store.
+const (
+	// keepInterval is the time between two looks for requests to keep in the store.
+	keepInterval = 500 * time.Millisecond
+	// restoreTries bounds the reads of what is kept: a node that cannot read the store
+	// when it starts hears the same from the leader.
+	restoreTries = 20
+)
+
+// keptEnding is an ending as the store keeps it.
+type keptEnding struct {
+	Instance string `json:"instance"`
+	BornMS   int64  `json:"born_ms,omitempty"`
+	UnixMS   int64  `json:"unix_ms"`
+}
+
+// keepQuarantine writes the requests that are held back into the store while this
+// node leads, so that they outlive the loss of all nodes at once. One record a
+// request is written, and one more for each further ending.
+func (n *Node) keepQuarantine(ctx context.Context) {
+	n.restoreQuarantine(ctx)
+	kept := map[quarantine.Fingerprint]int{}
+	for n.sleep(ctx, keepInterval) {
+		if leading, _ := n.peers.isPlacing(); !leading {
+			continue
+		}
+		now := n.clock.Now()
+		for f, v := range n.ledger.Verdicts(now) {
+			if v.Held(now) && kept[f] < v.Endings && n.keep(ctx, f, v, now) {
+				kept[f] = v.Endings
+			}
+		}
+	}
+}
+
+// keep writes one request that is held back into the store and reports whether it is there.
+func (n *Node) keep(ctx context.Context, f quarantine.Fingerprint, v quarantine.Verdict, now time.Time) bool {
+	var list []keptEnding
+	for _, e := range v.Under {
+		list = append(list, keptEnding{Instance: string(e.Instance.ID), BornMS: bornMS(e.Instance), UnixMS: n.clock.Now().Add(-now.Sub(e.At)).UnixMilli()})
+	}
+	value, err := json.Marshal(list)
+	if err != nil {
+		n.log.WithError(err).Error("quarantine not kept")
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.policy.StoreTimeout)
+	defer cancel()
+	if _, err = n.ports.Store.Append(ctx, source.Quarantine, f.String(), value); err != nil {
+		n.Count("quarantine.keep-failed")
+		return false
+	}
+	n.Count("quarantine.kept")
+	return true
+}
+
+// restoreQuarantine reads what the store keeps.
+func (n *Node) restoreQuarantine(ctx context.Context) {
+	pause := n.policy.StoreRetry
+	for range restoreTries {
+		tail, err := n.readTail(ctx, source.Quarantine, -1, 0)
+		if err == nil {
+			n.takeKept(tail.Items)
+			return
+		}
+		if !n.sleep(ctx, pause) {
+			return
+		}
+		pause = min(2*pause, n.policy.StoreRetryMax)
+	}
+	n.log.Warn("quarantine not read from the store")
+}
+
+// takeKept joins what the store keeps with what is known.
+func (n *Node) takeKept(items []source.Item) {
+	now := n.clock.Now()
+	for _, item := range items {
+		if len(item.Value) == 0 {
+			continue
+		}
+		var f quarantine.Fingerprint
+		var list []keptEnding
+		if err := errors.Join(f.UnmarshalText([]byte(item.Key)), json.Unmarshal(item.Value, &list)); err != nil {
+			n.Count("quarantine.unreadable")
+			n.log.WithError(err).WithField("key", item.Key).Warn("kept quarantine not read")
+			continue
+		}
+		var d quarantine.Delta
+		for _, k := range list {
+			in := fleet.Incarnation{ID: state.InstanceID(k.Instance), Born: bornAt(k.BornMS)}
+			age := max(now.Sub(time.UnixMilli(k.UnixMS)), 0)
+			d.Endings = append(d.Endings, quarantine.Ending{Instance: in, At: now.Add(-age), Requests: []quarantine.Fingerprint{f}})
+		}
+		n.ledger.Merge(d, quarantine.Kept)
+	}
+}
+
+// logQuarantine logs each request that is newly held back, and each that no longer is.
+func (n *Node) logQuarantine(held map[quarantine.Fingerprint]time.Time) {
+	now := n.clock.Now()
+	for f, v := range n.ledger.Verdicts(now) {
+		if until, known := held[f]; !v.Held(now) || known && until.Equal(v.Until) {
+			continue
+		}
+		held[f] = v.Until
+		n.Count("quarantine.held")
+		n.log.WithFields(log.Fields{
+			"fingerprint": f, "endings": v.Endings, "instances": v.Instances(), "hold_ms": v.Until.Sub(now).Milliseconds(),
+			"last_ms": now.Sub(v.Under[len(v.Under)-1].At).Milliseconds(),
+		}).Warn("request quarantined")
+	}
+	for f, until := range held {
+		if v := n.ledger.Verdict(f, now); !v.Held(now) {
+			delete(held, f)
+			n.log.WithFields(log.Fields{"fingerprint": f, "expired": !until.After(now)}).Info("request released")
+		}
+	}
+}
+
+// quarantined is one request that is held back, as an operator sees it.
+type quarantined struct {
+	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
+	Endings     int                    `json:"endings"`
+	Instances   []string               `json:"instances"`
+	HoldMS      int64                  `json:"hold_ms"`
+}
+
+// serveQuarantine lists the requests that are held back.
+func (n *Node) serveQuarantine(w http.ResponseWriter, _ *http.Request) {
+	now := n.clock.Now()
+	list := []quarantined{}
+	for f, v := range n.ledger.Verdicts(now) {
+		if !v.Held(now) {
+			continue
+		}
+		q := quarantined{Fingerprint: f, Endings: v.Endings, HoldMS: v.Until.Sub(now).Milliseconds()}
+		for _, id := range v.Instances() {
+			q.Instances = append(q.Instances, string(id))
+		}
+		list = append(list, q)
+	}
+	slices.SortFunc(list, func(a, b quarantined) int { return strings.Compare(a.Fingerprint.String(), b.Fingerprint.String()) })
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(list); err != nil {
+		n.log.WithError(err).Info("list of the quarantine not written")
+	}
+}
+
+// serveRelease clears one request by its fingerprint, on all nodes.
+func (n *Node) serveRelease(w http.ResponseWriter, r *http.Request) {
+	var f quarantine.Fingerprint
+	if err := f.UnmarshalText([]byte(r.PathValue("fingerprint"))); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	n.ledger.Clear(f, n.clock.Now())
+	n.Count("quarantine.cleared")
+	n.log.WithField("fingerprint", f).Info("request cleared by an operator")
+	n.tellSoon()
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/transport/entry/quarantine_test.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/coordination/quarantine"
+	"github.com/troutmast/troutmast/coordination/source"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// deadlyRequest is a request under which instances end in the tests.
+var deadlyRequest = quarantine.NewFingerprint(quarantine.Content{Method: "POST", Target: "/deadly"})
+
+// endUnder has a node see three instances end under a request.
+func endUnder(n *Node, f quarantine.Fingerprint) {
+	for i := range 3 {
+		in := fleet.Incarnation{ID: state.InstanceID(fmt.Sprintf("%s-i%d", n.set.Name, i)), Born: time.UnixMilli(int64(1000 + i)).UTC()}
+		at := n.clock.Now().Add(time.Duration(i-5) * time.Second)
+		n.ledger.Broken(f, []fleet.Incarnation{in}, at)
+		n.ledger.Ended(in, at)
+	}
+}
+
+// holds reports whether a node holds a request back.
+func holds(n *Node, f quarantine.Fingerprint) bool {
+	_, held := n.HeldUntil(f)
+	return held
+}
+
+// exchange has a node report to a leader and take its answer.
+func exchange(g *WithT, from, leader *Node) {
+	w := from.peers.word()
+	sent := from.peers.addLedger(w, from.clock.Now())
+	resp, err := leader.peers.answer(context.Background(), connect.NewRequest(w))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Msg.Placing).To(BeTrue())
+	from.peers.takeLedger(resp.Msg, sent)
+	from.peers.take(resp.Msg, from.clock.Now())
+}
+
+// numbered returns a node that can lead, under a name and a number of its own.
+func numbered(g *WithT, name string, number int64) *Node {
+	n := ableNode(g)
+	n.set.Name = name
+	n.number.Store(number)
+	return n
+}
+
+func TestAllNodesHoldBackWhatOneSawEnd(t *testing.T) {
+	g := NewWithT(t)
+	leader, a, b := numbered(g, "leader", 1), numbered(g, "a", 2), numbered(g, "b", 3)
+	endUnder(a, deadlyRequest)
+	exchange(g, a, leader)
+	exchange(g, b, leader)
+	for _, n := range []*Node{leader, a, b} {
+		g.Expect(holds(n, deadlyRequest)).To(BeTrue(), n.set.Name)
+	}
+	// What has been told is not told again.
+	exchange(g, a, leader)
+	exchange(g, b, leader)
+	for _, n := range []*Node{a, b} {
+		w := n.peers.word()
+		n.peers.addLedger(w, n.clock.Now())
+		g.Expect(w.Ledger).To(BeNil(), n.set.Name)
+		resp, err := leader.peers.answer(context.Background(), connect.NewRequest(w))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.Msg.Ledger).To(BeNil(), n.set.Name)
+	}
+	// A new leader that knows nothing is told all by any node.
+	next := numbered(g, "next", 4)
+	exchange(g, b, next)
+	exchange(g, b, next)
+	g.Expect(holds(next, deadlyRequest)).To(BeTrue())
+}
+
+func TestEndingsSeenByDifferentNodesAddUp(t *testing.T) {
+	g := NewWithT(t)
+	leader, nodes := numbered(g, "leader", 1), []*Node{numbered(g, "a", 2), numbered(g, "b", 3), numbered(g, "c", 4)}
+	for i, n := range nodes {
+		in := fleet.Incarnation{ID: state.InstanceID(fmt.Sprintf("i%d", i))}
+		at := n.clock.Now().Add(time.Duration(i-5) * time.Second)
+		n.ledger.Broken(deadlyRequest, []fleet.Incarnation{in}, at)
+		n.ledger.Ended(in, at)
+	}
+	for range 2 {
+		for _, n := range nodes {
+			exchange(g, n, leader)
+		}
+	}
+	for _, n := range nodes {
+		g.Expect(holds(n, deadlyRequest)).To(BeTrue(), n.set.Name)
+	}
+}
+
+// All nodes that lose power at once know nothing more than what the store keeps.
+func TestTheQuarantineOutlivesAllNodes(t *testing.T) {
+	g := NewWithT(t)
+	before := numbered(g, "a", 1)
+	endUnder(before, deadlyRequest)
+	store := &keptRecords{}
+	before.ports.Store = store
+	now := before.clock.Now()
+	for f, v := range before.ledger.Verdicts(now) {
+		g.Expect(before.keep(t.Context(), f, v, now)).To(BeTrue())
+	}
+	after := numbered(g, "b", 2)
+	after.ports.Store = store
+	after.restoreQuarantine(t.Context())
+	g.Expect(holds(after, deadlyRequest)).To(BeTrue())
+}
+
+func TestARecordThatCannotBeReadLeavesTheOthersInForce(t *testing.T) {
+	g := NewWithT(t)
+	n := numbered(g, "a", 1)
+	now := n.clock.Now()
+	good := fmt.Sprintf(`[{"instance":"x","unix_ms":%d},{"instance":"y","unix_ms":%d},{"instance":"z","unix_ms":%d}]`,
+		now.UnixMilli()-3000, now.UnixMilli()-2000, now.UnixMilli()-1000)
+	n.takeKept([]source.Item{
+		{Key: "no fingerprint", Value: []byte(good)},
+		{Key: deadlyRequest.String(), Value: []byte("{")},
+		{Key: deadlyRequest.String()},
+		{Key: deadlyRequest.String(), Value: []byte(good)},
+	})
+	g.Expect(holds(n, deadlyRequest)).To(BeTrue())
+}
+
+// keptRecords is a store that keeps what is appended.
+type keptRecords struct {
+	Store
+	items []source.Item
+}
+
+func (s *keptRecords) Append(_ context.Context, _ source.Topic, key string, value []byte) (int64, error) {
+	s.items = append(s.items, source.Item{Key: key, Value: value})
+	return int64(len(s.items) - 1), nil
+}
+
+func (s *keptRecords) Newest(context.Context, source.Topic) (source.Tail, error) {
+	return source.Tail{Items: s.items}, nil
+}
+
+// proofs answers each question for a report in one way.
+type proofs struct {
+	rep fleet.Report
+	err error
+}
+
+func (p proofs) Report(context.Context, netip.AddrPort, state.InstanceID) (fleet.Report, error) {
+	return p.rep, p.err
+}
+
+func (proofs) Order(context.Context, placement.Order) (placement.Reply, error) {
+	return placement.Unanswered, nil
+}
+
+func TestWhatProvesThatAnInstanceEnded(t *testing.T) {
+	born := time.UnixMilli(5000).UTC()
+	for _, c := range []struct {
+		name  string
+		rep   fleet.Report
+		err   error
+		ended bool
+	}{
+		{"its address refuses connections", fleet.Report{}, os.NewSyscallError("connect", syscall.ECONNREFUSED), true},
+		{"another process answers", fleet.Report{}, placement.ErrReplaced, true},
+		{"it has started again", fleet.Report{Born: born.Add(time.Second)}, nil, true},
+		{"it answers", fleet.Report{Born: born}, nil, false},
+		{"it answers, but tells no start", fleet.Report{}, nil, false},
+		{"it answers no report", fleet.Report{}, placement.ErrUnreadable, false},
+		{"it is silent", fleet.Report{}, context.DeadlineExceeded, false},
+		{"its connection is reset", fleet.Report{}, os.NewSyscallError("read", syscall.ECONNRESET), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			clock := clockwork.NewFakeClock()
+			set := &Settings{Name: "own", Peer: testAddress(1), BeatInterval: time.Second, Policy: DefaultPolicy()}
+			n := New(set, Ports{Decoder: anyConfiguration{}, Targets: proofs{c.rep, c.err}}, clock, &log.Logger{Handler: discard.New()})
+			in := fleet.Instance{ID: "i", Born: born, Service: "lm", Address: testAddress(9)}
+			n.roster.Listed(in, clock.Now())
+			n.ledger.Broken(deadlyRequest, []fleet.Incarnation{in.Incarnation()}, clock.Now())
+			clock.Advance(time.Millisecond)
+			n.report(t.Context(), in, clock.Now())
+			d, _ := n.ledger.Since(0, 0)
+			g.Expect(d.Endings).To(HaveLen(map[bool]int{true: 1}[c.ended]))
+		})
+	}
+}
+
+func TestAnOperatorSeesAndReleasesAQuarantinedRequest(t *testing.T) {
+	g := NewWithT(t)
+	n := numbered(g, "a", 1)
+	endUnder(n, deadlyRequest)
+	mux := http.NewServeMux()
+	n.handleOperators(mux)
+	ask := func(method, path string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		mux.ServeHTTP(w, httptest.NewRequest(method, path, nil))
+		return w
+	}
+	g.Expect(ask(http.MethodGet, "/quarantine").Body.String()).To(And(ContainSubstring(deadlyRequest.String()), ContainSubstring("a-i2")))
+	g.Expect(ask(http.MethodDelete, "/quarantine/nonsense").Code).To(Equal(http.StatusBadRequest))
+	g.Expect(holds(n, deadlyRequest)).To(BeTrue())
+	g.Expect(ask(http.MethodDelete, "/quarantine/"+deadlyRequest.String()).Code).To(Equal(http.StatusNoContent))
+	n.clock.(*clockwork.FakeClock).Advance(time.Second)
+	g.Expect(holds(n, deadlyRequest)).To(BeFalse())
+	g.Expect(ask(http.MethodGet, "/quarantine").Body.String()).To(Equal("[]\n"))
+}
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -49,6 +49,7 @@
 		n.peers.follow,
 		n.placer.run,
 		n.watchHealth,
+		n.keepQuarantine,
 		n.every(time.Second, func(context.Context) { n.pool.Sweep() }),
 	}
 }
@@ -66,7 +67,7 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("/", n.serveReady)
 	measures := http.NewServeMux()
-	measures.HandleFunc("/metrics", n.serveMetrics)
+	n.handleOperators(measures)
 	plan := []struct {
 		at string
 		h  http.Handler
@@ -109,6 +110,13 @@
 // isReady reports whether the node can answer callers.
 func (n *Node) isReady() bool { return !n.stopping.Load() && n.know.Catalog() != nil }
 
+// handleOperators adds what operators ask of the node.
+func (n *Node) handleOperators(mux *http.ServeMux) {
+	mux.HandleFunc("/metrics", n.serveMetrics)
+	mux.HandleFunc("GET /quarantine", n.serveQuarantine)
+	mux.HandleFunc("DELETE /quarantine/{fingerprint}", n.serveRelease)
+}
+
 // serveMetrics writes all counters.
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(n.metrics, w) }
 
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/troutmast/troutmast/coordination/demand"
+	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/state"
 )
@@ -22,10 +23,15 @@
 		p.clients[address] = c
 	}
 	p.mu.Unlock()
-	resp, err := c.CallUnary(ctx, connect.NewRequest(p.word()))
+	w := p.word()
+	sent := p.addLedger(w, p.n.clock.Now())
+	resp, err := c.CallUnary(ctx, connect.NewRequest(w))
 	if err != nil {
 		return nil, err
 	}
+	if resp.Msg.Placing {
+		p.takeLedger(resp.Msg, sent)
+	}
 	return resp.Msg, nil
 }
 
@@ -159,6 +165,7 @@
 	a := &Answer{Placing: p.mayPlace(now)}
 	p.mu.Unlock()
 	n.learnConfig(w.Config, "peer")
+	n.ledger.Merge(w.Ledger.delta(now), quarantine.Source(w.From.Number))
 	for _, s := range w.Suspects {
 		n.placer.suspect(s.Instance, now.Add(-time.Duration(s.AgeMS)*time.Millisecond))
 	}
@@ -172,6 +179,7 @@
 		a.Staging = n.placer.stagings(now)
 		a.Arrived = p.anyArrived()
 		p.giveChanges(a, w)
+		n.giveLedger(a, w, now)
 	}
 	return connect.NewResponse(a), nil
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -42,6 +42,18 @@
 	Suspect(c *dispatch.Candidate)
 }
 
+// Quarantine holds back requests that end the instances that run them.
+type Quarantine interface {
+	// HeldUntil returns until when a request is held back, and whether it is.
+	HeldUntil(f quarantine.Fingerprint) (time.Time, bool)
+	// Broken records that an attempt of a request got no whole answer.
+	Broken(f quarantine.Fingerprint, c *dispatch.Candidate)
+	// Answered records that a request got a whole answer.
+	Answered(f quarantine.Fingerprint)
+	// Refused records that nothing listens at the address of an instance.
+	Refused(c *dispatch.Candidate)
+}
+
 // Recorder counts and logs decisions that touch requests.
 type Recorder interface {
 	Count(name string)
@@ -58,9 +70,11 @@
 	Table    *dispatch.Table
 	Health   Health
 	Recorder Recorder
-	Pool     *direct.Pool
-	Demand   *demand.Meter
-	Policy   Policy
+	// Quarantine holds back requests under which instances end.
+	Quarantine Quarantine
+	Pool       *direct.Pool
+	Demand     *demand.Meter
+	Policy     Policy
 	// Retry bounds the repeats that all nodes send to one service.
 	Retry retry.Bounds
 }
@@ -217,6 +231,9 @@
 		return no
 	}
 	c.fingerprint = c.contentFingerprint()
+	if until, held := c.Quarantine.HeldUntil(c.fingerprint); held {
+		return &refusal{code: CodeQuarantined, after: until.Sub(c.arrived)}
+	}
 	patience := claims.Patience
 	if patience <= 0 {
 		patience = c.Policy.DefaultTimeout
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -37,6 +37,10 @@
 	CodeUnreachable Code = "targets-unreachable"
 	CodeNoTime      Code = "no-time-left"
 	CodeStopping    Code = "stopping"
+	// CodeQuarantined says that instances ended under earlier attempts of the request. It
+	// promises that this attempt has not run, and when the next one may: the request may be
+	// sound, so that no status blames the caller.
+	CodeQuarantined Code = "quarantined"
 )
 
 // Claims is what a request says of itself.
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/dispatch"
@@ -48,6 +49,9 @@
 		if c.sends == 0 && target.Full(c.Clock.Now()) {
 			return refusedAt(CodeOverloaded, c.Policy.OverloadRetryAfter)
 		}
+		if _, held := c.Quarantine.HeldUntil(c.fingerprint); c.sends > 0 && held {
+			return c.giveUp(CodeQuarantined)
+		}
 		if c.sends > 0 && !c.budget.Take(c.Clock.Now()) {
 			c.Recorder.Count("retry.no-budget")
 			return c.giveUp(CodeRefused)
@@ -149,6 +153,9 @@
 		if c.r.Context().Err() != nil {
 			return callerGone
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.Quarantine.Refused(target)
+		}
 		c.trouble(target, sent, "not reached", err)
 		return notRun
 	case err != nil:
@@ -200,9 +207,11 @@
 
 // lost judges an attempt whose answer did not come, or broke off.
 func (c *call) lost(ctx context.Context, target *dispatch.Candidate, sent time.Time, err error) result {
-	switch {
-	case c.r.Context().Err() != nil:
+	if c.r.Context().Err() != nil {
 		return callerGone
+	}
+	c.Quarantine.Broken(c.fingerprint, target)
+	switch {
 	case errors.Is(context.Cause(ctx), errStalled):
 		c.trouble(target, sent, "stalled", err)
 	case c.ctx.Err() != nil:
@@ -245,6 +254,15 @@
 	return c.whole(ctx, target, resp, sent)
 }
 
+// answeredBy records a whole answer of an instance. One that ends with its
+// connection looks whole as well when the instance ends, so it clears no request.
+func (c *call) answeredBy(target *dispatch.Candidate, resp *direct.Response) {
+	target.Answered()
+	if resp.Framed() {
+		c.Quarantine.Answered(c.fingerprint)
+	}
+}
+
 // maxBuffered is the size up to which an answer is read whole before it is passed on, in bytes.
 const maxBuffered = 1 << 20
 
@@ -273,10 +291,10 @@
 	if c.begun {
 		return unknown
 	}
-	target.Answered()
 	if len(body) == maxBuffered {
 		return c.large(ctx, target, resp, p, sent)
 	}
+	c.answeredBy(target, resp)
 	p.write(c)
 	return answered
 }
@@ -317,5 +335,6 @@
 		c.lost(ctx, target, sent, err)
 		panic(http.ErrAbortHandler)
 	}
+	c.answeredBy(target, resp)
 	return answered
 }
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/protocol/direct"
@@ -106,6 +107,39 @@
 	h.suspected++
 }
 
+// quarantined stands in for the quarantine: it holds back what it is told to.
+type quarantined struct {
+	mu       sync.Mutex
+	held     map[quarantine.Fingerprint]bool
+	broken   []quarantine.Fingerprint
+	answered []quarantine.Fingerprint
+	refused  []state.InstanceID
+}
+
+func (q *quarantined) HeldUntil(f quarantine.Fingerprint) (time.Time, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return time.Now().Add(time.Minute), q.held[f]
+}
+
+func (q *quarantined) Broken(f quarantine.Fingerprint, _ *dispatch.Candidate) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.broken = append(q.broken, f)
+}
+
+func (q *quarantined) Answered(f quarantine.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.answered = append(q.answered, f)
+}
+
+func (q *quarantined) Refused(c *dispatch.Candidate) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.refused = append(q.refused, c.ID)
+}
+
 // recorder counts decisions.
 type recorder struct {
 	mu     sync.Mutex
@@ -122,15 +156,16 @@
 
 // lab is a gateway before stand-in instances.
 type lab struct {
-	t       *testing.T
-	gate    *gateway.Gateway
-	front   *httptest.Server
-	table   *dispatch.Table
-	know    *knowledge
-	health  *health
-	counts  *recorder
-	views   []roster.View
-	journal *journal
+	t          *testing.T
+	gate       *gateway.Gateway
+	front      *httptest.Server
+	table      *dispatch.Table
+	know       *knowledge
+	health     *health
+	counts     *recorder
+	quarantine *quarantined
+	views      []roster.View
+	journal    *journal
 }
 
 // journal notes which instance ran which request.
@@ -175,12 +210,12 @@
 	teams := map[string]*catalog.Team{"k": {Name: "team"}}
 	l := &lab{
 		t: t, know: &knowledge{c: catalog.New(1, routes, services, teams, catalog.Limits{BodyBytes: 1000})},
-		health: &health{}, counts: &recorder{counts: map[string]int{}}, table: dispatch.NewTable("hall", dispatch.DefaultPolicy()), journal: &journal{},
+		health: &health{}, counts: &recorder{counts: map[string]int{}}, quarantine: &quarantined{held: map[quarantine.Fingerprint]bool{}}, table: dispatch.NewTable("hall", dispatch.DefaultPolicy()), journal: &journal{},
 	}
 	clock := clockwork.NewRealClock()
 	l.gate = gateway.New(gateway.Options{
 		Demand: demand.NewMeter(demand.DefaultPolicy()), Policy: gateway.DefaultPolicy(),
-		Clock: clock, Dialect: dialect{}, Catalogs: l.know, Table: l.table, Health: l.health, Recorder: l.counts,
+		Clock: clock, Dialect: dialect{}, Catalogs: l.know, Table: l.table, Health: l.health, Recorder: l.counts, Quarantine: l.quarantine,
 		Pool:  direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now),
 		Retry: retry.Bounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	})
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -55,7 +55,7 @@
 		case err == io.EOF && len(pending) > 0 && !resp.Framed():
 			return c.broken(ctx, target, sent, io.ErrUnexpectedEOF)
 		case err == io.EOF:
-			target.Answered()
+			c.answeredBy(target, resp)
 			return c.finish(resp, pending)
 		case err != nil:
 			return c.broken(ctx, target, sent, err)
