Property: nodes that heard of each other conclude the same; mend what it found

A record of an ending carried one source. When another node added to it, the whole of it counted as that node's word, and what this node had seen itself was never told back: an ending under two requests, each seen by one node, stayed half known at both. A record that holds more than the other told now counts as this node's own. Times and answers join by least and latest without a tolerance, and endings of the same moment have one order.

--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -49,7 +50,7 @@
 	open := make(map[int]bool, len(endings))
 	under := map[Fingerprint][]int{}
 	order := slices.Clone(endings)
-	slices.SortFunc(order, func(a, b Ending) int { return a.At.Compare(b.At) })
+	slices.SortFunc(order, compareEndings)
 	for i, e := range order {
 		open[i] = true
 		for _, f := range e.Requests {
@@ -81,6 +82,15 @@
 	return verdicts
 }
 
+// compareEndings orders endings by time, alike on all nodes.
+func compareEndings(a, b Ending) int {
+	return cmp.Or(
+		a.At.Compare(b.At),
+		cmp.Compare(a.Instance.ID, b.Instance.ID),
+		a.Instance.Born.Compare(b.Instance.Born),
+	)
+}
+
 // worstRequests returns the requests not yet judged with the most open endings, and how many these are.
 func worstRequests(order []Ending, under map[Fingerprint][]int, open map[int]bool, judged map[Fingerprint]Verdict, policy *Policy) ([]Fingerprint, int) {
 	var worst []Fingerprint
--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -183,21 +183,10 @@
 func (l *Ledger) Clear(f Fingerprint, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.clear(f, now, self)
-}
-
-// clear records when a request was last cleared, by whose word. l.mu is held.
-func (l *Ledger) clear(f Fingerprint, at time.Time, from Source) {
-	c := l.cleared[f]
-	if c == nil {
-		c = &clearing{}
-		l.cleared[f] = c
-	}
-	if at.Sub(c.at) < l.policy.Spacing {
+	if c := l.cleared[f]; c != nil && now.Sub(c.at) < l.policy.Spacing {
 		return
 	}
-	c.at = at
-	l.touch(&c.change, from)
+	l.mergeCleared(Cleared{f, now}, self)
 }
 
 // Due returns the instances that are to be asked now whether they live.
--- /dev/null
+++ b/coordination/quarantine/property_test.go
@@ -0,0 +1,121 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/troutmast/troutmast/internal/fixedseed" // the same cases in every run
+
+	"github.com/troutmast/troutmast/coordination/quarantine"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// drawn is a history of some nodes, each with a ledger of its own.
+type drawn struct {
+	nodes []*quarantine.Ledger
+	// told is the version of one node's ledger that another was told.
+	told map[[2]int]uint64
+	now  time.Time
+}
+
+// tell has one node tell another what that one may lack; lost is an answer that never came.
+func (d *drawn) tell(from, to int, lost bool) {
+	link := [2]int{from, to}
+	delta, version := d.nodes[from].Since(d.told[link], quarantine.Source(to+1))
+	d.nodes[to].Merge(delta, quarantine.Source(from+1))
+	if !lost {
+		d.told[link] = version
+	}
+}
+
+// step draws one event of the history.
+func (d *drawn) step(t *rapid.T) {
+	d.now = d.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+	node := rapid.IntRange(0, len(d.nodes)-1).Draw(t, "node")
+	in := fleet.Incarnation{
+		ID:   state.InstanceID(fmt.Sprintf("i%d", rapid.IntRange(0, 9).Draw(t, "instance"))),
+		Born: time.UnixMilli(int64(rapid.IntRange(1, 3).Draw(t, "life"))).UTC(),
+	}
+	f := request(fmt.Sprintf("r%d", rapid.IntRange(0, 4).Draw(t, "request")))
+	switch rapid.IntRange(0, 6).Draw(t, "event") {
+	case 0, 1:
+		d.nodes[node].Broken(f, []fleet.Incarnation{in}, d.now)
+	case 2:
+		d.nodes[node].Ended(in, d.now)
+	case 3:
+		d.nodes[node].Broken(f, []fleet.Incarnation{in}, d.now)
+		d.nodes[node].Ended(in, d.now)
+	case 4:
+		d.nodes[node].Answered(f, d.now)
+	case 5:
+		d.nodes[node].Alive(in, d.now)
+	case 6:
+		d.tell(node, rapid.IntRange(0, len(d.nodes)-1).Draw(t, "to"), rapid.Bool().Draw(t, "lost"))
+	}
+}
+
+// Whatever is told in which order, twice or with lost answers, nodes that have heard of
+// each other conclude the same.
+func TestNodesThatHeardOfEachOtherConcludeTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &drawn{told: map[[2]int]uint64{}, now: start}
+		for range rapid.IntRange(2, 4).Draw(t, "nodes") {
+			d.nodes = append(d.nodes, quarantine.NewLedger(quarantine.DefaultPolicy()))
+		}
+		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+			d.step(t)
+		}
+		// What waits for proof here may be proven elsewhere, so that a second round may bring news.
+		for range 3 {
+			for from := range d.nodes {
+				for to := range d.nodes {
+					d.tell(from, to, false)
+				}
+			}
+		}
+		d.now = d.now.Add(time.Second)
+		first := d.nodes[0].Verdicts(d.now)
+		for i, n := range d.nodes[1:] {
+			if v := n.Verdicts(d.now); !reflect.DeepEqual(v, first) {
+				t.Fatalf("node %d concludes %v, node 0 %v", i+1, v, first)
+			}
+		}
+	})
+}
+
+// However endings fall, a request is held back only with three of them, at moments
+// apart from each other and without a whole answer since.
+func TestNothingIsHeldBackForLessThanThreeEndings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := quarantine.DefaultPolicy()
+		l := quarantine.NewLedger(p)
+		now := start
+		var moments []time.Time // of the endings in a row under the request
+		for i := range rapid.IntRange(1, 30).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 4).Draw(t, "event") == 0 {
+				l.Clear(request("r"), now)
+				moments = nil
+				now = now.Add(p.Spacing)
+				continue
+			}
+			end(l, fmt.Sprint(i), now.Sub(start), "r", fmt.Sprint("beside ", i))
+			if len(moments) == 0 || now.Sub(moments[len(moments)-1]) >= p.Spacing {
+				moments = append(moments, now)
+			}
+			now = now.Add(p.JudgeInterval)
+			v := l.Verdict(request("r"), now)
+			if v.Endings != len(moments) || v.Held(now) != (len(moments) >= p.Endings) {
+				t.Fatalf("after %d moments of endings the verdict is %+v", len(moments), v)
+			}
+			if l.Verdict(request(fmt.Sprint("beside ", i)), now).Held(now) {
+				t.Fatal("a request under one ending is held back")
+			}
+		}
+	})
+}
--- a/coordination/quarantine/share.go
+++ b/coordination/quarantine/share.go
@@ -68,7 +68,7 @@
 		l.mergeEnding(e, from)
 	}
 	for _, c := range d.Cleared {
-		l.clear(c.Request, c.At, from)
+		l.mergeCleared(c, from)
 	}
 	l.bound()
 }
@@ -80,24 +80,41 @@
 		return
 	}
 	r := l.endings[e.Instance]
+	news := r == nil
 	if r == nil {
 		r = &record{at: e.At}
 		l.endings[e.Instance] = r
-		l.touch(&r.change, from)
 	}
-	if r.at.Sub(e.At) > l.policy.Spacing/4 {
-		r.at = e.At
-		l.touch(&r.change, from)
+	if e.At.Before(r.at) {
+		r.at, news = e.At, true
 	}
 	for _, f := range e.Requests {
 		if !slices.Contains(r.requests, f) && len(r.requests) < l.policy.MaxRequests {
-			r.requests = append(r.requests, f)
-			l.touch(&r.change, from)
+			r.requests, news = append(r.requests, f), true
 		}
 	}
+	if news && (r.at.Before(e.At) || len(r.requests) > len(e.Requests)) {
+		from = self // the other node may lack what this one had
+	}
+	if news {
+		l.touch(&r.change, from)
+	}
 	l.settle(e.Instance, r)
 }
 
+// mergeCleared joins another node's word on a whole answer with what this node knows. l.mu is held.
+func (l *Ledger) mergeCleared(c Cleared, from Source) {
+	known := l.cleared[c.Request]
+	if known == nil {
+		known = &clearing{}
+		l.cleared[c.Request] = known
+	}
+	if c.At.After(known.at) {
+		known.at = c.At
+		l.touch(&known.change, from)
+	}
+}
+
 // settle adds the requests that broke off here on an instance of which another
 // node knows that it ended. l.mu is held.
 func (l *Ledger) settle(in fleet.Incarnation, r *record) {
