--- a/coordination/quarantine/history_test.go
+++ b/coordination/quarantine/history_test.go
@@ -210,7 +210,7 @@
 	if h.now.Before(w.backAt) {
 		return
 	}
-	in := fleet.Incarnation{ID: state.InstanceID(fmt.Sprint("i", i)), Born: time.UnixMilli(int64(w.life + 1)).UTC()}
+	in := fleet.Incarnation{ID: state.InstanceID(fmt.Sprint("i", i)), Life: fmt.Sprint(w.life)}
 	broken := w.work
 	w.work, w.life, w.backAt = nil, w.life+1, h.now.Add(downTime)
 	h.out.ended++
--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -104,7 +104,7 @@
 	return cmp.Or(
 		a.At.Compare(b.At),
 		cmp.Compare(a.Instance.ID, b.Instance.ID),
-		a.Instance.Born.Compare(b.Instance.Born),
+		cmp.Compare(a.Instance.Life, b.Instance.Life),
 	)
 }
 
--- a/coordination/quarantine/property_test.go
+++ b/coordination/quarantine/property_test.go
@@ -39,7 +39,7 @@
 	node := rapid.IntRange(0, len(d.nodes)-1).Draw(t, "node")
 	in := fleet.Incarnation{
 		ID:   state.InstanceID(fmt.Sprintf("i%d", rapid.IntRange(0, 9).Draw(t, "instance"))),
-		Born: time.UnixMilli(int64(rapid.IntRange(1, 3).Draw(t, "life"))).UTC(),
+		Life: fmt.Sprint(rapid.IntRange(1, 3).Draw(t, "life")),
 	}
 	f := request(fmt.Sprintf("r%d", rapid.IntRange(0, 4).Draw(t, "request")))
 	switch rapid.IntRange(0, 6).Draw(t, "event") {
--- a/state/fleet/instance.go
+++ b/state/fleet/instance.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/troutmast/troutmast/state"
@@ -42,15 +43,15 @@
 // Incarnation names one life of a target process: a process may start again
 // under the id that it had.
 type Incarnation struct {
-	ID state.InstanceID
-	// Born is when it started by its own clock, in whole milliseconds; zero if it does not say so.
-	Born time.Time
+	ID state.InstanceID `json:"i"`
+	// Life tells the lives of one id apart; empty for a process that does not tell them apart itself.
+	Life string `json:"l,omitempty"`
 }
 
 // Instance is one life of a target process, as the platform's list shows it.
 type Instance struct {
 	ID state.InstanceID
-	// Born is when the process started, as in Incarnation.
+	// Born is when the process started by its own clock, in whole milliseconds; zero if it does not say so.
 	Born    time.Time
 	Service state.ServiceName
 	Address netip.AddrPort
@@ -71,7 +72,15 @@
 }
 
 // Incarnation returns which life of the process the entry is of.
-func (i *Instance) Incarnation() Incarnation { return Incarnation{ID: i.ID, Born: i.Born} }
+func (i *Instance) Incarnation() Incarnation { return LifeSince(i.ID, i.Born) }
+
+// LifeSince returns the life of a process that started at a time, if it tells that.
+func LifeSince(id state.InstanceID, born time.Time) Incarnation {
+	if born.IsZero() {
+		return Incarnation{ID: id}
+	}
+	return Incarnation{ID: id, Life: strconv.FormatInt(born.UnixMilli(), 10)}
+}
 
 // HasStaged reports whether the instance's host holds a model.
 func (i *Instance) HasStaged(model string) bool {
@@ -85,7 +94,7 @@
 
 // Report is what an instance answered when asked itself.
 type Report struct {
-	// Born is when the process started, as in Incarnation.
+	// Born is when the process started, as in Instance.
 	Born       time.Time
 	Membership Membership
 	Model      string
--- a/transport/entry/ledger.go
+++ b/transport/entry/ledger.go
@@ -4,14 +4,12 @@
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/quarantine"
-	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // EndingReport tells of an instance that ended under requests.
 type EndingReport struct {
-	Instance state.InstanceID         `json:"i"`
-	BornMS   int64                    `json:"b,omitempty"`
+	Instance fleet.Incarnation        `json:"i"`
 	AgeMS    int64                    `json:"a"`
 	Requests []quarantine.Fingerprint `json:"r"`
 }
@@ -36,7 +34,7 @@
 	r := &LedgerReport{}
 	for _, e := range d.Endings {
 		r.Endings = append(r.Endings, EndingReport{
-			Instance: e.Instance.ID, BornMS: bornMS(e.Instance), AgeMS: now.Sub(e.At).Milliseconds(), Requests: e.Requests,
+			Instance: e.Instance, AgeMS: now.Sub(e.At).Milliseconds(), Requests: e.Requests,
 		})
 	}
 	for _, c := range d.Cleared {
@@ -53,8 +51,7 @@
 	}
 	at := func(ageMS int64) time.Time { return now.Add(-time.Duration(max(ageMS, 0)) * time.Millisecond) }
 	for _, e := range r.Endings {
-		in := fleet.Incarnation{ID: e.Instance, Born: bornAt(e.BornMS)}
-		d.Endings = append(d.Endings, quarantine.Ending{Instance: in, At: at(e.AgeMS), Requests: e.Requests})
+		d.Endings = append(d.Endings, quarantine.Ending{Instance: e.Instance, At: at(e.AgeMS), Requests: e.Requests})
 	}
 	for _, c := range r.Cleared {
 		d.Cleared = append(d.Cleared, quarantine.Cleared{Request: c.Request, At: at(c.AgeMS)})
@@ -62,22 +59,6 @@
 	return d
 }
 
-// bornMS returns when an instance started as nodes tell it, in Unix milliseconds; 0 is unknown.
-func bornMS(in fleet.Incarnation) int64 {
-	if in.Born.IsZero() {
-		return 0
-	}
-	return in.Born.UnixMilli()
-}
-
-// bornAt is the reverse of bornMS.
-func bornAt(ms int64) time.Time {
-	if ms == 0 {
-		return time.Time{}
-	}
-	return time.UnixMilli(ms).UTC()
-}
-
 // giveLedger adds to an answer what the asker lacks of this node's ledger.
 func (n *Node) giveLedger(a *Answer, w *Word, now time.Time) {
 	after := w.LedgerAfter
--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -16,7 +16,6 @@
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/source"
-	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
@@ -74,7 +73,7 @@
 		n.ended(in, proofReplaced)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		n.ended(in, proofRefused)
-	case err == nil && rep.Born.After(in.Born) && !in.Born.IsZero():
+	case err == nil && !rep.Born.IsZero() && in.Life != "" && fleet.LifeSince(in.ID, rep.Born) != in:
 		n.ended(in, proofReborn)
 	case err == nil || errors.Is(err, placement.ErrUnreadable):
 		n.ledger.Alive(in, asked)
@@ -87,7 +86,7 @@
 		v, known := n.roster.Get(in.ID, n.clock.Now())
 		switch {
 		case !known:
-		case v.Born.After(in.Born) && !in.Born.IsZero():
+		case in.Life != "" && v.Incarnation() != in:
 			n.ended(in, proofReborn)
 		default:
 			go n.report(context.Background(), v.Instance, n.clock.Now())
@@ -106,9 +105,8 @@
 
 // keptEnding is an ending as the store keeps it.
 type keptEnding struct {
-	Instance string `json:"instance"`
-	BornMS   int64  `json:"born_ms,omitempty"`
-	UnixMS   int64  `json:"unix_ms"`
+	Instance fleet.Incarnation `json:"instance"`
+	UnixMS   int64             `json:"unix_ms"`
 }
 
 // keepQuarantine writes the requests that are held back into the store while this
@@ -134,7 +132,7 @@
 func (n *Node) keep(ctx context.Context, f quarantine.Fingerprint, v quarantine.Verdict, now time.Time) bool {
 	var list []keptEnding
 	for _, e := range v.Under {
-		list = append(list, keptEnding{Instance: string(e.Instance.ID), BornMS: bornMS(e.Instance), UnixMS: n.clock.Now().Add(-now.Sub(e.At)).UnixMilli()})
+		list = append(list, keptEnding{Instance: e.Instance, UnixMS: n.clock.Now().Add(-now.Sub(e.At)).UnixMilli()})
 	}
 	value, err := json.Marshal(list)
 	if err != nil {
@@ -184,9 +182,8 @@
 		}
 		var d quarantine.Delta
 		for _, k := range list {
-			in := fleet.Incarnation{ID: state.InstanceID(k.Instance), Born: bornAt(k.BornMS)}
 			age := max(now.Sub(time.UnixMilli(k.UnixMS)), 0)
-			d.Endings = append(d.Endings, quarantine.Ending{Instance: in, At: now.Add(-age), Requests: []quarantine.Fingerprint{f}})
+			d.Endings = append(d.Endings, quarantine.Ending{Instance: k.Instance, At: now.Add(-age), Requests: []quarantine.Fingerprint{f}})
 		}
 		n.ledger.Merge(d, quarantine.Kept)
 	}
--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -30,7 +30,7 @@
 // endUnder has a node see three instances end under a request.
 func endUnder(n *Node, f quarantine.Fingerprint) {
 	for i := range 3 {
-		in := fleet.Incarnation{ID: state.InstanceID(fmt.Sprintf("%s-i%d", n.set.Name, i)), Born: time.UnixMilli(int64(1000 + i)).UTC()}
+		in := fleet.Incarnation{ID: state.InstanceID(fmt.Sprintf("%s-i%d", n.set.Name, i)), Life: "1"}
 		at := n.clock.Now().Add(time.Duration(i-5) * time.Second)
 		n.ledger.Broken(f, []fleet.Incarnation{in}, at)
 		n.ledger.Ended(in, at)
@@ -129,7 +129,7 @@
 	g := NewWithT(t)
 	n := numbered(g, "a", 1)
 	now := n.clock.Now()
-	good := fmt.Sprintf(`[{"instance":"x","unix_ms":%d},{"instance":"y","unix_ms":%d},{"instance":"z","unix_ms":%d}]`,
+	good := fmt.Sprintf(`[{"instance":{"i":"x"},"unix_ms":%d},{"instance":{"i":"y"},"unix_ms":%d},{"instance":{"i":"z"},"unix_ms":%d}]`,
 		now.UnixMilli()-3000, now.UnixMilli()-2000, now.UnixMilli()-1000)
 	n.takeKept([]source.Item{
 		{Key: "no fingerprint", Value: []byte(good)},
