--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,7 @@
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./protocol/lang
 	go test -run '^$$' -fuzz FuzzDecodeRecord -fuzztime $(FUZZTIME) ./state
 	go test -run '^$$' -fuzz FuzzDecodeReport -fuzztime $(FUZZTIME) ./protocol/target
+	go test -run '^$$' -fuzz FuzzInstance -fuzztime $(FUZZTIME) ./platform
 
 # The generated code in protocol/rpc is committed; this is needed only after a change of the .proto file.
 generate:
--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -393,6 +393,41 @@
 	}
 }
 
+// An entry that another writer has put in the place of an instance's own names no
+// instance to use, until the instance writes again; the others hold.
+func TestAnEntryThatCannotBeReadNamesNoInstance(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	s.add(source.Configuration, "config", 1)
+	a := start(t, s, "a")
+	b := start(t, s, "b", a.set.Peer)
+	list1, had1 := plainInstance(t, s, "i1", answerOK)
+	list2, had2 := plainInstance(t, s, "i2", answerOK)
+	list1(unchanged)
+	list2(unchanged)
+	for _, n := range []*running{a, b} {
+		g.Eventually(func() int { return status(n.set.Callers, "k") }, 10*time.Second).Should(Equal(http.StatusOK))
+	}
+	serves := func(had func() int) func() bool {
+		return func() bool {
+			before := had()
+			for _, n := range []*running{a, b} {
+				for range 8 {
+					g.Expect(status(n.set.Callers, "k")).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
+				}
+			}
+			return had() > before
+		}
+	}
+	g.Eventually(serves(had1), 10*time.Second).Should(BeTrue())
+	s.add(source.Instances, "i1", "no entry")
+	g.Eventually(serves(had1), 10*time.Second).Should(BeFalse())
+	g.Consistently(serves(had1), time.Second).Should(BeFalse())
+	g.Expect(serves(had2)()).To(BeTrue())
+	list1(unchanged)
+	g.Eventually(serves(had1), 10*time.Second).Should(BeTrue())
+}
+
 func TestAPlannedStopCutsNothingOff(t *testing.T) {
 	g := NewWithT(t)
 	s := &store{topics: map[source.Topic][]source.Item{}}
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -241,8 +242,11 @@
 		}
 		in, err := n.ports.Decoder.Instance(item.Key, item.Value)
 		if err != nil {
+			// The entry names no instance to use, whatever an earlier one said.
 			n.Count("instances.unreadable")
-			n.log.WithError(err).Warn("entry not read")
+			n.log.WithError(err).WithField("position", item.Offset).Warn("entry not read")
+			n.roster.Unlisted(id, item.Offset, now)
+			entries = slices.DeleteFunc(entries, func(in fleet.Instance) bool { return in.ID == id })
 			continue
 		}
 		in.Position = item.Offset
