A later life of an instance begins anew

A process may start again under its id. What was known of its earlier life is void at once: membership, count of orders, failures, quick join, load and failure score; what still comes from that life (entries, reports, relayed words, answers to orders, failed questions) changes nothing.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -86,15 +86,17 @@
 	hall   state.HallName
 	policy Policy
 	mu     sync.Mutex
-	loads  map[state.InstanceID]*load
-	pools  atomic.Pointer[map[key][]*Candidate]
+	// loads are those of the lives of instances: what an earlier life failed or holds is no
+	// matter of a later one.
+	loads map[fleet.Incarnation]*load
+	pools atomic.Pointer[map[key][]*Candidate]
 	// asked is what callers ask of each model.
 	asked atomic.Pointer[map[key]part]
 }
 
 // NewTable returns an empty Table for a node of a data hall.
 func NewTable(hall state.HallName, policy Policy) *Table {
-	t := &Table{hall: hall, policy: policy, loads: map[state.InstanceID]*load{}}
+	t := &Table{hall: hall, policy: policy, loads: map[fleet.Incarnation]*load{}}
 	t.pools.Store(&map[key][]*Candidate{})
 	t.asked.Store(&map[key]part{})
 	return t
@@ -112,13 +114,13 @@
 		}
 	}
 	pools := map[key][]*Candidate{}
-	kept := map[state.InstanceID]*load{}
+	kept := map[fleet.Incarnation]*load{}
 	for _, v := range views {
-		l := t.loads[v.ID]
+		l := t.loads[v.Incarnation()]
 		if l == nil {
 			l = &load{}
 		}
-		kept[v.ID] = l
+		kept[v.Incarnation()] = l
 		service := c.Services[v.Service]
 		if service == nil || v.Lost || v.Draining {
 			continue
@@ -168,8 +170,8 @@
 	t.asked.Store(&parts)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, l := range t.loads {
-		l.others.Store(int64(held[id]))
+	for in, l := range t.loads {
+		l.others.Store(int64(held[in.ID]))
 	}
 }
 
@@ -178,9 +180,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	held := map[state.InstanceID]int{}
-	for id, l := range t.loads {
+	for in, l := range t.loads {
 		if n := l.held.Load(); n > 0 {
-			held[id] = int(n)
+			held[in.ID] = int(n)
 		}
 	}
 	return held
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -107,6 +107,8 @@
 	next    int
 	broken  []string
 	late    float64
+	// rebirths is the part of the targets that crash which start again under their ids.
+	rebirths float64
 	// ordered, when set, is told of every order that a node sends.
 	ordered func(o placement.Order)
 	// trace, when set, is told of every order carried out.
@@ -372,7 +374,7 @@
 		return
 	}
 	p := t.stood(asked.Add(-time.Duration(w.rng.Int64N(int64(reportLag)))))
-	rep := fleet.Report{Membership: p.membership, Model: t.Loaded, Staged: t.Staged, Orders: p.orders, Asked: asked}
+	rep := fleet.Report{Born: t.Born, Membership: p.membership, Model: t.Loaded, Staged: t.Staged, Orders: p.orders, Asked: asked}
 	w.after(4*time.Millisecond, func() { n.roster.Reported(id, rep) })
 }
 
@@ -383,8 +385,7 @@
 	}
 	plan := n.planner.Step(w.now, n.roster.Members("lm", n.since, w.now))
 	for _, o := range plan.Orders {
-		n.roster.Ordering(o.Instance)
-		w.send(n, o)
+		w.send(n, o, n.roster.Ordering(o.Instance))
 	}
 	for _, id := range plan.Ask {
 		w.ask(n, id)
@@ -400,7 +401,7 @@
 }
 
 // send carries an order to its target: at once, later without an answer, or with a lost answer.
-func (w *world) send(n *observer, o placement.Order) {
+func (w *world) send(n *observer, o placement.Order, life roster.Life) {
 	if w.ordered != nil {
 		w.ordered(o)
 	}
@@ -410,22 +411,22 @@
 	t := w.targets[o.Instance]
 	delay := time.Duration(1+w.rng.IntN(8)) * time.Millisecond
 	if !w.reaches(n, t) {
-		w.after(400*time.Millisecond, func() { n.roster.Ordered(o, placement.Unanswered, w.now) })
+		w.after(400*time.Millisecond, func() { n.roster.Ordered(o, life, placement.Unanswered, w.now) })
 		return
 	}
 	if w.faults && w.rng.Float64() < w.late {
 		w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() { w.obey(t, o) })
-		w.after(800*time.Millisecond, func() { n.roster.Ordered(o, placement.Unanswered, w.now) })
+		w.after(800*time.Millisecond, func() { n.roster.Ordered(o, life, placement.Unanswered, w.now) })
 		return
 	}
 	lost := w.faults && w.rng.Float64() < w.late
 	w.after(delay, func() {
 		reply := w.obey(t, o)
 		if lost {
-			w.after(800*time.Millisecond, func() { n.roster.Ordered(o, placement.Unanswered, w.now) })
+			w.after(800*time.Millisecond, func() { n.roster.Ordered(o, life, placement.Unanswered, w.now) })
 			return
 		}
-		n.roster.Ordered(o, reply, w.now)
+		n.roster.Ordered(o, life, reply, w.now)
 		if reply == placement.Superseded {
 			n.epochs.Behind()
 		}
@@ -484,10 +485,25 @@
 		return
 	}
 	t.dead = true
+	if w.rebirths > 0 && w.rng.Float64() < w.rebirths {
+		w.after(time.Duration(500+w.rng.IntN(5000))*time.Millisecond, func() { w.reborn(t) })
+		return
+	}
 	w.after(3*beat, func() { w.list = append(w.list, listing{t.ID, nil, int64(len(w.list))}) })
 	w.after(2*time.Second, func() { w.addTarget(t.Domain) })
 }
 
+// reborn has a target that crashed start again under its id. It knows nothing of before,
+// but its host keeps the staged models, and orders still on their way reach it.
+func (w *world) reborn(t *target) {
+	t.dead = false
+	t.Born = w.now
+	t.Membership, t.members, t.Model, t.Loaded = fleet.Membership{}, nil, "", ""
+	t.orders, t.newest, t.history = 0, 0, nil
+	t.readyAt, t.openAt, t.shutAt, t.stalled = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	w.changed(t)
+}
+
 // calm ends all faults: one node places, and all read the list.
 func (w *world) calm() {
 	w.faults = false
--- a/coordination/roster/list.go
+++ b/coordination/roster/list.go
@@ -46,10 +46,15 @@
 // list takes in an entry and returns it, or nil if it was taken in before. r.mu is held.
 func (r *Roster) list(in fleet.Instance, now time.Time) *entry {
 	e := r.m[in.ID]
-	if e == nil {
+	switch {
+	case e == nil:
 		e = &entry{policy: &r.cfg.Policy, seen: now, changed: now, belief: in}
 		r.m[in.ID] = e
 		r.touch(e)
+	case e.outlived(in.Born):
+		return nil
+	case e.reborn(in.Born):
+		r.begin(e, in, now)
 	}
 	if e.beat.IsZero() || in.Position > e.listed.Position {
 		e.beat = now
@@ -158,7 +163,7 @@
 		r.m[c.ID] = e
 	}
 	switch {
-	case c.Position < e.listed.Position:
+	case c.Position < e.listed.Position || e.outlived(c.Born):
 	case c.Unlisted:
 		if e.listed.ID == "" {
 			e.listed = c.Instance
@@ -172,6 +177,9 @@
 
 // relay takes in another node's word on an instance that is listed. r.mu is held.
 func (r *Roster) relay(in fleet.Instance, e *entry, now time.Time) {
+	if e.reborn(in.Born) {
+		r.begin(e, in, now)
+	}
 	if in.Position > e.listed.Position {
 		e.beat = now
 		r.revive(e)
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -57,6 +57,8 @@
 	replaced bool
 	pending  bool
 	ordered  time.Time
+	// life numbers the lives of the process that were known.
+	life Life
 	// superseded is the formation that the instance last refused to join for a later one.
 	superseded fleet.GroupKey
 }
@@ -125,6 +127,14 @@
 	if e == nil {
 		return
 	}
+	switch {
+	case e.outlived(rep.Born):
+		return
+	case e.reborn(rep.Born):
+		in := e.listed
+		in.Born, in.Membership, in.Model, in.Staged = rep.Born, rep.Membership, rep.Model, rep.Staged
+		r.begin(e, in, rep.Asked)
+	}
 	e.hear(rep.Asked, r)
 	stood := rep.Asked.Add(-r.cfg.ReportLag)
 	if rep.Asked.After(e.reported) {
@@ -138,8 +148,12 @@
 	}
 }
 
-// hear notes a sign of life that is as old as the question.
+// hear records a sign of life that is as old as the question; one that is older than
+// the life known may be of an earlier one.
 func (e *entry) hear(at time.Time, r *Roster) {
+	if e.life > 0 && at.Before(e.seen) {
+		return
+	}
 	if at.After(e.heard) {
 		e.heard = at
 	}
@@ -165,7 +179,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.m[id]
-	if e == nil || asked.Before(e.heard) || asked.Sub(e.suspected) < r.cfg.Policy.MinProbeSpacing && e.failures > 0 {
+	if e == nil || asked.Before(e.heard) || e.life > 0 && asked.Before(e.seen) || asked.Sub(e.suspected) < r.cfg.Policy.MinProbeSpacing && e.failures > 0 {
 		return
 	}
 	e.failures++
@@ -209,22 +223,52 @@
 	}
 }
 
-// Ordering notes that an order to an instance is on its way.
-func (r *Roster) Ordering(id state.InstanceID) {
+// Ordering records that an order to an instance is on its way, and returns the
+// life of its process that the order is for.
+func (r *Roster) Ordering(id state.InstanceID) Life {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e := r.m[id]; e != nil {
-		e.pending = true
+	e := r.m[id]
+	if e == nil {
+		return 0
 	}
+	e.pending = true
+	return e.life
+}
+
+// Life numbers the lives of an instance's process that a Roster has known.
+type Life int
+
+// outlived reports whether what is told of a process that started at a time is of an
+// earlier life than the one known. What tells no start is taken to be of the known one.
+func (e *entry) outlived(born time.Time) bool {
+	return !born.IsZero() && born.Before(e.listed.Born)
+}
+
+// reborn reports whether what is told of a process that started at a time is of a later
+// life than the one known.
+func (e *entry) reborn(born time.Time) bool {
+	return !e.listed.Born.IsZero() && born.After(e.listed.Born)
 }
 
-// Ordered takes in what an instance said of an order. What an accepted order
-// brings about is believed at once, since reports and the list tell it later.
-func (r *Roster) Ordered(o placement.Order, reply placement.Reply, now time.Time) {
+// begin has an entry begin anew with what is told of a later life of its process, which
+// holds and knows nothing of before: no membership, no count of orders, no failures. What
+// is still on its way to or from the earlier life proves nothing of this one. r.mu is held.
+func (r *Roster) begin(e *entry, in fleet.Instance, now time.Time) {
+	listed := e.listed
+	listed.Born, listed.Draining = in.Born, false
+	*e = entry{policy: e.policy, listed: listed, inList: e.inList, unlisted: e.unlisted, seen: now, changed: now, belief: in, life: e.life + 1}
+	r.touch(e)
+}
+
+// Ordered records what an instance said of an order to one of its lives. What an
+// accepted order brings about is believed at once, since reports and the list tell it
+// later. The answer of an earlier life proves nothing of the one known now.
+func (r *Roster) Ordered(o placement.Order, life Life, reply placement.Reply, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.m[o.Instance]
-	if e == nil {
+	if e == nil || e.life != life {
 		return
 	}
 	e.pending = false
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -31,6 +31,75 @@
 	return r.Members("lm", time.Time{}, now)[0]
 }
 
+// A process that starts again under its id knows nothing of before: what was known of
+// its earlier life is void, and what still comes from that life changes nothing.
+func TestALaterLifeBeginsAnew(t *testing.T) {
+	first, second := start.Add(-time.Minute), start.Add(5*time.Second)
+	old := free
+	old.Born, old.Membership = first, member
+	next := free
+	next.Born, next.Position, next.Model = second, 9, ""
+	learn := []struct {
+		name  string
+		learn func(r *roster.Roster, now time.Time)
+	}{
+		{"by the list", func(r *roster.Roster, now time.Time) { r.Listed(next, now) }},
+		{"by the whole list", func(r *roster.Roster, now time.Time) { r.Snapshot([]fleet.Instance{next}, 10, now) }},
+		{"by another node", func(r *roster.Roster, now time.Time) { r.Relayed(roster.Change{Instance: next}, now) }},
+		{"by its own report", func(r *roster.Roster, now time.Time) { r.Reported("i1", fleet.Report{Born: second, Asked: now}) }},
+	}
+	stale := []struct {
+		name string
+		tell func(r *roster.Roster, life roster.Life, now time.Time)
+	}{
+		{"nothing", func(*roster.Roster, roster.Life, time.Time) {}},
+		{"an older entry, written later", func(r *roster.Roster, _ roster.Life, now time.Time) {
+			late := old
+			late.Position = 20
+			r.Listed(late, now)
+		}},
+		{"an older entry by another node", func(r *roster.Roster, _ roster.Life, now time.Time) {
+			late := old
+			late.Position = 20
+			r.Relayed(roster.Change{Instance: late}, now)
+		}},
+		{"an older report", func(r *roster.Roster, _ roster.Life, now time.Time) {
+			r.Reported("i1", fleet.Report{Born: first, Membership: member, Orders: 7, Asked: now})
+		}},
+		{"the late answer to an order", func(r *roster.Roster, life roster.Life, now time.Time) {
+			r.Ordered(placement.Order{Action: placement.Join, Instance: "i1", Key: member.Key()}, life, placement.Begun, now)
+		}},
+		{"a question before it that failed", func(r *roster.Roster, _ roster.Life, _ time.Time) {
+			r.Failed("i1", start.Add(4*time.Second))
+			r.Failed("i1", start.Add(4500*time.Millisecond))
+		}},
+	}
+	for _, l := range learn {
+		for _, s := range stale {
+			t.Run(l.name+", then "+s.name, func(t *testing.T) {
+				g := NewWithT(t)
+				r := roster.New(roster.Config{Beat: 1200 * time.Millisecond, Stall: 4 * time.Second, ReportLag: 200 * time.Millisecond, Policy: roster.DefaultPolicy()})
+				r.Listed(old, start)
+				r.Reported("i1", fleet.Report{Born: first, Membership: member, Orders: 3, Asked: start.Add(time.Second)})
+				r.Failed("i1", start.Add(2*time.Second))
+				r.Failed("i1", start.Add(3*time.Second))
+				life := r.Ordering("i1")
+				g.Expect(only(r, start.Add(3*time.Second)).Lost).To(BeTrue())
+				now := start.Add(6 * time.Second)
+				l.learn(r, now)
+				s.tell(r, life, now.Add(10*time.Millisecond))
+				m := only(r, now.Add(20*time.Millisecond))
+				g.Expect(m.Membership).To(Equal(fleet.Membership{}), "it is in no group")
+				g.Expect(m.Lost).To(BeFalse(), "its failures are those of another life")
+				g.Expect(m.Pending).To(BeFalse(), "no order to it is on its way")
+				g.Expect(m.Model).To(BeEmpty(), "it joins no group quickly")
+				g.Expect(m.Counted && m.Orders > 0).To(BeFalse(), "its orders are counted anew")
+				g.Expect(m.Born).To(Equal(second))
+			})
+		}
+	}
+}
+
 func TestAnEntryReadAgainBringsNoOldMembershipBack(t *testing.T) {
 	g := NewWithT(t)
 	r := newRoster()
@@ -88,7 +157,7 @@
 	r.Reported("i1", fleet.Report{Asked: start.Add(time.Second)})
 	o := placement.Order{Action: placement.Join, Instance: "i1", Key: member.Key(), Members: nil}
 	at := start.Add(1500 * time.Millisecond)
-	r.Ordered(o, placement.Begun, at)
+	r.Ordered(o, r.Ordering("i1"), placement.Begun, at)
 	g.Expect(only(r, at).Membership.State).To(Equal(fleet.Joining))
 	g.Expect(only(r, at).Orders).To(Equal(int64(1)))
 	// An echo from before the order does not undo it.
--- a/state/fleet/instance.go
+++ b/state/fleet/instance.go
@@ -52,7 +52,7 @@
 type Instance struct {
 	ID state.InstanceID
 	// Born is when the process started by its own clock, in whole milliseconds; zero if it does not say so.
-	Born    time.Time
+	Born    time.Time `json:",omitzero"`
 	Service state.ServiceName
 	Address netip.AddrPort
 	Hall    state.HallName
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
@@ -222,8 +223,8 @@
 		byID[members[i].ID] = &members[i]
 	}
 	for _, o := range plan.Orders {
-		p.n.roster.Ordering(o.Instance)
-		go p.order(ctx, o)
+		life := p.n.roster.Ordering(o.Instance)
+		go p.order(ctx, o, life)
 	}
 	for _, id := range plan.Ask {
 		if m := byID[id]; m != nil {
@@ -232,13 +233,13 @@
 	}
 }
 
-// order sends one order and takes in what the instance says of it.
-func (p *placer) order(ctx context.Context, o placement.Order) {
+// order sends one order to a life of an instance and records what it says of it.
+func (p *placer) order(ctx context.Context, o placement.Order, life roster.Life) {
 	callCtx, cancel := context.WithTimeout(ctx, p.n.policy.OrderTimeout)
 	defer cancel()
 	began := p.n.clock.Now()
 	reply, err := p.n.ports.Targets.Order(callCtx, o)
-	p.n.roster.Ordered(o, reply, p.n.clock.Now())
+	p.n.roster.Ordered(o, life, reply, p.n.clock.Now())
 	p.observe(0, reply == placement.Superseded)
 	p.n.Count("order." + string(o.Action) + "." + string(reply))
 	fields := log.Fields{
--- a/transport/entry/querydeath_test.go
+++ b/transport/entry/querydeath_test.go
@@ -53,6 +53,9 @@
 
 // crashing is a set of instances that end under the deadly request and come back.
 type crashing struct {
+	// sameIDs has instances come back under their ids, with a later start.
+	sameIDs bool
+
 	t      *testing.T
 	s      *store
 	mu     sync.Mutex
@@ -70,8 +73,8 @@
 }
 
 // newCrashing starts a number of instances, which end with the test.
-func newCrashing(t *testing.T, s *store, instances int) *crashing {
-	c := &crashing{t: t, s: s}
+func newCrashing(t *testing.T, s *store, instances int, sameIDs bool) *crashing {
+	c := &crashing{t: t, s: s, sameIDs: sameIDs}
 	t.Cleanup(c.stop)
 	for slot := range instances {
 		c.begin(slot)
@@ -86,7 +89,10 @@
 	if c.closed {
 		return
 	}
-	id := fmt.Sprintf("i%d-%d", slot, len(c.lives))
+	id, born := fmt.Sprintf("i%d-%d", slot, len(c.lives)), time.Time{}
+	if c.sameIDs {
+		id, born = fmt.Sprintf("i%d", slot), time.Now().Truncate(time.Millisecond).UTC()
+	}
 	ln, err := net.Listen("tcp4", freeAddress(c.t).String())
 	if err != nil {
 		c.t.Error(err)
@@ -97,7 +103,7 @@
 	l.srv = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { c.serve(w, r, slot, id, l) })}
 	c.active.Go(func() { _ = l.srv.Serve(ln) })
 	c.s.add(source.Instances, id, fleet.Instance{
-		ID: state.InstanceID(id), Service: "plain", Slots: 4, Hall: "hall", Address: netip.MustParseAddrPort(ln.Addr().String()),
+		ID: state.InstanceID(id), Born: born, Service: "plain", Slots: 4, Hall: "hall", Address: netip.MustParseAddrPort(ln.Addr().String()),
 	})
 }
 
@@ -130,7 +136,9 @@
 	_ = l.srv.Close()
 	c.active.Go(func() {
 		time.Sleep(restartAfter)
-		c.s.drop(source.Instances, id)
+		if !c.sameIDs {
+			c.s.drop(source.Instances, id)
+		}
 		c.begin(slot)
 	})
 }
@@ -199,10 +207,19 @@
 }
 
 func TestARequestThatEndsInstancesIsNotSentOnForEver(t *testing.T) {
+	endUnderDeadlyRequests(t, false)
+}
+
+func TestARequestThatEndsInstancesWhichStartAgainUnderTheirIDsIsNotSentOnForEver(t *testing.T) {
+	endUnderDeadlyRequests(t, true)
+}
+
+// endUnderDeadlyRequests sends the deadly request again and again, and sound ones at last.
+func endUnderDeadlyRequests(t *testing.T, sameIDs bool) {
 	g := NewWithT(t)
 	s := &store{topics: map[source.Topic][]source.Item{}}
 	s.add(source.Configuration, "config", 1)
-	instances := newCrashing(t, s, 8)
+	instances := newCrashing(t, s, 8, sameIDs)
 	nodes := startCrashNodes(t, s, 3)
 	client := &http.Client{Timeout: 2 * time.Second}
 
