Measure ages by a clock that counts suspensions; evidence no longer lasts longer when the time of day is set back

A suspended machine's steady clock stands still, so that keys, configuration, memberships and leadership looked younger than they were after a wake-up. steady.Clock adds the suspended time (CLOCK_BOOTTIME less CLOCK_MONOTONIC), asked only when the time of day and the steady clock have moved apart by 20 ms, so that no request costs a system call. A wake-up is logged and counted; the list and the leader are asked anew. Keys are looked at once more right before a request leaves. They go by the steady clock now.

--- a/cmd/troutmastd/onplatform.go
+++ b/cmd/troutmastd/onplatform.go
@@ -13,9 +13,9 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/integrii/flaggy"
-	"github.com/jonboulle/clockwork"
 
 	"github.com/troutmast/troutmast/internal/logsink"
+	"github.com/troutmast/troutmast/internal/steady"
 	"github.com/troutmast/troutmast/platform"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/transport/entry"
@@ -52,7 +52,9 @@
 		Targets: &platform.Targets{Client: newHTTPClient(2)},
 		Dialect: platform.Dialect{},
 	}
-	node := entry.New(set, ports, clockwork.NewRealClock(), logger)
+	clock := steady.NewClock()
+	node := entry.New(set, ports, clock, logger)
+	clock.OnWake(node.Woke)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go reloadOnChange(ctx, path, hup, node, logger)
--- a/cmd/troutmastd/troutmastd.go
+++ b/cmd/troutmastd/troutmastd.go
@@ -8,12 +8,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/integrii/flaggy"
-	"github.com/jonboulle/clockwork"
 
+	"github.com/troutmast/troutmast/internal/steady"
 	"github.com/troutmast/troutmast/platform"
 	"github.com/troutmast/troutmast/transport/node"
 	"github.com/troutmast/troutmast/transport/settings"
@@ -62,7 +63,11 @@
 func run(set *settings.Settings) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	n, err := node.New(set, clockwork.NewRealClock())
+	clock := steady.NewClock()
+	clock.OnWake(func(d time.Duration) {
+		log.WithField("ms", d.Milliseconds()).Warn("the machine was suspended: what was known is older by that")
+	})
+	n, err := node.New(set, clock)
 	if err != nil {
 		return err
 	}
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -14,10 +14,12 @@
 
 // Candidate is one group as the request path sees it; safe for concurrent use.
 type Candidate struct {
-	Name     state.GroupName
-	mu       sync.Mutex
-	group    atomic.Pointer[state.Group]
-	until    atomic.Int64
+	Name  state.GroupName
+	mu    sync.Mutex
+	group atomic.Pointer[state.Group]
+	// until is when the evidence that the group is whole runs out, by the steady clock: a time
+	// of day that is set back must not make it last longer. nil is a group that is not whole.
+	until    atomic.Pointer[time.Time]
 	identity atomic.Uint64
 	leaving  atomic.Bool
 	held     atomic.Int64
@@ -40,7 +42,10 @@
 func (c *Candidate) Slots() int { return int(c.slots.Load()) }
 
 // Whole reports whether evidence shows the group whole at a time.
-func (c *Candidate) Whole(now time.Time) bool { return now.UnixNano() < c.until.Load() }
+func (c *Candidate) Whole(now time.Time) bool {
+	until := c.until.Load()
+	return until != nil && now.Before(*until)
+}
 
 // Open reports whether a new request may go to the group at a time.
 func (c *Candidate) Open(now time.Time) bool {
@@ -61,11 +66,11 @@
 	c.identity.Store(w.Identity)
 	c.leaving.Store(w.Leaving)
 	if w.Until.IsZero() {
-		c.until.Store(0)
+		c.until.Store(nil)
 		return
 	}
 	c.slots.Store(int64(w.Leader.Load.Slots))
-	c.until.Store(w.Until.UnixNano())
+	c.until.Store(&w.Until)
 }
 
 // setGroup takes in a new state of the group; a new epoch must be judged anew.
@@ -73,7 +78,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if old := c.group.Load(); old == nil || old.Epoch != g.Epoch {
-		c.until.Store(0)
+		c.until.Store(nil)
 	}
 	c.group.Store(g)
 }
@@ -82,7 +87,7 @@
 func (c *Candidate) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.until.Store(0)
+	c.until.Store(nil)
 }
 
 // Report takes in a new load report of the group's leader.
--- a/coordination/statelog/follower.go
+++ b/coordination/statelog/follower.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/troutmast/troutmast/internal/steady"
 	"github.com/troutmast/troutmast/state"
 )
 
@@ -90,7 +91,7 @@
 	if at == 0 {
 		return 0, false
 	}
-	return f.clock.Since(time.Unix(0, at)), true
+	return time.Duration(steady.Nanos(f.clock.Now()) - at), true
 }
 
 // Whole reports whether the node has once held all that the log, or while the log
@@ -159,7 +160,7 @@
 		return err
 	}
 	if f.Applied() >= page.Head {
-		f.headAt.Store(asked.UnixNano())
+		f.headAt.Store(steady.Nanos(asked))
 		f.whole.Store(true)
 	}
 	return nil
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -87,11 +87,11 @@
 // connection's next request.
 func (s *Server) boundWrites(w http.ResponseWriter, q *request) (lift func()) {
 	rc := http.NewResponseController(w)
-	end := q.deadline
-	if end.IsZero() {
-		end = s.c.Clock.Now()
+	left := time.Duration(0)
+	if !q.deadline.IsZero() {
+		left = s.c.Clock.Until(q.deadline)
 	}
-	if err := rc.SetWriteDeadline(end.Add(writeGrace)); err != nil {
+	if err := rc.SetWriteDeadline(time.Now().Add(left + writeGrace)); err != nil {
 		return func() {}
 	}
 	return func() { _ = rc.SetWriteDeadline(time.Time{}) }
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -148,6 +148,15 @@
 	}
 }
 
+// Woke records that the machine was suspended for a time. All ages that the node knows
+// have grown by it; the list and the leader are asked anew at once.
+func (n *Node) Woke(d time.Duration) {
+	n.Count("wakeups")
+	n.log.WithField("ms", d.Milliseconds()).Warn("the machine was suspended")
+	n.readListNow()
+	n.tellSoon()
+}
+
 // unreadable takes in that an instance answered no report: it lives, and what was
 // known of it stays. The first such answer of an instance is logged.
 func (n *Node) unreadable(id state.InstanceID, asked time.Time, err error) {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -192,7 +192,7 @@
 	}
 	no := c.admit()
 	if no == nil {
-		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+		ctx, cancel := context.WithTimeout(r.Context(), c.deadline.Sub(g.Clock.Now()))
 		defer cancel()
 		c.ctx = ctx
 		no = c.serve()
@@ -257,7 +257,7 @@
 	if !c.catalog.Keyed || c.route.Public {
 		return nil
 	}
-	if !c.Catalogs.KeysFresh() {
+	if !c.keyHolds() {
 		return refusedAt(CodeStale, c.Policy.RetryAfter)
 	}
 	if c.team = c.catalog.Team(c.claims.Key); c.team == nil {
@@ -266,6 +266,13 @@
 	return nil
 }
 
+// keyHolds reports whether the request's key can still be trusted, if it needs one. It is
+// asked again right before the request leaves: a body may take seconds to arrive, and the
+// machine may be suspended between any two steps.
+func (c *call) keyHolds() bool {
+	return !c.catalog.Keyed || c.route.Public || c.Catalogs.KeysFresh()
+}
+
 // contentFingerprint returns the fingerprint of the request, whose body has been read.
 func (c *call) contentFingerprint() quarantine.Fingerprint {
 	content := quarantine.Content{Method: c.r.Method, Host: strings.ToLower(hostOnly(c.r.Host)), Target: c.r.RequestURI, Body: c.body}
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -55,7 +55,7 @@
 		{name: "unknown key", path: "/safe/", header: map[string]string{"Key": "other"}, status: http.StatusUnauthorized},
 		{name: "too large", path: "/unsafe/", body: strings.Repeat("x", 1001), status: http.StatusRequestEntityTooLarge},
 		{name: "no configuration", path: "/safe/", prepare: func(l *lab) { l.know.c = nil }, status: http.StatusServiceUnavailable, comeBack: true},
-		{name: "keys may be stale", path: "/safe/", prepare: func(l *lab) { l.know.stale = true }, status: http.StatusServiceUnavailable, comeBack: true},
+		{name: "keys may be stale", path: "/safe/", prepare: func(l *lab) { l.know.stale.Store(true) }, status: http.StatusServiceUnavailable, comeBack: true},
 		{name: "stopping", path: "/safe/", prepare: func(l *lab) { l.gate.Refuse() }, status: http.StatusServiceUnavailable, comeBack: true},
 		{name: "no group of the model", path: "/stream/", header: map[string]string{"Model": "none"}, status: http.StatusServiceUnavailable, comeBack: true},
 	} {
@@ -75,10 +75,40 @@
 	}
 }
 
+// staleAfter is a body during which keys become stale.
+type staleAfter struct {
+	io.Reader
+	know *knowledge
+}
+
+func (s staleAfter) Read(p []byte) (int, error) {
+	s.know.stale.Store(true)
+	return s.Reader.Read(p)
+}
+
+// The machine may be suspended, or the body take its time, after the key was looked up.
+func TestKeysThatBecomeStaleBeforeTheRequestLeavesAreNotTrusted(t *testing.T) {
+	g := NewWithT(t)
+	l := newLab(t)
+	l.instance("a", "plain", ok("x"))
+	req, err := http.NewRequest(http.MethodPost, l.front.URL+"/unsafe/", staleAfter{strings.NewReader("body"), l.know})
+	g.Expect(err).NotTo(HaveOccurred())
+	req.Host = "h"
+	req.Header.Set("Id", "r1")
+	req.Header.Set("Key", "k")
+	req.Header.Set("Expect", "100-continue") // the body is sent once the node reads it
+	client := &http.Client{Transport: &http.Transport{ExpectContinueTimeout: time.Minute}}
+	resp, err := client.Do(req)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Body.Close()).To(Succeed())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(l.journal.all()).To(BeEmpty())
+}
+
 func TestPublicRoutesNeedNoKeyAndNoFreshKeys(t *testing.T) {
 	g := NewWithT(t)
 	l := newLab(t)
-	l.know.stale = true
+	l.know.stale.Store(true)
 	l.instance("a", "plain", ok("x"))
 	g.Expect(l.call(http.MethodGet, "/public/", "", map[string]string{"Key": ""}).status).To(Equal(http.StatusOK))
 }
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -80,6 +80,9 @@
 	if c.r.Context().Err() != nil {
 		return c.giveUp(CodeBroken)
 	}
+	if c.sends == 0 && !c.keyHolds() {
+		return refusedAt(CodeStale, c.Policy.RetryAfter)
+	}
 	left := c.deadline.Sub(c.Clock.Now())
 	if left < c.Policy.MinTimeLeft {
 		return c.giveUp(CodeNoTime)
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,11 +82,11 @@
 // knowledge gives a fixed catalog.
 type knowledge struct {
 	c     *catalog.Catalog
-	stale bool
+	stale atomic.Bool
 }
 
 func (k *knowledge) Catalog() *catalog.Catalog { return k.c }
-func (k *knowledge) KeysFresh() bool           { return !k.stale }
+func (k *knowledge) KeysFresh() bool           { return !k.stale.Load() }
 
 // health remembers what it is told.
 type health struct {
--- a/transport/node/exchange.go
+++ b/transport/node/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/troutmast/troutmast/coordination/evidence"
 	"github.com/troutmast/troutmast/coordination/membership"
 	"github.com/troutmast/troutmast/coordination/quarantine"
+	"github.com/troutmast/troutmast/internal/steady"
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/protocol/rpc"
 	"github.com/troutmast/troutmast/state"
@@ -136,7 +137,8 @@
 // wantNodes reports whether this exchange is to ask for what the peer knows of other nodes.
 func (n *Node) wantNodes(now time.Time) bool {
 	last := n.nodesAsked.Load()
-	return now.UnixNano()-last >= int64(nodesInterval) && n.nodesAsked.CompareAndSwap(last, now.UnixNano())
+	at := steady.Nanos(now)
+	return at-last >= int64(nodesInterval) && n.nodesAsked.CompareAndSwap(last, at)
 }
 
 // mergeHall takes in what a node of the own hall said of instances.
