Kept connections that go silent: streams go on elsewhere, and no instance is lost for them

A kept connection may go silent for good without a reset. A stream on it hung until its caller gave up, since its group answered; two questions to an instance could both go over silent connections, which made it count as lost; after a timeout the next call took the next silent one. Tests: TestAStreamWhoseConnectionGoesSilentGoesOnElsewhere, TestAnInstanceIsNotLostForItsKeptConnectionAlone. Not proved: requests that wait for their first event (TCP_USER_TIMEOUT, 2 s, is meant for them), callers' connections, the own interface.

--- a/cmd/troutmastd/onplatform.go
+++ b/cmd/troutmastd/onplatform.go
@@ -49,7 +49,7 @@
 	ports := entry.Ports{
 		Store:   &platform.Store{Client: newHTTPClient(4), Address: set.Store},
 		Decoder: platform.Decoder{},
-		Targets: &platform.Targets{Client: newHTTPClient(2)},
+		Targets: &platform.Targets{Client: newHTTPClient(2), Fresh: newHTTPClient(noneKept)},
 		Dialect: platform.Dialect{},
 	}
 	clock := steady.NewClock()
@@ -108,12 +108,16 @@
 	}
 }
 
+// noneKept is the number of connections kept by a client that always makes new ones.
+const noneKept = 0
+
 // newHTTPClient returns a client that keeps a number of connections to each address.
 func newHTTPClient(idle int) *http.Client {
 	dialer := direct.Dialer{Timeout: dialTimeout, Silence: silence}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableCompression:  true,
+		DisableKeepAlives:   idle == noneKept,
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     restTime,
 	}}
--- a/transport/entry/busyleader_test.go
+++ b/transport/entry/busyleader_test.go
@@ -35,13 +35,13 @@
 	late  time.Duration
 }
 
-func (p slowProbes) Report(ctx context.Context, _ netip.AddrPort, _ state.InstanceID) (fleet.Report, error) {
+func (p slowProbes) Report(ctx context.Context, _ netip.AddrPort, _ state.InstanceID, _ Connection) (fleet.Report, error) {
 	<-ctx.Done()
 	p.clock.Advance(DefaultPolicy().Node.ProbeTimeout + p.late)
 	return fleet.Report{}, ctx.Err()
 }
 
-func (slowProbes) Order(context.Context, placement.Order) (placement.Reply, error) {
+func (slowProbes) Order(context.Context, placement.Order, Connection) (placement.Reply, error) {
 	return placement.Unanswered, context.DeadlineExceeded
 }
 
--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -144,11 +144,11 @@
 // targets answers no question: the stand-in has no engines.
 type targets struct{}
 
-func (targets) Report(context.Context, netip.AddrPort, state.InstanceID) (fleet.Report, error) {
+func (targets) Report(context.Context, netip.AddrPort, state.InstanceID, entry.Connection) (fleet.Report, error) {
 	return fleet.Report{}, errors.New("no engine")
 }
 
-func (targets) Order(context.Context, placement.Order) (placement.Reply, error) {
+func (targets) Order(context.Context, placement.Order, entry.Connection) (placement.Reply, error) {
 	return placement.Unanswered, errors.New("no engine")
 }
 
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, n.policy.ProbeTimeout)
 	defer cancel()
 	n.Count("probes")
-	rep, err := n.ports.Targets.Report(ctx, m.Address, m.ID)
+	rep, err := n.ports.Targets.Report(ctx, m.Address, m.ID, n.connectionTo(m.ID))
 	n.judgeReport(m.Incarnation(), asked, rep, err)
 	if errors.Is(err, placement.ErrReplaced) {
 		n.Replaced(m.ID)
@@ -110,6 +110,12 @@
 	return true
 }
 
+// connectionTo returns over which connection an instance is called next: a new one if its
+// last call failed.
+func (n *Node) connectionTo(id state.InstanceID) Connection {
+	return Connection(n.roster.Failures(id) > 0)
+}
+
 // logFailedProbe logs a failed probe as long as the instance does not yet count as
 // lost for it, so that a dead instance is logged once or twice.
 func (n *Node) logFailedProbe(id state.InstanceID, asked time.Time, err error) {
--- a/transport/entry/port.go
+++ b/transport/entry/port.go
@@ -26,10 +26,20 @@
 	Instance(id string, raw []byte) (fleet.Instance, error)
 }
 
+// Connection says over which connection an instance is called.
+type Connection bool
+
+// The connections. A kept one may have gone silent for good, so what decides whether an
+// instance is lost is asked over a new one.
+const (
+	AnyConnection Connection = false
+	NewConnection Connection = true
+)
+
 // Targets asks and orders instances.
 type Targets interface {
-	Report(ctx context.Context, at netip.AddrPort, id state.InstanceID) (fleet.Report, error)
-	Order(ctx context.Context, o placement.Order) (placement.Reply, error)
+	Report(ctx context.Context, at netip.AddrPort, id state.InstanceID, by Connection) (fleet.Report, error)
+	Order(ctx context.Context, o placement.Order, by Connection) (placement.Reply, error)
 }
 
 // Ports are the parts of a node that speak to the platform.
--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -161,11 +161,11 @@
 	err error
 }
 
-func (p proofs) Report(context.Context, netip.AddrPort, state.InstanceID) (fleet.Report, error) {
+func (p proofs) Report(context.Context, netip.AddrPort, state.InstanceID, Connection) (fleet.Report, error) {
 	return p.rep, p.err
 }
 
-func (proofs) Order(context.Context, placement.Order) (placement.Reply, error) {
+func (proofs) Order(context.Context, placement.Order, Connection) (placement.Reply, error) {
 	return placement.Unanswered, nil
 }
 
@@ -202,6 +202,34 @@
 	}
 }
 
+// silentConnections answers no question over a kept connection, as if it had gone silent for good.
+type silentConnections struct{ proofs }
+
+func (s silentConnections) Report(ctx context.Context, at netip.AddrPort, id state.InstanceID, by Connection) (fleet.Report, error) {
+	if by == AnyConnection {
+		return fleet.Report{}, context.DeadlineExceeded
+	}
+	return s.proofs.Report(ctx, at, id, by)
+}
+
+// All kept connections to instances may go silent at once, while new ones work: no instance
+// counts as lost before a new one has failed as well.
+func TestAnInstanceIsNotLostForItsKeptConnectionAlone(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	set := &Settings{Name: "own", Peer: testAddress(1), BeatInterval: time.Second, Policy: DefaultPolicy()}
+	n := New(set, Ports{Decoder: anyConfiguration{}, Targets: silentConnections{}}, clock, &log.Logger{Handler: discard.New()})
+	in := fleet.Instance{ID: "i", Service: "lm", Address: testAddress(9)}
+	n.roster.Listed(in, clock.Now())
+	for range 2 { // twice in a row
+		clock.Advance(time.Second)
+		g.Expect(n.ask(t.Context(), in)).To(BeTrue())
+		v, known := n.roster.Get(in.ID, clock.Now())
+		g.Expect(known).To(BeTrue())
+		g.Expect(v.Lost).To(BeFalse())
+	}
+}
+
 func TestAnOperatorSeesAndReleasesAQuarantinedRequest(t *testing.T) {
 	g := NewWithT(t)
 	n := numbered(g, "a", 1)
--- a/transport/entry/querydeath_test.go
+++ b/transport/entry/querydeath_test.go
@@ -181,7 +181,7 @@
 // dialTargets tells of an instance only whether its address takes connections.
 type dialTargets struct{ targets }
 
-func (dialTargets) Report(ctx context.Context, at netip.AddrPort, _ state.InstanceID) (fleet.Report, error) {
+func (dialTargets) Report(ctx context.Context, at netip.AddrPort, _ state.InstanceID, _ entry.Connection) (fleet.Report, error) {
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp4", at.String())
 	if err != nil {
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -27,6 +27,9 @@
 	sent := p.addLedger(w, p.n.clock.Now())
 	resp, err := c.CallUnary(ctx, connect.NewRequest(w))
 	if err != nil {
+		if ctx.Err() != nil {
+			p.hc.CloseIdleConnections() // others may have gone silent too
+		}
 		return nil, err
 	}
 	if resp.Msg.Placing {
--- a/transport/gateway/policy.go
+++ b/transport/gateway/policy.go
@@ -29,6 +29,10 @@
 	// checked, EventSilence how long a stream may be silent after that.
 	FirstSilence time.Duration `flag:"first-silence" help:"time without a first event after which a group is checked" min:"10ms" max:"1m"`
 	EventSilence time.Duration `flag:"event-silence" help:"time without a further event after which a group is checked" min:"10ms" max:"1m"`
+	// SilentAfter is how long a stream may bring no further event before it is taken up at
+	// another group, though its own lives: half of the time after which callers give a stream
+	// up. 0 is never.
+	SilentAfter time.Duration `flag:"silent-after" help:"time without a further event after which a stream is taken up elsewhere; 0 is never" min:"0s" max:"1m"`
 	// CheckInterval is the least time between two checks of one group.
 	CheckInterval time.Duration `flag:"check-interval" help:"least time between two checks of one group" min:"10ms" max:"1m"`
 }
@@ -48,6 +52,7 @@
 		RepairRetryAfter:   1200 * time.Millisecond,
 		FirstSilence:       600 * time.Millisecond,
 		EventSilence:       250 * time.Millisecond,
+		SilentAfter:        1200 * time.Millisecond,
 		CheckInterval:      300 * time.Millisecond,
 	}
 }
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -217,6 +217,10 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errStalled):
 		c.trouble(target, sent, "stalled", err)
+	case errors.Is(context.Cause(ctx), errSilent):
+		target.Failed()
+		c.Recorder.Count("attempt.silent")
+		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{"fingerprint": c.fingerprint, "instance": target.ID, "what": "silent", "event": c.lastEvent})
 	case c.ctx.Err() != nil:
 		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{"fingerprint": c.fingerprint, "instance": target.ID, "what": "time is up", "held": target.Held()})
 	default:
--- a/transport/gateway/watch.go
+++ b/transport/gateway/watch.go
@@ -17,6 +17,9 @@
 // errStalled means that an attempt was given up because its group stands still.
 var errStalled = errors.New("gateway: the group stands still")
 
+// errSilent means that a stream was given up because no event came, though its group lives.
+var errSilent = errors.New("gateway: no event came for long")
+
 // watched is one attempt under watch.
 type watched struct {
 	target *dispatch.Candidate
@@ -24,6 +27,23 @@
 	sent   time.Time
 	moved  atomic.Int64
 	cancel context.CancelCauseFunc
+	// seen is what moved was at the last look, still the number of looks since it changed.
+	seen  int64
+	still int
+}
+
+// looksInSilence is how many looks in a row must show no event for a stream to count as
+// silent: a node that was frozen reads meanwhile what has come.
+const looksInSilence = 8
+
+// standsStill counts a look at a stream and reports whether it has brought no event for long.
+func (w *watched) standsStill(now time.Time, after time.Duration) bool {
+	moved := w.moved.Load()
+	if moved != w.seen {
+		w.seen, w.still = moved, 0
+	}
+	w.still++
+	return moved > 0 && after > 0 && w.still >= looksInSilence && steady.Nanos(now)-moved > int64(after)
 }
 
 // move notes that the answer has moved on.
@@ -67,7 +87,9 @@
 	delete(w.active, a)
 }
 
-// Look asks for a check of every group whose attempts are silent.
+// Look asks for a check of every group whose attempts are silent, and gives up streams that
+// were silent for long: a connection may go silent for good without a reset, while its group
+// works on.
 func (w *Watch) Look() {
 	now := w.clock.Now()
 	silent := map[state.InstanceID]*dispatch.Candidate{}
@@ -76,6 +98,9 @@
 		if a.silent(now, w.policy) {
 			silent[a.target.ID] = a.target
 		}
+		if a.standsStill(now, w.policy.SilentAfter) {
+			a.cancel(errSilent)
+		}
 	}
 	w.mu.Unlock()
 	for _, target := range silent {
