--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -233,35 +233,46 @@
 // A connection may go silent for good without a reset, while the group behind it works on:
 // nothing but the missing events shows it, and the caller gives up after some seconds.
 func TestAStreamWhoseConnectionGoesSilentGoesOnElsewhere(t *testing.T) {
-	g := NewWithT(t)
-	l := newLab(t)
-	silent, released := 0, make(chan struct{})
-	defer close(released)
-	handler := func(w http.ResponseWriter, r *http.Request) {
-		last, _ := strconv.Atoi(r.Header.Get("Last"))
-		if silent++; silent <= 1 {
-			events(w, last+1, 3)
-			<-released
-			return
-		}
-		events(w, last+1, 6)
+	for _, c := range []struct {
+		name, path string
+		events     int
+		silent     int
+	}{
+		{"it may go on elsewhere", "/stream/", 6, 1},
+		{"it may not", "/once/", 3, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := newLab(t)
+			runs, released := 0, make(chan struct{})
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				last, _ := strconv.Atoi(r.Header.Get("Last"))
+				if runs++; runs == 1 {
+					events(w, last+1, 3)
+					<-released
+					return
+				}
+				events(w, last+1, 6)
+			}
+			l.instance("a", "lm", handler)
+			l.instance("b", "lm", handler)
+			looked := make(chan struct{})
+			go func() {
+				defer close(looked)
+				for end := time.Now().Add(gateway.DefaultPolicy().SilentAfter + 500*time.Millisecond); time.Now().Before(end); {
+					time.Sleep(50 * time.Millisecond)
+					l.gate.Watch.Look()
+				}
+				close(released)
+			}()
+			a := l.call(http.MethodPost, c.path, "x", nil)
+			<-looked
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(strings.Count(a.body, "id: ")).To(Equal(c.events))
+			g.Expect(l.journal.all()).To(HaveLen(1 + c.silent))
+			g.Expect(l.counts.counts["attempt.silent"]).To(Equal(c.silent))
+		})
 	}
-	l.instance("a", "lm", handler)
-	l.instance("b", "lm", handler)
-	looked := make(chan struct{})
-	go func() {
-		defer close(looked)
-		for end := time.Now().Add(gateway.DefaultPolicy().SilentAfter + 500*time.Millisecond); time.Now().Before(end); {
-			time.Sleep(50 * time.Millisecond)
-			l.gate.Watch.Look()
-		}
-	}()
-	a := l.call(http.MethodPost, "/stream/", "x", nil)
-	<-looked
-	g.Expect(a.err).NotTo(HaveOccurred())
-	g.Expect(strings.Count(a.body, "id: ")).To(Equal(6))
-	g.Expect(l.journal.all()).To(HaveLen(2))
-	g.Expect(l.counts.counts["attempt.silent"]).To(Equal(1))
 }
 
 func TestAStreamThatCannotGoOnNeverLooksWhole(t *testing.T) {
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -147,7 +147,8 @@
 	c.hold = target.Hold(c.claims.Prompt, sent)
 	defer c.hold.End()
 	c.runs++
-	watched := c.Watch.add(target, c.route.Kind == catalog.Stream, sent, cancel)
+	resumable := c.route.Kind == catalog.Stream && c.route.Repeatable() && c.runs < c.route.MaxAttempts
+	watched := c.Watch.add(target, resumable, sent, cancel)
 	defer c.Watch.remove(watched)
 	resp, err := c.Pool.Do(ctx, target.Address, c.request(target, sent))
 	switch {
--- a/transport/gateway/watch.go
+++ b/transport/gateway/watch.go
@@ -23,10 +23,11 @@
 // watched is one attempt under watch.
 type watched struct {
 	target *dispatch.Candidate
-	stream bool
-	sent   time.Time
-	moved  atomic.Int64
-	cancel context.CancelCauseFunc
+	// resumable tells that the request may go on at another group.
+	resumable bool
+	sent      time.Time
+	moved     atomic.Int64
+	cancel    context.CancelCauseFunc
 	// seen is what moved was at the last look, still the number of looks since it changed.
 	seen  int64
 	still int
@@ -72,8 +73,8 @@
 }
 
 // add puts an attempt under watch.
-func (w *Watch) add(target *dispatch.Candidate, stream bool, sent time.Time, cancel context.CancelCauseFunc) *watched {
-	a := &watched{target: target, stream: stream, sent: sent, cancel: cancel}
+func (w *Watch) add(target *dispatch.Candidate, resumable bool, sent time.Time, cancel context.CancelCauseFunc) *watched {
+	a := &watched{target: target, resumable: resumable, sent: sent, cancel: cancel}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.active[a] = struct{}{}
@@ -98,7 +99,7 @@
 		if a.silent(now, w.policy) {
 			silent[a.target.ID] = a.target
 		}
-		if a.standsStill(now, w.policy.SilentAfter) {
+		if a.resumable && a.standsStill(now, w.policy.SilentAfter) {
 			a.cancel(errSilent)
 		}
 	}
