--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -59,6 +59,7 @@
 	at       time.Time
 	requests []Fingerprint
 	apart    []Fingerprint
+	void     bool
 	change
 }
 
@@ -178,10 +179,14 @@
 }
 
 // Alive records that an instance answered a question asked at a time: what broke
-// off before has another cause than its end.
+// off before has another cause than its end, also if its end had seemed proven.
 func (l *Ledger) Alive(in fleet.Incarnation, asked time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if r := l.endings[in]; r != nil && !r.void && asked.After(r.at) {
+		r.void = true
+		l.touch(&r.change, self)
+	}
 	d := l.pending[in]
 	if d == nil {
 		return
@@ -307,7 +312,7 @@
 	l.forget(now)
 	endings := make([]Ending, 0, len(l.endings))
 	for in, r := range l.endings {
-		endings = append(endings, Ending{Instance: in, At: r.at, Requests: r.requests, Apart: r.apart})
+		endings = append(endings, Ending{Instance: in, At: r.at, Requests: r.requests, Apart: r.apart, Void: r.void})
 	}
 	cleared := make(map[Fingerprint]time.Time, len(l.cleared))
 	for f, c := range l.cleared {
--- a/coordination/quarantine/ledger_test.go
+++ b/coordination/quarantine/ledger_test.go
@@ -134,6 +134,19 @@
 	}
 }
 
+func TestDeadlyRequestsThatEndInstancesTogetherAreAllFound(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger(quarantine.DefaultPolicy())
+	for i := range 12 {
+		for _, r := range []string{"one", "two", "three"} {
+			end(l, fmt.Sprint(r, i), time.Second+time.Duration(i)*60*time.Millisecond, "deadly "+r, fmt.Sprint("beside ", r, i))
+		}
+	}
+	for _, r := range []string{"one", "two", "three"} {
+		g.Expect(held(l, "deadly "+r, 3*time.Second)).To(BeTrue(), r)
+	}
+}
+
 func TestTwoDeadlyRequestsAreBothFound(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger(quarantine.DefaultPolicy())
@@ -161,6 +174,24 @@
 				end(l, fmt.Sprintf("i%d", i), time.Second+time.Duration(i)*10*time.Millisecond, "popular")
 			}
 		}},
+		{"a hall is cut off, and each attempt goes on at the next instance that is cut off", func(l *quarantine.Ledger) {
+			for i := range 20 {
+				in, at := instance(fmt.Sprintf("i%d", i)), start.Add(time.Second+time.Duration(i)*5*time.Millisecond)
+				l.Broken(request(fmt.Sprint("beside ", i)), []fleet.Incarnation{in}, start, at)
+				if i < 4 {
+					l.Broken(request("popular"), []fleet.Incarnation{in}, at.Add(-5*time.Millisecond), at)
+				}
+				l.Ended(in, at.Add(time.Millisecond))
+			}
+		}},
+		{"its instances answer again after the cut", func(l *quarantine.Ledger) {
+			for i := range 4 {
+				end(l, fmt.Sprintf("i%d", i), time.Duration(i)*time.Second, "popular")
+			}
+			for i := range 4 {
+				l.Alive(instance(fmt.Sprintf("i%d", i)), start.Add(4*time.Second))
+			}
+		}},
 		{"a whole answer in between", func(l *quarantine.Ledger) {
 			end(l, "a", time.Second, "popular")
 			end(l, "b", 2*time.Second, "popular")
--- a/coordination/quarantine/share.go
+++ b/coordination/quarantine/share.go
@@ -46,7 +46,7 @@
 	}
 	for in, r := range l.endings {
 		if r.tells(version, except) {
-			d.Endings = append(d.Endings, Ending{Instance: in, At: r.at, Requests: slices.Clone(r.requests), Apart: slices.Clone(r.apart)})
+			d.Endings = append(d.Endings, Ending{Instance: in, At: r.at, Requests: slices.Clone(r.requests), Apart: slices.Clone(r.apart), Void: r.void})
 		}
 	}
 	for f, c := range l.cleared {
@@ -101,7 +101,10 @@
 			r.apart, news = append(r.apart, f), true
 		}
 	}
-	if news && (r.at.Before(e.At) || len(r.requests) > len(e.Requests) || len(r.apart) > len(e.Apart)) {
+	if e.Void && !r.void {
+		r.void, news = true, true
+	}
+	if news && (r.void && !e.Void || r.at.Before(e.At) || len(r.requests) > len(e.Requests) || len(r.apart) > len(e.Apart)) {
 		from = self // the other node may lack what this one had
 	}
 	if news {
--- a/transport/entry/ledger.go
+++ b/transport/entry/ledger.go
@@ -13,6 +13,7 @@
 	AgeMS    int64                    `json:"a"`
 	Requests []quarantine.Fingerprint `json:"r"`
 	Apart    []quarantine.Fingerprint `json:"p,omitempty"`
+	Void     bool                     `json:"v,omitempty"`
 }
 
 // ClearedReport tells how long ago a request last got a whole answer after instances ended under it.
@@ -35,7 +36,7 @@
 	r := &LedgerReport{}
 	for _, e := range d.Endings {
 		r.Endings = append(r.Endings, EndingReport{
-			Instance: e.Instance, AgeMS: now.Sub(e.At).Milliseconds(), Requests: e.Requests, Apart: e.Apart,
+			Instance: e.Instance, AgeMS: now.Sub(e.At).Milliseconds(), Requests: e.Requests, Apart: e.Apart, Void: e.Void,
 		})
 	}
 	for _, c := range d.Cleared {
@@ -52,7 +53,7 @@
 	}
 	at := func(ageMS int64) time.Time { return now.Add(-time.Duration(max(ageMS, 0)) * time.Millisecond) }
 	for _, e := range r.Endings {
-		d.Endings = append(d.Endings, quarantine.Ending{Instance: e.Instance, At: at(e.AgeMS), Requests: e.Requests, Apart: e.Apart})
+		d.Endings = append(d.Endings, quarantine.Ending{Instance: e.Instance, At: at(e.AgeMS), Requests: e.Requests, Apart: e.Apart, Void: e.Void})
 	}
 	for _, c := range r.Cleared {
 		d.Cleared = append(d.Cleared, quarantine.Cleared{Request: c.Request, At: at(c.AgeMS)})
--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -37,14 +37,12 @@
 }
 
 // Broken implements gateway.Quarantine.
-func (n *Node) Broken(f quarantine.Fingerprint, c *dispatch.Candidate, began time.Time) {
-	members := []fleet.Incarnation{c.Incarnation()}
-	for i := range c.Members {
-		if in := c.Members[i].Incarnation(); in != members[0] {
-			members = append(members, in)
-		}
+func (n *Node) Broken(f quarantine.Fingerprint, instances []fleet.Instance, began time.Time) {
+	lives := make([]fleet.Incarnation, len(instances))
+	for i := range instances {
+		lives[i] = instances[i].Incarnation()
 	}
-	n.ledger.Broken(f, members, began, n.clock.Now())
+	n.ledger.Broken(f, lives, began, n.clock.Now())
 }
 
 // Answered implements gateway.Quarantine.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // Catalogs gives the configuration in force and tells how old the knowledge of it may be.
@@ -46,8 +47,9 @@
 type Quarantine interface {
 	// HeldUntil returns until when a request is held back, and whether it is.
 	HeldUntil(f quarantine.Fingerprint) (time.Time, bool)
-	// Broken records that an attempt of a request that began at a time got no whole answer.
-	Broken(f quarantine.Fingerprint, c *dispatch.Candidate, began time.Time)
+	// Broken records that an attempt of a request that began at a time got no whole answer, since
+	// one of some instances may have ended.
+	Broken(f quarantine.Fingerprint, instances []fleet.Instance, began time.Time)
 	// Answered records that a request got a whole answer.
 	Answered(f quarantine.Fingerprint)
 	// Refused records that nothing listens at the address of an instance.
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -14,6 +14,7 @@
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // result is how one attempt ended.
@@ -214,11 +215,12 @@
 	if c.r.Context().Err() != nil {
 		return callerGone
 	}
-	c.Quarantine.Broken(c.fingerprint, target, sent)
+	cause := context.Cause(ctx)
+	c.Quarantine.Broken(c.fingerprint, mayHaveEnded(target, cause), sent)
 	switch {
-	case errors.Is(context.Cause(ctx), errStalled):
+	case errors.Is(cause, errStalled):
 		c.trouble(target, sent, "stalled", err)
-	case errors.Is(context.Cause(ctx), errSilent):
+	case errors.Is(cause, errSilent):
 		target.Failed()
 		c.Recorder.Count("attempt.silent")
 		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{"fingerprint": c.fingerprint, "instance": target.ID, "what": "silent", "event": c.lastEvent})
@@ -233,6 +235,15 @@
 	return unknown
 }
 
+// mayHaveEnded returns the instances of which one may have ended under an attempt: the
+// head, which broke its connection off, or any member of a group that stands still.
+func mayHaveEnded(target *dispatch.Candidate, cause error) []fleet.Instance {
+	if errors.Is(cause, errStalled) && len(target.Members) > 0 {
+		return target.Members
+	}
+	return []fleet.Instance{target.Instance}
+}
+
 // follow passes an answer on.
 func (c *call) follow(ctx context.Context, target *dispatch.Candidate, resp *direct.Response, w *watched, sent time.Time) result {
 	v := c.Dialect.Verdict(resp.Status, resp.Header)
