An instance whose ending was void may end later on

After a cut by resets most instances of a site were on record as ended and voided, so that their real endings under a deadly request no longer counted. An ending holds the last break-off and the last sign of life, both joined as the later of two: it is void while the latter is later.

--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -12,16 +12,20 @@
 // Ending is one instance that ended, with the requests that it had under way.
 type Ending struct {
 	Instance fleet.Incarnation
-	// At is when the first of the requests broke off.
+	// At is when the last of the requests broke off, as far as is known.
 	At       time.Time
 	Requests []Fingerprint
 	// Apart are those of the requests that had broken off elsewhere just before they were
 	// sent to this instance, so that the two endings have no cause in common but the request.
 	Apart []Fingerprint
-	// Void tells that the instance answered later on: it was cut off and had not ended.
-	Void bool
+	// AliveAt is when the instance was last known to answer; if that is after At, it was cut
+	// off and had not ended. Zero if it never answered after a break-off.
+	AliveAt time.Time
 }
 
+// Void reports whether the instance answered later on, so that it had not ended.
+func (e *Ending) Void() bool { return e.AliveAt.After(e.At) }
+
 // Verdict is what a ledger concludes about one request.
 type Verdict struct {
 	// Endings is how many times in a row instances ended under the request that no other
@@ -52,7 +56,7 @@
 // most instances ended accounts for these endings, so that they no longer count
 // against the others, which were only beside it; then the next one is looked for.
 func judge(endings []Ending, cleared map[Fingerprint]time.Time, policy *Policy) map[Fingerprint]Verdict {
-	order := slices.DeleteFunc(slices.Clone(endings), func(e Ending) bool { return e.Void })
+	order := slices.DeleteFunc(slices.Clone(endings), func(e Ending) bool { return e.Void() })
 	slices.SortFunc(order, compareEndings)
 	open := make(map[int]bool, len(order))
 	for i := range order {
--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -56,10 +56,7 @@
 
 // record is an ending with what sharing it needs.
 type record struct {
-	at       time.Time
-	requests []Fingerprint
-	apart    []Fingerprint
-	void     bool
+	Ending
 	change
 }
 
@@ -117,8 +114,8 @@
 	defer l.mu.Unlock()
 	b := broken{request: f, at: now, apart: l.brokeJustBefore(f, began)}
 	for _, m := range members {
-		if r := l.endings[m]; r != nil {
-			if now.Sub(r.at) < l.policy.EvidenceWindow {
+		if r := l.endings[m]; r != nil && !r.Void() {
+			if now.Sub(r.At) < l.policy.EvidenceWindow {
 				l.add(r, b)
 			}
 			continue
@@ -144,7 +141,7 @@
 		}
 	}
 	for _, r := range l.endings {
-		if just(r.at) && slices.Contains(r.requests, f) {
+		if just(r.At) && slices.Contains(r.Requests, f) {
 			return true
 		}
 	}
@@ -153,12 +150,12 @@
 
 // add adds a request to an ending that this node has seen itself. l.mu is held.
 func (l *Ledger) add(r *record, b broken) {
-	if slices.Contains(r.requests, b.request) || len(r.requests) >= l.policy.MaxRequests {
+	if slices.Contains(r.Requests, b.request) || len(r.Requests) >= l.policy.MaxRequests {
 		return
 	}
-	r.requests = append(r.requests, b.request)
+	r.Requests = append(r.Requests, b.request)
 	if b.apart {
-		r.apart = append(r.apart, b.request)
+		r.Apart = append(r.Apart, b.request)
 	}
 	l.touch(&r.change, self)
 	l.recall(b.request)
@@ -183,8 +180,8 @@
 func (l *Ledger) Alive(in fleet.Incarnation, asked time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r := l.endings[in]; r != nil && !r.void && asked.After(r.at) {
-		r.void = true
+	if r := l.endings[in]; r != nil && !r.Void() && asked.After(r.At) {
+		r.AliveAt = asked
 		l.touch(&r.change, self)
 	}
 	d := l.pending[in]
@@ -207,18 +204,22 @@
 		return nil
 	}
 	delete(l.pending, in)
-	r := &record{at: d.broken[0].at}
-	if known := l.endings[in]; known != nil {
-		r = known
+	r := l.endings[in]
+	if r == nil {
+		r = &record{Ending: Ending{Instance: in}}
+	}
+	if at := d.broken[len(d.broken)-1].at; at.After(r.At) {
+		r.At = at
+		l.touch(&r.change, self)
 	}
 	var news []Fingerprint
 	for _, b := range d.broken {
-		if now.Sub(b.at) < l.policy.EvidenceWindow && !slices.Contains(r.requests, b.request) {
+		if now.Sub(b.at) < l.policy.EvidenceWindow && !slices.Contains(r.Requests, b.request) {
 			l.add(r, b)
 			news = append(news, b.request)
 		}
 	}
-	if len(r.requests) > 0 {
+	if len(r.Requests) > 0 {
 		l.endings[in] = r
 		l.bound()
 	}
@@ -311,8 +312,8 @@
 	}
 	l.forget(now)
 	endings := make([]Ending, 0, len(l.endings))
-	for in, r := range l.endings {
-		endings = append(endings, Ending{Instance: in, At: r.at, Requests: r.requests, Apart: r.apart, Void: r.void})
+	for _, r := range l.endings {
+		endings = append(endings, r.Ending)
 	}
 	cleared := make(map[Fingerprint]time.Time, len(l.cleared))
 	for f, c := range l.cleared {
@@ -329,7 +330,7 @@
 // forget drops what is older than the memory. l.mu is held.
 func (l *Ledger) forget(now time.Time) {
 	for in, r := range l.endings {
-		if now.Sub(r.at) > l.policy.Memory {
+		if now.Sub(r.At) > l.policy.Memory {
 			delete(l.endings, in)
 		}
 	}
@@ -346,8 +347,8 @@
 		var oldest fleet.Incarnation
 		var at time.Time
 		for in, r := range l.endings {
-			if at.IsZero() || r.at.Before(at) {
-				oldest, at = in, r.at
+			if at.IsZero() || r.At.Before(at) {
+				oldest, at = in, r.At
 			}
 		}
 		delete(l.endings, oldest)
--- a/coordination/quarantine/ledger_test.go
+++ b/coordination/quarantine/ledger_test.go
@@ -108,6 +108,31 @@
 	g.Expect(held(l, "beside", 5*time.Second)).To(BeFalse())
 }
 
+// An instance that was cut off and then ended under the deadly request has ended once.
+func TestAnInstanceMayEndAfterItsEndingWasVoid(t *testing.T) {
+	g := NewWithT(t)
+	l, other := quarantine.NewLedger(quarantine.DefaultPolicy()), quarantine.NewLedger(quarantine.DefaultPolicy())
+	share := func() {
+		d, _ := l.Since(0, 0)
+		other.Merge(d, 7)
+		d, _ = other.Since(0, 0)
+		l.Merge(d, 8)
+	}
+	for i := range 3 {
+		end(l, fmt.Sprint(i), time.Duration(i)*time.Second, "deadly")
+		l.Alive(instance(fmt.Sprint(i)), start.Add(time.Duration(i)*time.Second+500*time.Millisecond))
+	}
+	share()
+	g.Expect(held(l, "deadly", 4*time.Second)).To(BeFalse())
+	for i := range 3 {
+		end(l, fmt.Sprint(i), time.Duration(10+i)*time.Second, "deadly")
+	}
+	share()
+	for _, node := range []*quarantine.Ledger{l, other} {
+		g.Expect(held(node, "deadly", 14*time.Second)).To(BeTrue())
+	}
+}
+
 // A request that went on at a second instance at once, which ended too, has two
 // endings, however soon the second one came.
 func TestEndingsOneAfterTheOtherCountEachHoweverSoon(t *testing.T) {
--- a/coordination/quarantine/share.go
+++ b/coordination/quarantine/share.go
@@ -44,9 +44,11 @@
 	if version == l.version {
 		return d, l.version
 	}
-	for in, r := range l.endings {
+	for _, r := range l.endings {
 		if r.tells(version, except) {
-			d.Endings = append(d.Endings, Ending{Instance: in, At: r.at, Requests: slices.Clone(r.requests), Apart: slices.Clone(r.apart), Void: r.void})
+			e := r.Ending
+			e.Requests, e.Apart = slices.Clone(r.Requests), slices.Clone(r.Apart)
+			d.Endings = append(d.Endings, e)
 		}
 	}
 	for f, c := range l.cleared {
@@ -76,35 +78,28 @@
 }
 
 // mergeEnding joins another node's word on an ending with what this node knows of
-// it, also of requests that broke off here. l.mu is held.
+// it, also of requests that broke off here: the later times, and all requests. l.mu is held.
 func (l *Ledger) mergeEnding(e Ending, from Source) {
 	if len(e.Requests) == 0 {
 		return
 	}
 	r := l.endings[e.Instance]
-	news := r == nil
 	if r == nil {
-		r = &record{at: e.At}
+		r = &record{Ending: Ending{Instance: e.Instance}}
 		l.endings[e.Instance] = r
 	}
-	if e.At.Before(r.at) {
-		r.at, news = e.At, true
-	}
+	news := laterOf(&r.At, e.At)
+	news = laterOf(&r.AliveAt, e.AliveAt) || news
 	for _, f := range e.Requests {
-		if !slices.Contains(r.requests, f) && len(r.requests) < l.policy.MaxRequests {
-			r.requests, news = append(r.requests, f), true
+		if l.include(&r.Requests, f) {
+			news = true
 			l.recall(f)
 		}
 	}
 	for _, f := range e.Apart {
-		if !slices.Contains(r.apart, f) && len(r.apart) < l.policy.MaxRequests {
-			r.apart, news = append(r.apart, f), true
-		}
-	}
-	if e.Void && !r.void {
-		r.void, news = true, true
+		news = l.include(&r.Apart, f) || news
 	}
-	if news && (r.void && !e.Void || r.at.Before(e.At) || len(r.requests) > len(e.Requests) || len(r.apart) > len(e.Apart)) {
+	if news && l.knowsMore(r, &e) {
 		from = self // the other node may lack what this one had
 	}
 	if news {
@@ -113,6 +108,29 @@
 	l.settle(e.Instance, r)
 }
 
+// laterOf sets a time to another one if that is later, and reports whether it did.
+func laterOf(t *time.Time, other time.Time) bool {
+	if !other.After(*t) {
+		return false
+	}
+	*t = other
+	return true
+}
+
+// include adds a request to a list that lacks it and has room, and reports whether it did.
+func (l *Ledger) include(list *[]Fingerprint, f Fingerprint) bool {
+	if slices.Contains(*list, f) || len(*list) >= l.policy.MaxRequests {
+		return false
+	}
+	*list = append(*list, f)
+	return true
+}
+
+// knowsMore reports whether a record holds more than another node told.
+func (l *Ledger) knowsMore(r *record, e *Ending) bool {
+	return r.At.After(e.At) || r.AliveAt.After(e.AliveAt) || len(r.Requests) > len(e.Requests) || len(r.Apart) > len(e.Apart)
+}
+
 // mergeCleared joins another node's word on a whole answer with what this node knows. l.mu is held.
 func (l *Ledger) mergeCleared(c Cleared, from Source) {
 	known := l.cleared[c.Request]
@@ -135,7 +153,7 @@
 	}
 	delete(l.pending, in)
 	for _, b := range d.broken {
-		if b.at.Sub(r.at).Abs() < l.policy.EvidenceWindow {
+		if b.at.Sub(r.At).Abs() < l.policy.EvidenceWindow {
 			l.add(r, b)
 		}
 	}
--- a/protocol/peer/ledger.go
+++ b/protocol/peer/ledger.go
@@ -13,7 +13,11 @@
 func EncodeLedger(m *rpc.ExchangeResponse, d quarantine.Delta, version uint64, now time.Time) {
 	m.LedgerVersion = version
 	for _, e := range d.Endings {
-		ending := &rpc.Ending{Instance: string(e.Instance.ID), Incarnation: e.Instance.Life, AgeMs: Milliseconds(now.Sub(e.At)), Void: e.Void}
+		ending := &rpc.Ending{Instance: string(e.Instance.ID), Incarnation: e.Instance.Life, AgeMs: Milliseconds(now.Sub(e.At))}
+		if !e.AliveAt.IsZero() {
+			ms := Milliseconds(now.Sub(e.AliveAt))
+			ending.AliveAgeMs = &ms
+		}
 		ending.Requests, ending.Apart = encodeFingerprints(e.Requests), encodeFingerprints(e.Apart)
 		m.Endings = append(m.Endings, ending)
 	}
@@ -28,7 +32,10 @@
 	var d quarantine.Delta
 	for _, e := range m.GetEndings() {
 		in := fleet.Incarnation{ID: state.InstanceID(e.GetInstance()), Life: e.GetIncarnation()}
-		ending := quarantine.Ending{Instance: in, At: now.Add(-Duration(e.GetAgeMs())), Void: e.GetVoid()}
+		ending := quarantine.Ending{Instance: in, At: now.Add(-Duration(e.GetAgeMs()))}
+		if e.AliveAgeMs != nil {
+			ending.AliveAt = now.Add(-Duration(e.GetAliveAgeMs()))
+		}
 		ending.Requests, ending.Apart = decodeFingerprints(e.GetRequests()), decodeFingerprints(e.GetApart())
 		d.Endings = append(d.Endings, ending)
 	}
--- a/transport/entry/ledger.go
+++ b/transport/entry/ledger.go
@@ -13,7 +13,8 @@
 	AgeMS    int64                    `json:"a"`
 	Requests []quarantine.Fingerprint `json:"r"`
 	Apart    []quarantine.Fingerprint `json:"p,omitempty"`
-	Void     bool                     `json:"v,omitempty"`
+	// AliveMS is how long ago the instance was last known to answer, if it did after a break-off.
+	AliveMS *int64 `json:"v,omitempty"`
 }
 
 // ClearedReport tells how long ago a request last got a whole answer after instances ended under it.
@@ -35,9 +36,12 @@
 	}
 	r := &LedgerReport{}
 	for _, e := range d.Endings {
-		r.Endings = append(r.Endings, EndingReport{
-			Instance: e.Instance, AgeMS: now.Sub(e.At).Milliseconds(), Requests: e.Requests, Apart: e.Apart, Void: e.Void,
-		})
+		told := EndingReport{Instance: e.Instance, AgeMS: now.Sub(e.At).Milliseconds(), Requests: e.Requests, Apart: e.Apart}
+		if !e.AliveAt.IsZero() {
+			ms := now.Sub(e.AliveAt).Milliseconds()
+			told.AliveMS = &ms
+		}
+		r.Endings = append(r.Endings, told)
 	}
 	for _, c := range d.Cleared {
 		r.Cleared = append(r.Cleared, ClearedReport{Request: c.Request, AgeMS: now.Sub(c.At).Milliseconds()})
@@ -53,7 +57,11 @@
 	}
 	at := func(ageMS int64) time.Time { return now.Add(-time.Duration(max(ageMS, 0)) * time.Millisecond) }
 	for _, e := range r.Endings {
-		d.Endings = append(d.Endings, quarantine.Ending{Instance: e.Instance, At: at(e.AgeMS), Requests: e.Requests, Apart: e.Apart, Void: e.Void})
+		ending := quarantine.Ending{Instance: e.Instance, At: at(e.AgeMS), Requests: e.Requests, Apart: e.Apart}
+		if e.AliveMS != nil {
+			ending.AliveAt = at(*e.AliveMS)
+		}
+		d.Endings = append(d.Endings, ending)
 	}
 	for _, c := range r.Cleared {
 		d.Cleared = append(d.Cleared, quarantine.Cleared{Request: c.Request, At: at(c.AgeMS)})
