--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -63,13 +63,13 @@
 	n.tellSoon()
 }
 
-// alive records that an instance answered a question, readable or not.
-func (n *Node) alive(in fleet.Incarnation, asked time.Time, err error) {
+// alive records that an instance answered a question.
+func (n *Node) alive(in fleet.Incarnation, asked time.Time) {
 	if !n.ledger.Alive(in, asked) {
 		return
 	}
 	n.Count("quarantine.back")
-	n.log.WithFields(log.Fields{"instance": in.ID, "life": in.Life, "readable": err == nil}).Info("ended instance is back")
+	n.log.WithFields(log.Fields{"instance": in.ID, "life": in.Life}).Info("ended instance is back")
 	n.tellSoon()
 }
 
@@ -83,8 +83,9 @@
 		n.ended(in, proofRefused)
 	case err == nil && !rep.Born.IsZero() && in.Life != "" && fleet.LifeSince(in.ID, rep.Born) != in:
 		n.ended(in, proofReborn)
-	case err == nil || errors.Is(err, placement.ErrUnreadable):
-		n.alive(in, asked, err)
+	case err == nil:
+		// An answer that is no report may be that of another process at the address.
+		n.alive(in, asked)
 	}
 }
 
