A popular sound request does not shield the deadly one

The request under most endings accounts for them. A popular one, or one that a client sends again and again, is under way on every instance and so under more endings than the deadly one: it was held back in its place, could get no whole answer any more, and the deadly one's endings counted for nothing. Requests that never got a whole answer are judged first now. Test: TestAPopularRequestDoesNotShieldTheDeadlyOne, failed before.

--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -67,6 +67,8 @@
 // Each ending has many requests under way and one cause. The request under which
 // most instances ended accounts for these endings, so that they no longer count
 // against the others, which were only beside it; then the next one is looked for.
+// Requests that never got a whole answer come first: a popular sound request is under way
+// on every instance that ends, and must not account for the endings of a deadly one.
 func judge(endings []Ending, cleared map[Fingerprint]time.Time, policy *Policy) map[Fingerprint]Verdict {
 	order := slices.DeleteFunc(slices.Clone(endings), func(e Ending) bool { return e.void() })
 	slices.SortFunc(order, compareEndings)
@@ -75,11 +77,32 @@
 		open[i] = true
 	}
 	under := suspects(order, cleared, max(policy.Endings-1, 1))
+	never, once := map[Fingerprint][]int{}, map[Fingerprint][]int{}
+	for f, list := range under {
+		if _, answered := cleared[f]; answered {
+			once[f] = list
+		} else {
+			never[f] = list
+		}
+	}
 	verdicts := make(map[Fingerprint]Verdict, len(under))
+	holdWorst(order, never, open, verdicts, policy)
+	holdWorst(order, once, open, verdicts, policy)
+	for f, list := range under {
+		if _, judged := verdicts[f]; !judged {
+			verdicts[f] = Verdict{Endings: blameOf(f, order, list, open, policy.Spacing).moments, Under: openEndings(f, order, list, open)}
+		}
+	}
+	return verdicts
+}
+
+// holdWorst adds the verdicts on those of some requests that are to be held back, and closes
+// the endings that they account for.
+func holdWorst(order []Ending, under map[Fingerprint][]int, open map[int]bool, verdicts map[Fingerprint]Verdict, policy *Policy) {
 	for {
 		worst, most := worstRequests(order, under, open, verdicts, policy)
 		if most < policy.Endings {
-			break
+			return
 		}
 		for _, f := range worst {
 			verdicts[f] = heldBack(f, order, under[f], open, most, policy)
@@ -90,12 +113,6 @@
 			}
 		}
 	}
-	for f, list := range under {
-		if _, judged := verdicts[f]; !judged {
-			verdicts[f] = Verdict{Endings: blameOf(f, order, list, open, policy.Spacing).moments, Under: openEndings(f, order, list, open)}
-		}
-	}
-	return verdicts
 }
 
 // suspects returns the requests with a number of endings at least since they were last
--- a/coordination/quarantine/ledger_test.go
+++ b/coordination/quarantine/ledger_test.go
@@ -170,6 +170,22 @@
 	}
 }
 
+// A popular sound request, or one that a client sends again and again, is under way on every
+// instance, so that more endings fall on it than on the deadly one. It must not account for the
+// deadly one's endings: held back itself, it could never be cleared, and the deadly one would go
+// on.
+func TestAPopularRequestDoesNotShieldTheDeadlyOne(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger(quarantine.DefaultPolicy())
+	l.Answered(request("popular"), start)
+	end(l, "chance", time.Second, "popular")
+	for i := range 3 {
+		end(l, fmt.Sprint(i), time.Duration(2+i)*time.Second, "popular", "deadly", fmt.Sprint("beside ", i))
+	}
+	g.Expect(held(l, "deadly", 6*time.Second)).To(BeTrue())
+	g.Expect(held(l, "popular", 6*time.Second)).To(BeFalse())
+}
+
 func TestDeadlyRequestsThatEndInstancesTogetherAreAllFound(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger(quarantine.DefaultPolicy())
