--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -116,7 +116,7 @@
 }
 
 // Broken records that an attempt of a request that began at a time got no whole
-// answer from a group, whose members may have ended.
+// answer, since one of some instances may have ended.
 func (l *Ledger) Broken(f Fingerprint, members []fleet.Incarnation, began, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/transport/entry/querydeath_test.go
+++ b/transport/entry/querydeath_test.go
@@ -226,8 +226,8 @@
 	endUnderDeadlyRequests(t, sameIDLaterStart)
 }
 
-// An instance that came back under its id, and told no start, once counted as one that had
-// never ended: 25 instances ended before the request was held back.
+// An instance that came back under its id, and told no start, counted as one that had never
+// ended, so that its ending under the request was forgotten.
 func TestARequestThatEndsInstancesWhichTellNoStartIsNotSentOnForEver(t *testing.T) {
 	endUnderDeadlyRequests(t, sameIDNoStart)
 }
