--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -312,6 +312,10 @@
 	l.mergeCleared(Cleared{Request: f, By: l.own, Number: number, At: now}, self)
 }
 
+// mostQuestions bounds the questions to an instance on which requests broke off: one that
+// ended refuses the first, and one that is silent would time out each of them at every node.
+const mostQuestions = 2
+
 // Due returns the instances that are to be asked now whether they live.
 func (l *Ledger) Due(now time.Time) []fleet.Incarnation {
 	l.mu.Lock()
@@ -322,7 +326,7 @@
 		switch {
 		case now.Sub(last) > l.policy.EvidenceWindow:
 			delete(l.pending, in)
-		case !now.Before(d.askAt):
+		case d.asked < mostQuestions && !now.Before(d.askAt):
 			d.askAt = now.Add(l.policy.CheckInterval << d.asked)
 			d.asked++
 			due = append(due, in)
--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -38,9 +38,13 @@
 
 // Broken implements gateway.Quarantine.
 func (n *Node) Broken(f quarantine.Fingerprint, instances []fleet.Instance, began time.Time) {
-	lives := make([]fleet.Incarnation, len(instances))
+	var lives []fleet.Incarnation
 	for i := range instances {
-		lives[i] = instances[i].Incarnation()
+		// The members of a group that stands still have just been asked: only those that did
+		// not answer may have ended, one or two of 16.
+		if len(instances) == 1 || n.roster.Failures(instances[i].ID) > 0 {
+			lives = append(lives, instances[i].Incarnation())
+		}
 	}
 	n.ledger.Broken(f, lives, began, n.clock.Now())
 }
