--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -15,6 +15,8 @@
 var (
 	ErrNoID        = errors.New("gateway: the request names no id")
 	ErrBadDeadline = errors.New("gateway: the deadline is no number of milliseconds")
+	// ErrBadCooldown means that an instance asks for a cooldown of a length that cannot be read.
+	ErrBadCooldown = errors.New("gateway: the cooldown is no number of seconds")
 )
 
 // Code is the reason of an answer that the product itself gives.
@@ -78,6 +80,12 @@
 	Culprit string
 	// Sealed tells that a success can be believed.
 	Sealed bool
+	// Cooldown is for how long from now on the instance asks this node not to call it; 0 if it
+	// does not ask. CooldownFault is why what it asks for cannot be read.
+	Cooldown      time.Duration
+	CooldownFault error
+	// Leaving tells that the instance will end soon.
+	Leaving bool
 }
 
 // Dialect knows the names under which requests and answers carry these things.
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -247,6 +247,7 @@
 // follow passes an answer on.
 func (c *call) follow(ctx context.Context, target *dispatch.Candidate, resp *direct.Response, w *watched, sent time.Time) result {
 	v := c.Dialect.Verdict(resp.Status, resp.Header)
+	c.recordRequests(target, v)
 	if v.NotRun && v.Instance != "" && v.Instance != target.ID {
 		c.Health.Replaced(target.ID)
 	}
@@ -256,6 +257,7 @@
 		target.Failed()
 		c.Recorder.Decide("attempt-refused", c.claims.ID, map[string]any{
 			"instance": target.ID, "status": resp.Status, "culprit": v.Culprit, "held": target.Held(), "load": target.Load(),
+			"cooldown_ms": v.Cooldown.Milliseconds(), "sends": c.sends,
 		})
 		if v.Culprit != "" && v.Culprit != target.Address.String() {
 			c.Health.Suspect(target)
@@ -273,6 +275,20 @@
 	return c.whole(ctx, target, resp, sent)
 }
 
+// recordRequests counts what an instance asks of this node beside its answer.
+func (c *call) recordRequests(target *dispatch.Candidate, v Verdict) {
+	if v.Cooldown > 0 {
+		c.Recorder.Count("cooldown.asked")
+	}
+	if v.CooldownFault != nil {
+		c.Recorder.Count("cooldown.unreadable")
+		c.Recorder.Decide("cooldown not read", c.claims.ID, map[string]any{"instance": target.ID, "error": v.CooldownFault.Error()})
+	}
+	if v.Leaving {
+		c.Recorder.Count("leaving.answers")
+	}
+}
+
 // answeredBy records a whole answer of an instance. One that ends with its
 // connection looks whole as well when the instance ends, so it clears no request.
 func (c *call) answeredBy(target *dispatch.Candidate, resp *direct.Response) {
