--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -138,6 +138,12 @@
 	t.pools.Store(&pools)
 }
 
+// Candidates returns what may take the requests of a service, and of a model of it; the
+// slice must not be changed.
+func (t *Table) Candidates(service state.ServiceName, model string) []*Candidate {
+	return (*t.pools.Load())[key{service, model}]
+}
+
 // formGroup gives a head its group's members and reports whether the group may take requests.
 func (c *Candidate) formGroup(engine *catalog.Engine, members []roster.View) bool {
 	model := engine.Model(c.Model)
@@ -190,10 +196,11 @@
 
 // Full reports whether an instance should be given no new request.
 func (c *Candidate) Full(now time.Time) bool {
+	fullAt := c.table.policy.FullAt
 	if c.Size == 0 {
-		return false
+		fullAt = c.table.policy.PlainFullAt
 	}
-	if float64(c.Load()) >= c.table.policy.FullAt*float64(c.Slots) {
+	if float64(c.Load()) >= fullAt*float64(max(c.Slots, 1)) {
 		return true
 	}
 	by, paced := c.pace()
--- a/coordination/dispatch/candidate_test.go
+++ b/coordination/dispatch/candidate_test.go
@@ -37,7 +37,7 @@
 var start = time.Unix(1000, 0)
 
 // nobody avoids no instance.
-func nobody(state.InstanceID) bool { return false }
+func nobody(*dispatch.Candidate) bool { return false }
 
 func TestOnlySoundTargetsAreCandidates(t *testing.T) {
 	with := func(v roster.View, change func(*roster.View)) roster.View {
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -18,12 +18,12 @@
 // the requests that all of them send meanwhile as if it were alone, filling up
 // the cheapest first, and draws by how many each candidate gets (load
 // interpretation; Dahlin, Interpreting Stale Load Information, 1999).
-func (t *Table) Pick(service state.ServiceName, model string, now time.Time, avoid func(state.InstanceID) bool) *Candidate {
+func (t *Table) Pick(service state.ServiceName, model string, now time.Time, avoid func(*Candidate) bool) *Candidate {
 	k := key{service, model}
-	pool := make([]offer, 0, len((*t.pools.Load())[k]))
+	pool := make([]offer, 0, len(t.Candidates(service, model)))
 	full := true
-	for _, c := range (*t.pools.Load())[k] {
-		if avoid(c.ID) {
+	for _, c := range t.Candidates(service, model) {
+		if avoid(c) {
 			continue
 		}
 		cFull := c.Full(now)
--- a/coordination/roster/list.go
+++ b/coordination/roster/list.go
@@ -130,6 +130,8 @@
 	fleet.Instance
 	// Unlisted tells that the list no longer shows the instance.
 	Unlisted bool `json:",omitempty"`
+	// Leaving tells that the instance itself said that it will end soon.
+	Leaving bool `json:",omitempty"`
 }
 
 // Changes returns what changed of the instances after a version, by id, and the version now.
@@ -142,7 +144,7 @@
 	var list []Change
 	for _, e := range r.m {
 		if e.stamp > after {
-			list = append(list, Change{Instance: e.current(), Unlisted: !e.inList})
+			list = append(list, Change{Instance: e.current(), Unlisted: !e.inList, Leaving: e.leaving})
 		}
 	}
 	slices.SortFunc(list, func(a, b Change) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -173,6 +175,10 @@
 	default:
 		r.relay(c.Instance, e, now)
 	}
+	// An instance leaves for good, whatever this node has read of the list meanwhile.
+	if c.Leaving {
+		r.markLeaving(e, c.Incarnation())
+	}
 }
 
 // relay takes in another node's word on an instance that is listed. r.mu is held.
--- a/coordination/roster/policy.go
+++ b/coordination/roster/policy.go
@@ -22,6 +22,9 @@
 	OrderEcho time.Duration `flag:"order-echo" help:"how long after an order the state before it may still be reported" min:"0s" max:"1m"`
 	// ForgetAfter is how long an ended instance is remembered.
 	ForgetAfter time.Duration `flag:"forget-after" help:"how long an ended instance is remembered" min:"1s" max:"1h"`
+	// ForgetLeavingAfter is the same for an instance that was leaving: longer than such an
+	// instance serves on, so that it is not taken for a usable one when a cut ends.
+	ForgetLeavingAfter time.Duration `flag:"forget-leaving-after" help:"how long an ended instance that was leaving is remembered" min:"1s" max:"24h"`
 }
 
 // DefaultPolicy returns the policy that nodes start with. Its figures were chosen
@@ -36,5 +39,7 @@
 		GoneMargin:      1500 * time.Millisecond,
 		OrderEcho:       600 * time.Millisecond,
 		ForgetAfter:     20 * time.Second,
+
+		ForgetLeavingAfter: 5 * time.Minute,
 	}
 }
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -51,6 +51,9 @@
 	heard     time.Time
 	failures  int
 	suspected time.Time
+	// leaving tells that this life of the instance said in an answer that it will end soon,
+	// or told another node so. No entry of the list takes that back, only a later life.
+	leaving bool
 	// gone tells that its process counts as ended, replaced that this is certain.
 	gone     bool
 	goneAt   time.Time
@@ -199,6 +202,37 @@
 	return 0
 }
 
+// MarkLeaving records that a life of an instance said that it will end soon, and reports
+// whether that is new.
+func (r *Roster) MarkLeaving(in fleet.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.m[in.ID]
+	if e == nil {
+		return false
+	}
+	return r.markLeaving(e, in)
+}
+
+// markLeaving marks an instance as leaving if the life that said so may be the one known. r.mu is held.
+func (r *Roster) markLeaving(e *entry, in fleet.Incarnation) bool {
+	known := e.listed.Incarnation()
+	if e.leaving || in.Life != "" && known.Life != "" && in.Life != known.Life {
+		return false
+	}
+	e.leaving = true
+	r.touch(e)
+	return true
+}
+
+// Leaving reports whether a life of an instance is known to leave.
+func (r *Roster) Leaving(in fleet.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.m[in.ID]
+	return e != nil && e.leaving && (in.Life == "" || e.listed.Born.IsZero() || in.Life == e.listed.Incarnation().Life)
+}
+
 // Replaced takes in that another process answers at an instance's address.
 func (r *Roster) Replaced(id state.InstanceID, now time.Time) {
 	r.mu.Lock()
@@ -309,7 +343,16 @@
 
 // forgotten reports whether an instance was in no list for so long, and silent, that it need not be remembered.
 func (e *entry) forgotten(now time.Time) bool {
-	return !e.inList && now.Sub(e.unlisted) > e.policy.ForgetAfter && now.Sub(e.heard) > e.policy.ForgetAfter
+	return !e.inList && now.Sub(e.unlisted) > e.forgetAfter() && now.Sub(e.heard) > e.forgetAfter()
+}
+
+// forgetAfter returns for how long an instance that has ended is remembered: one that was
+// leaving for longer, since the list may show the same life again after a cut.
+func (e *entry) forgetAfter() time.Duration {
+	if e.leaving {
+		return max(e.policy.ForgetAfter, e.policy.ForgetLeavingAfter)
+	}
+	return e.policy.ForgetAfter
 }
 
 // lastBeat returns when the list last showed a sign of life. Another node that
@@ -333,6 +376,7 @@
 // current returns the newest word on an instance.
 func (e *entry) current() fleet.Instance {
 	in := e.listed
+	in.Draining = in.Draining || e.leaving
 	in.Membership, in.Model, in.Loaded, in.Staged = e.belief.Membership, e.belief.Model, e.belief.Loaded, e.belief.Staged
 	return in
 }
@@ -350,7 +394,7 @@
 		e.gone, e.goneAt = true, now
 		r.version++
 	}
-	if e.gone && now.Sub(e.goneAt) > e.policy.ForgetAfter {
+	if e.gone && now.Sub(e.goneAt) > e.forgetAfter() {
 		delete(r.m, id)
 		r.version++
 	}
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -321,3 +321,89 @@
 		})
 	}
 }
+
+// An instance that says it will end soon does so in its answers; entries and what other
+// nodes tell may still say for seconds that it is ready.
+func TestNothingButALaterLifeTakesBackThatAnInstanceLeaves(t *testing.T) {
+	born := start.Add(-time.Minute)
+	old := free
+	old.Born, old.Position = born, 6
+	newer := old
+	newer.Position = 9
+	next := newer
+	next.Born = start.Add(time.Second)
+	for _, c := range []struct {
+		name    string
+		marked  fleet.Incarnation
+		tell    func(r *roster.Roster, now time.Time)
+		leaving bool
+	}{
+		{"nothing", old.Incarnation(), func(*roster.Roster, time.Time) {}, true},
+		{"a life that tells no start", fleet.Incarnation{ID: "i1"}, func(*roster.Roster, time.Time) {}, true},
+		{"an earlier life", fleet.LifeSince("i1", born.Add(-time.Second)), func(*roster.Roster, time.Time) {}, false},
+		{"a newer entry", old.Incarnation(), func(r *roster.Roster, now time.Time) { r.Listed(newer, now) }, true},
+		{"the whole list", old.Incarnation(), func(r *roster.Roster, now time.Time) { r.Snapshot([]fleet.Instance{newer}, 10, now) }, true},
+		{"another node", old.Incarnation(), func(r *roster.Roster, now time.Time) { r.Relayed(roster.Change{Instance: newer}, now) }, true},
+		{"its report", old.Incarnation(), func(r *roster.Roster, now time.Time) { r.Reported("i1", fleet.Report{Born: born, Asked: now}) }, true},
+		{"an entry that was gone", old.Incarnation(), func(r *roster.Roster, now time.Time) {
+			r.Unlisted("i1", 8, now)
+			r.Listed(newer, now.Add(time.Minute))
+		}, true},
+		{"a later life", old.Incarnation(), func(r *roster.Roster, now time.Time) { r.Listed(next, now) }, false},
+		{"a later life, by its report", old.Incarnation(), func(r *roster.Roster, now time.Time) {
+			r.Reported("i1", fleet.Report{Born: next.Born, Asked: now})
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newRoster()
+			r.Listed(old, start)
+			g.Expect(r.MarkLeaving(c.marked)).To(Equal(c.name != "an earlier life"))
+			g.Expect(r.MarkLeaving(c.marked)).To(BeFalse(), "it is known")
+			now := start.Add(5 * time.Second)
+			c.tell(r, now)
+			g.Expect(only(r, now).Draining).To(Equal(c.leaving))
+			g.Expect(r.All(now)[0].Draining).To(Equal(c.leaving))
+			g.Expect(r.Leaving(old.Incarnation())).To(Equal(c.leaving))
+			g.Expect(r.Leaving(next.Incarnation())).To(BeFalse())
+		})
+	}
+}
+
+// A node that has read newer entries of the list still counts what another was told.
+func TestAnotherNodeIsToldThatAnInstanceLeaves(t *testing.T) {
+	g := NewWithT(t)
+	r, other := newRoster(), newRoster()
+	newer := free
+	newer.Position = 9
+	other.Listed(newer, start)
+	_, before := r.Changes(0)
+	r.MarkLeaving(free.Incarnation())
+	changes, _ := r.Changes(before)
+	g.Expect(changes).To(HaveLen(1))
+	other.Relayed(changes[0], start)
+	g.Expect(other.Leaving(free.Incarnation())).To(BeTrue())
+	g.Expect(other.All(start)[0].Draining).To(BeTrue())
+}
+
+// A cut that ends may show an instance again that was leaving before it began.
+func TestALeavingInstanceIsRememberedForLonger(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		leaving bool
+	}{{"leaving", true}, {"not leaving", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRoster()
+			if c.leaving {
+				r.MarkLeaving(free.Incarnation())
+			}
+			r.Unlisted("i1", 6, start)
+			later := start.Add(2 * roster.DefaultPolicy().ForgetAfter)
+			r.All(later)
+			again := free
+			again.Position = 20
+			r.Listed(again, later)
+			NewWithT(t).Expect(r.All(later)[0].Draining).To(Equal(c.leaving))
+		})
+	}
+}
--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -43,6 +43,9 @@
 	Match func(http.Header) bool
 	// Fresh asks for a connection that has not rested for longer than a moment.
 	Fresh bool
+	// Check, if set, is called once a connection is there, right before the first byte leaves:
+	// a dial may take long. Its error keeps the request from being sent, as ErrUnsent.
+	Check func() error
 }
 
 // Response is an answer whose body is still to be read. Close must be called.
@@ -67,6 +70,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
+	if err := r.check(); err != nil {
+		c.rest("")
+		p.put(c)
+		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
+	}
 	stop := context.AfterFunc(ctx, c.kill)
 	req := r.http()
 	err = c.send(req)
@@ -86,6 +94,14 @@
 	return out, nil
 }
 
+// check reports why the request must not be sent now, or nil.
+func (r *Request) check() error {
+	if r.Check == nil {
+		return nil
+	}
+	return r.Check()
+}
+
 // http returns the request as net/http writes it.
 func (r *Request) http() *http.Request {
 	req := &http.Request{
--- a/state/fleet/instance.go
+++ b/state/fleet/instance.go
@@ -94,6 +94,7 @@
 
 // Report is what an instance answered when asked itself.
 type Report struct {
+	Notice
 	// Born is when the process started, as in Instance.
 	Born       time.Time
 	Membership Membership
--- /dev/null
+++ b/state/fleet/notice.go
@@ -0,0 +1,20 @@
+package fleet
+
+import (
+	"errors"
+	"time"
+)
+
+// ErrCooldown means that an instance asks for a cooldown of a length that cannot be read.
+var ErrCooldown = errors.New("fleet: the cooldown is no number of seconds")
+
+// Notice is what an instance says in an answer of whether and when it wants to be called
+// again, beside what it was asked. Any answer may carry one.
+type Notice struct {
+	// Cooldown is for how long from the answer on it wants nothing of the node that it
+	// answers; 0 if it does not ask for one. CooldownFault is why what it asks for cannot be read.
+	Cooldown      time.Duration
+	CooldownFault error
+	// Leaving tells that it will end soon and wants no further request of any node.
+	Leaving bool
+}
--- /dev/null
+++ b/transport/entry/backpressure.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// Told implements gateway.Backpressure: it heeds what an instance said in any answer, to a
+// request, a question or an order.
+func (n *Node) Told(in *fleet.Instance, notice fleet.Notice, request string) {
+	if notice.Leaving {
+		n.leaving(in.Incarnation(), "")
+	}
+	if notice.CooldownFault != nil {
+		n.Count("cooldown.unreadable")
+		if _, known := n.garbled.LoadOrStore(badCooldown(in.ID), true); !known {
+			n.log.WithError(notice.CooldownFault).WithField("instance", in.ID).Warn("cooldown not read")
+		}
+	}
+	if notice.Cooldown <= 0 {
+		return
+	}
+	n.Count("cooldown.asked")
+	now := n.clock.Now()
+	until, began := n.cooldowns.Ask(in.Incarnation(), notice.Cooldown, now)
+	if !began {
+		return
+	}
+	n.Count("cooldown.began")
+	left := 0
+	for _, c := range n.table.Candidates(in.Service, in.Model) {
+		if _, cooling := n.CoolingDown(&c.Instance); !cooling {
+			left++
+		}
+	}
+	n.log.WithFields(log.Fields{
+		"instance": in.ID, "service": in.Service, "group": in.Membership.Group, "asked_ms": notice.Cooldown.Milliseconds(),
+		"ms": until.Sub(now).Milliseconds(), "request": request, "left": left,
+	}).Info("cooldown began")
+}
+
+// badCooldown keys the instances whose cooldowns cannot be read.
+type badCooldown state.InstanceID
+
+// CoolingDown implements gateway.Backpressure.
+func (n *Node) CoolingDown(in *fleet.Instance) (time.Time, bool) {
+	return n.cooldowns.Until(in.Incarnation(), n.clock.Now())
+}
+
+// Leaving implements gateway.Backpressure.
+func (n *Node) Leaving(in *fleet.Instance) bool { return n.roster.Leaving(in.Incarnation()) }
+
+// leaving records that a life of an instance said that it will end soon, to this node or to
+// the one named, and has the leader told at once.
+func (n *Node) leaving(in fleet.Incarnation, toldBy string) {
+	if !n.roster.MarkLeaving(in) {
+		return
+	}
+	n.Count("leaving.learned")
+	n.log.WithFields(log.Fields{"instance": in.ID, "life": in.Life, "told_by": toldBy}).Info("instance leaving")
+	n.mu.Lock()
+	n.leavers[in] = n.clock.Now()
+	n.mu.Unlock()
+	n.touch()
+	n.placer.stir()
+	n.tellSoon()
+}
+
+// leavingTold returns the lives of instances that the leader is told to be leaving.
+func (n *Node) leavingTold(now time.Time) []fleet.Incarnation {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []fleet.Incarnation
+	for in, at := range n.leavers {
+		if now.Sub(at) > n.policy.LeavingFor {
+			delete(n.leavers, in)
+			continue
+		}
+		list = append(list, in)
+	}
+	return list
+}
+
+// instance returns what is known of an instance, or no more than its id.
+func (n *Node) instance(id state.InstanceID) fleet.Instance {
+	v, known := n.roster.Get(id, n.clock.Now())
+	if !known {
+		return fleet.Instance{ID: id}
+	}
+	return v.Instance
+}
+
+// logCooldowns logs the cooldowns that have ended and counts those that last.
+func (n *Node) logCooldowns() {
+	now := n.clock.Now()
+	for _, c := range n.cooldowns.Sweep(now) {
+		n.Count("cooldown.ended")
+		n.log.WithFields(log.Fields{"instance": c.Instance.ID, "ms": c.Until.Sub(c.Since).Milliseconds()}).Info("cooldown ended")
+	}
+	metrics.GetOrRegisterGauge("cooldown.active", n.metrics).Update(int64(len(n.cooldowns.List(now))))
+}
+
+// cooling is one instance that is cooling down, as an operator sees it.
+type cooling struct {
+	Instance state.InstanceID `json:"instance"`
+	SinceMS  int64            `json:"since_ms"`
+	LeftMS   int64            `json:"left_ms"`
+}
+
+// serveCooldowns lists the instances that asked this node to send them nothing.
+func (n *Node) serveCooldowns(w http.ResponseWriter, _ *http.Request) {
+	now := n.clock.Now()
+	list := []cooling{}
+	for _, c := range n.cooldowns.List(now) {
+		list = append(list, cooling{Instance: c.Instance.ID, SinceMS: now.Sub(c.Since).Milliseconds(), LeftMS: c.Until.Sub(now).Milliseconds()})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(list); err != nil {
+		n.log.WithError(err).Info("list of cooldowns not written")
+	}
+}
--- /dev/null
+++ b/transport/entry/backpressure_test.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// noticing answers each question and order with a notice, and counts them.
+type noticing struct {
+	notice fleet.Notice
+	err    error
+	asked  int
+}
+
+func (n *noticing) Report(context.Context, netip.AddrPort, state.InstanceID, Connection) (fleet.Report, error) {
+	n.asked++
+	return fleet.Report{Notice: n.notice}, n.err
+}
+
+func (n *noticing) Order(context.Context, placement.Order, Connection) (OrderAnswer, error) {
+	return OrderAnswer{Notice: n.notice, Reply: placement.Refused}, n.err
+}
+
+// observed is a node that knows one instance, with its clock and its log.
+type observed struct {
+	*Node
+	in    fleet.Instance
+	clock *clockwork.FakeClock
+	lines *memory.Handler
+}
+
+// observe returns a node that knows one instance, which answers by the targets given.
+func observe(targets Targets) *observed {
+	clock, lines := clockwork.NewFakeClock(), memory.New()
+	set := &Settings{Name: "own", Peer: testAddress(1), BeatInterval: time.Second, Policy: DefaultPolicy()}
+	n := New(set, Ports{Decoder: anyConfiguration{}, Targets: targets}, clock, &log.Logger{Handler: lines, Level: log.InfoLevel})
+	in := fleet.Instance{ID: "i", Born: time.UnixMilli(5000).UTC(), Service: "lm", Address: testAddress(9)}
+	n.roster.Listed(in, clock.Now())
+	return &observed{n, in, clock, lines}
+}
+
+// logged returns how often a line was logged.
+func (o *observed) logged(message string) int {
+	n := 0
+	for _, e := range o.lines.Entries {
+		if e.Message == message {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAnyAnswerOfAnInstanceMaySayWhenItWantsToBeCalled(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		call func(n *observed)
+		err  error
+	}{
+		{"to a request", func(n *observed) { n.Told(&n.in, fleet.Notice{Cooldown: 3 * time.Second, Leaving: true}, "r1") }, nil},
+		{"to a question", func(n *observed) { n.report(context.Background(), n.in, n.clock.Now()) }, nil},
+		{"to a question, with a failure", func(n *observed) { n.report(context.Background(), n.in, n.clock.Now()) }, placement.ErrUnreadable},
+		{"to an order", func(n *observed) {
+			n.placer.order(context.Background(), placement.Order{Instance: "i", Address: n.in.Address}, n.roster.Ordering("i"))
+		}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := observe(&noticing{notice: fleet.Notice{Cooldown: 3 * time.Second, Leaving: true}, err: c.err})
+			c.call(n)
+			until, cooling := n.CoolingDown(&n.in)
+			g.Expect(cooling).To(BeTrue())
+			g.Expect(until).To(Equal(n.clock.Now().Add(3 * time.Second)))
+			g.Expect(n.Leaving(&n.in)).To(BeTrue())
+			c.call(n)
+			g.Expect(n.logged("cooldown began")).To(Equal(1))
+			g.Expect(n.logged("instance leaving")).To(Equal(1))
+			n.clock.Advance(3 * time.Second)
+			n.logCooldowns()
+			_, cooling = n.CoolingDown(&n.in)
+			g.Expect(cooling).To(BeFalse())
+			g.Expect(n.logged("cooldown ended")).To(Equal(1))
+			g.Expect(n.Leaving(&n.in)).To(BeTrue())
+		})
+	}
+}
+
+// Two questions show that an instance no longer answers; more would only keep it from recovering.
+func TestAnInstanceThatIsCoolingDownIsAskedTwiceAtMost(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		lost bool
+	}{
+		{"it answers", nil, false},
+		{"it does not answer", context.DeadlineExceeded, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			targets := &noticing{err: c.err}
+			n := observe(targets)
+			n.Told(&n.in, fleet.Notice{Cooldown: 3 * time.Second}, "r1")
+			for range 20 {
+				n.clock.Advance(100 * time.Millisecond)
+				n.report(context.Background(), n.in, n.clock.Now())
+			}
+			g.Expect(targets.asked).To(Equal(2))
+			v, _ := n.roster.Get("i", n.clock.Now())
+			g.Expect(v.Lost).To(Equal(c.lost))
+			n.clock.Advance(time.Second)
+			n.report(context.Background(), n.in, n.clock.Now())
+			g.Expect(targets.asked).To(Equal(3))
+		})
+	}
+}
+
+func TestACooldownThatCannotBeReadIsLoggedOnce(t *testing.T) {
+	g := NewWithT(t)
+	n := observe(&noticing{})
+	for range 3 {
+		n.Told(&n.in, fleet.Notice{CooldownFault: fleet.ErrCooldown}, "r1")
+	}
+	_, cooling := n.CoolingDown(&n.in)
+	g.Expect(cooling).To(BeFalse())
+	g.Expect(n.logged("cooldown not read")).To(Equal(1))
+}
+
+func TestALaterLifeIsNeitherCoolingDownNorLeaving(t *testing.T) {
+	g := NewWithT(t)
+	n := observe(&noticing{})
+	n.Told(&n.in, fleet.Notice{Cooldown: time.Minute, Leaving: true}, "r1")
+	next := n.in
+	next.Born, next.Position = next.Born.Add(time.Second), next.Position+1
+	n.roster.Listed(next, n.clock.Now())
+	_, cooling := n.CoolingDown(&next)
+	g.Expect(cooling).To(BeFalse())
+	g.Expect(n.Leaving(&next)).To(BeFalse())
+	n.Told(&n.in, fleet.Notice{Leaving: true}, "r2") // a late answer of the earlier life
+	g.Expect(n.Leaving(&next)).To(BeFalse())
+}
+
+func TestOperatorsSeeWhichInstancesAreCoolingDown(t *testing.T) {
+	g := NewWithT(t)
+	n := observe(&noticing{})
+	n.Told(&n.in, fleet.Notice{Cooldown: 3 * time.Second}, "r1")
+	n.clock.Advance(time.Second)
+	mux := http.NewServeMux()
+	n.handleOperators(mux)
+	w := httptest.NewRecorder()
+	mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/cooldowns", nil))
+	var list []cooling
+	g.Expect(json.Unmarshal(w.Body.Bytes(), &list)).To(Succeed())
+	g.Expect(list).To(Equal([]cooling{{Instance: "i", SinceMS: 1000, LeftMS: 2000}}))
+}
+
+// One node was told by an instance that it leaves; the leader hands its group over, and
+// no node sends it further requests, whatever entries of the list they have read.
+func TestAllNodesKnowThatAnInstanceLeaves(t *testing.T) {
+	g := NewWithT(t)
+	leader, a, b := numbered(g, "leader", 1), numbered(g, "a", 2), numbered(g, "b", 3)
+	in := fleet.Instance{ID: "i", Born: time.UnixMilli(5000).UTC(), Service: "lm", Position: 5, Address: testAddress(9)}
+	for _, n := range []*Node{leader, a, b} {
+		n.roster.Listed(in, n.clock.Now())
+	}
+	exchange(g, b, leader)
+	a.Told(&in, fleet.Notice{Leaving: true}, "r1")
+	exchange(g, a, leader)
+	newer := in
+	newer.Position = 7
+	b.roster.Listed(newer, b.clock.Now())
+	exchange(g, b, leader)
+	for _, n := range []*Node{leader, a, b} {
+		g.Expect(n.Leaving(&in)).To(BeTrue(), n.set.Name)
+		v, _ := n.roster.Get("i", n.clock.Now())
+		g.Expect(v.Draining).To(BeTrue(), n.set.Name)
+	}
+}
--- a/transport/entry/beliefs.go
+++ b/transport/entry/beliefs.go
@@ -35,6 +35,7 @@
 		n.logDependency("readiness", &b.ready, n.isReady(), 0)
 		n.logInstances(b, n.roster.All(n.clock.Now()))
 		n.logQuarantine(held)
+		n.logCooldowns()
 	}
 }
 
--- a/transport/entry/busyleader_test.go
+++ b/transport/entry/busyleader_test.go
@@ -41,8 +41,8 @@
 	return fleet.Report{}, ctx.Err()
 }
 
-func (slowProbes) Order(context.Context, placement.Order, Connection) (placement.Reply, error) {
-	return placement.Unanswered, context.DeadlineExceeded
+func (slowProbes) Order(context.Context, placement.Order, Connection) (OrderAnswer, error) {
+	return OrderAnswer{Reply: placement.Unanswered}, context.DeadlineExceeded
 }
 
 func TestAProbeWhoseTimeoutIsNoticedLateProvesNothing(t *testing.T) {
--- a/transport/entry/cooldown_test.go
+++ b/transport/entry/cooldown_test.go
@@ -41,6 +41,9 @@
 	requestEvery = 4 * time.Millisecond
 )
 
+// leavingID is the instance that leaves.
+const leavingID = "i0"
+
 // mostInCooldown is how many requests of one node may reach an instance in its cooldown.
 const mostInCooldown = 2
 
@@ -62,18 +65,20 @@
 
 func (d nodeDialect) Verdict(_ int, h http.Header) gateway.Verdict {
 	seconds, _ := strconv.ParseFloat(h.Get(headerCooldown), 64)
-	return gateway.Verdict{
-		Sealed: true, NotRun: h.Get(headerNotRun) != "", Leaving: h.Get(headerLeaving) != "",
-		Cooldown: time.Duration(seconds * float64(time.Second)),
-	}
+	return gateway.Verdict{Sealed: true, NotRun: h.Get(headerNotRun) != "", Notice: fleet.Notice{
+		Cooldown: time.Duration(seconds * float64(time.Second)), Leaving: h.Get(headerLeaving) != "",
+	}}
 }
 
 // shedding is a set of plain instances of which some turn all requests away for a while.
 type shedding struct {
 	mu       sync.Mutex
 	until    time.Time
+	leaves   bool
 	arrivals map[sender][]time.Time
 	refusals map[sender][]time.Time
+	// farewells are the answers in which an instance said that it leaves.
+	farewells map[sender][]time.Time
 }
 
 // sender is a node that sends to an instance.
@@ -83,7 +88,7 @@
 
 // newShedding starts instances of which the first few shed until a time, and lists them.
 func newShedding(t *testing.T, s *store, instances, shed int) *shedding {
-	set := &shedding{arrivals: map[sender][]time.Time{}, refusals: map[sender][]time.Time{}}
+	set := &shedding{arrivals: map[sender][]time.Time{}, refusals: map[sender][]time.Time{}, farewells: map[sender][]time.Time{}}
 	for i := range instances {
 		id := fmt.Sprintf("i%d", i)
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { set.serve(w, r, id, i < shed) }))
@@ -112,6 +117,10 @@
 	if sheds = sheds && now.Before(s.until); sheds {
 		s.refusals[from] = append(s.refusals[from], now)
 	}
+	if s.leaves && id == leavingID {
+		s.farewells[from] = append(s.farewells[from], now)
+		w.Header().Set(headerLeaving, "1")
+	}
 	s.mu.Unlock()
 	w.Header().Set("Id", r.Header.Get("Id"))
 	if sheds {
@@ -143,6 +152,29 @@
 	return most, refusals
 }
 
+// leave has one instance say from now on that it leaves.
+func (s *shedding) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaves = true
+}
+
+// afterFarewell returns how many nodes were told that the instance leaves, and how many
+// requests it got from one of them later than what was under way.
+func (s *shedding) afterFarewell() (told, late int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for from, list := range s.farewells {
+		told++
+		for _, a := range s.arrivals[from] {
+			if a.Sub(list[0]) > underWay {
+				late++
+			}
+		}
+	}
+	return told, late
+}
+
 // arrivedSince returns which instances got requests after a time.
 func (s *shedding) arrivedSince(at time.Time) map[string]int {
 	s.mu.Lock()
@@ -237,3 +269,23 @@
 		})
 	}
 }
+
+// An instance says in its answers that it leaves, while its entry in the list goes on saying
+// that it is ready. Nodes read the list alone, and one that could not read it sent on until
+// the process ended.
+func TestAnInstanceThatSaysItIsLeavingGetsNoFurtherRequests(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	s.add(source.Configuration, "config", 1)
+	instances := newShedding(t, s, 3, 0)
+	nodes := startNamedNodes(t, s, 3)
+	callNodes(nodes, time.Second)
+	nodes[0].view.setCut(true)
+	instances.leave()
+	counts := callNodes(nodes, 3*time.Second)
+	told, late := instances.afterFarewell()
+	t.Logf("%d nodes were told, %d late requests, answers %v", told, late, counts)
+	g.Expect(told).To(BeNumerically(">", 0))
+	g.Expect(late).To(BeZero())
+	g.Expect(counts).To(HaveLen(1))
+}
--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -148,8 +148,8 @@
 	return fleet.Report{}, errors.New("no engine")
 }
 
-func (targets) Order(context.Context, placement.Order, entry.Connection) (placement.Reply, error) {
-	return placement.Unanswered, errors.New("no engine")
+func (targets) Order(context.Context, placement.Order, entry.Connection) (entry.OrderAnswer, error) {
+	return entry.OrderAnswer{Reply: placement.Unanswered}, errors.New("no engine")
 }
 
 // dialect is the stand-in's way of writing requests.
@@ -161,6 +161,7 @@
 func (dialect) Forward(http.Header, gateway.Forward)      {}
 func (dialect) Belongs(h http.Header, id string) bool     { return h.Get("Id") == id }
 func (dialect) Verdict(int, http.Header) gateway.Verdict  { return gateway.Verdict{Sealed: true} }
+func (dialect) ToCaller(int, http.Header)                 {}
 func (dialect) RetryAfter(h http.Header, d time.Duration) { h.Set("Retry-After", d.String()) }
 func (dialect) Echo(h http.Header, id string)             { h.Set("Id", id) }
 func (dialect) Status(c gateway.Code) int {
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -6,6 +6,7 @@
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // NodeEntry is what a node writes into the store of itself, and what nodes tell each other of nodes.
@@ -35,6 +36,8 @@
 	Demand  []demand.Flow `json:"demand,omitempty"`
 	// Suspects are instances that did not answer this node lately.
 	Suspects []Suspicion `json:"suspects,omitempty"`
+	// Leaving are the lives of instances that lately told this node that they will end soon.
+	Leaving []fleet.Incarnation `json:"leaving,omitempty"`
 	// Version and AgeMS tell of the configuration in force at the node, and how old the knowledge of it may be.
 	Version int64  `json:"version"`
 	AgeMS   int64  `json:"age"`
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -79,12 +79,22 @@
 	return false
 }
 
-// report asks an instance for its report once.
+// report asks an instance for its report once and reports whether it answered, or need not:
+// one that wants no calls for a while is asked only until it can have shown that it is lost.
 func (n *Node) report(ctx context.Context, m fleet.Instance, asked time.Time) bool {
+	if !n.cooldowns.Question(m.Incarnation(), asked) {
+		n.Count("probes.cooling-down")
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, n.policy.ProbeTimeout)
 	defer cancel()
 	n.Count("probes")
 	rep, err := n.ports.Targets.Report(ctx, m.Address, m.ID, n.connectionTo(m.ID))
+	said := m
+	if !rep.Born.IsZero() {
+		said.Born = rep.Born
+	}
+	defer n.Told(&said, rep.Notice, "") // after the roster knows of a later life
 	n.judgeReport(m.Incarnation(), asked, rep, err)
 	if errors.Is(err, placement.ErrReplaced) {
 		n.Replaced(m.ID)
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/localhealth"
@@ -36,25 +37,27 @@
 
 // Node is one entry node.
 type Node struct {
-	set     *Settings
-	policy  NodePolicy
-	clock   clockwork.Clock
-	ports   Ports
-	know    *Knowledge
-	roster  *roster.Roster
-	table   *dispatch.Table
-	gate    *gateway.Gateway
-	demand  *demand.Meter
-	ledger  *quarantine.Ledger
-	pool    *direct.Pool
-	metrics metrics.Registry
-	log     *log.Logger
-	peers   *peers
-	placer  *placer
-	health  localhealth.Monitor
-	load    leaderLoad
-	feed    feed
-	started time.Time
+	set    *Settings
+	policy NodePolicy
+	clock  clockwork.Clock
+	ports  Ports
+	know   *Knowledge
+	roster *roster.Roster
+	table  *dispatch.Table
+	gate   *gateway.Gateway
+	demand *demand.Meter
+	ledger *quarantine.Ledger
+	// cooldowns are the instances that asked this node to send them nothing for a while.
+	cooldowns *cooldown.Book
+	pool      *direct.Pool
+	metrics   metrics.Registry
+	log       *log.Logger
+	peers     *peers
+	placer    *placer
+	health    localhealth.Monitor
+	load      leaderLoad
+	feed      feed
+	started   time.Time
 
 	number  atomic.Int64
 	storeAt atomic.Int64
@@ -75,6 +78,8 @@
 	avoid map[fleet.GroupKey]bool
 	// suspects are instances that did not answer this node, with when they were asked.
 	suspects map[state.InstanceID]time.Time
+	// leavers are lives of instances that told this node that they will end soon, with when.
+	leavers map[fleet.Incarnation]time.Time
 	// news asks for a word to the placing node at once.
 	news chan struct{}
 }
@@ -82,27 +87,30 @@
 // New returns a Node that is not yet running.
 func New(set *Settings, ports Ports, clock clockwork.Clock, logger *log.Logger) *Node {
 	n := &Node{
-		set:      set,
-		policy:   set.Policy.Node,
-		clock:    clock,
-		ports:    ports,
-		know:     NewKnowledge(ports.Decoder, set.StrictKeys, set.KeysWithin, clock),
-		roster:   roster.New(roster.Config{Beat: set.BeatInterval, Stall: set.StallTime, Policy: set.Policy.Roster}),
-		table:    dispatch.NewTable(set.Hall, set.Policy.Dispatch),
-		pool:     direct.NewPool(direct.Dialer{Timeout: dialTimeout, Silence: silence}, clock.Now),
-		metrics:  metrics.NewRegistry(),
-		demand:   demand.NewMeter(set.Policy.Demand),
-		ledger:   quarantine.NewLedger(set.Policy.Quarantine),
-		log:      logger,
-		started:  clock.Now(),
-		changed:  make(chan struct{}, 1),
-		news:     make(chan struct{}, 1),
-		listNow:  make(chan struct{}, 1),
-		avoid:    map[fleet.GroupKey]bool{},
-		suspects: map[state.InstanceID]time.Time{},
+		set:     set,
+		policy:  set.Policy.Node,
+		clock:   clock,
+		ports:   ports,
+		know:    NewKnowledge(ports.Decoder, set.StrictKeys, set.KeysWithin, clock),
+		roster:  roster.New(roster.Config{Beat: set.BeatInterval, Stall: set.StallTime, Policy: set.Policy.Roster}),
+		table:   dispatch.NewTable(set.Hall, set.Policy.Dispatch),
+		pool:    direct.NewPool(direct.Dialer{Timeout: dialTimeout, Silence: silence}, clock.Now),
+		metrics: metrics.NewRegistry(),
+		demand:  demand.NewMeter(set.Policy.Demand),
+		ledger:  quarantine.NewLedger(set.Policy.Quarantine),
+
+		cooldowns: cooldown.NewBook(set.Policy.Cooldown),
+		log:       logger,
+		started:   clock.Now(),
+		changed:   make(chan struct{}, 1),
+		news:      make(chan struct{}, 1),
+		listNow:   make(chan struct{}, 1),
+		avoid:     map[fleet.GroupKey]bool{},
+		suspects:  map[state.InstanceID]time.Time{},
+		leavers:   map[fleet.Incarnation]time.Time{},
 	}
 	n.gate = gateway.New(gateway.Options{
-		Clock: clock, Dialect: ports.Dialect, Catalogs: n.know, Table: n.table, Health: n, Recorder: n, Quarantine: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
+		Clock: clock, Dialect: ports.Dialect, Catalogs: n.know, Table: n.table, Health: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
 		Retry: set.Retry,
 	})
 	n.peers = newPeers(n)
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/placement"
@@ -22,6 +23,8 @@
 	Node      NodePolicy       `flag:"node"`
 	// Quarantine holds back requests that end instances.
 	Quarantine quarantine.Policy `flag:"quarantine"`
+	// Cooldown bounds for how long instances may ask to be sent nothing.
+	Cooldown cooldown.Policy `flag:"cooldown"`
 }
 
 // NodePolicy holds the intervals and timeouts between nodes, to the store and to instances.
@@ -50,6 +53,9 @@
 	HealthInterval time.Duration `flag:"health-interval" help:"time between two looks at stalled requests and at the node's own delay" min:"5ms" max:"10s"`
 	// SuspectFor is how long status reports to the leader name an instance that did not answer.
 	SuspectFor time.Duration `flag:"suspect-for" help:"how long the leader is told of an instance that did not answer" min:"0s" max:"1m"`
+	// LeavingFor is how long status reports name an instance that said it will end soon: by
+	// then the list shows it too, or no longer shows it.
+	LeavingFor time.Duration `flag:"leaving-for" help:"how long the leader is told of an instance that said it will end soon" min:"0s" max:"10m"`
 
 	// StatusInterval is the time between two status reports of a node to the leader.
 	StatusInterval time.Duration `flag:"status-interval" help:"time between two status reports of a node to the leader" min:"10ms" max:"1m"`
@@ -127,6 +133,7 @@
 		Roster:     roster.DefaultPolicy(),
 		Demand:     demand.DefaultPolicy(),
 		Quarantine: quarantine.DefaultPolicy(),
+		Cooldown:   cooldown.DefaultPolicy(),
 		Node: NodePolicy{
 			PlanInterval:       100 * time.Millisecond,
 			PlanPause:          25 * time.Millisecond,
@@ -139,6 +146,7 @@
 			ReportMargin:       80 * time.Millisecond,
 			HealthInterval:     50 * time.Millisecond,
 			SuspectFor:         2 * time.Second,
+			LeavingFor:         10 * time.Second,
 			StatusInterval:     250 * time.Millisecond,
 			StatusTimeout:      400 * time.Millisecond,
 			UnreachableBackoff: 1500 * time.Millisecond,
--- a/transport/entry/port.go
+++ b/transport/entry/port.go
@@ -36,10 +36,17 @@
 	NewConnection Connection = true
 )
 
-// Targets asks and orders instances.
+// OrderAnswer is what an instance says of an order.
+type OrderAnswer struct {
+	fleet.Notice
+	Reply placement.Reply
+}
+
+// Targets asks and orders instances. What an answer says of when to call the instance again
+// is returned with errors too.
 type Targets interface {
 	Report(ctx context.Context, at netip.AddrPort, id state.InstanceID, by Connection) (fleet.Report, error)
-	Order(ctx context.Context, o placement.Order, by Connection) (placement.Reply, error)
+	Order(ctx context.Context, o placement.Order, by Connection) (OrderAnswer, error)
 }
 
 // Ports are the parts of a node that speak to the platform.
--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -165,8 +165,8 @@
 	return p.rep, p.err
 }
 
-func (proofs) Order(context.Context, placement.Order, Connection) (placement.Reply, error) {
-	return placement.Unanswered, nil
+func (proofs) Order(context.Context, placement.Order, Connection) (OrderAnswer, error) {
+	return OrderAnswer{Reply: placement.Unanswered}, nil
 }
 
 func TestWhatProvesThatAnInstanceEnded(t *testing.T) {
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -114,6 +114,7 @@
 func (n *Node) handleOperators(mux *http.ServeMux) {
 	mux.HandleFunc("/metrics", n.serveMetrics)
 	mux.HandleFunc("GET /quarantine", n.serveQuarantine)
+	mux.HandleFunc("GET /cooldowns", n.serveCooldowns)
 	mux.HandleFunc("DELETE /quarantine/{fingerprint}", n.serveRelease)
 }
 
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -46,6 +46,7 @@
 		From:     p.self(),
 		Held:     n.table.Held(),
 		Suspects: n.suspected(now),
+		Leaving:  n.leavingTold(now),
 		StoreMS:  age(n.storeAge()),
 		Nodes:    p.count(),
 		Late:     n.health.Overloaded(now),
@@ -172,6 +173,9 @@
 	for _, s := range w.Suspects {
 		n.placer.suspect(s.Instance, now.Add(-time.Duration(s.AgeMS)*time.Millisecond))
 	}
+	for _, in := range w.Leaving {
+		n.leaving(in, w.From.Name)
+	}
 	p.giveConfig(a, w)
 	if a.Placing {
 		if w.Nodes != p.count() {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -56,6 +56,17 @@
 	Refused(c *dispatch.Candidate)
 }
 
+// Backpressure keeps what instances ask of this node beside their answers: not to be called
+// for a while, or no longer.
+type Backpressure interface {
+	// Told records what an instance said in the answer to a request.
+	Told(in *fleet.Instance, n fleet.Notice, request string)
+	// CoolingDown returns until when an instance wants nothing of this node, and whether it does so now.
+	CoolingDown(in *fleet.Instance) (until time.Time, cooling bool)
+	// Leaving reports whether an instance is known to leave.
+	Leaving(in *fleet.Instance) bool
+}
+
 // Recorder counts and logs decisions that touch requests.
 type Recorder interface {
 	Count(name string)
@@ -73,10 +84,11 @@
 	Health   Health
 	Recorder Recorder
 	// Quarantine holds back requests under which instances end.
-	Quarantine Quarantine
-	Pool       *direct.Pool
-	Demand     *demand.Meter
-	Policy     Policy
+	Quarantine   Quarantine
+	Backpressure Backpressure
+	Pool         *direct.Pool
+	Demand       *demand.Meter
+	Policy       Policy
 	// Retry bounds the repeats that all nodes send to one service.
 	Retry retry.Bounds
 }
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -9,14 +9,13 @@
 	"time"
 
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // The faults of a request that cannot be read.
 var (
 	ErrNoID        = errors.New("gateway: the request names no id")
 	ErrBadDeadline = errors.New("gateway: the deadline is no number of milliseconds")
-	// ErrBadCooldown means that an instance asks for a cooldown of a length that cannot be read.
-	ErrBadCooldown = errors.New("gateway: the cooldown is no number of seconds")
 )
 
 // Code is the reason of an answer that the product itself gives.
@@ -43,6 +42,9 @@
 	// promises that this attempt has not run, and when the next one may: the request may be
 	// sound, so that no status blames the caller.
 	CodeQuarantined Code = "quarantined"
+	// CodeCoolingDown says that all instances that could run the request asked this node to
+	// send them nothing for a while.
+	CodeCoolingDown Code = "cooling-down"
 )
 
 // Claims is what a request says of itself.
@@ -80,12 +82,7 @@
 	Culprit string
 	// Sealed tells that a success can be believed.
 	Sealed bool
-	// Cooldown is for how long from now on the instance asks this node not to call it; 0 if it
-	// does not ask. CooldownFault is why what it asks for cannot be read.
-	Cooldown      time.Duration
-	CooldownFault error
-	// Leaving tells that the instance will end soon.
-	Leaving bool
+	fleet.Notice
 }
 
 // Dialect knows the names under which requests and answers carry these things.
@@ -94,6 +91,8 @@
 	Forward(h http.Header, f Forward)
 	Belongs(h http.Header, id string) bool
 	Verdict(status int, h http.Header) Verdict
+	// ToCaller removes from the head of an instance's answer what it tells the node alone.
+	ToCaller(status int, h http.Header)
 	Status(c Code) int
 	RetryAfter(h http.Header, d time.Duration)
 	Echo(h http.Header, id string)
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -12,7 +12,6 @@
 
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/protocol/direct"
-	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -26,6 +25,8 @@
 	answered result = "answered"
 	// notRun means that the instance did not run the request and will not.
 	notRun result = "not-run"
+	// heldBack means that the request was not sent after all.
+	heldBack result = "held-back"
 	// unknown means that the request may have run, and its answer is lost.
 	unknown result = "unknown"
 	// failed means that the instance answered with a failure.
@@ -68,7 +69,7 @@
 		switch {
 		case res == answered || res == callerGone:
 			return nil
-		case res == notRun:
+		case res == notRun || res == heldBack:
 			continue
 		case !c.route.Repeatable() || c.runs >= c.route.MaxAttempts:
 			return c.giveUp(CodeBroken)
@@ -104,7 +105,7 @@
 		c.last.write(c)
 		return nil
 	case c.runs == 0:
-		return refusedAt(code, c.Policy.RetryAfter)
+		return refusedAt(code, c.comeBack(c.Policy.RetryAfter))
 	case !c.Clock.Now().Before(c.deadline.Add(-c.Policy.MinTimeLeft)):
 		return &refusal{code: CodeTimeout}
 	}
@@ -113,7 +114,13 @@
 
 // pick chooses where the request goes next; it never goes twice to the same instance.
 func (c *call) pick() *dispatch.Candidate {
-	return c.Table.Pick(c.service, c.model, c.Clock.Now(), func(id state.InstanceID) bool { return slices.Contains(c.tried, id) })
+	return c.Table.Pick(c.service, c.model, c.Clock.Now(), func(t *dispatch.Candidate) bool {
+		if slices.Contains(c.tried, t.ID) {
+			return true
+		}
+		_, cooling := c.Backpressure.CoolingDown(&t.Instance)
+		return cooling
+	})
 }
 
 // waitForTarget waits a moment for a group at which a begun stream can go on.
@@ -131,10 +138,13 @@
 
 // noTarget returns the refusal of a request that no instance can take.
 func (c *call) noTarget() *refusal {
-	if c.sends == 0 {
-		return refusedAt(CodeNoTarget, c.Policy.RepairRetryAfter)
+	if c.sends > 0 {
+		return c.giveUp(CodeUnreachable)
+	}
+	if until, cooling := c.cooldownEnd(); cooling {
+		return refusedAt(CodeCoolingDown, until.Sub(c.Clock.Now()))
 	}
-	return c.giveUp(CodeUnreachable)
+	return refusedAt(CodeNoTarget, c.Policy.RepairRetryAfter)
 }
 
 // attempt sends the request to one instance and follows its answer.
@@ -153,6 +163,8 @@
 	defer c.Watch.remove(watched)
 	resp, err := c.Pool.Do(ctx, target.Address, c.request(target, sent))
 	switch {
+	case errors.Is(err, errHeldBack):
+		return c.holdBack(target, err)
 	case errors.Is(err, direct.ErrUnsent):
 		c.runs--
 		if c.r.Context().Err() != nil {
@@ -193,6 +205,7 @@
 		HasBody: c.r.ContentLength != 0 || c.r.Method == http.MethodPost || c.r.Method == http.MethodPut,
 		Match:   func(h http.Header) bool { return c.Dialect.Belongs(h, c.claims.ID) },
 		Fresh:   !c.route.Repeatable(),
+		Check:   func() error { return c.mayLeave(target) },
 	}
 }
 
@@ -247,14 +260,16 @@
 // follow passes an answer on.
 func (c *call) follow(ctx context.Context, target *dispatch.Candidate, resp *direct.Response, w *watched, sent time.Time) result {
 	v := c.Dialect.Verdict(resp.Status, resp.Header)
-	c.recordRequests(target, v)
+	c.Backpressure.Told(&target.Instance, v.Notice, c.claims.ID)
 	if v.NotRun && v.Instance != "" && v.Instance != target.ID {
 		c.Health.Replaced(target.ID)
 	}
 	if v.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered))
 		c.runs--
-		target.Failed()
+		if v.Cooldown == 0 {
+			target.Failed()
+		}
 		c.Recorder.Decide("attempt-refused", c.claims.ID, map[string]any{
 			"instance": target.ID, "status": resp.Status, "culprit": v.Culprit, "held": target.Held(), "load": target.Load(),
 			"cooldown_ms": v.Cooldown.Milliseconds(), "sends": c.sends,
@@ -275,20 +290,6 @@
 	return c.whole(ctx, target, resp, sent)
 }
 
-// recordRequests counts what an instance asks of this node beside its answer.
-func (c *call) recordRequests(target *dispatch.Candidate, v Verdict) {
-	if v.Cooldown > 0 {
-		c.Recorder.Count("cooldown.asked")
-	}
-	if v.CooldownFault != nil {
-		c.Recorder.Count("cooldown.unreadable")
-		c.Recorder.Decide("cooldown not read", c.claims.ID, map[string]any{"instance": target.ID, "error": v.CooldownFault.Error()})
-	}
-	if v.Leaving {
-		c.Recorder.Count("leaving.answers")
-	}
-}
-
 // answeredBy records a whole answer of an instance. One that ends with its
 // connection looks whole as well when the instance ends, so it clears no request.
 func (c *call) answeredBy(target *dispatch.Candidate, resp *direct.Response) {
@@ -314,7 +315,7 @@
 	if err != nil {
 		return c.lost(ctx, target, sent, err)
 	}
-	p := &plain{status: resp.Status, header: travelling(resp.Header), body: body}
+	p := &plain{status: resp.Status, header: c.toCaller(resp), body: body}
 	if resp.Status >= http.StatusInternalServerError {
 		target.Failed()
 		if c.begun {
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -52,9 +52,16 @@
 func (dialect) Belongs(h http.Header, id string) bool { return h.Get("Id") == id }
 
 func (dialect) Verdict(status int, h http.Header) gateway.Verdict {
-	return gateway.Verdict{NotRun: h.Get("Not-Run") != "", Sealed: h.Get("Seal") != ""}
+	v := gateway.Verdict{NotRun: h.Get("Not-Run") != "", Sealed: h.Get("Seal") != ""}
+	v.Leaving = h.Get("Leaving") != ""
+	if seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil && status == http.StatusServiceUnavailable {
+		v.Cooldown = time.Duration(seconds * float64(time.Second))
+	}
+	return v
 }
 
+func (dialect) ToCaller(_ int, h http.Header) { h.Del("Retry-After") }
+
 func (dialect) Status(c gateway.Code) int {
 	switch c {
 	case gateway.CodeBadRequest:
@@ -165,8 +172,10 @@
 	health     *health
 	counts     *recorder
 	quarantine *quarantined
-	views      []roster.View
-	journal    *journal
+	// backpressure keeps what instances ask of the node.
+	backpressure *backpressure
+	views        []roster.View
+	journal      *journal
 }
 
 // journal notes which instance ran which request.
@@ -211,12 +220,12 @@
 	teams := map[string]*catalog.Team{"k": {Name: "team"}}
 	l := &lab{
 		t: t, know: &knowledge{c: catalog.New(1, routes, services, teams, catalog.Limits{BodyBytes: 1000})},
-		health: &health{}, counts: &recorder{counts: map[string]int{}}, quarantine: &quarantined{held: map[quarantine.Fingerprint]bool{}}, table: dispatch.NewTable("hall", dispatch.DefaultPolicy()), journal: &journal{},
+		health: &health{}, counts: &recorder{counts: map[string]int{}}, quarantine: &quarantined{held: map[quarantine.Fingerprint]bool{}}, table: dispatch.NewTable("hall", dispatch.DefaultPolicy()), journal: &journal{}, backpressure: newBackpressure(),
 	}
 	clock := clockwork.NewRealClock()
 	l.gate = gateway.New(gateway.Options{
 		Demand: demand.NewMeter(demand.DefaultPolicy()), Policy: gateway.DefaultPolicy(),
-		Clock: clock, Dialect: dialect{}, Catalogs: l.know, Table: l.table, Health: l.health, Recorder: l.counts, Quarantine: l.quarantine,
+		Clock: clock, Dialect: dialect{}, Catalogs: l.know, Table: l.table, Health: l.health, Recorder: l.counts, Quarantine: l.quarantine, Backpressure: l.backpressure,
 		Pool:  direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now),
 		Retry: retry.Bounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	})
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -122,7 +122,7 @@
 	c.begun = true
 	c.firstAfter = c.Clock.Since(c.arrived)
 	c.Recorder.Time("first-event", c.firstAfter)
-	c.head(resp.Status, travelling(resp.Header), -1)
+	c.head(resp.Status, c.toCaller(resp), -1)
 }
 
 // finish ends a stream whose last byte has come.
