Heed cooldowns of engines on the own interface

The process test failed first: with one of two engines shedding callers were refused (503 target-refused) within 1.7 s, as repeats ran out, while the other one was idle. - target.Refusal and Answer carry the notice; the parser is one package for both sides. - One check once a connection is there (exchange.Client.DoIf), as in direct. - Groups whose leader cools down are not picked, nor told to other halls as open; where all are, callers get cooling-down with when the first is free.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -345,13 +345,26 @@
 
 // Journal returns what a target has run.
 func (l *Lab) Journal(id string) ([]standin.JournalEntry, error) {
-	resp, err := http.Get("http://" + l.Targets[id].Addr.String() + "/journal")
+	var list []standin.JournalEntry
+	err := l.show(id, "/journal", &list)
+	return list, err
+}
+
+// Refusals returns when a target has refused requests.
+func (l *Lab) Refusals(id string) ([]time.Time, error) {
+	var list []time.Time
+	err := l.show(id, "/refusals", &list)
+	return list, err
+}
+
+// show reads what a target shows at a path.
+func (l *Lab) show(id, path string, out any) error {
+	resp, err := http.Get("http://" + l.Targets[id].Addr.String() + path)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var list []standin.JournalEntry
-	return list, json.NewDecoder(resp.Body).Decode(&list)
+	return json.NewDecoder(resp.Body).Decode(out)
 }
 
 // Signal sends a signal to a process that the lab has started.
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -36,8 +36,10 @@
 type TargetFaults struct {
 	// Leaving makes the target report that it is leaving.
 	Leaving bool `json:"leaving"`
-	// Refuse makes the target refuse requests before it runs them.
-	Refuse bool `json:"refuse"`
+	// Refuse makes the target refuse requests before it runs them, and, when above zero, ask
+	// for a cooldown of Cooldown milliseconds.
+	Refuse   bool `json:"refuse"`
+	Cooldown int  `json:"cooldown_ms"`
 	// Swap makes the target answer with its previous answer, under that one's id.
 	Swap bool `json:"swap"`
 	// Truncate cuts the answer off half-way.
@@ -70,6 +72,8 @@
 	held    int
 	faults  TargetFaults
 	journal []JournalEntry
+	// refusals are the times of the requests that were refused.
+	refusals []time.Time
 	// last is the last answer and the id of its request.
 	lastID string
 	last   []byte
@@ -90,6 +94,7 @@
 	mux.HandleFunc("/svc/{service}/", t.serve)
 	mux.HandleFunc("POST /fault", faultHandler(t.setFaults))
 	mux.HandleFunc("GET /journal", t.showJournal)
+	mux.HandleFunc("GET /refusals", t.showRefusals)
 	return mux
 }
 
@@ -107,6 +112,13 @@
 	writeJSON(w, append([]JournalEntry{}, t.journal...))
 }
 
+// showRefusals returns when the target has refused requests.
+func (t *Target) showRefusals(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	writeJSON(w, append([]time.Time{}, t.refusals...))
+}
+
 // phase returns how far the target has come with its order; the caller holds mu.
 func (t *Target) phase() evidence.Phase {
 	switch {
@@ -165,7 +177,11 @@
 	epoch, _ := strconv.ParseUint(r.Header.Get(target.HeaderEpoch), 10, 64)
 	wrongGroup := !t.cfg.Service && (state.GroupName(r.Header.Get(target.HeaderGroup)) != t.order.Group || state.Epoch(epoch) != t.order.Epoch)
 	if t.faults.Refuse || wrongGroup || t.phase() != evidence.PhaseReady {
+		t.refusals = append(t.refusals, time.Now())
 		w.Header().Set(target.HeaderNotRun, "1")
+		if t.faults.Cooldown > 0 {
+			w.Header().Set(target.HeaderRetryAfter, strconv.FormatFloat(float64(t.faults.Cooldown)/1000, 'f', 3, 64))
+		}
 		http.Error(w, "not run", http.StatusServiceUnavailable)
 		return t.faults, false
 	}
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -55,17 +56,38 @@
 	return &Client{hc: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
 
+// ErrHeldBack means that the check of a request kept it from being sent.
+var ErrHeldBack = errors.New("exchange: held back")
+
 // Do sends a request. When it fails, sent reports whether a byte of it may have
 // left; after a failure no further byte of it leaves.
 func (c *Client) Do(req *http.Request) (resp *http.Response, sent bool, err error) {
+	return c.DoIf(req, nil)
+}
+
+// DoIf sends a request unless a check fails, which is asked once a connection is there,
+// right before the first byte leaves: a dial may take long. Without a check it is Do.
+func (c *Client) DoIf(req *http.Request, check func() error) (resp *http.Response, sent bool, err error) {
 	used := &usedConns{}
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used.add(info.Conn) }}
+	var held error
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		used.add(info.Conn)
+		if check == nil || held != nil {
+			return
+		}
+		if held = check(); held != nil {
+			used.cut()
+		}
+	}}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	req.GetBody = nil
 	if req.Body == nil && req.Method != http.MethodGet && req.Method != http.MethodHead {
 		req.Body = io.NopCloser(eofReader{})
 	}
 	resp, err = c.hc.Do(req)
+	if held != nil {
+		return nil, used.cut(), fmt.Errorf("%w: %w", ErrHeldBack, held)
+	}
 	if err != nil {
 		return nil, used.cut(), err
 	}
--- a/protocol/target/target.go
+++ b/protocol/target/target.go
@@ -19,8 +19,10 @@
 	"github.com/troutmast/troutmast/coordination/evidence"
 	"github.com/troutmast/troutmast/coordination/probe"
 	"github.com/troutmast/troutmast/coordination/retry"
+	"github.com/troutmast/troutmast/internal/retryafter"
 	"github.com/troutmast/troutmast/protocol/exchange"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // Errors of this package.
@@ -48,6 +50,9 @@
 	HeaderResume = "Troutmast-Resume-Tokens"
 	// HeaderKey carries the key of a call that may not be repeated.
 	HeaderKey = "Idempotency-Key"
+	// HeaderRetryAfter is, on a refusal, for how many seconds a target wants no further request
+	// of this node.
+	HeaderRetryAfter = "Retry-After"
 	// HeaderNotRun is set by a target on an answer that says it did not run the request.
 	HeaderNotRun = "Troutmast-Not-Run"
 )
@@ -209,6 +214,29 @@
 	Key string
 	// Once gives the call a connection of its own.
 	Once bool
+	// Check, if set, is asked right before the call leaves; its error keeps it from leaving.
+	Check func() error
+}
+
+// Refusal means that a target said it did not run a call. It is an ErrRefused.
+type Refusal struct {
+	Status string
+	fleet.Notice
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return fmt.Sprintf("%v: %s", ErrRefused, r.Status) }
+
+// Unwrap makes a Refusal an ErrRefused.
+func (r *Refusal) Unwrap() error { return ErrRefused }
+
+// notice reads for how long a target that is overloaded wants no further call.
+func notice(resp *http.Response) fleet.Notice {
+	if resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
+		return fleet.Notice{}
+	}
+	d, err := retryafter.Parse(resp.Header.Get(HeaderRetryAfter))
+	return fleet.Notice{Cooldown: d, CooldownFault: err}
 }
 
 // Answer is the head of a target's answer; Body must be closed.
@@ -218,6 +246,7 @@
 	// Delimited is set when a cut in the body can be told from its end.
 	Delimited bool
 	Body      io.ReadCloser
+	fleet.Notice
 }
 
 // Send sends a call and returns the head of the answer, or what is certain about the attempt.
@@ -230,8 +259,10 @@
 	if call.Once {
 		x = c.once
 	}
-	resp, sent, err := x.Do(req)
+	resp, sent, err := x.DoIf(req, call.Check)
 	switch {
+	case errors.Is(err, exchange.ErrHeldBack):
+		return nil, retry.NotRun, err
 	case err != nil && sent:
 		return nil, retry.Unknown, fmt.Errorf("%w: %w", ErrTarget, err)
 	case err != nil:
@@ -243,13 +274,14 @@
 	}
 	if resp.Header.Get(HeaderNotRun) != "" {
 		_ = resp.Body.Close()
-		return nil, retry.NotRun, fmt.Errorf("%w: %s", ErrRefused, resp.Status)
+		return nil, retry.NotRun, &Refusal{Status: resp.Status, Notice: notice(resp)}
 	}
 	return &Answer{
 		Status:      resp.StatusCode,
 		ContentType: resp.Header.Get("Content-Type"),
 		Delimited:   resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 		Body:        resp.Body,
+		Notice:      notice(resp),
 	}, retry.Run, nil
 }
 
--- a/state/fleet/notice.go
+++ b/state/fleet/notice.go
@@ -1,12 +1,6 @@
 package fleet
 
-import (
-	"errors"
-	"time"
-)
-
-// ErrCooldown means that an instance asks for a cooldown of a length that cannot be read.
-var ErrCooldown = errors.New("fleet: the cooldown is no number of seconds")
+import "time"
 
 // Notice is what an instance says in an answer of whether and when it wants to be called
 // again, beside what it was asked. Any answer may carry one.
--- a/transport/caller/attempt.go
+++ b/transport/caller/attempt.go
@@ -65,7 +65,9 @@
 	if !d.Valid(now) {
 		return nil, retry.NotRun, errGroupLost
 	}
+	call.Check = func() error { return s.mayLeave(d) }
 	ans, outcome, err := s.c.Targets.Send(ctx, call)
+	s.heed(q, d, ans, err)
 	if err != nil {
 		return nil, outcome, cause(ctx, err)
 	}
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -161,7 +161,7 @@
 // openHere reports whether a pool has an open candidate in this hall.
 func (s *Server) openHere(pool string) bool {
 	now := s.c.Clock.Now()
-	return slices.ContainsFunc(s.c.Routing.Pool(pool), func(c *routing.Candidate) bool { return c.Open(now) })
+	return slices.ContainsFunc(s.c.Routing.Pool(pool), func(c *routing.Candidate) bool { return s.c.Open(c, now) })
 }
 
 // unroutable says why a request cannot be served here or anywhere else.
@@ -172,7 +172,8 @@
 	if !s.known(pool) {
 		return notRun(http.StatusNotFound, CodeNotFound, "%s is not configured", pool)
 	}
-	return notRun(http.StatusServiceUnavailable, Code(admission.CodeNoGroup), "no hall that team %s may use has a whole group for %s", q.team.Name, pool)
+	f := notRun(http.StatusServiceUnavailable, Code(admission.CodeNoGroup), "no hall that team %s may use has a whole group for %s", q.team.Name, pool)
+	return s.comeBack(f, pool)
 }
 
 // known reports whether any group or service of that name is configured in any hall.
@@ -228,7 +229,8 @@
 func (s *Server) pick(q *request, pool string, avoid state.GroupName) *routing.Dispatch {
 	r := routing.Request{Tokens: q.tokens, Prompt: int64(len(q.body) / bytesPerToken), Prefix: q.prefix, Avoid: avoid}
 	for {
-		c := s.c.Picker.Pick(s.c.Routing.Pool(pool), r, s.c.Clock.Now())
+		now := s.c.Clock.Now()
+		c := s.c.Picker.Pick(s.c.Usable(pool, now), r, now)
 		if c == nil {
 			return nil
 		}
--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -40,7 +40,7 @@
 	for {
 		d := s.pick(q, pool, avoid)
 		if d == nil {
-			return s.noGroup(last)
+			return s.noGroup(q.model, last)
 		}
 		ans, body, outcome, err := s.whole(ctx, q, d)
 		d.End()
@@ -59,11 +59,14 @@
 }
 
 // noGroup is the failure when no candidate is open: that of the last attempt, if there was one.
-func (s *Server) noGroup(last *Failure) *Failure {
-	if last != nil {
+func (s *Server) noGroup(pool string, last *Failure) *Failure {
+	if last == nil {
+		last = withOutcome(retry.NotRun, Code(admission.CodeNoGroup), "no whole group is left for the request")
+	}
+	if last.Outcome != retry.NotRun {
 		return last
 	}
-	return withOutcome(retry.NotRun, Code(admission.CodeNoGroup), "no whole group is left for the request")
+	return s.comeBack(last, pool)
 }
 
 // worse returns the less certain of two outcomes: a request of which one attempt may have run may have run.
--- a/transport/caller/failure.go
+++ b/transport/caller/failure.go
@@ -50,6 +50,7 @@
 	CodeAnswerTruncated Code = "answer-truncated"
 	CodePeerFailed      Code = "peer-failed"
 	CodeQuarantined     Code = "quarantined"
+	CodeCoolingDown     Code = "cooling-down"
 )
 
 // Codes lists every code that a caller can be told, for the operators' page.
@@ -58,7 +59,7 @@
 		CodeUnauthorized, CodeTeamNotAllowed, CodeBadRequest, CodeBodyTooLarge, CodeNotFound, CodeNoState,
 		CodeKeyRequired, CodeKeyBad, CodeKeyNotCovered, CodeKeyConflict, CodeKeyUnknown, CodeResultDropped,
 		CodeClaimUnsettled, CodeDeadline, CodeGroupLost, CodeTargetFailed, CodeTargetRefused, CodeUnreachable,
-		CodeAnswerMismatch, CodeAnswerTruncated, CodePeerFailed, CodeQuarantined,
+		CodeAnswerMismatch, CodeAnswerTruncated, CodePeerFailed, CodeQuarantined, CodeCoolingDown,
 		CodeTicketBad, CodeTicketGone, CodeTicketLimit, CodeStopping,
 		Code(admission.CodeTeamLimit), Code(admission.CodeQueueFull), Code(admission.CodeTooLate),
 		Code(admission.CodeEvicted), Code(admission.CodeNoGroup),
@@ -137,6 +138,8 @@
 		return withOutcome(outcome, CodeAnswerTruncated, "the target's answer was cut short")
 	case errors.Is(err, errTargetStatus):
 		return withOutcome(outcome, CodeTargetFailed, "the target failed")
+	case errors.Is(err, errCoolingDown):
+		return withOutcome(outcome, CodeCoolingDown, "the target wants no request for a while")
 	case errors.Is(err, target.ErrRefused):
 		return withOutcome(outcome, CodeTargetRefused, "the target refused the request")
 	case outcome == retry.NotRun:
--- a/transport/caller/service.go
+++ b/transport/caller/service.go
@@ -143,7 +143,7 @@
 		d := s.pick(q, pool, avoid)
 		if d == nil {
 			h.settle(retry.NotRun, nil)
-			return s.noGroup(last)
+			return s.noGroup(pool, last)
 		}
 		ans, body, outcome, err := s.sendOnce(ctx, q, d)
 		d.End()
--- a/transport/caller/stream.go
+++ b/transport/caller/stream.go
@@ -65,7 +65,7 @@
 	for {
 		d := s.pick(q, q.model, avoid)
 		if d == nil {
-			return s.endStream(out, q, s.noGroup(last))
+			return s.endStream(out, q, s.noGroup(q.model, last))
 		}
 		outcome, err := s.streamOnce(ctx, q, d, out)
 		d.End()
--- a/transport/core/core.go
+++ b/transport/core/core.go
@@ -11,6 +11,7 @@
 
 	"github.com/troutmast/troutmast/coordination/admission"
 	"github.com/troutmast/troutmast/coordination/claim"
+	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/evidence"
 	"github.com/troutmast/troutmast/coordination/membership"
 	"github.com/troutmast/troutmast/coordination/quarantine"
@@ -50,6 +51,8 @@
 	Repairs   *Repairs
 	// Quarantine holds back requests that end the instances that run them.
 	Quarantine *quarantine.Ledger
+	// Cooldowns are the instances that asked this node to send them nothing for a while.
+	Cooldowns *cooldown.Book
 
 	// Routed is the offset of the state that the routing table shows.
 	Routed   atomic.Uint64
@@ -91,7 +94,7 @@
 	var open []string
 	for name, pool := range c.Routing.Models() {
 		for _, cand := range pool {
-			if cand.Open(now) {
+			if c.Open(cand, now) {
 				open = append(open, name)
 				break
 			}
--- a/transport/entry/backpressure_test.go
+++ b/transport/entry/backpressure_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/internal/retryafter"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -131,7 +132,7 @@
 	g := NewWithT(t)
 	n := observe(&noticing{})
 	for range 3 {
-		n.Told(&n.in, fleet.Notice{CooldownFault: fleet.ErrCooldown}, "r1")
+		n.Told(&n.in, fleet.Notice{CooldownFault: retryafter.ErrValue}, "r1")
 	}
 	_, cooling := n.CoolingDown(&n.in)
 	g.Expect(cooling).To(BeFalse())
--- a/transport/node/node.go
+++ b/transport/node/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/troutmast/troutmast/coordination/admission"
 	"github.com/troutmast/troutmast/coordination/claim"
+	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/evidence"
 	"github.com/troutmast/troutmast/coordination/membership"
 	"github.com/troutmast/troutmast/coordination/probe"
@@ -111,6 +112,7 @@
 		Repairs:   core.NewRepairs(),
 
 		Quarantine: quarantine.NewLedger(quarantine.DefaultPolicy()),
+		Cooldowns:  cooldown.NewBook(cooldown.DefaultPolicy()),
 	}
 	n := &Node{Core: c, meter: meter, mirrors: newMirrors(), missing: newMissingSince(), refresh: make(chan struct{}, 1)}
 	n.prober = probe.New(probe.Config{Interval: set.ProbeInterval, Window: set.EvidenceWindow}, c.Targets, n.sources(), c.Evidence, c.Feed, clock)
