--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -196,11 +196,10 @@
 
 // Full reports whether an instance should be given no new request.
 func (c *Candidate) Full(now time.Time) bool {
-	fullAt := c.table.policy.FullAt
 	if c.Size == 0 {
-		fullAt = c.table.policy.PlainFullAt
+		return false
 	}
-	if float64(c.Load()) >= fullAt*float64(max(c.Slots, 1)) {
+	if float64(c.Load()) >= c.table.policy.FullAt*float64(c.Slots) {
 		return true
 	}
 	by, paced := c.pace()
--- a/coordination/dispatch/policy.go
+++ b/coordination/dispatch/policy.go
@@ -7,10 +7,6 @@
 	// FullAt is the part of its places up to which a group is given new requests.
 	// Measured: docs/PLATFORM.md, "refuse above 0.85 of the places".
 	FullAt float64 `flag:"full-at" help:"part of a group's places up to which it is given new requests" min:"0.05" max:"10"`
-	// PlainFullAt is the same for an instance of a plain service, which queues a few requests
-	// beyond its places. Where the others are cooling down, all that comes goes to what is
-	// left; past this it would only wait there. Chosen by hand: one further request a place.
-	PlainFullAt float64 `flag:"plain-full-at" help:"multiple of its places up to which a plain instance is given new requests" min:"0.05" max:"1000"`
 	// FailureCost is what one recent failure adds to the cost of a target, in requests
 	// held for each of its places. Chosen by hand, not measured.
 	FailureCost float64 `flag:"failure-cost" help:"cost of a recent failure, in requests held for each place" min:"0" max:"10"`
@@ -45,7 +41,6 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		FullAt:          0.85,
-		PlainFullAt:     2,
 		FailureCost:     0.15,
 		FailureRecovery: 0.15,
 		RemoteHallCost:  0.03,
