--- a/coordination/placement/epochs.go
+++ b/coordination/placement/epochs.go
@@ -6,8 +6,14 @@
 	"github.com/troutmast/troutmast/state"
 )
 
-// numberBits is the part of an epoch that holds the number of the node that made it.
-const numberBits = 20
+// The part of an epoch that names the node life that made it: the place of the node's entry in
+// the store, as its offset and the era in which it was written. Both are cut off; lives
+// that many entries or eras apart are not there at once.
+const (
+	offsetBits = 16
+	eraBits    = 4
+	numberBits = offsetBits + eraBits
+)
 
 // Epochs makes the epochs of one life of a node: each is above all that were
 // seen and all that were made, and no other node makes the same. Safe for concurrent use.
@@ -17,9 +23,10 @@
 	highest state.Epoch
 }
 
-// NewEpochs returns the Epochs of the node life with a number that no other life has.
-func NewEpochs(number uint64) *Epochs {
-	return &Epochs{number: state.Epoch(number) & (1<<numberBits - 1)}
+// NewEpochs returns the Epochs of the node life whose entry was written at an offset in an era
+// of the store. The store gives an offset out again only in a later era.
+func NewEpochs(era, offset int64) *Epochs {
+	return &Epochs{number: state.Epoch(era)&(1<<eraBits-1)<<offsetBits | state.Epoch(offset)&(1<<offsetBits-1)}
 }
 
 // Next returns a new epoch above one that was seen.
--- a/coordination/placement/property_test.go
+++ b/coordination/placement/property_test.go
@@ -21,14 +21,21 @@
 // its own one serves, and no group opens without all of its members. Once the
 // faults end, one planner has the instances in groups again.
 func TestNoInstanceWorksTwiceUnderAnyPlanners(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { playPlanners(t, 0) })
+	rapid.Check(t, func(t *rapid.T) { playPlanners(t, 0, 0) })
 }
 
-// playPlanners plays a drawn world, of whose crashed targets a part start again under their ids.
-func playPlanners(t *rapid.T, rebirths float64) {
+// The same while the store comes back from older copies, several times, with nodes that
+// start again and get offsets that other lives of nodes had: no formation is made twice.
+func TestNoInstanceWorksTwiceWhenTheStoreGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { playPlanners(t, 0.3, 0.3) })
+}
+
+// playPlanners plays a drawn world, of whose crashed targets a part start again under their
+// ids, and of whose faults a part has the store come back from an older copy.
+func playPlanners(t *rapid.T, rebirths, restorations float64) {
 	seed := rapid.Uint64().Draw(t, "seed")
 	w := newWorld(seed, rapid.IntRange(1, 2).Draw(t, "domains"), rapid.IntRange(4, 9).Draw(t, "targets"), 3)
-	w.rebirths = rebirths
+	w.rebirths, w.restorations = rebirths, restorations
 	w.place(w.nodes[0], true)
 	w.run(40 * time.Second)
 	if len(w.broken) > 0 {
@@ -48,7 +55,7 @@
 // The same with targets that crash and start again under their ids, knowing nothing of
 // before, while orders to their earlier lives are still on their way.
 func TestInstancesThatStartAgainUnderTheirIDsWorkOnce(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { playPlanners(t, 0.8) })
+	rapid.Check(t, func(t *rapid.T) { playPlanners(t, 0.8, 0) })
 }
 
 // Two domains that could both change for the same want do not change in turn: once
@@ -143,7 +150,7 @@
 // member's last group for that of the new one: it would open the group too small.
 func TestARecoveredGroupIsNotOpenedWithoutAllMembers(t *testing.T) {
 	g := NewWithT(t)
-	p := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(1).Next)
+	p := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(0, 1).Next)
 	now := time.Unix(1000, 0)
 	members := func(s fleet.MemberState, loaded string) []placement.Member {
 		var list []placement.Member
@@ -163,7 +170,7 @@
 	for _, o := range plan.Orders {
 		g.Expect(o.Action).NotTo(Equal(placement.Open), "two members of a model of four")
 	}
-	plan = placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(1).Next).Step(now, members(fleet.Ready, "small"))
+	plan = placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(0, 1).Next).Step(now, members(fleet.Ready, "small"))
 	g.Expect(plan.Orders).To(HaveLen(1), "two members of a model of two")
 	g.Expect(plan.Orders[0].Action).To(Equal(placement.Open))
 }
--- a/coordination/placement/relayout_test.go
+++ b/coordination/placement/relayout_test.go
@@ -74,7 +74,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			p := placement.NewPlanner(sixteensAndFours(), placement.DefaultPolicy(), placement.NewEpochs(1).Next)
+			p := placement.NewPlanner(sixteensAndFours(), placement.DefaultPolicy(), placement.NewEpochs(0, 1).Next)
 			p.Work = c.work
 			members := func() []placement.Member { return fours("d", 9, "large", "small") }
 			old := stagingNow.Add(placement.DefaultPolicy().DonorAge)
@@ -99,7 +99,7 @@
 	for n := range 15 {
 		members = append(members, free(state.InstanceID(fmt.Sprintf("z%02d", n)), "large", "small"))
 	}
-	p := placement.NewPlanner(sixteensAndFours(), placement.DefaultPolicy(), placement.NewEpochs(1).Next)
+	p := placement.NewPlanner(sixteensAndFours(), placement.DefaultPolicy(), placement.NewEpochs(0, 1).Next)
 	p.Work = []float64{80, 250}
 	p.Step(stagingNow, members)
 	known := stagingNow.Add(placement.DefaultPolicy().UnknownMemberTimeout)
--- a/coordination/placement/staging_test.go
+++ b/coordination/placement/staging_test.go
@@ -50,15 +50,15 @@
 	members := func() []placement.Member {
 		return []placement.Member{inGroup("a", 0), inGroup("b", 1), free("c", ""), free("e", "")}
 	}
-	first := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(1).Next)
+	first := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(0, 1).Next)
 	loading := staged(first.Step(stagingNow, members()))
 	g.Expect(loading).NotTo(BeEmpty())
-	next := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(2).Next)
+	next := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(0, 2).Next)
 	next.Adopt(first.Stagings())
 	g.Expect(next.Stagings()).To(Equal(first.Stagings()))
 	again := staged(next.Step(stagingNow.Add(time.Second), members()))
 	g.Expect(again).NotTo(ContainElements(loading))
-	late := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(3).Next)
+	late := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(0, 3).Next)
 	g.Expect(staged(late.Step(stagingNow.Add(time.Second), members()))).To(ContainElements(loading), "one that was not told")
 }
 
@@ -76,7 +76,7 @@
 			young := free("z", c.model)
 			young.Seen = stagingNow
 			members := []placement.Member{free("a", "small"), free("b", "small"), young}
-			p := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(1).Next)
+			p := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(0, 1).Next)
 			joins := 0
 			for _, o := range p.Step(stagingNow, members).Orders {
 				if o.Action == placement.Join {
--- a/coordination/placement/step_bench_test.go
+++ b/coordination/placement/step_bench_test.go
@@ -36,7 +36,7 @@
 		{"serving, large model short", false, nil},
 	} {
 		b.Run(c.name, func(b *testing.B) {
-			p := placement.NewPlanner(sixteensAndFours(), placement.DefaultPolicy(), placement.NewEpochs(1).Next)
+			p := placement.NewPlanner(sixteensAndFours(), placement.DefaultPolicy(), placement.NewEpochs(0, 1).Next)
 			p.Quiet, p.Work = c.quiet, c.work
 			members := largeService()
 			now := stagingNow
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
@@ -72,7 +73,7 @@
 	since   time.Time
 	frozen  time.Time
 	cut     bool
-	offset  int64
+	cursor  *source.Cursor
 	pollAt  time.Time
 	stepAt  time.Time
 }
@@ -85,9 +86,9 @@
 
 // listing is one entry of the list; a nil instance is one that was dropped.
 type listing struct {
-	id     state.InstanceID
-	in     *fleet.Instance
-	offset int64
+	id state.InstanceID
+	in *fleet.Instance
+	at time.Time
 }
 
 // world is a seeded run of targets, list and nodes.
@@ -100,13 +101,20 @@
 	now     time.Time
 	targets map[state.InstanceID]*target
 	list    []listing
-	nodes   []*observer
-	events  []event
-	ready   map[fleet.GroupKey]map[state.InstanceID]bool
-	faults  bool
-	next    int
-	broken  []string
-	late    float64
+	// era counts the restorations of the store, registered when the entries of nodes were written.
+	era        int64
+	registered []time.Time
+	// restorations is the part of the faults that have the store come back from an older copy.
+	restorations float64
+	// groups are the members of all formations that were ordered.
+	groups map[fleet.GroupKey][]state.InstanceID
+	nodes  []*observer
+	events []event
+	ready  map[fleet.GroupKey]map[state.InstanceID]bool
+	faults bool
+	next   int
+	broken []string
+	late   float64
 	// rebirths is the part of the targets that crash which start again under their ids.
 	rebirths float64
 	// ordered, when set, is told of every order that a node sends.
@@ -122,6 +130,7 @@
 		now:     time.Unix(1000, 0),
 		targets: map[state.InstanceID]*target{},
 		ready:   map[fleet.GroupKey]map[state.InstanceID]bool{},
+		groups:  map[fleet.GroupKey][]state.InstanceID{},
 		engine:  engine(),
 		faults:  true,
 		late:    0.06,
@@ -132,15 +141,80 @@
 		}
 	}
 	for n := range nodes {
-		w.nodes = append(w.nodes, &observer{
-			number: uint64(n + 1),
-			epochs: placement.NewEpochs(uint64(n + 1)),
-			roster: roster.New(roster.Config{Beat: beat, Stall: stall, ReportLag: reportLag + 80*time.Millisecond, Policy: roster.DefaultPolicy()}),
-		})
+		w.nodes = append(w.nodes, w.newObserver(uint64(n+1)))
 	}
 	return w
 }
 
+// newObserver returns a new life of a node, which has written its entry into the store.
+func (w *world) newObserver(number uint64) *observer {
+	w.registered = append(w.registered, w.now)
+	n := &observer{
+		number: number,
+		epochs: placement.NewEpochs(w.era, int64(len(w.registered))),
+		roster: roster.New(roster.Config{Beat: beat, Stall: stall, ReportLag: reportLag + 80*time.Millisecond, Policy: roster.DefaultPolicy()}),
+		cursor: &source.Cursor{Settle: settle},
+	}
+	n.cursor.Take(-1, source.Tail{Era: w.era}, w.now)
+	return n
+}
+
+// settle is how long after a restoration all that lives has written its entry again.
+const settle = 2200 * time.Millisecond
+
+// restore puts a copy of the store, some seconds old, in its place: what was written since is
+// gone, and offsets are given out again. What lives writes its entry again, and what has ended is dropped again.
+func (w *world) restore() {
+	copied := w.now.Add(-time.Duration(w.rng.Int64N(int64(6 * time.Second))))
+	lost := map[state.InstanceID]bool{}
+	for len(w.list) > 0 && w.list[len(w.list)-1].at.After(copied) {
+		lost[w.list[len(w.list)-1].id] = true
+		w.list = w.list[:len(w.list)-1]
+	}
+	for len(w.registered) > 0 && w.registered[len(w.registered)-1].After(copied) {
+		w.registered = w.registered[:len(w.registered)-1]
+	}
+	w.era++
+	for _, id := range slices.Sorted(maps.Keys(lost)) {
+		t := w.targets[id]
+		w.after(time.Duration(w.rng.Int64N(int64(2*time.Second))), func() {
+			if !t.dead {
+				w.write(t)
+			}
+		})
+		if t.dead {
+			w.after(3*beat, func() { w.drop(t) })
+		}
+	}
+}
+
+// drop drops a target's entry from the list, if it has not come back.
+func (w *world) drop(t *target) {
+	if t.dead {
+		w.list = append(w.list, listing{t.ID, nil, w.now})
+	}
+}
+
+// restart ends a node's process and starts another one in its place, unless the faults have ended.
+func (w *world) restart() {
+	if !w.faults {
+		return
+	}
+	i := w.rng.IntN(len(w.nodes))
+	w.nodes[i] = w.newObserver(w.nodes[i].number)
+}
+
+// checkUnique checks that no formation is ordered twice with other members.
+func (w *world) checkUnique(n *observer, o placement.Order) {
+	if o.Action != placement.Join {
+		return
+	}
+	if before, known := w.groups[o.Key]; known && !slices.Equal(before, o.Members) {
+		w.fail("EPOCH: node %d orders %v with %v, it was ordered with %v", n.number, o.Key, o.Members, before)
+	}
+	w.groups[o.Key] = o.Members
+}
+
 // addTarget adds an empty target that has both models staged.
 func (w *world) addTarget(domain string) *target {
 	w.next++
@@ -167,7 +241,7 @@
 	}
 	in := t.Instance
 	t.written = w.now
-	w.list = append(w.list, listing{t.ID, &in, int64(len(w.list))})
+	w.list = append(w.list, listing{t.ID, &in, w.now})
 }
 
 // after plans an event.
@@ -351,18 +425,57 @@
 	if n.cut {
 		return
 	}
-	for _, l := range w.list[n.offset:] {
+	from := n.cursor.From(w.now)
+	if from > int64(len(w.list)) {
+		n.cursor.Reset() // the records are not there
+		return
+	}
+	switch n.cursor.Take(from, source.Tail{Era: w.era, End: int64(len(w.list))}, w.now) {
+	case source.Stale:
+		return
+	case source.Further:
+		w.readFrom(n, from)
+	case source.All:
+		n.roster.Snapshot(w.newest(n), source.Position(w.era, int64(len(w.list))), w.now)
+	case source.Restored:
+		n.roster.Restore(w.newest(n), w.now)
+	}
+	n.roster.Confirm(w.now)
+}
+
+// readFrom lets a node read the records of the list from an offset on.
+func (w *world) readFrom(n *observer, from int64) {
+	for offset := from; offset < int64(len(w.list)); offset++ {
+		l := w.list[offset]
+		position := source.Position(w.era, offset)
 		if l.in == nil {
-			n.roster.Unlisted(l.id, l.offset, w.now)
+			n.roster.Unlisted(l.id, position, w.now)
 			continue
 		}
 		in := *l.in
-		in.Position = l.offset
+		in.Position = position
 		n.epochs.Observe(in.Membership.Epoch)
 		n.roster.Listed(in, w.now)
 	}
-	n.offset = int64(len(w.list))
-	n.roster.Confirm(w.now)
+}
+
+// newest returns the newest entry of each target that the list shows, as a node reads it.
+func (w *world) newest(n *observer) []fleet.Instance {
+	newest := map[state.InstanceID]fleet.Instance{}
+	for offset, l := range w.list {
+		delete(newest, l.id)
+		if l.in != nil {
+			in := *l.in
+			in.Position = source.Position(w.era, int64(offset))
+			newest[l.id] = in
+		}
+	}
+	var list []fleet.Instance
+	for _, id := range slices.Sorted(maps.Keys(newest)) {
+		n.epochs.Observe(newest[id].Membership.Epoch)
+		list = append(list, newest[id])
+	}
+	return list
 }
 
 // ask lets a node ask a target for its report.
@@ -402,6 +515,7 @@
 
 // send carries an order to its target: at once, later without an answer, or with a lost answer.
 func (w *world) send(n *observer, o placement.Order, life roster.Life) {
+	w.checkUnique(n, o)
 	if w.ordered != nil {
 		w.ordered(o)
 	}
@@ -448,6 +562,13 @@
 	if !w.faults || w.rng.Float64() > 0.02 {
 		return
 	}
+	if w.restorations > 0 && w.rng.Float64() < w.restorations {
+		w.restore()
+		if w.rng.IntN(2) == 0 {
+			w.after(time.Duration(w.rng.IntN(1000))*time.Millisecond, w.restart)
+		}
+		return
+	}
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	switch w.rng.IntN(9) {
 	case 0, 1:
@@ -473,7 +594,7 @@
 		t.severed[n.number] = t.hidden
 	}
 	if lasts > 3*beat {
-		w.after(3*beat, func() { w.list = append(w.list, listing{t.ID, nil, int64(len(w.list))}) })
+		w.after(3*beat, func() { w.list = append(w.list, listing{t.ID, nil, w.now}) })
 	}
 }
 
@@ -489,7 +610,7 @@
 		w.after(time.Duration(500+w.rng.IntN(5000))*time.Millisecond, func() { w.reborn(t) })
 		return
 	}
-	w.after(3*beat, func() { w.list = append(w.list, listing{t.ID, nil, int64(len(w.list))}) })
+	w.after(3*beat, func() { w.drop(t) })
 	w.after(2*time.Second, func() { w.addTarget(t.Domain) })
 }
 
--- a/coordination/roster/list.go
+++ b/coordination/roster/list.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -26,7 +27,7 @@
 	r.list(in, now)
 }
 
-// Snapshot takes in the whole list as it stood at a position. Its entries may
+// Snapshot takes in the whole list as it stood before a position. Its entries may
 // have been written long ago: they count as read, but not as lately written.
 func (r *Roster) Snapshot(entries []fleet.Instance, position int64, now time.Time) {
 	r.mu.Lock()
@@ -34,15 +35,61 @@
 	listed := make(map[state.InstanceID]bool, len(entries))
 	for _, in := range entries {
 		listed[in.ID] = true
-		r.list(in, now)
+		r.reread(in, now)
 	}
 	for id, e := range r.m {
 		if !listed[id] && e.listed.Position < position {
-			r.unlist(e, position, now)
+			r.unlist(e, position-1, now) // the next entry has the position itself
 		}
 	}
 }
 
+// Restore takes in the whole list as an older copy of it shows it. The copy lacks what was
+// written after it was made: it drops no instance, and takes back nothing that is known of one.
+func (r *Roster) Restore(entries []fleet.Instance, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.m {
+		e.vouched = time.Time{}
+	}
+	for _, in := range entries {
+		r.reread(in, now)
+	}
+}
+
+// reread takes in an entry of the whole list. r.mu is held.
+func (r *Roster) reread(in fleet.Instance, now time.Time) {
+	e := r.m[in.ID]
+	switch {
+	case e == nil:
+		r.list(in, now).restored = source.Era(in.Position) > 0
+	case e.isCopy(in):
+		r.keep(e, in)
+	default:
+		r.list(in, now)
+	}
+}
+
+// isCopy reports whether an entry that was read in a later era may be older than what is
+// known: it has the offset of what is known, or an earlier one. One with a later offset was written since.
+func (e *entry) isCopy(in fleet.Instance) bool {
+	return source.Era(in.Position) > source.Era(e.listed.Position) &&
+		source.Offset(in.Position) <= source.Offset(e.listed.Position) && !e.reborn(in.Born)
+}
+
+// keep keeps what is known of an instance over an entry of an older copy. It takes the entry's
+// position, as all nodes do that read the copy, so that what they tell each other of the
+// instance is compared by the same one. r.mu is held.
+func (r *Roster) keep(e *entry, in fleet.Instance) {
+	if e.outlived(in.Born) {
+		return
+	}
+	e.listed.Position = in.Position
+	e.listed.Draining = e.listed.Draining || in.Draining
+	e.restored = true
+	r.touch(e)
+}
+
 // list takes in an entry and returns it, or nil if it was taken in before. r.mu is held.
 func (r *Roster) list(in fleet.Instance, now time.Time) *entry {
 	e := r.m[in.ID]
@@ -59,7 +106,7 @@
 	if e.beat.IsZero() || in.Position > e.listed.Position {
 		e.beat = now
 		r.revive(e)
-	} else if e.inList {
+	} else {
 		return nil
 	}
 	before := e.belief.Membership.Key()
@@ -77,7 +124,7 @@
 	if in.Draining != e.listed.Draining || !e.inList || in.Address != e.listed.Address {
 		r.touch(e)
 	}
-	e.listed, e.inList = in, true
+	e.listed, e.inList, e.restored = in, true, false
 	return e
 }
 
@@ -132,6 +179,8 @@
 	Unlisted bool `json:",omitempty"`
 	// Leaving tells that the instance itself said that it will end soon.
 	Leaving bool `json:",omitempty"`
+	// Restored tells that the entry is one of an older copy of the list.
+	Restored bool `json:",omitempty"`
 }
 
 // Changes returns what changed of the instances after a version, by id, and the version now.
@@ -144,7 +193,7 @@
 	var list []Change
 	for _, e := range r.m {
 		if e.stamp > after {
-			list = append(list, Change{Instance: e.current(), Unlisted: !e.inList, Leaving: e.leaving})
+			list = append(list, Change{Instance: e.current(), Unlisted: !e.inList, Leaving: e.leaving, Restored: e.restored})
 		}
 	}
 	slices.SortFunc(list, func(a, b Change) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -159,7 +208,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.m[c.ID]
-	if e == nil {
+	known := e != nil
+	if !known {
 		e = &entry{policy: &r.cfg.Policy, seen: now, changed: now, belief: c.Instance}
 		e.listed.Position = c.Position - 1
 		r.m[c.ID] = e
@@ -172,8 +222,11 @@
 		}
 		r.unlist(e, c.Position, now)
 	case c.Position == e.listed.Position && !e.inList:
+	case c.Restored && !e.inList && known && source.Era(c.Position) > source.Era(e.listed.Position):
+		// The copy shows an entry that this node knows to have been dropped since.
+		r.keep(e, c.Instance)
 	default:
-		r.relay(c.Instance, e, now)
+		r.relay(c.Instance, c.Restored, e, now)
 	}
 	// An instance leaves for good, whatever this node has read of the list meanwhile.
 	if c.Leaving {
@@ -182,7 +235,7 @@
 }
 
 // relay takes in another node's word on an instance that is listed. r.mu is held.
-func (r *Roster) relay(in fleet.Instance, e *entry, now time.Time) {
+func (r *Roster) relay(in fleet.Instance, restored bool, e *entry, now time.Time) {
 	if e.reborn(in.Born) {
 		r.begin(e, in, now)
 	}
@@ -190,10 +243,11 @@
 		e.beat = now
 		r.revive(e)
 	}
-	in.Draining = in.Draining || in.Position == e.listed.Position && e.listed.Draining
+	copied := restored && source.Era(in.Position) > source.Era(e.listed.Position)
+	in.Draining = in.Draining || (copied || in.Position == e.listed.Position) && e.listed.Draining
 	if e.believe(in.Membership, in.Model, in.Staged, now) {
 		e.counted = false
 	}
-	e.listed, e.inList = in, true
+	e.listed, e.inList, e.restored = in, true, restored
 	r.touch(e)
 }
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -34,6 +34,9 @@
 	// beat is when the list last showed a sign of life, changed when its word on the membership last changed.
 	beat    time.Time
 	changed time.Time
+	// restored tells that the entry was read from an older copy of the list, and that the
+	// instance is not known to have written since.
+	restored bool
 	// vouched is when an entry was read that had just been written.
 	vouched time.Time
 	// stamp is the roster's version at the newest change of what others need to know.
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
@@ -407,3 +408,91 @@
 		})
 	}
 }
+
+// The list came back from an older copy: a record of it may be older than what is known of
+// its instance, and one that is missing may have come after the copy was made.
+func TestAnOlderCopyOfTheListTakesNothingBack(t *testing.T) {
+	at := func(era, offset int64, change func(*fleet.Instance)) fleet.Instance {
+		in := free
+		in.Position = source.Position(era, offset)
+		if change != nil {
+			change(&in)
+		}
+		return in
+	}
+	drains := func(in *fleet.Instance) { in.Draining = true }
+	joined := func(in *fleet.Instance) { in.Membership = member }
+	known := at(1, 20, joined)
+	for _, c := range []struct {
+		name string
+		// before is what was known of the instance, after what was read later on.
+		before func(r *roster.Roster)
+		copied []fleet.Instance
+		after  func(r *roster.Roster, now time.Time)
+		want   fleet.Membership
+		leaves bool
+		gone   bool
+	}{
+		{name: "an older record", copied: []fleet.Instance{at(2, 10, nil)}, want: member},
+		{name: "the same record", copied: []fleet.Instance{at(2, 20, joined)}, want: member},
+		{name: "no record", want: member},
+		{name: "a record with a later offset, written since", copied: []fleet.Instance{at(2, 25, nil)}},
+		{name: "an older record, then one written since at a lower offset", copied: []fleet.Instance{at(2, 10, nil)}, want: fleet.Membership{},
+			after: func(r *roster.Roster, now time.Time) { r.Listed(at(2, 12, nil), now) }},
+		{name: "it was leaving, the copy says that it is not", copied: []fleet.Instance{at(2, 10, nil)}, want: member, leaves: true,
+			before: func(r *roster.Roster) {
+				r.Listed(at(1, 21, func(in *fleet.Instance) { joined(in); drains(in) }), start)
+			}},
+		{name: "the copy says that it leaves", copied: []fleet.Instance{at(2, 10, drains)}, want: member, leaves: true},
+		{name: "it was gone, the copy shows it", copied: []fleet.Instance{at(2, 10, nil)}, want: member, leaves: true, gone: true,
+			before: func(r *roster.Roster) { r.Unlisted("i1", source.Position(1, 21), start) }},
+		{name: "it was gone, the copy shows it, also when all is read again", copied: []fleet.Instance{at(2, 10, nil)}, want: member, leaves: true, gone: true,
+			before: func(r *roster.Roster) { r.Unlisted("i1", source.Position(1, 21), start) },
+			after: func(r *roster.Roster, now time.Time) {
+				r.Snapshot([]fleet.Instance{at(2, 10, nil)}, source.Position(2, 11), now)
+			}},
+		{name: "it was gone, and writes again", copied: []fleet.Instance{at(2, 10, nil)},
+			before: func(r *roster.Roster) { r.Unlisted("i1", source.Position(1, 21), start) },
+			after:  func(r *roster.Roster, now time.Time) { r.Listed(at(2, 11, nil), now) }},
+		{name: "no record, also when all is read again", want: member, leaves: true, gone: true,
+			after: func(r *roster.Roster, now time.Time) { r.Snapshot(nil, source.Position(2, 11), now) }},
+		{name: "no record, then one at the next offset", want: fleet.Membership{},
+			after: func(r *roster.Roster, now time.Time) {
+				r.Snapshot(nil, source.Position(2, 11), now)
+				r.Listed(at(2, 11, nil), now)
+			}},
+		{name: "a second copy during the first", copied: []fleet.Instance{at(2, 10, nil)}, want: member,
+			after: func(r *roster.Roster, now time.Time) { r.Restore([]fleet.Instance{at(3, 8, nil)}, now) }},
+		{name: "told by a node that knows only the copy", copied: nil, want: fleet.Membership{}, leaves: true,
+			before: func(r *roster.Roster) { r.Listed(at(1, 21, drains), start) },
+			after: func(r *roster.Roster, now time.Time) {
+				r.Relayed(roster.Change{Instance: at(2, 10, nil), Restored: true}, now)
+			}},
+		{name: "gone, told by a node that knows only the copy", copied: nil, want: member, leaves: true, gone: true,
+			before: func(r *roster.Roster) { r.Unlisted("i1", source.Position(1, 21), start) },
+			after: func(r *roster.Roster, now time.Time) {
+				r.Relayed(roster.Change{Instance: at(2, 10, nil), Restored: true}, now)
+			}},
+		{name: "told by a node that speaks of the era before", copied: []fleet.Instance{at(2, 10, nil)}, want: member,
+			after: func(r *roster.Roster, now time.Time) { r.Relayed(roster.Change{Instance: at(1, 30, drains)}, now) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newRoster()
+			r.Listed(known, start)
+			if c.before != nil {
+				c.before(r)
+			}
+			now := start.Add(time.Second)
+			r.Restore(c.copied, now)
+			if c.after != nil {
+				c.after(r, now)
+			}
+			later := now.Add(roster.DefaultPolicy().UnlistedGrace + time.Millisecond)
+			v := r.All(later)[0]
+			g.Expect(v.Membership).To(Equal(c.want))
+			g.Expect(v.Draining).To(Equal(c.leaves))
+			g.Expect(v.Unlisted).To(Equal(c.gone))
+		})
+	}
+}
--- /dev/null
+++ b/coordination/source/era_test.go
@@ -0,0 +1,67 @@
+package source_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/source"
+)
+
+// settle is how long after a restoration records are written again.
+const settle = 2 * time.Second
+
+func TestPositionsOfALaterEraComeAfterAllOfAnEarlierOne(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(source.Position(2, 3)).To(BeNumerically(">", source.Position(1, 1<<39)))
+	g.Expect(source.Era(source.Position(7, 12))).To(BeEquivalentTo(7))
+	g.Expect(source.Offset(source.Position(7, 12))).To(BeEquivalentTo(12))
+}
+
+func TestWhatAnAnswerMeansToAReader(t *testing.T) {
+	type answer struct {
+		after   time.Duration
+		tail    source.Tail
+		from    int64
+		reading source.Reading
+	}
+	for _, c := range []struct {
+		name    string
+		answers []answer
+		next    int64
+	}{
+		{"the first", []answer{{0, source.Tail{Era: 4, End: 7}, -1, source.All}}, 7},
+		{"the next", []answer{{0, source.Tail{Era: 4, End: 7}, -1, source.All}, {0, source.Tail{Era: 4, End: 9}, 7, source.Further}}, 9},
+		{"a store that tells no era", []answer{{0, source.Tail{End: 7}, -1, source.All}, {0, source.Tail{End: 9}, 7, source.Further}}, 9},
+		{"the store came back, and has grown past the old offset", []answer{
+			{0, source.Tail{Era: 4, End: 7}, -1, source.All}, {0, source.Tail{Era: 5, End: 12}, 7, source.Stale}, {0, source.Tail{Era: 5, End: 12}, -1, source.Restored},
+			{0, source.Tail{Era: 5, End: 13}, 12, source.Further},
+		}, 13},
+		{"an answer that was on its way since before", []answer{
+			{0, source.Tail{Era: 4, End: 7}, -1, source.All}, {0, source.Tail{Era: 5}, 7, source.Stale}, {0, source.Tail{Era: 5, End: 6}, -1, source.Restored},
+			{0, source.Tail{Era: 4, End: 9}, 6, source.Stale},
+		}, 6},
+		{"all is read once more when records have been written again", []answer{
+			{0, source.Tail{Era: 4, End: 7}, -1, source.All}, {0, source.Tail{Era: 5}, 7, source.Stale}, {0, source.Tail{Era: 5, End: 6}, -1, source.Restored},
+			{settle, source.Tail{Era: 5, End: 9}, -1, source.All}, {0, source.Tail{Era: 5, End: 10}, 9, source.Further},
+		}, 10},
+		{"it comes back again while the first time is being settled", []answer{
+			{0, source.Tail{Era: 4, End: 7}, -1, source.All}, {0, source.Tail{Era: 5}, 7, source.Stale}, {0, source.Tail{Era: 5, End: 6}, -1, source.Restored},
+			{settle / 2, source.Tail{Era: 6, End: 8}, 6, source.Stale}, {0, source.Tail{Era: 6, End: 8}, -1, source.Restored},
+			{settle / 2, source.Tail{Era: 6, End: 9}, 8, source.Further}, {settle / 2, source.Tail{Era: 6, End: 9}, -1, source.All},
+		}, 9},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			cursor := &source.Cursor{Settle: settle}
+			now := time.Unix(1000, 0)
+			for _, a := range c.answers {
+				now = now.Add(a.after)
+				g.Expect(cursor.From(now)).To(BeEquivalentTo(a.from))
+				g.Expect(cursor.Take(a.from, a.tail, now)).To(Equal(a.reading))
+			}
+			g.Expect(cursor.From(now)).To(BeEquivalentTo(c.next))
+		})
+	}
+}
--- a/coordination/source/source.go
+++ b/coordination/source/source.go
@@ -8,7 +8,7 @@
 var (
 	// ErrUnavailable means that the store did not answer, or would not.
 	ErrUnavailable = errors.New("source: store unavailable")
-	// ErrTrimmed means that the records asked for are gone.
+	// ErrTrimmed means that the records asked for are gone, or not there.
 	ErrTrimmed = errors.New("source: records are gone")
 )
 
@@ -34,8 +34,17 @@
 	Offset int64
 }
 
+// Place is where a record was written.
+type Place struct {
+	Era    int64
+	Offset int64
+}
+
 // Tail is the answer to a read.
 type Tail struct {
+	// Era counts how often the store came back from an older copy of itself, after which it
+	// gives offsets out again; 0 if it does not tell.
+	Era   int64
 	Items []Item
 	// End is the offset to read from next.
 	End int64
--- a/state/fleet/instance.go
+++ b/state/fleet/instance.go
@@ -67,7 +67,8 @@
 	Membership Membership
 	// Loaded is the model that it has loaded now, or none.
 	Loaded string
-	// Position orders what the list said of the instance.
+	// Position orders what the list said of the instance, also where the list was restored from
+	// an older copy.
 	Position int64
 }
 
--- a/transport/entry/busyleader_test.go
+++ b/transport/entry/busyleader_test.go
@@ -103,7 +103,7 @@
 
 func TestAnswersThatComeTogetherMakeOneStepOfThePlanner(t *testing.T) {
 	g := NewWithT(t)
-	n := newTestNode(1)
+	n := newTestNode()
 	n.know = NewKnowledge(engineConfiguration{}, false, time.Second, n.clock)
 	g.Expect(n.know.Learn([]byte("x"))).Error().NotTo(HaveOccurred())
 	n.peers.setPlacing(true)
--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -35,6 +35,32 @@
 type store struct {
 	mu     sync.Mutex
 	topics map[source.Topic][]source.Item
+	era    int64
+}
+
+// copied is how many records of each topic a copy of the store holds.
+type copied map[source.Topic]int
+
+// copy makes a copy of the store.
+func (s *store) copy() copied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := copied{}
+	for topic, items := range s.topics {
+		c[topic] = len(items)
+	}
+	return c
+}
+
+// restore puts a copy in the place of what the store holds: a new era begins, and offsets are
+// given out again.
+func (s *store) restore(c copied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for topic := range s.topics {
+		s.topics[topic] = s.topics[topic][:c[topic]:c[topic]]
+	}
+	s.era++
 }
 
 func (s *store) add(topic source.Topic, key string, value any) int64 {
@@ -85,16 +111,21 @@
 			return source.Tail{}, source.ErrUnavailable
 		}
 		v.store.mu.Lock()
-		items := append([]source.Item(nil), v.topics[topic][from:]...)
+		era, all := v.era, v.topics[topic]
+		if from > int64(len(all)) {
+			v.store.mu.Unlock()
+			return source.Tail{}, source.ErrTrimmed
+		}
+		items := append([]source.Item(nil), all[from:]...)
 		v.store.mu.Unlock()
 		if len(items) > 0 || wait == 0 {
-			return source.Tail{Items: items, End: from + int64(len(items)), Whole: true}, nil
+			return source.Tail{Era: era, Items: items, End: from + int64(len(items)), Whole: true}, nil
 		}
 		select {
 		case <-ctx.Done():
 			return source.Tail{}, source.ErrUnavailable
 		case <-end:
-			return source.Tail{End: from, Whole: true}, nil
+			return source.Tail{Era: era, End: from, Whole: true}, nil
 		case <-time.After(5 * time.Millisecond):
 		}
 	}
@@ -117,11 +148,14 @@
 	return v.reads[topic]
 }
 
-func (v *view) Append(_ context.Context, topic source.Topic, key string, value []byte) (int64, error) {
+func (v *view) Append(_ context.Context, topic source.Topic, key string, value []byte) (source.Place, error) {
 	if v.isCut() {
-		return 0, source.ErrUnavailable
+		return source.Place{}, source.ErrUnavailable
 	}
-	return v.add(topic, key, json.RawMessage(value)), nil
+	offset := v.add(topic, key, json.RawMessage(value))
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	return source.Place{Era: v.era, Offset: offset}, nil
 }
 
 // decoder reads the stand-in's records: a configuration is its version.
@@ -186,12 +220,18 @@
 
 // startWith runs a node on loopback whose ports are given, but for the store.
 func startWith(t *testing.T, s *store, ports entry.Ports, name string, seeds ...netip.AddrPort) *running {
+	return startTuned(t, s, ports, name, func(*entry.Settings) {}, seeds...)
+}
+
+// startTuned runs such a node with settings that a function has changed.
+func startTuned(t *testing.T, s *store, ports entry.Ports, name string, tune func(*entry.Settings), seeds ...netip.AddrPort) *running {
 	set := &entry.Settings{
 		Policy: entry.DefaultPolicy(),
 		Name:   name, Hall: "hall", Callers: freeAddress(t), Ready: freeAddress(t), Peer: freeAddress(t), Metrics: freeAddress(t), Seeds: seeds,
 		BeatInterval: time.Second, StopWithin: time.Second, LeaveWithin: 2 * time.Second, StallTime: 4 * time.Second,
 		StrictKeys: true, KeysWithin: 3 * time.Second, Retry: retry.Bounds{Ratio: 0.2, Slack: 10, Window: 10 * time.Second},
 	}
+	tune(set)
 	r := &running{set: set, view: &view{store: s}, done: make(chan error, 1)}
 	ports.Store = r.view
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/transport/entry/era_test.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/source"
+)
+
+// eraStore answers each read in an era, with the records that it is given.
+type eraStore struct {
+	Store
+	era    int64
+	next   int64
+	writes int
+}
+
+func (s *eraStore) Newest(context.Context, source.Topic) (source.Tail, error) {
+	return source.Tail{Era: s.era, End: s.next}, nil
+}
+
+func (s *eraStore) Read(_ context.Context, _ source.Topic, from int64, _ time.Duration) (source.Tail, error) {
+	return source.Tail{Era: s.era, End: from, Whole: true}, nil
+}
+
+func (s *eraStore) Append(context.Context, source.Topic, string, []byte) (source.Place, error) {
+	s.writes++
+	s.next++
+	return source.Place{Era: s.era, Offset: s.next - 1}, nil
+}
+
+// The number of a node is the place of its entry: an offset alone was given to two lives.
+func TestNodesThatRegisterBeforeAndAfterARestorationHaveDifferentNumbers(t *testing.T) {
+	g := NewWithT(t)
+	store := &eraStore{era: 1, next: 12}
+	before, after := newTestNode(), newTestNode()
+	before.ports.Store, after.ports.Store = store, store
+	before.register(t.Context())
+	store.era, store.next = 2, 12
+	after.register(t.Context())
+	g.Expect(after.number.Load()).NotTo(Equal(before.number.Load()))
+	g.Expect(before.placer.nextEpoch(0)).NotTo(Equal(after.placer.nextEpoch(0)))
+}
+
+// The answer of an older copy confirms nothing: a key that was taken away stands in it still.
+func TestAnOlderCopyConfirmsNoKeysUntilAllIsWrittenAgain(t *testing.T) {
+	g := NewWithT(t)
+	n := observe(&noticing{})
+	store := &eraStore{era: 1, next: 5}
+	n.ports.Store = store
+	cursor := n.newCursor()
+	read := func() bool {
+		tail, reading, err := n.follow(t.Context(), source.Configuration, cursor, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		return tail.Whole && reading != source.Restored && n.eras.confirms(n.clock.Now())
+	}
+	read()
+	g.Expect(read()).To(BeTrue())
+	for range 2 { // twice in a row, the second during the first
+		store.era++
+		go func() { _ = n.clock.BlockUntilContext(t.Context(), 1); n.clock.Advance(staleRetry) }()
+		g.Expect(read()).To(BeFalse(), "an answer of another era than the question was for")
+		g.Expect(read()).To(BeFalse(), "all of an older copy")
+		g.Expect(read()).To(BeFalse(), "what was written since")
+		n.clock.Advance(n.policy.RestoreSettle / 2)
+		g.Expect(read()).To(BeFalse())
+	}
+	n.clock.Advance(n.policy.RestoreSettle)
+	read()
+	g.Expect(read()).To(BeTrue())
+	g.Expect(n.logged("store came back from an older copy")).To(Equal(2))
+}
+
+// A node that reads nothing of the store itself hears of a restoration from the others.
+func TestNodesTellEachOtherOfARestoration(t *testing.T) {
+	g := NewWithT(t)
+	leader, other := numbered(g, "leader", 1), numbered(g, "other", 2)
+	for _, n := range []*Node{leader, other} {
+		n.observeEra(1, "store")
+	}
+	leader.observeEra(2, "store")
+	g.Expect(other.eras.confirms(other.clock.Now())).To(BeTrue())
+	resp, err := leader.peers.answer(context.Background(), connect.NewRequest(other.peers.word()))
+	g.Expect(err).NotTo(HaveOccurred())
+	other.observeEra(resp.Msg.Era, "leader")
+	g.Expect(other.eras.confirms(other.clock.Now())).To(BeFalse())
+	g.Expect(other.writeAgain).To(HaveLen(1))
+
+	// One that speaks of the era before changes nothing.
+	third := numbered(g, "third", 3)
+	third.observeEra(1, "store")
+	_, err = leader.peers.answer(context.Background(), connect.NewRequest(third.peers.word()))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(leader.eras.current()).To(BeEquivalentTo(2))
+}
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -42,6 +42,8 @@
 	Version int64  `json:"version"`
 	AgeMS   int64  `json:"age"`
 	Config  []byte `json:"config,omitempty"`
+	// Era is the newest era of the store that the node knows of.
+	Era int64 `json:"era,omitempty"`
 	// Feed and After say which changes of the instances the node has: those of the
 	// node with the number Feed up to its version After.
 	Feed  int64  `json:"feed,omitempty"`
@@ -72,6 +74,8 @@
 	Version int64  `json:"version"`
 	AgeMS   int64  `json:"age"`
 	Config  []byte `json:"config,omitempty"`
+	// Era is the newest era of the store that the node knows of.
+	Era int64 `json:"era,omitempty"`
 	// Changes are those of the instances since what the word names, up to the version Now of the node with the number Feed.
 	Changes []roster.Change `json:"changes,omitempty"`
 	Feed    int64           `json:"feed,omitempty"`
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -16,20 +16,20 @@
 
 // followConfig keeps up with the operator's configuration.
 func (n *Node) followConfig(ctx context.Context) {
-	next, wait := int64(-1), n.policy.StoreRetry
+	cursor, wait := n.newCursor(), n.policy.StoreRetry
 	for {
 		if n.feed.configAge(n.clock.Now()) < n.policy.FeedAge && n.relies() {
-			next = -1
+			cursor.Reset()
 			if !n.sleep(ctx, n.policy.FeedPause) {
 				return
 			}
 			continue
 		}
 		asked := n.clock.Now()
-		tail, err := n.readTail(ctx, source.Configuration, next, n.configWait())
+		tail, reading, err := n.follow(ctx, source.Configuration, cursor, n.configWait())
 		if err != nil {
 			if errors.Is(err, source.ErrTrimmed) {
-				next = -1
+				cursor.Reset()
 			}
 			if !n.sleep(ctx, wait) {
 				return
@@ -38,11 +38,10 @@
 			continue
 		}
 		wait = n.policy.StoreRetry
-		next = tail.End
 		for _, item := range tail.Items {
 			n.learnConfig(item.Value, "store")
 		}
-		if tail.Whole {
+		if tail.Whole && reading != source.Restored && n.eras.confirms(asked) {
 			n.know.Confirm(asked)
 		}
 		n.storeRead(asked)
@@ -63,13 +62,21 @@
 // bounded, questions must be asked several times as often. What the placing node
 // tells the others is as old as its last question, so that it asks often.
 func (n *Node) configWait() time.Duration {
+	now := n.clock.Now()
+	wait := n.policy.ConfigWait
 	if placing, _ := n.peers.isPlacing(); placing {
-		return n.policy.ConfigWaitLeading
+		wait = n.policy.ConfigWaitLeading
+	} else if n.set.StrictKeys {
+		wait = min(n.policy.ConfigWait, n.set.KeysWithin/4)
+	}
+	if left := n.eras.unsettled(now); left > 0 {
+		return min(wait, left)
 	}
-	if n.set.StrictKeys {
-		return min(n.policy.ConfigWait, n.set.KeysWithin/4)
+	// Keys that were not confirmed while the store was being restored are not to wait on.
+	if age, ok := n.know.Age(); n.set.StrictKeys && ok && age > n.set.KeysWithin/2 {
+		return 0
 	}
-	return n.policy.ConfigWait
+	return wait
 }
 
 // learnConfig takes in a configuration; one that cannot be read leaves the last in force.
@@ -130,6 +137,7 @@
 	tail, err := n.readOnce(ctx, topic, from, wait)
 	if err == nil {
 		n.storeFailed.Store(false)
+		n.observeEra(tail.Era, "store")
 		return tail, nil
 	}
 	n.Count("store." + string(topic) + ".failed")
@@ -153,25 +161,25 @@
 
 // followInstances keeps up with the platform's list of instances.
 func (n *Node) followInstances(ctx context.Context) {
-	next := int64(-1)
+	cursor := n.newCursor()
 	var last time.Time
 	pause := n.policy.ListInterval
 	for {
 		asked := n.clock.Now()
 		if placing, _ := n.peers.isPlacing(); !placing && n.feed.listAge(asked) < n.policy.FeedAge {
-			next = -1
+			cursor.Reset()
 			if !n.waitForList(ctx, n.policy.FeedPause) {
 				return
 			}
 			continue
 		}
-		tail, err := n.readTail(ctx, source.Instances, next, 0)
+		tail, reading, err := n.follow(ctx, source.Instances, cursor, 0)
 		if errors.Is(err, source.ErrTrimmed) {
-			next = -1
+			cursor.Reset()
 		}
 		if err == nil {
-			n.learnInstances(tail, next < 0, asked.Sub(last) < n.policy.RecentRead)
-			next, last = tail.End, asked
+			n.learnInstances(tail, reading, asked.Sub(last) < n.policy.RecentRead)
+			last = asked
 			if tail.Whole {
 				n.roster.Confirm(asked)
 			}
@@ -228,16 +236,18 @@
 	}
 }
 
-// learnInstances takes in records of the list; whole says that they are all
-// there is, recent that they were written since a read a moment ago.
-func (n *Node) learnInstances(tail source.Tail, whole, recent bool) {
+// learnInstances takes in records of the list; recent says that those of a tail were
+// written since a read a moment ago.
+func (n *Node) learnInstances(tail source.Tail, reading source.Reading, recent bool) {
+	whole := reading == source.All || reading == source.Restored
 	now := n.clock.Now()
 	before := n.roster.Version()
 	var entries []fleet.Instance
 	for _, item := range tail.Items {
 		id := state.InstanceID(item.Key)
+		position := source.Position(tail.Era, item.Offset)
 		if len(item.Value) == 0 {
-			n.roster.Unlisted(id, item.Offset, now)
+			n.roster.Unlisted(id, position, now)
 			continue
 		}
 		in, err := n.ports.Decoder.Instance(item.Key, item.Value)
@@ -245,11 +255,11 @@
 			// The entry names no instance to use, whatever an earlier one said.
 			n.Count("instances.unreadable")
 			n.log.WithError(err).WithField("position", item.Offset).Warn("entry not read")
-			n.roster.Unlisted(id, item.Offset, now)
+			n.roster.Unlisted(id, position, now)
 			entries = slices.DeleteFunc(entries, func(in fleet.Instance) bool { return in.ID == id })
 			continue
 		}
-		in.Position = item.Offset
+		in.Position = position
 		n.placer.observe(in.Membership.Epoch, false)
 		switch {
 		case whole:
@@ -260,8 +270,12 @@
 			n.roster.Recalled(in, now)
 		}
 	}
-	if whole {
-		n.roster.Snapshot(entries, tail.End, now)
+	switch {
+	case whole && (reading == source.Restored || !n.eras.confirms(now)):
+		n.roster.Restore(entries, now)
+		n.log.WithFields(log.Fields{"era": tail.Era, "entries": len(entries)}).Info("instance list read from an older copy")
+	case whole:
+		n.roster.Snapshot(entries, source.Position(tail.Era, tail.End), now)
 	}
 	if n.roster.Version() != before {
 		n.touch()
@@ -269,20 +283,36 @@
 	}
 }
 
-// register writes the node's entry into the store, whose offset is the node's number.
-func (n *Node) register(ctx context.Context) {
+// newCursor returns a cursor of a reader that has read nothing.
+func (n *Node) newCursor() *source.Cursor { return &source.Cursor{Settle: n.policy.RestoreSettle} }
+
+// writeEntry writes the node's entry into the store and returns where it stands, and whether
+// the store took it.
+func (n *Node) writeEntry(ctx context.Context) (source.Place, bool) {
 	value, err := json.Marshal(n.peers.self())
 	if err != nil {
 		n.log.WithError(err).Error("entry of the node")
-		return
+		return source.Place{}, false
 	}
+	ctx, cancel := context.WithTimeout(ctx, n.policy.StoreTimeout)
+	defer cancel()
+	place, err := n.ports.Store.Append(ctx, source.Nodes, n.set.Name, value)
+	if err != nil {
+		n.Count("store.nodes.not-written")
+		return source.Place{}, false
+	}
+	n.observeEra(place.Era, "store")
+	return place, true
+}
+
+// register writes the node's entry into the store, whose place there is the node's number: the
+// store gives an offset out again only in a later era, so that no two lives have the same one.
+func (n *Node) register(ctx context.Context) {
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, n.policy.StoreTimeout)
-		offset, err := n.ports.Store.Append(callCtx, source.Nodes, n.set.Name, value)
-		cancel()
-		if err == nil {
-			n.number.Store(offset + 1)
-			n.log.WithField("number", offset+1).Info("registered")
+		if place, ok := n.writeEntry(ctx); ok {
+			number := source.Position(place.Era, place.Offset) + 1
+			n.number.Store(number)
+			n.log.WithFields(log.Fields{"number": number, "era": place.Era, "offset": place.Offset}).Info("registered")
 			return
 		}
 		if !n.sleep(ctx, 2*n.policy.StoreRetry) {
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -59,7 +59,9 @@
 	feed      feed
 	started   time.Time
 
+	// number names this life of the node among all: the place of its first entry in the store, plus one.
 	number  atomic.Int64
+	eras    eras
 	storeAt atomic.Int64
 	// storeFailed tells that the last read of the store failed: only the first of a row is logged.
 	storeFailed atomic.Bool
@@ -67,6 +69,8 @@
 	// listSoon asks for frequent reads of the list.
 	listSoon atomic.Bool
 	listNow  chan struct{}
+	// writeAgain asks for the node's entry to be written again.
+	writeAgain chan struct{}
 	// changed asks for the candidates to be built anew.
 	changed chan struct{}
 
@@ -99,15 +103,16 @@
 		demand:  demand.NewMeter(set.Policy.Demand),
 		ledger:  quarantine.NewLedger(set.Policy.Quarantine),
 
-		cooldowns: cooldown.NewBook(set.Policy.Cooldown),
-		log:       logger,
-		started:   clock.Now(),
-		changed:   make(chan struct{}, 1),
-		news:      make(chan struct{}, 1),
-		listNow:   make(chan struct{}, 1),
-		avoid:     map[fleet.GroupKey]bool{},
-		suspects:  map[state.InstanceID]time.Time{},
-		leavers:   map[fleet.Incarnation]time.Time{},
+		writeAgain: make(chan struct{}, 1),
+		cooldowns:  cooldown.NewBook(set.Policy.Cooldown),
+		log:        logger,
+		started:    clock.Now(),
+		changed:    make(chan struct{}, 1),
+		news:       make(chan struct{}, 1),
+		listNow:    make(chan struct{}, 1),
+		avoid:      map[fleet.GroupKey]bool{},
+		suspects:   map[state.InstanceID]time.Time{},
+		leavers:    map[fleet.Incarnation]time.Time{},
 	}
 	n.gate = gateway.New(gateway.Options{
 		Clock: clock, Dialect: ports.Dialect, Catalogs: n.know, Table: n.table, Health: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -107,21 +107,18 @@
 
 // follow keeps up with the nodes' entries in the store.
 func (p *peers) follow(ctx context.Context) {
-	next := int64(-1)
+	cursor := p.n.newCursor()
 	for {
-		if next >= 0 && p.n.feed.configAge(p.n.clock.Now()) < 2*p.n.policy.FeedAge {
+		if cursor.From(p.n.clock.Now()) >= 0 && p.n.feed.configAge(p.n.clock.Now()) < 2*p.n.policy.FeedAge {
 			// The placing node tells of new ones.
 			if !p.n.sleep(ctx, p.n.policy.FeedAge) {
 				return
 			}
 			continue
 		}
-		tail, err := p.n.readTail(ctx, source.Nodes, next, p.n.policy.NodesWait)
-		switch {
-		case errors.Is(err, source.ErrTrimmed):
-			next = -1
-		case err == nil:
-			next = tail.End
+		tail, _, err := p.n.follow(ctx, source.Nodes, cursor, p.n.policy.NodesWait)
+		if errors.Is(err, source.ErrTrimmed) {
+			cursor.Reset()
 		}
 		for _, item := range tail.Items {
 			var e NodeEntry
--- a/transport/entry/peers_test.go
+++ b/transport/entry/peers_test.go
@@ -33,15 +33,15 @@
 	return fleet.Instance{}, nil
 }
 
-// newTestNode returns a node that does not run, of some capacity.
-func newTestNode(capacity float64) *Node {
-	set := &Settings{Name: "own", Hall: "hall", Peer: testAddress(1), Capacity: capacity, KeysWithin: time.Second, Policy: DefaultPolicy()}
+// newTestNode returns a node that does not run, of one core.
+func newTestNode() *Node {
+	set := &Settings{Name: "own", Hall: "hall", Peer: testAddress(1), Capacity: 1, KeysWithin: time.Second, Policy: DefaultPolicy()}
 	return New(set, Ports{Decoder: anyConfiguration{}}, clockwork.NewFakeClock(), &log.Logger{Handler: discard.New()})
 }
 
 // ableNode returns a node that does not run, but has all it needs to place.
 func ableNode(g *WithT) *Node {
-	n := newTestNode(1)
+	n := newTestNode()
 	n.number.Store(1)
 	g.Expect(n.know.Learn([]byte("x"))).Error().NotTo(HaveOccurred())
 	n.storeRead(n.clock.Now())
@@ -50,7 +50,7 @@
 
 func TestLargerNodesAreAskedToPlaceFirst(t *testing.T) {
 	g := NewWithT(t)
-	n := newTestNode(1)
+	n := newTestNode()
 	var all []NodeEntry
 	for i, capacity := range []float64{0.2, 0.8, 0, 0.8, 0.2} {
 		e := NodeEntry{Name: string(rune('a' + i)), Address: testAddress(2 + i).String(), Capacity: capacity}
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -11,6 +11,7 @@
 
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
@@ -197,7 +198,7 @@
 // makeEpochs returns the node's epochs; p.mu is held.
 func (p *placer) makeEpochs() *placement.Epochs {
 	if p.epochs == nil {
-		p.epochs = placement.NewEpochs(uint64(p.n.number.Load()))
+		p.epochs = placement.NewEpochs(source.Era(p.n.number.Load()), source.Offset(p.n.number.Load()))
 	}
 	return p.epochs
 }
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -105,6 +105,12 @@
 	// FeedPause the time between two looks at it.
 	FeedAge   time.Duration `flag:"feed-age" help:"age of the leader's word up to which a node does not read the store" min:"0s" max:"10s"`
 	FeedPause time.Duration `flag:"feed-pause" help:"time between two looks at the age of the leader's word" min:"1ms" max:"10s"`
+	// RestoreSettle is how long after the store came back from an older copy all that the copy
+	// lacks counts as written again: two seconds, by the platform's pages, and the time of a
+	// read. RewriteSpread is the span over which nodes write their own entries again: 85 nodes in
+	// 2 s are a ninth of the store's writes.
+	RestoreSettle time.Duration `flag:"restore-settle" help:"time after a restoration of the store until what its copy lacks counts as written again" min:"0s" max:"1m"`
+	RewriteSpread time.Duration `flag:"rewrite-spread" help:"span over which nodes write their entries again after a restoration of the store" min:"0s" max:"10m"`
 	// StandbyRead is how often a standby reads the store all the same.
 	StandbyRead time.Duration `flag:"standby-read" help:"how often a standby reads the store all the same" min:"10ms" max:"1m"`
 	// StoreTimeout bounds a call of the store beyond the time that it may wait.
@@ -169,6 +175,8 @@
 			RecentRead:         time.Second,
 			FeedAge:            800 * time.Millisecond,
 			FeedPause:          100 * time.Millisecond,
+			RestoreSettle:      2200 * time.Millisecond,
+			RewriteSpread:      2 * time.Second,
 			StandbyRead:        2 * time.Second,
 			StoreTimeout:       time.Second,
 			StoreRetry:         150 * time.Millisecond,
--- a/transport/entry/port.go
+++ b/transport/entry/port.go
@@ -17,7 +17,7 @@
 type Store interface {
 	Newest(ctx context.Context, topic source.Topic) (source.Tail, error)
 	Read(ctx context.Context, topic source.Topic, from int64, wait time.Duration) (source.Tail, error)
-	Append(ctx context.Context, topic source.Topic, key string, value []byte) (int64, error)
+	Append(ctx context.Context, topic source.Topic, key string, value []byte) (source.Place, error)
 }
 
 // Decoder reads the platform's records.
--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -130,7 +130,12 @@
 func (n *Node) keepQuarantine(ctx context.Context) {
 	n.restoreQuarantine(ctx)
 	kept := map[quarantine.Fingerprint]int{}
+	era := n.eras.current()
 	for n.sleep(ctx, keepInterval) {
+		if now := n.eras.current(); now != era {
+			era = now
+			clear(kept) // the copy may lack what was kept
+		}
 		if leading, _ := n.peers.isPlacing(); !leading {
 			continue
 		}
--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -146,9 +146,9 @@
 	items []source.Item
 }
 
-func (s *keptRecords) Append(_ context.Context, _ source.Topic, key string, value []byte) (int64, error) {
+func (s *keptRecords) Append(_ context.Context, _ source.Topic, key string, value []byte) (source.Place, error) {
 	s.items = append(s.items, source.Item{Key: key, Value: value})
-	return int64(len(s.items) - 1), nil
+	return source.Place{Offset: int64(len(s.items) - 1)}, nil
 }
 
 func (s *keptRecords) Newest(context.Context, source.Topic) (source.Tail, error) {
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -43,6 +43,7 @@
 		n.followConfig,
 		n.followInstances,
 		n.register,
+		n.rewrite,
 		n.rebuild,
 		n.watchBeliefs,
 		n.peers.run,
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -32,6 +32,7 @@
 		}
 		return nil, err
 	}
+	p.n.observeEra(resp.Msg.Era, address)
 	if resp.Msg.Placing {
 		p.takeLedger(resp.Msg, sent)
 	}
@@ -48,6 +49,7 @@
 		Suspects: n.suspected(now),
 		Leaving:  n.leavingTold(now),
 		StoreMS:  age(n.storeAge()),
+		Era:      n.eras.current(),
 		Nodes:    p.count(),
 		Late:     n.health.Overloaded(now),
 		AgeMS:    age(never),
@@ -163,10 +165,11 @@
 	defer func() { n.load.statusReport(n.clock.Since(now)) }()
 	w := req.Msg
 	p.learn(w.From)
+	n.observeEra(w.Era, w.From.Name)
 	p.mu.Lock()
 	p.words[w.From.Name] = heardWord{word: *w, at: now}
 	p.arrived = p.arrived || w.Arrived
-	a := &Answer{Placing: p.mayPlace(now)}
+	a := &Answer{Placing: p.mayPlace(now), Era: n.eras.current()}
 	p.mu.Unlock()
 	n.learnConfig(w.Config, "peer")
 	n.ledger.Merge(w.Ledger.delta(now), quarantine.Source(w.From.Number))
