Own interface: refuse commands and claims once the log came back from an older copy

Offsets are claims, fencing tokens and the order of commands there. Before, commands and claims hung for 10 and 30 s, at an offset that was no longer there or folding other records. Noticed by the era and by an end below what was applied; both are refused at once with the reason and not-run, groups serve on, one error in the log.

--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -37,6 +37,9 @@
 	Read(fn func(s *state.State))
 	Changed() <-chan struct{}
 	Append(ctx context.Context, r *state.Record) error
+	// Halted is closed once the state is followed no further, Stopped tells why.
+	Halted() <-chan struct{}
+	Stopped() error
 }
 
 // maxBatch is the greatest number of claim operations in one record.
@@ -81,6 +84,9 @@
 	if settled, result, err := m.look(key, holder, request); settled {
 		return "", result, err
 	}
+	if err := m.follower.Stopped(); err != nil {
+		return "", nil, fmt.Errorf("%w: %w", ErrUnsettled, err)
+	}
 	m.enqueue(state.ClaimOp{Key: key, Holder: holder, Request: request})
 	for {
 		changed := m.follower.Changed()
@@ -90,6 +96,8 @@
 		}
 		select {
 		case <-changed:
+		case <-m.follower.Halted():
+			return "", nil, fmt.Errorf("%w: %w", ErrUnsettled, m.follower.Stopped())
 		case <-ctx.Done():
 			m.GiveBack(key, holder)
 			return "", nil, fmt.Errorf("%w: %w", ErrUnsettled, ctx.Err())
@@ -177,9 +185,11 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-m.follower.Halted():
+			return // nothing that is still to be appended would be read back
 		case <-m.wake:
 		}
-		for m.Pending() > 0 {
+		for m.Pending() > 0 && m.follower.Stopped() == nil {
 			if m.limiter.Wait(ctx) != nil {
 				return
 			}
--- a/coordination/roster/list.go
+++ b/coordination/roster/list.go
@@ -27,7 +27,7 @@
 	r.list(in, now)
 }
 
-// Snapshot takes in the whole list as it stood before a position. Its entries may
+// Snapshot updates the roster by the whole list as it stood before a position. Its entries may
 // have been written long ago: they count as read, but not as lately written.
 func (r *Roster) Snapshot(entries []fleet.Instance, position int64, now time.Time) {
 	r.mu.Lock()
@@ -44,7 +44,7 @@
 	}
 }
 
-// Restore takes in the whole list as an older copy of it shows it. The copy lacks what was
+// Restore updates the roster by the whole list as an older copy of it shows it. The copy lacks what was
 // written after it was made: it drops no instance, and takes back nothing that is known of one.
 func (r *Roster) Restore(entries []fleet.Instance, now time.Time) {
 	r.mu.Lock()
@@ -57,7 +57,7 @@
 	}
 }
 
-// reread takes in an entry of the whole list. r.mu is held.
+// reread applies an entry of the whole list. r.mu is held.
 func (r *Roster) reread(in fleet.Instance, now time.Time) {
 	e := r.m[in.ID]
 	switch {
--- a/coordination/statelog/follower.go
+++ b/coordination/statelog/follower.go
@@ -50,6 +50,11 @@
 	st      *state.State
 	recent  []state.Entry
 	stopped error
+	// halted is closed when the fold stops.
+	halted chan struct{}
+	// era is that of the log when it was first read, begun that it was.
+	era     int64
+	begun   bool
 	changed chan struct{}
 	waiters map[string][]chan state.Outcome
 	own     *state.Snapshot
@@ -69,6 +74,7 @@
 		clock:   clock,
 		st:      state.New(),
 		changed: make(chan struct{}),
+		halted:  make(chan struct{}),
 		waiters: map[string][]chan state.Outcome{},
 	}
 	f.view.Store(NewView(f.st))
@@ -105,6 +111,9 @@
 	return f.stopped
 }
 
+// Halted returns a channel that is closed when the fold stops.
+func (f *Follower) Halted() <-chan struct{} { return f.halted }
+
 // Read calls fn with the state; fn must neither keep nor change it.
 func (f *Follower) Read(fn func(s *state.State)) {
 	f.mu.RLock()
@@ -153,6 +162,9 @@
 	if err != nil {
 		return errors.Join(err, f.stepFromPeers(ctx, from))
 	}
+	if err := f.checkEra(page); err != nil {
+		return err
+	}
 	if page.First > from {
 		return f.jump(ctx, page.First)
 	}
@@ -166,6 +178,31 @@
 	return nil
 }
 
+// checkEra stops the fold when the log has come back from an older copy. Offsets are claims,
+// fencing tokens and the order of commands here: nothing that is read or appended from then on
+// can be told from what they meant before.
+func (f *Follower) checkEra(page Page) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped != nil {
+		return f.stopped
+	}
+	if !f.begun {
+		f.begun, f.era = true, page.Era
+	}
+	if page.Era == f.era && page.Head >= f.st.Offset() {
+		return nil
+	}
+	f.stop(fmt.Errorf("%w: %w (era %d, before %d; it ends at %d, %d were applied)", ErrStopped, ErrRestored, page.Era, f.era, page.Head, f.st.Offset()))
+	return f.stopped
+}
+
+// stop ends the fold for good, and the waiting of all whose records it would have shown. f.mu is held.
+func (f *Follower) stop(why error) {
+	f.stopped = why
+	close(f.halted)
+}
+
 // stepFromPeers takes entries, or a snapshot when those are gone, from a peer.
 func (f *Follower) stepFromPeers(ctx context.Context, from state.Offset) error {
 	if f.peers == nil {
@@ -276,7 +313,7 @@
 func (f *Follower) applyOne(e state.Entry) error {
 	o, err := f.st.Apply(e)
 	if errors.Is(err, state.ErrUnknownRecord) {
-		f.stopped = fmt.Errorf("%w: %w", ErrStopped, err)
+		f.stop(fmt.Errorf("%w: %w", ErrStopped, err))
 		return f.stopped
 	}
 	if err != nil {
--- a/coordination/statelog/follower_test.go
+++ b/coordination/statelog/follower_test.go
@@ -250,3 +250,52 @@
 	_ = empty.Step(ctx)
 	g.Expect(empty.Whole()).To(BeFalse())
 }
+
+// Offsets are given out again by a log that came back from an older copy, so that a reader
+// waits for ever, or reads other records than those that it believes to read.
+func TestALogThatComesBackFromAnOlderCopyIsFollowedNoFurther(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pages []statelog.Page
+		stops bool
+	}{
+		{"it ends where it did", []statelog.Page{{Head: 0}, {Head: 0}}, false},
+		{"its first era is a later one", []statelog.Page{{Era: 3}, {Era: 3}}, false},
+		{"another era", []statelog.Page{{Era: 3}, {Era: 4}}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := statelog.NewFollower(statelog.DefaultConfig(), &pagesLog{pages: c.pages}, nil, clockwork.NewFakeClock())
+			var err error
+			for range c.pages {
+				err = f.Step(context.Background())
+			}
+			if !c.stops {
+				g.Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			g.Expect(err).To(MatchError(statelog.ErrRestored))
+			g.Expect(f.Step(context.Background())).To(MatchError(statelog.ErrRestored))
+			g.Expect(f.Halted()).To(BeClosed())
+			r, recordErr := state.NewRecord(state.KindVoid, "operator")
+			g.Expect(recordErr).NotTo(HaveOccurred())
+			_, err = f.Do(context.Background(), r)
+			g.Expect(err).To(And(MatchError(statelog.ErrNotAppended), MatchError(statelog.ErrRestored)))
+			g.Expect(f.Append(context.Background(), r)).To(MatchError(statelog.ErrNotAppended))
+		})
+	}
+}
+
+// pagesLog answers reads with given pages, the last of them again and again.
+type pagesLog struct {
+	statelog.Log
+	pages []statelog.Page
+}
+
+func (l *pagesLog) Read(context.Context, state.Offset, int, time.Duration) (statelog.Page, error) {
+	page := l.pages[0]
+	if len(l.pages) > 1 {
+		l.pages = l.pages[1:]
+	}
+	return page, nil
+}
--- a/coordination/statelog/settle.go
+++ b/coordination/statelog/settle.go
@@ -19,7 +19,7 @@
 		return state.Outcome{}, err
 	}
 	if err := f.Stopped(); err != nil {
-		return state.Outcome{}, err
+		return state.Outcome{}, fmt.Errorf("%w: %w", ErrNotAppended, err)
 	}
 	ch := f.await(r.ID)
 	defer f.forsake(r.ID, ch)
@@ -29,6 +29,8 @@
 	select {
 	case o := <-ch:
 		return o, nil
+	case <-f.halted:
+		return state.Outcome{}, fmt.Errorf("%w: id %s: %w", ErrUnsettled, r.ID, f.Stopped())
 	case <-ctx.Done():
 		return state.Outcome{}, fmt.Errorf("%w: id %s", ErrUnsettled, r.ID)
 	}
@@ -73,6 +75,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.Stopped(); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotAppended, err)
+	}
 	_, err = f.log.Append(ctx, data)
 	return err
 }
--- a/coordination/statelog/statelog.go
+++ b/coordination/statelog/statelog.go
@@ -20,12 +20,17 @@
 	ErrUnsettled = errors.New("statelog: not known whether the record was appended")
 	// ErrStopped means the fold met a record that it must not pass.
 	ErrStopped = errors.New("statelog: the fold has stopped")
+	// ErrRestored means that the log came back from an older copy of itself: records that this node
+	// has acted on may be gone, and their offsets given to others.
+	ErrRestored = errors.New("statelog: the log came back from an older copy")
 	// ErrNoState means that neither the log nor a peer can show the whole state.
 	ErrNoState = errors.New("statelog: no source shows the whole state")
 )
 
 // Page is one answer of the log.
 type Page struct {
+	// Era counts how often the log came back from an older copy of itself.
+	Era int64
 	// First is the oldest offset that the log still holds.
 	First state.Offset
 	// Head is the newest offset in the log when it answered; 0 when it is empty.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -36,6 +36,9 @@
 	TrimBefore state.Offset `json:"trim_before"`
 	// ListLag is how old the instance list is, in milliseconds.
 	ListLag int `json:"list_lag_ms"`
+	// Restore has the platform come back from an older copy, which lacks this number of the newest
+	// records: offsets are given out again, and the era of the log rises.
+	Restore int `json:"restore"`
 	// CutFrom refuses readers and writers whose address is in the list.
 	CutFrom []string `json:"cut_from"`
 }
@@ -50,6 +53,7 @@
 type Platform struct {
 	mu        sync.Mutex
 	first     state.Offset
+	era       int64
 	entries   []platform.Entry
 	grown     chan struct{}
 	instances map[state.InstanceID][]listed
@@ -82,6 +86,10 @@
 		p.entries = slices.Clone(p.entries[n:])
 		p.first += state.Offset(n)
 	}
+	if f.Restore > 0 {
+		p.entries = slices.Clone(p.entries[:max(len(p.entries)-f.Restore, 0)])
+		p.era++
+	}
 }
 
 // current returns the faults in force for a request.
@@ -168,7 +176,7 @@
 func (p *Platform) page(from state.Offset, most int) (platform.Page, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	page := platform.Page{First: p.first, Head: p.first + state.Offset(len(p.entries)) - 1}
+	page := platform.Page{Era: p.era, First: p.first, Head: p.first + state.Offset(len(p.entries)) - 1}
 	if from >= p.first && from <= page.Head {
 		i := int(from - p.first)
 		page.Entries = slices.Clone(p.entries[i:min(i+most, len(p.entries))])
--- a/protocol/platform/platform.go
+++ b/protocol/platform/platform.go
@@ -41,6 +41,8 @@
 
 // Page is the platform's answer to a read of the log.
 type Page struct {
+	// Era counts how often the log came back from an older copy.
+	Era     int64        `json:"era,omitempty"`
 	First   state.Offset `json:"first"`
 	Head    state.Offset `json:"head"`
 	Entries []Entry      `json:"entries"`
@@ -114,7 +116,7 @@
 	if err := c.get(ctx, "/v1/log?"+q.Encode(), &p); err != nil {
 		return statelog.Page{}, err
 	}
-	page := statelog.Page{First: p.First, Head: p.Head}
+	page := statelog.Page{Era: p.Era, First: p.First, Head: p.Head}
 	for _, e := range p.Entries {
 		page.Entries = append(page.Entries, state.Entry{Offset: e.Offset, Time: e.Time, Data: e.Data})
 	}
--- a/transport/core/ready.go
+++ b/transport/core/ready.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+
+	"github.com/troutmast/troutmast/coordination/statelog"
 )
 
 // Reasons for which a node is not ready.
@@ -16,7 +18,7 @@
 // A node that has held the whole state goes on serving when it is cut off from
 // the platform: what it knows stays true, since nothing is assigned meanwhile.
 func (c *Core) Ready() error {
-	if err := c.Follower.Stopped(); err != nil {
+	if err := c.Follower.Stopped(); err != nil && !errors.Is(err, statelog.ErrRestored) {
 		return err
 	}
 	if c.Stopping.Load() {
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -236,7 +236,7 @@
 	}
 }
 
-// learnInstances takes in records of the list; recent says that those of a tail were
+// learnInstances applies records of the list; recent says that those of a tail were
 // written since a read a moment ago.
 func (n *Node) learnInstances(tail source.Tail, reading source.Reading, recent bool) {
 	whole := reading == source.All || reading == source.Restored
--- a/transport/node/loops.go
+++ b/transport/node/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/troutmast/troutmast/coordination/membership"
 	"github.com/troutmast/troutmast/coordination/probe"
 	"github.com/troutmast/troutmast/coordination/quarantine"
+	"github.com/troutmast/troutmast/coordination/statelog"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 	"github.com/troutmast/troutmast/transport/core"
@@ -26,7 +28,13 @@
 // startLoops starts the node's loops; one that cannot go on reports to fatal.
 func (n *Node) startLoops(ctx context.Context, fatal chan<- error) {
 	n.loops.Go(func() {
-		if err := n.Follower.Run(ctx); ctx.Err() == nil {
+		err := n.Follower.Run(ctx)
+		switch {
+		case ctx.Err() != nil:
+		case errors.Is(err, statelog.ErrRestored):
+			n.Count("log.restored")
+			log.WithError(err).Error("commands and claims are refused until the nodes are started anew; groups serve on")
+		default:
 			fatal <- err
 		}
 	})
