Log what instances say of the requests that they take from all nodes together

Sight for the incident: neither logs nor metrics nor events told that an instance named a limit, so that the collected output cannot tell when a node knew of it. The header is decoded once in the adapter, from answers to requests, questions and orders; coordination/ratelimit keeps what each life of an instance said last, by when its answers were asked for and came, since answers overtake each other. Lines 'rate limit began', 'changed', 'ended' and 'not read', counters rate-limit.*, the gauge rate-limit.active and GET /limits. No decision depends on it yet.

--- a/internal/border/border_test.go
+++ b/internal/border/border_test.go
@@ -17,7 +17,7 @@
 // words are names of the platform that stand nowhere else in the code.
 var words = []string{
 	"X-Response-Seal", "X-Expect-Instance", "X-Not-Executed", "X-Deadline-Ms", "X-Tenant", "X-Urgency", "X-Prompt-Prefix",
-	"X-Token-Count", "X-Model", "At-Server", "Server-Leaving", "X-Weight-Versions", "keyed.", "log-append", "log-read", "log-newest", "expect_rev",
+	"X-Token-Count", "X-Model", "At-Server", "Server-Leaving", "Server-Limit", "X-Weight-Versions", "keyed.", "log-append", "log-read", "log-newest", "expect_rev",
 	"api_keys", "path_prefix", "max_attempts", "loads_per_s", "cold_left_ms", "TROUTMAST_NODE_FILE", "tenant", "back end",
 }
 
--- a/state/fleet/instance.go
+++ b/state/fleet/instance.go
@@ -48,6 +48,18 @@
 	Life string `json:"l,omitempty"`
 }
 
+// LaterThan reports whether a life is certain to have begun after another one of the same
+// process. Lives are told apart by when they began, in milliseconds.
+func (i Incarnation) LaterThan(o Incarnation) bool {
+	if i.Life == "" || o.Life == "" || i.Life == o.Life {
+		return false
+	}
+	if len(i.Life) != len(o.Life) {
+		return len(i.Life) > len(o.Life)
+	}
+	return i.Life > o.Life
+}
+
 // Instance is one life of a target process, as the platform's list shows it.
 type Instance struct {
 	ID state.InstanceID
--- a/state/fleet/notice.go
+++ b/state/fleet/notice.go
@@ -11,4 +11,6 @@
 	CooldownFault error
 	// Leaving tells that it will end soon and wants no further request of any node.
 	Leaving bool
+	// RateLimit is how many requests a second it takes from all nodes together.
+	RateLimit RateLimit
 }
--- a/transport/entry/backpressure.go
+++ b/transport/entry/backpressure.go
@@ -13,8 +13,9 @@
 )
 
 // Told implements gateway.Backpressure: it heeds what an instance said in any answer, to a
-// request, a question or an order.
-func (n *Node) Told(in *fleet.Instance, notice fleet.Notice, request string) {
+// request, a question or an order that was sent at a time.
+func (n *Node) Told(in *fleet.Instance, notice fleet.Notice, request string, sent time.Time) {
+	n.toldLimit(in, notice.RateLimit, request, sent)
 	if notice.Leaving {
 		n.leaving(in.Incarnation(), "")
 	}
--- a/transport/entry/backpressure_test.go
+++ b/transport/entry/backpressure_test.go
@@ -71,7 +71,9 @@
 		call func(n *observed)
 		err  error
 	}{
-		{"to a request", func(n *observed) { n.Told(&n.in, fleet.Notice{Cooldown: 3 * time.Second, Leaving: true}, "r1") }, nil},
+		{"to a request", func(n *observed) {
+			n.Told(&n.in, fleet.Notice{Cooldown: 3 * time.Second, Leaving: true}, "r1", time.Time{})
+		}, nil},
 		{"to a question", func(n *observed) { n.report(context.Background(), n.in, n.clock.Now()) }, nil},
 		{"to a question, with a failure", func(n *observed) { n.report(context.Background(), n.in, n.clock.Now()) }, placement.ErrUnreadable},
 		{"to an order", func(n *observed) {
@@ -113,7 +115,7 @@
 			g := NewWithT(t)
 			targets := &noticing{err: c.err}
 			n := observe(targets)
-			n.Told(&n.in, fleet.Notice{Cooldown: 3 * time.Second}, "r1")
+			n.Told(&n.in, fleet.Notice{Cooldown: 3 * time.Second}, "r1", time.Time{})
 			for range 20 {
 				n.clock.Advance(100 * time.Millisecond)
 				n.report(context.Background(), n.in, n.clock.Now())
@@ -132,7 +134,7 @@
 	g := NewWithT(t)
 	n := observe(&noticing{})
 	for range 3 {
-		n.Told(&n.in, fleet.Notice{CooldownFault: retryafter.ErrValue}, "r1")
+		n.Told(&n.in, fleet.Notice{CooldownFault: retryafter.ErrValue}, "r1", time.Time{})
 	}
 	_, cooling := n.CoolingDown(&n.in)
 	g.Expect(cooling).To(BeFalse())
@@ -142,21 +144,21 @@
 func TestALaterLifeIsNeitherCoolingDownNorLeaving(t *testing.T) {
 	g := NewWithT(t)
 	n := observe(&noticing{})
-	n.Told(&n.in, fleet.Notice{Cooldown: time.Minute, Leaving: true}, "r1")
+	n.Told(&n.in, fleet.Notice{Cooldown: time.Minute, Leaving: true}, "r1", time.Time{})
 	next := n.in
 	next.Born, next.Position = next.Born.Add(time.Second), next.Position+1
 	n.roster.Listed(next, n.clock.Now())
 	_, cooling := n.CoolingDown(&next)
 	g.Expect(cooling).To(BeFalse())
 	g.Expect(n.Leaving(&next)).To(BeFalse())
-	n.Told(&n.in, fleet.Notice{Leaving: true}, "r2") // a late answer of the earlier life
+	n.Told(&n.in, fleet.Notice{Leaving: true}, "r2", time.Time{}) // a late answer of the earlier life
 	g.Expect(n.Leaving(&next)).To(BeFalse())
 }
 
 func TestOperatorsSeeWhichInstancesAreCoolingDown(t *testing.T) {
 	g := NewWithT(t)
 	n := observe(&noticing{})
-	n.Told(&n.in, fleet.Notice{Cooldown: 3 * time.Second}, "r1")
+	n.Told(&n.in, fleet.Notice{Cooldown: 3 * time.Second}, "r1", time.Time{})
 	n.clock.Advance(time.Second)
 	mux := http.NewServeMux()
 	n.handleOperators(mux)
@@ -177,7 +179,7 @@
 		n.roster.Listed(in, n.clock.Now())
 	}
 	exchange(g, b, leader)
-	a.Told(&in, fleet.Notice{Leaving: true}, "r1")
+	a.Told(&in, fleet.Notice{Leaving: true}, "r1", time.Time{})
 	exchange(g, a, leader)
 	newer := in
 	newer.Position = 7
--- a/transport/entry/beliefs.go
+++ b/transport/entry/beliefs.go
@@ -36,6 +36,7 @@
 		n.logInstances(b, n.roster.All(n.clock.Now()))
 		n.logQuarantine(held)
 		n.logCooldowns()
+		n.sweepLimits()
 	}
 }
 
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -94,7 +94,7 @@
 	if !rep.Born.IsZero() {
 		said.Born = rep.Born
 	}
-	defer n.Told(&said, rep.Notice, "") // after the roster knows of a later life
+	defer n.Told(&said, rep.Notice, "", asked) // after the roster knows of a later life
 	n.judgeReport(m.Incarnation(), asked, rep, err)
 	if errors.Is(err, placement.ErrReplaced) {
 		n.Replaced(m.ID)
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -15,6 +15,7 @@
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/localhealth"
 	"github.com/troutmast/troutmast/coordination/quarantine"
+	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
@@ -49,15 +50,17 @@
 	ledger *quarantine.Ledger
 	// cooldowns are the instances that asked this node to send them nothing for a while.
 	cooldowns *cooldown.Book
-	pool      *direct.Pool
-	metrics   metrics.Registry
-	log       *log.Logger
-	peers     *peers
-	placer    *placer
-	health    localhealth.Monitor
-	load      leaderLoad
-	feed      feed
-	started   time.Time
+	// limits are the instances that take only so many requests a second from all nodes together.
+	limits  *ratelimit.Book
+	pool    *direct.Pool
+	metrics metrics.Registry
+	log     *log.Logger
+	peers   *peers
+	placer  *placer
+	health  localhealth.Monitor
+	load    leaderLoad
+	feed    feed
+	started time.Time
 
 	// number names this life of the node among all: the place of its first entry in the store, plus one.
 	number  atomic.Int64
@@ -105,6 +108,7 @@
 
 		writeAgain: make(chan struct{}, 1),
 		cooldowns:  cooldown.NewBook(set.Policy.Cooldown),
+		limits:     ratelimit.NewBook(set.Policy.RateLimit),
 		log:        logger,
 		started:    clock.Now(),
 		changed:    make(chan struct{}, 1),
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -242,7 +242,7 @@
 	in := p.n.instance(o.Instance)
 	p.n.cooldowns.Order(in.Incarnation(), began)
 	ans, err := p.n.ports.Targets.Order(callCtx, o, p.n.connectionTo(o.Instance))
-	p.n.Told(&in, ans.Notice, "")
+	p.n.Told(&in, ans.Notice, "", began)
 	reply := ans.Reply
 	p.n.roster.Ordered(o, life, reply, p.n.clock.Now())
 	p.observe(0, reply == placement.Superseded)
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -8,6 +8,7 @@
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/quarantine"
+	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/transport/gateway"
 )
@@ -25,6 +26,8 @@
 	Quarantine quarantine.Policy `flag:"quarantine"`
 	// Cooldown bounds for how long instances may ask to be sent nothing.
 	Cooldown cooldown.Policy `flag:"cooldown"`
+	// RateLimit divides the requests that instances take from all nodes together.
+	RateLimit ratelimit.Policy `flag:"rate-limit"`
 }
 
 // NodePolicy holds the intervals and timeouts between nodes, to the store and to instances.
@@ -140,6 +143,7 @@
 		Demand:     demand.DefaultPolicy(),
 		Quarantine: quarantine.DefaultPolicy(),
 		Cooldown:   cooldown.DefaultPolicy(),
+		RateLimit:  ratelimit.DefaultPolicy(),
 		Node: NodePolicy{
 			PlanInterval:       100 * time.Millisecond,
 			PlanPause:          25 * time.Millisecond,
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -116,6 +116,7 @@
 	mux.HandleFunc("/metrics", n.serveMetrics)
 	mux.HandleFunc("GET /quarantine", n.serveQuarantine)
 	mux.HandleFunc("GET /cooldowns", n.serveCooldowns)
+	mux.HandleFunc("GET /limits", n.serveLimits)
 	mux.HandleFunc("DELETE /quarantine/{fingerprint}", n.serveRelease)
 }
 
--- a/transport/gateway/backpressure_test.go
+++ b/transport/gateway/backpressure_test.go
@@ -28,7 +28,7 @@
 	return &backpressure{book: cooldown.NewBook(cooldown.DefaultPolicy()), gone: map[state.InstanceID]bool{}, free: map[state.InstanceID]int{}}
 }
 
-func (b *backpressure) Told(in *fleet.Instance, n fleet.Notice, _ string) {
+func (b *backpressure) Told(in *fleet.Instance, n fleet.Notice, _ string, _ time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.gone[in.ID] = b.gone[in.ID] || n.Leaving
@@ -55,7 +55,7 @@
 
 // cool has an instance cool down for a time; it still looks free the first few times.
 func (l *lab) cool(id string, d time.Duration, free int) {
-	l.backpressure.Told(&fleet.Instance{ID: state.InstanceID(id)}, fleet.Notice{Cooldown: d}, "")
+	l.backpressure.Told(&fleet.Instance{ID: state.InstanceID(id)}, fleet.Notice{Cooldown: d}, "", time.Now())
 	l.backpressure.free[state.InstanceID(id)] = free
 }
 
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -59,8 +59,8 @@
 // Backpressure keeps what instances ask of this node beside their answers: not to be called
 // for a while, or no longer.
 type Backpressure interface {
-	// Told records what an instance said in the answer to a request.
-	Told(in *fleet.Instance, n fleet.Notice, request string)
+	// Told records what an instance said in the answer to a request, which was sent at a time.
+	Told(in *fleet.Instance, n fleet.Notice, request string, sent time.Time)
 	// CoolingDown returns until when an instance wants nothing of this node, and whether it does so now.
 	CoolingDown(in *fleet.Instance) (until time.Time, cooling bool)
 	// Leaving reports whether an instance is known to leave.
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -260,9 +260,11 @@
 // follow passes an answer on.
 func (c *call) follow(ctx context.Context, target *dispatch.Candidate, resp *direct.Response, w *watched, sent time.Time) result {
 	v := c.Dialect.Verdict(resp.Status, resp.Header)
-	c.Backpressure.Told(&target.Instance, v.Notice, c.claims.ID)
-	if v.NotRun && v.Instance != "" && v.Instance != target.ID {
+	replaced := v.NotRun && v.Instance != "" && v.Instance != target.ID
+	if replaced {
 		c.Health.Replaced(target.ID)
+	} else {
+		c.Backpressure.Told(&target.Instance, v.Notice, c.claims.ID, sent)
 	}
 	if v.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered))
