Failing test: instances that take few requests a second get what all nodes send them

Three and nine nodes before one to twelve instances, plain and groups of one, that name 0 to 4 requests a second; callers at all nodes, at few and at one. In the first 4 s in which nodes have to know it, 14 to 43 calls reach such an instance where 5 to 29 are allowed, questions among them. No request was refused, none failed.

--- /dev/null
+++ b/transport/entry/limited_test.go
@@ -0,0 +1,324 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/source"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+	"github.com/troutmast/troutmast/transport/entry"
+	"github.com/troutmast/troutmast/transport/gateway"
+)
+
+// Two instances in need named in their answers how many requests a second they take from all
+// nodes together, 2.2 and 1.5. Each went on getting what it had got before, 5 to 9 and 2 to 6
+// a second, from all nine nodes, until the end of the day.
+//
+// Evidence: the rate at both instances did not change when they began to name a limit; all
+// requests were first sends, none failed, none was turned away.
+
+// Times of the test.
+const (
+	// limitWindow is the span in which requests to a limited instance are counted.
+	limitWindow = 4 * time.Second
+	// limitKnown is how long after an instance first named its limit nodes must keep to it.
+	limitKnown = 3 * time.Second
+	// limitEnded is how long an instance may take to get its part again once it names no limit.
+	limitEnded = 20 * time.Second
+	// atOnce is how long the refusal of a request may take that no instance can be sent.
+	atOnce = 500 * time.Millisecond
+)
+
+// mostInWindow returns how many requests a limited instance may get in a window from all
+// nodes together: half as much again as it named, and five.
+func mostInWindow(perSecond float64) float64 { return 1.5*perSecond*limitWindow.Seconds() + 5 }
+
+// headerLimit is the stand-in's name of the header by which instances name their limits.
+const headerLimit = "Limit"
+
+// limitOf reads the limit that a stand-in's answer names.
+func limitOf(h http.Header) fleet.RateLimit {
+	if text := h.Get(headerLimit); text != "" {
+		perSecond, err := strconv.ParseFloat(text, 64)
+		return fleet.RateLimit{Said: err == nil, Limited: true, PerSecond: perSecond, Fault: err}
+	}
+	return fleet.Unlimited()
+}
+
+// limitDialect is a dialect whose instances may name limits.
+type limitDialect struct{ nodeDialect }
+
+func (limitDialect) Verdict(_ int, h http.Header) gateway.Verdict {
+	return gateway.Verdict{Sealed: true, Notice: fleet.Notice{RateLimit: limitOf(h)}}
+}
+
+func (d limitDialect) Parse(h http.Header) (gateway.Claims, error) {
+	c, err := d.nodeDialect.Parse(h)
+	c.Model = limitModel
+	return c, err
+}
+
+// limitModel is the model of the stand-in's groups.
+const limitModel = "m"
+
+// limitDecoder reads a configuration with a plain service or with one of groups of one instance.
+type limitDecoder struct {
+	decoder
+	groups bool
+}
+
+func (d limitDecoder) Catalog([]byte) (*catalog.Catalog, error) {
+	service := catalog.Service{Name: "lm"}
+	if d.groups {
+		service.Engine = &catalog.Engine{Slots: 64, Models: []catalog.Model{{Name: limitModel, Size: 1, Pace: 1, Share: 1}}}
+	}
+	route := catalog.Route{Name: "r", Host: "h", Prefix: "/", Kind: catalog.Safe, MaxAttempts: 2, Shares: []catalog.Share{{Service: "lm", Weight: 1}}}
+	return catalog.New(1, []catalog.Route{route}, []catalog.Service{service}, map[string]*catalog.Team{"k": {Name: "t"}}, catalog.Limits{}), nil
+}
+
+// limitTargets asks instances for reports by HTTP; the answers may name limits.
+type limitTargets struct{ targets }
+
+func (limitTargets) Report(ctx context.Context, at netip.AddrPort, id state.InstanceID, _ entry.Connection) (fleet.Report, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+"/report", nil)
+	if err != nil {
+		return fleet.Report{}, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fleet.Report{}, err
+	}
+	_ = resp.Body.Close()
+	return fleet.Report{
+		Notice: fleet.Notice{RateLimit: limitOf(resp.Header)}, Membership: openGroup(id), Model: limitModel, Staged: []string{limitModel},
+	}, nil
+}
+
+// openGroup returns the membership of an instance that is a group of its own.
+func openGroup(id state.InstanceID) fleet.Membership {
+	return fleet.Membership{Group: state.GroupName("g-" + id), Epoch: 1, State: fleet.Open}
+}
+
+// limiting is a set of instances of which some name a limit for a while.
+type limiting struct {
+	mu        sync.Mutex
+	named     bool
+	perSecond float64
+	// began is when the limit was first named, arrivals are all calls by instance, questions among them.
+	began     time.Time
+	arrivals  map[string][]time.Time
+	questions map[string]int
+}
+
+// newLimiting starts instances of which the first few may name a limit, and lists them.
+func newLimiting(t *testing.T, s *store, instances, limited int, perSecond float64) *limiting {
+	set := &limiting{perSecond: perSecond, arrivals: map[string][]time.Time{}, questions: map[string]int{}}
+	for i := range instances {
+		id := state.InstanceID(fmt.Sprintf("i%d", i))
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { set.serve(w, r, string(id), i < limited) }))
+		t.Cleanup(srv.Close)
+		s.add(source.Instances, string(id), fleet.Instance{
+			ID: id, Service: "lm", Slots: 64, Hall: "hall", Domain: "d", Address: netip.MustParseAddrPort(srv.Listener.Addr().String()),
+			Model: limitModel, Loaded: limitModel, Staged: []string{limitModel}, Membership: openGroup(id),
+		})
+	}
+	return set
+}
+
+// serve answers a request or a question, and names the limit.
+func (l *limiting) serve(w http.ResponseWriter, r *http.Request, id string, limited bool) {
+	body, _ := io.ReadAll(r.Body)
+	l.mu.Lock()
+	l.arrivals[id] = append(l.arrivals[id], time.Now())
+	if r.URL.Path == "/report" {
+		l.questions[id]++
+	}
+	if limited && l.named {
+		if l.began.IsZero() {
+			l.began = time.Now()
+		}
+		w.Header().Set(headerLimit, strconv.FormatFloat(l.perSecond, 'f', -1, 64))
+	}
+	l.mu.Unlock()
+	w.Header().Set("Id", r.Header.Get("Id"))
+	_, _ = w.Write(body)
+}
+
+// name has the instances name the limit from now on, or no longer.
+func (l *limiting) name(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.named = on
+}
+
+// worst returns the most calls that reached an instance in a window while it named a limit and
+// nodes had to know of it, and the fewest that a limited instance got in the last window.
+func (l *limiting) worst(limited int) (most, last int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	last = len(l.arrivals["i0"])
+	for i := range limited {
+		list := l.arrivals[fmt.Sprintf("i%d", i)]
+		for _, end := range list {
+			if end.Sub(l.began) >= limitKnown {
+				most = max(most, inWindow(list, end))
+			}
+		}
+		last = min(last, inWindow(list, now))
+	}
+	return most, last
+}
+
+// inWindow counts the times in the window that ends at a time.
+func inWindow(list []time.Time, end time.Time) int {
+	n := 0
+	for _, at := range list {
+		if d := end.Sub(at); d >= 0 && d < limitWindow {
+			n++
+		}
+	}
+	return n
+}
+
+// since returns how many calls an instance got after a time.
+func (l *limiting) since(id string, at time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := slices.IndexFunc(l.arrivals[id], func(a time.Time) bool { return a.After(at) })
+	if first < 0 {
+		return 0
+	}
+	return len(l.arrivals[id]) - first
+}
+
+// outcomes are what callers got.
+type outcomes struct {
+	mu     sync.Mutex
+	status map[int]int
+	// slowest is the longest time that a refusal took.
+	slowest time.Duration
+}
+
+// callUnevenly has callers send so many requests a second for a time; the node that gets each
+// is chosen by a function.
+func callUnevenly(nodes []*running, perSecond int, d time.Duration, choose func(n int) int) *outcomes {
+	client := &http.Client{Timeout: 2 * time.Second}
+	out := &outcomes{status: map[int]int{}}
+	var callers sync.WaitGroup
+	end := time.Now().Add(d)
+	for n := 0; time.Now().Before(end); n++ {
+		at := nodes[choose(len(nodes))].set.Callers
+		callers.Go(func() {
+			began := time.Now()
+			code, _ := post(client, at, fmt.Sprintf("r%d", n), "x")
+			out.mu.Lock()
+			defer out.mu.Unlock()
+			out.status[code]++
+			if code == http.StatusServiceUnavailable {
+				out.slowest = max(out.slowest, time.Since(began))
+			}
+		})
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	callers.Wait()
+	return out
+}
+
+// The ways in which callers are spread over nodes.
+func evenly(n int) int  { return rand.N(n) }
+func atOneNode(int) int { return 0 }
+func atFewNodes(n int) int {
+	if rand.N(10) == 0 {
+		return rand.N(n)
+	}
+	return rand.N(min(2, n))
+}
+
+func TestALimitedInstanceGetsNoMoreThanItTakesFromAllNodes(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		nodes              int
+		instances, limited int
+		perSecond          float64
+		// asked is how many requests a second callers send for each instance.
+		asked   int
+		groups  bool
+		callers func(n int) int
+	}{
+		{"one of three", 3, 3, 1, 2.2, 8, false, evenly},
+		{"one of three, many nodes", 9, 3, 1, 1.5, 8, false, evenly},
+		{"one of three, callers at one node", 9, 3, 1, 2.2, 8, false, atOneNode},
+		{"all of three, callers at few nodes", 9, 3, 3, 3, 8, false, atFewNodes},
+		{"the only one", 9, 1, 1, 4, 10, false, evenly},
+		{"two of twelve", 9, 12, 2, 1, 6, false, evenly},
+		{"two of six groups", 9, 6, 2, 2.2, 8, true, evenly},
+		{"none wanted at all", 3, 3, 1, 0, 2, true, evenly},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			s := &store{topics: map[source.Topic][]source.Item{}}
+			s.add(source.Configuration, "config", 1)
+			instances := newLimiting(t, s, c.instances, c.limited, c.perSecond)
+			nodes := startLimitNodes(t, s, c.nodes, c.groups)
+			rate := c.asked * c.instances
+			callUnevenly(nodes, rate, time.Second, c.callers)
+			instances.name(true)
+			out := callUnevenly(nodes, rate, limitKnown+limitWindow, c.callers)
+			most, last := instances.worst(c.limited)
+			t.Logf("at most %d calls in a window, %g allowed; %d at last; %v questions; answers %v, slowest refusal %v",
+				most, mostInWindow(c.perSecond), last, instances.questions, out.status, out.slowest)
+			g.Expect(instances.began).NotTo(BeZero(), "no instance named a limit")
+			g.Expect(float64(most)).To(BeNumerically("<=", mostInWindow(c.perSecond)))
+			g.Expect(float64(last)).To(BeNumerically(">=", c.perSecond*limitWindow.Seconds()/2), "what the instance takes is not used")
+			if c.limited < c.instances {
+				g.Expect(out.status).To(HaveLen(1), "the others take all that comes")
+			}
+			g.Expect(out.slowest).To(BeNumerically("<", atOnce))
+
+			// Once it names no limit, it gets its part again.
+			instances.name(false)
+			ended := time.Now()
+			g.Eventually(func() float64 {
+				callUnevenly(nodes, rate, time.Second, c.callers)
+				return float64(instances.since("i0", ended)) - c.perSecond*time.Since(ended).Seconds()
+			}, limitEnded, time.Millisecond).Should(BeNumerically(">", mostInWindow(0)))
+		})
+	}
+}
+
+// startLimitNodes starts nodes whose instances may name limits, and waits until all of them serve.
+func startLimitNodes(t *testing.T, s *store, count int, groups bool) []*running {
+	var nodes []*running
+	var seeds []netip.AddrPort
+	for i := range count {
+		name := fmt.Sprintf("n%d", i)
+		ports := entry.Ports{Decoder: limitDecoder{groups: groups}, Targets: limitTargets{}, Dialect: limitDialect{nodeDialect{node: name}}}
+		n := startWith(t, s, ports, name, seeds...)
+		nodes = append(nodes, n)
+		seeds = append(seeds, n.set.Peer)
+	}
+	for _, n := range nodes {
+		serves := func() int {
+			code, _ := post(http.DefaultClient, n.set.Callers, "ready", "x")
+			return code
+		}
+		NewWithT(t).Eventually(serves, 10*time.Second).Should(Equal(http.StatusOK))
+	}
+	return nodes
+}
