A node that does not know the others takes no part of the shared slack of repeats

The cause of the limit that was not kept, looked for elsewhere: a quantity that all nodes share, divided by the nodes heard of. Test: 20 failing requests made 20 repeats at a node that knows no others, 3 now.

--- a/coordination/retry/shared_test.go
+++ b/coordination/retry/shared_test.go
@@ -28,7 +28,7 @@
 		start := time.Unix(1000, 0)
 		nodes := make([]*retry.SharedBudget, rapid.IntRange(1, 5).Draw(t, "nodes"))
 		for i := range nodes {
-			nodes[i] = retry.NewSharedBudget(b, len(nodes), start)
+			nodes[i] = retry.NewSharedBudget(b, len(nodes))
 		}
 		var log []moment
 		now := start
@@ -71,7 +71,7 @@
 func TestABurstMaySpendWhatTheWindowHolds(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	s := retry.NewSharedBudget(retry.Bounds{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}, 9, now)
+	s := retry.NewSharedBudget(retry.Bounds{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}, 9)
 	for i := range 100 {
 		s.Attempt(now.Add(time.Duration(i) * 90 * time.Millisecond))
 	}
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -284,7 +284,7 @@
 	p.setPlacing(may)
 	if may {
 		p.greet(ctx)
-		p.n.gate.SetNodes(p.possible(p.n.clock.Now()))
+		p.shareBudgets()
 		p.n.setLoads(p.total())
 	}
 }
@@ -381,6 +381,13 @@
 	p.complete = true
 }
 
+// shareBudgets divides what all nodes share by the nodes that there may be, once these are known.
+func (p *peers) shareBudgets() {
+	if p.knowsAll() {
+		p.n.gate.SetNodes(p.possible(p.n.clock.Now()))
+	}
+}
+
 // possible returns how many nodes may be running, this one among them, by which what all
 // nodes share is divided: those that cannot be heard may be behind a cut. A leader leaves
 // out those that it has not heard of for long; another node goes by its word.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -120,7 +120,6 @@
 		Options: o,
 		Watch:   newWatch(o.Clock, o.Health, &o.Policy),
 		budgets: map[state.ServiceName]*retry.SharedBudget{},
-		nodes:   1,
 	}
 }
 
@@ -133,7 +132,7 @@
 // Arrived returns the number of requests so far.
 func (g *Gateway) Arrived() int64 { return g.arrived.Load() }
 
-// SetNodes tells how many nodes share the retry budgets.
+// SetNodes sets the number of nodes that share the retry budgets.
 func (g *Gateway) SetNodes(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -160,7 +159,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = retry.NewSharedBudget(g.Retry, g.nodes, g.Clock.Now())
+		b = retry.NewSharedBudget(g.Retry, g.nodes)
 		g.budgets[service] = b
 	}
 	return b
--- a/transport/gateway/ratelimit_test.go
+++ b/transport/gateway/ratelimit_test.go
@@ -136,3 +136,30 @@
 		})
 	}
 }
+
+// A node that has just started does not know how many others there are. It took the whole
+// slack of the repeats that all nodes share, until it had heard of them.
+func TestANodeThatDoesNotKnowTheOthersTakesNoPartOfTheSlack(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		nodes int
+		most  int
+	}{
+		{"unknown", 0, 4},
+		{"alone", 1, 20},
+		{"one of fifty", 50, 6},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := newLab(t)
+			l.gate.SetNodes(c.nodes)
+			l.instance("a", "plain", status(http.StatusInternalServerError))
+			l.instance("b", "plain", status(http.StatusInternalServerError))
+			for i := range 20 {
+				l.call(http.MethodPost, "/safe/", "x", map[string]string{"Id": fmt.Sprint("r", i)})
+			}
+			repeats := len(l.journal.all()) - 20
+			g.Expect(repeats).To(And(BeNumerically("<=", c.most), BeNumerically(">=", c.most/2)))
+		})
+	}
+}
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -229,6 +229,7 @@
 		Pool:  direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now),
 		Retry: retry.Bounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	})
+	l.gate.SetNodes(1)
 	l.front = httptest.NewServer(l.gate)
 	t.Cleanup(l.front.Close)
 	return l
