--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# The front door: make run, make test, make properties, make lint, make bench, make quarantine, make cooldowns, make compare, make fuzz, make generate.
+# The front door: make run, make test, make properties, make lint, make bench, make quarantine, make cooldowns, make limits, make compare, make fuzz, make generate.
 
 BIN := $(CURDIR)/bin
 TOOLS := $(CURDIR)/.tools
@@ -6,7 +6,7 @@
 GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 FUZZTIME ?= 20s
 
-.PHONY: all build run test race properties lint bench quarantine cooldowns compare fuzz generate clean
+.PHONY: all build run test race properties lint bench quarantine cooldowns limits compare fuzz generate clean
 
 all: build
 
@@ -49,6 +49,10 @@
 cooldowns:
 	go test ./coordination/cooldown -run '^$$' -bench Heeding -benchtime 8x
 
+# Ways to divide what a limited instance takes over 9 and 85 nodes, and what that costs at 85 and 570.
+limits:
+	go test ./coordination/ratelimit -run '^$$' -bench 'Ways|AtSize' -benchtime 8x
+
 # Plays the same days and seeds for two variants: make compare BENCH=... SITE=... A=HEAD B=work,gateway-full=0.7 WHY="..."
 A ?= HEAD
 B ?= work
