Name what nodes act on, let the newest build lead, keep earlier builds off limited instances

Upgrades run old and new nodes side by side; messages gain fields that old ones leave out. Under an old leader two new nodes do not hear of each other's limits, and old nodes send to a limited instance whatever the new ones divide. Weighed: a version number, named capabilities, additions alone. A number in reports and answers tells what a node acts on; one thing needs it now. All builds order leaders by capacity, so a trace of capacity for each version has the newest build of the largest nodes lead; at builds without limits the leader uses what they do heed: formations to avoid, and instances that look full. Their part of the rate goes to the others then.

--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -15,7 +15,7 @@
 	Name    string         `json:"name"`
 	Address string         `json:"address"`
 	Hall    state.HallName `json:"hall"`
-	// Capacity is the node's share of a processor, in cores; 0 is unknown.
+	// Capacity is the node's share of a processor, in cores, and a trace more in a later build.
 	Capacity float64 `json:"capacity,omitempty"`
 	// Number is the offset of the entry: unique among all lives of nodes.
 	Number int64 `json:"number,omitempty"`
@@ -30,6 +30,8 @@
 // Word is what a node tells the placing node.
 type Word struct {
 	From NodeEntry `json:"from"`
+	// Protocol is the version of what the node acts on.
+	Protocol int `json:"protocol,omitempty"`
 	// Held are the requests that the node holds at each instance.
 	Held map[state.InstanceID]int `json:"held,omitempty"`
 	// Arrived tells that the node has had requests, Demand how much work they ask for lately.
@@ -73,6 +75,8 @@
 type Answer struct {
 	// Placing tells that the node places groups; else it is not to be asked for a while.
 	Placing bool `json:"placing"`
+	// Protocol is the version of what the leader acts on.
+	Protocol int `json:"protocol,omitempty"`
 	// Nodes are all nodes that the placing node knows, for a node that knows another number of them.
 	Nodes []NodeEntry `json:"nodes,omitempty"`
 	// Held are the requests that all nodes hold at each instance.
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -87,7 +87,7 @@
 
 // self returns the node's own entry.
 func (p *peers) self() NodeEntry {
-	return NodeEntry{Name: p.n.set.Name, Address: p.n.set.Peer.String(), Hall: p.n.set.Hall, Capacity: p.n.set.Capacity, Number: p.n.number.Load()}
+	return NodeEntry{Name: p.n.set.Name, Address: p.n.set.Peer.String(), Hall: p.n.set.Hall, Capacity: p.n.toldCapacity(), Number: p.n.number.Load()}
 }
 
 // run tells the placing node what this one knows, again and again.
--- a/transport/entry/ratelimit.go
+++ b/transport/entry/ratelimit.go
@@ -120,6 +120,9 @@
 	if nodes := p.possible(now); nodes != w.Nodes {
 		a.Possible = nodes
 	}
+	if w.Protocol < protocolLimits {
+		n.shieldLimited(a)
+	}
 	if leading, _ := p.isPlacing(); leading && w.ByGrants {
 		a.Dealing = true
 		a.Grants = n.dealer.PickUp(w.From.Name, now)
@@ -147,20 +150,20 @@
 		return
 	}
 	r := ratelimit.Round{Limits: n.limits.InForce()}
-	known := n.peers.possible(now)
+	known, counted := n.peers.possible(now), 1
 	leading, _ := n.peers.isPlacing()
 	switch {
 	case !n.peers.knowsAll():
 		return
 	case leading:
-		n.peers.addReporting(&r, now)
+		counted = n.peers.addReporting(&r, now)
 	case n.peers.dealtFor(now):
 		return
 	default:
 		r.Nodes = []ratelimit.Node{{Name: n.set.Name, Usage: n.limits.Usage(now)}}
 		r.Weight = func(string, *ratelimit.Limit) float64 { return 1 }
 	}
-	r.Part = min(float64(len(r.Nodes))/float64(known), 1)
+	r.Part = min(float64(counted)/float64(known), 1)
 	n.dealer.Deal(r, now)
 	n.limits.Granted(n.dealer.PickUp(n.set.Name, now), now.Add(n.set.Policy.RateLimit.GrantFor))
 }
@@ -183,14 +186,20 @@
 const leastWeight = 0.01
 
 // addReporting adds the nodes that send by grants to a round, this one and those that report
-// to it, each with what callers ask of it.
-func (p *peers) addReporting(r *ratelimit.Round, now time.Time) {
+// to it, each with what callers ask of it. It returns how many nodes' part of the rate it may
+// deal: those of earlier builds, which are kept away from limited instances, count too.
+func (p *peers) addReporting(r *ratelimit.Round, now time.Time) (counted int) {
 	n := p.n
 	asked := map[string]map[servedModel]float64{n.set.Name: byModel(n.demand.Flows(now))}
 	r.Nodes = []ratelimit.Node{{Name: n.set.Name, Usage: n.limits.Usage(now)}}
+	counted = 1
 	p.mu.Lock()
 	for name, h := range p.words {
-		if now.Sub(h.at) >= n.policy.NodeTimeout || !h.word.ByGrants {
+		if now.Sub(h.at) >= n.policy.NodeTimeout || h.word.Protocol >= protocolLimits && !h.word.ByGrants {
+			continue
+		}
+		counted++
+		if h.word.Protocol < protocolLimits {
 			continue
 		}
 		r.Nodes = append(r.Nodes, ratelimit.Node{Name: name, Usage: h.word.Usage})
@@ -206,6 +215,7 @@
 	r.Weight = func(node string, l *ratelimit.Limit) float64 {
 		return asked[node][models[l.Instance.ID]] + leastWeight
 	}
+	return counted
 }
 
 // servedModel names a model of a service; a plain service has none.
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -33,6 +33,7 @@
 		return nil, err
 	}
 	p.n.observeEra(resp.Msg.Era, address)
+	p.n.heedVersion(resp.Msg.Protocol, address)
 	if resp.Msg.Placing {
 		p.takeLedger(resp.Msg, sent)
 	}
@@ -45,6 +46,7 @@
 	now := n.clock.Now()
 	w := &Word{
 		From:     p.self(),
+		Protocol: protocolVersion,
 		Held:     n.table.Held(),
 		Suspects: n.suspected(now),
 		Leaving:  n.leavingTold(now),
@@ -168,11 +170,12 @@
 	w := req.Msg
 	p.learn(w.From)
 	n.observeEra(w.Era, w.From.Name)
+	n.heedVersion(w.Protocol, w.From.Name)
 	p.mu.Lock()
 	p.words[w.From.Name] = heardWord{word: *w, at: now}
 	p.contact[w.From.Address] = now
 	p.arrived = p.arrived || w.Arrived
-	a := &Answer{Placing: p.mayPlace(now), Era: n.eras.current()}
+	a := &Answer{Placing: p.mayPlace(now), Protocol: protocolVersion, Era: n.eras.current()}
 	p.mu.Unlock()
 	n.learnConfig(w.Config, "peer")
 	n.ledger.Merge(w.Ledger.delta(now), quarantine.Source(w.From.Number))
--- /dev/null
+++ b/transport/entry/version_test.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// askAsVersion has a node report to a leader as one of a build of some version does.
+func askAsVersion(g *WithT, from, leader *Node, version int) *Answer {
+	w := from.peers.word()
+	w.Protocol = version
+	if version < protocolLimits {
+		w.Limits, w.LimitsAfter, w.Usage, w.ByGrants = nil, 0, nil, false
+	}
+	resp, err := leader.peers.answer(context.Background(), connect.NewRequest(w))
+	g.Expect(err).NotTo(HaveOccurred())
+	return resp.Msg
+}
+
+// limitedHead makes an instance known to a node as the head of an open group.
+func limitedHead(n *Node, id state.InstanceID) fleet.Instance {
+	in := fleet.Instance{
+		ID: id, Service: "lm", Address: testAddress(201), Slots: 4, Model: "m", Loaded: "m", Position: 9,
+		Membership: fleet.Membership{Group: "g", Epoch: 7, State: fleet.Open},
+	}
+	n.roster.Listed(in, n.clock.Now())
+	return in
+}
+
+// A node of an earlier build does not read limits, and sends what it always did. It heeds which
+// formations to avoid and how many requests instances hold.
+func TestNodesOfAnEarlierBuildAreKeptAwayFromLimitedInstances(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		version int
+		shield  bool
+	}{
+		{"an earlier build", 0, true},
+		{"this build", protocolVersion, false},
+		{"a later one", protocolVersion + 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newReporting(g)
+			head := limitedHead(r.leader, "head")
+			before := askAsVersion(g, r.a, r.leader, c.version)
+			g.Expect(before.Avoid).To(BeEmpty())
+			for _, in := range []fleet.Instance{r.in, head} {
+				r.leader.Told(&in, limitedTo(2), "r", r.clock.Now())
+			}
+			a := askAsVersion(g, r.a, r.leader, c.version)
+			if !c.shield {
+				g.Expect(a.Avoid).To(BeEmpty())
+				g.Expect(a.Held).NotTo(HaveKey(head.ID))
+				g.Expect(a.Limits).To(HaveLen(2))
+				return
+			}
+			g.Expect(a.Avoid).To(Equal([]Formation{{Group: "g", Epoch: 7}}))
+			g.Expect(a.Held[head.ID]).To(BeNumerically(">", 4*head.Slots))
+			g.Expect(a.Held[r.in.ID]).To(BeNumerically(">", 0))
+			g.Expect(a.Dealing).To(BeFalse())
+			held, _ := r.leader.peers.total()
+			g.Expect(held).NotTo(HaveKey(head.ID), "the leader's own sums are left alone")
+		})
+	}
+}
+
+// The nodes of earlier builds send nothing then, so that the others may use their part.
+func TestThePartOfNodesOfAnEarlierBuildIsUsedByTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	r := newReporting(g)
+	r.leader.Told(&r.in, limitedTo(3), "r", r.clock.Now())
+	sent := 0
+	for range 100 {
+		r.clock.Advance(100 * time.Millisecond)
+		r.leader.storeRead(r.clock.Now())
+		askAsVersion(g, r.a, r.leader, 0)
+		askAsVersion(g, r.b, r.leader, 0)
+		r.leader.dealLimits(r.clock.Now())
+		sent += spend(r.leader, &r.in)
+	}
+	g.Expect(sent).To(BeNumerically("~", 30, 3), "3 a second, for 10 s")
+}
+
+func TestOfNodesOfOneSizeThoseOfTheNewestBuildLead(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestNode()
+	own := n.peers.self()
+	for i := range 50 {
+		earlier := NodeEntry{Name: "earlier", Address: testAddress(2 + i).String(), Capacity: n.set.Capacity}
+		larger := NodeEntry{Name: "larger", Address: testAddress(2 + i).String(), Capacity: n.set.Capacity + 0.1}
+		g.Expect(precedes(own, earlier)).To(BeTrue())
+		g.Expect(precedes(larger, own)).To(BeTrue(), "a larger node of an earlier build leads all the same")
+	}
+}
+
+func TestANodeOfALaterVersionIsLoggedOnce(t *testing.T) {
+	g := NewWithT(t)
+	n := observe(&noticing{})
+	for range 3 {
+		n.heedVersion(protocolVersion+1, "b")
+		n.heedVersion(protocolVersion, "c")
+	}
+	g.Expect(n.logged("node of a later version")).To(Equal(1))
+}
+
+// What the list says of formations does not depend on the version: an instance is found by it.
+func TestALimitedInstanceThatIsNoHeadIsInNoListOfFormations(t *testing.T) {
+	g := NewWithT(t)
+	r := newReporting(g)
+	member := limitedHead(r.leader, "member")
+	member.Membership.Rank, member.Position = 1, 10
+	r.leader.roster.Listed(member, r.clock.Now())
+	r.leader.Told(&member, limitedTo(2), "r", r.clock.Now())
+	g.Expect(askAsVersion(g, r.a, r.leader, 0).Avoid).To(BeEmpty())
+}
