--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# The front door: make run, make test, make properties, make lint, make bench, make quarantine, make cooldowns, make limits, make compare, make fuzz, make generate.
+# The front door: make run, make test, make properties, make lint, make bench, make quarantine, make cooldowns, make limits, make upgrade, make compare, make fuzz, make generate.
 
 BIN := $(CURDIR)/bin
 TOOLS := $(CURDIR)/.tools
@@ -6,7 +6,7 @@
 GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 FUZZTIME ?= 20s
 
-.PHONY: all build run test race properties lint bench quarantine cooldowns limits compare fuzz generate clean
+.PHONY: all build run test race properties lint bench quarantine cooldowns limits upgrade compare fuzz generate clean
 
 all: build
 
@@ -53,6 +53,11 @@
 limits:
 	go test ./coordination/ratelimit -run '^$$' -bench 'Ways|AtSize' -benchtime 8x
 
+# Replaces the nodes of one build by those of the working tree, and back, in processes: make upgrade FROM=COMMIT SEEDS=30.
+UPGRADE_JOBS ?= 4
+upgrade:
+	go run ./bench/upgrade --from "$(FROM)" --seeds $(SEEDS) --first-seed $(FIRST) --jobs $(UPGRADE_JOBS)
+
 # Plays the same days and seeds for two variants: make compare BENCH=... SITE=... A=HEAD B=work,gateway-full=0.7 WHY="..."
 A ?= HEAD
 B ?= work
@@ -68,6 +73,7 @@
 	go test -run '^$$' -fuzz FuzzDecodeRecord -fuzztime $(FUZZTIME) ./state
 	go test -run '^$$' -fuzz FuzzDecodeReport -fuzztime $(FUZZTIME) ./protocol/target
 	go test -run '^$$' -fuzz FuzzInstance -fuzztime $(FUZZTIME) ./platform
+	for f in FuzzStatusReport FuzzStatusAnswer FuzzNodeEntry FuzzKeptQuarantine; do go test -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) ./transport/entry || exit 1; done
 
 # The generated code in protocol/rpc is committed; this is needed only after a change of the .proto file.
 generate:
--- /dev/null
+++ b/internal/upgrade/call.go
@@ -0,0 +1,216 @@
+package upgrade
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/troutmast/troutmast/platform/standin"
+)
+
+// outcome is how a call ended for its caller.
+type outcome string
+
+// The outcomes of a call.
+const (
+	served  outcome = "served"
+	refused outcome = "refused"
+	failed  outcome = "failed"
+	// cut means that the connection ended without a whole answer.
+	cut outcome = "cut"
+)
+
+// attempt is one request of a caller to a node.
+type attempt struct {
+	id      string
+	node    *node
+	path    string
+	body    string
+	key     string
+	began   time.Time
+	took    time.Duration
+	status  int
+	outcome outcome
+	// wrong is what is wrong with an answer that looks whole.
+	wrong string
+}
+
+// callers send requests to the nodes that are ready, over kept connections and new ones.
+type callers struct {
+	nodes  []*node
+	client *http.Client
+	rng    *rand.Rand
+
+	mu       sync.Mutex
+	number   int
+	in       map[*node]bool
+	attempts []attempt
+	active   sync.WaitGroup
+}
+
+// Times of callers.
+const (
+	callEvery  = 12 * time.Millisecond
+	callTime   = 4 * time.Second
+	checkEvery = 250 * time.Millisecond
+	// missedChecks is how many checks a node misses until it gets no further requests.
+	missedChecks = 2
+)
+
+// newCallers returns callers of some nodes.
+func newCallers(nodes []*node, seed uint64) *callers {
+	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 20 * time.Second, DisableCompression: true}
+	return &callers{
+		nodes: nodes, client: &http.Client{Transport: transport, Timeout: callTime}, rng: rand.New(rand.NewPCG(seed, 2)), in: map[*node]bool{},
+	}
+}
+
+// watch takes nodes that say they are not ready out, until the context ends.
+func (c *callers) watch(ctx context.Context) {
+	probe := &http.Client{Timeout: checkEvery}
+	missed := map[*node]int{}
+	for ctx.Err() == nil {
+		for _, n := range c.nodes {
+			if n.ready(probe) {
+				missed[n] = 0
+			} else {
+				missed[n]++
+			}
+			c.mu.Lock()
+			c.in[n] = missed[n] < missedChecks
+			c.mu.Unlock()
+		}
+		time.Sleep(checkEvery)
+	}
+}
+
+// run sends requests until the context ends, and waits for their answers.
+func (c *callers) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		n, path := c.choose()
+		if n != nil {
+			c.active.Go(func() { c.call(n, path, "x", standin.Key) })
+		}
+		time.Sleep(callEvery)
+	}
+	c.active.Wait()
+}
+
+// choose draws a node that is in and a path.
+func (c *callers) choose() (*node, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var in []*node
+	for _, n := range c.nodes {
+		if c.in[n] {
+			in = append(in, n)
+		}
+	}
+	if len(in) == 0 {
+		return nil, ""
+	}
+	paths := []string{standin.StreamPath, standin.StreamPath, standin.SmallPath, standin.UnsafePath, standin.SafePath}
+	return in[c.rng.IntN(len(in))], paths[c.rng.IntN(len(paths))]
+}
+
+// call sends a request, and once more to another node if it was refused.
+func (c *callers) call(n *node, path, body, key string) attempt {
+	a := c.try(n, path, body, key)
+	if a.outcome != refused {
+		return a
+	}
+	if again, _ := c.choose(); again != nil {
+		time.Sleep(100 * time.Millisecond)
+		return c.try(again, path, body, key)
+	}
+	return a
+}
+
+// try sends one request and judges its answer.
+func (c *callers) try(n *node, path, body, key string) attempt {
+	c.mu.Lock()
+	c.number++
+	a := attempt{id: fmt.Sprintf("%s.%d", n.machine.Name, c.number), node: n, path: path, body: body, key: key, began: time.Now()}
+	c.mu.Unlock()
+	c.exchange(&a, n.machine.Front)
+	a.took = time.Since(a.began)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts = append(c.attempts, a)
+	return a
+}
+
+// exchange makes the request of an attempt.
+func (c *callers) exchange(a *attempt, at netip.AddrPort) {
+	text := a.body + "." + a.id
+	if a.body == standin.DeadlyBody {
+		text = a.body
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+at.String()+a.path+"x", strings.NewReader(text))
+	if err != nil {
+		a.outcome, a.wrong = failed, err.Error()
+		return
+	}
+	req.Host = standin.Host
+	req.Header.Set("X-Request-Id", a.id)
+	req.Header.Set("X-Deadline-Ms", "4000")
+	req.Header.Set("Authorization", "Bearer "+a.key)
+	req.Header.Set("X-Token-Count", "40,40")
+	req.Header.Set("X-Model", map[bool]string{true: standin.SmallModel, false: standin.Model}[a.path == standin.SmallPath])
+	resp, err := c.client.Do(req)
+	if err != nil {
+		a.outcome = cut
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a.status = resp.StatusCode
+	raw, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		a.outcome = cut
+	case resp.Header.Get("X-Request-Id") != a.id:
+		a.outcome, a.wrong = failed, "an answer to another request"
+	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+		a.outcome = refused
+	case resp.StatusCode != http.StatusOK:
+		a.outcome = failed
+	default:
+		a.outcome, a.wrong = served, wrongAnswer(a.path, string(raw), text)
+	}
+}
+
+// wrongAnswer returns what is wrong with a success, or nothing.
+func wrongAnswer(path, got, text string) string {
+	if path != standin.StreamPath && path != standin.SmallPath {
+		if got != text {
+			return "another body"
+		}
+		return ""
+	}
+	next := 1
+	for line := range strings.Lines(got) {
+		if data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: "); ok {
+			if data != fmt.Sprintf("%s-%d", text, next) {
+				return fmt.Sprintf("event %q in the place of number %d", data, next)
+			}
+			next++
+		}
+	}
+	if next != standin.Events+1 {
+		return fmt.Sprintf("%d events", next-1)
+	}
+	return ""
+}
+
+// all returns the attempts so far.
+func (c *callers) all() []attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]attempt(nil), c.attempts...)
+}
--- /dev/null
+++ b/internal/upgrade/plan.go
@@ -0,0 +1,81 @@
+package upgrade
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Mode is which way the nodes of a run are replaced.
+type Mode string
+
+// The modes.
+const (
+	// Forward replaces all nodes by the newer build.
+	Forward Mode = "forward"
+	// HalfAndBack replaces half of them, and goes back.
+	HalfAndBack Mode = "half-and-back"
+	// ThereAndBack replaces all, and goes back.
+	ThereAndBack Mode = "there-and-back"
+)
+
+// Modes are all modes.
+var Modes = []Mode{Forward, HalfAndBack, ThereAndBack}
+
+// trouble is something that happens beside an upgrade.
+type trouble string
+
+// The troubles.
+const (
+	crashWorker  trouble = "a worker crashes"
+	storeOutage  trouble = "the store is down"
+	storeCut     trouble = "a node is cut off from the store"
+	storeRestore trouble = "the store comes back from an older copy"
+	killNode     trouble = "a node is killed"
+	freezeNode   trouble = "a node freezes"
+	shedding     trouble = "a worker sheds and asks for rest"
+	leaving      trouble = "a worker leaves"
+	limiting     trouble = "workers name a limit"
+	deadly       trouble = "a request ends the workers that run it"
+	reconfigure  trouble = "the configuration changes"
+)
+
+// planned is a trouble with its time since the nodes were ready.
+type planned struct {
+	at   time.Duration
+	what trouble
+}
+
+// plan is what happens in a run.
+type plan struct {
+	mode     Mode
+	troubles []planned
+	// pauses are waited after each replacement, halfway after half of them.
+	pauses  []time.Duration
+	halfway time.Duration
+}
+
+// Times of plans.
+const (
+	firstTrouble = 2 * time.Second
+	lastTrouble  = 24 * time.Second
+	leastGap     = 1500 * time.Millisecond
+	// halfwayLeast is long enough to judge how nodes of both builds keep to a limit.
+	halfwayLeast = 8 * time.Second
+)
+
+// newPlan draws a plan; a build that knows no eras of the store is spared older copies.
+func newPlan(seed uint64, mode Mode, nodes int, eras bool) plan {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	p := plan{mode: mode, halfway: halfwayLeast + time.Duration(rng.IntN(2000))*time.Millisecond}
+	for range 2 * nodes {
+		p.pauses = append(p.pauses, time.Duration(200+rng.IntN(1200))*time.Millisecond)
+	}
+	kinds := []trouble{crashWorker, crashWorker, storeOutage, storeCut, killNode, freezeNode, shedding, leaving, limiting, limiting, deadly, reconfigure}
+	if eras {
+		kinds = append(kinds, storeRestore)
+	}
+	for at := firstTrouble; at < lastTrouble; at += leastGap + time.Duration(rng.IntN(2500))*time.Millisecond {
+		p.troubles = append(p.troubles, planned{at, kinds[rng.IntN(len(kinds))]})
+	}
+	return p
+}
--- /dev/null
+++ b/protocol/rpc/past_test.go
@@ -0,0 +1,68 @@
+package rpc
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protodesc"
+	"google.golang.org/protobuf/types/descriptorpb"
+)
+
+// Builds of different versions speak to each other, and troutctl to daemons of either: a field
+// of an earlier version keeps its number, its name and its type, and a call its messages.
+func TestNothingThatAnEarlierVersionKnowsIsTakenAway(t *testing.T) {
+	g := NewWithT(t)
+	paths, err := filepath.Glob("testdata/*/troutmast.binpb")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(paths).NotTo(BeEmpty())
+	now := protodesc.ToFileDescriptorProto(File_rpc_troutmast_proto)
+	for _, path := range paths {
+		t.Run(path, func(t *testing.T) {
+			g := NewWithT(t)
+			raw, err := os.ReadFile(path)
+			g.Expect(err).NotTo(HaveOccurred())
+			before := &descriptorpb.FileDescriptorProto{}
+			g.Expect(proto.Unmarshal(raw, before)).To(Succeed())
+			checkMessages(g, before.GetMessageType(), now.GetMessageType())
+			checkCalls(g, before, now)
+		})
+	}
+}
+
+// checkMessages checks that all fields of earlier messages are still there.
+func checkMessages(g *WithT, before, now []*descriptorpb.DescriptorProto) {
+	byName := map[string]*descriptorpb.DescriptorProto{}
+	for _, m := range now {
+		byName[m.GetName()] = m
+	}
+	for _, m := range before {
+		g.Expect(byName).To(HaveKey(m.GetName()))
+		fields := map[int32]*descriptorpb.FieldDescriptorProto{}
+		for _, f := range byName[m.GetName()].GetField() {
+			fields[f.GetNumber()] = f
+		}
+		for _, f := range m.GetField() {
+			g.Expect(proto.Equal(fields[f.GetNumber()], f)).To(BeTrue(), "%s.%s", m.GetName(), f.GetName())
+		}
+		checkMessages(g, m.GetNestedType(), byName[m.GetName()].GetNestedType())
+	}
+}
+
+// checkCalls checks that all calls of earlier services are still there, with their messages.
+func checkCalls(g *WithT, before, now *descriptorpb.FileDescriptorProto) {
+	calls := map[string]*descriptorpb.MethodDescriptorProto{}
+	for _, s := range now.GetService() {
+		for _, m := range s.GetMethod() {
+			calls[s.GetName()+"/"+m.GetName()] = m
+		}
+	}
+	for _, s := range before.GetService() {
+		for _, m := range s.GetMethod() {
+			name := s.GetName() + "/" + m.GetName()
+			g.Expect(proto.Equal(calls[name], m)).To(BeTrue(), name)
+		}
+	}
+}
--- /dev/null
+++ b/state/past_test.go
@@ -0,0 +1,32 @@
+package state_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/state"
+)
+
+// Records that earlier builds wrote are read as they were meant: a record with a field that is
+// not known would stop the fold of a node, so that none may be taken away or renamed.
+func TestRecordsOfEarlierBuildsAreRead(t *testing.T) {
+	g := NewWithT(t)
+	paths, err := filepath.Glob("testdata/records/*/record.json")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(paths)).To(BeNumerically(">=", 2))
+	for _, path := range paths {
+		t.Run(path, func(t *testing.T) {
+			g := NewWithT(t)
+			raw, err := os.ReadFile(path)
+			g.Expect(err).NotTo(HaveOccurred())
+			r, err := state.DecodeRecord(raw)
+			g.Expect(err).NotTo(HaveOccurred())
+			again, err := r.Encode()
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(again).To(MatchJSON(raw))
+		})
+	}
+}
--- /dev/null
+++ b/transport/entry/past_test.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/source"
+)
+
+// Messages and records of earlier builds, by their commits, as these builds encoded them. Nodes
+// of such a build may run beside this one, and find in the store what it writes.
+const pastMessages = "testdata/messages"
+
+// past returns the examples of a message, by commit.
+func past(tb testing.TB, name string) map[string][]byte {
+	paths, err := filepath.Glob(filepath.Join(pastMessages, "*", name+".json"))
+	if err != nil || len(paths) < 2 {
+		tb.Fatalf("%d examples of %s: %v", len(paths), name, err)
+	}
+	examples := map[string][]byte{}
+	for _, path := range paths {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		examples[filepath.Base(filepath.Dir(path))] = raw
+	}
+	return examples
+}
+
+// lacks returns the path of a part of an older JSON value that a newer one has not, or has
+// otherwise, or nothing.
+func lacks(older, newer any) string {
+	switch o := older.(type) {
+	case map[string]any:
+		n, ok := newer.(map[string]any)
+		if !ok {
+			return "."
+		}
+		for key, value := range o {
+			if path := lacks(value, n[key]); path != "" {
+				return "." + key + path
+			}
+		}
+		return ""
+	case []any:
+		n, ok := newer.([]any)
+		if !ok || len(n) != len(o) {
+			return "[]"
+		}
+		for i := range o {
+			if path := lacks(o[i], n[i]); path != "" {
+				return "[]" + path
+			}
+		}
+		return ""
+	}
+	if older != newer {
+		return "."
+	}
+	return ""
+}
+
+// Each field that an earlier build knows is still there, under its name and with its type: what
+// that build says is understood, and what this one says is read by it as it was meant.
+func TestMessagesOfEarlierBuildsKeepTheirMeaning(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		into func() any
+	}{
+		{"report", func() any { return &Word{} }},
+		{"answer", func() any { return &Answer{} }},
+		{"node", func() any { return &NodeEntry{} }},
+		{"quarantine", func() any { return &[]keptEnding{} }},
+	} {
+		for commit, raw := range past(t, c.name) {
+			t.Run(c.name+" of "+commit, func(t *testing.T) {
+				g := NewWithT(t)
+				v := c.into()
+				strict := json.NewDecoder(bytes.NewReader(raw))
+				strict.DisallowUnknownFields()
+				g.Expect(strict.Decode(v)).To(Succeed())
+				again, err := json.Marshal(v)
+				g.Expect(err).NotTo(HaveOccurred())
+				var older, newer any
+				g.Expect(json.Unmarshal(raw, &older)).To(Succeed())
+				g.Expect(json.Unmarshal(again, &newer)).To(Succeed())
+				g.Expect(lacks(older, newer)).To(BeEmpty())
+			})
+		}
+	}
+}
+
+// Whatever another node says, this one goes on.
+func FuzzStatusReport(f *testing.F) {
+	for _, raw := range past(f, "report") {
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var w Word
+		if json.Unmarshal(raw, &w) != nil {
+			return
+		}
+		n := ableNode(NewWithT(t))
+		n.peers.setPlacing(true)
+		if _, err := n.peers.answer(context.Background(), connect.NewRequest(&w)); err != nil {
+			t.Fatal(err)
+		}
+		n.dealLimits(n.clock.Now())
+	})
+}
+
+func FuzzStatusAnswer(f *testing.F) {
+	for _, raw := range past(f, "answer") {
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var a Answer
+		if json.Unmarshal(raw, &a) != nil {
+			return
+		}
+		n := ableNode(NewWithT(t))
+		n.peers.takeLedger(&a, 0)
+		n.peers.take(&a, n.clock.Now())
+		n.dealLimits(n.clock.Now())
+		n.peers.word()
+	})
+}
+
+func FuzzNodeEntry(f *testing.F) {
+	for _, raw := range past(f, "node") {
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var e NodeEntry
+		if json.Unmarshal(raw, &e) != nil {
+			return
+		}
+		n := ableNode(NewWithT(t))
+		n.peers.learn(e)
+		n.peers.candidates(n.clock.Now())
+		if got := n.peers.possible(n.clock.Now()); got < 1 {
+			t.Fatalf("%d nodes may run", got)
+		}
+	})
+}
+
+// keptStore is a store that holds one record of held requests.
+type keptStore struct {
+	Store
+	item source.Item
+}
+
+func (s keptStore) Newest(context.Context, source.Topic) (source.Tail, error) {
+	return source.Tail{Items: []source.Item{s.item}, End: 1}, nil
+}
+
+func FuzzKeptQuarantine(f *testing.F) {
+	for _, raw := range past(f, "quarantine") {
+		f.Add("0102030405060708090a0b0c0d0e0f10", raw)
+	}
+	f.Fuzz(func(t *testing.T, key string, raw []byte) {
+		n := ableNode(NewWithT(t))
+		n.ports.Store = keptStore{item: source.Item{Key: key, Value: raw}}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		n.restoreQuarantine(ctx)
+	})
+}
