--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -11,8 +11,8 @@
 // what happened within the window is never forgotten too early.
 const parts = 20
 
-// Counter counts events within the last Window of a given length; its zero value is empty.
-// All calls must name the same length. It is not safe for concurrent use.
+// Counter counts events within a window of time of some length; its zero value is empty. All
+// calls must name the same length. It is not safe for concurrent use.
 type Counter struct {
 	spans [parts + 1]span
 }
--- a/transport/entry/ratelimit.go
+++ b/transport/entry/ratelimit.go
@@ -168,13 +168,6 @@
 	n.limits.Granted(n.dealer.PickUp(n.set.Name, now), now.Add(n.set.Policy.RateLimit.GrantFor))
 }
 
-// knowsAll reports whether this node has read which other nodes there are.
-func (p *peers) knowsAll() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.complete
-}
-
 // dealtFor reports whether a leader lately dealt for this node.
 func (p *peers) dealtFor(now time.Time) bool {
 	p.mu.Lock()
