--- a/internal/paired/paired_test.go
+++ b/internal/paired/paired_test.go
@@ -195,3 +195,17 @@
 	_, err = run(paired.WorkTree, "/no/bench")
 	g.Expect(err).To(MatchError(paired.ErrPlay), "the working tree is played anew")
 }
+
+// A variant is played from a copy without the project's history, in which the version in
+// production is not to be found.
+func TestACopyOfAVariantNamesNoVersionInProduction(t *testing.T) {
+	g := NewWithT(t)
+	root := project(t)
+	text := "production = \"0123\"\n[roles.entry]\nrun = \"target/troutmastd\"\n"
+	g.Expect(os.WriteFile(filepath.Join(root, "deploy/system.toml"), []byte(text), 0o644)).To(Succeed())
+	dir := t.TempDir()
+	g.Expect(paired.Variant{Commit: paired.WorkTree, Settings: []string{"gain=2"}}.Tree(context.Background(), root, dir)).To(Succeed())
+	copied, err := os.ReadFile(filepath.Join(dir, "deploy/system.toml"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(copied)).To(Equal("[roles.entry]\nrun = \"target/troutmastd --gain=2\"\n"))
+}
--- a/internal/paired/variant.go
+++ b/internal/paired/variant.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 )
 
@@ -42,6 +43,9 @@
 // deployFile says how the daemon is started, relative to the root of the project.
 const deployFile = "deploy/system.toml"
 
+// productionLine is the line of the deploy file that names the version in production.
+var productionLine = regexp.MustCompile(`(?m)^production *=.*\n`)
+
 // daemon is the program in the deploy file whose command line takes the settings.
 const daemon = "target/troutmastd"
 
@@ -63,6 +67,8 @@
 	if changed == string(text) && len(v.Settings) > 0 {
 		return fmt.Errorf("%w: %s does not run %s", ErrVariant, deployFile, daemon)
 	}
+	// The copy has no history from which the version in production could be built.
+	changed = productionLine.ReplaceAllString(changed, "")
 	if err := os.WriteFile(path, []byte(changed), 0o644); err != nil {
 		return fmt.Errorf("%w: %w", ErrVariant, err)
 	}
