--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -43,7 +43,9 @@
 		if n > 0 {
 			now := c.Clock.Now()
 			w.move(now)
-			c.hold.Started()
+			if c.hold.Started() {
+				c.Health.Worked(target, sent)
+			}
 			pending = append(pending, buf[:n]...)
 			rest, fault := c.pass(pending, resp, now)
 			if fault != nil {
