--- a/coordination/dispatch/hold.go
+++ b/coordination/dispatch/hold.go
@@ -10,8 +10,7 @@
 type Hold struct {
 	load *load
 	// prompt is the number of prompt tokens, 0 once they have been read.
-	prompt  atomic.Int64
-	started atomic.Bool
+	prompt atomic.Int64
 }
 
 // Hold counts a request with a number of prompt tokens as sent to the instance now.
@@ -26,12 +25,8 @@
 	return h
 }
 
-// Started records that the instance has read the prompt: the first event has come. It reports
-// whether that is new.
-func (h *Hold) Started() bool {
-	h.load.reading.Add(-h.prompt.Swap(0))
-	return !h.started.Swap(true)
-}
+// Started records that the instance has read the prompt: the first event has come.
+func (h *Hold) Started() { h.load.reading.Add(-h.prompt.Swap(0)) }
 
 // End records that the request has ended; it must be called once.
 func (h *Hold) End() {
--- a/coordination/placement/formation.go
+++ b/coordination/placement/formation.go
@@ -128,7 +128,6 @@
 			return fmt.Sprintf("%s does not answer", id)
 		case m.Superseded == key:
 			return fmt.Sprintf("%s has seen a later epoch", id)
-		case !m.Known && m.Working:
 		case !m.Known:
 			s.plan.Ask = append(s.plan.Ask, id)
 		case m.Membership.Key() != key && f.joined[id]:
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -21,8 +21,6 @@
 	Counted bool
 	// Known tells that the membership is known as of a moment ago.
 	Known bool
-	// Working tells that its group has lately answered a request, which needs all members.
-	Working bool
 	// Unlisted tells that the list has not shown the instance for more than a
 	// beat: it may be leaving, and as a head it would get no requests.
 	Unlisted bool
--- a/coordination/roster/policy.go
+++ b/coordination/roster/policy.go
@@ -11,9 +11,6 @@
 	MinProbeSpacing time.Duration `flag:"min-probe-spacing" help:"least time between two failed questions that count as two" min:"0s" max:"10s"`
 	// KnownAge is the age up to which a membership counts as known.
 	KnownAge time.Duration `flag:"known-age" help:"age up to which a membership counts as known" min:"100ms" max:"1m"`
-	// WorkingAge is how long after a group's answer its members are asked no questions: the nodes
-	// that have requests there see at once when it falls silent.
-	WorkingAge time.Duration `flag:"working-age" help:"how long after a group's answer its members are asked no questions" min:"0s" max:"1m"`
 	// UnlistedGrace is how long an instance that the list has dropped goes on taking
 	// requests. With 0.8 s a leaving instance got requests too late (docs/FINDINGS.md).
 	UnlistedGrace time.Duration `flag:"unlisted-grace" help:"how long an instance that the list has dropped goes on taking requests" min:"0s" max:"10s"`
@@ -37,7 +34,6 @@
 		LostFailures:    2,
 		MinProbeSpacing: 20 * time.Millisecond,
 		KnownAge:        1500 * time.Millisecond,
-		WorkingAge:      3 * time.Second,
 		UnlistedGrace:   300 * time.Millisecond,
 		UnlistedTimeout: time.Second,
 		GoneMargin:      1500 * time.Millisecond,
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -54,10 +54,6 @@
 	heard     time.Time
 	failures  int
 	suspected time.Time
-	// worked is when a request was sent that the formation workedIn answered with an event:
-	// all of its members were in it since.
-	worked   time.Time
-	workedIn fleet.GroupKey
 	// leaving tells that this life of the instance said in an answer that it will end soon,
 	// or told another node so. No entry of the list takes that back, only a later life.
 	leaving bool
@@ -184,28 +180,6 @@
 	}
 }
 
-// Worked records that a formation answered a request sent at a time with an event, for which
-// it needs all of its members.
-func (r *Roster) Worked(members []fleet.Instance, key fleet.GroupKey, at time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for i := range members {
-		e := r.m[members[i].ID]
-		if e == nil {
-			continue
-		}
-		e.hear(at, r)
-		if e.workedIn != key || at.After(e.worked) {
-			e.worked, e.workedIn = at, key
-		}
-	}
-}
-
-// working reports whether an instance's formation has lately answered a request.
-func (r *Roster) working(e *entry, now time.Time) bool {
-	return e.workedIn.Group != "" && e.workedIn == e.belief.Membership.Key() && now.Sub(e.worked) < r.cfg.Policy.WorkingAge
-}
-
 // Failed takes in that an instance did not answer a question asked at a time.
 func (r *Roster) Failed(id state.InstanceID, asked time.Time) {
 	r.mu.Lock()
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -9,7 +9,6 @@
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/coordination/source"
-	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
@@ -497,44 +496,3 @@
 		})
 	}
 }
-
-// A group that answers requests needs all of its members, so that none of them is asked a
-// question meanwhile; one that left, joined another group, fell silent or failed is.
-func TestMembersOfAGroupThatWorksAreNotInDoubt(t *testing.T) {
-	key := fleet.GroupKey{Group: "g", Epoch: 7}
-	for _, c := range []struct {
-		name              string
-		after             time.Duration
-		then              func(r *roster.Roster, now time.Time)
-		working, doubtful bool
-	}{
-		{"lately", 2 * time.Second, func(*roster.Roster, time.Time) {}, true, false},
-		{"long ago", 4 * time.Second, func(*roster.Roster, time.Time) {}, false, true},
-		{"another formation", 2 * time.Second, func(r *roster.Roster, now time.Time) {
-			in := workingMember("i", 9)
-			in.Membership.Epoch = 8
-			r.Listed(in, now)
-		}, false, false},
-		{"it did not answer since", 2 * time.Second, func(r *roster.Roster, now time.Time) { r.Failed("i", now) }, true, true},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			g := NewWithT(t)
-			start := time.Unix(1000, 0)
-			r := roster.New(roster.Config{Beat: time.Second, Stall: 4 * time.Second, Policy: roster.DefaultPolicy()})
-			r.Listed(workingMember("i", 5), start)
-			worked := start.Add(3 * time.Second)
-			r.Worked([]fleet.Instance{{ID: "i"}, {ID: "unknown"}}, key, worked)
-			now := worked.Add(c.after)
-			c.then(r, now)
-			g.Expect(r.Doubtful(now)).To(HaveLen(map[bool]int{true: 1}[c.doubtful]))
-			list := r.Members("lm", start, now)
-			g.Expect(list).To(HaveLen(1))
-			g.Expect(list[0].Working).To(Equal(c.working))
-		})
-	}
-}
-
-// workingMember returns an entry of an instance in a group.
-func workingMember(id state.InstanceID, position int64) fleet.Instance {
-	return fleet.Instance{ID: id, Service: "lm", Position: position, Membership: fleet.Membership{Group: "g", Epoch: 7, State: fleet.Ready}}
-}
--- a/coordination/roster/view.go
+++ b/coordination/roster/view.go
@@ -25,7 +25,6 @@
 			Orders:     e.orders,
 			Counted:    e.counted,
 			Known:      r.known(e, since, now),
-			Working:    r.working(e, now),
 			Lost:       e.lost(now),
 			Gone:       e.gone,
 			Pending:    e.pending,
@@ -45,7 +44,7 @@
 	var list []fleet.Instance
 	for _, e := range r.m {
 		stopped := now.Sub(r.lastBeat(e)) > 2*r.cfg.Beat+r.cfg.Beat/4 || !e.inList
-		if !e.gone && (e.failures > 0 || stopped && now.Sub(e.heard) > r.cfg.Beat && !r.working(e, now)) {
+		if !e.gone && (e.failures > 0 || stopped && now.Sub(e.heard) > r.cfg.Beat) {
 			list = append(list, e.listed)
 		}
 	}
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -18,13 +18,6 @@
 // Heard implements gateway.Health.
 func (n *Node) Heard(id state.InstanceID, at time.Time) { n.roster.Heard(id, at) }
 
-// Worked implements gateway.Health.
-func (n *Node) Worked(c *dispatch.Candidate, at time.Time) {
-	if len(c.Members) > 0 {
-		n.roster.Worked(c.Members, c.Membership.Key(), at)
-	}
-}
-
 // Failed implements gateway.Health.
 func (n *Node) Failed(id state.InstanceID, at time.Time) {
 	n.roster.Failed(id, at)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -35,8 +35,6 @@
 type Health interface {
 	// Heard tells that an instance answered a request sent at a time.
 	Heard(id state.InstanceID, at time.Time)
-	// Worked tells that a group answered a request sent at a time with an event.
-	Worked(c *dispatch.Candidate, at time.Time)
 	// Failed tells that an instance did not answer a request sent at a time.
 	Failed(id state.InstanceID, at time.Time)
 	// Replaced tells that another process answers at the instance's address.
--- a/transport/gateway/quarantine_test.go
+++ b/transport/gateway/quarantine_test.go
@@ -124,24 +124,3 @@
 	}
 	g.Expect(l.runsAt("c")).To(BeNumerically(">", 0))
 }
-
-// The first event of a stream shows that all members of its group are there; a plain answer shows nothing of others.
-func TestAGroupIsKnownToWorkByTheFirstEventOfAStream(t *testing.T) {
-	for _, c := range []struct {
-		name, path, service string
-		answer              http.HandlerFunc
-		want                int
-	}{
-		{"a stream", "/stream/", "lm", func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 5) }, 1},
-		{"a stream without an event", "/stream/", "lm", func(w http.ResponseWriter, _ *http.Request) { cut(w) }, 0},
-		{"a plain answer", "/safe/", "plain", ok("x"), 0},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			g := NewWithT(t)
-			l := newLab(t)
-			l.instance("a", state.ServiceName(c.service), c.answer)
-			l.call(http.MethodPost, c.path, "x", nil)
-			g.Expect(l.health.worked).To(HaveLen(c.want))
-		})
-	}
-}
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -99,18 +99,11 @@
 type health struct {
 	mu        sync.Mutex
 	failed    []state.InstanceID
-	worked    []state.InstanceID
 	suspected int
 }
 
 func (h *health) Heard(state.InstanceID, time.Time) {}
 func (h *health) Replaced(state.InstanceID)         {}
-
-func (h *health) Worked(c *dispatch.Candidate, _ time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.worked = append(h.worked, c.ID)
-}
 func (h *health) Failed(id state.InstanceID, _ time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -43,9 +43,7 @@
 		if n > 0 {
 			now := c.Clock.Now()
 			w.move(now)
-			if c.hold.Started() {
-				c.Health.Worked(target, sent)
-			}
+			c.hold.Started()
 			pending = append(pending, buf[:n]...)
 			rest, fault := c.pass(pending, resp, now)
 			if fault != nil {
