--- a/coordination/ratelimit/dealer.go
+++ b/coordination/ratelimit/dealer.go
@@ -158,12 +158,12 @@
 	return h
 }
 
-// deal deals the whole requests of a stock. No more are open than the instance takes while a
-// grant holds, since all nodes may use theirs in one moment, and no more open and sent than it
-// takes in that time and the window.
+// deal deals the whole requests of a stock. No more than one is open beyond those that the
+// instance takes while a grant holds, since all nodes may use theirs in one moment, and no more
+// are open and sent than it takes in that time and the window, but for one.
 func (d *Dealer) deal(s *stock, l *Limit, r *Round, sent, open int, now time.Time) {
 	rate := d.policy.rate(l.PerSecond, r.Part)
-	mostOpen := rate * d.policy.GrantFor.Seconds()
+	mostOpen := rate*d.policy.GrantFor.Seconds() + 1
 	most := mostOpen + rate*d.policy.Window.Seconds()
 	for ; s.level >= 1 && float64(open) <= mostOpen && float64(open+sent) <= most && len(r.Nodes) > 0; open++ {
 		h := s.hand(d.drawNode(r, l))
--- a/internal/upgrade/call.go
+++ b/internal/upgrade/call.go
@@ -152,17 +152,11 @@
 	if a.body == standin.DeadlyBody {
 		text = a.body
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+at.String()+a.path+"x", strings.NewReader(text))
+	req, err := standin.NewRequest(at, standin.Call{ID: a.id, Path: a.path, Body: text, Key: a.key, Patience: callTime})
 	if err != nil {
 		a.outcome, a.wrong = failed, err.Error()
 		return
 	}
-	req.Host = standin.Host
-	req.Header.Set("X-Request-Id", a.id)
-	req.Header.Set("X-Deadline-Ms", "4000")
-	req.Header.Set("Authorization", "Bearer "+a.key)
-	req.Header.Set("X-Token-Count", "40,40")
-	req.Header.Set("X-Model", map[bool]string{true: standin.SmallModel, false: standin.Model}[a.path == standin.SmallPath])
 	resp, err := c.client.Do(req)
 	if err != nil {
 		a.outcome = cut
@@ -174,7 +168,7 @@
 	switch {
 	case err != nil:
 		a.outcome = cut
-	case resp.Header.Get("X-Request-Id") != a.id:
+	case standin.AnsweredID(resp) != a.id:
 		a.outcome, a.wrong = failed, "an answer to another request"
 	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
 		a.outcome = refused
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -138,6 +138,7 @@
 		}
 		if err == nil && tail.Whole {
 			p.setComplete()
+			p.shareBudgets()
 		}
 		// Each new entry ends all waiting reads: without a pause, nodes that start
 		// together would read once for each of the others.
@@ -264,6 +265,7 @@
 
 // round tells the first node that places; if there is none before this one, this one does.
 func (p *peers) round(ctx context.Context) {
+	p.shareBudgets()
 	for _, address := range p.candidates(p.n.clock.Now()) {
 		asked := p.n.clock.Now()
 		ans, err := p.tell(ctx, address)
@@ -284,7 +286,6 @@
 	p.setPlacing(may)
 	if may {
 		p.greet(ctx)
-		p.shareBudgets()
 		p.n.setLoads(p.total())
 	}
 }
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -145,7 +145,6 @@
 	n.placer.handOver(a.Staging, asked)
 	n.setLoads(a.Held, a.Demand)
 	p.takeLimits(a, asked)
-	p.shareBudgets()
 }
 
 // setLoads hands the table what all nodes hold at each instance, and what callers ask of them.
