--- a/coordination/ratelimit/dealer.go
+++ b/coordination/ratelimit/dealer.go
@@ -158,9 +158,9 @@
 	return h
 }
 
-// deal deals the whole requests of a stock. No more than one is open beyond those that the
-// instance takes while a grant holds, since all nodes may use theirs in one moment, and no more
-// are open and sent than it takes in that time and the window, but for one.
+// deal deals the whole requests of a stock. No more are open than the instance takes while a
+// grant holds, and two, since all nodes may use theirs in one moment; no more are open and sent
+// than it takes in that time and the window, and two.
 func (d *Dealer) deal(s *stock, l *Limit, r *Round, sent, open int, now time.Time) {
 	rate := d.policy.rate(l.PerSecond, r.Part)
 	mostOpen := rate*d.policy.GrantFor.Seconds() + 1
