--- a/transport/entry/cooldown_test.go
+++ b/transport/entry/cooldown_test.go
@@ -192,18 +192,24 @@
 
 // startNamedNodes starts nodes that tell instances their names, and waits until all of them serve.
 func startNamedNodes(t *testing.T, s *store, count int) []*running {
+	return startServing(t, s, count, func(name string) entry.Ports {
+		return entry.Ports{Decoder: crashDecoder{}, Targets: dialTargets{}, Dialect: nodeDialect{node: name}}
+	})
+}
+
+// startServing starts nodes whose ports a function returns, and waits until all of them serve.
+func startServing(t *testing.T, s *store, count int, ports func(name string) entry.Ports) []*running {
 	var nodes []*running
 	var seeds []netip.AddrPort
 	for i := range count {
 		name := fmt.Sprintf("n%d", i)
-		ports := entry.Ports{Decoder: crashDecoder{}, Targets: dialTargets{}, Dialect: nodeDialect{node: name}}
-		n := startWith(t, s, ports, name, seeds...)
+		n := startWith(t, s, ports(name), name, seeds...)
 		nodes = append(nodes, n)
 		seeds = append(seeds, n.set.Peer)
 	}
 	for _, n := range nodes {
 		serves := func() int {
-			code, _ := post(http.DefaultClient, n.set.Callers, "ready", "x")
+			code, _ := post(http.DefaultClient, n.set.Callers, "ready", "sound")
 			return code
 		}
 		NewWithT(t).Eventually(serves, 10*time.Second).Should(Equal(http.StatusOK))
--- a/transport/entry/limited_test.go
+++ b/transport/entry/limited_test.go
@@ -309,21 +309,7 @@
 
 // startLimitNodes starts nodes whose instances may name limits, and waits until all of them serve.
 func startLimitNodes(t *testing.T, s *store, count int, groups bool) []*running {
-	var nodes []*running
-	var seeds []netip.AddrPort
-	for i := range count {
-		name := fmt.Sprintf("n%d", i)
-		ports := entry.Ports{Decoder: limitDecoder{groups: groups}, Targets: limitTargets{}, Dialect: limitDialect{nodeDialect{node: name}}}
-		n := startWith(t, s, ports, name, seeds...)
-		nodes = append(nodes, n)
-		seeds = append(seeds, n.set.Peer)
-	}
-	for _, n := range nodes {
-		serves := func() int {
-			code, _ := post(http.DefaultClient, n.set.Callers, "ready", "x")
-			return code
-		}
-		NewWithT(t).Eventually(serves, 10*time.Second).Should(Equal(http.StatusOK))
-	}
-	return nodes
+	return startServing(t, s, count, func(name string) entry.Ports {
+		return entry.Ports{Decoder: limitDecoder{groups: groups}, Targets: limitTargets{}, Dialect: limitDialect{nodeDialect{node: name}}}
+	})
 }
--- a/transport/entry/querydeath_test.go
+++ b/transport/entry/querydeath_test.go
@@ -264,20 +264,7 @@
 
 // startCrashNodes starts nodes that know each other and waits until all of them serve.
 func startCrashNodes(t *testing.T, s *store, count int) []*running {
-	ports := entry.Ports{Decoder: crashDecoder{}, Targets: dialTargets{}, Dialect: dialect{}}
-	var nodes []*running
-	var seeds []netip.AddrPort
-	for i := range count {
-		n := startWith(t, s, ports, fmt.Sprintf("n%d", i), seeds...)
-		nodes = append(nodes, n)
-		seeds = append(seeds, n.set.Peer)
-	}
-	for _, n := range nodes {
-		serves := func() int {
-			code, _ := post(http.DefaultClient, n.set.Callers, "ready", "sound")
-			return code
-		}
-		NewWithT(t).Eventually(serves, 10*time.Second).Should(Equal(http.StatusOK))
-	}
-	return nodes
+	return startServing(t, s, count, func(string) entry.Ports {
+		return entry.Ports{Decoder: crashDecoder{}, Targets: dialTargets{}, Dialect: dialect{}}
+	})
 }
