--- a/internal/upgrade/call.go
+++ b/internal/upgrade/call.go
@@ -56,7 +56,7 @@
 
 // Times of callers.
 const (
-	callEvery  = 12 * time.Millisecond
+	callEvery  = 25 * time.Millisecond
 	callTime   = 4 * time.Second
 	checkEvery = 250 * time.Millisecond
 	// missedChecks is how many checks a node misses until it gets no further requests.
