--- a/coordination/quarantine/ledger_test.go
+++ b/coordination/quarantine/ledger_test.go
@@ -1,7 +1,9 @@
 package quarantine_test
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -170,6 +172,44 @@
 	}
 }
 
+// Engines that ended within milliseconds under the attempts of one request were counted one by
+// one at the node that sent it, and as two at the next node, which sent the request on to three
+// more. Nodes tell each other ages, each message errs by its own way, and so endings that are closer than
+// that come in another order elsewhere: the first one, sent after no other, then looked like one that
+// came together with the second.
+func TestTheOrderInWhichCloseEndingsAreToldDoesNotCount(t *testing.T) {
+	const pause, way = 3 * time.Millisecond, 8 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		late []time.Duration
+	}{
+		{"as they came", []time.Duration{0, 0, 0}},
+		{"the first one is told later", []time.Duration{way, 0, 0}},
+		{"the second one is told later", []time.Duration{0, way, 0}},
+		{"the first two are told later", []time.Duration{way, way, 0}},
+		{"in reverse", []time.Duration{2 * way, way, 0}},
+		{"rounded to the same moment", []time.Duration{2 * pause, pause, 0}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			sender, other := quarantine.NewLedger(quarantine.DefaultPolicy()), quarantine.NewLedger(quarantine.DefaultPolicy())
+			for i, id := range []string{"a", "b", "c"} {
+				at := start.Add(time.Duration(i) * pause)
+				sender.Broken(request("deadly"), []fleet.Incarnation{instance(id)}, at.Add(-time.Millisecond), at)
+				sender.Ended(instance(id), at)
+			}
+			d, _ := sender.Since(0, 0)
+			slices.SortFunc(d.Endings, func(a, b quarantine.Ending) int { return cmp.Compare(a.Instance.ID, b.Instance.ID) })
+			for i := range d.Endings {
+				d.Endings[i].At = d.Endings[i].At.Add(c.late[i])
+			}
+			other.Merge(d, 7)
+			g.Expect(held(sender, "deadly", time.Second)).To(BeTrue())
+			g.Expect(held(other, "deadly", time.Second)).To(BeTrue())
+		})
+	}
+}
+
 // A popular sound request, or one that a client sends again and again, is under way on every
 // instance, so that more endings fall on it than on the deadly one. It must not account for the
 // deadly one's endings: held back itself, it could never be cleared, and the deadly one would go
