Count endings that are closer than messages err without regard to their order

Callers saw a completion end six and seven engines, on a busy machine, where the request is to be held back after three. Three engines had ended within 6 ms under one call: the first under a send of its own, the others under sends that followed (these count each, since they have nothing but the request in common). The node that sent them counted three. It tells others ages, in whole milliseconds and by messages with ways of their own, and the earlier of two ages holds: at the other node the first ending came after the second, was taken for one that came together with it, and two are not enough.

Ruled out: proof that came late (both nodes had it 0.5 s before the next call, by their logs); an ending lost in the exchange (5 of 6 were counted afterwards).

Within 50 ms the ending that did not follow another one counts wherever it stands. The node that sees the true order concludes as before, but for endings that follow one of an earlier moment: a sound request needs a third ending all the same.

Before: 3 of 6 orders of the test, and 3 of 64 runs of the process test beside each other, failed. After: none, none of 64.

--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -195,29 +195,56 @@
 // milliseconds ended 7 engines, not 3 to 5, before it was held back (three engines, two nodes).
 func blameOf(f Fingerprint, order []Ending, list []int, open map[int]bool, spacing time.Duration) blame {
 	var b blame
-	var began time.Time
-	var beside crowd
+	var m moment
 	for _, i := range list {
 		if !open[i] {
 			continue
 		}
-		at := order[i].At
-		if next := began.IsZero() || at.Sub(began) >= spacing; next {
-			began, beside = at, crowdAt(f, order, at, spacing)
-			if !beside.mass() {
+		at, apart := order[i].At, slices.Contains(order[i].Apart, f)
+		if m.first.IsZero() || at.Sub(m.last) >= spacing {
+			m = moment{first: at, last: at, beside: crowdAt(f, order, at, spacing), together: !apart}
+			if !m.beside.mass() {
 				b.moments++
 			}
-		} else if beside.without == 0 && slices.Contains(order[i].Apart, f) {
+		} else if m.countsAlso(at, apart) {
 			b.moments++
-			began = at
 		}
-		if !beside.mass() {
+		if !m.beside.mass() {
 			b.endings++
 		}
 	}
 	return b
 }
 
+// orderError is how far the times of two endings, each told by a message with its own way,
+// may be off from each other: closer ones have no known order.
+const orderError = 50 * time.Millisecond
+
+// moment is a series of endings under one request with less than a spacing between them.
+type moment struct {
+	// first is the time of the first ending, last that of the last one that counts.
+	first, last time.Time
+	beside      crowd
+	// together tells that those which came together have been counted, once.
+	together bool
+}
+
+// countsAlso reports whether a further ending of the moment counts beside those before it.
+// One that did not come apart counts if it may be the earliest: the request was then sent on
+// from it, and nodes that were told of the endings in another order must conclude the same.
+func (m *moment) countsAlso(at time.Time, apart bool) bool {
+	if m.beside.without > 0 {
+		return false
+	}
+	if apart {
+		m.last = at
+		return true
+	}
+	counts := !m.together && at.Sub(m.first) < orderError
+	m.together = m.together || counts
+	return counts
+}
+
 // massEndings is how many instances must end without a request, together with one that
 // ends under it, for that ending to say nothing of the request: a rack, a hall or a link was
 // lost, and all that was under way there broke off at once. A cut of a hall by resets made
