Own interface: judge lives by the newest evidence, not by a relayed report dated by it

Callers of a completion that ends engines saw six engines end. By the logs of one such run the node had found all three engines gone within 3 ms of their ends; 0.7 s later two of the three endings were marked as taken back, in the same lives, although their processes had been started anew. A peer's report from before the end had been merged: judgeLife took the life from that report and the time of the question from the newest evidence, which was the node's own.

The platform's path judges by the answer to its own question alone and is not concerned.

--- a/transport/node/loops.go
+++ b/transport/node/loops.go
@@ -143,7 +143,7 @@
 
 // observed lets a new report of an instance have its effect on routing.
 func (n *Node) observed(r evidence.Report) {
-	n.judgeLife(r)
+	n.judgeLives(r.Instance)
 	view := n.Follower.View()
 	name := r.Group
 	if a := view.Assignments[r.Instance]; a != nil {
@@ -165,19 +165,25 @@
 	}
 }
 
-// judgeLife concludes from a report which lives of the instance have ended, under
-// which requests.
-func (n *Node) judgeLife(r evidence.Report) {
+// judgeLives concludes from the newest evidence of an instance which of its lives have ended, under
+// which requests. A relayed report may be older than that: dated by the newer question, it would
+// prove that a life which has ended is still there.
+func (n *Node) judgeLives(id state.InstanceID) {
+	e, ok := n.Evidence.Get(id)
+	if !ok {
+		return
+	}
 	now := n.Clock.Now()
+	down := e.Phase == evidence.PhaseDown
 	var requests []quarantine.Fingerprint
-	if r.Phase == evidence.PhaseDown {
-		requests = n.Quarantine.Down(r.Instance, now)
-	} else if e, ok := n.Evidence.Get(r.Instance); ok {
-		requests = n.Quarantine.Current(fleet.Incarnation{ID: r.Instance, Life: r.Incarnation}, e.Asked, now)
+	if down {
+		requests = n.Quarantine.Down(id, now)
+	} else {
+		requests = n.Quarantine.Current(fleet.Incarnation{ID: id, Life: e.Incarnation}, e.Asked, now)
 	}
 	if len(requests) > 0 {
 		n.Count("quarantine.endings")
-		log.WithFields(log.Fields{"instance": r.Instance, "down": r.Phase == evidence.PhaseDown, "requests": requests}).Info("instance ended under requests")
+		log.WithFields(log.Fields{"instance": id, "down": down, "requests": requests}).Info("instance ended under requests")
 	}
 }
 
