Own interface: ask engines at once whether they live when a request broke off on them

An ending was proven by the next probe in turn, up to 350 ms later with the default settings; engines that were back by then got the same completion again and ended again. The ledger already names whom to ask and bounds the questions (two for each doubt); the platform's path has asked at once for long.

--- a/coordination/probe/probe.go
+++ b/coordination/probe/probe.go
@@ -94,6 +94,13 @@
 	p.feed.Expire(now.Add(-p.cfg.Window))
 }
 
+// Ask probes an instance of the hall now, unless a probe of it is under way.
+func (p *Prober) Ask(ctx context.Context, id state.InstanceID) {
+	if addr, ok := p.src.Instances()[id]; ok && p.take(id) {
+		go p.probe(ctx, id, addr, p.src.Mine(id))
+	}
+}
+
 // stale reports whether the evidence of an instance is about to run out, or has.
 func (p *Prober) stale(id state.InstanceID, now time.Time) bool {
 	e, ok := p.table.Get(id)
--- a/transport/caller/quarantine.go
+++ b/transport/caller/quarantine.go
@@ -40,5 +40,9 @@
 		s.c.Quarantine.Answered(q.fingerprint, s.c.Clock.Now())
 	case outcome == retry.Unknown && !errors.Is(err, errCallerGone):
 		s.c.Quarantine.Broken(q.fingerprint, q.lives, q.sentAt, s.c.Clock.Now())
+		select {
+		case s.c.Doubted <- struct{}{}:
+		default:
+		}
 	}
 }
--- a/transport/core/core.go
+++ b/transport/core/core.go
@@ -51,6 +51,8 @@
 	Repairs   *Repairs
 	// Quarantine holds back requests that end the instances that run them.
 	Quarantine *quarantine.Ledger
+	// Doubted holds a token when a request broke off, so that its instances are asked whether they live.
+	Doubted chan struct{}
 	// Cooldowns are the instances that asked this node to send them nothing for a while.
 	Cooldowns *cooldown.Book
 
--- a/transport/node/access_test.go
+++ b/transport/node/access_test.go
@@ -20,7 +20,7 @@
 		l, err := lab.New(bin)
 		Expect(err).NotTo(HaveOccurred())
 		l.UseTLS(files)
-		w := startWorld(l, 2, []string{hallA, hallB})
+		w := startWorld(l, 2, []string{hallA, hallB}, nil)
 		w.accepted("create group g model lm with gpu-1, gpu-2")
 		w.whole("g")
 		for _, n := range w.Nodes {
--- a/transport/node/loops.go
+++ b/transport/node/loops.go
@@ -21,6 +21,8 @@
 // Intervals of the loops that are not settings.
 const (
 	capacityInterval = 200 * time.Millisecond
+	// doubtInterval bounds how late a second question to an instance is.
+	doubtInterval    = 100 * time.Millisecond
 	controlInterval  = 500 * time.Millisecond
 	snapshotInterval = time.Second
 )
@@ -41,6 +43,7 @@
 	n.loops.Go(func() { n.Claims.Run(ctx) })
 	n.loops.Go(func() { n.prober.Run(ctx) })
 	n.loops.Go(func() { n.routingLoop(ctx) })
+	n.loops.Go(func() { n.doubtLoop(ctx) })
 	n.every(ctx, n.Settings.ListInterval, n.readList)
 	n.every(ctx, capacityInterval, n.updateCapacity)
 	n.every(ctx, n.Settings.ExchangeInterval, n.exchangeRound)
@@ -79,6 +82,24 @@
 	}
 }
 
+// doubtLoop asks instances on which requests broke off whether they live, at once: the next probe
+// in turn would let the same request end as many engines again before the first endings are proven.
+func (n *Node) doubtLoop(ctx context.Context) {
+	tick := n.Clock.NewTicker(doubtInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.Doubted:
+		case <-tick.Chan():
+		}
+		for _, in := range n.Quarantine.Due(n.Clock.Now()) {
+			n.prober.Ask(ctx, in.ID)
+		}
+	}
+}
+
 // rebuild makes the routing table hold the groups and service instances of this hall.
 func (n *Node) rebuild() {
 	applied := n.Follower.Applied()
--- a/transport/node/node.go
+++ b/transport/node/node.go
@@ -112,6 +112,7 @@
 		Repairs:   core.NewRepairs(),
 
 		Quarantine: quarantine.NewLedger(quarantine.DefaultPolicy()),
+		Doubted:    make(chan struct{}, 1),
 		Cooldowns:  cooldown.NewBook(cooldown.DefaultPolicy()),
 	}
 	n := &Node{Core: c, meter: meter, mirrors: newMirrors(), missing: newMissingSince(), refresh: make(chan struct{}, 1)}
--- a/transport/node/querydeath_test.go
+++ b/transport/node/querydeath_test.go
@@ -59,4 +59,33 @@
 			Eventually(func() int { return complete(n).status }, "15s", "50ms").Should(Equal(200))
 		}
 	})
+
+	// Callers try again as soon as an engine is back, which is sooner than the next probe.
+	It("is held back as soon as three engines have ended, however long the time between two probes", func() {
+		const engines = 3
+		w := newWorldOf(engines, []string{hallA}, []string{"--probe-interval", "3s", "--evidence-window", "9s"}, "--crash-on", "deadly")
+		groups := "begin; "
+		for i := range engines {
+			groups += fmt.Sprintf("create group g%d model lm version v1 with gpu-%d; ", i+1, i+1)
+		}
+		w.accepted(groups + "commit")
+		for i := range engines {
+			w.whole(fmt.Sprintf("g%d", i+1))
+		}
+		deadly := func() string {
+			return post(w.Nodes[0], "/v1/chat/completions", prompt("deadly", 4, false), "Troutmast-Timeout", "2s").reason
+		}
+		for i := range engines {
+			Eventually(func() bool {
+				deadly()
+				select {
+				case <-w.Targets[fmt.Sprintf("gpu-%d", i+1)].Done():
+					return true
+				default:
+					return false
+				}
+			}, "5s", "10ms").Should(BeTrue())
+		}
+		Eventually(deadly, "1s", "20ms").Should(Equal("quarantined"))
+	})
 })
--- a/transport/node/suite_test.go
+++ b/transport/node/suite_test.go
@@ -50,20 +50,26 @@
 
 // newWorld starts engines gpu-1.. in one fabric domain of hall A, and a node for each hall named.
 func newWorld(engines int, halls []string, engineFlags ...string) *world {
+	GinkgoHelper()
+	return newWorldOf(engines, halls, nil, engineFlags...)
+}
+
+// newWorldOf is newWorld with flags for the nodes.
+func newWorldOf(engines int, halls, nodeFlags []string, engineFlags ...string) *world {
 	GinkgoHelper()
 	l, err := lab.New(bin)
 	Expect(err).NotTo(HaveOccurred())
-	return startWorld(l, engines, halls, engineFlags...)
+	return startWorld(l, engines, halls, nodeFlags, engineFlags...)
 }
 
 // startWorld starts engines and nodes in a lab.
-func startWorld(l *lab.Lab, engines int, halls []string, engineFlags ...string) *world {
+func startWorld(l *lab.Lab, engines int, halls, nodeFlags []string, engineFlags ...string) *world {
 	GinkgoHelper()
 	DeferCleanup(l.Close)
 	for i := range engines {
 		Expect(l.StartTarget(fmt.Sprintf("gpu-%d", i+1), hallA, "fabric-a", engineFlags...)).To(Succeed())
 	}
-	Expect(l.StartNodes(halls)).To(Succeed())
+	Expect(l.StartNodes(halls, nodeFlags...)).To(Succeed())
 	Expect(l.AwaitReady()).To(Succeed())
 	w := &world{Lab: l}
 	for _, n := range w.Nodes {
