Process test: nodes of the version in production beside this one on the own interface

Callers, forwarding, claimed calls, operators' commands and a hall that is cut off while two builds run beside each other, over plain connections and over TLS; all nodes replaced one at a time, and back. No call is lost, none with a key runs twice, no node falls behind. On the platform's path a cut between halls in two builds is still not played: its nodes tell each other their addresses, so that no relay can stand between them without a change of the build under test.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -82,7 +82,10 @@
 
 // Lab holds the processes of one run.
 type Lab struct {
-	bin string
+	// standin is the path of the stand-ins' program.
+	standin string
+	// Daemon is the path of the program that nodes are started with.
+	Daemon string
 	// Platform is the stand-in of the platform.
 	Platform *Process
 	Nodes    []*Node
@@ -97,12 +100,12 @@
 
 // New returns a Lab that runs the programs in a directory, with a platform running.
 func New(bin string) (*Lab, error) {
-	l := &Lab{bin: bin, Targets: map[string]*Process{}}
+	l := &Lab{standin: filepath.Join(bin, "troutmast-standin"), Daemon: filepath.Join(bin, "troutmastd"), Targets: map[string]*Process{}}
 	addr, err := FreeAddr()
 	if err != nil {
 		return nil, err
 	}
-	l.Platform, err = l.start("platform", addr, "troutmast-standin", "platform", "--addr", addr.String())
+	l.Platform, err = l.start("platform", addr, l.standin, "platform", "--addr", addr.String())
 	if err != nil {
 		return nil, err
 	}
@@ -151,10 +154,10 @@
 	return netip.AddrPort{}, errors.New("lab: no free port")
 }
 
-// start starts a program.
+// start starts the program at a path.
 func (l *Lab) start(name string, addr netip.AddrPort, program string, args ...string) (*Process, error) {
 	ex := &execution{log: &bytes.Buffer{}, done: make(chan struct{})}
-	ex.cmd = exec.Command(filepath.Join(l.bin, program), args...)
+	ex.cmd = exec.Command(program, args...)
 	ex.cmd.Stdout, ex.cmd.Stderr = ex.log, ex.log
 	if err := ex.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("lab: %s: %w", name, err)
@@ -215,7 +218,7 @@
 // startTargetAt starts a target at an address.
 func (l *Lab) startTargetAt(addr netip.AddrPort, id, hall, domain string, flags ...string) error {
 	args := []string{"target", "--addr", addr.String(), "--platform", l.Platform.Addr.String(), "--id", id, "--hall", hall, "--domain", domain}
-	p, err := l.start(id, addr, "troutmast-standin", append(args, flags...)...)
+	p, err := l.start(id, addr, l.standin, append(args, flags...)...)
 	if err != nil {
 		return err
 	}
@@ -277,7 +280,7 @@
 	if l.tls != nil {
 		args = append(args, "--tls-cert", l.tls.Cert, "--tls-key", l.tls.Key, "--tls-ca", l.tls.CA)
 	}
-	p, err := l.start(n.Name, n.Addr, "troutmastd", append(args, n.flags...)...)
+	p, err := l.start(n.Name, n.Addr, l.Daemon, append(args, n.flags...)...)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/tls.go
+++ b/internal/lab/tls.go
@@ -36,7 +36,7 @@
 		IsCA:                  true,
 		BasicConstraintsValid: true,
 		KeyUsage:              x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
-		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1), net.IPv4(127, 0, 1, 1), net.IPv4(127, 0, 1, 2)},
+		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1), net.IPv4(127, 0, 1, 1), net.IPv4(127, 0, 1, 2), net.IPv4(127, 0, 1, 3)},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, cert, cert, &key.PublicKey, key)
 	if err != nil {
--- a/transport/node/cut_test.go
+++ b/transport/node/cut_test.go
@@ -30,7 +30,12 @@
 // twoHalls returns a world with a group of its own model in each hall, and a node in each.
 func twoHalls() *world {
 	GinkgoHelper()
-	w := newWorld(2, []string{hallA, hallB})
+	return groupsInTwoHalls(newWorld(2, []string{hallA, hallB}))
+}
+
+// groupsInTwoHalls starts engines in hall B and makes a group of its own model in each hall.
+func groupsInTwoHalls(w *world) *world {
+	GinkgoHelper()
 	for _, id := range []string{"b-1", "b-2"} {
 		Expect(w.StartTarget(id, hallB, "fabric-b")).To(Succeed())
 	}
