--- a/coordination/ratelimit/book.go
+++ b/coordination/ratelimit/book.go
@@ -25,6 +25,8 @@
 	version uint64
 	entries map[state.InstanceID]*entry
 	sends   map[state.InstanceID]*window.Counter
+	// swept is when the counts in sends were last looked through.
+	swept time.Time
 }
 
 // entry is what is known of one instance's limit.
@@ -156,7 +158,7 @@
 
 // Limited returns the limit of a life of an instance, in requests a second, and whether it has one.
 func (b *Book) Limited(in fleet.Incarnation) (perSecond float64, limited bool) {
-	if b.active.Load() == 0 {
+	if !b.Any() {
 		return 0, false
 	}
 	b.mu.Lock()
@@ -189,10 +191,10 @@
 
 // Since returns the limits that have changed after a version, and the version now.
 func (b *Book) Since(after uint64) ([]Limit, uint64) {
+	version := b.now() // read first: what changes meanwhile is told once more
 	if b.known.Load() == 0 {
-		return nil, b.now()
+		return nil, version
 	}
-	version := b.now() // read first: what changes meanwhile is told once more
 	return b.list(func(e *entry) bool { return e.stamp > after }), version
 }
 
@@ -230,6 +232,10 @@
 		b.known.Add(-1)
 		delete(b.entries, id)
 	}
+	if now.Sub(b.swept) < b.policy.Window {
+		return // the counts of thousands of instances need no look at each call
+	}
+	b.swept = now
 	for id, c := range b.sends {
 		if c.Within(now, b.policy.Window) == 0 {
 			delete(b.sends, id)
--- a/coordination/ratelimit/grant.go
+++ b/coordination/ratelimit/grant.go
@@ -44,7 +44,13 @@
 
 // Open reports whether a request may be sent to an instance, as far as its limit goes.
 func (b *Book) Open(in fleet.Incarnation, now time.Time) bool {
-	if b.active.Load() == 0 {
+	return b.allows(in, now, func(e *entry) bool { return len(e.grants) > 0 })
+}
+
+// allows reports whether a life of an instance has no limit in force, or a function says that
+// its limit allows what is asked; the grants that the function sees can still be used.
+func (b *Book) allows(in fleet.Incarnation, now time.Time, allowed func(*entry) bool) bool {
+	if !b.Any() {
 		return true
 	}
 	b.mu.Lock()
@@ -54,7 +60,7 @@
 		return true
 	}
 	e.expire(now)
-	return len(e.grants) > 0
+	return allowed(e)
 }
 
 // Send counts a request that is about to leave for an instance. It reports false, and counts
@@ -108,17 +114,7 @@
 
 // MayQuestion reports whether a question may be put to an instance now, as far as its limit goes.
 func (b *Book) MayQuestion(in fleet.Incarnation, by Asker, now time.Time) bool {
-	if b.active.Load() == 0 {
-		return true
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.limited(in)
-	if e == nil {
-		return true
-	}
-	e.expire(now)
-	return e.mayQuestion(by, now, &b.policy)
+	return b.allows(in, now, func(e *entry) bool { return e.mayQuestion(by, now, &b.policy) })
 }
 
 // mayQuestion reports whether a question may be put to a limited instance; its grants are not expired.
