Typed decisions on requests, one package, held to the operators' page by a test

Decisions were logged as map[string]any, twelve uses; some lines of a lost attempt lacked group, time or requests held, depending on how it was lost. They are types of transport/event now, whose fields say units; the table of docs/OPERATIONS.md is compared with them in a test (it named no fingerprint, route or request-answered, and said that whole answers leave no line). No change of behaviour but for these fields.

--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -138,12 +138,16 @@
 		ID     string `json:"id"`
 		Object string `json:"object"`
 	}
+	type models struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}
 	list := make([]model, 0, len(names))
 	for _, n := range names {
 		list = append(list, model{ID: n, Object: "model"})
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"object": "list", "data": list})
+	_ = json.NewEncoder(w).Encode(models{Object: "list", Data: list})
 }
 
 // route decides whether a request is served here; otherwise it has been passed on, or failed.
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -22,6 +22,7 @@
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
+	"github.com/troutmast/troutmast/transport/event"
 	"github.com/troutmast/troutmast/transport/gateway"
 )
 
@@ -150,11 +151,7 @@
 }
 
 // Decide implements gateway.Recorder.
-func (n *Node) Decide(event, id string, fields map[string]any) {
-	f := log.Fields(fields)
-	f["request"] = id
-	n.log.WithFields(f).Info(event)
-}
+func (n *Node) Decide(d event.Decision) { n.log.WithFields(d).Info(d.Name()) }
 
 // Run runs the node until ctx ends, then stops it within the time for a planned stop.
 func (n *Node) Run(ctx context.Context) error {
--- /dev/null
+++ b/transport/event/event.go
@@ -0,0 +1,176 @@
+// Package event holds the decisions on requests that nodes log, one type for each, whose
+// fields say what decided it. docs/OPERATIONS.md lists them for operators.
+package event
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/troutmast/troutmast/coordination/quarantine"
+	"github.com/troutmast/troutmast/state"
+)
+
+// Decision is a decision on one attempt of a request, or on the request as a whole.
+type Decision interface {
+	log.Fielder
+	// Name is the message of the log line.
+	Name() string
+}
+
+// Request names a request in each of its lines.
+type Request struct {
+	// ID is the caller's, Fingerprint the same for all requests that ask for the same.
+	ID          string
+	Fingerprint quarantine.Fingerprint
+}
+
+// AttemptFailed tells that an attempt was lost: its answer did not come, or broke off.
+type AttemptFailed struct {
+	Request
+	Instance state.InstanceID
+	Group    state.GroupName
+	Epoch    state.Epoch
+	What     Failure
+	// Err is what the connection said, if anything.
+	Err error
+	// After is the time since the request was sent.
+	After time.Duration
+	// Held is the number of requests that this node holds at the instance.
+	Held int64
+	// LastEvent is the id of the last event of the stream that the caller was sent.
+	LastEvent string
+}
+
+// Failure is what happened to an attempt that was lost.
+type Failure string
+
+// The failures of attempts.
+const (
+	Stalled   Failure = "stalled"
+	Silent    Failure = "silent"
+	TimeIsUp  Failure = "time is up"
+	BrokenOff Failure = "broken off"
+	Unsealed  Failure = "no seal"
+)
+
+// Name implements Decision.
+func (e *AttemptFailed) Name() string { return "attempt-failed" }
+
+// Fields implements log.Fielder.
+func (e *AttemptFailed) Fields() log.Fields {
+	f := log.Fields{
+		"request": e.ID, "fingerprint": e.Fingerprint, "instance": e.Instance, "group": e.Group, "epoch": e.Epoch, "what": e.What,
+		"ms": e.After.Milliseconds(), "held": e.Held, "event": e.LastEvent,
+	}
+	if e.Err != nil {
+		f["error"] = e.Err.Error()
+	}
+	return f
+}
+
+// AttemptRefused tells that an instance turned a request away.
+type AttemptRefused struct {
+	Request
+	Instance state.InstanceID
+	Status   int
+	// Culprit is the address of the instance at fault, if the answer names one.
+	Culprit string
+	// Held are this node's requests at the instance, Load those of all nodes as far as is known.
+	Held, Load int64
+	// Cooldown is for how long the instance asked to be left alone.
+	Cooldown time.Duration
+	// Sends counts the sends of the request so far.
+	Sends int
+}
+
+// Name implements Decision.
+func (e *AttemptRefused) Name() string { return "attempt-refused" }
+
+// Fields implements log.Fielder.
+func (e *AttemptRefused) Fields() log.Fields {
+	return log.Fields{
+		"request": e.ID, "instance": e.Instance, "status": e.Status, "culprit": e.Culprit, "held": e.Held, "load": e.Load,
+		"cooldown_ms": e.Cooldown.Milliseconds(), "sends": e.Sends,
+	}
+}
+
+// AttemptHeldBack tells that a request was picked for an instance and not sent after all.
+type AttemptHeldBack struct {
+	Request
+	Instance state.InstanceID
+	Err      error
+	Sends    int
+}
+
+// Name implements Decision.
+func (e *AttemptHeldBack) Name() string { return "attempt-held-back" }
+
+// Fields implements log.Fielder.
+func (e *AttemptHeldBack) Fields() log.Fields {
+	return log.Fields{"request": e.ID, "instance": e.Instance, "error": e.Err.Error(), "sends": e.Sends}
+}
+
+// Progress is how far a request has come.
+type Progress struct {
+	Route string
+	Model string
+	// Sends counts the sends to instances, Runs those that may have run.
+	Sends, Runs int
+	// Timeout is the time that the caller gave the request, Took what it has taken so far.
+	Timeout, Took time.Duration
+}
+
+// fields adds what is logged of the progress.
+func (p *Progress) fields(f log.Fields) log.Fields {
+	f["route"], f["model"], f["sends"], f["runs"] = p.Route, p.Model, p.Sends, p.Runs
+	f["timeout_ms"], f["ms"] = p.Timeout.Milliseconds(), p.Took.Milliseconds()
+	return f
+}
+
+// RequestEnded tells that the node itself answered a request, or cut its answer.
+type RequestEnded struct {
+	Request
+	Progress
+	// Code is the reason.
+	Code string
+	// Tried are the instances that it was sent to, in order.
+	Tried []state.InstanceID
+	// Begun tells that a part of an answer had been passed on.
+	Begun bool
+}
+
+// Name implements Decision.
+func (e *RequestEnded) Name() string { return "request-ended" }
+
+// Fields implements log.Fielder.
+func (e *RequestEnded) Fields() log.Fields {
+	return e.fields(log.Fields{"request": e.ID, "fingerprint": e.Fingerprint, "code": e.Code, "tried": e.Tried, "begun": e.Begun})
+}
+
+// RequestAnswered tells that a caller got the whole answer of an instance.
+type RequestAnswered struct {
+	Request
+	Progress
+	Instance state.InstanceID
+	Group    state.GroupName
+	// Prompt is the length of the prompt in tokens, Events the number of events of the answer.
+	Prompt, Events int
+	// Load is what the instance was known to hold when it was chosen.
+	Load int64
+	// First is the time until the first event, Gap the longest pause between two.
+	First, Gap time.Duration
+	// Late names the goal that was missed, if one was.
+	Late string
+}
+
+// Name implements Decision.
+func (e *RequestAnswered) Name() string { return "request-answered" }
+
+// Fields implements log.Fielder.
+func (e *RequestAnswered) Fields() log.Fields {
+	return e.fields(log.Fields{
+		"request": e.ID, "fingerprint": e.Fingerprint, "instance": e.Instance, "group": e.Group, "prompt": e.Prompt, "events": e.Events,
+		"load": e.Load, "first_ms": e.First.Milliseconds(), "gap_ms": e.Gap.Milliseconds(), "late": e.Late,
+	})
+}
--- /dev/null
+++ b/transport/event/event_test.go
@@ -0,0 +1,51 @@
+package event_test
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/transport/event"
+)
+
+// The page for operators names each decision that is logged, with all of its fields and no other.
+func TestOperatorsFindEachFieldOfADecision(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	for _, d := range []event.Decision{
+		&event.AttemptFailed{Err: errors.New("reset")},
+		&event.AttemptRefused{},
+		&event.AttemptHeldBack{Err: errors.New("cooling down")},
+		&event.RequestEnded{},
+		&event.RequestAnswered{},
+	} {
+		t.Run(d.Name(), func(t *testing.T) {
+			g := NewWithT(t)
+			var want []string
+			for field := range d.Fields() {
+				want = append(want, field)
+			}
+			g.Expect(listed(string(page), d.Name())).To(ConsistOf(want))
+		})
+	}
+}
+
+// listed returns the fields that the page's table of log lines names for one of them.
+func listed(page, name string) []string {
+	_, rest, _ := strings.Cut(page, "\n| `"+name+"` |")
+	row, _, _ := strings.Cut(rest, "\n")
+	cells := strings.Split(row, "|")
+	if len(cells) < 2 {
+		return nil
+	}
+	var fields []string
+	for i, part := range strings.Split(cells[1], "`") {
+		if i%2 == 1 {
+			fields = append(fields, part)
+		}
+	}
+	return fields
+}
--- a/transport/gateway/backpressure.go
+++ b/transport/gateway/backpressure.go
@@ -8,6 +8,7 @@
 
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/protocol/direct"
+	"github.com/troutmast/troutmast/transport/event"
 )
 
 // errHeldBack means that a request was kept back right before it would have left.
@@ -58,7 +59,7 @@
 			c.Recorder.Count(counter)
 		}
 	}
-	c.Recorder.Decide("attempt-held-back", c.claims.ID, map[string]any{"instance": target.ID, "error": err.Error(), "sends": c.sends})
+	c.Recorder.Decide(&event.AttemptHeldBack{Request: c.named(), Instance: target.ID, Err: err, Sends: c.sends})
 	return heldBack
 }
 
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
+	"github.com/troutmast/troutmast/transport/event"
 )
 
 // Catalogs gives the configuration in force and tells how old the knowledge of it may be.
@@ -82,7 +83,7 @@
 	Count(name string)
 	// Time adds a duration to a histogram.
 	Time(name string, d time.Duration)
-	Decide(event string, id string, fields map[string]any)
+	Decide(d event.Decision)
 }
 
 // Options are what a Gateway is made of.
@@ -339,10 +340,7 @@
 // refuse writes an answer of the product's own, or cuts an answer that has begun.
 func (c *call) refuse(no *refusal) {
 	c.Recorder.Count("refused." + string(no.code))
-	c.Recorder.Decide("request-ended", c.claims.ID, map[string]any{
-		"fingerprint": c.fingerprint, "code": string(no.code), "sends": c.sends, "runs": c.runs, "tried": c.tried,
-		"route": c.routeName(), "model": c.model, "timeout_ms": c.claims.Patience.Milliseconds(), "ms": c.Clock.Since(c.arrived).Milliseconds(), "begun": c.begun,
-	})
+	c.Recorder.Decide(&event.RequestEnded{Request: c.named(), Progress: c.progress(), Code: string(no.code), Tried: c.tried, Begun: c.begun})
 	if c.begun {
 		panic(http.ErrAbortHandler)
 	}
@@ -358,6 +356,16 @@
 	_, _ = io.WriteString(c.w, string(no.code)+"\n")
 }
 
+// named returns what names the request in the log.
+func (c *call) named() event.Request {
+	return event.Request{ID: c.claims.ID, Fingerprint: c.fingerprint}
+}
+
+// progress returns how far the request has come, for the log.
+func (c *call) progress() event.Progress {
+	return event.Progress{Route: c.routeName(), Model: c.model, Sends: c.sends, Runs: c.runs, Timeout: c.claims.Patience, Took: c.Clock.Since(c.arrived)}
+}
+
 // routeName returns the name of the request's route, if it has one.
 func (c *call) routeName() string {
 	if c.route == nil {
--- a/transport/gateway/outcome.go
+++ b/transport/gateway/outcome.go
@@ -5,6 +5,7 @@
 
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/transport/event"
 )
 
 // Lateness names why an answer missed the goals of its route; the empty value
@@ -48,9 +49,8 @@
 	if late != "" {
 		c.Recorder.Count("late." + string(late))
 	}
-	c.Recorder.Decide("request-answered", c.claims.ID, map[string]any{
-		"fingerprint": c.fingerprint, "instance": target.ID, "group": target.Membership.Group, "route": c.routeName(), "model": c.model,
-		"prompt": c.claims.Prompt, "timeout_ms": c.claims.Patience.Milliseconds(), "events": c.events, "sends": c.sends, "runs": c.runs, "load": c.loadWhenPicked,
-		"ms": total.Milliseconds(), "first_ms": c.firstAfter.Milliseconds(), "gap_ms": c.longestGap.Milliseconds(), "late": late,
+	c.Recorder.Decide(&event.RequestAnswered{
+		Request: c.named(), Progress: c.progress(), Instance: target.ID, Group: target.Membership.Group, Prompt: c.claims.Prompt, Events: c.events,
+		Load: c.loadWhenPicked, First: c.firstAfter, Gap: c.longestGap, Late: string(late),
 	})
 }
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -14,6 +15,7 @@
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
+	"github.com/troutmast/troutmast/transport/event"
 )
 
 // result is how one attempt ended.
@@ -232,16 +234,17 @@
 }
 
 // trouble notes that an instance failed a request.
-func (c *call) trouble(target *dispatch.Candidate, sent time.Time, what string, err error) {
+func (c *call) trouble(target *dispatch.Candidate, sent time.Time, what event.Failure, err error) {
 	target.Failed()
 	c.Health.Failed(target.ID, sent)
-	text := ""
-	if err != nil {
-		text = err.Error()
-	}
-	c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{
-		"fingerprint": c.fingerprint, "instance": target.ID, "group": target.Membership.Group, "epoch": target.Membership.Epoch, "what": what, "error": text,
-		"ms": c.Clock.Since(sent).Milliseconds(), "held": target.Held(), "event": c.lastEvent,
+	c.logFailure(target, sent, what, err)
+}
+
+// logFailure logs that an attempt was lost.
+func (c *call) logFailure(target *dispatch.Candidate, sent time.Time, what event.Failure, err error) {
+	c.Recorder.Decide(&event.AttemptFailed{
+		Request: c.named(), Instance: target.ID, Group: target.Membership.Group, Epoch: target.Membership.Epoch, What: what, Err: err,
+		After: c.Clock.Since(sent), Held: target.Held(), LastEvent: c.lastEvent,
 	})
 }
 
@@ -254,18 +257,16 @@
 	c.Quarantine.Broken(c.fingerprint, mayHaveEnded(target, cause), sent)
 	switch {
 	case errors.Is(cause, errStalled):
-		c.trouble(target, sent, "stalled", err)
+		c.trouble(target, sent, event.Stalled, err)
 	case errors.Is(cause, errSilent):
 		target.Failed()
 		c.Recorder.Count("attempt.silent")
-		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{"fingerprint": c.fingerprint, "instance": target.ID, "what": "silent", "event": c.lastEvent})
+		c.logFailure(target, sent, event.Silent, err)
 	case c.ctx.Err() != nil:
-		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{"fingerprint": c.fingerprint, "instance": target.ID, "what": "time is up", "held": target.Held()})
+		c.logFailure(target, sent, event.TimeIsUp, err)
 	default:
 		target.Failed()
-		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{
-			"fingerprint": c.fingerprint, "instance": target.ID, "what": "broken off", "error": err.Error(), "ms": c.Clock.Since(sent).Milliseconds(),
-		})
+		c.logFailure(target, sent, event.BrokenOff, err)
 	}
 	return unknown
 }
@@ -294,9 +295,8 @@
 		if v.Cooldown == 0 {
 			target.Failed()
 		}
-		c.Recorder.Decide("attempt-refused", c.claims.ID, map[string]any{
-			"instance": target.ID, "status": resp.Status, "culprit": v.Culprit, "held": target.Held(), "load": target.Load(),
-			"cooldown_ms": v.Cooldown.Milliseconds(), "sends": c.sends,
+		c.Recorder.Decide(&event.AttemptRefused{
+			Request: c.named(), Instance: target.ID, Status: resp.Status, Culprit: v.Culprit, Held: target.Held(), Load: target.Load(), Cooldown: v.Cooldown, Sends: c.sends,
 		})
 		if v.Culprit != "" && v.Culprit != target.Address.String() {
 			c.Health.Suspect(target)
@@ -305,7 +305,7 @@
 	}
 	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
 	if success && !v.Sealed {
-		c.Recorder.Decide("attempt-failed", c.claims.ID, map[string]any{"fingerprint": c.fingerprint, "instance": target.ID, "what": "no seal", "status": resp.Status})
+		c.logFailure(target, sent, event.Unsealed, fmt.Errorf("status %d", resp.Status))
 		return unknown
 	}
 	if success && c.route.Kind == catalog.Stream {
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -25,6 +25,7 @@
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
+	"github.com/troutmast/troutmast/transport/event"
 	"github.com/troutmast/troutmast/transport/gateway"
 )
 
@@ -167,8 +168,8 @@
 	defer r.mu.Unlock()
 	r.counts[name]++
 }
-func (r *recorder) Time(string, time.Duration)            {}
-func (r *recorder) Decide(string, string, map[string]any) {}
+func (r *recorder) Time(string, time.Duration) {}
+func (r *recorder) Decide(event.Decision)      {}
 
 // lab is a gateway before stand-in instances.
 type lab struct {
