--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestAListIsReadLineByLine(t *testing.T) {
-	const good = "# none of these\n\nTestA | it leaks | issue 1\n"
+	const good = "# none of these\n\nTestA | go test ./p -run TestA | it leaks | issue 1\n"
 	for _, c := range []struct {
 		name string
 		text string
@@ -19,9 +19,9 @@
 	}{
 		{"entries and remarks", good, ""},
 		{"nothing", "", ""},
-		{"a field too few", "TestA | it leaks\n", "line 1"},
-		{"an empty cause", "\nTestA |  | issue 1\n", "line 2"},
-		{"a subtest", "TestA/b | it leaks | issue 1\n", "no top-level test"},
+		{"a field too few", "TestA | it leaks | issue 1\n", "line 1"},
+		{"nothing seen", "\nTestA | go test ./p |  | issue 1\n", "line 2"},
+		{"a subtest", "TestA/b | go test ./p | it leaks | issue 1\n", "no top-level test"},
 		{"too many", strings.Repeat(good, 4), "3 at most"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -34,7 +34,7 @@
 			}
 			g.Expect(err).NotTo(HaveOccurred())
 			for _, e := range list {
-				g.Expect(e).To(Equal(knownred.Entry{Test: "TestA", Cause: "it leaks", Issue: "issue 1"}))
+				g.Expect(e).To(Equal(knownred.Entry{Test: "TestA", Command: "go test ./p -run TestA", Seen: "it leaks", Issue: "issue 1"}))
 			}
 		})
 	}
@@ -56,7 +56,7 @@
 )
 
 func TestOnlyListedFailuresArePassedOver(t *testing.T) {
-	known := []knownred.Entry{{Test: "TestA", Cause: "it leaks", Issue: "issue 1"}}
+	known := []knownred.Entry{{Test: "TestA", Command: "go test ./p -run TestA", Seen: "it leaks", Issue: "issue 1"}}
 	for _, c := range []struct {
 		name   string
 		known  []knownred.Entry
--- a/internal/knownred/list.go
+++ b/internal/knownred/list.go
@@ -1,5 +1,5 @@
 // Package knownred lets a test run pass although it holds failures that are listed
-// with their causes, and fails it for any other failure and for a listed test that
+// with what was seen, and fails it for any other failure and for a listed test that
 // passes or did not run.
 package knownred
 
@@ -24,12 +24,14 @@
 type Entry struct {
 	// Test is the name of a top-level test; its subtests belong to it.
 	Test string
-	// Cause is why it fails, Issue where its repair is tracked.
-	Cause string
+	// Command is how to have it fail, with the seed where there is one; Seen is what was seen then.
+	Command string
+	Seen    string
+	// Issue is where its repair is tracked.
 	Issue string
 }
 
-// Parse reads a list with one entry a line: test, cause and issue, separated by
+// Parse reads a list with one entry a line: test, command, what was seen and issue, separated by
 // " | ". Empty lines and lines that begin with # are passed over. An error names the line.
 func Parse(r io.Reader) ([]Entry, error) {
 	var list []Entry
@@ -57,8 +59,8 @@
 // parseEntry reads one line of the list.
 func parseEntry(text string) (Entry, error) {
 	fields := strings.Split(text, separator)
-	if len(fields) != 3 {
-		return Entry{}, fmt.Errorf("%q: want test%scause%sissue", text, separator, separator)
+	if len(fields) != 4 {
+		return Entry{}, fmt.Errorf("%q: want test%[2]scommand%[2]swhat was seen%[2]sissue", text, separator)
 	}
 	for i, f := range fields {
 		fields[i] = strings.TrimSpace(f)
@@ -69,5 +71,5 @@
 	if !strings.HasPrefix(fields[0], "Test") || strings.Contains(fields[0], "/") {
 		return Entry{}, fmt.Errorf("%q is no top-level test", fields[0])
 	}
-	return Entry{Test: fields[0], Cause: fields[1], Issue: fields[2]}, nil
+	return Entry{Test: fields[0], Command: fields[1], Seen: fields[2], Issue: fields[3]}, nil
 }
--- a/internal/knownred/run.go
+++ b/internal/knownred/run.go
@@ -128,7 +128,7 @@
 	for _, t := range r.sortedFailures() {
 		if e, ok := r.entry(t.name); ok {
 			known++
-			r.print("known failure: %s: %s (%s)\n", e.Test, e.Cause, e.Issue)
+			r.print("known failure: %s: %s (%s; %s)\n", e.Test, e.Seen, e.Command, e.Issue)
 			continue
 		}
 		good = false
