--- a/bench/upgrade/upgrade.go
+++ b/bench/upgrade/upgrade.go
@@ -21,6 +21,7 @@
 type options struct {
 	from, to, out             string
 	seeds, first, nodes, jobs int
+	calm                      bool
 }
 
 // errBroken means that a rule was broken in some run.
@@ -37,6 +38,7 @@
 	flaggy.Int(&o.first, "", "first-seed", "the first seed")
 	flaggy.Int(&o.nodes, "", "nodes", "nodes in each run")
 	flaggy.Int(&o.jobs, "", "jobs", "runs at once")
+	flaggy.Bool(&o.calm, "", "calm", "replace nodes and do nothing else")
 	flaggy.Parse()
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "upgrade:", err)
@@ -80,7 +82,7 @@
 		wg.Go(func() {
 			defer func() { <-slots }()
 			mode := upgrade.Modes[seed%len(upgrade.Modes)]
-			err := play(ctx, o, dir, upgrade.Options{From: from, To: to, Seed: uint64(seed), Mode: mode, Nodes: o.nodes})
+			err := play(ctx, o, dir, upgrade.Options{From: from, To: to, Seed: uint64(seed), Mode: mode, Nodes: o.nodes, Calm: o.calm})
 			mu.Lock()
 			defer mu.Unlock()
 			errs = errors.Join(errs, err)
@@ -101,7 +103,8 @@
 	if err != nil {
 		return errors.Join(err, upgrade.KeepLogs(opts.Dir, filepath.Join(o.out, name)))
 	}
-	fmt.Printf("%s: %d calls, %.3f served, %.3f once calm, nodes disagreed for %s; workers saw %v\n", name, report.Calls, report.Served, report.Calm, report.Disagreed, report.Seen)
+	fmt.Printf("%s: %d calls, served %.3f before, %.3f during, %.3f after, %.3f in all; nodes disagreed for %s; workers saw %v\n",
+		name, report.Calls, report.Before, report.During, report.Calm, report.Served, report.Disagreed, report.Seen)
 	if len(report.Violations) == 0 {
 		return nil
 	}
--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -15,10 +15,10 @@
 	Mode Mode
 	// Violations are the rules that were broken.
 	Violations []string
-	// Calls is the number of calls, Served the part that was served in the whole run, Calm in
-	// the calm time at its end.
-	Calls        int
-	Served, Calm float64
+	// Calls is the number of calls, Served the part that was served in the whole run, Before until the
+	// first node is replaced, During until the last one has been, Calm in the calm time at its end.
+	Calls                        int
+	Served, Before, During, Calm float64
 	// Disagreed is the longest time from a change of the configuration until all nodes that were ready served by it.
 	Disagreed time.Duration
 	// Changes are what the run did, Seen how often workers saw something.
@@ -333,26 +333,25 @@
 
 // service judges how much was served.
 func (j *judge) service() {
-	i := slices.IndexFunc(j.changes, func(c change) bool { return c.what == "calm" })
-	calm := j.changes[max(i, 0)].at.Add(2 * time.Second)
-	var all, good, late, lateGood int
+	first, last := j.replacing()
+	calm := j.run.calmSince.Add(2 * time.Second)
+	var all, before, during, after tally
 	for _, a := range j.attempts {
 		if a.began.Before(j.run.began) || a.key != standin.Key || a.path == standin.NewPath || a.body == standin.DeadlyBody {
 			continue
 		}
-		all++
-		if a.outcome == served {
-			good++
-		}
-		if a.began.After(calm) {
-			late++
-			if a.outcome == served {
-				lateGood++
-			}
+		all.add(a)
+		switch {
+		case a.began.Before(first):
+			before.add(a)
+		case a.began.Before(last):
+			during.add(a)
+		case a.began.After(calm):
+			after.add(a)
 		}
 	}
-	j.report.Calls = all
-	j.report.Served, j.report.Calm = part(good, all), part(lateGood, late)
+	j.report.Calls = all.calls
+	j.report.Served, j.report.Before, j.report.During, j.report.Calm = all.part(), before.part(), during.part(), after.part()
 	if j.report.Served < leastServed {
 		j.broken("%.3f of all calls were served", j.report.Served)
 	}
@@ -361,10 +360,37 @@
 	}
 }
 
-// part returns a share, 1 of nothing.
-func part(some, all int) float64 {
-	if all == 0 {
+// replacing returns when the first node began to be replaced, and when the last one had been.
+func (j *judge) replacing() (first, last time.Time) {
+	for _, c := range j.changes {
+		if !c.planned {
+			continue
+		}
+		if first.IsZero() || c.at.Before(first) {
+			first = c.at
+		}
+		if c.until.After(last) {
+			last = c.until
+		}
+	}
+	return first, last
+}
+
+// tally counts calls, and those that were served.
+type tally struct{ calls, served int }
+
+// add counts a call.
+func (t *tally) add(a attempt) {
+	t.calls++
+	if a.outcome == served {
+		t.served++
+	}
+}
+
+// part returns the part that was served, 1 of nothing.
+func (t *tally) part() float64 {
+	if t.calls == 0 {
 		return 1
 	}
-	return float64(some) / float64(all)
+	return float64(t.served) / float64(t.calls)
 }
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -63,6 +63,9 @@
 	callers *callers
 	ip      func() netip.Addr
 
+	// calmSince is when the last trouble and the last replacement were over.
+	calmSince time.Time
+
 	mu      sync.Mutex
 	began   time.Time
 	changes []change
@@ -177,7 +180,7 @@
 	under.Go(func() { r.makeTrouble(ctx) })
 	under.Go(func() { r.replaceAll(ctx) })
 	under.Wait()
-	r.note(change{what: "calm"})
+	r.calmSince = time.Now()
 	time.Sleep(calmAfter)
 	quiet()
 	caller.Wait()
