--- a/internal/upgrade/plan.go
+++ b/internal/upgrade/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -39,6 +40,36 @@
 	reconfigure  trouble = "the configuration changes"
 )
 
+// The troubles of connections: of all callers to a worker, and of a node to the store.
+const (
+	resetLink   trouble = "the connections to a worker are reset"
+	silentLink  trouble = "the open connections to a worker go silent for good"
+	slowLink    trouble = "the connections to a worker are slow"
+	oneWayLink  trouble = "the connections to a worker are cut one way"
+	resetStore  trouble = "the connections of a node to the store are reset"
+	silentStore trouble = "the open connections of a node to the store go silent for good"
+	oneWayStore trouble = "the connections of a node to the store are cut one way"
+)
+
+// workerLinks and storeLinks are these troubles.
+var (
+	workerLinks = []trouble{resetLink, silentLink, slowLink, oneWayLink}
+	storeLinks  = []trouble{resetStore, silentStore, oneWayStore}
+)
+
+// kinds returns the troubles that may happen in a run. Builds that know no eras of the store are
+// spared older copies.
+func (o *Options) kinds() []trouble {
+	kinds := []trouble{crashWorker, crashWorker, storeOutage, storeCut, killNode, freezeNode, shedding, leaving, limiting, limiting, deadly, reconfigure}
+	if o.From.Eras && o.To.Eras {
+		kinds = append(kinds, storeRestore)
+	}
+	if o.Soak {
+		kinds = slices.Concat(kinds, workerLinks, workerLinks, storeLinks)
+	}
+	return kinds
+}
+
 // planned is a trouble with its time since the nodes were ready.
 type planned struct {
 	at   time.Duration
@@ -63,17 +94,13 @@
 	halfwayLeast = 8 * time.Second
 )
 
-// newPlan draws a plan; a build that knows no eras of the store is spared older copies.
-func newPlan(seed uint64, mode Mode, nodes int, eras bool) plan {
+// newPlan draws a plan with troubles of some kinds.
+func newPlan(seed uint64, mode Mode, nodes int, kinds []trouble) plan {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	p := plan{mode: mode, halfway: halfwayLeast + time.Duration(rng.IntN(2000))*time.Millisecond}
 	for range 2 * nodes {
 		p.pauses = append(p.pauses, time.Duration(200+rng.IntN(1200))*time.Millisecond)
 	}
-	kinds := []trouble{crashWorker, crashWorker, storeOutage, storeCut, killNode, freezeNode, shedding, leaving, limiting, limiting, deadly, reconfigure}
-	if eras {
-		kinds = append(kinds, storeRestore)
-	}
 	for at := firstTrouble; at < lastTrouble; at += leastGap + time.Duration(rng.IntN(2500))*time.Millisecond {
 		p.troubles = append(p.troubles, planned{at, kinds[rng.IntN(len(kinds))]})
 	}
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -26,8 +26,9 @@
 	Nodes int
 	// Dir is where settings and logs are kept.
 	Dir string
-	// Calm leaves out all troubles.
+	// Calm leaves out all troubles, Soak harms connections as well.
 	Calm bool
+	Soak bool
 }
 
 // Times of runs.
@@ -62,6 +63,7 @@
 	nodes   []*node
 	callers *callers
 	ip      func() netip.Addr
+	links   *links
 
 	// calmSince is when the last trouble and the last replacement were over.
 	calmSince time.Time
@@ -88,7 +90,7 @@
 
 // Play plays one run.
 func Play(ctx context.Context, o Options) (*Report, error) {
-	r := &run{Options: o, plan: newPlan(o.Seed, o.Mode, o.Nodes, o.From.Eras && o.To.Eras), rng: rand.New(rand.NewPCG(o.Seed, 3)), store: standin.NewStore()}
+	r := &run{Options: o, plan: newPlan(o.Seed, o.Mode, o.Nodes, o.kinds()), rng: rand.New(rand.NewPCG(o.Seed, 3)), store: standin.NewStore(), links: newLinks()}
 	if o.Calm {
 		r.plan.troubles = nil
 	}
@@ -135,7 +137,11 @@
 		srv := &http.Server{Handler: door, ReadHeaderTimeout: time.Minute}
 		go func() { _ = srv.Serve(ln) }()
 		context.AfterFunc(ctx, func() { _ = srv.Close() })
-		n := place(i, r.Dir, r.ip(), netip.MustParseAddrPort(ln.Addr().String()), door, seeds)
+		store, err := r.linkStore(ln)
+		if err != nil {
+			return err
+		}
+		n := place(i, r.Dir, r.ip(), store, door, seeds)
 		seeds = append(seeds, n.machine.Control)[:min(len(seeds)+1, 3)]
 		r.nodes = append(r.nodes, n)
 		if err := n.start(r.From); err != nil {
@@ -277,6 +283,7 @@
 		}
 	}
 	r.workers.Stop()
+	r.links.close()
 }
 
 // startWorker starts a worker of a service.
@@ -286,6 +293,9 @@
 		return fmt.Errorf("%w: %w", ErrRun, err)
 	}
 	w := &standin.Worker{ID: fmt.Sprintf("i-%d", r.born.Add(1)), Service: service, Hall: "hall-a", Domain: domain}
+	if err := r.linkWorker(w, ln); err != nil {
+		return err
+	}
 	return r.workers.Start(w, ln)
 }
 
--- a/internal/upgrade/trouble.go
+++ b/internal/upgrade/trouble.go
@@ -35,6 +35,10 @@
 		r.deadly(ctx)
 	case reconfigure:
 		r.reconfigure()
+	case resetLink, silentLink, slowLink, oneWayLink:
+		r.harmWorkerLink(what)
+	case resetStore, silentStore, oneWayStore:
+		r.harmStoreLink(what)
 	}
 }
 
