Own interface: rebuild the routing table for changes of state or list alone

Each record of the log rebuilt the table on every node, and most records are claims of calls that may not be repeated, which change no group; so did each reading of the instance list, changed or not. At the long-run size that is work for each call on all nodes of a hall: the class of fault that overloaded a leader before. The view is the same object until a command has changed something, and the list says whether an entry did.

--- a/transport/core/places.go
+++ b/transport/core/places.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -27,9 +28,11 @@
 	return p
 }
 
-// Set replaces the list by one that the platform was asked for at a time, unless the held one is younger.
-func (p *Places) Set(list []platform.Instance, asked time.Time) bool {
-	if old := p.p.Load(); !asked.After(old.asked) {
+// Set replaces the list by one that the platform was asked for at a time, unless the held one is
+// younger. It reports whether any entry has changed.
+func (p *Places) Set(list []platform.Instance, asked time.Time) (changed bool) {
+	old := p.p.Load()
+	if !asked.After(old.asked) {
 		return false
 	}
 	m := make(map[state.InstanceID]platform.Instance, len(list))
@@ -37,7 +40,7 @@
 		m[i.ID] = i
 	}
 	p.p.Store(&places{asked: asked, m: m})
-	return true
+	return old.asked.IsZero() || !maps.Equal(m, old.m)
 }
 
 // Asked returns when the platform was asked for the list; false before the first.
--- a/transport/node/loops.go
+++ b/transport/node/loops.go
@@ -68,16 +68,25 @@
 	})
 }
 
-// routingLoop rebuilds the routing table whenever state or instance list change.
+// routingLoop rebuilds the routing table whenever state or instance list change. Most records
+// of the log are claims, which change neither: they only move the offset that is in force.
 func (n *Node) routingLoop(ctx context.Context) {
+	var built *statelog.View
 	for {
 		changed := n.Follower.Changed()
-		n.rebuild()
+		applied, view := n.Follower.Applied(), n.Follower.View()
+		if view != built {
+			n.rebuild(view)
+			built = view
+		}
+		n.Routed.Store(uint64(applied))
+		n.look()
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 		case <-n.refresh:
+			built = nil
 		}
 	}
 }
@@ -101,9 +110,8 @@
 }
 
 // rebuild makes the routing table hold the groups and service instances of this hall.
-func (n *Node) rebuild() {
-	applied := n.Follower.Applied()
-	view := n.Follower.View()
+func (n *Node) rebuild(view *statelog.View) {
+	n.Count("routing.rebuilds")
 	hall := n.Directory.Self().Hall
 	var groups []*state.Group
 	for _, g := range view.Groups {
@@ -119,11 +127,9 @@
 		}
 	}
 	n.Routing.Update(groups)
-	n.Routed.Store(uint64(applied))
 	for _, c := range n.Routing.All() {
 		n.JudgeGroup(c)
 	}
-	n.look()
 }
 
 // look ends the time after the start in which the node would refuse all requests, since it finds
--- a/transport/node/service_test.go
+++ b/transport/node/service_test.go
@@ -82,6 +82,28 @@
 		Expect(post(w.Nodes[0], ledger, `{"amount":8}`, "Idempotency-Key", key).reason).To(Equal("key-of-another-call"))
 	})
 
+	It("has no node rebuild its routing table", func() {
+		w := newWorld(0, []string{hallA, hallA})
+		w.withLedger()
+		n := w.Nodes[1]
+		rebuilds := func() int {
+			var m struct {
+				Rebuilds struct {
+					Count int `json:"count"`
+				} `json:"routing.rebuilds"`
+			}
+			Expect(json.Unmarshal([]byte(get(n, "/metrics").body), &m)).To(Succeed())
+			return m.Rebuilds.Count
+		}
+		before, applied := rebuilds(), w.applied(n)
+		const calls = 20
+		for range calls {
+			w.paid(n, newKey())
+		}
+		Eventually(func() int { return w.applied(n) }, "5s").Should(BeNumerically(">=", applied+calls))
+		Expect(rebuilds()).To(Equal(before))
+	})
+
 	It("is refused without a key, with a bad one, and with one older than the claim history", func() {
 		w := newWorld(0, []string{hallA})
 		w.withLedger()
