--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -22,6 +22,7 @@
 	"syscall"
 	"time"
 
+	"github.com/troutmast/troutmast/internal/relay"
 	"github.com/troutmast/troutmast/internal/standin"
 	"github.com/troutmast/troutmast/protocol/platform"
 	"github.com/troutmast/troutmast/state"
@@ -76,7 +77,7 @@
 	Peer     netip.AddrPort
 	Hall     string
 	// relay is what the other nodes connect to.
-	relay *relay
+	relay *relay.Relay
 	flags []string
 }
 
@@ -91,7 +92,7 @@
 	Nodes    []*Node
 	Targets  map[string]*Process
 
-	relays []*relay
+	relays []*relay.Relay
 	tls    *TLSFiles
 
 	mu  sync.Mutex
@@ -241,7 +242,7 @@
 		if err := l.place(n, len(l.Nodes)+i); err != nil {
 			return err
 		}
-		nodes[i], peers[i] = n, n.relay.addr.String()
+		nodes[i], peers[i] = n, n.relay.Addr().String()
 	}
 	for _, n := range nodes {
 		n.flags = append([]string{"--peers", strings.Join(peers, ",")}, flags...)
@@ -263,7 +264,7 @@
 		}
 	}
 	var err error
-	n.relay, err = newRelay(n.Peer)
+	n.relay, err = relay.New(netip.MustParseAddr("127.0.0.1"), n.Peer)
 	if err == nil {
 		l.relays = append(l.relays, n.relay)
 	}
@@ -274,7 +275,7 @@
 func (l *Lab) StartNode(n *Node) error {
 	args := []string{
 		"--name", n.Name, "--hall", n.Hall, "--callers", n.Addr.String(), "--operator", n.Operator.String(),
-		"--peer", n.Peer.String(), "--advertise", n.relay.addr.String(), "--platform", l.Platform.Addr.String(),
+		"--peer", n.Peer.String(), "--advertise", n.relay.Addr().String(), "--platform", l.Platform.Addr.String(),
 		"--operator-secret", OperatorSecret, "--peer-secret", PeerSecret, "--stop-lag", "300ms",
 	}
 	if l.tls != nil {
@@ -400,10 +401,16 @@
 // PID returns the process id.
 func (p *Process) PID() int { return p.execution().cmd.Process.Pid }
 
+// Cut cuts two nodes off from each other, in both directions, or joins them again.
+func Cut(a, b *Node, cut bool) {
+	a.relay.Cut(b.Peer.Addr(), cut)
+	b.relay.Cut(a.Peer.Addr(), cut)
+}
+
 // Close ends every process that the lab has started.
 func (l *Lab) Close() {
 	for _, r := range l.relays {
-		r.close()
+		_ = r.Close() // nothing is left to be done with it
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,5 +1,5 @@
 // Package relay stands between a server and its callers on loopback, and delays, holds up,
-// silences or resets their connections.
+// silences or resets their connections, or cuts some callers off.
 package relay
 
 import (
@@ -35,12 +35,15 @@
 	mu    sync.Mutex
 	delay time.Duration
 	held  [ways]bool
+	cut   map[netip.Addr]bool
 	open  map[*connection]bool
 }
 
 // connection is one connection of a caller, and that to the server.
 type connection struct {
 	caller, server *net.TCPConn
+	// from is the caller's IP number.
+	from netip.Addr
 	// silent tells that the connection carries no byte any more.
 	silent bool
 }
@@ -60,7 +63,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrRelay, err)
 	}
-	r := &Relay{ln: ln, to: to, closed: make(chan struct{}), open: map[*connection]bool{}}
+	r := &Relay{ln: ln, to: to, closed: make(chan struct{}), cut: map[netip.Addr]bool{}, open: map[*connection]bool{}}
 	go r.accept()
 	return r, nil
 }
@@ -100,6 +103,18 @@
 	}
 }
 
+// Cut cuts the callers with an IP number off, or lets them in again.
+func (r *Relay) Cut(from netip.Addr, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut[from] = cut
+	for c := range r.open {
+		if cut && c.from == from {
+			c.reset()
+		}
+	}
+}
+
 // Close stops listening and resets all connections, as the end of the server's process does.
 func (r *Relay) Close() error {
 	err := r.ln.Close()
@@ -125,6 +140,11 @@
 
 // carry passes the bytes of one connection on until one side ends it.
 func (r *Relay) carry(caller *net.TCPConn) {
+	from, err := netip.ParseAddrPort(caller.RemoteAddr().String())
+	if err != nil {
+		reset(caller)
+		return
+	}
 	s, err := net.DialTimeout("tcp4", r.to.String(), dialTimeout)
 	if err != nil {
 		reset(caller)
@@ -135,10 +155,11 @@
 		reset(caller)
 		return
 	}
-	c := &connection{caller: caller, server: server}
-	r.mu.Lock()
-	r.open[c] = true
-	r.mu.Unlock()
+	c := &connection{caller: caller, server: server, from: from.Addr()}
+	if !r.enter(c) {
+		c.reset()
+		return
+	}
 	var both sync.WaitGroup
 	both.Go(func() { r.pass(c, ToServer, caller, server) })
 	both.Go(func() { r.pass(c, ToCaller, server, caller) })
@@ -148,6 +169,17 @@
 	delete(r.open, c)
 }
 
+// enter records a connection, unless its caller is cut off.
+func (r *Relay) enter(c *connection) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut[c.from] {
+		return false
+	}
+	r.open[c] = true
+	return true
+}
+
 // pass passes bytes on one way until a side ends the connection, then ends both sides.
 func (r *Relay) pass(c *connection, way Way, from, to *net.TCPConn) {
 	defer c.close()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -76,6 +76,8 @@
 		{"holds up what goes to the caller", func(r *relay.Relay) { r.Hold(relay.ToCaller, true) }, false, false},
 		{"silences", func(r *relay.Relay) { r.Silence() }, false, true},
 		{"resets", func(r *relay.Relay) { r.Reset() }, false, true},
+		{"cuts the caller off", func(r *relay.Relay) { r.Cut(netip.MustParseAddr("127.0.0.1"), true) }, false, false},
+		{"cuts another caller off", func(r *relay.Relay) { r.Cut(netip.MustParseAddr("127.0.0.2"), true) }, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
