Placement: count on a load only while it may be under way

At the start two nodes led at one moment and had each host load what they wanted; a host keeps one model, the later one. The leader that stayed took its own load at one of the six to be under way, for 40 s, counted on it as the fourth member and ordered no other; leaders after it took that over.

The test fails before in both cases.

--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -242,7 +242,7 @@
 	maps.DeleteFunc(s.sent, func(_ state.InstanceID, at sentAt) bool { return s.now.Sub(at.at) > remembered })
 	maps.DeleteFunc(s.staging, func(id state.InstanceID, st Staging) bool {
 		m := s.byID[id]
-		return m == nil || m.Gone || m.Lost || m.HasStaged(st.Model) || s.now.Sub(st.Since) > s.policy.StagingTimeout
+		return m == nil || m.Gone || m.Lost || m.HasStaged(st.Model) || !s.mayBeLoading(st)
 	})
 }
 
--- a/coordination/placement/staging_test.go
+++ b/coordination/placement/staging_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -87,3 +88,49 @@
 		})
 	}
 }
+
+// No group of the larger model was formed for over 20 s, though six instances of a domain were free. Two
+// leaders had begun at the same moment and had one host load two models, of which it kept the
+// later one; the leader that stayed took its own load to be under way for 40 s, counted on it,
+// and ordered no other.
+func TestALoadIsOnlyCountedOnWhileItMayBeUnderWay(t *testing.T) {
+	const margin = 6 * time.Second
+	pair := []placement.Member{inGroup("a", 0), inGroup("b", 1)}
+	three := []placement.Member{free("c", "large"), free("e", "large"), free("f", "large")}
+	for _, c := range []struct {
+		name  string
+		quiet bool
+		// model is what the instance is to load, superseded by the other one.
+		model, other  string
+		before, later []placement.Member
+		// within is when the load is ordered again, at the latest.
+		within time.Duration
+	}{
+		{"in service", false, "large", "small", slices.Concat(pair, three), slices.Concat(pair, three), 2*16*time.Second + margin},
+		{"before the first request, when loads take a tenth", true, "small", "large", pair, []placement.Member{free("b", "small")}, 2*12*time.Second/10 + margin},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochs(0, 1).Next)
+			p.Quiet = c.quiet
+			g.Expect(loadsOf(p.Step(stagingNow, append(c.before, free("z", ""))), "z", c.model)).To(Equal(1))
+			p.Quiet = false
+			again := 0
+			for at := time.Second; at <= c.within; at += time.Second {
+				again += loadsOf(p.Step(stagingNow.Add(at), append(c.later, free("z", "", c.other))), "z", c.model)
+			}
+			g.Expect(again).To(Equal(1))
+		})
+	}
+}
+
+// loadsOf counts the orders of a plan that an instance loads a model to its host.
+func loadsOf(plan placement.Plan, id state.InstanceID, model string) int {
+	n := 0
+	for _, o := range plan.Orders {
+		if o.Action == placement.Stage && o.Instance == id && o.Model == model {
+			n++
+		}
+	}
+	return n
+}
