Placement: trust loads from before traffic as long as others

Likely, not shown: before traffic the planner orders far more loads at once than the weight store carries, so that they take many times the tenth, and were ordered again.

--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -13,8 +13,6 @@
 	Instance state.InstanceID
 	Model    string
 	Since    time.Time
-	// Quiet tells that it was ordered before the first request, when loads take a part of their time.
-	Quiet bool
 }
 
 // Stagings returns the loads to hosts that are under way, by instance.
@@ -133,17 +131,10 @@
 	}
 }
 
-// quietPart is the part of its time, one in so many, that a load takes before the first request.
-const quietPart = 10
-
 // mayBeLoading reports whether a load that was ordered may still be under way. One that another
 // leader's order has superseded never ends, and no other may be ordered while it is counted on.
 func (s *step) mayBeLoading(st Staging) bool {
-	longest := s.joinTime(st.Model)
-	if st.Quiet {
-		longest /= quietPart
-	}
-	return s.now.Sub(st.Since) <= min(longest+s.policy.JoinMargin, s.policy.StagingTimeout)
+	return s.now.Sub(st.Since) <= min(s.joinTime(st.Model)+s.policy.JoinMargin, s.policy.StagingTimeout)
 }
 
 // spare reports whether an instance is in no group, nor named by one, and has been seen for a while.
@@ -164,7 +155,7 @@
 	if m.Pending || !m.usable() || model == "" || m.HasStaged(model) || s.staging[m.ID].Model != "" || !s.mayLoad() {
 		return
 	}
-	s.staging[m.ID] = Staging{Instance: m.ID, Model: model, Since: s.now, Quiet: s.Quiet}
+	s.staging[m.ID] = Staging{Instance: m.ID, Model: model, Since: s.now}
 	s.order(m, Order{Action: Stage, Model: model, Why: "for a later repair"})
 }
 
