Comments: how a figure was found stands on the pages, not in the code

Lines that said chosen by hand, measured, or not measured are taken out of the policies; the figures stand in docs/PLATFORM.md and docs/EXPERIMENTS.md. Comments alone.

--- a/coordination/dispatch/pace.go
+++ b/coordination/dispatch/pace.go
@@ -90,7 +90,6 @@
 // pacedSpan is the span in which a node's part of a group's reading must hold a prompt
 // for the node to pace what it sends there. Where many nodes share the demand, a node
 // sends a group a prompt now and then; its waiting would only keep groups idle.
-// Measured: docs/EXPERIMENTS.md, "pacing with 68 nodes".
 const pacedSpan = time.Second
 
 // pace returns how fast this node may send prompts to the group, and whether it is bounded at all.
--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -19,7 +19,6 @@
 
 	// Concavity is how quickly more groups of a model lose in value; with it a model
 	// wants that many times the instances that its work would fill.
-	// Measured once: docs/PLATFORM.md, "want by absolute need".
 	Concavity float64 `flag:"concavity" help:"how quickly more groups of a model lose in value" min:"0.1" max:"20"`
 	// MinGroupGain is what a group must be worth for each of its instances; below it
 	// the instances are kept as spares.
@@ -47,8 +46,7 @@
 	StagingTimeout time.Duration `flag:"staging-timeout" help:"how long an order to stage a model is trusted to be under way" min:"1s" max:"1h"`
 }
 
-// DefaultPolicy returns the policy that nodes start with. Its figures were chosen
-// by hand unless a field says otherwise.
+// DefaultPolicy returns the policy that nodes start with.
 func DefaultPolicy() Policy {
 	return Policy{
 		SettleDelay:          700 * time.Millisecond,
--- a/coordination/quarantine/policy.go
+++ b/coordination/quarantine/policy.go
@@ -15,7 +15,7 @@
 	// with 150 ms, 41 with 250 ms, 50 with 400 ms.
 	Spacing time.Duration `flag:"spacing" help:"time within which endings count as one" min:"0s" max:"1m"`
 	// Hold is how long a request is held back after the last ending under it; it doubles
-	// with each further ending. Chosen by hand: an operator looks at it within minutes.
+	// with each further ending. An operator looks at it within minutes.
 	Hold time.Duration `flag:"hold" help:"how long a request is held back after the last ending under it" min:"1s" max:"24h"`
 	// Memory is how long an ending is remembered, so that those of a whole day don't add up.
 	Memory time.Duration `flag:"memory" help:"how long an ending is remembered" min:"1s" max:"24h"`
@@ -38,8 +38,7 @@
 	JudgeInterval time.Duration `flag:"judge-interval" help:"least time between two judgements of what has ended" min:"0s" max:"10s"`
 }
 
-// DefaultPolicy returns the policy that nodes start with. Figures without a
-// measurement beside their fields were chosen by hand.
+// DefaultPolicy returns the policy that nodes start with.
 func DefaultPolicy() Policy {
 	return Policy{
 		Endings:        3,
--- a/coordination/roster/policy.go
+++ b/coordination/roster/policy.go
@@ -5,7 +5,7 @@
 // Policy bounds what a Roster concludes from failures and silence.
 type Policy struct {
 	// LostFailures is how many questions in a row must fail for an instance to count
-	// as lost. Chosen by hand: one lost packet must not end a group.
+	// as lost. One lost packet must not end a group.
 	LostFailures int `flag:"lost-failures" help:"failed questions in a row after which an instance counts as lost" min:"1" max:"100"`
 	// MinProbeSpacing is the least time between two questions that count as two.
 	MinProbeSpacing time.Duration `flag:"min-probe-spacing" help:"least time between two failed questions that count as two" min:"0s" max:"10s"`
@@ -27,8 +27,7 @@
 	ForgetLeavingAfter time.Duration `flag:"forget-leaving-after" help:"how long an ended instance that was leaving is remembered" min:"1s" max:"24h"`
 }
 
-// DefaultPolicy returns the policy that nodes start with. Its figures were chosen
-// by hand unless a field says otherwise.
+// DefaultPolicy returns the policy that nodes start with.
 func DefaultPolicy() Policy {
 	return Policy{
 		LostFailures:    2,
--- a/transport/entry/era.go
+++ b/transport/entry/era.go
@@ -94,7 +94,7 @@
 }
 
 // staleRetry is the pause after an answer of another era, so that answers that go on to be of
-// one do not make a reader ask without end. Chosen by hand: five times the way to a store.
+// one do not make a reader ask without end. It is five times the way to a store.
 const staleRetry = 20 * time.Millisecond
 
 // rewrite writes the node's entry again after each restoration of the store, as the copy may
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -86,7 +86,7 @@
 	Standbys int `flag:"standbys" help:"nodes after the leader that keep themselves ready to lead" min:"0" max:"1000"`
 	// RebuildPause is the least time between two rebuilds of the candidates of requests:
 	// a domain of 37 that falls silent brings a small node 74 changes in a third of a
-	// second. Chosen by hand, a tenth of the time between two requests at such a node.
+	// second. It is a tenth of the time between two requests at such a node.
 	RebuildPause time.Duration `flag:"rebuild-pause" help:"least time between two rebuilds of the candidates of requests" min:"0s" max:"1s"`
 	// LateRest is how long a node does not lead after it ran late.
 	LateRest time.Duration `flag:"late-rest" help:"how long a node does not lead after it ran late" min:"0s" max:"10m"`
@@ -135,8 +135,7 @@
 	StoreLostAfter time.Duration `flag:"store-lost-after" help:"age of the last answer of the store at which it is logged as lost" min:"0s" max:"10m"`
 }
 
-// DefaultPolicy returns the policy that nodes start with. The figures of NodePolicy
-// were chosen by hand, with the store's rates in docs/CAPACITY.md as the bound.
+// DefaultPolicy returns the policy that nodes start with.
 func DefaultPolicy() Policy {
 	return Policy{
 		Dispatch:   dispatch.DefaultPolicy(),
--- a/transport/gateway/policy.go
+++ b/transport/gateway/policy.go
@@ -40,8 +40,7 @@
 	CheckInterval time.Duration `flag:"check-interval" help:"least time between two checks of one group" min:"10ms" max:"1m"`
 }
 
-// DefaultPolicy returns the policy that nodes start with. Its figures were chosen
-// by hand, not measured.
+// DefaultPolicy returns the policy that nodes start with.
 func DefaultPolicy() Policy {
 	return Policy{
 		DefaultTimeout:     time.Minute,
