Finding, open: a held request is sent on when a hall is cut off by resets beside its endings

The logs show: the first endings fell beside a cut of another hall by resets; once its instances were known to refuse connections they accounted, as a mass, for those endings too, and the verdict was taken back until three more had ended.

--- a/coordination/quarantine/ledger_test.go
+++ b/coordination/quarantine/ledger_test.go
@@ -322,6 +322,26 @@
 	}
 }
 
+// A deadly request that all nodes held back was sent on again eight seconds later, and ended three
+// more instances: beside its first endings a hall was cut off by resets, and once the instances there
+// were known to refuse connections, they accounted for the endings in the other halls too.
+func TestARequestThatIsHeldBackStaysSoWhenAHallIsCutOffBesideIt(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger(quarantine.DefaultPolicy())
+	moments := []time.Duration{time.Second, 1500 * time.Millisecond, 2 * time.Second}
+	for i, at := range moments {
+		end(l, fmt.Sprint("other hall ", i), at, "deadly")
+	}
+	g.Expect(held(l, "deadly", 3*time.Second)).To(BeTrue())
+	for i, at := range moments {
+		for n := range 5 {
+			in := instance(fmt.Sprint("cut off ", i, n))
+			l.Merge(quarantine.Delta{Endings: []quarantine.Ending{{Instance: in, At: start.Add(at), Requests: []quarantine.Fingerprint{request(fmt.Sprint("beside ", i, n))}}}}, 7)
+		}
+	}
+	g.Expect(held(l, "deadly", 4*time.Second)).To(BeTrue())
+}
+
 func TestARequestIsHeldBackLongerWithEachEnding(t *testing.T) {
 	g := NewWithT(t)
 	p := quarantine.DefaultPolicy()
