--- a/coordination/placement/staging_test.go
+++ b/coordination/placement/staging_test.go
@@ -23,8 +23,8 @@
 }
 
 // inGroup returns a member of the open group g of the small model.
-func inGroup(id state.InstanceID, rank int, staged ...string) placement.Member {
-	m := free(id, "small", staged...)
+func inGroup(id state.InstanceID, rank int) placement.Member {
+	m := free(id, "small")
 	m.Loaded = "small"
 	m.Membership = fleet.Membership{Group: "g", Epoch: 16 << 20, Rank: rank, State: fleet.Ready}
 	if rank == 0 {
