--- a/internal/upgrade/trouble.go
+++ b/internal/upgrade/trouble.go
@@ -92,12 +92,12 @@
 
 // killOne ends a node at once; the build that it ran starts again.
 func (r *run) killOne(n *node) {
-	_, b := n.life()
+	ex, b := n.life()
 	r.note(change{until: time.Now().Add(troubleTime), what: "killed", node: n, trouble: killNode})
 	n.kill()
 	time.Sleep(300 * time.Millisecond)
-	if _, now := n.life(); now.Commit != b.Commit {
-		return // it is being replaced
+	if now, _ := n.life(); now != ex {
+		return // it was replaced meanwhile: a second process would outlive the run
 	}
 	if err := n.start(b); err != nil {
 		r.note(change{what: err.Error(), node: n})
