Test of rebuilds: wait until the service's instances are listed

The node serves as soon as one of the two instances is listed; the second one came with a later reading of the list, after the count had been taken. It is taken now when it has stood for two readings.

--- a/transport/node/service_test.go
+++ b/transport/node/service_test.go
@@ -95,7 +95,15 @@
 			Expect(json.Unmarshal([]byte(get(n, "/metrics").body), &m)).To(Succeed())
 			return m.Rebuilds.Count
 		}
-		before, applied := rebuilds(), w.applied(n)
+		// The instances of the service may be listed one after the other.
+		const listed = 1200 * time.Millisecond
+		before := -1
+		Eventually(func() bool {
+			last := before
+			before = rebuilds()
+			return before == last
+		}, "15s", listed).Should(BeTrue())
+		applied := w.applied(n)
 		const calls = 20
 		for range calls {
 			w.paid(n, newKey())
