Quarantine: a refused connection proves an ending only while its hall answers

What callers saw: requests that had harmed nothing were held back for minutes after a hall had been cut off by resets, most of them on all nodes.

Cause: a hall that is cut off by resets refuses connections on behalf of instances that live, and one refused connection was proof that an instance had ended.

Change: on a refusal another instance of the same hall is asked, of another domain if there is one. If it answers, and the instance refuses once more, it has ended; if none answers, nothing is known. A hall with one instance proves as before. The own interface's nodes probe their own hall alone and are left as they are.

Failed before: TestARefusedConnectionProvesAnEndingOnlyWhileItsHallAnswers (two of its four rows).

--- a/coordination/quarantine/doubt.go
+++ b/coordination/quarantine/doubt.go
@@ -14,6 +14,8 @@
 	// asked counts the questions to the instance, askAt is when the next one is due.
 	asked int
 	askAt time.Time
+	// examined is when a refused connection to the instance was last looked into.
+	examined time.Time
 }
 
 // broken is one attempt without a whole answer.
@@ -158,6 +160,19 @@
 	return news
 }
 
+// Examine reports whether a refused connection to an instance is to be looked into: requests broke
+// off there, and none was looked into for a while.
+func (l *Ledger) Examine(in fleet.Incarnation, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.pending[in]
+	if d == nil || !d.examined.IsZero() && now.Sub(d.examined) < l.policy.CheckInterval {
+		return false
+	}
+	d.examined = now
+	return true
+}
+
 // doubtedLives returns the lives of an instance on which requests broke off without proof so far.
 func (l *Ledger) doubtedLives(id state.InstanceID) []fleet.Incarnation {
 	l.mu.Lock()
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -79,27 +79,43 @@
 	return false
 }
 
-// report asks an instance for its report once and reports whether it answered, or need not:
-// one that wants no calls for a while is asked only until it can have shown that it is lost,
-// one that takes few only now and then.
-func (n *Node) report(ctx context.Context, m fleet.Instance, asked time.Time) bool {
+// errNotAsked means that an instance was not to be asked now: one that wants no calls for a while is
+// asked only until it can have shown that it is lost, one that takes few only now and then.
+var errNotAsked = errors.New("entry: the instance takes no question now")
+
+// question asks an instance for its report once.
+func (n *Node) question(ctx context.Context, m fleet.Instance, asked time.Time) (fleet.Report, error) {
 	if !n.cooldowns.Question(m.Incarnation(), asked) {
 		n.Count("probes.cooling-down")
-		return true
+		return fleet.Report{}, errNotAsked
 	}
 	if !n.limits.Question(m.Incarnation(), n.asker(m.ID), asked) {
 		n.Count("probes.rate-limited")
-		return true
+		return fleet.Report{}, errNotAsked
 	}
-	ctx, cancel := context.WithTimeout(ctx, n.policy.ProbeTimeout)
-	defer cancel()
 	n.Count("probes")
 	rep, err := n.ports.Targets.Report(ctx, m.Address, m.ID, n.connectionTo(m.ID))
-	said := m
+	rep.Asked = asked
+	return rep, err
+}
+
+// told records what an instance asks for in the answer to a question.
+func (n *Node) told(m fleet.Instance, rep fleet.Report) {
 	if !rep.Born.IsZero() {
-		said.Born = rep.Born
+		m.Born = rep.Born
 	}
-	defer n.Told(&said, rep.Notice, "", asked) // after the roster knows of a later life
+	n.Told(&m, rep.Notice, "", rep.Asked)
+}
+
+// report asks an instance for its report once and reports whether it answered, or need not.
+func (n *Node) report(ctx context.Context, m fleet.Instance, asked time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, n.policy.ProbeTimeout)
+	defer cancel()
+	rep, err := n.question(ctx, m, asked)
+	if errors.Is(err, errNotAsked) {
+		return true
+	}
+	defer n.told(m, rep) // after the roster knows of a later life
 	n.judgeReport(m.Incarnation(), asked, rep, err)
 	if errors.Is(err, placement.ErrReplaced) {
 		n.Replaced(m.ID)
@@ -120,7 +136,6 @@
 		n.logFailedProbe(m.ID, asked, err)
 		return false
 	}
-	rep.Asked = asked
 	n.roster.Reported(m.ID, rep)
 	return true
 }
--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -7,28 +7,15 @@
 	"net/http"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
 
-	"github.com/troutmast/troutmast/coordination/dispatch"
-	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
-// endProof names what proved that an instance ended.
-type endProof string
-
-// The proofs that a process has ended. Silence is none: a cut looks alike.
-const (
-	proofRefused  endProof = "its address refuses connections"
-	proofReplaced endProof = "another process answers at its address"
-	proofReborn   endProof = "it has started again"
-)
-
 // HeldUntil implements gateway.Quarantine.
 func (n *Node) HeldUntil(f quarantine.Fingerprint) (time.Time, bool) {
 	now := n.clock.Now()
@@ -41,77 +28,9 @@
 	return n.ledger.Verdict(f, n.clock.Now()).Endings >= n.set.Policy.Quarantine.Endings-1
 }
 
-// Broken implements gateway.Quarantine.
-func (n *Node) Broken(f quarantine.Fingerprint, instances []fleet.Instance, began time.Time) {
-	var lives []fleet.Incarnation
-	for i := range instances {
-		// The members of a group that stands still have just been asked: only those that did
-		// not answer may have ended, one or two of 16.
-		if len(instances) == 1 || n.roster.Failures(instances[i].ID) > 0 {
-			lives = append(lives, instances[i].Incarnation())
-		}
-	}
-	n.ledger.Broken(f, lives, began, n.clock.Now())
-}
-
 // Answered implements gateway.Quarantine.
 func (n *Node) Answered(f quarantine.Fingerprint) { n.ledger.Answered(f, n.clock.Now()) }
 
-// Refused implements gateway.Quarantine.
-func (n *Node) Refused(c *dispatch.Candidate) { n.ended(c.Incarnation(), proofRefused) }
-
-// ended records that an instance has ended, and has the leader told at once of the
-// requests that it had under way.
-func (n *Node) ended(in fleet.Incarnation, proof endProof) {
-	requests := n.ledger.Ended(in, n.clock.Now())
-	if len(requests) == 0 {
-		return
-	}
-	n.Count("quarantine.endings")
-	n.log.WithFields(log.Fields{"instance": in.ID, "proof": proof, "requests": requests}).Info("instance ended under requests")
-	n.tellSoon()
-}
-
-// alive records that an instance answered a question.
-func (n *Node) alive(in fleet.Incarnation, asked time.Time) {
-	if !n.ledger.Alive(in, asked) {
-		return
-	}
-	n.Count("quarantine.back")
-	n.log.WithFields(log.Fields{"instance": in.ID, "life": in.Life}).Info("ended instance is back")
-	n.tellSoon()
-}
-
-// judgeReport concludes from the answer to a question, or the lack of one, whether
-// the instance has ended since requests broke off on it.
-func (n *Node) judgeReport(in fleet.Incarnation, asked time.Time, rep fleet.Report, err error) {
-	switch {
-	case errors.Is(err, placement.ErrReplaced):
-		n.ended(in, proofReplaced)
-	case errors.Is(err, syscall.ECONNREFUSED):
-		n.ended(in, proofRefused)
-	case err == nil && !rep.Born.IsZero() && in.Life != "" && fleet.LifeSince(in.ID, rep.Born) != in:
-		n.ended(in, proofReborn)
-	case err == nil:
-		// An answer that is no report may be that of another process at the address.
-		n.alive(in, asked)
-	}
-}
-
-// askDoubted asks the instances on which requests broke off whether they live.
-func (n *Node) askDoubted() {
-	for _, in := range n.ledger.Due(n.clock.Now()) {
-		v, known := n.roster.Get(in.ID, n.clock.Now())
-		switch {
-		case !known:
-		case in.Life != "" && v.Incarnation() != in:
-			n.ended(in, proofReborn)
-		default:
-			go n.report(context.Background(), v.Instance, n.clock.Now())
-		}
-	}
-}
-
 // Times of keeping the quarantine in the store.
 const (
 	// keepInterval is the time between two looks for requests to keep in the store.
--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -202,6 +203,53 @@
 	}
 }
 
+// halls answers the questions to some instances and refuses all others.
+type halls struct {
+	proofs
+	answering []state.InstanceID
+}
+
+func (h halls) Report(_ context.Context, _ netip.AddrPort, id state.InstanceID, _ Connection) (fleet.Report, error) {
+	if slices.Contains(h.answering, id) {
+		return fleet.Report{}, nil
+	}
+	return fleet.Report{}, os.NewSyscallError("connect", syscall.ECONNREFUSED)
+}
+
+// A hall that was cut off by resets refused connections on behalf of all its instances. Requests that had
+// broken off there counted as run on instances that ended; some that did no harm were held back.
+func TestARefusedConnectionProvesAnEndingOnlyWhileItsHallAnswers(t *testing.T) {
+	near := []string{"a1", "a2", "b1"}
+	for _, c := range []struct {
+		name      string
+		answering []state.InstanceID
+		ended     bool
+	}{
+		{"the others of the hall answer", []state.InstanceID{"a1", "a2", "b1"}, true},
+		{"its domain is lost", []state.InstanceID{"b1"}, true},
+		{"the hall is cut off, another one answers", []state.InstanceID{"far"}, false},
+		{"no instance answers", nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			clock := clockwork.NewFakeClock()
+			set := &Settings{Name: "own", Peer: testAddress(1), BeatInterval: time.Second, Policy: DefaultPolicy()}
+			n := New(set, Ports{Decoder: anyConfiguration{}, Targets: halls{answering: c.answering}}, clock, &log.Logger{Handler: discard.New()})
+			in := fleet.Instance{ID: "a0", Service: "lm", Address: testAddress(9), Hall: "near", Domain: "a"}
+			n.roster.Listed(in, clock.Now())
+			for i, id := range near {
+				n.roster.Listed(fleet.Instance{ID: state.InstanceID(id), Service: "lm", Address: testAddress(10 + i), Hall: "near", Domain: id[:1]}, clock.Now())
+			}
+			n.roster.Listed(fleet.Instance{ID: "far", Service: "lm", Address: testAddress(20), Hall: "far", Domain: "c"}, clock.Now())
+			n.ledger.Broken(deadlyRequest, []fleet.Incarnation{in.Incarnation()}, clock.Now().Add(-time.Second), clock.Now())
+			clock.Advance(time.Millisecond)
+			n.report(t.Context(), in, clock.Now())
+			d, _ := n.ledger.Since(0, 0)
+			g.Expect(d.Endings).To(HaveLen(map[bool]int{true: 1}[c.ended]))
+		})
+	}
+}
+
 // silentConnections answers no question over a kept connection, as if it had gone silent for good.
 type silentConnections struct{ proofs }
 
