--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -55,6 +54,10 @@
 	from    Source
 }
 
+// maxSource bounds the numbers that nodes draw for themselves: few digits in each message, and no two
+// nodes of some hundred with the same.
+const maxSource = 1 << 40
+
 // NewLedger returns an empty Ledger.
 func NewLedger(p Policy) *Ledger {
 	l := &Ledger{
@@ -62,7 +65,7 @@
 		pending: map[fleet.Incarnation]*doubt{},
 		endings: map[episode]*record{},
 		cleared: map[Fingerprint]map[Source]*clearing{},
-		own:     Source(1 + rand.Int64N(math.MaxInt64)),
+		own:     Source(1 + rand.Int64N(maxSource)),
 	}
 	l.verdicts.Store(&map[Fingerprint]Verdict{})
 	l.answered = newAnswers(p.MaxAnswers)
