Placement: ask other nodes before an instance is taken for lost

From 12.0 s on 34 instances are cut off; 1 to 32 of 85 nodes time out at each of 28 of them in the first second (20 to 30 at most of these), the leader at 21 in all.

Cause: the leader's own view decided for all. Two questions of its own that failed, or one beside the word of another node, made an instance lost, and its group was taken apart though most nodes reached it. Evidence: 149 orders to leave for "does not answer" from 12 to 14 s, all of the leader's; 56 joins in each of these seconds.

Ruled out: overload of the leader (it ran in time, its probes of other instances were answered); instances that had ended (they answered the others).

Change: before a planner takes an instance for lost, three other nodes that report to the leader are asked to reach it (the one that did last, and two drawn), at the same time as the next question of its own, and again twice a second. An instance that one of them reaches is far: its group goes on, it joins no new one, its report tells its membership. If none reaches it, or they are of a build that takes no such question, it is lost as before. The leader's own requests still avoid what the leader does not reach.

Failed before: TestALeaderAsksOtherNodesAboutAnInstanceThatItDoesNotReach needs the new question; its row of an earlier build shows what happened then. TestAnInstanceThatOtherNodesReachIsFarAndNotLost likewise.

--- a/coordination/placement/formation.go
+++ b/coordination/placement/formation.go
@@ -221,7 +221,7 @@
 func (s *step) takeApart(key fleet.GroupKey, f *formation) {
 	left := true
 	for _, m := range s.groups[key] {
-		if m.Lost {
+		if m.Lost || m.Far {
 			continue
 		}
 		left = false
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -27,6 +27,9 @@
 	// Lost tells that the instance does not answer, Gone that its process has ended for certain.
 	Lost bool
 	Gone bool
+	// Far tells that it does not answer this node but may answer others: a group that it is in
+	// goes on serving them, but it can be given no orders.
+	Far bool
 	// Pending tells that an order to it has not been answered yet.
 	Pending bool
 	// Superseded is the formation that it last refused to join for a later one.
@@ -36,7 +39,7 @@
 }
 
 // usable reports whether the instance can become a member of a new group.
-func (m *Member) usable() bool { return !m.Lost && !m.Gone && !m.Draining && !m.Unlisted }
+func (m *Member) usable() bool { return !m.Lost && !m.Far && !m.Gone && !m.Draining && !m.Unlisted }
 
 // empty reports whether the instance has no model, neither loaded nor on its host.
 func (m *Member) empty() bool { return m.Model == "" && len(m.Staged) == 0 }
--- /dev/null
+++ b/coordination/roster/elsewhere_test.go
@@ -0,0 +1,80 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// Some instances could be reached by most nodes, but not by the leader: it took their groups apart,
+// though they went on serving the others.
+func TestAnInstanceThatOtherNodesReachIsFarAndNotLost(t *testing.T) {
+	failed := func(r *roster.Roster, now time.Time) {
+		for i := range 2 {
+			r.Failed("i1", now.Add(time.Duration(i)*100*time.Millisecond))
+		}
+	}
+	report := func(asked time.Time) fleet.Report { return fleet.Report{Membership: member, Asked: asked} }
+	for _, c := range []struct {
+		name      string
+		play      func(r *roster.Roster, now time.Time)
+		lost, far bool
+	}{
+		{"it answers", func(r *roster.Roster, now time.Time) { r.Reported("i1", report(now)) }, false, false},
+		{"others have not been asked yet", failed, false, true},
+		{"another node reaches it", func(r *roster.Roster, now time.Time) {
+			failed(r, now)
+			r.ReachedElsewhere("i1", report(now.Add(200*time.Millisecond)), "b")
+		}, false, true},
+		{"no other node reaches it", func(r *roster.Roster, now time.Time) {
+			failed(r, now)
+			r.UnreachedElsewhere("i1", now.Add(200*time.Millisecond))
+		}, true, false},
+		{"another node reached it before, none does now", func(r *roster.Roster, now time.Time) {
+			failed(r, now)
+			r.ReachedElsewhere("i1", report(now.Add(200*time.Millisecond)), "b")
+			r.UnreachedElsewhere("i1", now.Add(700*time.Millisecond))
+		}, true, false},
+		{"no other node reached it before it last answered", func(r *roster.Roster, now time.Time) {
+			r.UnreachedElsewhere("i1", now.Add(-time.Second))
+			failed(r, now)
+		}, false, true},
+		{"it answers again", func(r *roster.Roster, now time.Time) {
+			failed(r, now)
+			r.UnreachedElsewhere("i1", now.Add(200*time.Millisecond))
+			r.Reported("i1", report(now.Add(300*time.Millisecond)))
+		}, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			cfg := roster.Config{Beat: 1200 * time.Millisecond, Stall: 4 * time.Second, Indirect: true, Policy: roster.DefaultPolicy()}
+			r := roster.New(cfg)
+			r.Listed(free, start)
+			r.Confirm(start)
+			c.play(r, start.Add(10*time.Millisecond))
+			m := only(r, start.Add(800*time.Millisecond))
+			g.Expect(m.Lost).To(Equal(c.lost))
+			g.Expect(m.Far).To(Equal(c.far))
+		})
+	}
+}
+
+func TestOtherNodesAreAskedOnceInAWhileAboutAnInstanceThatDoesNotAnswer(t *testing.T) {
+	g := NewWithT(t)
+	r := newRoster()
+	interval := roster.DefaultPolicy().IndirectInterval
+	now := start.Add(time.Second)
+	g.Expect(r.AskElsewhere("i1", now)).To(BeFalse(), "it answers")
+	r.Failed("i1", now)
+	g.Expect(r.AskElsewhere("i1", now)).To(BeTrue(), "it failed once")
+	r.UnreachedElsewhere("i1", now)
+	g.Expect(r.AskElsewhere("i1", now.Add(interval/2))).To(BeFalse(), "others have just been asked")
+	g.Expect(r.AskElsewhere("i1", now.Add(interval))).To(BeTrue(), "a while later")
+	r.Reported("i1", fleet.Report{Asked: now.Add(10 * time.Millisecond)})
+	r.Failed("i1", now.Add(20*time.Millisecond))
+	g.Expect(r.AskElsewhere("i1", now.Add(20*time.Millisecond))).To(BeTrue(), "it answered meanwhile and fails again")
+}
--- a/coordination/roster/policy.go
+++ b/coordination/roster/policy.go
@@ -11,6 +11,8 @@
 	MinProbeSpacing time.Duration `flag:"min-probe-spacing" help:"least time between two failed questions that count as two" min:"0s" max:"10s"`
 	// KnownAge is the age up to which a membership counts as known.
 	KnownAge time.Duration `flag:"known-age" help:"age up to which a membership counts as known" min:"100ms" max:"1m"`
+	// IndirectInterval is the least time between two questions to other nodes about an instance.
+	IndirectInterval time.Duration `flag:"indirect-interval" help:"least time between two questions to other nodes about an instance" min:"10ms" max:"1m"`
 	// UnlistedGrace is how long an instance that the list has dropped goes on taking
 	// requests. With 0.8 s a leaving instance got requests too late (docs/FINDINGS.md).
 	UnlistedGrace time.Duration `flag:"unlisted-grace" help:"how long an instance that the list has dropped goes on taking requests" min:"0s" max:"10s"`
@@ -30,14 +32,15 @@
 // DefaultPolicy returns the policy that nodes start with.
 func DefaultPolicy() Policy {
 	return Policy{
-		LostFailures:    2,
-		MinProbeSpacing: 20 * time.Millisecond,
-		KnownAge:        1500 * time.Millisecond,
-		UnlistedGrace:   300 * time.Millisecond,
-		UnlistedTimeout: time.Second,
-		GoneMargin:      1500 * time.Millisecond,
-		OrderEcho:       600 * time.Millisecond,
-		ForgetAfter:     20 * time.Second,
+		LostFailures:     2,
+		MinProbeSpacing:  20 * time.Millisecond,
+		KnownAge:         1500 * time.Millisecond,
+		IndirectInterval: 500 * time.Millisecond,
+		UnlistedGrace:    300 * time.Millisecond,
+		UnlistedTimeout:  time.Second,
+		GoneMargin:       1500 * time.Millisecond,
+		OrderEcho:        600 * time.Millisecond,
+		ForgetAfter:      20 * time.Second,
 
 		ForgetLeavingAfter: 5 * time.Minute,
 	}
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -21,7 +21,10 @@
 	Stall time.Duration
 	// ReportLag is how much older than the question what a report tells may be.
 	ReportLag time.Duration
-	Policy    Policy
+	// Indirect tells that other nodes are asked about an instance that this one does not reach,
+	// before a planner takes it for lost.
+	Indirect bool
+	Policy   Policy
 }
 
 // entry is what is known of one instance.
@@ -54,6 +57,10 @@
 	heard     time.Time
 	failures  int
 	suspected time.Time
+	// failing is when the first of these failures was asked.
+	failing time.Time
+	// elsewhere is what other nodes last answered about it.
+	elsewhere elsewhere
 	// leaving tells that this life of the instance said in an answer that it will end soon,
 	// or told another node so. No entry of the list takes that back, only a later life.
 	leaving bool
@@ -142,6 +149,11 @@
 		r.begin(e, in, rep.Asked)
 	}
 	e.hear(rep.Asked, r)
+	r.takeReport(e, rep)
+}
+
+// takeReport updates what is known of an instance by its report. r.mu is held.
+func (r *Roster) takeReport(e *entry, rep fleet.Report) {
 	stood := rep.Asked.Add(-r.cfg.ReportLag)
 	if rep.Asked.After(e.reported) {
 		e.reported = rep.Asked
@@ -188,6 +200,9 @@
 	if e == nil || asked.Before(e.heard) || e.life > 0 && asked.Before(e.seen) || asked.Sub(e.suspected) < r.cfg.Policy.MinProbeSpacing && e.failures > 0 {
 		return
 	}
+	if e.failures == 0 {
+		e.failing = asked
+	}
 	e.failures++
 	e.suspected = asked
 	if e.failures == e.policy.LostFailures {
@@ -341,7 +356,16 @@
 
 // lost reports whether an instance no longer answers, as far as is known.
 func (e *entry) lost(now time.Time) bool {
-	return e.gone || e.failures >= e.policy.LostFailures || (!e.inList && now.Sub(e.unlisted) > e.policy.UnlistedTimeout && now.Sub(e.heard) > e.policy.UnlistedTimeout)
+	return e.gone || e.unreachable() || e.dropped(now, e.heard)
+}
+
+// unreachable reports whether this node does not reach an instance.
+func (e *entry) unreachable() bool { return e.failures >= e.policy.LostFailures }
+
+// dropped reports whether the list has dropped an instance that was last heard at a time and has not
+// answered since.
+func (e *entry) dropped(now, heard time.Time) bool {
+	return !e.inList && now.Sub(e.unlisted) > e.policy.UnlistedTimeout && now.Sub(heard) > e.policy.UnlistedTimeout
 }
 
 // forgotten reports whether an instance was in no list for so long, and silent, that it need not be remembered.
@@ -370,10 +394,10 @@
 // silent reports whether an instance has shown no sign of life for so long that its process must have ended.
 func (r *Roster) silent(e *entry, now time.Time) bool {
 	last := r.lastBeat(e)
-	if e.heard.After(last) {
-		last = e.heard
+	if heard := e.lastHeard(); heard.After(last) {
+		last = heard
 	}
-	return e.failures >= e.policy.LostFailures && now.Sub(last) > r.cfg.Stall+r.cfg.Policy.GoneMargin
+	return e.unreachable() && now.Sub(last) > r.cfg.Stall+r.cfg.Policy.GoneMargin
 }
 
 // current returns the newest word on an instance.
--- a/coordination/roster/view.go
+++ b/coordination/roster/view.go
@@ -20,12 +20,14 @@
 		if e.listed.Service != service {
 			continue
 		}
+		lost := r.lostToAll(e, now)
 		list = append(list, placement.Member{
 			Instance:   e.current(),
 			Orders:     e.orders,
 			Counted:    e.counted,
 			Known:      r.known(e, since, now),
-			Lost:       e.lost(now),
+			Lost:       lost,
+			Far:        !lost && e.lost(now),
 			Gone:       e.gone,
 			Pending:    e.pending,
 			Superseded: e.superseded,
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -102,7 +102,7 @@
 		clock:   clock,
 		ports:   ports,
 		know:    NewKnowledge(ports.Decoder, set.StrictKeys, set.KeysWithin, clock),
-		roster:  roster.New(roster.Config{Beat: set.BeatInterval, Stall: set.StallTime, Policy: set.Policy.Roster}),
+		roster:  roster.New(roster.Config{Beat: set.BeatInterval, Stall: set.StallTime, Indirect: true, Policy: set.Policy.Roster}),
 		table:   dispatch.NewTable(set.Hall, set.Policy.Dispatch),
 		pool:    direct.NewPool(direct.Dialer{Timeout: dialTimeout, Silence: silence}, clock.Now),
 		metrics: metrics.NewRegistry(),
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -294,7 +294,7 @@
 	}
 	p.asking[m.ID], p.asked[m.ID] = true, now
 	go func() {
-		p.n.report(ctx, m, now)
+		p.askAround(ctx, m, now)
 		p.mu.Lock()
 		delete(p.asking, m.ID)
 		p.mu.Unlock()
@@ -302,6 +302,17 @@
 	}()
 }
 
+// askAround asks an instance for its report and, if it failed to answer before, other nodes
+// meanwhile whether they reach it: what one node alone does not reach is not lost.
+func (p *placer) askAround(ctx context.Context, m fleet.Instance, now time.Time) {
+	var wg sync.WaitGroup
+	if p.n.roster.AskElsewhere(m.ID, now) {
+		wg.Go(func() { p.n.peers.askAbout(ctx, m, now) })
+	}
+	p.n.report(ctx, m, now)
+	wg.Wait()
+}
+
 // suspect takes in that an instance did not answer another node when asked, and asks it too.
 func (p *placer) suspect(id state.InstanceID, asked time.Time) {
 	if on, _ := p.n.peers.isPlacing(); !on {
--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -211,7 +211,7 @@
 
 func (h halls) Report(_ context.Context, _ netip.AddrPort, id state.InstanceID, _ Connection) (fleet.Report, error) {
 	if slices.Contains(h.answering, id) {
-		return fleet.Report{}, nil
+		return h.rep, nil
 	}
 	return fleet.Report{}, os.NewSyscallError("connect", syscall.ECONNREFUSED)
 }
--- /dev/null
+++ b/transport/entry/reach.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/troutmast/troutmast/protocol/peer"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// reachProcedure is the path of a question to another node whether it reaches an instance.
+const reachProcedure = "/troutmast.Entry/Reach"
+
+// ReachRequest asks a node for the report of an instance that the asking one does not reach.
+type ReachRequest struct {
+	Instance state.InstanceID `json:"i"`
+}
+
+// ReachAnswer is the report, if the instance answered.
+type ReachAnswer struct {
+	Reached bool         `json:"r,omitempty"`
+	Report  fleet.Report `json:"report,omitzero"`
+}
+
+// reach asks an instance for its report on behalf of another node.
+func (p *peers) reach(ctx context.Context, req *connect.Request[ReachRequest]) (*connect.Response[ReachAnswer], error) {
+	n := p.n
+	asked := n.clock.Now()
+	v, known := n.roster.Get(req.Msg.Instance, asked)
+	if !known {
+		return connect.NewResponse(&ReachAnswer{}), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.policy.ProbeTimeout)
+	defer cancel()
+	n.Count("probes.indirect")
+	rep, err := n.question(ctx, v.Instance, asked)
+	if err != nil {
+		return connect.NewResponse(&ReachAnswer{}), nil
+	}
+	n.roster.Reported(v.ID, rep)
+	n.told(v.Instance, rep)
+	return connect.NewResponse(&ReachAnswer{Reached: true, Report: rep}), nil
+}
+
+// indirectNodes is how many other nodes are asked about an instance at once.
+const indirectNodes = 3
+
+// askAbout asks other nodes whether they reach an instance, and records the first report that one
+// of them gets.
+func (p *peers) askAbout(ctx context.Context, m fleet.Instance, asked time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, 2*p.n.policy.ProbeTimeout)
+	defer cancel()
+	nodes := p.witnesses(m, asked)
+	type witnessed struct {
+		by  string
+		rep *fleet.Report
+	}
+	reports := make(chan witnessed, len(nodes))
+	for _, node := range nodes {
+		go func() { reports <- witnessed{node.Name, p.reportBy(ctx, node, m.ID)} }()
+	}
+	for range nodes {
+		if w := <-reports; w.rep != nil {
+			w.rep.Asked = asked
+			p.n.roster.ReachedElsewhere(m.ID, *w.rep, w.by)
+			p.n.Count("instances.far")
+			return
+		}
+	}
+	p.n.roster.UnreachedElsewhere(m.ID, asked)
+}
+
+// reportBy returns the report of an instance that another node got, or nil.
+func (p *peers) reportBy(ctx context.Context, node NodeEntry, id state.InstanceID) *fleet.Report {
+	c := connect.NewClient[ReachRequest, ReachAnswer](p.hc, "http://"+node.Address+reachProcedure, connect.WithCodec(peer.JSONCodec{}))
+	resp, err := c.CallUnary(ctx, connect.NewRequest(&ReachRequest{Instance: id}))
+	if err != nil || !resp.Msg.Reached {
+		return nil // a node that is of an earlier version or gone reaches nothing either
+	}
+	return &resp.Msg.Report
+}
+
+// witnesses returns the nodes to ask about an instance: the one that last reached it, then others,
+// of all that lately reported to this one.
+func (p *peers) witnesses(m fleet.Instance, now time.Time) []NodeEntry {
+	last := p.n.roster.ReachedBy(m.ID)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []NodeEntry
+	for _, h := range p.words {
+		if now.Sub(h.at) < p.n.policy.NodeTimeout {
+			list = append(list, h.word.From)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if i := slices.IndexFunc(list, func(e NodeEntry) bool { return e.Name == last }); i > 0 {
+		list[0], list[i] = list[i], list[0]
+	}
+	return list[:min(len(list), indirectNodes)]
+}
--- /dev/null
+++ b/transport/entry/reach_test.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/protocol/peer"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// nodeBefore returns a node that knows one instance, which answers as told.
+func nodeBefore(name string, clock clockwork.Clock, targets Targets) *Node {
+	set := &Settings{Name: name, Hall: "hall", Peer: testAddress(1), Policy: DefaultPolicy()}
+	n := New(set, Ports{Decoder: anyConfiguration{}, Targets: targets}, clock, &log.Logger{Handler: discard.New()})
+	n.roster.Listed(fleet.Instance{ID: "i", Service: "lm", Address: testAddress(9), Hall: "far"}, clock.Now())
+	return n
+}
+
+// The leader took groups apart whose members it did not reach itself, while most other nodes did.
+func TestALeaderAsksOtherNodesAboutAnInstanceThatItDoesNotReach(t *testing.T) {
+	group := fleet.Membership{Group: "g", Epoch: 7, State: fleet.Open}
+	for _, c := range []struct {
+		name string
+		// answering are the instances that answer the other node.
+		answering []state.InstanceID
+		// asks is set if the other node takes such questions: those of earlier builds don't.
+		asks      bool
+		lost, far bool
+	}{
+		{"another node reaches it", []state.InstanceID{"i"}, true, false, true},
+		{"no other node reaches it", nil, true, true, false},
+		{"the other node is of an earlier build", []state.InstanceID{"i"}, false, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			clock := clockwork.NewFakeClock()
+			leader := nodeBefore("leader", clock, halls{})
+			other := nodeBefore("other", clock, halls{answering: c.answering, proofs: proofs{rep: fleet.Report{Membership: group}}})
+			mux := http.NewServeMux()
+			if c.asks {
+				mux.Handle(reachProcedure, connect.NewUnaryHandler(reachProcedure, other.peers.reach, connect.WithCodec(peer.JSONCodec{})))
+			}
+			srv := httptest.NewServer(mux)
+			defer srv.Close()
+			entry := NodeEntry{Name: "other", Address: strings.TrimPrefix(srv.URL, "http://")}
+			leader.peers.words["other"] = heardWord{word: Word{From: entry}, at: clock.Now()}
+			in := leader.instance("i")
+			for range 3 {
+				clock.Advance(leader.policy.ProbeInterval)
+				leader.placer.askAround(t.Context(), in, clock.Now())
+			}
+			m := leader.roster.Members("lm", clock.Now(), clock.Now())[0]
+			g.Expect(m.Lost).To(Equal(c.lost))
+			g.Expect(m.Far).To(Equal(c.far))
+			if c.far {
+				g.Expect(m.Membership).To(Equal(group), "what the other node was told")
+			}
+		})
+	}
+}
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -65,6 +65,7 @@
 func (n *Node) listen() ([]*http.Server, error) {
 	inner := http.NewServeMux()
 	inner.Handle(wordProcedure, connect.NewUnaryHandler(wordProcedure, n.peers.answer, connect.WithCodec(peer.JSONCodec{})))
+	inner.Handle(reachProcedure, connect.NewUnaryHandler(reachProcedure, n.peers.reach, connect.WithCodec(peer.JSONCodec{})))
 	ready := http.NewServeMux()
 	ready.HandleFunc("/", n.serveReady)
 	measures := http.NewServeMux()
