--- a/coordination/quarantine/ledger_test.go
+++ b/coordination/quarantine/ledger_test.go
@@ -387,6 +387,24 @@
 	}
 }
 
+// A build that merges what all nodes observed tells it again as one ending, at the earliest time of all
+// and without their names.
+func TestWhatABuildWithoutNamesTellsAgainTakesNoVerdictBack(t *testing.T) {
+	g := NewWithT(t)
+	l := quarantine.NewLedger(quarantine.DefaultPolicy())
+	var merged []quarantine.Ending
+	for i := range 3 {
+		end(l, fmt.Sprint(i), time.Second+time.Duration(i)*700*time.Millisecond, "deadly")
+		merged = append(merged, quarantine.Ending{
+			Instance: instance(fmt.Sprint(i)), At: start.Add(900 * time.Millisecond),
+			Requests: []quarantine.Fingerprint{request("deadly"), request(fmt.Sprint("beside ", i))},
+		})
+	}
+	l.Merge(quarantine.Delta{Endings: merged}, 7)
+	g.Expect(held(l, "deadly", 4*time.Second)).To(BeTrue())
+	g.Expect(l.Verdict(request("deadly"), start.Add(4*time.Second)).Endings).To(Equal(3))
+}
+
 func TestARequestIsHeldBackLongerWithEachEnding(t *testing.T) {
 	g := NewWithT(t)
 	p := quarantine.DefaultPolicy()
