--- a/coordination/quarantine/burst.go
+++ b/coordination/quarantine/burst.go
@@ -24,8 +24,8 @@
 	return b
 }
 
-// shared returns how many endings in each burst a request was under way in, whichever node sent it,
-// given its observations.
+// shared returns, for each burst, in how many of its endings a request was under way, whichever node
+// sent it, given the request's observations.
 func (b *bursts) shared(list, cause []int) map[int]int {
 	with, done := map[int]int{}, map[int]bool{}
 	for _, i := range list {
@@ -42,9 +42,8 @@
 
 // massEndings is how many instances must end without a request, in one burst with one that ends
 // under it, for that ending to say nothing of the request: a rack, a hall or a link was lost, and
-// all that was under way there broke off at once. A cut of a hall by resets made 24 sound requests look
-// deadly, whose instances all refused connections at one moment. They must be massRatio times as many
-// as those with the request, so that two requests which both end instances do not hide each other.
+// all that was under way there broke off at once. They must be massRatio times as many as those with
+// the request, so that two requests which both end instances do not hide each other.
 const (
 	massEndings = 3
 	massRatio   = 4
--- a/coordination/quarantine/history.go
+++ b/coordination/quarantine/history.go
@@ -8,12 +8,12 @@
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
-// history is what all nodes observed, in order of time and alike on all of them.
+// history holds the observations of all nodes, ordered by time and alike on all of them.
 type history struct {
 	order   []*Ending
 	spacing time.Duration
-	// cause numbers, for each observation, the ending that it is of: those of one life without a
-	// spacing between them are of the same one, by whatever nodes.
+	// cause numbers the ending that each observation is of: those of one life with less than a
+	// spacing between one and the next are of the same one, whichever nodes made them.
 	cause []int
 	// bursts are those of each node.
 	bursts *bursts
@@ -30,9 +30,9 @@
 	return h
 }
 
-// attributed returns the observations that count: of instances that had not ended, none does, and
-// what no node is named for only counts for requests that no node names. Nodes of a build without
-// names tell again what they heard, at the earliest time of all.
+// attributed returns the observations that count. Those of instances that had not ended do not. Those
+// without a node's name count only for requests that no named one has: nodes of a build that merges
+// observations repeat what they received, at the earliest time of all.
 func attributed(endings []Ending) []*Ending {
 	list := make([]*Ending, 0, len(endings))
 	var unnamed []*Ending
@@ -97,8 +97,8 @@
 }
 
 // suspects returns the requests with a number of observations at least since they were last
-// cleared, with these by their place in the order. Most requests have one alone: leaving them out
-// takes a judgement of 256 endings of 30 requests from 4.7 to 1.4 ms (BenchmarkJudge).
+// cleared, with these by their place in the order. Most requests have one alone, and leaving them
+// out saves most of a judgement's time.
 func (h *history) suspects(cleared map[Fingerprint]time.Time, least int) map[Fingerprint][]int {
 	counts := map[Fingerprint]int{}
 	for i := range h.order {
--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -161,8 +161,8 @@
 }
 
 // blameOf counts the open endings under a request, and those within a spacing as one
-// moment unless they came apart. Without the latter, a request that ends instances within
-// milliseconds ended 7 engines, not 3 to 5, before it was held back (three engines, two nodes).
+// moment unless they came apart: a request that ends instances within milliseconds is sent on from
+// one to the next.
 func (h *history) blameOf(f Fingerprint, list []int) blame {
 	var b blame
 	var m moment
--- a/transport/entry/endings.go
+++ b/transport/entry/endings.go
@@ -13,10 +13,9 @@
 
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
-
-	"github.com/troutmast/troutmast/coordination/quarantine"
 )
 
 // endProof names what proved that an instance ended.
