--- a/coordination/quarantine/cuthistory_test.go
+++ b/coordination/quarantine/cuthistory_test.go
@@ -207,24 +207,13 @@
 	for _, deadly := range []float64{0, 0.5, 2, 8} {
 		for _, s := range cutShapes(deadly, true, 0) {
 			b.Run(s.name(), func(b *testing.B) {
-				var sum outcome
-				n := 0.0
+				var sum totals
 				for seed := uint64(0); b.Loop(); seed++ {
 					first := time.Duration(300+200*(seed%10)) * time.Millisecond
 					s.cuts[0].from, s.cuts[0].to = first, first+3500*time.Millisecond
-					o := play(s, seed)
-					sum.ended += o.ended
-					sum.late += o.late
-					sum.released += o.released
-					sum.refusedSound += o.refusedSound
-					sum.nodeBytes += o.nodeBytes
-					n++
+					sum.add(play(s, seed))
 				}
-				b.ReportMetric(float64(sum.ended)/n, "ended")
-				b.ReportMetric(float64(sum.late)/n, "late-sends")
-				b.ReportMetric(float64(sum.released)/n, "released")
-				b.ReportMetric(float64(sum.refusedSound)/n, "sound-held")
-				b.ReportMetric(sum.nodeBytes/n, "leader-B/s")
+				sum.report(b)
 			})
 		}
 	}
--- a/coordination/quarantine/history_test.go
+++ b/coordination/quarantine/history_test.go
@@ -390,6 +390,36 @@
 	}
 }
 
+// totals adds up what some histories came to.
+type totals struct {
+	outcome
+	histories float64
+}
+
+// add adds one history.
+func (t *totals) add(o outcome) {
+	t.histories++
+	t.ended += o.ended
+	t.late += o.late
+	t.released += o.released
+	t.refusedSound += o.refusedSound
+	t.brokenSound += o.brokenSound
+	t.allSound += o.allSound
+	t.nodeBytes += o.nodeBytes
+	t.kept += o.kept
+}
+
+// report reports the averages.
+func (t *totals) report(b *testing.B) {
+	b.ReportMetric(float64(t.ended)/t.histories, "ended")
+	b.ReportMetric(float64(t.late)/t.histories, "late-sends")
+	b.ReportMetric(float64(t.released)/t.histories, "released")
+	b.ReportMetric(float64(t.refusedSound)/t.histories, "sound-held")
+	b.ReportMetric(1e3*float64(t.brokenSound)/float64(max(t.allSound, 1)), "sound-broken/1000")
+	b.ReportMetric(t.nodeBytes/t.histories, "leader-B/s")
+	b.ReportMetric(float64(t.kept)/t.histories, "kept")
+}
+
 // BenchmarkHistories reports what drawn histories of 30 s come to, on average of some
 // seeds, with and without the quarantine: docs/EXPERIMENTS.md has the figures.
 func BenchmarkHistories(b *testing.B) {
@@ -397,25 +427,11 @@
 		for _, deadly := range []float64{0.5, 2, 20} {
 			for _, s := range shapes(deadly, quarantined) {
 				b.Run(s.name(), func(b *testing.B) {
-					var sum outcome
-					n := 0.0
+					var sum totals
 					for seed := uint64(0); b.Loop(); seed++ {
-						o := play(s, seed)
-						sum.ended += o.ended
-						sum.late += o.late
-						sum.refusedSound += o.refusedSound
-						sum.brokenSound += o.brokenSound
-						sum.allSound += o.allSound
-						sum.nodeBytes += o.nodeBytes
-						sum.kept += o.kept
-						n++
+						sum.add(play(s, seed))
 					}
-					b.ReportMetric(float64(sum.ended)/n, "ended")
-					b.ReportMetric(float64(sum.late)/n, "late-sends")
-					b.ReportMetric(float64(sum.refusedSound)/n, "sound-held")
-					b.ReportMetric(1e3*float64(sum.brokenSound)/float64(max(sum.allSound, 1)), "sound-broken/1000")
-					b.ReportMetric(sum.nodeBytes/n, "leader-B/s")
-					b.ReportMetric(float64(sum.kept)/n, "kept")
+					sum.report(b)
 				})
 			}
 		}
