--- a/transport/entry/endings.go
+++ b/transport/entry/endings.go
@@ -14,7 +14,6 @@
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/quarantine"
-	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
@@ -52,11 +51,13 @@
 		return
 	}
 	v, known := n.roster.Get(in.ID, n.clock.Now())
-	neighbors := n.neighbors(in.ID)
-	switch {
-	case !known || len(neighbors) == 0:
+	if !known {
 		n.ended(in, proofRefused)
-	case n.answered(neighbors) && n.refusesStill(v.Instance):
+		return
+	}
+	neighbors := n.neighbors(&v.Instance)
+	switch {
+	case len(neighbors) == 0, n.answered(neighbors) && n.refusesStill(v.Instance):
 		n.ended(in, proofRefused)
 	default:
 		n.Count("quarantine.unproven")
@@ -75,8 +76,7 @@
 	for _, m := range list[:min(len(list), mostNeighbors)] {
 		rep, err := n.tryQuestion(m)
 		if err == nil {
-			n.roster.Reported(m.ID, rep)
-			n.told(m, rep)
+			n.reported(m, rep)
 			return true
 		}
 		if errors.Is(err, placement.ErrUnreadable) || errors.Is(err, placement.ErrReplaced) {
@@ -98,15 +98,10 @@
 
 // neighbors returns the other instances in the hall of one: first those that failed no call, and of
 // these those of other domains, since a domain may be lost as a whole.
-func (n *Node) neighbors(id state.InstanceID) []fleet.Instance {
-	now := n.clock.Now()
-	of, known := n.roster.Get(id, now)
-	if !known {
-		return nil
-	}
+func (n *Node) neighbors(of *fleet.Instance) []fleet.Instance {
 	var list []fleet.Instance
-	for _, v := range n.roster.All(now) {
-		if v.ID != id && v.Hall == of.Hall {
+	for _, v := range n.roster.All(n.clock.Now()) {
+		if v.ID != of.ID && v.Hall == of.Hall {
 			list = append(list, v.Instance)
 		}
 	}
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -107,6 +107,13 @@
 	n.Told(&m, rep.Notice, "", rep.Asked)
 }
 
+// reported records the report of an instance, and then what it asks for: the roster knows of a
+// later life by then.
+func (n *Node) reported(m fleet.Instance, rep fleet.Report) {
+	n.roster.Reported(m.ID, rep)
+	n.told(m, rep)
+}
+
 // report asks an instance for its report once and reports whether it answered, or need not.
 func (n *Node) report(ctx context.Context, m fleet.Instance, asked time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, n.policy.ProbeTimeout)
--- a/transport/entry/reach.go
+++ b/transport/entry/reach.go
@@ -42,8 +42,7 @@
 	if err != nil {
 		return connect.NewResponse(&ReachAnswer{}), nil
 	}
-	n.roster.Reported(v.ID, rep)
-	n.told(v.Instance, rep)
+	n.reported(v.Instance, rep)
 	return connect.NewResponse(&ReachAnswer{Reached: true, Report: rep}), nil
 }
 
