--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -82,6 +82,8 @@
 	CanLead bool `json:"placing"`
 	// Protocol is the newest protocol version that the answering node implements.
 	Protocol int `json:"protocol,omitempty"`
+	// IntervalMS is the time until the next status report that the leader asks for. Leaders of earlier builds name none.
+	IntervalMS int64 `json:"interval,omitempty"`
 	// Nodes are all nodes that the leader knows, if the sender knows a different number of them.
 	Nodes []NodeEntry `json:"nodes,omitempty"`
 	// InProgress is the number of requests in progress from all nodes at each instance.
--- a/transport/entry/feed.go
+++ b/transport/entry/feed.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/pacing"
 	"github.com/troutmast/troutmast/internal/steady"
 )
 
@@ -15,6 +16,11 @@
 	listAsOf   atomic.Int64
 }
 
+// feedTimeout returns the age of the data relayed by the leader up to which the node does not read the store itself.
+func (n *Node) feedTimeout() time.Duration {
+	return pacing.FeedTimeout(n.peers.statusInterval(), n.policy.FeedAge)
+}
+
 // unknownAge is the age of data that the leader has not relayed.
 const unknownAge = time.Hour
 
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -18,7 +18,7 @@
 func (n *Node) followConfig(ctx context.Context) {
 	cursor, retryDelay := n.newCursor(), n.policy.StoreRetry
 	for {
-		if n.feed.configAge(n.clock.Now()) < n.policy.FeedAge && n.reliesOnLeader() {
+		if n.feed.configAge(n.clock.Now()) < n.feedTimeout() && n.reliesOnLeader() {
 			cursor.Reset()
 			if !n.sleep(ctx, n.policy.FeedPause) {
 				return
@@ -167,7 +167,7 @@
 	pause := n.policy.ListInterval
 	for {
 		startedAt := n.clock.Now()
-		if leading, _ := n.peers.leadership(); !leading && n.feed.listAge(startedAt) < n.policy.FeedAge {
+		if n.leavesListToLeader(startedAt) {
 			cursor.Reset()
 			if !n.waitForList(ctx, n.policy.FeedPause) {
 				return
@@ -193,6 +193,29 @@
 	}
 }
 
+// leavesListToLeader reports whether the node leaves reading the list to the leader: because it is relayed in time, or
+// because the system has just started, so that a leader will relay it before the first request arrives.
+func (n *Node) leavesListToLeader(now time.Time) bool {
+	if leading, _ := n.peers.leadership(); leading {
+		return false
+	}
+	return n.feed.listAge(now) < n.feedTimeout() || n.awaitsFirstFeed(now)
+}
+
+// nodesReadTime is the time after the start of a system by which a node has read of most other nodes, and so knows
+// whether it is a standby.
+const nodesReadTime = 300 * time.Millisecond
+
+// awaitsFirstFeed reports whether the node waits for the first list that a leader relays. Only the nodes that may
+// lead read the list when a system starts: with the others, that is most of a day's reads and bytes at the store.
+func (n *Node) awaitsFirstFeed(now time.Time) bool {
+	age := now.Sub(n.started)
+	if !n.settings.IsFirstStart || age >= n.policy.FirstFeedWait || n.peers.anyRequests() {
+		return false
+	}
+	return age < nodesReadTime || !n.peers.isStandby()
+}
+
 // listPause returns the pause before the next read of the list, given the pause before the last
 // read and its result.
 func (n *Node) listPause(previous time.Duration, tail source.ReadResult, err error) time.Duration {
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -14,7 +14,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/troutmast/troutmast/coordination/demand"
+	"github.com/troutmast/troutmast/coordination/pacing"
 	"github.com/troutmast/troutmast/coordination/source"
+	"github.com/troutmast/troutmast/coordination/succession"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
 )
@@ -38,6 +40,10 @@
 	isLeader      bool
 	// leaderSince is when the node last became leader.
 	leaderSince time.Time
+	// requestedInterval is the time between two status reports that the leader last asked for.
+	requestedInterval time.Duration
+	// lastLeaderAddress is the address of the node that last answered as leader.
+	lastLeaderAddress string
 	// hasRequests reports whether any node has received requests.
 	hasRequests bool
 	// leaderConfigVersion is the version of the leader's configuration, as of its last answer.
@@ -105,12 +111,31 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.n.clock.After(p.n.policy.StatusInterval):
+		case <-p.n.clock.After(p.statusInterval()):
 		case <-p.n.statusRequested:
 		}
 	}
 }
 
+// pacing returns the bounds of the status reports to this node.
+func (p *peers) pacing() pacing.Policy {
+	return pacing.Policy{MinInterval: p.n.policy.StatusInterval, MaxPerSecond: p.n.policy.MaxStatusRate}
+}
+
+// statusInterval returns the time between two status reports: what the leader last asked for.
+func (p *peers) statusInterval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.n.policy.StatusInterval, min(p.requestedInterval, p.n.policy.NodeTimeout/2))
+}
+
+// reportingNodes returns the number of nodes whose last status report this node has.
+func (p *peers) reportingNodes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.statusReports)
+}
+
 // addSeeds adds the nodes that the settings name. Their names are unknown until they register.
 func (p *peers) addSeeds() {
 	p.mu.Lock()
@@ -126,9 +151,9 @@
 func (p *peers) followNodes(ctx context.Context) {
 	cursor := p.n.newCursor()
 	for {
-		if cursor.NextOffset(p.n.clock.Now()) >= 0 && p.n.feed.configAge(p.n.clock.Now()) < 2*p.n.policy.FeedAge {
+		if cursor.NextOffset(p.n.clock.Now()) >= 0 && p.n.feed.configAge(p.n.clock.Now()) < 2*p.n.feedTimeout() {
 			// The leader's answers list new nodes.
-			if !p.n.sleep(ctx, p.n.policy.FeedAge) {
+			if !p.n.sleep(ctx, p.n.feedTimeout()) {
 				return
 			}
 			continue
@@ -274,23 +299,18 @@
 	return n.policy.StoreStale
 }
 
-// reportToLeader sends a status report to the preceding nodes in order until one answers as leader. If
-// none does, this node leads, provided that it can.
+// reportToLeader sends a status report to the preceding nodes in order, some of them side by side, until one
+// answers as leader. If none does, this node leads, provided that it can.
 func (p *peers) reportToLeader(ctx context.Context) {
 	p.shareBudgets()
-	for _, address := range p.leaderCandidates(p.n.clock.Now()) {
-		sentAt := p.n.clock.Now()
-		ans, err := p.sendStatusReport(ctx, address)
-		if err == nil && ans.CanLead {
+	for _, round := range succession.Rounds(p.leaderCandidates(p.n.clock.Now()), p.lastLeader()) {
+		if r := p.askRound(ctx, round); r != nil {
 			p.setLeader(false)
-			p.applyAnswer(ans, sentAt)
+			p.mergeLedger(r.answer, r.ledgerVersion)
+			p.applyAnswer(r.answer, r.sentAt)
+			p.setLastLeader(r.address)
 			return
 		}
-		if err == nil {
-			// A node that does not lead still relays a valid configuration.
-			p.applyConfig(ans, sentAt)
-		}
-		p.startBackoff(address, err == nil)
 	}
 	p.mu.Lock()
 	canLead := p.canLead(p.n.clock.Now()) && p.n.clock.Since(p.n.started) > p.n.policy.LeadAfter
@@ -302,6 +322,67 @@
 	}
 }
 
+// preferenceDelay is how long the answer of a leader waits for the answers of preceding candidates. It exceeds a
+// round trip between halls.
+const preferenceDelay = 50 * time.Millisecond
+
+// askRound sends status reports to candidates side by side, and returns the answer of the first one in order that
+// can lead, or nil. It does not wait for preceding candidates longer than preferenceDelay.
+func (p *peers) askRound(ctx context.Context, round []string) *reportResult {
+	results := make(chan *reportResult, len(round))
+	for i, address := range round {
+		go func() {
+			r := p.askCandidate(ctx, address)
+			r.rank = i
+			results <- r
+		}()
+	}
+	var best *reportResult
+	var preferred <-chan time.Time
+	for range round {
+		select {
+		case r := <-results:
+			if r.err != nil || !r.answer.CanLead || best != nil && best.rank < r.rank {
+				continue
+			}
+			if best = r; best.rank == 0 {
+				return best
+			}
+			preferred = p.n.clock.After(preferenceDelay)
+		case <-preferred:
+			return best
+		}
+	}
+	return best
+}
+
+// askCandidate sends a status report to a node that may lead, and starts its backoff if it does not.
+func (p *peers) askCandidate(ctx context.Context, address string) *reportResult {
+	r := p.sendStatusReport(ctx, address)
+	if r.err != nil || !r.answer.CanLead {
+		p.startBackoff(address, r.err == nil)
+	}
+	if r.err == nil && !r.answer.CanLead {
+		// A node that does not lead still relays a valid configuration.
+		p.applyConfig(r.answer, r.sentAt)
+	}
+	return r
+}
+
+// lastLeader returns the address of the node that last answered as leader, or "".
+func (p *peers) lastLeader() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastLeaderAddress
+}
+
+// setLastLeader records the address of the node that answered as leader.
+func (p *peers) setLastLeader(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastLeaderAddress = address
+}
+
 // greetSilentNodes sends status reports to a few nodes from which none arrived within NodeTimeout. A node
 // that has not read the store since this one registered does not know of it otherwise.
 func (p *peers) greetSilentNodes(ctx context.Context) {
@@ -321,7 +402,7 @@
 	}
 	p.mu.Unlock()
 	for _, a := range silent {
-		go func() { _, _ = p.sendStatusReport(ctx, a) }()
+		go func() { p.sendStatusReport(ctx, a) }()
 	}
 }
 
--- a/transport/entry/peers_test.go
+++ b/transport/entry/peers_test.go
@@ -116,3 +116,23 @@
 	g.Expect(resp.Msg.Config).NotTo(BeEmpty())
 	g.Expect(resp.Msg.ConfigAgeMS).To(BeZero())
 }
+
+// The leader of many nodes asks for fewer reports, and the nodes then wait longer for its relayed data.
+func TestNodesReportAtTheIntervalThatTheLeaderNames(t *testing.T) {
+	for _, c := range []struct {
+		size     fleetSize
+		interval time.Duration
+	}{
+		{fleetSize{nodes: 85, instances: 16}, 250 * time.Millisecond},
+		{fleetSize{nodes: 601, instances: 16}, 500 * time.Millisecond},
+	} {
+		g := NewWithT(t)
+		leader, n := leaderOf(g, c.size), newTestNode()
+		g.Expect(n.feedTimeout()).To(Equal(n.policy.FeedAge))
+		n.peers.applyAnswer(reportAsVersion(g, n, leader, protocolVersion), n.clock.Now())
+		g.Expect(n.peers.statusInterval()).To(BeNumerically("~", c.interval, time.Millisecond))
+		g.Expect(n.feedTimeout()).To(BeNumerically(">", 2*c.interval))
+		n.peers.applyAnswer(&StatusAnswer{}, n.clock.Now())
+		g.Expect(n.peers.statusInterval()).To(Equal(n.policy.StatusInterval), "a leader of an earlier build names no interval")
+	}
+}
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -63,6 +63,9 @@
 
 	// StatusInterval is the time between two status reports of a node to the leader.
 	StatusInterval time.Duration `flag:"status-interval" help:"time between two status reports of a node to the leader" min:"10ms" max:"1m"`
+	// MaxStatusRate is the maximum number of status reports of all nodes together per second. With more nodes than
+	// that allows, the leader names a longer interval than StatusInterval.
+	MaxStatusRate float64 `flag:"max-status-rate" help:"maximum number of status reports to the leader per second" min:"1" max:"1000000"`
 	// StatusTimeout is the timeout of a status report.
 	StatusTimeout time.Duration `flag:"status-timeout" help:"timeout of a status report" min:"10ms" max:"1m"`
 	// UnreachableBackoff is how long a node is skipped as a possible leader after it did not
@@ -113,6 +116,9 @@
 	// store itself, FeedPause the time between two checks of that age.
 	FeedAge   time.Duration `flag:"feed-age" help:"age of the data relayed by the leader up to which a node does not read the store itself" min:"0s" max:"10s"`
 	FeedPause time.Duration `flag:"feed-pause" help:"time between two checks of the age of the data relayed by the leader" min:"1ms" max:"10s"`
+	// FirstFeedWait is how long after the first start of a system a node that is no standby waits for a leader to
+	// relay the list, before it reads the list itself.
+	FirstFeedWait time.Duration `flag:"first-feed-wait" help:"how long after the first start of a system a node waits for a leader to relay the instance list" min:"0s" max:"1m"`
 	// RestoreSettle is the time after the store was restored from a backup until the records that
 	// the backup lacks count as written again: two seconds, as the platform documents, plus the
 	// time of a read. RewriteSpread is the span over which nodes write their own entries again:
@@ -163,6 +169,7 @@
 			SuspectTTL:           2 * time.Second,
 			LeavingTTL:           10 * time.Second,
 			StatusInterval:       250 * time.Millisecond,
+			MaxStatusRate:        1200,
 			StatusTimeout:        400 * time.Millisecond,
 			UnreachableBackoff:   1500 * time.Millisecond,
 			NotLeadingBackoff:    400 * time.Millisecond,
@@ -185,6 +192,7 @@
 			RecentRead:           time.Second,
 			FeedAge:              800 * time.Millisecond,
 			FeedPause:            100 * time.Millisecond,
+			FirstFeedWait:        4 * time.Second,
 			RestoreSettle:        2200 * time.Millisecond,
 			RewriteSpread:        2 * time.Second,
 			StandbyRead:          2 * time.Second,
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -13,35 +13,52 @@
 	"github.com/troutmast/troutmast/state"
 )
 
-// sendStatusReport sends this node's status report to another node and returns the answer.
-func (p *peers) sendStatusReport(ctx context.Context, address string) (*StatusAnswer, error) {
+// reportResult is the result of a status report to one node.
+type reportResult struct {
+	address string
+	// rank is the position of the node among those asked side by side.
+	rank   int
+	answer *StatusAnswer
+	err    error
+	sentAt time.Time
+	// ledgerVersion is the version of this node's ledger that the other node has after the report.
+	ledgerVersion uint64
+}
+
+// sendStatusReport sends this node's status report to another node.
+func (p *peers) sendStatusReport(ctx context.Context, address string) *reportResult {
 	ctx, cancel := context.WithTimeout(ctx, p.n.policy.StatusTimeout)
 	defer cancel()
-	p.mu.Lock()
-	c := p.clients[address]
-	if c == nil {
-		c = connect.NewClient[StatusReport, StatusAnswer](p.hc, "http://"+address+statusReportProcedure, connect.WithCodec(peer.JSONCodec{}))
-		p.clients[address] = c
-	}
-	p.mu.Unlock()
+	r := &reportResult{address: address, sentAt: p.n.clock.Now()}
 	w := p.statusReport()
-	ledgerVersion := p.addLedger(w, p.n.clock.Now())
-	resp, err := c.CallUnary(ctx, connect.NewRequest(w))
+	r.ledgerVersion = p.addLedger(w, r.sentAt)
+	resp, err := p.client(address).CallUnary(ctx, connect.NewRequest(w))
 	if err != nil {
 		if ctx.Err() != nil {
 			p.hc.CloseIdleConnections() // other idle connections may be dead as well
 		}
-		return nil, err
+		r.err = err
+		return r
 	}
-	if err := resp.Msg.unpack(); err != nil {
-		return nil, err
+	r.answer = resp.Msg
+	if r.err = r.answer.unpack(); r.err != nil {
+		return r
 	}
-	p.n.recordEra(resp.Msg.Era, address)
-	p.n.recordPeerVersion(resp.Msg.Protocol, address)
-	if resp.Msg.CanLead {
-		p.mergeLedger(resp.Msg, ledgerVersion)
+	p.n.recordEra(r.answer.Era, address)
+	p.n.recordPeerVersion(r.answer.Protocol, address)
+	return r
+}
+
+// client returns the client for status reports to a node.
+func (p *peers) client(address string) *connect.Client[StatusReport, StatusAnswer] {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[address]
+	if c == nil {
+		c = connect.NewClient[StatusReport, StatusAnswer](p.hc, "http://"+address+statusReportProcedure, connect.WithCodec(peer.JSONCodec{}))
+		p.clients[address] = c
 	}
-	return resp.Msg, nil
+	return c
 }
 
 func (p *peers) statusReport() *StatusReport {
@@ -190,6 +207,7 @@
 	}
 	p.mu.Lock()
 	p.hasRequests = p.hasRequests || a.HasRequests
+	p.requestedInterval = time.Duration(a.IntervalMS) * time.Millisecond
 	p.mu.Unlock()
 	n.setExcluded(a.Avoid)
 	n.placement.recordStagings(a.Staging, sentAt)
@@ -239,6 +257,7 @@
 	err := p.addConfig(a, w)
 	if a.CanLead {
 		a.HasRequests = p.anyRequests()
+		a.IntervalMS = ceilMS(p.pacing().Interval(p.reportingNodes()))
 		err = errors.Join(err, p.addTotals(a, w, now), p.addNodes(a, w), p.addChanges(a, w, now))
 		n.addLedgerToAnswer(a, w, now)
 		p.addLimitsToAnswer(a, w, now)
