Probes: a silent hall holds at most half of the leader's probes in flight

A silent instance keeps a place for 160 ms; 32 places were taken by the first 32 instances of a dark hall or domain, and the probes of all others waited (coordination/probeslots; TestSilentHallLeavesSlotsToTheOthers).

--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/coordination/probeslots"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/state"
@@ -25,7 +26,7 @@
 	planners       map[state.ServiceName]*placement.Planner
 	epochs         *placement.EpochGenerator
 	excludedGroups []GroupEpoch
-	probing        map[state.InstanceID]bool
+	probing        *probeslots.Slots
 	probedAt       map[state.InstanceID]time.Time
 	wakeup         chan struct{}
 	// stagingsByService holds the loads of models to hosts that are in progress, by service. They come from
@@ -39,7 +40,7 @@
 	return &placementController{
 		node:     n,
 		planners: map[state.ServiceName]*placement.Planner{},
-		probing:  map[state.InstanceID]bool{},
+		probing:  probeslots.New(n.policy.MaxProbes),
 		probedAt: map[state.InstanceID]time.Time{},
 		wakeup:   make(chan struct{}, 1),
 	}
@@ -282,22 +283,22 @@
 }
 
 // probeAtInterval probes an instance in the background unless a probe to it is in flight or was sent within
-// an interval, too many probes are in flight, or the instance's rate limit forbids it.
+// an interval, too many probes are in flight in all or in its hall, or the instance's rate limit forbids it.
 func (p *placementController) probeAtInterval(ctx context.Context, m fleet.Instance, interval time.Duration) {
 	now := p.node.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.probing) >= p.node.policy.MaxProbes || p.probing[m.ID] || now.Sub(p.probedAt[m.ID]) < interval {
+	if now.Sub(p.probedAt[m.ID]) < interval || !p.node.limits.CanProbe(m.Incarnation(), p.node.probeRequest(m.ID), now) {
 		return
 	}
-	if !p.node.limits.CanProbe(m.Incarnation(), p.node.probeRequest(m.ID), now) {
+	if !p.probing.TryAcquire(m.ID, m.Hall) {
 		return
 	}
-	p.probing[m.ID], p.probedAt[m.ID] = true, now
+	p.probedAt[m.ID] = now
 	go func() {
 		p.probeWithPeers(ctx, m, now)
 		p.mu.Lock()
-		delete(p.probing, m.ID)
+		p.probing.Release(m.ID)
 		p.mu.Unlock()
 		p.wakePlanner()
 	}()
