Leave the store to those that may lead: followers wait longer for relayed data and retry a failing store seldom

After the loss of power of all nodes each read the list every 300 ms until a leader relayed it; while the store turned nodes away, each of them tried it every 0.7 s although a leader relayed it, since one failed read ended all trust in the leader. Now only the leader and its standbys do that; others poll once a second without a feed, and retry after up to 4 s (TestOnlyStandbysKeepTryingAStoreThatFails).

--- a/transport/entry/feed.go
+++ b/transport/entry/feed.go
@@ -16,9 +16,17 @@
 	listAsOf   atomic.Int64
 }
 
+// followerPatience is how much longer than a standby another node waits for relayed data. The standbys read the
+// store in the meantime and one of them relays it, so that a change of leader does not send all nodes to the store.
+const followerPatience = 1.5
+
 // feedTimeout returns the age of the data relayed by the leader up to which the node does not read the store itself.
 func (n *Node) feedTimeout() time.Duration {
-	return pacing.FeedTimeout(n.peers.statusInterval(), n.policy.FeedAge)
+	minimum := n.policy.FeedAge
+	if !n.peers.isStandby() {
+		minimum = time.Duration(followerPatience * float64(minimum))
+	}
+	return pacing.FeedTimeout(n.peers.statusInterval(), minimum)
 }
 
 // unknownAge is the age of data that the leader has not relayed.
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -34,7 +34,7 @@
 			if !n.sleep(ctx, retryDelay) {
 				return
 			}
-			retryDelay = min(2*retryDelay, n.policy.StoreRetryMax)
+			retryDelay = min(2*retryDelay, n.storeRetryMax())
 			continue
 		}
 		retryDelay = n.policy.StoreRetry
@@ -49,12 +49,27 @@
 }
 
 // reliesOnLeader reports whether the node leaves reading the store to the leader. A standby still reads
-// it at every StandbyRead, to know that it can.
+// it at every StandbyRead, to know that it can. Another node need not know that: while the store turned away a
+// third of 295 nodes, their own attempts were most of the calls of a day.
 func (n *Node) reliesOnLeader() bool {
-	if leading, _ := n.peers.leadership(); leading || n.storeFailed.Load() {
+	if leading, _ := n.peers.leadership(); leading {
 		return false
 	}
-	return n.ownStoreAge() < n.policy.StandbyRead || !n.peers.isStandby()
+	return !n.peers.isStandby() || !n.storeFailed.Load() && n.ownStoreAge() < n.policy.StandbyRead
+}
+
+// mayLead reports whether the node is the leader or one of its standbys, which read the store most often.
+func (n *Node) mayLead() bool {
+	leading, _ := n.peers.leadership()
+	return leading || n.peers.isStandby()
+}
+
+// storeRetryMax returns the maximum delay between two attempts to read the store.
+func (n *Node) storeRetryMax() time.Duration {
+	if n.mayLead() {
+		return n.policy.StoreRetryMax
+	}
+	return n.policy.StoreRetryRelayed
 }
 
 // configWait returns how long a read of the configuration waits for a newer one. The age of the
@@ -221,14 +236,14 @@
 func (n *Node) listPause(previous time.Duration, tail source.ReadResult, err error) time.Duration {
 	leading, _ := n.peers.leadership()
 	switch {
-	case err != nil && (leading || n.peers.isStandby()):
-		return min(2*previous, n.policy.StoreRetryMax)
 	case err != nil:
-		return min(2*previous, n.policy.StoreRetryRelayed)
+		return min(2*previous, n.storeRetryMax())
 	case !tail.AtEnd:
 		return 0
 	case leading && n.fastListPolling.Load():
 		return n.policy.ListIntervalBusy
+	case !n.mayLead():
+		return n.policy.ListIntervalRelayed
 	}
 	return n.policy.ListInterval
 }
--- a/transport/entry/follow_test.go
+++ b/transport/entry/follow_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/source"
 )
 
 // When a system of 295 nodes started, each node read the whole list several times before a leader relayed it.
@@ -28,14 +30,58 @@
 		{"a restarted node", false, policy.Standbys + 1, 0, false, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			n := newTestNode()
+			n := standing(c.larger)
 			n.settings.IsFirstStart = c.firstStart
-			for i := range c.larger {
-				n.peers.recordNode(NodeEntry{Name: string(rune('a' + i)), Address: testAddress(2 + i).String(), Capacity: 2})
-			}
 			n.peers.hasRequests = c.hasRequests
 			n.peers.setLeader(c.leading)
 			NewWithT(t).Expect(n.leavesListToLeader(n.started.Add(c.after))).To(Equal(c.waits))
 		})
 	}
 }
+
+// standing returns a node that knows the given number of larger nodes.
+func standing(larger int) *Node {
+	n := newTestNode()
+	for i := range larger {
+		n.peers.recordNode(NodeEntry{Name: string(rune('a' + i)), Address: testAddress(2 + i).String(), Capacity: 2})
+	}
+	return n
+}
+
+// The store may turn a part of the nodes away for long. Nodes that cannot become leader soon leave it in peace while a
+// leader relays the store, and try it seldom otherwise.
+func TestOnlyStandbysKeepTryingAStoreThatFails(t *testing.T) {
+	policy := DefaultPolicy().Node
+	for _, c := range []struct {
+		name     string
+		larger   int
+		leading  bool
+		failed   bool
+		relies   bool
+		retryMax time.Duration
+		pause    time.Duration
+	}{
+		{"the leader", 0, true, true, false, policy.StoreRetryMax, policy.ListInterval},
+		{"a standby", policy.Standbys, false, true, false, policy.StoreRetryMax, policy.ListInterval},
+		{"a standby that can read", policy.Standbys, false, false, true, policy.StoreRetryMax, policy.ListInterval},
+		{"another node", policy.Standbys + 1, false, true, true, policy.StoreRetryRelayed, policy.ListIntervalRelayed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := standing(c.larger)
+			n.peers.setLeader(c.leading)
+			n.recordStoreRead(n.clock.Now())
+			n.storeFailed.Store(c.failed)
+			g.Expect(n.reliesOnLeader()).To(Equal(c.relies))
+			g.Expect(n.listPause(time.Hour, source.ReadResult{}, source.ErrUnavailable)).To(Equal(c.retryMax))
+			g.Expect(n.listPause(0, source.ReadResult{AtEnd: true}, nil)).To(Equal(c.pause))
+		})
+	}
+}
+
+func TestStandbysReadTheStoreBeforeOtherNodesDo(t *testing.T) {
+	g := NewWithT(t)
+	policy := DefaultPolicy().Node
+	g.Expect(standing(policy.Standbys).feedTimeout()).To(Equal(policy.FeedAge))
+	g.Expect(standing(policy.Standbys + 1).feedTimeout()).To(Equal(policy.FeedAge * 3 / 2))
+}
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -147,9 +147,13 @@
 	}
 }
 
+// maxNodesPauses is the maximum pause between two reads of the nodes' entries, in units of NodePolicy.NodesPause.
+const maxNodesPauses = 8
+
 // followNodes reads the nodes' entries from the store as they are written.
 func (p *peers) followNodes(ctx context.Context) {
 	cursor := p.n.newCursor()
+	pause := p.n.policy.NodesPause
 	for {
 		if cursor.NextOffset(p.n.clock.Now()) >= 0 && p.n.feed.configAge(p.n.clock.Now()) < 2*p.n.feedTimeout() {
 			// The leader's answers list new nodes.
@@ -172,11 +176,12 @@
 			p.setNodesKnown()
 			p.shareBudgets()
 		}
-		// Each new entry completes all waiting reads. Without a pause, nodes that start
+		// Each new entry completes all waiting reads. Without a pause that grows, nodes that start
 		// together would each read once for every other node.
-		if !p.n.sleep(ctx, p.n.policy.NodesPause) {
+		if !p.n.sleep(ctx, pause) {
 			return
 		}
+		pause = min(2*pause, maxNodesPauses*p.n.policy.NodesPause)
 	}
 }
 
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -106,9 +106,11 @@
 	ConfigWait        time.Duration `flag:"config-wait" help:"how long a read of the configuration waits for a newer one" min:"0s" max:"30s"`
 	ConfigWaitLeading time.Duration `flag:"config-wait-leading" help:"how long a read of the configuration by the leader waits for a newer one" min:"0s" max:"30s"`
 	// ListInterval is the time between two reads of the instance list, ListIntervalBusy the same
-	// while the leader waits for the list to show a change of groups.
-	ListInterval     time.Duration `flag:"list-interval" help:"time between two reads of the instance list" min:"10ms" max:"10s"`
-	ListIntervalBusy time.Duration `flag:"list-interval-busy" help:"time between two reads of the instance list while groups change" min:"10ms" max:"10s"`
+	// while the leader waits for the list to show a change of groups, ListIntervalRelayed the same at a node
+	// that is neither the leader nor a standby and has no relayed list for the moment.
+	ListInterval        time.Duration `flag:"list-interval" help:"time between two reads of the instance list" min:"10ms" max:"10s"`
+	ListIntervalBusy    time.Duration `flag:"list-interval-busy" help:"time between two reads of the instance list while groups change" min:"10ms" max:"10s"`
+	ListIntervalRelayed time.Duration `flag:"list-interval-relayed" help:"time between two reads of the instance list by a node that waits for a leader to relay it" min:"10ms" max:"10s"`
 	// RecentRead is the age of the last read of the list up to which the entries since then count as just
 	// written.
 	RecentRead time.Duration `flag:"recent-read" help:"age of the last read of the instance list up to which entries since then count as just written" min:"0s" max:"10s"`
@@ -189,6 +191,7 @@
 			ConfigWaitLeading:    250 * time.Millisecond,
 			ListInterval:         300 * time.Millisecond,
 			ListIntervalBusy:     80 * time.Millisecond,
+			ListIntervalRelayed:  time.Second,
 			RecentRead:           time.Second,
 			FeedAge:              800 * time.Millisecond,
 			FeedPause:            100 * time.Millisecond,
@@ -199,7 +202,7 @@
 			StoreTimeout:         time.Second,
 			StoreRetry:           150 * time.Millisecond,
 			StoreRetryMax:        700 * time.Millisecond,
-			StoreRetryRelayed:    1500 * time.Millisecond,
+			StoreRetryRelayed:    4 * time.Second,
 			SupplyLogInterval:    time.Second,
 			LogInterval:          200 * time.Millisecond,
 			StoreLostAfter:       2 * time.Second,
