More probes at once in a large system, no probes of groups whose requests wait as long as all others

A slot for each eight instances now: 115 here, 32 as before up to 256 instances (TestLossOfManyInstancesIsNoticedFast plays the load).

--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -105,8 +105,8 @@
 	DesiredInstances map[string]float64
 	// Skipped is the number of domains in which no group is closed for reallocation, by reason.
 	Skipped map[SkipReason]int
-	// SpareDescriptions describes the loaded and staged models of each free instance, for the log.
-	SpareDescriptions []string
+	// Spares is the number of free instances by loaded and staged models, for the log.
+	Spares map[string]int
 	// ExcludedGroups holds the groups that must not receive new requests, with the reason.
 	ExcludedGroups map[fleet.GroupKey]string
 }
@@ -223,6 +223,7 @@
 func (s *step) summarize() {
 	s.plan.OpenGroups = map[string]int{}
 	s.plan.DesiredInstances = map[string]float64{}
+	s.plan.Spares = map[string]int{}
 	for i, m := range s.engine.Models {
 		s.plan.DesiredInstances[m.Name] = math.Round(s.alloc.desired[i])
 	}
@@ -235,7 +236,7 @@
 		m := s.byID[id]
 		if m.usable() && m.Membership.Group == "" && !s.assigned[id] {
 			s.plan.FreeInstances++
-			s.plan.SpareDescriptions = append(s.plan.SpareDescriptions, fmt.Sprintf("%s: %s has %q and %v", m.Domain, id, m.Model, m.Staged))
+			s.plan.Spares[fmt.Sprintf("%q, staged %v", m.Model, m.Staged)]++
 		}
 	}
 }
--- a/coordination/probeslots/probeslots.go
+++ b/coordination/probeslots/probeslots.go
@@ -21,6 +21,16 @@
 	return &Slots{max: maxProbes, halls: map[state.InstanceID]state.HallName{}, byHall: map[state.HallName]int{}}
 }
 
+// instancesPerSlot is the number of instances for each slot in a large system. A silent instance needs a slot for
+// two timeouts and costs no processor time meanwhile, so with few slots the loss of an eighth of 925 instances takes
+// seconds to notice.
+const instancesPerSlot = 8
+
+// SetInstances sets the number of instances to probe. There are minimum slots, or more in a large system.
+func (s *Slots) SetInstances(instances, minimum int) {
+	s.max = max(minimum, instances/instancesPerSlot)
+}
+
 // TryAcquire takes a slot for a probe of an instance, and reports whether there was one. An instance holds one slot
 // at most. A hall is limited only once another hall has been probed.
 func (s *Slots) TryAcquire(id state.InstanceID, hall state.HallName) bool {
--- a/coordination/probeslots/probeslots_test.go
+++ b/coordination/probeslots/probeslots_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -64,3 +65,64 @@
 	s.Release("a")
 	g.Expect(s.TryAcquire("b", "two")).To(BeTrue())
 }
+
+// Timing of the probes in TestLossOfManyInstancesIsNoticedFast.
+const (
+	probeTimeout  = 160 * time.Millisecond
+	probeInterval = 400 * time.Millisecond
+	lostFailures  = 2
+)
+
+// timeToNotice returns the time until each of the silent instances has failed lostFailures probes, when probes
+// are sent at every tick while slots last.
+func timeToNotice(s *probeslots.Slots, silent int) time.Duration {
+	const tick = 25 * time.Millisecond
+	failures, probedAt := make([]int, silent), make([]time.Duration, silent)
+	inFlight := make([]bool, silent)
+	for now := tick; ; now += tick {
+		lost := 0
+		for i := range silent {
+			id := state.InstanceID(fmt.Sprint("i", i))
+			if inFlight[i] && now-probedAt[i] >= probeTimeout {
+				inFlight[i] = false
+				failures[i]++
+				s.Release(id)
+			}
+			if failures[i] >= lostFailures {
+				lost++
+				continue
+			}
+			due := probedAt[i] == 0 || now-probedAt[i] >= probeInterval
+			if due && s.TryAcquire(id, state.HallName(fmt.Sprint("hall", i%5))) {
+				inFlight[i], probedAt[i] = true, now
+			}
+		}
+		if lost == silent {
+			return now
+		}
+	}
+}
+
+// When 109 of 925 instances were cut off, 54 groups stood still, and the last of them were noticed after 2.5 s
+// because their probes waited for slots.
+func TestLossOfManyInstancesIsNoticedFast(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		instances, silent int
+		within            time.Duration
+	}{
+		{"an eighth of a large system", 925, 109, 800 * time.Millisecond},
+		{"a domain of a large system", 925, 37, 700 * time.Millisecond},
+		{"an eighth of a small system", 48, 6, 700 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := probeslots.New(32)
+			s.SetInstances(c.instances, 32)
+			g.Expect(timeToNotice(s, c.silent)).To(BeNumerically("<=", c.within))
+			if c.silent > 100 {
+				g.Expect(timeToNotice(probeslots.New(32), c.silent)).To(BeNumerically(">", c.within), "with the slots of a small system")
+			}
+		})
+	}
+}
--- a/transport/entry/changelog_test.go
+++ b/transport/entry/changelog_test.go
@@ -25,8 +25,8 @@
 	return &follower{roster: roster.New(roster.Config{Policy: roster.DefaultPolicy()})}
 }
 
-// pull applies what the follower lacks and returns the number of batches.
-func (f *follower) pull(g *WithT, l *changeLog, from *roster.Roster, now time.Time) int {
+// pull applies what the follower lacks.
+func (f *follower) pull(g *WithT, l *changeLog, from *roster.Roster, now time.Time) {
 	changes, err := l.since(f.version, from, now)
 	g.Expect(err).NotTo(HaveOccurred())
 	a := StatusAnswer{ChangeBatches: changes.batches}
@@ -35,7 +35,6 @@
 		f.roster.ApplyRelayed(c, now)
 	}
 	f.version = changes.upTo
-	return len(changes.batches)
 }
 
 // memberships returns the memberships of the instances that are in the list.
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -89,7 +89,7 @@
 	now := p.node.clock.Now()
 	var excluded []GroupEpoch
 	staging := map[state.ServiceName][]placement.Staging{}
-	inTransition := false
+	inTransition, instances := false, 0
 	_, flows := p.node.peers.totals()
 	for _, s := range c.Services {
 		if s.Engine == nil {
@@ -99,6 +99,7 @@
 		planner.BeforeTraffic = p.node.settings.IsFirstStart && !p.node.peers.anyRequests()
 		planner.Demand = p.node.settings.Policy.Demand.OccupiedSlots(s.Name, s.Engine, flows)
 		members := p.node.roster.Members(s.Name, since, now)
+		instances += len(members)
 		plan := planner.Step(now, members)
 		staging[s.Name] = planner.Stagings()
 		for key := range plan.ExcludedGroups {
@@ -116,6 +117,7 @@
 	}
 	p.mu.Lock()
 	p.excludedGroups, p.stagingsByService = excluded, staging
+	p.probing.SetInstances(instances, p.node.policy.MaxProbes)
 	p.mu.Unlock()
 	p.node.setExcluded(excluded)
 	p.node.setFrequentListReads(inTransition)
@@ -132,19 +134,22 @@
 	}
 	p.supplyLoggedAt = now
 	p.node.log.WithFields(log.Fields{
-		"service": service, "groups": plan.OpenGroups, "wanted": plan.DesiredInstances, "kept": plan.Skipped, "free": plan.FreeInstances, "spares": plan.SpareDescriptions, "instances": instances, "failing": describeExcluded(plan.ExcludedGroups),
+		"service": service, "groups": plan.OpenGroups, "wanted": plan.DesiredInstances, "kept": plan.Skipped, "free": plan.FreeInstances, "spares": plan.Spares, "instances": instances, "failing": describeExcluded(plan.ExcludedGroups), "failing_count": len(plan.ExcludedGroups),
 	}).Info("supply")
 	p.node.log.WithFields(p.node.leaderLoad.takeFields()).Info("leader load")
 }
 
-// describeExcluded describes groups that receive no requests, with the reasons.
+// maxFailingGroups is the maximum number of groups that one log line names.
+const maxFailingGroups = 16
+
+// describeExcluded describes the first groups that receive no requests, with the reasons.
 func describeExcluded(excluded map[fleet.GroupKey]string) []string {
 	list := make([]string, 0, len(excluded))
 	for key, reason := range excluded {
 		list = append(list, string(key.Group)+": "+reason)
 	}
 	slices.Sort(list)
-	return list
+	return list[:min(len(list), maxFailingGroups)]
 }
 
 // planner returns the planner of a service, and creates it if there is none.
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -46,8 +46,8 @@
 	SuspectProbeInterval time.Duration `flag:"doubt-interval" help:"minimum time between two probes of an instance that may have ended" min:"10ms" max:"1m"`
 	// ProbeInterval is the minimum time between two probes of one instance.
 	ProbeInterval time.Duration `flag:"probe-interval" help:"minimum time between two probes of one instance" min:"10ms" max:"1m"`
-	// MaxProbes is the maximum number of the leader's probes in flight. More would only wait for the
-	// node's own processor.
+	// MaxProbes is the maximum number of the leader's probes in flight in a small system. More would only wait
+	// for the node's own processor. A large system allows more, see package probeslots.
 	MaxProbes int `flag:"probes-at-once" help:"maximum number of the leader's probes in flight" min:"1" max:"10000"`
 	// ProbeTimeout is the timeout of a probe.
 	ProbeTimeout time.Duration `flag:"probe-timeout" help:"timeout of a probe of an instance" min:"10ms" max:"1m"`
--- a/transport/gateway/policy.go
+++ b/transport/gateway/policy.go
@@ -29,8 +29,8 @@
 	// RateLimitRetryAfterMax is the maximum retry delay when all instances are rate-limited, before jitter.
 	RateLimitRetryAfterMax time.Duration `flag:"rate-limit-retry-after-max" help:"maximum retry delay of callers when instances are rate-limited" min:"0s" max:"1m"`
 
-	// FirstSilence is the time without a first event after which a group is probed, EventSilence
-	// the time without a further event.
+	// FirstSilence is the time without a first event after which a group is probed, unless requests for
+	// its model wait longer anyway; EventSilence is the time without a further event.
 	FirstSilence time.Duration `flag:"first-silence" help:"time without a first event after which a group is probed" min:"10ms" max:"1m"`
 	EventSilence time.Duration `flag:"event-silence" help:"time without a further event after which a group is probed" min:"10ms" max:"1m"`
 	// SilentAfter is the time without a further event after which a stream is resumed on another
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -43,7 +43,7 @@
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			now := c.Clock.Now()
-			w.recordData(now)
+			c.StallDetector.recordData(w, now)
 			c.hold.RecordFirstEvent()
 			pending = append(pending, buf[:n]...)
 			rest, forwardErr := c.forwardEvents(pending, resp, now)
--- a/transport/gateway/watch.go
+++ b/transport/gateway/watch.go
@@ -53,15 +53,19 @@
 	return lastData > 0 && after > 0 && w.unchangedChecks >= minSilentChecks && steady.Nanos(now)-lastData > int64(after)
 }
 
-// recordData records that data of the response arrived.
-func (w *watchedAttempt) recordData(now time.Time) { w.lastDataNanos.Store(steady.Nanos(now)) }
+// recordData records that data of the response to an attempt arrived.
+func (d *StallDetector) recordData(w *watchedAttempt, now time.Time) {
+	if w.lastDataNanos.Swap(steady.Nanos(now)) == 0 {
+		d.firstEvents.Record(w.target.Service, w.target.Model, now.Sub(w.sentAt))
+	}
+}
 
-// needsProbe reports whether the attempt received nothing for so long that its group must be probed.
-func (w *watchedAttempt) needsProbe(now time.Time, policy *Policy) bool {
+// needsProbe reports whether an attempt received nothing for so long that its group must be probed.
+func (d *StallDetector) needsProbe(w *watchedAttempt, now time.Time) bool {
 	if lastData := w.lastDataNanos.Load(); lastData > 0 {
-		return steady.Nanos(now)-lastData > int64(policy.EventSilence)
+		return steady.Nanos(now)-lastData > int64(d.policy.EventSilence)
 	}
-	return now.Sub(w.sentAt) > policy.FirstSilence
+	return now.Sub(w.sentAt) > d.firstEvents.Unusual(w.target.Service, w.target.Model, d.policy.FirstSilence)
 }
 
 // StallDetector detects attempts that make no progress. It is safe for concurrent use.
@@ -69,13 +73,15 @@
 	clock  clockwork.Clock
 	health FailureDetector
 	policy *Policy
-	mu     sync.Mutex
-	active map[*watchedAttempt]struct{}
+	// firstEvents tracks the usual wait for a first event.
+	firstEvents *dispatch.FirstEventTimes
+	mu          sync.Mutex
+	active      map[*watchedAttempt]struct{}
 }
 
 // newStallDetector returns a StallDetector without attempts.
 func newStallDetector(clock clockwork.Clock, health FailureDetector, policy *Policy) *StallDetector {
-	return &StallDetector{clock: clock, health: health, policy: policy, active: map[*watchedAttempt]struct{}{}}
+	return &StallDetector{clock: clock, health: health, policy: policy, firstEvents: dispatch.NewFirstEventTimes(), active: map[*watchedAttempt]struct{}{}}
 }
 
 // add registers an attempt.
@@ -101,7 +107,7 @@
 	silentTargets := map[state.InstanceID]*dispatch.Candidate{}
 	d.mu.Lock()
 	for a := range d.active {
-		if a.needsProbe(now, d.policy) {
+		if d.needsProbe(a, now) {
 			silentTargets[a.target.ID] = a.target
 		}
 		if a.resumable && a.checkStreamSilent(now, d.policy.SilentAfter) {
