--- a/transport/entry/changelog_test.go
+++ b/transport/entry/changelog_test.go
@@ -126,3 +126,16 @@
 	g.Expect(c.batches).To(HaveLen(1))
 	g.Expect(c.listAsOf).To(Equal(later))
 }
+
+// Most batches hold one or two changes. Without what they have in common known beforehand, one takes 250 bytes, and the
+// bytes between halls have their price.
+func TestBatchOfOneChangeIsSmall(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	leader := roster.New(roster.Config{Policy: roster.DefaultPolicy()})
+	leader.ApplyFreshEntry(fleetSize{nodes: 295, instances: 925}.member(17, 3), now)
+	c, err := (&changeLog{}).since(0, leader, now)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.batches).To(HaveLen(1))
+	g.Expect(len(c.batches[0])).To(BeNumerically("<", 150))
+}
