A starting node waits for the leader's answer before it reads the store

A restarted node now waits up to 150 ms for it; when the system starts for the first time only standbys read the configuration too.

--- a/transport/entry/feed.go
+++ b/transport/entry/feed.go
@@ -38,6 +38,9 @@
 	f.listAsOf.Store(steady.Nanos(listAsOf))
 }
 
+// isKnown reports whether a leader has relayed anything yet.
+func (f *feed) isKnown() bool { return f.configAsOf.Load() != 0 }
+
 // configAge returns the maximum age of the relayed configuration.
 func (f *feed) configAge(now time.Time) time.Duration { return ageSince(f.configAsOf.Load(), now) }
 
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -18,9 +18,9 @@
 func (n *Node) followConfig(ctx context.Context) {
 	cursor, retryDelay := n.newCursor(), n.policy.StoreRetry
 	for {
-		if n.feed.configAge(n.clock.Now()) < n.feedTimeout() && n.reliesOnLeader() {
+		if n.leavesConfigToLeader(n.clock.Now()) {
 			cursor.Reset()
-			if !n.sleep(ctx, n.policy.FeedPause) {
+			if !n.sleep(ctx, n.feedPause()) {
 				return
 			}
 			continue
@@ -48,6 +48,25 @@
 	}
 }
 
+// leavesConfigToLeader reports whether the node leaves reading the configuration to the leader: because it is relayed
+// in time, or because the first answer of a leader is about to come.
+func (n *Node) leavesConfigToLeader(now time.Time) bool {
+	if leading, _ := n.peers.leadership(); leading {
+		return false
+	}
+	return n.feed.configAge(now) < n.feedTimeout() && n.reliesOnLeader() || n.awaitsFirstFeed(now) || n.awaitsFirstAnswer(now)
+}
+
+// firstAnswerTime is the time after its start by which a node has read the other nodes' entries and has got an answer
+// from the leader, if there is one.
+const firstAnswerTime = 150 * time.Millisecond
+
+// awaitsFirstAnswer reports whether a node that has just started in a running system waits for the answer to its
+// first status report. The answer brings the configuration and the list, which it need not read then.
+func (n *Node) awaitsFirstAnswer(now time.Time) bool {
+	return !n.settings.IsFirstStart && now.Sub(n.started) < firstAnswerTime && !n.feed.isKnown()
+}
+
 // reliesOnLeader reports whether the node leaves reading the store to the leader. A standby still reads
 // it at every StandbyRead, to know that it can. Another node need not know that: while the store turned away a
 // third of 295 nodes, their own attempts were most of the calls of a day.
@@ -184,7 +203,7 @@
 		startedAt := n.clock.Now()
 		if n.leavesListToLeader(startedAt) {
 			cursor.Reset()
-			if !n.waitForList(ctx, n.policy.FeedPause) {
+			if !n.waitForList(ctx, n.feedPause()) {
 				return
 			}
 			continue
@@ -214,7 +233,7 @@
 	if leading, _ := n.peers.leadership(); leading {
 		return false
 	}
-	return n.feed.listAge(now) < n.feedTimeout() || n.awaitsFirstFeed(now)
+	return n.feed.listAge(now) < n.feedTimeout() || n.awaitsFirstFeed(now) || n.awaitsFirstAnswer(now)
 }
 
 // nodesReadTime is the time after the start of a system by which a node has read of most other nodes, and so knows
@@ -231,6 +250,15 @@
 	return age < nodesReadTime || !n.peers.isStandby()
 }
 
+// feedPause returns the time until the next check of the age of the relayed data. A node that waits for its first answer
+// checks often, so that it is ready soon if there is no leader.
+func (n *Node) feedPause() time.Duration {
+	if n.clock.Since(n.started) < firstAnswerTime {
+		return min(n.policy.FeedPause, firstAnswerTime/5)
+	}
+	return n.policy.FeedPause
+}
+
 // listPause returns the pause before the next read of the list, given the pause before the last
 // read and its result.
 func (n *Node) listPause(previous time.Duration, tail source.ReadResult, err error) time.Duration {
