--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -68,13 +68,16 @@
 }
 
 // reliesOnLeader reports whether the node leaves reading the store to the leader. A standby still reads
-// it at every StandbyRead, to know that it can. Another node need not know that: while the store turned away a
-// third of 295 nodes, their own attempts were most of the calls of a day.
+// it at every StandbyRead, to know that it can. Another node that cannot read it tries again only at every
+// StoreRetryRelayed: while the store turned away a third of 295 nodes, their attempts were most of the calls of a day.
 func (n *Node) reliesOnLeader() bool {
 	if leading, _ := n.peers.leadership(); leading {
 		return false
 	}
-	return !n.peers.isStandby() || !n.storeFailed.Load() && n.ownStoreAge() < n.policy.StandbyRead
+	if !n.peers.isStandby() {
+		return !n.storeFailed.Load() || n.clock.Since(n.started)-time.Duration(n.storeTriedAt.Load()) < n.policy.StoreRetryRelayed
+	}
+	return !n.storeFailed.Load() && n.ownStoreAge() < n.policy.StandbyRead
 }
 
 // mayLead reports whether the node is the leader or one of its standbys, which read the store most often.
@@ -169,6 +172,7 @@
 	defer cancel()
 	n.Count("store." + string(topic))
 	startedAt := n.clock.Now()
+	n.storeTriedAt.Store(int64(startedAt.Sub(n.started)))
 	tail, err := n.readTopic(ctx, topic, from, wait)
 	if err == nil {
 		n.storeFailed.Store(false)
--- a/transport/entry/follow_test.go
+++ b/transport/entry/follow_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
 	"github.com/troutmast/troutmast/coordination/source"
@@ -57,21 +58,25 @@
 		larger   int
 		leading  bool
 		failed   bool
+		triedAgo time.Duration
 		relies   bool
 		retryMax time.Duration
 		pause    time.Duration
 	}{
-		{"the leader", 0, true, true, false, policy.StoreRetryMax, policy.ListInterval},
-		{"a standby", policy.Standbys, false, true, false, policy.StoreRetryMax, policy.ListInterval},
-		{"a standby that can read", policy.Standbys, false, false, true, policy.StoreRetryMax, policy.ListInterval},
-		{"another node", policy.Standbys + 1, false, true, true, policy.StoreRetryRelayed, policy.ListIntervalRelayed},
+		{"the leader", 0, true, true, 0, false, policy.StoreRetryMax, policy.ListInterval},
+		{"a standby", policy.Standbys, false, true, 0, false, policy.StoreRetryMax, policy.ListInterval},
+		{"a standby that can read", policy.Standbys, false, false, 0, true, policy.StoreRetryMax, policy.ListInterval},
+		{"another node", policy.Standbys + 1, false, true, policy.StoreRetryMax, true, policy.StoreRetryRelayed, policy.ListIntervalRelayed},
+		{"another node after a while", policy.Standbys + 1, false, true, policy.StoreRetryRelayed, false, policy.StoreRetryRelayed, policy.ListIntervalRelayed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			n := standing(c.larger)
 			n.peers.setLeader(c.leading)
-			n.recordStoreRead(n.clock.Now())
+			clock := n.clock.(*clockwork.FakeClock)
 			n.storeFailed.Store(c.failed)
+			clock.Advance(c.triedAgo) // the last attempt was at the start
+			n.recordStoreRead(clock.Now())
 			g.Expect(n.reliesOnLeader()).To(Equal(c.relies))
 			g.Expect(n.listPause(time.Hour, source.ReadResult{}, source.ErrUnavailable)).To(Equal(c.retryMax))
 			g.Expect(n.listPause(0, source.ReadResult{AtEnd: true}, nil)).To(Equal(c.pause))
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -72,7 +72,9 @@
 	// storeFailed reports whether the last read of the store failed. Only the first of consecutive
 	// failures is logged.
 	storeFailed atomic.Bool
-	stopping    atomic.Bool
+	// storeTriedAt is when the last read of the store began, in nanoseconds since started.
+	storeTriedAt atomic.Int64
+	stopping     atomic.Bool
 	// fastListPolling requests frequent reads of the instance list.
 	fastListPolling atomic.Bool
 	// listRequested requests one read of the instance list.
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -157,6 +157,7 @@
 	for {
 		if cursor.NextOffset(p.n.clock.Now()) >= 0 && p.n.feed.configAge(p.n.clock.Now()) < 2*p.n.feedTimeout() {
 			// The leader's answers list new nodes.
+			pause = p.n.policy.NodesPause
 			if !p.n.sleep(ctx, p.n.feedTimeout()) {
 				return
 			}
