Overload never leaves leadership to smaller nodes

A node now steps down only for one of at least its own capacity, and a node that rests reports itself as overloaded, so that the last of the large ones keeps the leadership (TestOverloadNeverLeavesLeadershipToSmallerNodes). TestLateNodeDoesNotLeadIfAnotherIsOnTime names capacities: the node on time is as large.

--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -59,7 +59,7 @@
 	StoreAgeMS int64 `json:"store"`
 	// NodeCount is the number of nodes that the node knows, including itself.
 	NodeCount int `json:"nodes"`
-	// IsOverloaded is set if the node's own timers fire late.
+	// IsOverloaded is set if the node's own timers fire late, or did so recently.
 	IsOverloaded bool `json:"late,omitempty"`
 	// Ledger reports which instances ended while they ran which requests, as far as the leader may
 	// lack it. LedgerVersion is the version up to which the node has the leader's ledger.
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -261,8 +261,9 @@
 	return !p.n.stopping.Load() && p.n.incarnationNumber.Load() > 0 && p.n.configState.Catalog() != nil && !p.isBehindOthers() && !p.isSlowerThanOthers(now)
 }
 
-// isSlowerThanOthers reports whether this node is overloaded and another one is not, or was so
-// within OverloadBackoff. The caller holds p.mu.
+// isSlowerThanOthers reports whether this node is overloaded and another one of at least its capacity is not, or was so
+// within OverloadBackoff. A smaller node would only be overloaded sooner: with 295 nodes, leadership passed
+// through all sizes and left small nodes that each led by themselves. The caller holds p.mu.
 func (p *peers) isSlowerThanOthers(now time.Time) bool {
 	if now.Before(p.noLeadUntil) {
 		return true
@@ -271,7 +272,8 @@
 		return false
 	}
 	for _, h := range p.statusReports {
-		if now.Sub(h.receivedAt) < p.n.policy.NodeTimeout && !h.report.IsOverloaded {
+		canReplace := h.report.From.Capacity >= p.n.settings.Capacity && !h.report.IsOverloaded
+		if canReplace && now.Sub(h.receivedAt) < p.n.policy.NodeTimeout {
 			p.noLeadUntil = now.Add(p.n.policy.OverloadBackoff)
 			p.n.Count("placing.rested")
 			return true
@@ -280,6 +282,14 @@
 	return false
 }
 
+// isOverloaded reports whether this node is overloaded, or was so recently that it does not lead. It cannot take over
+// from another overloaded leader then.
+func (p *peers) isOverloaded(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.noLeadUntil) || p.n.localHealth.Overloaded(now)
+}
+
 // isBehindOthers reports whether this node cannot read the store while another one recently could.
 // The caller holds p.mu.
 func (p *peers) isBehindOthers() bool {
--- a/transport/entry/peers_test.go
+++ b/transport/entry/peers_test.go
@@ -92,16 +92,53 @@
 	g := NewWithT(t)
 	n := ableNode(g)
 	canLead := func() bool { return n.peers.canLead(n.clock.Now()) }
+	report := func(name string, capacity float64, overloaded bool) {
+		w := StatusReport{From: NodeEntry{Name: name, Capacity: capacity}, IsOverloaded: overloaded}
+		n.peers.statusReports[name] = receivedReport{report: w, receivedAt: n.clock.Now()}
+	}
 	for range 8 {
 		n.localHealth.RecordDelay(100*time.Millisecond, n.clock.Now())
 	}
 	g.Expect(canLead()).To(BeTrue(), "no other node is known to run on time")
-	n.peers.statusReports["b"] = receivedReport{report: StatusReport{IsOverloaded: true}, receivedAt: n.clock.Now()}
+	report("b", 1, true)
 	g.Expect(canLead()).To(BeTrue())
-	n.peers.statusReports["c"] = receivedReport{report: StatusReport{}, receivedAt: n.clock.Now()}
+	report("smaller", 0.2, false)
+	g.Expect(canLead()).To(BeTrue(), "a smaller node would be overloaded sooner")
+	report("c", 1, false)
 	g.Expect(canLead()).To(BeFalse())
 }
 
+// Overload passes the leadership on among the nodes of one size at most once each: the last of them keeps it. With
+// fifteen large nodes it went on to small ones, which failed at once, and in the end many nodes led by themselves.
+func TestOverloadNeverLeavesLeadershipToSmallerNodes(t *testing.T) {
+	g := NewWithT(t)
+	var large []*Node
+	for i := range 15 {
+		n := numbered(g, string(rune('a'+i)), int64(i+1))
+		n.settings.PeerAddress = testAddress(10 + i)
+		for range 8 {
+			n.localHealth.RecordDelay(100*time.Millisecond, n.clock.Now())
+		}
+		large = append(large, n)
+	}
+	able := 0
+	for i, n := range large {
+		for j, other := range large {
+			w := *other.peers.statusReport()
+			w.IsOverloaded = j < i // the earlier ones have led; the later ones have had no load yet
+			if j != i {
+				n.peers.statusReports[w.From.Name] = receivedReport{report: w, receivedAt: n.clock.Now()}
+			}
+		}
+		n.peers.statusReports["small"] = receivedReport{report: StatusReport{From: NodeEntry{Name: "small", Capacity: 0.2}}, receivedAt: n.clock.Now()}
+		if n.peers.canLead(n.clock.Now()) {
+			able++
+		}
+		g.Expect(n.peers.statusReport().IsOverloaded).To(BeTrue())
+	}
+	g.Expect(able).To(Equal(1))
+}
+
 // A node that does not lead, because it runs late, still sends its configuration in its answer:
 // the asking node may have no other source.
 func TestNonLeaderAnswersWithConfiguration(t *testing.T) {
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -73,7 +73,7 @@
 		StoreAgeMS:   ceilMS(n.storeAge()),
 		Era:          n.eras.current(),
 		NodeCount:    p.nodeCount(),
-		IsOverloaded: n.localHealth.Overloaded(now),
+		IsOverloaded: p.isOverloaded(now),
 		ConfigAgeMS:  ceilMS(unknownAge),
 	}
 	w.Feed, w.FeedVersion = p.feedPosition()
