--- a/coordination/pacing/pacing.go
+++ b/coordination/pacing/pacing.go
@@ -1,7 +1,8 @@
 // Package pacing decides how often the nodes of a system report to their leader.
 //
 // It answers the load of many nodes on one: without a bound, the reports that the leader answers grow with the
-// number of nodes until they take all of its processor.
+// number of nodes until they take all of its processor. Reports that a node sends at once, because an instance did not
+// answer it, come in addition and are not bounded here.
 package pacing
 
 import "time"
@@ -10,7 +11,7 @@
 type Policy struct {
 	// MinInterval is the time between two reports of a node to the leader of a small system.
 	MinInterval time.Duration
-	// MaxPerSecond is the maximum number of reports of all nodes together per second.
+	// MaxPerSecond is the maximum number of periodic reports of all nodes together per second.
 	MaxPerSecond float64
 }
 
--- a/coordination/roster/view.go
+++ b/coordination/roster/view.go
@@ -96,8 +96,8 @@
 	return !e.inList && now.Sub(e.unlistedAt) > e.policy.UnlistedGrace
 }
 
-// TimedStates returns a hash of what the passage of time alone changes in the result of All. Together
-// with Version it tells whether All would return anything else than before, without the cost of All.
+// TimedStates returns a hash of the states of unlisted instances that change with time, without an event. While it and
+// Version stay the same, so does the result of All, which is much more expensive.
 func (r *Roster) TimedStates(now time.Time) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -9,8 +9,8 @@
 const maxRound = 16
 
 // Rounds divides the candidates, given in the order of succession, into rounds. The candidates of a round are asked
-// side by side, a round after the one before has failed. Rounds grow, so that n silent candidates cost about log2(n)
-// timeouts instead of n.
+// side by side, a round after the one before has failed. Rounds double up to maxRound, so that n silent candidates cost
+// about log2(n) timeouts up to 16 candidates, and one more for each further 16.
 //
 // The last known leader is in the first round, together with the candidates that precede it: these were
 // unreachable or could not lead, and looking for their return must not delay the reports to the leader.
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -69,7 +69,7 @@
 
 // reliesOnLeader reports whether the node leaves reading the store to the leader. A standby still reads
 // it at every StandbyRead, to know that it can. Another node that cannot read it tries again only at every
-// StoreRetryRelayed: while the store turned away a third of 295 nodes, their attempts were most of the calls of a day.
+// StoreRetryRelayed, so that hundreds of nodes do not call a store that turns them away several times a second.
 func (n *Node) reliesOnLeader() bool {
 	if leading, _ := n.peers.leadership(); leading {
 		return false
@@ -245,7 +245,7 @@
 const nodesReadTime = 300 * time.Millisecond
 
 // awaitsFirstFeed reports whether the node waits for the first list that a leader relays. Only the nodes that may
-// lead read the list when a system starts: with the others, that is most of a day's reads and bytes at the store.
+// lead read the list when a system starts: otherwise each of hundreds of nodes reads all instances several times.
 func (n *Node) awaitsFirstFeed(now time.Time) bool {
 	age := now.Sub(n.started)
 	if !n.settings.IsFirstStart || age >= n.policy.FirstFeedWait || n.peers.anyRequests() {
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -262,8 +262,8 @@
 }
 
 // isSlowerThanOthers reports whether this node is overloaded and another one of at least its capacity is not, or was so
-// within OverloadBackoff. A smaller node would only be overloaded sooner: with 295 nodes, leadership passed
-// through all sizes and left small nodes that each led by themselves. The caller holds p.mu.
+// within OverloadBackoff. A smaller node would only be overloaded sooner, and pass the leadership on to
+// a still smaller one. The caller holds p.mu.
 func (p *peers) isSlowerThanOthers(now time.Time) bool {
 	if now.Before(p.noLeadUntil) {
 		return true
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -63,9 +63,9 @@
 
 	// StatusInterval is the time between two status reports of a node to the leader.
 	StatusInterval time.Duration `flag:"status-interval" help:"time between two status reports of a node to the leader" min:"10ms" max:"1m"`
-	// MaxStatusRate is the maximum number of status reports of all nodes together per second. With more nodes than
+	// MaxStatusRate is the maximum number of periodic status reports of all nodes together per second. With more nodes than
 	// that allows, the leader names a longer interval than StatusInterval.
-	MaxStatusRate float64 `flag:"max-status-rate" help:"maximum number of status reports to the leader per second" min:"1" max:"1000000"`
+	MaxStatusRate float64 `flag:"max-status-rate" help:"maximum number of periodic status reports to the leader per second" min:"1" max:"1000000"`
 	// StatusTimeout is the timeout of a status report.
 	StatusTimeout time.Duration `flag:"status-timeout" help:"timeout of a status report" min:"10ms" max:"1m"`
 	// UnreachableBackoff is how long a node is skipped as a possible leader after it did not
