Keep groups whose members all fell silent until they can answer again

Cause: a group fails at once when a member does not answer, and the members that do are ordered to leave. When a partition heals, the leader of the cut-off half reaches the members of each of the other half's groups one after the other and takes all of these groups apart. Ruled out: that both halves gave the same instances to different groups (no such join).

A group of which no member can be reached, and whose members all belong to it by what was last known, is kept for 1 s after the first ones answer. TestGroupsSurviveHealedPartition fails without it.

--- a/coordination/placement/formation.go
+++ b/coordination/placement/formation.go
@@ -16,8 +16,11 @@
 	trackedSince time.Time
 	// formedAt is the time of formation; for a group formed by another leader it is estimated.
 	formedAt time.Time
-	// failure is the reason for which the group is being dissolved. Once set it stays, even if a missing member returns.
+	// failure is the reason for which the group is being dissolved. Once set it stays, even if a missing member
+	// returns, except as canRevive allows.
 	failure string
+	// silentAt is the last time at which none of the members could be reached; zero if there was none.
+	silentAt time.Time
 	// opened is set once the head has been seen open.
 	opened bool
 	// joined holds the members that have been seen in the group.
@@ -43,7 +46,7 @@
 	for _, m := range s.membersByGroup[key] {
 		g.joined[m.ID] = true
 	}
-	if g.failure == "" {
+	if g.failure == "" || s.canRevive(g) {
 		g.failure = s.failureReason(key, g)
 	}
 	head := s.headOf(g)
@@ -224,18 +227,47 @@
 // A head that lacks a member makes no progress, so it does not matter when its own order
 // arrives. A member is free once it reports that it belongs to no group.
 func (s *step) dissolve(key fleet.GroupKey, g *group) {
-	allLeft := true
-	for _, m := range s.membersByGroup[key] {
-		if m.Lost || m.Far {
-			continue
-		}
-		allLeft = false
-		s.plan.InTransition = true
+	members := s.membersByGroup[key]
+	reachable := slices.DeleteFunc(slices.Clone(members), func(m *Member) bool { return m.Lost || m.Far })
+	if len(reachable) == 0 {
+		s.keepOrForget(key, g, len(members))
+		return
+	}
+	s.plan.InTransition = true
+	if s.isReturning(g) {
+		return
+	}
+	for _, m := range reachable {
 		s.addOrder(m, Order{Action: Leave, Key: key, Reason: g.failure})
 	}
-	if allLeft {
-		delete(s.groups, key)
+}
+
+// keepOrForget keeps the record of a failed group of which no member can be reached if all of them still belong to it
+// by what was last known. Otherwise it cannot revive, and its record would only hold the members that have left.
+func (s *step) keepOrForget(key fleet.GroupKey, g *group, remaining int) {
+	if remaining > 0 && remaining == len(g.members) {
+		g.silentAt = s.now
+		return
 	}
+	delete(s.groups, key)
+}
+
+// isReturning reports whether some members of a group answer again after all of them were silent, and the others
+// may still follow. A leader that was cut off from a data hall reaches its instances again one after the other
+// once the partition heals. Groups that lack a member only for that reason have served all the while.
+func (s *step) isReturning(g *group) bool {
+	return s.isSilent(g) && s.now.Sub(g.silentAt) < s.policy.ReturnDelay
+}
+
+// isSilent reports whether a member of a group does not answer.
+func (s *step) isSilent(g *group) bool {
+	return slices.ContainsFunc(g.members, func(id state.InstanceID) bool { return s.byID[id] != nil && s.byID[id].Lost })
+}
+
+// canRevive reports whether a group of which no member could be reached may turn out to be intact. It is not
+// dissolved by then, unless an order that was not answered has been carried out.
+func (s *step) canRevive(g *group) bool {
+	return !g.silentAt.IsZero() && s.now.Sub(g.silentAt) < s.policy.ReturnDelay && g.donorSince.IsZero()
 }
 
 // drain drains a group: the head is ordered to finish its requests, and the group fails
--- a/coordination/placement/policy.go
+++ b/coordination/placement/policy.go
@@ -14,6 +14,9 @@
 	// UnknownMemberTimeout is how long a group that was recovered after a change of leader may
 	// have a member that has never been seen.
 	UnknownMemberTimeout time.Duration `flag:"unknown-member-timeout" help:"how long a recovered group may have a member that has never been seen" min:"0s" max:"1m"`
+	// ReturnDelay is how long after a time at which none of its members could be reached a group is kept although
+	// some members do not answer yet.
+	ReturnDelay time.Duration `flag:"return-delay" help:"how long a group of which no member could be reached is kept while its members answer again" min:"0s" max:"1m"`
 	// CloseTimeout is the maximum time that a group may take to close.
 	CloseTimeout time.Duration `flag:"close-timeout" help:"maximum time that a group may take to close" min:"0s" max:"10m"`
 
@@ -53,6 +56,7 @@
 		JoinMargin:           4 * time.Second,
 		OrderInterval:        700 * time.Millisecond,
 		UnknownMemberTimeout: 2 * time.Second,
+		ReturnDelay:          time.Second,
 		CloseTimeout:         6 * time.Second,
 		Concavity:            2.5,
 		MinGroupGain:         0.04,
