Every node probes the instances that it cannot reach

Cause: an instance with two failures in a row gets no requests, and only the leader probed such instances, for itself.

Each node probes an unreachable instance after 1, 2 and then every 4 s, one a second in each hall, and all of a hall once one of it answers.

--- a/coordination/roster/policy.go
+++ b/coordination/roster/policy.go
@@ -9,6 +9,10 @@
 	LostFailures int `flag:"lost-failures" help:"consecutive failed probes after which an instance counts as lost" min:"1" max:"100"`
 	// MinProbeSpacing is the minimum time between two failed probes that are counted separately.
 	MinProbeSpacing time.Duration `flag:"min-probe-spacing" help:"minimum time between two failed probes that are counted separately" min:"0s" max:"10s"`
+	// RetryInterval is the time until an instance that became unreachable is probed again. It doubles with each
+	// probe that fails, up to RetryIntervalMax.
+	RetryInterval    time.Duration `flag:"retry-interval" help:"time until an instance that became unreachable is probed again" min:"10ms" max:"1m"`
+	RetryIntervalMax time.Duration `flag:"retry-interval-max" help:"maximum time between two probes of an unreachable instance" min:"10ms" max:"10m"`
 	// MaxMembershipAge is the maximum age at which a membership counts as known.
 	MaxMembershipAge time.Duration `flag:"known-age" help:"maximum age at which a membership counts as known" min:"100ms" max:"1m"`
 	// IndirectInterval is the minimum time between two indirect probes of an instance.
@@ -37,6 +41,8 @@
 	return Policy{
 		LostFailures:      2,
 		MinProbeSpacing:   20 * time.Millisecond,
+		RetryInterval:     time.Second,
+		RetryIntervalMax:  4 * time.Second,
 		MaxMembershipAge:  1500 * time.Millisecond,
 		IndirectInterval:  500 * time.Millisecond,
 		UnlistedGrace:     300 * time.Millisecond,
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -61,6 +61,8 @@
 	lastFailureAt time.Time
 	// firstFailureAt is when the first of the consecutive failed probes was sent.
 	firstFailureAt time.Time
+	// retry schedules the probes while the instance is unreachable.
+	retry retry
 	// indirect is the result of the last indirect probes.
 	indirect indirectProbe
 	// leaving is set if this incarnation announced its shutdown in an answer to this node
@@ -109,10 +111,14 @@
 	listAsOf time.Time
 	// relayedAsOf is the time up to which another node has relayed all changes of the list.
 	relayedAsOf time.Time
+	// hallRetriedAt is when an unreachable instance of a data hall was last returned by DueRetries.
+	hallRetriedAt map[state.HallName]time.Time
 }
 
 // New returns an empty Roster.
-func New(cfg Config) *Roster { return &Roster{cfg: cfg, entries: map[state.InstanceID]*entry{}} }
+func New(cfg Config) *Roster {
+	return &Roster{cfg: cfg, entries: map[state.InstanceID]*entry{}, hallRetriedAt: map[state.HallName]time.Time{}}
+}
 
 // Version returns a number that grows with every change that can affect a routing decision.
 func (r *Roster) Version() uint64 {
@@ -203,10 +209,12 @@
 		e.answeredAt = sentAt
 	}
 	if e.failures > 0 && sentAt.After(e.lastFailureAt) {
-		if e.failures >= e.policy.LostFailures {
+		wasUnreachable := e.unreachable()
+		e.failures = 0
+		if wasUnreachable {
 			r.version++
+			r.retryHall(e.listed.Hall, sentAt)
 		}
-		e.failures = 0
 	}
 }
 
@@ -234,6 +242,8 @@
 	e.lastFailureAt = sentAt
 	if e.failures == e.policy.LostFailures {
 		r.version++
+		e.retry = retry{}
+		e.retry.postpone(sentAt, e.policy)
 	}
 }
 
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -189,6 +189,22 @@
 		n.gateway.StallDetector.Check()
 		n.allocateRates(now)
 		n.probeInterrupted()
+		n.probeUnreachable()
+	}
+}
+
+// maxRetriesAtOnce is the maximum number of unreachable instances that a node begins to probe at each health check.
+const maxRetriesAtOnce = 8
+
+// probeUnreachable probes the unreachable instances that are due. The planner probes them on the leader, but what
+// it finds does not make them reachable for other nodes.
+func (n *Node) probeUnreachable() {
+	for _, m := range n.roster.DueRetries(n.clock.Now(), maxRetriesAtOnce) {
+		go func() {
+			if n.probeAndRecord(context.Background(), m, n.clock.Now()) {
+				n.requestRebuild()
+			}
+		}()
 	}
 }
 
