Members of serving groups stage a scarce model

Per domain, the transfer with the most utility per load is prepared: as many members as the groups of the scarce model lack stage it, beside serving.

--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -155,6 +155,11 @@
 	}
 }
 
+// isReallocating reports whether a group of the domain is being closed for reallocation.
+func (d *domain) isReallocating() bool {
+	return d.hasDonor || slices.ContainsFunc(d.groups, func(g *group) bool { return !g.donorSince.IsZero() })
+}
+
 // allocation returns the current and desired numbers of instances in groups of each model.
 func (s *step) allocation(alive int) *allocation {
 	alloc := newShareAllocation(s.engine.Models, alive, &s.policy)
@@ -230,8 +235,7 @@
 	if s.BeforeTraffic || model.LoadTime <= 0 {
 		return true
 	}
-	isReserved := m.Model != model.Name && s.marginalUtility(m.Model) > s.policy.ScarcityRatio*s.marginalUtility(model.Name)
-	return !isReserved && joinTime(m, model) < model.LoadTime
+	return !s.isReserved(m, model.Name) && joinTime(m, model) < model.LoadTime
 }
 
 // selectDonors returns the groups of a domain to close for reallocation, or nil.
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -54,8 +54,9 @@
 }
 
 // stage orders instances to load to their hosts the models that they may need next. The weight
-// store supports few concurrent loads, so free instances come first, in descending order of the
-// utility gain for their domain. Members of groups stage only while loads are nearly free.
+// store supports few concurrent loads, so those that gain the most utility come first: loads of free
+// instances for a repair in their domain, and loads that prepare a transfer to a scarce model. While
+// loads are nearly free, all other members of groups and spares stage another model as well.
 func (s *step) stage() {
 	if s.BeforeTraffic || len(s.staging) < max(s.engine.MaxConcurrentLoads, 1) {
 		for _, l := range s.wantedLoads() {
@@ -68,14 +69,14 @@
 	}
 }
 
-// wantedLoad is a model that a free instance should load to its host.
+// wantedLoad is a model that an instance should load to its host.
 type wantedLoad struct {
 	member *Member
 	model  string
 	gain   float64
 }
 
-// wantedLoads returns the loads to free instances that gain enough utility, the highest gain first.
+// wantedLoads returns the loads that gain enough utility, the highest gain first.
 func (s *step) wantedLoads() []wantedLoad {
 	if !s.BeforeTraffic && s.now.Sub(s.stagingEvaluatedAt) < s.policy.StagingInterval {
 		return nil
@@ -92,6 +93,9 @@
 			list = append(list, s.bestLoads(s.domains[name], s.engine.Models[i].Name, s.engine.Models[i].GroupSize)...)
 		}
 	}
+	if !quiet {
+		list = append(list, s.transferLoads()...)
+	}
 	slices.SortStableFunc(list, func(a, b wantedLoad) int { return cmp.Compare(b.gain, a.gain) })
 	return list
 }
--- /dev/null
+++ b/coordination/placement/transfer_test.go
@@ -0,0 +1,95 @@
+package placement_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// twelveAndSix returns an engine with groups of 12 and 6.
+func twelveAndSix() *catalog.Engine {
+	return &catalog.Engine{
+		BatchSlots: 48, MaxLoadsPerSecond: 14, MaxConcurrentLoads: 20, MaxReportAge: reportLag, FormTime: openTime,
+		Models: []catalog.Model{
+			{Name: "large", GroupSize: 12, ExpectedShare: 0.5, TimeFactor: 1, LoadTime: 16 * time.Second, HostLoadTime: 1600 * time.Millisecond},
+			{Name: "small", GroupSize: 6, ExpectedShare: 0.5, TimeFactor: 0.6, LoadTime: 12 * time.Second, HostLoadTime: 1100 * time.Millisecond},
+		},
+	}
+}
+
+// hostState is the last model of instances and the model that their hosts keep, for a number of instances of each domain.
+type hostState struct {
+	count         int
+	model, staged string
+}
+
+// newHostSimulation returns a simulation of six domains of 27 instances whose hosts keep one model.
+func newHostSimulation(demand []float64, hosts ...hostState) *simulation {
+	sim := newSimulation(1, 6, 27, 1)
+	sim.engine, sim.faultsEnabled, sim.singleModelHosts = twelveAndSix(), false, true
+	sim.demand = demand
+	for i, id := range slices.Sorted(maps.Keys(sim.targets)) {
+		rank := i % 27
+		for _, h := range hosts {
+			if rank < h.count && h.staged != "" {
+				sim.targets[id].Model, sim.targets[id].Staged = h.model, []string{h.staged}
+			}
+			if rank < h.count {
+				break
+			}
+			rank -= h.count
+		}
+		sim.recordChange(sim.targets[id])
+	}
+	sim.setLeading(sim.nodes[0], true)
+	return sim
+}
+
+// instancesServing returns the number of instances in open groups of a model.
+func (sim *simulation) instancesServing(model string) int {
+	n := 0
+	for _, t := range sim.targets {
+		if !t.dead && t.Membership.State == fleet.Open && t.Model == model {
+			n += len(t.members)
+		}
+	}
+	return n
+}
+
+// Guards against a model that starves beside another one's plenty. After losses, 24 instances served the large model
+// and 120 the small one where 70 and 103 were desired, and nothing changed that: no domain had enough instances with
+// the scarce model loaded or on their hosts for a group, and only free instances staged it.
+func TestScarceModelGetsInstancesOfPlentifulOne(t *testing.T) {
+	const desiredLarge, desiredSmall = 112, 550 // slots that make 70 and 103 instances desired
+	for _, c := range []struct {
+		name   string
+		demand []float64
+		hosts  []hostState
+		// large and small are the least numbers of instances that must serve each model in the end.
+		large, small int
+	}{
+		{"no instance has the large model", []float64{desiredLarge, desiredSmall}, []hostState{{27, "small", "small"}}, 48, 72},
+		{"hosts keep the small model, few serve the large one", []float64{desiredLarge, desiredSmall},
+			[]hostState{{4, "large", "small"}, {23, "small", "small"}}, 48, 72},
+		{"ten of each domain wait for two more", []float64{desiredLarge, desiredSmall},
+			[]hostState{{10, "large", "large"}, {17, "small", "small"}}, 48, 72},
+		{"no instance has the small model", []float64{desiredLarge, desiredSmall}, []hostState{{27, "large", "large"}}, 48, 72},
+		{"free instances have no model", []float64{desiredLarge, desiredSmall}, []hostState{{12, "small", "small"}, {15, "", ""}}, 48, 72},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			sim := newHostSimulation(c.demand, c.hosts...)
+			sim.run(60 * time.Second)
+			g.Expect(sim.violations).To(BeEmpty())
+			t.Logf("%d large, %d small", sim.instancesServing("large"), sim.instancesServing("small"))
+			g.Expect(sim.instancesServing("large")).To(BeNumerically(">=", c.large))
+			g.Expect(sim.instancesServing("small")).To(BeNumerically(">=", c.small))
+		})
+	}
+}
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -118,6 +118,9 @@
 	orderFaultProbability float64
 	// restartProbability is the probability that a crashed target restarts under its id.
 	restartProbability float64
+	// singleModelHosts makes hosts keep only the model staged last, and loads take the time that the engine
+	// states. Otherwise, hosts keep all models and staging takes no time.
+	singleModelHosts bool
 	// onOrder, if set, is called for every order that a node sends.
 	onOrder func(o placement.Order)
 	// trace, if set, is called with a description of every order sent or handled.
@@ -216,14 +219,16 @@
 	sim.orderedMembers[o.Key] = o.Members
 }
 
-// addTarget adds a target that has both models staged and none loaded.
+// addTarget adds a target that has no model loaded. Its host has both models, or none if hosts keep only one.
 func (sim *simulation) addTarget(domain string) *target {
 	sim.lastID++
 	t := &target{unreachableUntil: map[uint64]time.Time{}, Instance: fleet.Instance{
 		ID: state.InstanceID(fmt.Sprintf("i%03d", sim.lastID)), Service: "lm", Domain: domain, Slots: 8,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(sim.lastID >> 8), byte(sim.lastID)}), 80),
-		Staged:  []string{"large", "small"},
 	}}
+	if !sim.singleModelHosts {
+		t.Staged = []string{"large", "small"}
+	}
 	sim.targets[t.ID] = t
 	sim.recordChange(t)
 	return t
@@ -281,10 +286,7 @@
 	}
 	if o.Action == placement.Stage {
 		t.orders++
-		if !t.HasStaged(o.Model) {
-			t.Staged = append(slices.Clone(t.Staged), o.Model)
-		}
-		sim.recordChange(t)
+		sim.stage(t, o.Model)
 		return placement.Started
 	}
 	if t.Membership.Key() != o.Key {
@@ -316,6 +318,37 @@
 	return placement.Started
 }
 
+// stage makes a host load a model.
+func (sim *simulation) stage(t *target, model string) {
+	if sim.singleModelHosts {
+		sim.schedule(sim.engine.Model(model).LoadTime, func() { sim.finishStaging(t, model) })
+		return
+	}
+	if !t.HasStaged(model) {
+		t.Staged = append(slices.Clone(t.Staged), model)
+	}
+	sim.recordChange(t)
+}
+
+// finishStaging makes a model the only one that a host keeps, unless its target has crashed.
+func (sim *simulation) finishStaging(t *target, model string) {
+	if !t.dead {
+		t.Staged = []string{model}
+		sim.recordChange(t)
+	}
+}
+
+// joinTime returns the time that a target needs to become ready in a group of a model.
+func (sim *simulation) joinTime(t *target, model string) time.Duration {
+	switch {
+	case t.Model == model:
+		return 200 * time.Millisecond
+	case t.HasStaged(model) || !sim.singleModelHosts:
+		return sim.engine.Model(model).HostLoadTime
+	}
+	return sim.engine.Model(model).LoadTime
+}
+
 // expectedOrders returns the number of accepted orders that an order expects, or -1.
 func expectedOrders(o placement.Order) int64 {
 	if o.ExpectedOrders == nil {
@@ -339,12 +372,8 @@
 	t.highestEpoch, t.members = key.Epoch, o.Members
 	t.openAt, t.closedAt = time.Time{}, time.Time{}
 	t.Membership = fleet.Membership{Group: key.Group, Epoch: key.Epoch, Rank: slices.Index(o.Members, t.ID), State: fleet.Joining}
-	joinTime := warmLoadTime
-	if t.Model == o.Model {
-		joinTime = 200 * time.Millisecond
-	}
+	t.readyAt = sim.now.Add(sim.joinTime(t, o.Model))
 	t.Model, t.Loaded = o.Model, ""
-	t.readyAt = sim.now.Add(joinTime)
 	t.orders++
 	sim.recordChange(t)
 	return placement.Started
