--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -95,11 +95,33 @@
 	}
 	if !quiet {
 		list = append(list, s.transferLoads()...)
+		list = append(list, s.emptyHostLoads()...)
 	}
 	slices.SortStableFunc(list, func(a, b wantedLoad) int { return cmp.Compare(b.gain, a.gain) })
 	return list
 }
 
+// emptyHostLoads returns a load of the scarcest model for each spare without any model. The other loads count on
+// the loss of one member at a time, so that they leave such spares of a domain without a model that could still
+// repair it after several losses, or complete a group with later spares.
+func (s *step) emptyHostLoads() []wantedLoad {
+	scarcest := 0
+	for i := range s.marginalUtilities {
+		if s.marginalUtilities[i] > s.marginalUtilities[scarcest] {
+			scarcest = i
+		}
+	}
+	var list []wantedLoad
+	for _, name := range sortedDomainNames(s.domains) {
+		for _, m := range s.domains[name].free {
+			if s.isSpare(m) && m.hasNoModel() {
+				list = append(list, wantedLoad{member: m, model: s.engine.Models[scarcest].Name})
+			}
+		}
+	}
+	return list
+}
+
 // bestLoads returns the loads of a model to free instances of a domain. Their number, at most
 // maxLoads, is the one with the highest gain per load: a group may lack several members that have
 // the model, so that a single load would gain nothing.
--- a/coordination/placement/staging_test.go
+++ b/coordination/placement/staging_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -131,3 +132,36 @@
 	}
 	return n
 }
+
+// Guards against spares that never get a model. One spare with the model suffices to repair the loss of one member, so
+// the planner left 14 of 34 spares without any model, and no group was formed of what two losses left.
+func TestSparesWithoutModelStageScarcestModel(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		demand []float64
+		model  string
+	}{
+		{"the large model is short", []float64{80, 30}, "large"},
+		{"the small model is short", []float64{0, 600}, "small"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			members := groupsOfFour("d", 9, "large", "small")
+			for n := range 16 {
+				m := freeInstance(state.InstanceID(fmt.Sprintf("y%02d", n)), "large", "large")
+				m.Domain, m.Loaded = "e", "large"
+				m.Membership = fleet.Membership{Group: "y", Epoch: 30 << 20, Rank: n, State: fleet.Ready}
+				if n == 0 {
+					m.Membership.State = fleet.Open
+				}
+				members = append(members, m)
+			}
+			members = append(members, freeInstance("x", "small", "small"), freeInstance("z1", ""), freeInstance("z2", ""))
+			p := placement.NewPlanner(unequalEngine(), placement.DefaultPolicy(), placement.NewEpochGenerator(0, 1).Next)
+			p.Demand = c.demand
+			plan := p.Step(testStart, members)
+			g.Expect(countStageOrders(plan, "z1", c.model)).To(Equal(1))
+			g.Expect(countStageOrders(plan, "z2", c.model)).To(Equal(1))
+		})
+	}
+}
