Plan groups for a demand that falls slowly

Hypothesis: the planner follows a demand measured over 2 s, while groups take seconds and loads 12 to 16 s.

--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/probeslots"
 	"github.com/troutmast/troutmast/coordination/roster"
@@ -24,6 +25,7 @@
 
 	mu             sync.Mutex
 	planners       map[state.ServiceName]*placement.Planner
+	envelopes      map[state.ServiceName]*demand.Envelope
 	epochs         *placement.EpochGenerator
 	excludedGroups []GroupEpoch
 	probing        *probeslots.Slots
@@ -38,11 +40,12 @@
 
 func newPlacementController(n *Node) *placementController {
 	return &placementController{
-		node:     n,
-		planners: map[state.ServiceName]*placement.Planner{},
-		probing:  probeslots.New(n.policy.MaxProbes),
-		probedAt: map[state.InstanceID]time.Time{},
-		wakeup:   make(chan struct{}, 1),
+		node:      n,
+		planners:  map[state.ServiceName]*placement.Planner{},
+		envelopes: map[state.ServiceName]*demand.Envelope{},
+		probing:   probeslots.New(n.policy.MaxProbes),
+		probedAt:  map[state.InstanceID]time.Time{},
+		wakeup:    make(chan struct{}, 1),
 	}
 }
 
@@ -81,6 +84,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.planners)
+	clear(p.envelopes)
 	p.excludedGroups = nil
 }
 
@@ -97,7 +101,7 @@
 		}
 		planner := p.planner(s)
 		planner.BeforeTraffic = p.node.settings.IsFirstStart && !p.node.peers.anyRequests()
-		planner.Demand = p.node.settings.Policy.Demand.OccupiedSlots(s.Name, s.Engine, flows)
+		planner.Demand = p.plannedDemand(s, flows, now)
 		members := p.node.roster.Members(s.Name, since, now)
 		instances += len(members)
 		plan := planner.Step(now, members)
@@ -166,6 +170,19 @@
 	return pl
 }
 
+// plannedDemand returns the demand for the models of a service that its groups are planned for, or nil if unknown.
+func (p *placementController) plannedDemand(s *catalog.Service, flows []demand.Flow, now time.Time) []float64 {
+	policy := p.node.settings.Policy.Demand
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.envelopes[s.Name]
+	if e == nil {
+		e = demand.NewEnvelope(policy.PlanDecay)
+		p.envelopes[s.Name] = e
+	}
+	return e.Update(policy.OccupiedSlots(s.Name, s.Engine, flows), now)
+}
+
 // stagings returns the loads of models to hosts that are in progress, in the form sent to other nodes.
 func (p *placementController) stagings(now time.Time) []Staging {
 	p.mu.Lock()
