--- a/coordination/demand/policy.go
+++ b/coordination/demand/policy.go
@@ -14,4 +14,6 @@
 }
 
 // DefaultPolicy returns the default policy.
-func DefaultPolicy() Policy { return Policy{Decay: 2 * time.Second, PlanDecay: 15 * time.Second, MinRate: 10} }
+func DefaultPolicy() Policy {
+	return Policy{Decay: 2 * time.Second, PlanDecay: 15 * time.Second, MinRate: 10}
+}
--- a/coordination/dispatch/policy.go
+++ b/coordination/dispatch/policy.go
@@ -38,7 +38,7 @@
 // DefaultPolicy returns the default policy.
 func DefaultPolicy() Policy {
 	return Policy{
-		FullAt:          0.85,
+		FullAt:          1,
 		FailureCost:     0.15,
 		FailureRecovery: 0.15,
 		RemoteHallCost:  0.03,
