--- a/coordination/placement/transfer_test.go
+++ b/coordination/placement/transfer_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -93,3 +95,49 @@
 		})
 	}
 }
+
+// drawnMix returns a simulation with drawn sizes of groups and domains, a drawn demand and hosts that keep a drawn
+// model, and the number of instances desired for each model.
+func drawnMix(seed uint64) (sim *simulation, desired []float64) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	small := 2 + rng.IntN(5)
+	large := small + 1 + rng.IntN(10)
+	perDomain := large + rng.IntN(2*large)
+	sim = newSimulation(seed, 2+rng.IntN(3), perDomain, 1)
+	sim.engine, sim.faultsEnabled, sim.singleModelHosts = twelveAndSix(), false, true
+	sizes := []int{large, small}
+	all := float64(len(sim.targets))
+	share := 0.25 + rng.Float64()/2
+	desired = []float64{max(share*all, float64(large)), max((1-share)*all, float64(small))}
+	for i := range sim.engine.Models {
+		m := &sim.engine.Models[i]
+		m.GroupSize = sizes[i]
+		slotsPerInstance := float64(sim.engine.BatchSlots) / (float64(m.GroupSize) * m.TimeFactor)
+		sim.demand = append(sim.demand, desired[i]*slotsPerInstance/placement.DefaultPolicy().Concavity)
+	}
+	for _, id := range slices.Sorted(maps.Keys(sim.targets)) {
+		model := sim.engine.Models[rng.IntN(2)].Name
+		sim.targets[id].Model, sim.targets[id].Staged = model, []string{model}
+		sim.recordChange(sim.targets[id])
+	}
+	sim.setLeading(sim.nodes[0], true)
+	return sim, desired
+}
+
+// No model stays below half of its desired instances while another one has more than it wants, for longer than a
+// few loads take, whatever the sizes, the demand and the models on the hosts.
+func TestNoModelStarvesBesidePlenty(t *testing.T) {
+	for seed := range uint64(24) {
+		sim, desired := drawnMix(seed)
+		sim.run(75 * time.Second)
+		g := NewWithT(t)
+		g.Expect(sim.violations).To(BeEmpty(), "seed %d", seed)
+		for i, m := range sim.engine.Models {
+			other := 1 - i
+			short := float64(sim.instancesServing(m.Name)+m.GroupSize) <= desired[i]/2
+			plenty := float64(sim.instancesServing(sim.engine.Models[other].Name)) > desired[other]
+			g.Expect(short && plenty).To(BeFalse(), "seed %d: %d instances in groups of %d serve %s, desired are %v of %d", seed,
+				sim.instancesServing(m.Name), m.GroupSize, m.Name, desired, len(sim.targets))
+		}
+	}
+}
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -196,16 +196,19 @@
 // maxRetriesAtOnce is the maximum number of unreachable instances that a node begins to probe at each health check.
 const maxRetriesAtOnce = 8
 
-// probeUnreachable probes the unreachable instances that are due. The planner probes them on the leader, but what
-// it finds does not make them reachable for other nodes.
-func (n *Node) probeUnreachable() {
+// probeUnreachable probes the unreachable instances that are due, in the background. The planner probes them on
+// the leader, but what it finds does not make them reachable for other nodes. The result is done when all have
+// answered or failed.
+func (n *Node) probeUnreachable() *sync.WaitGroup {
+	var probes sync.WaitGroup
 	for _, m := range n.roster.DueRetries(n.clock.Now(), maxRetriesAtOnce) {
-		go func() {
+		probes.Go(func() {
 			if n.probeAndRecord(context.Background(), m, n.clock.Now()) {
 				n.requestRebuild()
 			}
-		}()
+		})
 	}
+	return &probes
 }
 
 // RecordResume records that the machine was suspended for d. All data that the node holds is older by d, so
--- a/transport/entry/reach_test.go
+++ b/transport/entry/reach_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/apex/log"
@@ -67,3 +68,28 @@
 		})
 	}
 }
+
+// A node that is not the leader uses an instance again that it could not reach.
+func TestNodeProbesUnreachableInstance(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		answering   []state.InstanceID
+		unreachable bool
+	}{
+		{"the instance answers again", []state.InstanceID{"i"}, false},
+		{"the instance stays silent", nil, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			clock := clockwork.NewFakeClock()
+			n := newProbingNode("follower", clock, halls{answering: c.answering})
+			n.roster.RecordFailure("i", clock.Now())
+			n.roster.RecordFailure("i", clock.Now().Add(DefaultPolicy().Roster.MinProbeSpacing))
+			clock.Advance(DefaultPolicy().Roster.RetryInterval + time.Second)
+			done := n.probeUnreachable()
+			done.Wait()
+			v, _ := n.roster.Get("i", clock.Now())
+			g.Expect(v.Unreachable).To(Equal(c.unreachable))
+		})
+	}
+}
