Revert admission by room

Hypothesis: 89 nodes that send all requests to the groups below a fixed limit, by reports that are 0.3 s old, flood them and leave them alone in turn; room for the next second (free places, places that become free, prompts that can be read) and the same refused fraction at all nodes end that.

Reverted with its test.

--- a/coordination/cooldown/history_test.go
+++ b/coordination/cooldown/history_test.go
@@ -194,7 +194,7 @@
 	}
 	hold := c.BeginRequest(0, h.now)
 	n.inFlight[c.ID]++
-	done := func() { hold.End(h.now); n.inFlight[c.ID]-- }
+	done := func() { hold.End(); n.inFlight[c.ID]-- }
 	for _, in := range h.targets {
 		if in.ID == c.ID {
 			h.schedule(networkDelay, func() { h.deliver(n, in, append(tried, c.ID), arrived, sends+1, done) })
--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,13 +26,8 @@
 	Size int
 	// prefillTimePerToken is the prefill time of one prompt token, in nanoseconds.
 	prefillTimePerToken float64
-	// maxPromptRate is how many prompt tokens the group can read per second between the token steps of a batch
-	// that is half full, or 0 if unknown.
-	maxPromptRate float64
-	load          *load
-	// hold is the mean time that a request for the model occupies a slot.
-	hold  *holdTime
-	table *Table
+	load                *load
+	table               *Table
 }
 
 // load is the load and health of one incarnation. It is kept when Update rebuilds the candidates.
@@ -98,17 +92,13 @@
 	// do not count against a later one.
 	loads map[fleet.Incarnation]*load
 	pools atomic.Pointer[map[poolKey][]*Candidate]
-	// holdTimes holds the mean times that requests for a model occupy a slot.
-	holdTimes map[poolKey]*holdTime
 	// demand holds the measured demand by model.
 	demand atomic.Pointer[map[poolKey]modelDemand]
-	// random returns random numbers from 0 to 1.
-	random func() float64
 }
 
 // NewTable returns an empty Table for a node of a data hall.
 func NewTable(hall state.HallName, policy Policy) *Table {
-	t := &Table{hall: hall, policy: policy, loads: map[fleet.Incarnation]*load{}, holdTimes: map[poolKey]*holdTime{}, random: rand.Float64}
+	t := &Table{hall: hall, policy: policy, loads: map[fleet.Incarnation]*load{}}
 	t.pools.Store(&map[poolKey][]*Candidate{})
 	t.demand.Store(&map[poolKey]modelDemand{})
 	return t
@@ -150,15 +140,15 @@
 		}
 		if service.Engine == nil {
 			key := poolKey{v.Service, ""}
-			pools[key] = append(pools[key], &Candidate{Instance: v.Instance, load: l, hold: t.holdTime(key), table: t})
+			pools[key] = append(pools[key], &Candidate{Instance: v.Instance, load: l, table: t})
 			continue
 		}
 		if !isOpenHead(&v.Instance, service.Engine) || avoid(v.Membership.Key()) {
 			continue
 		}
-		key := poolKey{v.Service, v.Model}
-		cand := &Candidate{Instance: v.Instance, load: l, hold: t.holdTime(key), table: t}
+		cand := &Candidate{Instance: v.Instance, load: l, table: t}
 		if cand.initGroup(service.Engine, views, groups[v.Membership.Key()]) {
+			key := poolKey{v.Service, v.Model}
 			pools[key] = append(pools[key], cand)
 		}
 	}
@@ -167,14 +157,6 @@
 	return difference(*previous, pools)
 }
 
-// holdTime returns the mean hold time of a pool. t.mu must be held.
-func (t *Table) holdTime(key poolKey) *holdTime {
-	if t.holdTimes[key] == nil {
-		t.holdTimes[key] = &holdTime{}
-	}
-	return t.holdTimes[key]
-}
-
 // keepLoad carries over the load of an incarnation to the next loads, or starts a new one. t.mu must be held.
 func (t *Table) keepLoad(next map[fleet.Incarnation]*load, in fleet.Incarnation) *load {
 	l := t.loads[in]
@@ -244,7 +226,6 @@
 	c.Size = model.GroupSize
 	if engine.PrefillTokensPerSecond > 0 {
 		c.prefillTimePerToken = cmp.Or(model.TimeFactor, 1) * float64(time.Second) / engine.PrefillTokensPerSecond
-		c.maxPromptRate = maxPromptRate(engine, model)
 	}
 	c.Members = make([]fleet.Instance, 0, len(members))
 	for _, i := range members {
@@ -256,18 +237,6 @@
 	return true
 }
 
-// maxPromptRate returns how many prompt tokens a group of a model can read per second. In each pass, it reads a
-// limited number of them and then makes the token steps of its batch, which is taken to be half full.
-func maxPromptRate(engine *catalog.Engine, model *catalog.Model) float64 {
-	tokens := float64(engine.PromptTokensPerPass)
-	if tokens == 0 {
-		return 0
-	}
-	step := engine.StepTime.Seconds() + engine.StepTimePerRequest.Seconds()*float64(engine.BatchSlots)/2
-	pass := cmp.Or(model.TimeFactor, 1) * (tokens/engine.PrefillTokensPerSecond + float64(engine.StepsPerPass)*step)
-	return tokens / pass
-}
-
 // UpdateLoad records the number of requests in flight from the other nodes to each
 // instance, the demand at all nodes, and the demand at this node.
 func (t *Table) UpdateLoad(inFlight map[state.InstanceID]int, total, own []demand.Flow) {
--- a/coordination/dispatch/candidate_test.go
+++ b/coordination/dispatch/candidate_test.go
@@ -93,18 +93,18 @@
 	}
 }
 
-func TestGroupIsFullOnceItsSlotsAreTaken(t *testing.T) {
+func TestGroupIsFullBelowItsSlots(t *testing.T) {
 	g := NewWithT(t)
 	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
 	table.Update(testCatalog(), []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready)}, func(fleet.GroupKey) bool { return false })
 	head := table.Pick("lm", "m", start, excludeNone)
-	for range 9 {
+	for range 8 {
 		head.BeginRequest(0, start)
 	}
 	g.Expect(head.IsFull(start)).To(BeFalse())
 	last := head.BeginRequest(0, start)
 	g.Expect(head.IsFull(start)).To(BeTrue())
-	last.End(start)
+	last.End()
 	g.Expect(head.IsFull(start)).To(BeFalse())
 }
 
@@ -137,11 +137,11 @@
 	otherMember.Membership.Group = "h"
 	table.Update(testCatalog(), []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready), otherHead, otherMember}, func(fleet.GroupKey) bool { return false })
 	total := []demand.Flow{{Service: "lm", Model: "m", Requests: 1000}}
-	table.UpdateLoad(map[state.InstanceID]int{"a": 10, "c": 5}, total, nil)
+	table.UpdateLoad(map[state.InstanceID]int{"a": 9, "c": 5}, total, nil)
 	for range 50 {
 		g.Expect(table.Pick("lm", "m", start, excludeNone).ID).To(Equal(state.InstanceID("c")))
 	}
-	table.UpdateLoad(map[state.InstanceID]int{"a": 10, "c": 10}, total, nil)
+	table.UpdateLoad(map[state.InstanceID]int{"a": 9, "c": 9}, total, nil)
 	g.Expect(table.Pick("lm", "m", start, excludeNone).IsFull(start)).To(BeTrue())
 }
 
--- a/coordination/dispatch/hold.go
+++ b/coordination/dispatch/hold.go
@@ -9,9 +9,6 @@
 // concurrent use.
 type InFlightRequest struct {
 	load *load
-	// hold is the mean time that requests for the same model are in flight, began the time of sending.
-	hold  *holdTime
-	began time.Time
 	// prompt is the number of prompt tokens, or 0 after prefill.
 	prompt atomic.Int64
 }
@@ -21,7 +18,7 @@
 	if limit, paced := c.paceLimit(); paced {
 		c.load.pacer.spend(now, limit, time.Duration(float64(prompt)*c.prefillTimePerToken))
 	}
-	h := &InFlightRequest{load: c.load, hold: c.hold, began: now}
+	h := &InFlightRequest{load: c.load}
 	h.prompt.Store(int64(prompt))
 	c.load.inFlight.Add(1)
 	c.load.prefillTokens.Add(int64(prompt))
@@ -31,9 +28,8 @@
 // RecordFirstEvent records that the first event has arrived, so the prefill is done.
 func (h *InFlightRequest) RecordFirstEvent() { h.load.prefillTokens.Add(-h.prompt.Swap(0)) }
 
-// End records that the request has ended now. It must be called exactly once.
-func (h *InFlightRequest) End(now time.Time) {
+// End records that the request has ended. It must be called exactly once.
+func (h *InFlightRequest) End() {
 	h.RecordFirstEvent()
-	h.hold.record(now.Sub(h.began))
 	h.load.inFlight.Add(-1)
 }
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -26,20 +27,13 @@
 		if avoid(c) {
 			continue
 		}
-		room := math.Inf(1)
-		if c.Size > 0 {
-			room = c.room(now)
-		}
-		isFull := room == 0
+		isFull := c.IsFull(now)
 		if allFull && !isFull {
 			allFull = false
 			pool = pool[:0]
 		}
-		if allFull {
-			room = math.Inf(1)
-		}
 		if allFull || !isFull {
-			pool = append(pool, scoredCandidate{c, t.cost(c), float64(max(c.Slots, 1)), room})
+			pool = append(pool, scoredCandidate{c, t.cost(c), float64(max(c.Slots, 1))})
 		}
 	}
 	if len(pool) == 0 {
@@ -50,7 +44,7 @@
 		maxShare = 0
 	}
 	arrivals := t.RequestRate(service, model) * t.policy.SpreadHorizon.Seconds()
-	return pickWeighted(pool, max(arrivals, 1), maxShare, t.random()).Candidate
+	return pickWeighted(pool, max(arrivals, 1), maxShare).Candidate
 }
 
 // PickLeastLoaded returns the candidate with the fewest known requests in flight, or nil.
@@ -65,27 +59,25 @@
 	return idlest
 }
 
-// scoredCandidate is a candidate with its slots, the cost of sending it a request, in
-// requests in flight per slot, and the number of requests that it has room for.
+// scoredCandidate is a candidate with its slots and the cost of sending it a request, in
+// requests in flight per slot.
 type scoredCandidate struct {
 	*Candidate
 	cost  float64
 	slots float64
-	room  float64
 }
 
-// pickWeighted selects a candidate by a random number from 0 to 1, weighted by the number of the given
-// requests that it gets if the cheapest candidates are filled first. Each gets at most maxShare
-// times its share of the slots, where 0 means no limit, and no more requests than it has room for.
-func pickWeighted(pool []scoredCandidate, requests, maxShare, random float64) scoredCandidate {
+// pickWeighted selects a candidate at random, weighted by the number of the given requests
+// that it gets if the cheapest candidates are filled first. Each gets at most maxShare
+// times its share of the slots; 0 means no limit.
+func pickWeighted(pool []scoredCandidate, requests, maxShare float64) scoredCandidate {
 	slices.SortFunc(pool, func(a, b scoredCandidate) int { return cmp.Compare(a.cost, b.cost) })
 	maxPerSlot := math.Inf(1)
 	if maxShare > 0 {
 		maxPerSlot = max(maxShare, 1) * requests / totalSlots(pool)
 	}
-	requests = min(requests, totalRoom(pool, maxPerSlot))
 	level := fillLevel(pool, requests, maxPerSlot)
-	remaining := random * requests
+	remaining := rand.Float64() * requests
 	for _, c := range pool {
 		if remaining -= c.requestsAt(level, maxPerSlot); remaining < 0 {
 			return c
@@ -103,19 +95,10 @@
 	return slots
 }
 
-// totalRoom returns how many requests all candidates have room for, with at most maxPerSlot requests per slot.
-func totalRoom(pool []scoredCandidate, maxPerSlot float64) float64 {
-	total := 0.0
-	for _, c := range pool {
-		total += min(c.room, c.slots*maxPerSlot)
-	}
-	return total
-}
-
 // requestsAt returns the number of requests that raises the cost of the candidate to level,
-// with at most maxPerSlot requests per slot and no more than it has room for.
+// with at most maxPerSlot requests per slot.
 func (c scoredCandidate) requestsAt(level, maxPerSlot float64) float64 {
-	return min(c.slots*min(max(level-c.cost, 0), maxPerSlot), c.room)
+	return c.slots * min(max(level-c.cost, 0), maxPerSlot)
 }
 
 // fillSteps is the number of bisection steps in fillLevel. It exceeds the 53 bits of precision of a float64.
@@ -125,7 +108,7 @@
 // given requests, with at most maxPerSlot requests per slot. The candidates must be sorted
 // by cost.
 func fillLevel(pool []scoredCandidate, requests, maxPerSlot float64) float64 {
-	low, high := pool[0].cost, pool[len(pool)-1].cost+requests
+	low, high := pool[0].cost, pool[len(pool)-1].cost+requests/pool[0].slots
 	for range fillSteps {
 		level := (low + high) / 2
 		filled := 0.0
--- a/coordination/dispatch/policy.go
+++ b/coordination/dispatch/policy.go
@@ -38,7 +38,7 @@
 // DefaultPolicy returns the default policy.
 func DefaultPolicy() Policy {
 	return Policy{
-		FullAt:          1,
+		FullAt:          0.85,
 		FailureCost:     0.15,
 		FailureRecovery: 0.15,
 		RemoteHallCost:  0.03,
--- a/coordination/dispatch/spread_test.go
+++ b/coordination/dispatch/spread_test.go
@@ -90,8 +90,8 @@
 	g.Expect(first.PrefillTime()).To(BeZero())
 	g.Expect(first.InFlight()).To(Equal(int64(1)))
 	other := first.BeginRequest(300, start)
-	hold.End(start)
-	other.End(start)
+	hold.End()
+	other.End()
 	g.Expect(first.PrefillTime()).To(BeZero())
 	g.Expect(first.InFlight()).To(BeZero())
 }
@@ -121,7 +121,7 @@
 		if head.IsFull(now) {
 			continue
 		}
-		head.BeginRequest(100, now).End(now)
+		head.BeginRequest(100, now).End()
 		prefill += 50 * time.Millisecond // 100 tokens at 1,000 per second and TimeFactor 0.5
 	}
 	// Half of 0.8 of 10 s, plus at most the burst and one prompt.
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -104,8 +104,6 @@
 	PrefillTokensPerSecond float64
 	// StepsPerPass is the number of token steps that are run in one pass.
 	StepsPerPass int
-	// PromptTokensPerPass is the maximum number of prompt tokens that are read in one pass, or 0 if unknown.
-	PromptTokensPerPass int
 	// MeanPromptTokens and MeanResponseTokens are the mean numbers of prompt and response tokens of a request.
 	MeanPromptTokens   float64
 	MeanResponseTokens float64
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -51,7 +51,7 @@
 		if target == nil {
 			return c.refuseNoTarget()
 		}
-		if c.sends == 0 && !c.Table.Admit(c.service, c.model, c.Clock.Now(), c.cannotAccept) {
+		if c.sends == 0 && target.IsFull(c.Clock.Now()) {
 			return refusalWithRetryAfter(CodeOverloaded, c.Policy.OverloadRetryAfter)
 		}
 		if _, held := c.Quarantine.QuarantinedUntil(c.fingerprint); c.sends > 0 && held {
@@ -125,16 +125,7 @@
 			return t
 		}
 	}
-	return c.pickExcept(c.isLimited)
-}
-
-// isLimited reports whether a target's rate limit forbids to send it a request now.
-func (c *call) isLimited(t *dispatch.Candidate) bool { return !c.Backpressure.CanSend(&t.Instance) }
-
-// cannotAccept reports whether a target is cooling down or its rate limit forbids to send it a request now.
-func (c *call) cannotAccept(t *dispatch.Candidate) bool {
-	_, cooling := c.Backpressure.CooldownUntil(&t.Instance)
-	return cooling || c.isLimited(t)
+	return c.pickExcept(func(t *dispatch.Candidate) bool { return !c.Backpressure.CanSend(&t.Instance) })
 }
 
 // hasRateLimit reports whether a target has a rate limit.
@@ -193,7 +184,7 @@
 	defer cancel(nil)
 	sent := c.Clock.Now()
 	c.hold = target.BeginRequest(c.claims.PromptTokens, sent)
-	defer func() { c.hold.End(c.Clock.Now()) }()
+	defer c.hold.End()
 	c.runs++
 	resumable := c.route.Kind == catalog.Stream && c.route.CanRetry() && c.runs < c.route.MaxAttempts
 	watched := c.StallDetector.add(target, resumable, sent, cancel)
