--- a/coordination/placement/transfer.go
+++ b/coordination/placement/transfer.go
@@ -64,8 +64,8 @@
 	return list
 }
 
-// planTransfer returns the transfer of a domain to a model that needs the fewest loads, if the model is scarcer
-// than that of the donors and the transfer gains utility.
+// planTransfer returns the transfer of a domain to a model that gains the most utility per load, if the model is scarcer
+// than that of the donors.
 func (s *step) planTransfer(d *domain, model int) (transfer, bool) {
 	name, size := s.engine.Models[model].Name, s.engine.Models[model].GroupSize
 	t := transfer{domain: d, model: model}
