Scan only unreachable instances for probes

Every node went over all instances 20 times a second to find those whose probe is due, also while all of them answered: work that grows with the instances. It goes over those that have become unreachable only. The choice is the same; the tests of the roster pass as they stand, the cost was not measured. The comment of canRevive says what happens.

--- a/coordination/placement/formation.go
+++ b/coordination/placement/formation.go
@@ -264,8 +264,8 @@
 	return slices.ContainsFunc(g.members, func(id state.InstanceID) bool { return s.byID[id] != nil && s.byID[id].Lost })
 }
 
-// canRevive reports whether a group of which no member could be reached may turn out to be intact. It is not
-// dissolved by then, unless an order that was not answered has been carried out.
+// canRevive reports whether a group of which no member could be reached may turn out to be intact, so that its
+// failure is evaluated anew: the members get no orders while none of them can be reached.
 func (s *step) canRevive(g *group) bool {
 	return !g.silentAt.IsZero() && s.now.Sub(g.silentAt) < s.policy.ReturnDelay && g.donorSince.IsZero()
 }
--- a/coordination/roster/retry.go
+++ b/coordination/roster/retry.go
@@ -51,8 +51,12 @@
 // r.mu must be held.
 func (r *Roster) dueRetries(now time.Time) []*entry {
 	var due []*entry
-	for _, e := range r.entries {
-		if e.inList && !e.gone && e.unreachable() && !e.retry.due.After(now) {
+	for id := range r.unreachable {
+		e := r.entries[id]
+		switch {
+		case e == nil || !e.unreachable():
+			delete(r.unreachable, id)
+		case e.inList && !e.gone && !e.retry.due.After(now):
 			due = append(due, e)
 		}
 	}
@@ -65,8 +69,8 @@
 // retryHall makes the probes of all unreachable instances of a data hall due, since one of them answers again.
 // r.mu must be held.
 func (r *Roster) retryHall(hall state.HallName, now time.Time) {
-	for _, e := range r.entries {
-		if e.listed.Hall == hall && e.unreachable() {
+	for id := range r.unreachable {
+		if e := r.entries[id]; e != nil && e.listed.Hall == hall && e.unreachable() {
 			e.retry = retry{due: now}
 		}
 	}
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -111,13 +111,16 @@
 	listAsOf time.Time
 	// relayedAsOf is the time up to which another node has relayed all changes of the list.
 	relayedAsOf time.Time
+	// unreachable holds the instances that have become unreachable. Those that answer again are removed by the next
+	// scan. It keeps the cost of DueRetries independent of the number of instances that answer.
+	unreachable map[state.InstanceID]struct{}
 	// hallRetriedAt is when an unreachable instance of a data hall was last returned by DueRetries.
 	hallRetriedAt map[state.HallName]time.Time
 }
 
 // New returns an empty Roster.
 func New(cfg Config) *Roster {
-	return &Roster{cfg: cfg, entries: map[state.InstanceID]*entry{}, hallRetriedAt: map[state.HallName]time.Time{}}
+	return &Roster{cfg: cfg, entries: map[state.InstanceID]*entry{}, unreachable: map[state.InstanceID]struct{}{}, hallRetriedAt: map[state.HallName]time.Time{}}
 }
 
 // Version returns a number that grows with every change that can affect a routing decision.
@@ -242,6 +245,7 @@
 	e.lastFailureAt = sentAt
 	if e.failures == e.policy.LostFailures {
 		r.version++
+		r.unreachable[id] = struct{}{}
 		e.retry = retry{}
 		e.retry.postpone(sentAt, e.policy)
 	}
