Log whether refused requests could be served by instances that this node does not reach

Two causes looked alike in the log of a node that refuses with no-target: no group of the model exists, or this node reaches none of those that exist. The dispatch table now counts the instances and groups that would be candidates if the node reached them, request-ended names that number, and 'candidates changed' also tells how many groups the leader excludes. No decision changes.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,6 +93,9 @@
 	// do not count against a later one.
 	loads map[fleet.Incarnation]*load
 	pools atomic.Pointer[map[poolKey][]*Candidate]
+	// unreachable is the number of instances and groups of each pool that would be candidates if this
+	// node reached them.
+	unreachable atomic.Pointer[map[poolKey]int]
 	// demand holds the measured demand by model.
 	demand atomic.Pointer[map[poolKey]modelDemand]
 }
@@ -100,6 +104,7 @@
 func NewTable(hall state.HallName, policy Policy) *Table {
 	t := &Table{hall: hall, policy: policy, loads: map[fleet.Incarnation]*load{}}
 	t.pools.Store(&map[poolKey][]*Candidate{})
+	t.unreachable.Store(&map[poolKey]int{})
 	t.demand.Store(&map[poolKey]modelDemand{})
 	return t
 }
@@ -121,6 +126,9 @@
 // Difference lists the candidates that an update added and removed.
 type Difference struct {
 	Added, Removed []CandidateKey
+	// Candidates is the number of candidates after the update, Unreachable the number of instances and groups that
+	// this node alone may fail to reach, Excluded the number of open groups that get no new requests.
+	Candidates, Unreachable, Excluded int
 }
 
 // Update rebuilds the candidates from the known state of the instances and returns what changed. Groups for
@@ -129,32 +137,56 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	groups := membersByGroup(views)
-	pools := map[poolKey][]*Candidate{}
+	pools, unreachable := map[poolKey][]*Candidate{}, map[poolKey]int{}
+	excluded := 0
 	loads := make(map[fleet.Incarnation]*load, len(views))
 	for i := range views {
 		v := &views[i]
 		l := t.keepLoad(loads, v.Incarnation())
 		service := c.Services[v.Service]
-		if service == nil || v.Unreachable || v.Draining {
-			continue
-		}
-		if service.Engine == nil {
-			key := poolKey{v.Service, ""}
-			pools[key] = append(pools[key], &Candidate{Instance: v.Instance, load: l, table: t})
-			continue
-		}
-		if !isOpenHead(&v.Instance, service.Engine) || avoid(v.Membership.Key()) {
+		if service == nil || v.Draining || isEnded(v) {
 			continue
 		}
 		cand := &Candidate{Instance: v.Instance, load: l, table: t}
-		if cand.initGroup(service.Engine, views, groups[v.Membership.Key()]) {
-			key := poolKey{v.Service, v.Model}
+		key, reachable := poolKey{v.Service, ""}, !v.Unreachable
+		if service.Engine != nil {
+			if !isOpenHead(&v.Instance, service.Engine) {
+				continue
+			}
+			if avoid(v.Membership.Key()) {
+				excluded++
+				continue
+			}
+			members := groups[v.Membership.Key()]
+			if !cand.initGroup(service.Engine, views, members) {
+				continue
+			}
+			key.model, reachable = v.Model, allReachable(views, members)
+		}
+		if reachable {
 			pools[key] = append(pools[key], cand)
+		} else {
+			unreachable[key]++
 		}
 	}
 	t.loads = loads
 	previous := t.pools.Swap(&pools)
-	return difference(*previous, pools)
+	t.unreachable.Store(&unreachable)
+	d := difference(*previous, pools)
+	d.Excluded = excluded
+	for _, n := range unreachable {
+		d.Unreachable += n
+	}
+	return d
+}
+
+// isEnded reports whether an instance that does not answer is no longer listed either. One that is listed
+// writes its entry, so that other nodes may reach it.
+func isEnded(v *roster.View) bool { return v.Unreachable && v.Unlisted }
+
+// allReachable reports whether this node reaches all members of a group, given their indexes among the views.
+func allReachable(views []roster.View, members []int) bool {
+	return !slices.ContainsFunc(members, func(i int) bool { return views[i].Unreachable })
 }
 
 // keepLoad carries over the load of an incarnation to the next loads, or starts a new one. t.mu must be held.
@@ -188,6 +220,7 @@
 	}
 	var d Difference
 	for _, pool := range after {
+		d.Candidates += len(pool)
 		for _, c := range pool {
 			if key := c.key(); old[key] {
 				delete(old, key)
@@ -208,13 +241,19 @@
 	return (*t.pools.Load())[poolKey{service, model}]
 }
 
+// Unreachable returns the number of instances of a service, or groups of one of its models, that would be
+// candidates if this node reached them.
+func (t *Table) Unreachable(service state.ServiceName, model string) int {
+	return (*t.unreachable.Load())[poolKey{service, model}]
+}
+
 // isOpenHead reports whether an instance is the head of an open group of one of the engine's models.
 func isOpenHead(in *fleet.Instance, engine *catalog.Engine) bool {
 	return in.Membership.State == fleet.Open && in.Membership.Rank == 0 && engine.Model(in.Model) != nil
 }
 
 // initGroup sets the group data of an open head, given the indexes of the group's members among the views. It
-// reports whether the group can receive requests.
+// reports whether the group is complete and none of its members has ended.
 func (c *Candidate) initGroup(engine *catalog.Engine, views []roster.View, members []int) bool {
 	model := engine.Model(c.Model)
 	if len(members) < model.GroupSize {
@@ -229,7 +268,7 @@
 	}
 	c.Members = make([]fleet.Instance, 0, len(members))
 	for _, i := range members {
-		if views[i].Unreachable {
+		if isEnded(&views[i]) {
 			return false
 		}
 		c.Members = append(c.Members, views[i].Instance)
--- a/coordination/dispatch/candidate_test.go
+++ b/coordination/dispatch/candidate_test.go
@@ -75,6 +75,43 @@
 	}
 }
 
+// A node that reaches no instance must be able to tell that from a service without any.
+func TestUnreachableCandidatesAreCounted(t *testing.T) {
+	unreachable := func(v roster.View, unlisted bool) roster.View {
+		v.Unreachable, v.Unlisted = true, unlisted
+		return v
+	}
+	for _, c := range []struct {
+		name     string
+		service  state.ServiceName
+		views    []roster.View
+		excluded bool
+		count    int
+	}{
+		{"a reachable instance", "plain", []roster.View{plain("a")}, false, 0},
+		{"an unreachable instance", "plain", []roster.View{unreachable(plain("a"), false)}, false, 1},
+		{"an unreachable instance that is no longer listed", "plain", []roster.View{unreachable(plain("a"), true)}, false, 0},
+		{"a group with an unreachable head", "lm", []roster.View{unreachable(member("a", 0, fleet.Open), false), member("b", 1, fleet.Ready)}, false, 1},
+		{"a group with an unreachable member", "lm", []roster.View{member("a", 0, fleet.Open), unreachable(member("b", 1, fleet.Ready), false)}, false, 1},
+		{"a group with an ended member", "lm", []roster.View{member("a", 0, fleet.Open), unreachable(member("b", 1, fleet.Ready), true)}, false, 0},
+		{"a group that lacks a member", "lm", []roster.View{unreachable(member("a", 0, fleet.Open), false)}, false, 0},
+		{"an excluded group", "lm", []roster.View{unreachable(member("a", 0, fleet.Open), false), member("b", 1, fleet.Ready)}, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			table := dispatch.NewTable("h", dispatch.DefaultPolicy())
+			d := table.Update(testCatalog(), c.views, func(fleet.GroupKey) bool { return c.excluded })
+			model := ""
+			if c.service == "lm" {
+				model = "m"
+			}
+			g.Expect(table.Unreachable(c.service, model)).To(Equal(c.count))
+			g.Expect(d.Unreachable).To(Equal(c.count))
+			g.Expect(d.Excluded == 1).To(Equal(c.excluded))
+		})
+	}
+}
+
 func TestPickPrefersLeastLoadedAcrossNodes(t *testing.T) {
 	g := NewWithT(t)
 	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
--- a/transport/entry/beliefs.go
+++ b/transport/entry/beliefs.go
@@ -124,13 +124,15 @@
 	}).Info("instance")
 }
 
-// logRouting logs which candidates were added and removed, with the version of the roster that they come from.
+// logRouting logs which candidates were added and removed, with the version of the roster that they come from. The
+// number of those that this node does not reach, and of those that the leader excludes, tells why they are few.
 func (n *Node) logRouting(d dispatch.Difference, rosterVersion uint64) {
 	if len(d.Added)+len(d.Removed) == 0 {
 		return
 	}
 	n.log.WithFields(log.Fields{
 		"version": rosterVersion, "added": describeCandidates(d.Added), "added_count": len(d.Added), "removed": describeCandidates(d.Removed), "removed_count": len(d.Removed),
+		"count": d.Candidates, "unreachable": d.Unreachable, "excluded": d.Excluded,
 	}).Info("candidates changed")
 }
 
--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -138,6 +138,8 @@
 	Tried []state.InstanceID
 	// Begun tells that a part of an answer had been passed on.
 	Begun bool
+	// Unreachable is the number of instances or groups that could serve the request and that this node does not reach.
+	Unreachable int
 }
 
 // Name implements Decision.
@@ -145,7 +147,7 @@
 
 // Fields implements log.Fielder.
 func (e *RequestEnded) Fields() log.Fields {
-	return e.fields(log.Fields{"request": e.ID, "fingerprint": e.Fingerprint, "code": e.Code, "tried": e.Tried, "begun": e.Begun})
+	return e.fields(log.Fields{"request": e.ID, "fingerprint": e.Fingerprint, "code": e.Code, "tried": e.Tried, "begun": e.Begun, "unreachable": e.Unreachable})
 }
 
 // RequestAnswered tells that a caller got the whole answer of an instance.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -344,7 +344,7 @@
 // refuse writes a refusal to the caller, or aborts the connection if the response has begun.
 func (c *call) refuse(refused *refusal) {
 	c.Recorder.Count("refused." + string(refused.code))
-	c.Recorder.LogDecision(&event.RequestEnded{Request: c.eventRequest(), Progress: c.eventProgress(), Code: string(refused.code), Tried: c.tried, Begun: c.headerWritten})
+	c.Recorder.LogDecision(&event.RequestEnded{Request: c.eventRequest(), Progress: c.eventProgress(), Code: string(refused.code), Tried: c.tried, Begun: c.headerWritten, Unreachable: c.Table.Unreachable(c.service, c.model)})
 	if c.headerWritten {
 		panic(http.ErrAbortHandler)
 	}
