--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -227,6 +227,11 @@
 
 // startTuned runs a node as startWith does, after tune has changed its settings.
 func startTuned(t *testing.T, s *store, ports entry.Ports, name string, tune func(*entry.Settings), seeds ...netip.AddrPort) *running {
+	return startPrepared(t, s, ports, name, tune, func(*entry.Node) {}, seeds...)
+}
+
+// startPrepared runs a node as startTuned does, after prepare has changed the node.
+func startPrepared(t *testing.T, s *store, ports entry.Ports, name string, tune func(*entry.Settings), prepare func(*entry.Node), seeds ...netip.AddrPort) *running {
 	set := &entry.Settings{
 		Policy: entry.DefaultPolicy(),
 		Name:   name, Hall: "hall", CallerAddress: freeAddress(t), ReadyAddress: freeAddress(t), PeerAddress: freeAddress(t), MetricsAddress: freeAddress(t), Seeds: seeds,
@@ -239,6 +244,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
 	node := entry.New(set, ports, clockwork.NewRealClock(), &log.Logger{Handler: discard.New(), Level: log.InfoLevel})
+	prepare(node)
 	go func() { r.done <- node.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
