--- a/transport/entry/partition_test.go
+++ b/transport/entry/partition_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
 	"github.com/troutmast/troutmast/transport/entry"
 )
@@ -57,3 +61,49 @@
 		})
 	}
 }
+
+// orderCounter counts the orders that a node sends, and answers its probes if the node reaches the instances.
+type orderCounter struct {
+	reaches bool
+	orders  atomic.Int32
+}
+
+func (o *orderCounter) Report(context.Context, netip.AddrPort, state.InstanceID, entry.ConnectionReuse) (fleet.Report, error) {
+	if !o.reaches {
+		return fleet.Report{}, errors.New("partitioned")
+	}
+	return fleet.Report{}, nil
+}
+
+func (o *orderCounter) Order(context.Context, placement.Order, entry.ConnectionReuse) (entry.OrderResult, error) {
+	o.orders.Add(1)
+	return entry.OrderResult{Reply: placement.Unanswered}, errors.New("no engine")
+}
+
+// engineDecoder decodes a configuration with an engine service whose groups have two members.
+type engineDecoder struct{ decoder }
+
+func (engineDecoder) Catalog([]byte) (*catalog.Catalog, error) {
+	engine := &catalog.Engine{BatchSlots: 8, Models: []catalog.Model{{Name: "m", GroupSize: 2, ExpectedShare: 1}}}
+	return catalog.New(1, nil, []catalog.Service{{Name: "lm", Engine: engine}}, nil, catalog.Limits{}), nil
+}
+
+// A leader that reaches no instance can't carry out its own decisions. Its groups stay excluded at every node meanwhile.
+func TestLeaderPartitionedFromInstancesHandsOver(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	s.add(source.Configuration, "config", 1)
+	for _, id := range []string{"i1", "i2"} {
+		s.add(source.Instances, id, fleet.Instance{ID: state.InstanceID(id), Service: "lm", Domain: "d", Hall: "hall", Address: freeAddress(t), Model: "m"})
+	}
+	var leading, standby orderCounter
+	standby.reaches = true
+	capacity := func(cores float64) func(*entry.Settings) {
+		return func(set *entry.Settings) { set.Capacity = cores }
+	}
+	larger := startTuned(t, s, entry.Ports{Decoder: engineDecoder{}, Target: &leading, HeaderCodec: codec{}}, "larger", capacity(2))
+	startTuned(t, s, entry.Ports{Decoder: engineDecoder{}, Target: &standby, HeaderCodec: codec{}}, "smaller", capacity(1), larger.set.PeerAddress)
+	g.Eventually(standby.orders.Load, 10*time.Second).Should(BeNumerically(">", 0))
+	before := leading.orders.Load()
+	g.Consistently(func() int32 { return leading.orders.Load() - before }, time.Second).Should(BeZero())
+}
