--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -78,10 +79,11 @@
 	c.load.failureScore.Add(-int64(float64(score) * c.table.policy.FailureRecovery))
 }
 
-// poolKey identifies the candidates of a service, or of one of its models.
-type poolKey struct {
-	service state.ServiceName
-	model   string
+// Pool identifies the candidates of a service, or of one of its models.
+type Pool struct {
+	Service state.ServiceName `json:"s"`
+	// Model is empty for a plain service.
+	Model string `json:"m,omitempty"`
 }
 
 // Table holds the candidates. Lookups by service and model take no lock.
@@ -92,20 +94,20 @@
 	// loads is keyed by incarnation, so that failures and requests of an earlier incarnation
 	// do not count against a later one.
 	loads map[fleet.Incarnation]*load
-	pools atomic.Pointer[map[poolKey][]*Candidate]
+	pools atomic.Pointer[map[Pool][]*Candidate]
 	// unreachable is the number of instances and groups of each pool that would be candidates if this
 	// node reached them.
-	unreachable atomic.Pointer[map[poolKey]int]
+	unreachable atomic.Pointer[map[Pool]int]
 	// demand holds the measured demand by model.
-	demand atomic.Pointer[map[poolKey]modelDemand]
+	demand atomic.Pointer[map[Pool]modelDemand]
 }
 
 // NewTable returns an empty Table for a node of a data hall.
 func NewTable(hall state.HallName, policy Policy) *Table {
 	t := &Table{hall: hall, policy: policy, loads: map[fleet.Incarnation]*load{}}
-	t.pools.Store(&map[poolKey][]*Candidate{})
-	t.unreachable.Store(&map[poolKey]int{})
-	t.demand.Store(&map[poolKey]modelDemand{})
+	t.pools.Store(&map[Pool][]*Candidate{})
+	t.unreachable.Store(&map[Pool]int{})
+	t.demand.Store(&map[Pool]modelDemand{})
 	return t
 }
 
@@ -137,7 +139,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	groups := membersByGroup(views)
-	pools, unreachable := map[poolKey][]*Candidate{}, map[poolKey]int{}
+	pools, unreachable := map[Pool][]*Candidate{}, map[Pool]int{}
 	excluded := 0
 	loads := make(map[fleet.Incarnation]*load, len(views))
 	for i := range views {
@@ -148,7 +150,7 @@
 			continue
 		}
 		cand := &Candidate{Instance: v.Instance, load: l, table: t}
-		key, reachable := poolKey{v.Service, ""}, !v.Unreachable
+		key, reachable := Pool{v.Service, ""}, !v.Unreachable
 		if service.Engine != nil {
 			if !isOpenHead(&v.Instance, service.Engine) {
 				continue
@@ -161,7 +163,7 @@
 			if !cand.initGroup(service.Engine, views, members) {
 				continue
 			}
-			key.model, reachable = v.Model, allReachable(views, members)
+			key.Model, reachable = v.Model, allReachable(views, members)
 		}
 		if reachable {
 			pools[key] = append(pools[key], cand)
@@ -211,7 +213,7 @@
 }
 
 // difference returns the candidates that only one of two sets of pools contains.
-func difference(before, after map[poolKey][]*Candidate) Difference {
+func difference(before, after map[Pool][]*Candidate) Difference {
 	old := map[CandidateKey]bool{}
 	for _, pool := range before {
 		for _, c := range pool {
@@ -238,13 +240,44 @@
 // Candidates returns the candidates for a service, or for one of its models. The
 // slice must not be modified.
 func (t *Table) Candidates(service state.ServiceName, model string) []*Candidate {
-	return (*t.pools.Load())[poolKey{service, model}]
+	return (*t.pools.Load())[Pool{service, model}]
 }
 
 // Unreachable returns the number of instances of a service, or groups of one of its models, that would be
 // candidates if this node reached them.
 func (t *Table) Unreachable(service state.ServiceName, model string) int {
-	return (*t.unreachable.Load())[poolKey{service, model}]
+	return (*t.unreachable.Load())[Pool{service, model}]
+}
+
+// ImpairedPools returns the pools of which this node reaches less than half of the instances or groups that
+// could serve, in order.
+func (t *Table) ImpairedPools() []Pool {
+	pools := *t.pools.Load()
+	var impaired []Pool
+	for pool, n := range *t.unreachable.Load() {
+		if n > len(pools[pool]) {
+			impaired = append(impaired, pool)
+		}
+	}
+	slices.SortFunc(impaired, comparePools)
+	return impaired
+}
+
+// Pools returns all pools with candidates or with instances or groups that this node does not reach, in order.
+func (t *Table) Pools() []Pool {
+	unreachable := *t.unreachable.Load()
+	list := slices.Collect(maps.Keys(unreachable))
+	for pool := range *t.pools.Load() {
+		if unreachable[pool] == 0 {
+			list = append(list, pool)
+		}
+	}
+	slices.SortFunc(list, comparePools)
+	return list
+}
+
+func comparePools(a, b Pool) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model))
 }
 
 // isOpenHead reports whether an instance is the head of an open group of one of the engine's models.
@@ -279,9 +312,9 @@
 // UpdateLoad records the number of requests in flight from the other nodes to each
 // instance, the demand at all nodes, and the demand at this node.
 func (t *Table) UpdateLoad(inFlight map[state.InstanceID]int, total, own []demand.Flow) {
-	demands := make(map[poolKey]modelDemand, len(total))
+	demands := make(map[Pool]modelDemand, len(total))
 	for _, f := range total {
-		demands[poolKey{f.Service, f.Model}] = newModelDemand(f, own)
+		demands[Pool{f.Service, f.Model}] = newModelDemand(f, own)
 	}
 	t.demand.Store(&demands)
 	t.mu.Lock()
--- a/coordination/dispatch/firstevent.go
+++ b/coordination/dispatch/firstevent.go
@@ -12,7 +12,7 @@
 // every node that has one would only add to the load. It is safe for concurrent use.
 type FirstEventTimes struct {
 	mu    sync.Mutex
-	means map[poolKey]time.Duration
+	means map[Pool]time.Duration
 }
 
 const (
@@ -24,12 +24,12 @@
 
 // NewFirstEventTimes returns an empty FirstEventTimes.
 func NewFirstEventTimes() *FirstEventTimes {
-	return &FirstEventTimes{means: map[poolKey]time.Duration{}}
+	return &FirstEventTimes{means: map[Pool]time.Duration{}}
 }
 
 // Record records that a request for a model got its first event after the given time.
 func (f *FirstEventTimes) Record(service state.ServiceName, model string, took time.Duration) {
-	key := poolKey{service, model}
+	key := Pool{service, model}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	mean, known := f.means[key]
@@ -45,5 +45,5 @@
 func (f *FirstEventTimes) Unusual(service state.ServiceName, model string, minimum time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(minimum, unusualWait*f.means[poolKey{service, model}])
+	return max(minimum, unusualWait*f.means[Pool{service, model}])
 }
--- a/coordination/dispatch/pace.go
+++ b/coordination/dispatch/pace.go
@@ -66,7 +66,7 @@
 
 // RequestRate returns the request rate for a model at all nodes, in requests per second.
 func (t *Table) RequestRate(service state.ServiceName, model string) float64 {
-	return (*t.demand.Load())[poolKey{service, model}].rate
+	return (*t.demand.Load())[Pool{service, model}].rate
 }
 
 // minShare is the minimum share of the requests that a node assumes for itself, so
@@ -96,7 +96,7 @@
 // paceLimit returns the rate at which this node may send prompts to the group, and whether a
 // limit applies.
 func (c *Candidate) paceLimit() (paceLimit, bool) {
-	p, known := (*c.table.demand.Load())[poolKey{c.Service, c.Model}]
+	p, known := (*c.table.demand.Load())[Pool{c.Service, c.Model}]
 	if !known {
 		p.share = 1
 	}
--- /dev/null
+++ b/coordination/forwarding/forwarding.go
@@ -0,0 +1,188 @@
+// Package forwarding chooses the nodes that serve requests for a node which does not reach the
+// instances itself, and bounds the requests that move, at the sender and at the receiver.
+package forwarding
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/state"
+)
+
+// Errors of AcquirePeer.
+var (
+	// ErrNoPeer means that no node is known that can serve the request.
+	ErrNoPeer = errors.New("forwarding: no other node can serve the request")
+	// ErrLimit means that as many requests are forwarded as the limit allows.
+	ErrLimit = errors.New("forwarding: limit of forwarded requests reached")
+)
+
+// Policy configures the forwarding of requests.
+type Policy struct {
+	// MaxSent is the maximum number of requests that a node forwards at a time, MaxReceived the
+	// maximum number that it serves for other nodes.
+	MaxSent     int `flag:"max-sent" help:"maximum number of requests forwarded to other nodes at a time" min:"0" max:"100000"`
+	MaxReceived int `flag:"max-received" help:"maximum number of requests served for other nodes at a time" min:"0" max:"100000"`
+	// RemoteHallCost is the cost of a peer in another data hall, in requests in flight to it.
+	RemoteHallCost int `flag:"remote-hall-cost" help:"cost of forwarding to another data hall, in requests in flight" min:"0" max:"1000"`
+	// PeersTTL is how long the leader's list of peers is used.
+	PeersTTL time.Duration `flag:"peers-ttl" help:"how long the leader's list of nodes to forward to is used" min:"100ms" max:"1m"`
+	// PeerBackoff is how long a peer that could not be reached is not tried again.
+	PeerBackoff time.Duration `flag:"peer-backoff" help:"how long a node that could not be reached gets no forwarded requests" min:"0s" max:"1m"`
+}
+
+// DefaultPolicy returns the default policy.
+func DefaultPolicy() Policy {
+	return Policy{MaxSent: 128, MaxReceived: 192, RemoteHallCost: 4, PeersTTL: 3 * time.Second, PeerBackoff: time.Second}
+}
+
+// Peer is a node that can serve requests for another one.
+type Peer struct {
+	Address netip.AddrPort `json:"a"`
+	Hall    state.HallName `json:"h"`
+}
+
+// PoolPeers lists the nodes that can serve the requests of one pool.
+type PoolPeers struct {
+	Pool  dispatch.Pool `json:"p"`
+	Peers []Peer        `json:"n"`
+}
+
+// Sender chooses the peers of forwarded requests and counts the requests in flight to them. It is
+// safe for concurrent use.
+type Sender struct {
+	hall   state.HallName
+	policy Policy
+
+	mu    sync.Mutex
+	peers map[dispatch.Pool][]Peer
+	// listedAt is when the list of peers arrived.
+	listedAt     time.Time
+	inFlight     map[netip.AddrPort]int
+	total        int
+	backoffUntil map[netip.AddrPort]time.Time
+}
+
+// NewSender returns a Sender of a node in a data hall that knows no peers.
+func NewSender(hall state.HallName, p Policy) *Sender {
+	return &Sender{hall: hall, policy: p, inFlight: map[netip.AddrPort]int{}, backoffUntil: map[netip.AddrPort]time.Time{}}
+}
+
+// SetPeers replaces the peers.
+func (s *Sender) SetPeers(list []PoolPeers, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers, s.listedAt = nil, now
+	if len(list) == 0 {
+		return
+	}
+	s.peers = make(map[dispatch.Pool][]Peer, len(list))
+	for _, p := range list {
+		s.peers[p.Pool] = p.Peers
+	}
+}
+
+// AcquirePeer chooses a peer for a request of a pool and counts the request until Release. It compares two
+// peers drawn at random, since several nodes choose among the same peers without knowing of each other.
+func (s *Sender) AcquirePeer(pool dispatch.Pool, now time.Time) (Peer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	usable := s.usablePeers(pool, now)
+	if len(usable) == 0 {
+		return Peer{}, ErrNoPeer
+	}
+	if s.total >= s.policy.MaxSent {
+		return Peer{}, ErrLimit
+	}
+	a, b := usable[rand.IntN(len(usable))], usable[rand.IntN(len(usable))]
+	if s.cost(b) < s.cost(a) {
+		a = b
+	}
+	s.inFlight[a.Address]++
+	s.total++
+	return a, nil
+}
+
+// usablePeers returns the peers of a pool that are not in backoff. s.mu must be held.
+func (s *Sender) usablePeers(pool dispatch.Pool, now time.Time) []Peer {
+	if now.Sub(s.listedAt) > s.policy.PeersTTL {
+		return nil
+	}
+	var usable []Peer
+	for _, p := range s.peers[pool] {
+		if !now.Before(s.backoffUntil[p.Address]) {
+			usable = append(usable, p)
+		}
+	}
+	return usable
+}
+
+// cost returns the cost of a peer, in requests in flight. s.mu must be held.
+func (s *Sender) cost(p Peer) int {
+	cost := s.inFlight[p.Address]
+	if p.Hall != s.hall {
+		cost += s.policy.RemoteHallCost
+	}
+	return cost
+}
+
+// Release ends the count of a request that AcquirePeer counted.
+func (s *Sender) Release(p Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total--
+	if s.inFlight[p.Address]--; s.inFlight[p.Address] <= 0 {
+		delete(s.inFlight, p.Address)
+	}
+}
+
+// RecordUnreachable records that a peer could not be reached.
+func (s *Sender) RecordUnreachable(p Peer, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, until := range s.backoffUntil {
+		if now.After(until) {
+			delete(s.backoffUntil, address)
+		}
+	}
+	s.backoffUntil[p.Address] = now.Add(s.policy.PeerBackoff)
+}
+
+// Receiver bounds the requests that a node serves for others. It is safe for concurrent use.
+type Receiver struct {
+	policy   Policy
+	mu       sync.Mutex
+	inFlight int
+}
+
+// NewReceiver returns a Receiver without requests.
+func NewReceiver(p Policy) *Receiver { return &Receiver{policy: p} }
+
+// TryAcquire counts a request until Release. It reports false if the limit is reached.
+func (r *Receiver) TryAcquire() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.inFlight >= r.policy.MaxReceived {
+		return false
+	}
+	r.inFlight++
+	return true
+}
+
+// Release ends the count of a request.
+func (r *Receiver) Release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight--
+}
+
+// InFlight returns the number of requests that the node serves for others.
+func (r *Receiver) InFlight() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.inFlight
+}
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/demand"
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/forwarding"
 	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/protocol/peer"
@@ -59,6 +61,11 @@
 	StoreAgeMS int64 `json:"store"`
 	// NodeCount is the number of nodes that the node knows, including itself.
 	NodeCount int `json:"nodes"`
+	// Impaired are the pools of which the node reaches less than half of the instances or groups. IsPartitioned is set if
+	// it reaches no instance at all, IsStopping if it is shutting down. Earlier builds report none of them.
+	Impaired      []dispatch.Pool `json:"impaired,omitempty"`
+	IsPartitioned bool            `json:"partitioned,omitempty"`
+	IsStopping    bool            `json:"stopping,omitempty"`
 	// IsOverloaded is set if the node's own timers fire late, or did so recently.
 	IsOverloaded bool `json:"late,omitempty"`
 	// Ledger reports which instances ended while they ran which requests, as far as the leader may
@@ -123,6 +130,8 @@
 	// up to the version LimitsVersion.
 	Limits        []LimitReport `json:"limits,omitempty"`
 	LimitsVersion uint64        `json:"limits_now,omitempty"`
+	// Peers are nodes to which the sender can forward requests of the pools that it reported as impaired.
+	Peers []forwarding.PoolPeers `json:"peers,omitempty"`
 	// Grants are permissions for the sender to send requests to limited instances. AllocatesRates
 	// reports whether the leader allocates their rates to all nodes that report to it.
 	Grants         []ratelimit.Grant `json:"grants,omitempty"`
--- /dev/null
+++ b/transport/entry/forward.go
@@ -0,0 +1,201 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/forwarding"
+	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+	"github.com/troutmast/troutmast/transport/gateway"
+)
+
+// IsPartitioned implements gateway.Peers.
+func (n *Node) IsPartitioned() bool { return n.partition.IsPartitioned() }
+
+// AcquirePeer implements gateway.Peers.
+func (n *Node) AcquirePeer(pool dispatch.Pool) (forwarding.Peer, error) {
+	return n.forwarding.AcquirePeer(pool, n.clock.Now())
+}
+
+// ReleasePeer implements gateway.Peers.
+func (n *Node) ReleasePeer(p forwarding.Peer, reached bool) {
+	n.forwarding.Release(p)
+	if !reached {
+		n.forwarding.RecordUnreachable(p, n.clock.Now())
+	}
+}
+
+// forwardReceiver bounds the requests of other nodes. An overloaded node serves only its own callers.
+type forwardReceiver struct {
+	*forwarding.Receiver
+	n *Node
+}
+
+// TryAcquire implements gateway.Receiver.
+func (r forwardReceiver) TryAcquire() bool {
+	return !r.n.localHealth.Overloaded(r.n.clock.Now()) && r.Receiver.TryAcquire()
+}
+
+// servePeer returns the handler of the listener for other nodes. Forwarded requests bypass the mux, which
+// would redirect a URI that is not in canonical form.
+func (n *Node) servePeer(mux http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.RequestURI, gateway.ForwardPath) {
+			n.gateway.ServeForwarded(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// recordInstanceResponse records that a response of an instance arrived.
+func (n *Node) recordInstanceResponse() {
+	if n.partition.RecordResponse(n.clock.Now()) {
+		n.Count("partition.ended")
+		n.log.Info("partition from all instances ended")
+		n.requestRebuild()
+		n.requestStatusReport()
+	}
+}
+
+// recordInstanceFailure records that an instance did not answer a call sent at a time, and probes a sample of the
+// others if a partition is possible.
+func (n *Node) recordInstanceFailure(id state.InstanceID, sentAt time.Time) {
+	if n.partition.RecordFailure(id, sentAt, n.clock.Now()) {
+		go n.probeSample()
+	}
+}
+
+// probeSample probes a sample of instances in order to detect a partition from all of them.
+func (n *Node) probeSample() {
+	sample := n.sampleInstances()
+	n.Count("partition.samples")
+	var wg sync.WaitGroup
+	for _, m := range sample {
+		wg.Go(func() { n.probeAndRecord(context.Background(), m, n.clock.Now()) })
+	}
+	wg.Wait()
+	if n.partition.EndSample() {
+		n.Count("partition.detected")
+		n.log.WithField("sample", len(sample)).Warn("partitioned from all instances")
+		n.requestRebuild()
+		n.requestStatusReport()
+	}
+}
+
+// sampleInstances returns random instances that are listed. Those that answered their last call come first.
+func (n *Node) sampleInstances() []fleet.Instance {
+	views := slices.DeleteFunc(n.roster.All(n.clock.Now()), func(v roster.View) bool { return v.Unlisted || v.Draining })
+	rand.Shuffle(len(views), func(i, j int) { views[i], views[j] = views[j], views[i] })
+	slices.SortStableFunc(views, func(a, b roster.View) int {
+		switch {
+		case a.Unreachable == b.Unreachable:
+			return 0
+		case b.Unreachable:
+			return -1
+		}
+		return 1
+	})
+	sample := make([]fleet.Instance, 0, n.settings.Policy.Partition.SampleSize)
+	for i := range views[:min(len(views), cap(sample))] {
+		sample = append(sample, views[i].Instance)
+	}
+	return sample
+}
+
+// impairedPools returns the pools whose requests other nodes can probably serve better than this one.
+func (n *Node) impairedPools() []dispatch.Pool {
+	if n.stopping.Load() || n.IsPartitioned() {
+		return n.table.Pools()
+	}
+	return n.table.ImpairedPools()
+}
+
+// maxListedPeers is the maximum number of nodes of one kind, of the same data hall or of others, that a leader names
+// to a node as peers for the requests of one pool.
+const maxListedPeers = 8
+
+// servingNode is a node that serves requests of other nodes, except those of the impaired pools.
+type servingNode struct {
+	peer     forwarding.Peer
+	impaired []dispatch.Pool
+}
+
+// servingNodes returns the nodes that serve requests of other nodes by their status reports, including this one. The
+// list is cached for SumInterval and must not be modified.
+func (p *peers) servingNodes(now time.Time) []servingNode {
+	own := StatusReport{From: p.self(), Protocol: protocolVersion, Impaired: p.n.impairedPools(), IsOverloaded: p.isOverloaded(now)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.serving != nil && now.Sub(p.servingAt) < p.n.policy.SumInterval {
+		return p.serving
+	}
+	list := appendServing(make([]servingNode, 0, len(p.statusReports)+1), &own)
+	for _, r := range p.statusReports {
+		if now.Sub(r.receivedAt) < p.n.policy.NodeTimeout {
+			list = appendServing(list, &r.report)
+		}
+	}
+	p.serving, p.servingAt = list, now
+	return list
+}
+
+// appendServing appends the sender of a status report unless it is overloaded or of a build that can't serve
+// requests of other nodes.
+func appendServing(list []servingNode, r *StatusReport) []servingNode {
+	at, err := netip.ParseAddrPort(r.From.Address)
+	if err != nil || r.Protocol < protocolForwarding || r.IsOverloaded {
+		return list
+	}
+	return append(list, servingNode{forwarding.Peer{Address: at, Hall: r.From.Hall}, r.Impaired})
+}
+
+// peersFor returns the nodes to which another node can forward requests of some pools.
+func (p *peers) peersFor(node *NodeEntry, pools []dispatch.Pool) []forwarding.PoolPeers {
+	if len(pools) == 0 {
+		return nil
+	}
+	nodes := slices.Clone(p.servingNodes(p.n.clock.Now()))
+	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	list := make([]forwarding.PoolPeers, 0, len(pools))
+	for _, pool := range pools {
+		if chosen := choosePeers(nodes, node, pool); len(chosen) > 0 {
+			list = append(list, forwarding.PoolPeers{Pool: pool, Peers: chosen})
+		}
+	}
+	return list
+}
+
+// choosePeers returns the first nodes that serve the requests of a pool, of the data hall of the given node and of
+// others.
+func choosePeers(nodes []servingNode, node *NodeEntry, pool dispatch.Pool) []forwarding.Peer {
+	var sameHall, otherHalls []forwarding.Peer
+	for _, s := range nodes {
+		if s.peer.Address.String() == node.Address || slices.Contains(s.impaired, pool) {
+			continue
+		}
+		chosen := &otherHalls
+		if s.peer.Hall == node.Hall {
+			chosen = &sameHall
+		}
+		if len(*chosen) < maxListedPeers {
+			*chosen = append(*chosen, s.peer)
+		}
+	}
+	return append(sameHall, otherHalls...)
+}
+
+// setOwnPeers updates the peers of a node that leads: no other leader names them.
+func (p *peers) setOwnPeers() {
+	own := p.self()
+	p.n.forwarding.SetPeers(p.peersFor(&own, p.n.impairedPools()), p.n.clock.Now())
+}
--- /dev/null
+++ b/transport/entry/forward_test.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+var lmPool = dispatch.Pool{Service: "lm", Model: "m"}
+
+// recordReport records a status report of the nth node at a leader.
+func recordReport(n *Node, number int, hall state.HallName, change func(r *receivedReport)) {
+	r := receivedReport{receivedAt: n.clock.Now()}
+	r.report.From = NodeEntry{Name: fmt.Sprint(number), Address: testAddress(number).String(), Hall: hall}
+	r.report.Protocol = protocolVersion
+	change(&r)
+	n.peers.statusReports[r.report.From.Name] = r
+}
+
+func TestLeaderNamesOnlyNodesThatServeAsPeers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(r *receivedReport)
+		named  bool
+	}{
+		{"a node that reaches the instances", func(*receivedReport) {}, true},
+		{"a node that does not reach them either", func(r *receivedReport) { r.report.Impaired = []dispatch.Pool{lmPool} }, false},
+		{"a node that does not reach those of another pool", func(r *receivedReport) { r.report.Impaired = []dispatch.Pool{{Service: "plain"}} }, true},
+		{"an overloaded node", func(r *receivedReport) { r.report.IsOverloaded = true }, false},
+		{"a node of an earlier build", func(r *receivedReport) { r.report.Protocol = protocolForwarding - 1 }, false},
+		{"a silent node", func(r *receivedReport) { r.receivedAt = r.receivedAt.Add(-DefaultPolicy().Node.NodeTimeout) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			leader := newTestNode()
+			leader.partition.RecordResponse(leader.clock.Now())
+			recordReport(leader, 2, "hall", func(r *receivedReport) { r.report.Impaired = []dispatch.Pool{lmPool} })
+			recordReport(leader, 3, "hall", c.change)
+			sender := leader.peers.statusReports["2"].report.From
+			g.Expect(leader.peers.peersFor(&sender, nil)).To(BeEmpty(), "a node without impaired pools needs no peers")
+			var addresses []string
+			for _, list := range leader.peers.peersFor(&sender, []dispatch.Pool{lmPool}) {
+				g.Expect(list.Pool).To(Equal(lmPool))
+				for _, p := range list.Peers {
+					addresses = append(addresses, p.Address.String())
+				}
+			}
+			want := []string{testAddress(1).String()} // the leader itself
+			if c.named {
+				want = append(want, testAddress(3).String())
+			}
+			g.Expect(addresses).To(ConsistOf(want))
+		})
+	}
+}
+
+// The answer to a node that needs peers must stay small in a system of hundreds of nodes.
+func TestLeaderNamesFewPeersOfEachKind(t *testing.T) {
+	g := NewWithT(t)
+	leader := newTestNode()
+	for i := range 250 {
+		recordReport(leader, 2+i, state.HallName([]string{"hall", "far"}[i%2]), func(*receivedReport) {})
+	}
+	sender := NodeEntry{Address: testAddress(2).String(), Hall: "hall"}
+	counts := map[state.HallName]int{}
+	for _, p := range leader.peers.peersFor(&sender, []dispatch.Pool{lmPool})[0].Peers {
+		counts[p.Hall]++
+		g.Expect(p.Address).NotTo(Equal(testAddress(2)))
+	}
+	g.Expect(counts).To(Equal(map[state.HallName]int{"hall": maxListedPeers, "far": maxListedPeers}))
+}
+
+// A partitioned node reports all its pools as impaired, and none of its failures as suspicions: the other
+// nodes would probe every instance.
+func TestPartitionedNodeReportsNoSuspicions(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestNode()
+	catalog, _ := engineConfiguration{}.Catalog(nil)
+	var instances []fleet.Instance
+	for i := range 4 {
+		in := fleet.Instance{
+			ID: state.InstanceID(fmt.Sprint(i)), Service: "lm", Model: "m", Address: testAddress(100 + i),
+			Membership: fleet.Membership{Group: "g", Epoch: 1, Rank: i, State: []fleet.MemberState{fleet.Open, fleet.Ready}[min(i, 1)]},
+		}
+		n.roster.ApplyFreshEntry(in, n.clock.Now())
+		instances = append(instances, in)
+	}
+	n.table.Update(catalog, n.roster.All(n.clock.Now()), n.isExcluded)
+	g.Expect(n.peers.statusReport().Impaired).To(BeEmpty())
+	now := n.clock.Now().Add(time.Hour)
+	for _, in := range instances {
+		n.partition.RecordFailure(in.ID, now, now)
+		n.recordSuspicion(in.ID, n.clock.Now())
+	}
+	g.Expect(n.peers.statusReport().Suspects).To(HaveLen(len(instances)))
+	g.Expect(n.partition.EndSample()).To(BeTrue())
+	report := n.peers.statusReport()
+	g.Expect(report.IsPartitioned).To(BeTrue())
+	g.Expect(report.Suspects).To(BeEmpty())
+	g.Expect(report.Impaired).To(Equal([]dispatch.Pool{lmPool}))
+	n.recordInstanceResponse()
+	g.Expect(n.peers.statusReport().Impaired).To(BeEmpty())
+}
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -16,11 +16,15 @@
 )
 
 // RecordResponse implements gateway.FailureDetector.
-func (n *Node) RecordResponse(id state.InstanceID, at time.Time) { n.roster.RecordResponse(id, at) }
+func (n *Node) RecordResponse(id state.InstanceID, at time.Time) {
+	n.roster.RecordResponse(id, at)
+	n.recordInstanceResponse()
+}
 
 // RecordFailure implements gateway.FailureDetector.
 func (n *Node) RecordFailure(id state.InstanceID, at time.Time) {
 	n.roster.RecordFailure(id, at)
+	n.recordInstanceFailure(id, at)
 	n.recordSuspicion(id, at)
 	n.requestRebuild()
 }
@@ -144,6 +148,7 @@
 		return false
 	}
 	n.roster.RecordReport(m.ID, rep)
+	n.recordInstanceResponse()
 	return true
 }
 
@@ -224,7 +229,7 @@
 // its last report stays in force. Only the first such answer of an instance is logged.
 func (n *Node) recordUnreadableReport(id state.InstanceID, probedAt time.Time, err error) {
 	n.Count("reports.unreadable")
-	n.roster.RecordResponse(id, probedAt)
+	n.RecordResponse(id, probedAt)
 	if _, known := n.loggedOnce.LoadOrStore(id, true); !known {
 		n.log.WithError(err).WithField("instance", id).Warn("invalid instance report")
 	}
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +15,9 @@
 	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/forwarding"
 	"github.com/troutmast/troutmast/coordination/localhealth"
+	"github.com/troutmast/troutmast/coordination/partition"
 	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/coordination/roster"
@@ -56,14 +59,20 @@
 	limits        *ratelimit.Tracker
 	rateAllocator *ratelimit.Allocator
 	pool          *direct.Pool
-	metrics       metrics.Registry
-	log           *log.Logger
-	peers         *peers
-	placement     *placementController
-	localHealth   localhealth.Monitor
-	leaderLoad    leaderLoad
-	feed          feed
-	started       time.Time
+	// peerPool holds the connections for requests forwarded to other nodes.
+	peerPool   *direct.Pool
+	partition  *partition.Detector
+	forwarding *forwarding.Sender
+	// forwarded counts the requests that this node serves for other nodes.
+	forwarded   *forwarding.Receiver
+	metrics     metrics.Registry
+	log         *log.Logger
+	peers       *peers
+	placement   *placementController
+	localHealth localhealth.Monitor
+	leaderLoad  leaderLoad
+	feed        feed
+	started     time.Time
 
 	// incarnationNumber identifies this incarnation of the node: the offset of its first entry in the store, plus one.
 	incarnationNumber atomic.Int64
@@ -113,6 +122,10 @@
 		roster:      roster.New(roster.Config{HeartbeatInterval: set.HeartbeatInterval, StallTimeout: set.StallTimeout, IndirectProbes: true, Policy: set.Policy.Roster}),
 		table:       dispatch.NewTable(set.Hall, set.Policy.Dispatch),
 		pool:        direct.NewPool(direct.Dialer{Timeout: dialTimeout, AckTimeout: ackTimeout}, clock.Now),
+		peerPool:    direct.NewPool(direct.Dialer{Timeout: set.Policy.Node.StatusTimeout, AckTimeout: ackTimeout}, clock.Now),
+		partition:   partition.NewDetector(set.Policy.Partition),
+		forwarding:  forwarding.NewSender(set.Hall, set.Policy.Forwarding),
+		forwarded:   forwarding.NewReceiver(set.Policy.Forwarding),
 		metrics:     metrics.NewRegistry(),
 		demand:      demand.NewMeter(set.Policy.Demand),
 		ledger:      quarantine.NewLedger(set.Policy.Quarantine),
@@ -132,7 +145,7 @@
 	}
 	n.gateway = gateway.New(gateway.Options{
 		Clock: clock, Codec: ports.HeaderCodec, Catalogs: n.configState, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
-		Retry: set.Retry,
+		Retry: set.Retry, Name: set.Name, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
 	})
 	n.peers = newPeers(n)
 	n.placement = newPlacementController(n)
@@ -218,6 +231,7 @@
 // rebuildCandidates rebuilds the candidates when the catalog, an instance, an exclusion or the time changes them.
 func (n *Node) rebuildCandidates(ctx context.Context) {
 	var last candidateInputs
+	var impaired []dispatch.Pool
 	for {
 		select {
 		case <-ctx.Done():
@@ -232,6 +246,10 @@
 		}
 		last = in
 		n.logRouting(n.table.Update(in.catalog, n.roster.All(began), n.isExcluded), in.rosterVersion)
+		if pools := n.impairedPools(); !slices.Equal(pools, impaired) {
+			impaired = pools
+			n.requestStatusReport() // the answer names peers for the impaired pools
+		}
 		n.Count("candidates.rebuilt")
 		if !n.sleep(ctx, n.rebuildPause(n.clock.Since(began))) {
 			return
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -71,6 +71,9 @@
 	inProgress  map[state.InstanceID]int
 	totalDemand []demand.Flow
 	totalsAt    time.Time
+	// serving are the nodes that serve requests of other nodes, as of servingAt.
+	serving   []servingNode
+	servingAt time.Time
 
 	// changes, sharedTotals, sharedNodes and sharedConfig hold what a leader sends to all nodes, packed.
 	changes                                 changeLog
@@ -335,6 +338,7 @@
 	if canLead {
 		p.greetSilentNodes(ctx)
 		p.n.setLoads(p.totals())
+		p.setOwnPeers()
 	}
 }
 
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -6,6 +6,8 @@
 	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/forwarding"
+	"github.com/troutmast/troutmast/coordination/partition"
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/ratelimit"
@@ -28,6 +30,10 @@
 	Cooldown cooldown.Policy `flag:"cooldown"`
 	// RateLimit configures the allocation of instances' rate limits to the nodes.
 	RateLimit ratelimit.Policy `flag:"rate-limit"`
+	// Partition configures the detection of a partition from all instances, Forwarding the forwarding of
+	// requests to nodes that reach them.
+	Partition  partition.Policy  `flag:"partition"`
+	Forwarding forwarding.Policy `flag:"forwarding"`
 }
 
 // NodePolicy holds the intervals and timeouts between nodes, to the store and to instances.
@@ -157,6 +163,8 @@
 		Quarantine: quarantine.DefaultPolicy(),
 		Cooldown:   cooldown.DefaultPolicy(),
 		RateLimit:  ratelimit.DefaultPolicy(),
+		Partition:  partition.DefaultPolicy(),
+		Forwarding: forwarding.DefaultPolicy(),
 		Node: NodePolicy{
 			PlanInterval:         100 * time.Millisecond,
 			PlanPause:            25 * time.Millisecond,
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -51,7 +51,10 @@
 		n.placement.run,
 		n.watchHealth,
 		n.persistQuarantine,
-		n.every(time.Second, func(context.Context) { n.pool.CloseExpired() }),
+		n.every(time.Second, func(context.Context) {
+			n.pool.CloseExpired()
+			n.peerPool.CloseExpired()
+		}),
 	}
 }
 
@@ -85,7 +88,7 @@
 	}{
 		{n.settings.CallerAddress.String(), n.gateway},
 		{n.settings.ReadyAddress.String(), readyMux},
-		{n.settings.PeerAddress.String(), peerMux},
+		{n.settings.PeerAddress.String(), n.servePeer(peerMux)},
 		{n.settings.MetricsAddress.String(), operatorMux},
 	}
 	var listeners []*listener
@@ -121,6 +124,19 @@
 // isReady reports whether the node can answer callers.
 func (n *Node) isReady() bool { return !n.stopping.Load() && n.configState.Catalog() != nil }
 
+// forwardedPollInterval is the time between two checks whether the requests of other nodes have ended.
+const forwardedPollInterval = 20 * time.Millisecond
+
+// waitForForwarded waits until the node serves no request for another one.
+func (n *Node) waitForForwarded(ctx context.Context) error {
+	for n.forwarded.InFlight() > 0 {
+		if !n.sleep(ctx, forwardedPollInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 func (n *Node) registerOperatorHandlers(mux *http.ServeMux) {
 	mux.HandleFunc("/metrics", n.serveMetrics)
 	mux.HandleFunc("GET /quarantine", n.serveQuarantine)
@@ -138,12 +154,13 @@
 	began := n.clock.Now()
 	n.log.Info("stopping")
 	n.stopping.Store(true)
+	n.requestStatusReport() // the leader stops naming this node as a peer
 	n.gateway.CloseConnections()
 	n.clock.Sleep(min(unreadyPeriod, n.settings.StopTimeout/2))
 	n.gateway.RefuseNew()
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout-stopMargin-n.clock.Since(began))
 	defer cancel()
-	if err := servers[0].Shutdown(ctx); err != nil {
+	if err := errors.Join(servers[0].Shutdown(ctx), n.waitForForwarded(ctx)); err != nil {
 		n.log.WithError(err).WithField("held", n.gateway.StallDetector.ActiveCount()).Warn("requests interrupted by shutdown")
 	}
 }
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -68,7 +68,7 @@
 		From:         p.self(),
 		Protocol:     protocolVersion,
 		InProgress:   n.table.InFlight(),
-		Suspects:     n.suspicions(now),
+		Impaired:     n.impairedPools(),
 		Leaving:      n.recentlyLeaving(now),
 		StoreAgeMS:   ceilMS(n.storeAge()),
 		Era:          n.eras.current(),
@@ -76,6 +76,10 @@
 		IsOverloaded: p.isOverloaded(now),
 		ConfigAgeMS:  ceilMS(unknownAge),
 	}
+	w.IsPartitioned, w.IsStopping = n.IsPartitioned(), n.stopping.Load()
+	if !w.IsPartitioned { // the failures of a partitioned node say nothing about the instances
+		w.Suspects = n.suspicions(now)
+	}
 	w.Feed, w.FeedVersion = p.feedPosition()
 	w.HasRequests = n.gateway.RequestCount() > 0
 	w.Demand = n.demand.Flows(now)
@@ -212,6 +216,7 @@
 	n.setExcluded(a.Avoid)
 	n.placement.recordStagings(a.Staging, sentAt)
 	n.setLoads(a.InProgress, a.Demand)
+	n.forwarding.SetPeers(a.Peers, n.clock.Now())
 	p.mergeLimits(a, sentAt)
 }
 
@@ -257,6 +262,7 @@
 	err := p.addConfig(a, w)
 	if a.CanLead {
 		a.HasRequests = p.anyRequests()
+		a.Peers = p.peersFor(&w.From, w.Impaired)
 		a.IntervalMS = ceilMS(p.pacing().Interval(p.reportingNodes()))
 		err = errors.Join(err, p.addTotals(a, w, now), p.addNodes(a, w), p.addChanges(a, w, now))
 		n.addLedgerToAnswer(a, w, now)
--- a/transport/entry/version.go
+++ b/transport/entry/version.go
@@ -19,8 +19,10 @@
 	protocolRateLimits = 1
 	// protocolPacked is the first version whose nodes read the packed parts of a leader's answers.
 	protocolPacked = 2
+	// protocolForwarding is the first version whose nodes serve requests that other nodes forward.
+	protocolForwarding = 3
 	// protocolVersion is the protocol version of this build.
-	protocolVersion = protocolPacked
+	protocolVersion = protocolForwarding
 )
 
 // versionBonus is added per protocol version to the capacity that a node reports, in cores. It is
--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -3,6 +3,7 @@
 package event
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/apex/log"
@@ -111,10 +112,38 @@
 	return log.Fields{"request": e.ID, "instance": e.Instance, "error": e.Err.Error(), "sends": e.Sends}
 }
 
+// RequestForwarded tells that a request is sent to another node, since this one does not reach the instances.
+type RequestForwarded struct {
+	Request
+	Peer netip.AddrPort
+	// Unreachable is the number of instances or groups that could serve the request and that this node does not reach.
+	Unreachable int
+	// Partitioned tells that this node reaches no instance at all.
+	Partitioned bool
+	// Attempts is the number of instances that may still run the request.
+	Attempts int
+	// Left is the time until the deadline.
+	Left time.Duration
+}
+
+// Name implements Decision.
+func (e *RequestForwarded) Name() string { return "request-forwarded" }
+
+// Fields implements log.Fielder.
+func (e *RequestForwarded) Fields() log.Fields {
+	return log.Fields{
+		"request": e.ID, "fingerprint": e.Fingerprint, "peer": e.Peer.String(), "unreachable": e.Unreachable, "partitioned": e.Partitioned,
+		"attempts": e.Attempts, "left_ms": e.Left.Milliseconds(),
+	}
+}
+
 // Progress is how far a request has come.
 type Progress struct {
-	Route string
-	Model string
+	// Origin is the name of the node that forwarded the request to this one, Peer the address of the
+	// node that this one forwarded it to.
+	Origin, Peer string
+	Route        string
+	Model        string
 	// Sends counts the sends to instances, Runs those that may have run.
 	Sends, Runs int
 	// Timeout is the time that the caller gave the request, Took what it has taken so far.
@@ -124,6 +153,7 @@
 // fields adds what is logged of the progress.
 func (p *Progress) fields(f log.Fields) log.Fields {
 	f["route"], f["model"], f["sends"], f["runs"] = p.Route, p.Model, p.Sends, p.Runs
+	f["origin"], f["peer"] = p.Origin, p.Peer
 	f["timeout_ms"], f["ms"] = p.Timeout.Milliseconds(), p.Took.Milliseconds()
 	return f
 }
--- a/transport/event/event_test.go
+++ b/transport/event/event_test.go
@@ -19,6 +19,7 @@
 		&event.AttemptFailed{Err: errors.New("reset")},
 		&event.AttemptRefused{},
 		&event.AttemptHeldBack{Err: errors.New("cooling down")},
+		&event.RequestForwarded{},
 		&event.RequestEnded{},
 		&event.RequestAnswered{},
 	} {
--- a/transport/gateway/backpressure.go
+++ b/transport/gateway/backpressure.go
@@ -113,5 +113,6 @@
 func (c *call) callerHeaders(resp *direct.Response) http.Header {
 	h := endToEndHeaders(resp.Header)
 	c.Codec.RemoveNodeHeaders(resp.Status, h)
+	h.Del(headerForwardResult)
 	return h
 }
--- /dev/null
+++ b/transport/gateway/forward.go
@@ -0,0 +1,323 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/forwarding"
+	"github.com/troutmast/troutmast/protocol/direct"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/transport/event"
+)
+
+// Peers chooses the nodes that serve requests which this node cannot send to an instance.
+type Peers interface {
+	// IsPartitioned reports whether this node reaches no instance at all.
+	IsPartitioned() bool
+	// AcquirePeer returns a node that can serve requests of a pool, and counts a request in flight to it until
+	// ReleasePeer. It returns forwarding.ErrNoPeer or forwarding.ErrLimit if there is none.
+	AcquirePeer(pool dispatch.Pool) (forwarding.Peer, error)
+	// ReleasePeer ends a request that AcquirePeer counted. reached reports whether the peer could be reached.
+	ReleasePeer(p forwarding.Peer, reached bool)
+}
+
+// Receiver bounds the requests that this node serves for other nodes.
+type Receiver interface {
+	// TryAcquire counts a request until Release. It reports false if the node can serve no further one.
+	TryAcquire() bool
+	Release()
+}
+
+// ForwardPath begins the URI of a forwarded request. The URI of the caller follows.
+const ForwardPath = "/troutmast.Entry/Forward"
+
+// The headers of forwarded requests and of the responses to them, both with JSON values.
+const (
+	headerForward       = "Troutmast-Forward"
+	headerForwardResult = "Troutmast-Forward-Result"
+)
+
+// maxPeerDials is the number of nodes that are tried until one can be reached. A request moves to only
+// one: no byte of it is sent to the others.
+const maxPeerDials = 2
+
+// forwardInfo is what the node that received a request has decided about it. The node that it is
+// forwarded to follows these decisions even if it has another version of the configuration, so that a caller
+// never sees the configuration go back.
+type forwardInfo struct {
+	// Origin is the name of the node that received the request.
+	Origin    string            `json:"origin"`
+	Service   state.ServiceName `json:"service"`
+	Model     string            `json:"model,omitempty"`
+	Team      state.TeamName    `json:"team,omitempty"`
+	Route     string            `json:"route"`
+	Kind      catalog.RouteKind `json:"kind"`
+	Resumable bool              `json:"resumable,omitempty"`
+	Public    bool              `json:"public,omitempty"`
+	// Attempts is the number of instances that may still run the request.
+	Attempts   int   `json:"attempts"`
+	GoalMS     int64 `json:"goal,omitempty"`
+	GapGoalMS  int64 `json:"gap,omitempty"`
+	TimeLeftMS int64 `json:"left"`
+	// LastEventID is the ID of the last event of a stream that the caller has received.
+	LastEventID string `json:"event,omitempty"`
+}
+
+// forwardResult states what the response to a forwarded request is: that of an instance if Code is
+// empty, otherwise a refusal with a retry delay.
+type forwardResult struct {
+	Code    Code  `json:"code,omitempty"`
+	AfterMS int64 `json:"after,omitempty"`
+}
+
+// forwardState is the part of a call that concerns forwarding.
+type forwardState struct {
+	// origin is the name of the node that forwarded the request to this one, or empty.
+	origin string
+	// peer is the address of the node that this one forwarded the request to, or empty. A request is
+	// forwarded once at most.
+	peer string
+	// peerDials counts the nodes that were tried, including those that could not be reached.
+	peerDials int
+	// peerRefusal is the refusal of that node, which guarantees that the request has not run there.
+	peerRefusal *refusal
+}
+
+// shouldForward reports whether the request should be forwarded rather than sent to the target that was picked, which
+// may be nil. Instances that only this node fails to reach may have room for it.
+func (c *call) shouldForward(target *dispatch.Candidate) bool {
+	if c.origin != "" || c.peer != "" {
+		return false
+	}
+	if c.Peers.IsPartitioned() {
+		return true
+	}
+	isUnserved := target == nil || c.sends > 0 || target.IsFull(c.Clock.Now())
+	return isUnserved && c.Table.Unreachable(c.service, c.model) > 0
+}
+
+// forward forwards the request to another node. It reports whether the request has ended, and returns the refusal
+// if there is one. If it has not, the request has not run at the other node.
+func (c *call) forward() (refused *refusal, ended bool) {
+	for c.peerDials < maxPeerDials {
+		peer, err := c.Peers.AcquirePeer(dispatch.Pool{Service: c.service, Model: c.model})
+		if errors.Is(err, forwarding.ErrLimit) {
+			c.Recorder.Count("forward.limit")
+			c.peerRefusal = refusalWithRetryAfter(CodeForwardLimit, c.Policy.OverloadRetryAfter)
+		}
+		if err != nil {
+			return nil, false
+		}
+		if c.arrivals > 0 && !c.budget.TryTake(c.Clock.Now()) {
+			c.Recorder.Count("retry.no-budget")
+			c.Peers.ReleasePeer(peer, true)
+			return nil, false
+		}
+		c.peerDials++
+		res, err := c.forwardTo(peer)
+		c.Peers.ReleasePeer(peer, !errors.Is(err, direct.ErrNotSent) || errors.Is(err, errHeldBack))
+		c.Recorder.Count("forward." + string(res))
+		switch {
+		case errors.Is(err, errHeldBack):
+			return nil, false
+		case res == resultNotRun && c.peer == "":
+			continue
+		case res == resultNotRun:
+			return c.peerRefusal, c.Peers.IsPartitioned() && c.runs == 0
+		case res == resultAnswered:
+			c.recordAnswer(nil)
+			return nil, true
+		case res == resultCallerGone:
+			return nil, true
+		}
+		c.runs = c.route.MaxAttempts
+		return c.giveUp(CodeResponseLost), true
+	}
+	return nil, false
+}
+
+// forwardTo sends the request to a peer and relays its response. The error is that of the connection.
+func (c *call) forwardTo(peer forwarding.Peer) (attemptResult, error) {
+	info := c.forwardInfo()
+	c.Recorder.LogDecision(&event.RequestForwarded{
+		Request: c.eventRequest(), Peer: peer.Address, Unreachable: c.Table.Unreachable(c.service, c.model), Partitioned: c.Peers.IsPartitioned(),
+		Attempts: info.Attempts, Left: c.deadline.Sub(c.Clock.Now()),
+	})
+	req, err := c.newForwardRequest(info)
+	if err != nil {
+		return resultNotRun, fmt.Errorf("%w: %w", direct.ErrNotSent, err)
+	}
+	resp, err := c.PeerPool.Do(c.ctx, peer.Address, req)
+	switch {
+	case err != nil && c.r.Context().Err() != nil:
+		return resultCallerGone, err
+	case errors.Is(err, direct.ErrNotSent):
+		return resultNotRun, err
+	}
+	c.peer = peer.Address.String()
+	if err != nil {
+		return resultUnknown, err
+	}
+	defer resp.Close()
+	return c.handleForwardResponse(resp), nil
+}
+
+// forwardInfo returns what the node that the request is forwarded to must know of it.
+func (c *call) forwardInfo() forwardInfo {
+	info := forwardInfo{
+		Origin: c.Name, Service: c.service, Model: c.model, Route: c.route.Name, Kind: c.route.Kind, Resumable: c.route.Resumable, Public: c.route.Public,
+		Attempts: c.route.MaxAttempts - c.runs, GoalMS: c.route.Goal.Milliseconds(), GapGoalMS: c.route.GapGoal.Milliseconds(),
+		TimeLeftMS: (c.deadline.Sub(c.Clock.Now()) - c.Policy.NetworkAllowance).Milliseconds(), LastEventID: c.lastEventID,
+	}
+	if c.team != nil {
+		info.Team = c.team.Name
+	}
+	return info
+}
+
+// newForwardRequest returns the request to send to a peer. It carries the caller's key: the peer checks it
+// again, since a node that was suspended may forward a request with a key that is no longer valid.
+func (c *call) newForwardRequest(info forwardInfo) (*direct.Request, error) {
+	raw, err := json.Marshal(info)
+	if err != nil {
+		return nil, err
+	}
+	h := endToEndHeaders(c.r.Header)
+	h.Set(headerForward, string(raw))
+	return &direct.Request{
+		Method: c.r.Method, URI: ForwardPath + c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
+		HasBody: c.r.ContentLength != 0 || c.r.Method == http.MethodPost || c.r.Method == http.MethodPut,
+		MatchesResponse: func(h http.Header) bool {
+			return h.Get(headerForwardResult) != "" && c.Codec.MatchesRequest(h, c.claims.ID)
+		},
+		RequireFreshConn: !c.route.CanRetry(),
+		BeforeSend: func() error {
+			if !c.keyTrusted() {
+				return errKeysStale
+			}
+			return nil
+		},
+	}, nil
+}
+
+// handleForwardResponse relays the response of a peer if it is that of an instance, and otherwise records the
+// peer's refusal. A refusal that does not guarantee that the request has not run counts as a lost response.
+func (c *call) handleForwardResponse(resp *direct.Response) attemptResult {
+	var result forwardResult
+	if err := json.Unmarshal([]byte(resp.Header.Get(headerForwardResult)), &result); err != nil {
+		return resultUnknown
+	}
+	if result.Code != "" {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
+		if !slices.Contains(notRunCodes, result.Code) {
+			return resultUnknown
+		}
+		c.Recorder.Count("forward.refused." + string(result.Code))
+		c.peerRefusal = &refusal{code: result.Code, after: time.Duration(result.AfterMS) * time.Millisecond}
+		return resultNotRun
+	}
+	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
+	if success && c.route.Kind == catalog.Stream {
+		return c.relayStream(c.ctx, peerSource{c}, resp)
+	}
+	return c.relayBuffered(c.ctx, peerSource{c}, resp)
+}
+
+// setForwardResult sets the header that tells the node that forwarded the request what the response is.
+func (c *call) setForwardResult(result forwardResult) {
+	if c.origin == "" {
+		return
+	}
+	raw, err := json.Marshal(result)
+	if err != nil {
+		return // the response then counts as lost
+	}
+	c.w.Header().Set(headerForwardResult, string(raw))
+}
+
+// ServeForwarded serves a request that another node forwarded to this one. It never forwards it again.
+func (g *Gateway) ServeForwarded(w http.ResponseWriter, r *http.Request) {
+	c := &call{Gateway: g, w: w, r: r, arrivedAt: g.Clock.Now()}
+	c.origin = "unknown"
+	g.Recorder.Count("forward.received")
+	if !g.Receiver.TryAcquire() {
+		c.claims.ID = c.requestID()
+		c.refuse(refusalWithRetryAfter(CodeForwardLimit, g.Policy.OverloadRetryAfter))
+		return
+	}
+	defer g.Receiver.Release()
+	c.run(c.admitForwarded())
+}
+
+// requestID returns the ID of the request, or "" if its headers are invalid.
+func (c *call) requestID() string {
+	claims, err := c.Codec.ParseRequest(c.r.Header)
+	if err != nil {
+		return ""
+	}
+	return claims.ID
+}
+
+// admitForwarded validates a forwarded request, checks its key, reads its body and sets its deadline.
+func (c *call) admitForwarded() *refusal {
+	var info forwardInfo
+	invalid := json.Unmarshal([]byte(c.r.Header.Get(headerForward)), &info)
+	claims, err := c.Codec.ParseRequest(c.r.Header)
+	c.claims = claims
+	if err := errors.Join(err, invalid); err != nil || info.Origin == "" {
+		return &refusal{code: CodeForwardRefused}
+	}
+	c.origin, c.lastEventID = info.Origin, info.LastEventID
+	c.r.Header.Del(headerForward)
+	c.r.RequestURI = strings.TrimPrefix(c.r.RequestURI, ForwardPath)
+	if c.refusing.Load() {
+		return refusalWithRetryAfter(CodeStopping, c.Policy.RetryAfter)
+	}
+	if c.catalog = c.Catalogs.Catalog(); c.catalog == nil {
+		return refusalWithRetryAfter(CodeNoConfig, c.Policy.RetryAfter)
+	}
+	c.route = info.route()
+	if !c.authenticateForwarded(info.Team) {
+		return refusalWithRetryAfter(CodeKeysStale, c.Policy.RetryAfter)
+	}
+	if c.readBody() != nil {
+		return &refusal{code: CodeForwardRefused}
+	}
+	c.fingerprint = c.computeFingerprint()
+	if until, held := c.Quarantine.QuarantinedUntil(c.fingerprint); held {
+		return &refusal{code: CodeQuarantined, after: until.Sub(c.arrivedAt)}
+	}
+	c.deadline = c.arrivedAt.Add(time.Duration(info.TimeLeftMS) * time.Millisecond)
+	c.service, c.model = info.Service, info.Model
+	c.budget = c.Gateway.budget(c.service) // the origin has recorded the first attempt
+	return nil
+}
+
+// authenticateForwarded sets the team of a forwarded request. It reports false if this node's configuration does not
+// confirm the team's key: one of the two nodes may have an older version.
+func (c *call) authenticateForwarded(team state.TeamName) bool {
+	if team == "" {
+		return !c.catalog.RequiresKeys || c.route.Public
+	}
+	if !c.keyTrusted() {
+		return false
+	}
+	c.team = c.catalog.Team(c.claims.Key)
+	return c.team != nil && c.team.Name == team
+}
+
+// route returns the route of the request as far as it matters for serving it.
+func (f *forwardInfo) route() *catalog.Route {
+	return &catalog.Route{
+		Name: f.Route, Kind: f.Kind, Resumable: f.Resumable, Public: f.Public, MaxAttempts: f.Attempts,
+		Goal: time.Duration(f.GoalMS) * time.Millisecond, GapGoal: time.Duration(f.GapGoalMS) * time.Millisecond,
+	}
+}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -92,6 +92,8 @@
 
 // Options holds the dependencies and settings of a Gateway.
 type Options struct {
+	// Name is the name of the node.
+	Name            string
 	Clock           clockwork.Clock
 	Codec           HeaderCodec
 	Catalogs        CatalogSource
@@ -101,8 +103,13 @@
 	Quarantine      Quarantine
 	Backpressure    Backpressure
 	Pool            *direct.Pool
-	Demand          *demand.Meter
-	Policy          Policy
+	// Peers chooses the nodes that requests are forwarded to, PeerPool holds the connections to them. Receiver
+	// bounds the requests of other nodes.
+	Peers    Peers
+	PeerPool *direct.Pool
+	Receiver Receiver
+	Demand   *demand.Meter
+	Policy   Policy
 	// Retry bounds the retries that all nodes together send to one service.
 	Retry retry.SharedBudgetConfig
 }
@@ -196,6 +203,11 @@
 	runs  int
 	sends int
 	tried []state.InstanceID
+	// arrivals counts the sends that reached an instance, also those that it refused.
+	arrivals int
+	// demandRecorded reports whether the request counts in this node's demand.
+	demandRecorded bool
+	forwardState
 	// hold counts the current attempt in the load of its target.
 	hold *dispatch.InFlightRequest
 	// loadAtPick is the known number of requests in progress at the last target when it was picked.
@@ -218,12 +230,19 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	refused := c.admit()
+	c.run(c.admit())
+}
+
+// run serves the request unless it was refused, and writes the refusal if there is one.
+func (c *call) run(refused *refusal) {
 	if refused == nil {
-		ctx, cancel := context.WithTimeout(r.Context(), c.deadline.Sub(g.Clock.Now()))
+		ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline.Sub(c.Clock.Now()))
 		defer cancel()
 		c.ctx = ctx
 		refused = c.serve()
+		if c.peer == "" {
+			c.recordDemand()
+		}
 	}
 	if refused != nil {
 		c.refuse(refused)
@@ -276,10 +295,18 @@
 	}
 	c.budget = c.Gateway.budget(c.service)
 	c.budget.RecordAttempt(c.arrivedAt)
-	c.Demand.Add(c.service, c.model, claims.PromptTokens, claims.ResponseTokens, c.arrivedAt)
 	return nil
 }
 
+// recordDemand counts the request once in this node's demand. A forwarded request counts at the node that
+// sends it to an instance, whose share of the instances' rates follows from its demand.
+func (c *call) recordDemand() {
+	if !c.demandRecorded {
+		c.demandRecorded = true
+		c.Demand.Add(c.service, c.model, c.claims.PromptTokens, c.claims.ResponseTokens, c.arrivedAt)
+	}
+}
+
 // authenticate sets the team that the request's key belongs to.
 func (c *call) authenticate() *refusal {
 	if !c.catalog.RequiresKeys || c.route.Public {
@@ -343,7 +370,11 @@
 
 // refuse writes a refusal to the caller, or aborts the connection if the response has begun.
 func (c *call) refuse(refused *refusal) {
-	c.Recorder.Count("refused." + string(refused.code))
+	counter := "refused."
+	if c.origin != "" {
+		counter = "forward.declined." // the node that received the request counts its refusal
+	}
+	c.Recorder.Count(counter + string(refused.code))
 	c.Recorder.LogDecision(&event.RequestEnded{Request: c.eventRequest(), Progress: c.eventProgress(), Code: string(refused.code), Tried: c.tried, Begun: c.headerWritten, Unreachable: c.Table.Unreachable(c.service, c.model)})
 	if c.headerWritten {
 		panic(http.ErrAbortHandler)
@@ -355,6 +386,7 @@
 	if refused.after > 0 {
 		c.Codec.SetRetryAfter(h, refused.after)
 	}
+	c.setForwardResult(forwardResult{Code: refused.code, AfterMS: refused.after.Milliseconds()})
 	h.Set("Content-Type", "text/plain")
 	c.w.WriteHeader(c.Codec.StatusCode(refused.code))
 	_, _ = io.WriteString(c.w, string(refused.code)+"\n")
@@ -367,7 +399,7 @@
 
 // eventProgress returns the progress of the request for the log.
 func (c *call) eventProgress() event.Progress {
-	return event.Progress{Route: c.routeName(), Model: c.model, Sends: c.sends, Runs: c.runs, Timeout: c.claims.Timeout, Took: c.Clock.Since(c.arrivedAt)}
+	return event.Progress{Origin: c.origin, Peer: c.peer, Route: c.routeName(), Model: c.model, Sends: c.sends, Runs: c.runs, Timeout: c.claims.Timeout, Took: c.Clock.Since(c.arrivedAt)}
 }
 
 // routeName returns the name of the request's route, or an empty string if no route matched.
--- a/transport/gateway/outcome.go
+++ b/transport/gateway/outcome.go
@@ -41,16 +41,23 @@
 	return LateGap
 }
 
-// recordAnswer counts and logs a complete response, with the load of the target when it was picked.
+// recordAnswer counts and logs a complete response of an instance, with the load of the target when it was
+// picked, or a complete response that another node forwarded if the target is nil.
 func (c *call) recordAnswer(target *dispatch.Candidate) {
 	total := c.Clock.Since(c.arrivedAt)
-	c.Recorder.ObserveDuration("answer", total)
 	late := c.lateness(total)
-	if late != "" {
-		c.Recorder.Count("late." + string(late))
+	if c.origin == "" { // the node that received the request counts it
+		c.Recorder.ObserveDuration("answer", total)
+		if late != "" {
+			c.Recorder.Count("late." + string(late))
+		}
 	}
-	c.Recorder.LogDecision(&event.RequestAnswered{
-		Request: c.eventRequest(), Progress: c.eventProgress(), Instance: target.ID, Group: target.Membership.Group, Prompt: c.claims.PromptTokens, Events: c.eventCount,
+	e := &event.RequestAnswered{
+		Request: c.eventRequest(), Progress: c.eventProgress(), Prompt: c.claims.PromptTokens, Events: c.eventCount,
 		Load: c.loadAtPick, First: c.firstEventLatency, Gap: c.maxEventGap, Late: string(late),
-	})
+	}
+	if target != nil {
+		e.Instance, e.Group = target.ID, target.Membership.Group
+	}
+	c.Recorder.LogDecision(e)
 }
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -48,8 +48,18 @@
 	// CodeRateLimited means that the instances that could run the request have reached their
 	// rate limits, which count the requests of all nodes.
 	CodeRateLimited Code = "rate-limited"
+	// CodeForwardLimit means that the node that the request was forwarded to serves as many requests of
+	// other nodes as it may, CodeForwardRefused that it could not accept this one.
+	CodeForwardLimit   Code = "forward-limit"
+	CodeForwardRefused Code = "forward-refused"
 )
 
+// notRunCodes are the reasons that guarantee that the request has not run and will not run.
+var notRunCodes = []Code{
+	CodeNoConfig, CodeKeysStale, CodeNoTarget, CodeOverloaded, CodeRefusedByTargets, CodeTargetsUnreachable, CodeNoTimeLeft, CodeStopping,
+	CodeQuarantined, CodeCoolingDown, CodeRateLimited, CodeForwardLimit, CodeForwardRefused,
+}
+
 // RequestInfo holds the properties that a request states in its headers.
 type RequestInfo struct {
 	ID    string
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -45,6 +45,12 @@
 			return refused
 		}
 		target := c.pick()
+		if c.shouldForward(target) {
+			if refused, done := c.forward(); done {
+				return refused
+			}
+		}
+		c.recordDemand()
 		if target == nil && c.headerWritten && c.waitForTarget() {
 			continue
 		}
@@ -109,6 +115,8 @@
 	case c.lastFailure != nil:
 		c.lastFailure.writeTo(c)
 		return nil
+	case c.runs == 0 && c.peerRefusal != nil:
+		return c.peerRefusal
 	case c.runs == 0:
 		return refusalWithRetryAfter(code, c.retryDelay(c.Policy.RetryAfter))
 	case !c.Clock.Now().Before(c.deadline.Add(-c.Policy.MinTimeLeft)):
@@ -166,7 +174,7 @@
 
 // refuseNoTarget returns the refusal of a request that no instance can accept.
 func (c *call) refuseNoTarget() *refusal {
-	if c.sends > 0 {
+	if c.sends > 0 || c.peerRefusal != nil {
 		return c.giveUp(CodeTargetsUnreachable)
 	}
 	if code, after, all := c.allUnderBackpressure(); all {
@@ -204,9 +212,11 @@
 		c.recordFailure(target, sent, "not reached", err)
 		return resultNotRun
 	case err != nil:
+		c.arrivals++
 		return c.handleLostResponse(ctx, target, sent, err)
 	}
 	defer resp.Close()
+	c.arrivals++
 	c.FailureDetector.RecordResponse(target.ID, sent)
 	return c.handleResponse(ctx, target, resp, watched, sent)
 }
@@ -314,22 +324,53 @@
 		c.logFailure(target, sent, event.Unsealed, fmt.Errorf("status %d", resp.Status))
 		return resultUnknown
 	}
+	src := &instanceSource{call: c, target: target, watched: w, sent: sent}
 	if success && c.route.Kind == catalog.Stream {
-		return c.relayStream(ctx, target, resp, w, sent)
+		return c.relayStream(ctx, src, resp)
 	}
-	return c.relayBuffered(ctx, target, resp, sent)
+	return c.relayBuffered(ctx, src, resp)
+}
+
+// responseSource is the sender of a response that is relayed to the caller.
+type responseSource interface {
+	// dataReceived records that data of a stream arrived.
+	dataReceived(now time.Time)
+	// completed records that the complete response arrived.
+	completed(resp *direct.Response)
+	// lost records that the response broke off, and returns the result of the attempt.
+	lost(ctx context.Context, err error) attemptResult
+}
+
+// instanceSource is an instance that responds to an attempt.
+type instanceSource struct {
+	call    *call
+	target  *dispatch.Candidate
+	watched *watchedAttempt
+	sent    time.Time
+}
+
+func (s *instanceSource) dataReceived(now time.Time) {
+	s.call.StallDetector.recordData(s.watched, now)
+	s.call.hold.RecordFirstEvent()
 }
 
-// recordCompleteResponse records a complete response of an instance. A response that is delimited
-// by the end of its connection also looks complete if the instance ended, so it does not clear the
-// request.
-func (c *call) recordCompleteResponse(target *dispatch.Candidate, resp *direct.Response) {
-	target.RecordCompleteResponse()
+// completed records a complete response of the instance. A response that is delimited by the end of its
+// connection also looks complete if the instance ended, so it does not clear the request.
+func (s *instanceSource) completed(resp *direct.Response) {
+	if resp.Status >= http.StatusInternalServerError {
+		s.target.RecordFailure()
+		return
+	}
+	s.target.RecordCompleteResponse()
 	if resp.IsFramed() {
-		c.Quarantine.RecordComplete(c.fingerprint)
+		s.call.Quarantine.RecordComplete(s.call.fingerprint)
 	}
 }
 
+func (s *instanceSource) lost(ctx context.Context, err error) attemptResult {
+	return s.call.handleLostResponse(ctx, s.target, s.sent, err)
+}
+
 // maxBufferedBytes is the size up to which a response is buffered before it is forwarded, in bytes.
 const maxBufferedBytes = 1 << 20
 
@@ -342,14 +383,14 @@
 
 // relayBuffered buffers a response and forwards it. A server error is kept in c.lastFailure
 // instead, since the request may be retried. Nothing is forwarded if a stream has begun.
-func (c *call) relayBuffered(ctx context.Context, target *dispatch.Candidate, resp *direct.Response, sent time.Time) attemptResult {
+func (c *call) relayBuffered(ctx context.Context, src responseSource, resp *direct.Response) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err != nil {
-		return c.handleLostResponse(ctx, target, sent, err)
+		return src.lost(ctx, err)
 	}
 	p := &bufferedResponse{status: resp.Status, header: c.callerHeaders(resp), body: body}
 	if resp.Status >= http.StatusInternalServerError {
-		target.RecordFailure()
+		src.completed(resp)
 		if c.headerWritten {
 			return resultUnknown
 		}
@@ -360,9 +401,9 @@
 		return resultUnknown
 	}
 	if len(body) == maxBufferedBytes {
-		return c.relayLarge(ctx, target, resp, p, sent)
+		return c.relayLarge(ctx, src, resp, p)
 	}
-	c.recordCompleteResponse(target, resp)
+	src.completed(resp)
 	p.writeTo(c)
 	return resultAnswered
 }
@@ -379,6 +420,7 @@
 	for name, values := range header {
 		h[name] = values
 	}
+	c.setForwardResult(forwardResult{})
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
 	}
@@ -390,7 +432,7 @@
 }
 
 // relayLarge forwards a response that is too large to be buffered as a whole.
-func (c *call) relayLarge(ctx context.Context, target *dispatch.Candidate, resp *direct.Response, p *bufferedResponse, sent time.Time) attemptResult {
+func (c *call) relayLarge(ctx context.Context, src responseSource, resp *direct.Response, p *bufferedResponse) attemptResult {
 	c.writeHeader(p.status, p.header, resp.Length)
 	c.headerWritten = true
 	if _, err := c.w.Write(p.body); err != nil {
@@ -400,9 +442,9 @@
 		if c.r.Context().Err() != nil {
 			return resultCallerGone
 		}
-		c.handleLostResponse(ctx, target, sent, err)
+		src.lost(ctx, err)
 		panic(http.ErrAbortHandler)
 	}
-	c.recordCompleteResponse(target, resp)
+	src.completed(resp)
 	return resultAnswered
 }
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/forwarding"
 	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/coordination/roster"
@@ -171,6 +172,42 @@
 func (r *fakeRecorder) ObserveDuration(string, time.Duration) {}
 func (r *fakeRecorder) LogDecision(event.Decision)            {}
 
+// fakePeers implements gateway.Peers with fixed peers, which it returns one after another.
+type fakePeers struct {
+	mu          sync.Mutex
+	partitioned bool
+	peers       []forwarding.Peer
+	inFlight    int
+	unreached   int
+}
+
+func (f *fakePeers) IsPartitioned() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.partitioned
+}
+
+func (f *fakePeers) AcquirePeer(dispatch.Pool) (forwarding.Peer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.peers) == 0 {
+		return forwarding.Peer{}, forwarding.ErrNoPeer
+	}
+	p := f.peers[0]
+	f.peers = append(f.peers[1:], p)
+	f.inFlight++
+	return p, nil
+}
+
+func (f *fakePeers) ReleasePeer(_ forwarding.Peer, reached bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inFlight--
+	if !reached {
+		f.unreached++
+	}
+}
+
 // harness runs a gateway in front of fake instances.
 type harness struct {
 	t            *testing.T
@@ -182,6 +219,7 @@
 	recorder     *fakeRecorder
 	quarantine   *fakeQuarantine
 	backpressure *fakeBackpressure
+	peers        *fakePeers
 	instances    []roster.View
 	runLog       *runLog
 }
@@ -229,13 +267,14 @@
 	teams := map[string]*catalog.Team{"k": {Name: "team"}}
 	h := &harness{
 		t: t, catalogs: &fixedCatalogs{current: catalog.New(1, routes, services, teams, catalog.Limits{BodyBytes: 1000})},
-		health: &fakeHealth{}, recorder: &fakeRecorder{counts: map[string]int{}}, quarantine: &fakeQuarantine{held: map[quarantine.Fingerprint]bool{}, suspected: map[quarantine.Fingerprint]bool{}}, table: dispatch.NewTable("hall", dispatch.DefaultPolicy()), runLog: &runLog{}, backpressure: newFakeBackpressure(),
+		health: &fakeHealth{}, recorder: &fakeRecorder{counts: map[string]int{}}, quarantine: &fakeQuarantine{held: map[quarantine.Fingerprint]bool{}, suspected: map[quarantine.Fingerprint]bool{}}, table: dispatch.NewTable("hall", dispatch.DefaultPolicy()), runLog: &runLog{}, backpressure: newFakeBackpressure(), peers: &fakePeers{},
 	}
 	clock := clockwork.NewRealClock()
 	h.gateway = gateway.New(gateway.Options{
 		Demand: demand.NewMeter(demand.DefaultPolicy()), Policy: gateway.DefaultPolicy(),
 		Clock: clock, Codec: testDialect{}, Catalogs: h.catalogs, Table: h.table, FailureDetector: h.health, Recorder: h.recorder, Quarantine: h.quarantine, Backpressure: h.backpressure,
-		Pool:  direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now),
+		Pool: direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now),
+		Name: "node", Peers: h.peers, PeerPool: direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now), Receiver: forwarding.NewReceiver(forwarding.DefaultPolicy()),
 		Retry: retry.SharedBudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	})
 	h.gateway.SetNodes(1)
@@ -269,6 +308,15 @@
 	h.table.Update(h.catalogs.current, h.instances, func(fleet.GroupKey) bool { return false })
 }
 
+// addUnreachableInstances adds an instance of each service that is listed and that the node does not reach.
+func (h *harness) addUnreachableInstances() {
+	for _, service := range []state.ServiceName{"plain", "lm"} {
+		h.addInstanceAt("unreachable "+string(service), service, refusingAddress(h.t))
+		h.instances[len(h.instances)-1].Unreachable = true
+	}
+	h.table.Update(h.catalogs.current, h.instances, func(fleet.GroupKey) bool { return false })
+}
+
 // refusingAddress returns an address that refuses connections.
 func refusingAddress(t *testing.T) netip.AddrPort {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/protocol/direct"
 )
 
@@ -36,40 +35,39 @@
 
 // relayStream forwards the events of a stream to the caller. It forwards complete events only,
 // except for a remainder at the end of a framed response.
-func (c *call) relayStream(ctx context.Context, target *dispatch.Candidate, resp *direct.Response, w *watchedAttempt, sent time.Time) attemptResult {
+func (c *call) relayStream(ctx context.Context, src responseSource, resp *direct.Response) attemptResult {
 	var pending []byte
 	buf := make([]byte, streamReadSize)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			now := c.Clock.Now()
-			c.StallDetector.recordData(w, now)
-			c.hold.RecordFirstEvent()
+			src.dataReceived(now)
 			pending = append(pending, buf[:n]...)
 			rest, forwardErr := c.forwardEvents(pending, resp, now)
 			if forwardErr != nil {
-				return c.handleBrokenStream(ctx, target, sent, forwardErr)
+				return handleBrokenStream(ctx, src, forwardErr)
 			}
 			pending = append(pending[:0], rest...)
 		}
 		switch {
 		case err == io.EOF && len(pending) > 0 && !resp.IsFramed():
-			return c.handleBrokenStream(ctx, target, sent, io.ErrUnexpectedEOF)
+			return handleBrokenStream(ctx, src, io.ErrUnexpectedEOF)
 		case err == io.EOF:
-			c.recordCompleteResponse(target, resp)
+			src.completed(resp)
 			return c.finishStream(resp, pending)
 		case err != nil:
-			return c.handleBrokenStream(ctx, target, sent, err)
+			return handleBrokenStream(ctx, src, err)
 		}
 	}
 }
 
 // handleBrokenStream handles a stream that ended early and returns the result of its attempt.
-func (c *call) handleBrokenStream(ctx context.Context, target *dispatch.Candidate, sent time.Time, err error) attemptResult {
+func handleBrokenStream(ctx context.Context, src responseSource, err error) attemptResult {
 	if errors.Is(err, errCallerWrite) {
 		return resultCallerGone
 	}
-	return c.handleLostResponse(ctx, target, sent, err)
+	return src.lost(ctx, err)
 }
 
 // errCallerWrite means that writing to the caller failed.
