Hand over leadership when other nodes reach most instances

Nodes that reached everything lost 11 of 16 groups for up to 1.5 s and 4 of 8 groups of the smaller model for the 12 s of the cut: the leader took its failed probes for lost members, and its 30 orders to change groups were never answered.

Cause: a node led as long as it read the store; whether its orders could arrive did not count. Indirect probes did not help, since their three probers were partitioned too with a probability of a third.

A leader that reaches less than half of the instances that other nodes reach for it now says that it can't lead while a node reports fewer such services. Nodes that report a partition make no indirect probes for that service, and their failures are no suspicions. Partitions are detected for each service: callers' requests to a plain service that answers must not hide that no engine does.

--- a/coordination/partition/detector.go
+++ b/coordination/partition/detector.go
@@ -1,5 +1,5 @@
-// Package partition detects that a node is partitioned from all instances, while each of its
-// failed requests alone says only that one instance does not answer.
+// Package partition detects that a node is partitioned from all instances of a service, while each of
+// its failed requests alone says only that one instance does not answer.
 package partition
 
 import (
@@ -30,11 +30,14 @@
 // one or two instances have ended is likelier.
 const minFailedInstances = 3
 
-// Detector detects a partition from the failures and responses of instances. It is safe for
-// concurrent use.
+// Detector detects a partition from the failures and responses of the instances of one service. It is
+// safe for concurrent use.
 type Detector struct {
 	policy      Policy
 	partitioned atomic.Bool
+	// mostlyFar is set by evidence of other nodes. Unlike a partition it does not end with one response: a node may
+	// still reach a few instances.
+	mostlyFar atomic.Bool
 
 	mu sync.Mutex
 	// respondedAt is when the last response of any instance arrived. failed holds the instances that
@@ -50,7 +53,7 @@
 	return &Detector{policy: p, failed: map[state.InstanceID]struct{}{}}
 }
 
-// IsPartitioned reports whether the node reaches no instance.
+// IsPartitioned reports whether the node reaches no instance of the service.
 func (d *Detector) IsPartitioned() bool { return d.partitioned.Load() }
 
 // RecordResponse records that a response of an instance arrived, and reports whether that ended a
@@ -81,6 +84,10 @@
 	return true
 }
 
+// SetMostlyFar records whether other nodes reach most instances of the service that this one does not reach, and
+// reports whether that changed.
+func (d *Detector) SetMostlyFar(far bool) bool { return d.mostlyFar.Swap(far) != far }
+
 // EndSample records that all probes of a sample have ended, and reports whether that detected a
 // partition: no instance has responded since the sample began.
 func (d *Detector) EndSample() bool {
--- a/coordination/partition/detector_test.go
+++ b/coordination/partition/detector_test.go
@@ -49,6 +49,24 @@
 	}
 }
 
+func TestMonitorNamesPartitionedServices(t *testing.T) {
+	g := NewWithT(t)
+	m := partition.NewMonitor(partition.DefaultPolicy())
+	d := m.Detector("b")
+	g.Expect(d.SetMostlyFar(true)).To(BeTrue())
+	g.Expect(d.SetMostlyFar(true)).To(BeFalse())
+	g.Expect(d.IsPartitioned()).To(BeFalse(), "the node may reach a few instances")
+	d.RecordResponse(ms(0))
+	g.Expect(m.MostlyFar()).To(Equal([]state.ServiceName{"b"}), "one response must not end it")
+	for i, id := range []state.InstanceID{"x", "y", "z"} {
+		m.Detector("a").RecordFailure(id, ms(i), ms(400))
+	}
+	m.Detector("a").EndSample()
+	g.Expect(m.Partitioned()).To(Equal([]state.ServiceName{"a", "b"}))
+	d.SetMostlyFar(false)
+	g.Expect(m.Partitioned()).To(Equal([]state.ServiceName{"a"}))
+}
+
 func TestSamplesKeepTheirInterval(t *testing.T) {
 	g := NewWithT(t)
 	p := partition.DefaultPolicy()
--- a/coordination/roster/elsewhere.go
+++ b/coordination/roster/elsewhere.go
@@ -44,6 +44,23 @@
 	r.applyReport(e, rep)
 }
 
+// IsMostlyFar reports whether more listed instances of a service answer only other nodes than answer this one.
+func (r *Roster) IsMostlyFar(service state.ServiceName) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	far, reached := 0, 0
+	for _, e := range r.entries {
+		switch {
+		case e.listed.Service != service || !e.inList || e.gone:
+		case !e.unreachable():
+			reached++
+		case e.indirect.reached && !e.indirect.answeredAt.Before(e.firstFailureAt):
+			far++
+		}
+	}
+	return far > reached
+}
+
 // LastIndirectProber returns the name of the node whose indirect probe last reached an instance, or "".
 func (r *Roster) LastIndirectProber(id state.InstanceID) string {
 	r.mu.Lock()
--- a/coordination/roster/view.go
+++ b/coordination/roster/view.go
@@ -117,6 +117,16 @@
 	return sum
 }
 
+// Service returns the service of an instance, or "" if the instance is unknown.
+func (r *Roster) Service(id state.InstanceID) state.ServiceName {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[id]; e != nil {
+		return e.listed.Service
+	}
+	return ""
+}
+
 // Get returns the state of one instance, and false if it is unknown or has ended.
 func (r *Roster) Get(id state.InstanceID, now time.Time) (View, bool) {
 	r.mu.Lock()
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -61,11 +61,12 @@
 	StoreAgeMS int64 `json:"store"`
 	// NodeCount is the number of nodes that the node knows, including itself.
 	NodeCount int `json:"nodes"`
-	// Impaired are the pools of which the node reaches less than half of the instances or groups. IsPartitioned is set if
-	// it reaches no instance at all, IsStopping if it is shutting down. Earlier builds report none of them.
-	Impaired      []dispatch.Pool `json:"impaired,omitempty"`
-	IsPartitioned bool            `json:"partitioned,omitempty"`
-	IsStopping    bool            `json:"stopping,omitempty"`
+	// Impaired are the pools of which the node reaches less than half of the instances or groups, Partitioned the
+	// services of which it reaches no instance or only a few. IsStopping is set if it is shutting down. Earlier builds report
+	// none of them.
+	Impaired    []dispatch.Pool     `json:"impaired,omitempty"`
+	Partitioned []state.ServiceName `json:"partitioned,omitempty"`
+	IsStopping  bool                `json:"stopping,omitempty"`
 	// IsOverloaded is set if the node's own timers fire late, or did so recently.
 	IsOverloaded bool `json:"late,omitempty"`
 	// Ledger reports which instances ended while they ran which requests, as far as the leader may
--- a/transport/entry/forward.go
+++ b/transport/entry/forward.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/forwarding"
 	"github.com/troutmast/troutmast/coordination/roster"
@@ -19,7 +21,9 @@
 )
 
 // IsPartitioned implements gateway.Peers.
-func (n *Node) IsPartitioned() bool { return n.partition.IsPartitioned() }
+func (n *Node) IsPartitioned(service state.ServiceName) bool {
+	return n.partitions.Detector(service).IsPartitioned()
+}
 
 // AcquirePeer implements gateway.Peers.
 func (n *Node) AcquirePeer(pool dispatch.Pool) (forwarding.Peer, error) {
@@ -58,43 +62,73 @@
 }
 
 // recordInstanceResponse records that a response of an instance arrived.
-func (n *Node) recordInstanceResponse() {
-	if n.partition.RecordResponse(n.clock.Now()) {
-		n.Count("partition.ended")
-		n.log.Info("partition from all instances ended")
-		n.requestRebuild()
-		n.requestStatusReport()
+func (n *Node) recordInstanceResponse(id state.InstanceID) {
+	service := n.roster.Service(id)
+	if n.partitions.Detector(service).RecordResponse(n.clock.Now()) {
+		n.logPartitionEnd(service)
 	}
 }
 
 // recordInstanceFailure records that an instance did not answer a call sent at a time, and probes a sample of the
-// others if a partition is possible.
+// others of its service if a partition is possible.
 func (n *Node) recordInstanceFailure(id state.InstanceID, sentAt time.Time) {
-	if n.partition.RecordFailure(id, sentAt, n.clock.Now()) {
-		go n.probeSample()
+	service := n.roster.Service(id)
+	if n.partitions.Detector(service).RecordFailure(id, sentAt, n.clock.Now()) {
+		go n.probeSample(service)
 	}
 }
 
-// probeSample probes a sample of instances in order to detect a partition from all of them.
-func (n *Node) probeSample() {
-	sample := n.sampleInstances()
+// probeSample probes a sample of the instances of a service in order to detect a partition from all of them.
+func (n *Node) probeSample(service state.ServiceName) {
 	n.Count("partition.samples")
 	var wg sync.WaitGroup
-	for _, m := range sample {
+	for _, m := range n.sampleInstances(service) {
 		wg.Go(func() { n.probeAndRecord(context.Background(), m, n.clock.Now()) })
 	}
 	wg.Wait()
-	if n.partition.EndSample() {
-		n.Count("partition.detected")
-		n.log.WithField("sample", len(sample)).Warn("partitioned from all instances")
-		n.requestRebuild()
-		n.requestStatusReport()
+	if n.partitions.Detector(service).EndSample() {
+		n.announcePartition(service, "no instance of a sample answers")
+	}
+}
+
+// recordReachedByPeer records that another node reached an instance of a service that does not answer this one.
+func (n *Node) recordReachedByPeer(service state.ServiceName) {
+	if n.roster.IsMostlyFar(service) && n.partitions.Detector(service).SetMostlyFar(true) {
+		n.announcePartition(service, "other nodes reach most instances")
+	}
+}
+
+// reviewFarServices ends the partitions that other nodes gave evidence of, once most instances answer this node
+// again.
+func (n *Node) reviewFarServices() {
+	for _, service := range n.partitions.MostlyFar() {
+		if !n.roster.IsMostlyFar(service) && n.partitions.Detector(service).SetMostlyFar(false) {
+			n.logPartitionEnd(service)
+		}
 	}
 }
 
-// sampleInstances returns random instances that are listed. Those that answered their last call come first.
-func (n *Node) sampleInstances() []fleet.Instance {
-	views := slices.DeleteFunc(n.roster.All(n.clock.Now()), func(v roster.View) bool { return v.Unlisted || v.Draining })
+// logPartitionEnd logs the end of a partition and reports it to the leader.
+func (n *Node) logPartitionEnd(service state.ServiceName) {
+	n.Count("partition.ended")
+	n.log.WithField("service", service).Info("partition from all instances ended")
+	n.requestRebuild()
+	n.requestStatusReport()
+}
+
+// announcePartition logs a partition from all instances of a service and reports it to the leader.
+func (n *Node) announcePartition(service state.ServiceName, evidence string) {
+	n.Count("partition.detected")
+	n.log.WithFields(log.Fields{"service": service, "evidence": evidence}).Warn("partitioned from all instances")
+	n.requestRebuild()
+	n.requestStatusReport()
+}
+
+// sampleInstances returns random listed instances of a service. Those that answered their last call come first.
+func (n *Node) sampleInstances(service state.ServiceName) []fleet.Instance {
+	views := slices.DeleteFunc(n.roster.All(n.clock.Now()), func(v roster.View) bool {
+		return v.Service != service || v.Unlisted || v.Draining
+	})
 	rand.Shuffle(len(views), func(i, j int) { views[i], views[j] = views[j], views[i] })
 	slices.SortStableFunc(views, func(a, b roster.View) int {
 		switch {
@@ -114,10 +148,16 @@
 
 // impairedPools returns the pools whose requests other nodes can probably serve better than this one.
 func (n *Node) impairedPools() []dispatch.Pool {
-	if n.stopping.Load() || n.IsPartitioned() {
+	if n.stopping.Load() {
 		return n.table.Pools()
 	}
-	return n.table.ImpairedPools()
+	impaired, partitioned := n.table.ImpairedPools(), n.partitions.Partitioned()
+	if len(partitioned) == 0 {
+		return impaired
+	}
+	return slices.DeleteFunc(n.table.Pools(), func(p dispatch.Pool) bool {
+		return !slices.Contains(partitioned, p.Service) && !slices.Contains(impaired, p)
+	})
 }
 
 // maxListedPeers is the maximum number of nodes of one kind, of the same data hall or of others, that a leader names
--- a/transport/entry/forward_test.go
+++ b/transport/entry/forward_test.go
@@ -39,7 +39,6 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			leader := newTestNode()
-			leader.partition.RecordResponse(leader.clock.Now())
 			recordReport(leader, 2, "hall", func(r *receivedReport) { r.report.Impaired = []dispatch.Pool{lmPool} })
 			recordReport(leader, 3, "hall", c.change)
 			sender := leader.peers.statusReports["2"].report.From
@@ -95,15 +94,15 @@
 	g.Expect(n.peers.statusReport().Impaired).To(BeEmpty())
 	now := n.clock.Now().Add(time.Hour)
 	for _, in := range instances {
-		n.partition.RecordFailure(in.ID, now, now)
+		n.partitions.Detector("lm").RecordFailure(in.ID, now, now)
 		n.recordSuspicion(in.ID, n.clock.Now())
 	}
 	g.Expect(n.peers.statusReport().Suspects).To(HaveLen(len(instances)))
-	g.Expect(n.partition.EndSample()).To(BeTrue())
+	g.Expect(n.partitions.Detector("lm").EndSample()).To(BeTrue())
 	report := n.peers.statusReport()
-	g.Expect(report.IsPartitioned).To(BeTrue())
+	g.Expect(report.Partitioned).To(Equal([]state.ServiceName{"lm"}))
 	g.Expect(report.Suspects).To(BeEmpty())
 	g.Expect(report.Impaired).To(Equal([]dispatch.Pool{lmPool}))
-	n.recordInstanceResponse()
+	n.recordInstanceResponse("0")
 	g.Expect(n.peers.statusReport().Impaired).To(BeEmpty())
 }
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -18,7 +18,7 @@
 // RecordResponse implements gateway.FailureDetector.
 func (n *Node) RecordResponse(id state.InstanceID, at time.Time) {
 	n.roster.RecordResponse(id, at)
-	n.recordInstanceResponse()
+	n.recordInstanceResponse(id)
 }
 
 // RecordFailure implements gateway.FailureDetector.
@@ -148,7 +148,7 @@
 		return false
 	}
 	n.roster.RecordReport(m.ID, rep)
-	n.recordInstanceResponse()
+	n.recordInstanceResponse(m.ID)
 	return true
 }
 
@@ -193,6 +193,7 @@
 		n.leaderLoad.recordTimerDelay(delay)
 		n.gateway.StallDetector.Check()
 		n.allocateRates(now)
+		n.reviewFarServices()
 		n.probeInterrupted()
 		n.probeUnreachable()
 	}
@@ -252,7 +253,8 @@
 }
 
 // suspicions returns the instances that did not answer this node within NodePolicy.SuspectTTL, and
-// removes older suspicions.
+// removes older suspicions. Those of services from which the node is partitioned say nothing about the
+// instances: the leader would probe all of them.
 func (n *Node) suspicions(now time.Time) []Suspicion {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -262,6 +264,9 @@
 			delete(n.suspectedAt, id)
 			continue
 		}
+		if n.IsPartitioned(n.roster.Service(id)) {
+			continue
+		}
 		list = append(list, Suspicion{Instance: id, AgeMS: ceilMS(now.Sub(at))})
 	}
 	return list
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -61,7 +61,7 @@
 	pool          *direct.Pool
 	// peerPool holds the connections for requests forwarded to other nodes.
 	peerPool   *direct.Pool
-	partition  *partition.Detector
+	partitions *partition.Monitor
 	forwarding *forwarding.Sender
 	// forwarded counts the requests that this node serves for other nodes.
 	forwarded   *forwarding.Receiver
@@ -123,7 +123,7 @@
 		table:       dispatch.NewTable(set.Hall, set.Policy.Dispatch),
 		pool:        direct.NewPool(direct.Dialer{Timeout: dialTimeout, AckTimeout: ackTimeout}, clock.Now),
 		peerPool:    direct.NewPool(direct.Dialer{Timeout: set.Policy.Node.StatusTimeout, AckTimeout: ackTimeout}, clock.Now),
-		partition:   partition.NewDetector(set.Policy.Partition),
+		partitions:  partition.NewMonitor(set.Policy.Partition),
 		forwarding:  forwarding.NewSender(set.Hall, set.Policy.Forwarding),
 		forwarded:   forwarding.NewReceiver(set.Policy.Forwarding),
 		metrics:     metrics.NewRegistry(),
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -261,7 +261,7 @@
 // start. The nodes that it precedes wait for it during that time instead of leading
 // themselves. The caller holds p.mu.
 func (p *peers) canLead(now time.Time) bool {
-	return !p.n.stopping.Load() && p.n.incarnationNumber.Load() > 0 && p.n.configState.Catalog() != nil && !p.isBehindOthers() && !p.isSlowerThanOthers(now)
+	return !p.n.stopping.Load() && p.n.incarnationNumber.Load() > 0 && p.n.configState.Catalog() != nil && !p.isBehindOthers() && !p.isSlowerThanOthers(now) && !p.isMorePartitionedThanOthers(now)
 }
 
 // isSlowerThanOthers reports whether this node is overloaded and another one of at least its capacity is not, or was so
@@ -308,6 +308,22 @@
 	return false
 }
 
+// isMorePartitionedThanOthers reports whether another node that can serve is partitioned from fewer services than this
+// one. Orders of this node would not arrive, and the groups that it wants to change would get no requests from any node
+// meanwhile. The caller holds p.mu.
+func (p *peers) isMorePartitionedThanOthers(now time.Time) bool {
+	own := len(p.n.partitions.Partitioned())
+	if own == 0 {
+		return false
+	}
+	for _, h := range p.statusReports {
+		if len(h.report.Partitioned) < own && !h.report.IsStopping && now.Sub(h.receivedAt) < p.n.policy.NodeTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // staleStoreAge returns the age of its last read of the store from which on a node counts as cut
 // off from the store. Where keys are trusted only for a limited time, another node must take
 // over and relay the configuration well before that time ends.
--- a/transport/entry/reach.go
+++ b/transport/entry/reach.go
@@ -68,6 +68,7 @@
 			w.report.Asked = startedAt
 			p.n.roster.RecordIndirectReport(m.ID, *w.report, w.prober)
 			p.n.Count("instances.far")
+			p.n.recordReachedByPeer(m.Service)
 			return
 		}
 	}
@@ -85,7 +86,7 @@
 }
 
 // indirectProbers returns the nodes to use for indirect probes of an instance, out of those that recently
-// sent this node a status report. The one that last reached the instance comes first, then others
+// sent this node a status report and are not partitioned from the instance's service. The one that last reached the instance comes first, then others
 // in random order.
 func (p *peers) indirectProbers(m fleet.Instance, now time.Time) []NodeEntry {
 	lastProber := p.n.roster.LastIndirectProber(m.ID)
@@ -93,7 +94,8 @@
 	defer p.mu.Unlock()
 	var list []NodeEntry
 	for _, r := range p.statusReports {
-		if now.Sub(r.receivedAt) < p.n.policy.NodeTimeout {
+		isPartitioned := slices.Contains(r.report.Partitioned, m.Service)
+		if now.Sub(r.receivedAt) < p.n.policy.NodeTimeout && !isPartitioned {
 			list = append(list, r.report.From)
 		}
 	}
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -69,6 +69,7 @@
 		Protocol:     protocolVersion,
 		InProgress:   n.table.InFlight(),
 		Impaired:     n.impairedPools(),
+		Suspects:     n.suspicions(now),
 		Leaving:      n.recentlyLeaving(now),
 		StoreAgeMS:   ceilMS(n.storeAge()),
 		Era:          n.eras.current(),
@@ -76,10 +77,7 @@
 		IsOverloaded: p.isOverloaded(now),
 		ConfigAgeMS:  ceilMS(unknownAge),
 	}
-	w.IsPartitioned, w.IsStopping = n.IsPartitioned(), n.stopping.Load()
-	if !w.IsPartitioned { // the failures of a partitioned node say nothing about the instances
-		w.Suspects = n.suspicions(now)
-	}
+	w.Partitioned, w.IsStopping = n.partitions.Partitioned(), n.stopping.Load()
 	w.Feed, w.FeedVersion = p.feedPosition()
 	w.HasRequests = n.gateway.RequestCount() > 0
 	w.Demand = n.demand.Flows(now)
--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -118,7 +118,7 @@
 	Peer netip.AddrPort
 	// Unreachable is the number of instances or groups that could serve the request and that this node does not reach.
 	Unreachable int
-	// Partitioned tells that this node reaches no instance at all.
+	// Partitioned tells that this node reaches no instance of the service.
 	Partitioned bool
 	// Attempts is the number of instances that may still run the request.
 	Attempts int
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -20,8 +20,8 @@
 
 // Peers chooses the nodes that serve requests which this node cannot send to an instance.
 type Peers interface {
-	// IsPartitioned reports whether this node reaches no instance at all.
-	IsPartitioned() bool
+	// IsPartitioned reports whether this node reaches no instance of a service.
+	IsPartitioned(service state.ServiceName) bool
 	// AcquirePeer returns a node that can serve requests of a pool, and counts a request in flight to it until
 	// ReleasePeer. It returns forwarding.ErrNoPeer or forwarding.ErrLimit if there is none.
 	AcquirePeer(pool dispatch.Pool) (forwarding.Peer, error)
@@ -97,7 +97,7 @@
 	if c.origin != "" || c.peer != "" {
 		return false
 	}
-	if c.Peers.IsPartitioned() {
+	if c.Peers.IsPartitioned(c.service) {
 		return true
 	}
 	isUnserved := target == nil || c.sends > 0 || target.IsFull(c.Clock.Now())
@@ -131,7 +131,7 @@
 		case res == resultNotRun && c.peer == "":
 			continue
 		case res == resultNotRun:
-			return c.peerRefusal, c.Peers.IsPartitioned() && c.runs == 0
+			return c.peerRefusal, c.Peers.IsPartitioned(c.service) && c.runs == 0
 		case res == resultAnswered:
 			c.recordAnswer(nil)
 			return nil, true
@@ -148,7 +148,7 @@
 func (c *call) forwardTo(peer forwarding.Peer) (attemptResult, error) {
 	info := c.forwardInfo()
 	c.Recorder.LogDecision(&event.RequestForwarded{
-		Request: c.eventRequest(), Peer: peer.Address, Unreachable: c.Table.Unreachable(c.service, c.model), Partitioned: c.Peers.IsPartitioned(),
+		Request: c.eventRequest(), Peer: peer.Address, Unreachable: c.Table.Unreachable(c.service, c.model), Partitioned: c.Peers.IsPartitioned(c.service),
 		Attempts: info.Attempts, Left: c.deadline.Sub(c.Clock.Now()),
 	})
 	req, err := c.newForwardRequest(info)
@@ -272,7 +272,7 @@
 	invalid := json.Unmarshal([]byte(c.r.Header.Get(headerForward)), &info)
 	claims, err := c.Codec.ParseRequest(c.r.Header)
 	c.claims = claims
-	if err := errors.Join(err, invalid); err != nil || info.Origin == "" {
+	if err := errors.Join(err, invalid); err != nil || info.Origin == "" || info.Attempts < 1 || info.TimeLeftMS < 1 {
 		return &refusal{code: CodeForwardRefused}
 	}
 	c.origin, c.lastEventID = info.Origin, info.LastEventID
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -181,7 +181,7 @@
 	unreached   int
 }
 
-func (f *fakePeers) IsPartitioned() bool {
+func (f *fakePeers) IsPartitioned(state.ServiceName) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.partitioned
