Never forward a request that is quarantined after its first attempt

The check stood after the choice to forward, so that a request whose instance had just ended under it could reach another instance by way of another node, whose ledger learns of it a status report later. The test failed before.

--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -97,6 +97,9 @@
 	if c.origin != "" || c.peer != "" {
 		return false
 	}
+	if _, held := c.Quarantine.QuarantinedUntil(c.fingerprint); c.sends > 0 && held {
+		return false
+	}
 	if c.Peers.IsPartitioned(c.service) {
 		return true
 	}
--- a/transport/gateway/forward_test.go
+++ b/transport/gateway/forward_test.go
@@ -308,3 +308,16 @@
 		})
 	}
 }
+
+// A request that is quarantined once its first instance has ended must not reach another one by way of another node.
+func TestQuarantinedRequestIsNotForwarded(t *testing.T) {
+	g := NewWithT(t)
+	origin, peer := newForwardingPair(t)
+	origin.peers.partitioned = false
+	origin.quarantine.holdsInterrupted = true
+	origin.addInstance("own", "plain", behaviors["breaks off"])
+	origin.addUnreachableInstances()
+	peer.addInstance("other", "plain", behaviors["answers"])
+	g.Expect(origin.call(http.MethodGet, "/safe/x", "", nil).status).NotTo(Equal(http.StatusOK))
+	g.Expect(peer.runLog.all()).To(BeEmpty())
+}
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -123,9 +123,11 @@
 	held map[quarantine.Fingerprint]bool
 	// suspected holds requests that ended instances, but too few to be quarantined.
 	suspected map[quarantine.Fingerprint]bool
-	broken    []quarantine.Fingerprint
-	answered  []quarantine.Fingerprint
-	refused   []state.InstanceID
+	// holdsInterrupted quarantines each request whose response is interrupted.
+	holdsInterrupted bool
+	broken           []quarantine.Fingerprint
+	answered         []quarantine.Fingerprint
+	refused          []state.InstanceID
 }
 
 func (q *fakeQuarantine) QuarantinedUntil(f quarantine.Fingerprint) (time.Time, bool) {
@@ -144,6 +146,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.broken = append(q.broken, f)
+	q.held[f] = q.held[f] || q.holdsInterrupted
 }
 
 func (q *fakeQuarantine) RecordComplete(f quarantine.Fingerprint) {
