--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -51,7 +51,7 @@
 // one: no byte of it is sent to the others.
 const maxPeerDials = 2
 
-const forwardingEnabled = true
+const forwardingEnabled = false
 
 // forwardInfo is what the node that received a request has decided about it. The node that it is
 // forwarded to follows these decisions even if it has another version of the configuration, so that a caller
