--- a/transport/entry/forward.go
+++ b/transport/entry/forward.go
@@ -25,9 +25,6 @@
 	return n.partitions.Detector(service).IsPartitioned()
 }
 
-// IsAnyPartitioned implements gateway.Peers.
-func (n *Node) IsAnyPartitioned() bool { return len(n.partitions.Partitioned()) > 0 }
-
 // AcquirePeer implements gateway.Peers.
 func (n *Node) AcquirePeer(pool dispatch.Pool) (forwarding.Peer, error) {
 	return n.forwarding.AcquirePeer(pool, n.clock.Now())
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -122,7 +122,7 @@
 }
 
 // isReady reports whether the node can answer callers.
-func (n *Node) isReady() bool { return !n.stopping.Load() && n.configState.Catalog() != nil && len(n.partitions.Partitioned()) == 0 }
+func (n *Node) isReady() bool { return !n.stopping.Load() && n.configState.Catalog() != nil }
 
 // forwardedPollInterval is the time between two checks whether the requests of other nodes have ended.
 const forwardedPollInterval = 20 * time.Millisecond
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -22,8 +22,6 @@
 type Peers interface {
 	// IsPartitioned reports whether this node reaches no instance of a service.
 	IsPartitioned(service state.ServiceName) bool
-	// IsAnyPartitioned reports whether this node reaches no instance of some service.
-	IsAnyPartitioned() bool
 	// AcquirePeer returns a node that can serve requests of a pool, and counts a request in flight to it until
 	// ReleasePeer. It returns forwarding.ErrNoPeer or forwarding.ErrLimit if there is none.
 	AcquirePeer(pool dispatch.Pool) (forwarding.Peer, error)
@@ -51,8 +49,6 @@
 // one: no byte of it is sent to the others.
 const maxPeerDials = 2
 
-const forwardingEnabled = false
-
 // forwardInfo is what the node that received a request has decided about it. The node that it is
 // forwarded to follows these decisions even if it has another version of the configuration, so that a caller
 // never sees the configuration go back.
@@ -98,7 +94,7 @@
 // shouldForward reports whether the request should be forwarded rather than sent to the target that was picked, which
 // may be nil. Instances that only this node fails to reach may have room for it.
 func (c *call) shouldForward(target *dispatch.Candidate) bool {
-	if c.origin != "" || c.peer != "" || !forwardingEnabled {
+	if c.origin != "" || c.peer != "" {
 		return false
 	}
 	if _, held := c.Quarantine.QuarantinedUntil(c.fingerprint); c.sends > 0 && held {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -227,7 +227,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.requestCount.Add(1)
 	c := &call{Gateway: g, w: w, r: r, arrivedAt: g.Clock.Now()}
-	if g.stopping.Load() || g.Peers.IsAnyPartitioned() {
+	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	c.run(c.admit())
