Do not cancel requests that can't be repeated for a short pause of an instance

Once two probes of a member had timed out, 0.6 s after the last event, a node cancelled every request at the group, also those that can't be sent anywhere else: their callers lost an answer that was on its way. The test failed before (cancelled after 1.2 s).

--- a/transport/gateway/policy.go
+++ b/transport/gateway/policy.go
@@ -37,6 +37,9 @@
 	// group, even if its own group answers probes. The default is half of the time after which
 	// callers give a stream up. 0 disables this.
 	SilentAfter time.Duration `flag:"silent-after" help:"time without a further event after which a stream is resumed on another group; 0 disables this" min:"0s" max:"1m"`
+	// StallWait is the time without data after which a request that cannot be repeated is cancelled if its group
+	// does not answer probes. The default exceeds the pauses of instances that are well.
+	StallWait time.Duration `flag:"stall-wait" help:"time without data after which a request that cannot be repeated is cancelled at a stalled group" min:"0s" max:"1m"`
 	// CheckInterval is the least time between two probes of one group.
 	CheckInterval time.Duration `flag:"check-interval" help:"least time between two probes of one group" min:"10ms" max:"1m"`
 }
@@ -58,6 +61,7 @@
 		FirstSilence:           600 * time.Millisecond,
 		EventSilence:           250 * time.Millisecond,
 		SilentAfter:            1200 * time.Millisecond,
+		StallWait:              2 * time.Second,
 		CheckInterval:          300 * time.Millisecond,
 	}
 }
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -194,8 +194,8 @@
 	c.hold = target.BeginRequest(c.claims.PromptTokens, sent)
 	defer c.hold.End()
 	c.runs++
-	resumable := c.route.Kind == catalog.Stream && c.route.CanRetry() && c.runs < c.route.MaxAttempts
-	watched := c.StallDetector.add(target, resumable, sent, cancel)
+	repeatable := c.route.CanRetry() && c.runs < c.route.MaxAttempts
+	watched := c.StallDetector.add(target, repeatable, sent, cancel)
 	defer c.StallDetector.remove(watched)
 	resp, err := c.Pool.Do(ctx, target.Address, c.newInstanceRequest(target, sent))
 	switch {
--- a/transport/gateway/watch.go
+++ b/transport/gateway/watch.go
@@ -24,9 +24,9 @@
 // watchedAttempt is an attempt in progress.
 type watchedAttempt struct {
 	target *dispatch.Candidate
-	// resumable reports whether the stream may be resumed on another group.
-	resumable bool
-	sentAt    time.Time
+	// repeatable reports whether the request may be sent to another group.
+	repeatable bool
+	sentAt     time.Time
 	// lastDataNanos is when the last data arrived, in nanoseconds of the steady clock, or 0 before
 	// the first.
 	lastDataNanos atomic.Int64
@@ -42,6 +42,14 @@
 // these checks, so its streams do not count as silent.
 const minSilentChecks = 8
 
+// silentFor returns the time since the last data of the response, or since the request was sent.
+func (w *watchedAttempt) silentFor(now time.Time) time.Duration {
+	if lastData := w.lastDataNanos.Load(); lastData > 0 {
+		return time.Duration(steady.Nanos(now) - lastData)
+	}
+	return now.Sub(w.sentAt)
+}
+
 // checkStreamSilent counts a check of a stream and reports whether the stream is silent: no event
 // for longer than after, over enough checks. It reports false before the first event.
 func (w *watchedAttempt) checkStreamSilent(now time.Time, after time.Duration) bool {
@@ -85,8 +93,8 @@
 }
 
 // add registers an attempt.
-func (d *StallDetector) add(target *dispatch.Candidate, resumable bool, sent time.Time, cancel context.CancelCauseFunc) *watchedAttempt {
-	a := &watchedAttempt{target: target, resumable: resumable, sentAt: sent, cancel: cancel}
+func (d *StallDetector) add(target *dispatch.Candidate, repeatable bool, sent time.Time, cancel context.CancelCauseFunc) *watchedAttempt {
+	a := &watchedAttempt{target: target, repeatable: repeatable, sentAt: sent, cancel: cancel}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.active[a] = struct{}{}
@@ -110,7 +118,7 @@
 		if d.needsProbe(a, now) {
 			silentTargets[a.target.ID] = a.target
 		}
-		if a.resumable && a.checkStreamSilent(now, d.policy.SilentAfter) {
+		if a.repeatable && a.checkStreamSilent(now, d.policy.SilentAfter) {
 			a.cancel(errStreamSilent)
 		}
 	}
@@ -122,12 +130,14 @@
 	}
 }
 
-// CancelGroup cancels the attempts at the head of a stalled group.
+// CancelGroup cancels the attempts at the head of a stalled group. An instance may only pause, so requests that cannot be
+// repeated are cancelled only after StallWait without data.
 func (d *StallDetector) CancelGroup(head state.InstanceID) {
+	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for a := range d.active {
-		if a.target.ID == head {
+		if a.target.ID == head && (a.repeatable || a.silentFor(now) >= d.policy.StallWait) {
 			a.cancel(errGroupStalled)
 		}
 	}
--- a/transport/gateway/watch_test.go
+++ b/transport/gateway/watch_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -66,3 +67,31 @@
 		})
 	}
 }
+
+// An instance that is well may fall silent for a second and go on. A request that can't be repeated loses its answer if it is
+// cancelled meanwhile, and gains nothing: it could not be sent elsewhere.
+func TestShortPauseCancelsOnlyRepeatableRequests(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		repeatable bool
+		silent     time.Duration
+		cancelled  bool
+	}{
+		{"a repeatable request, a short pause", true, 600 * time.Millisecond, true},
+		{"a request that can't be repeated, a short pause", false, 1200 * time.Millisecond, false},
+		{"a request that can't be repeated, a long pause", false, 2 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			clock, policy := clockwork.NewFakeClock(), DefaultPolicy()
+			d := newStallDetector(clock, &probeCounter{}, &policy)
+			ctx, cancel := context.WithCancelCause(t.Context())
+			a := d.add(groupOfOne(g), c.repeatable, clock.Now(), cancel)
+			clock.Advance(time.Second)
+			d.recordData(a, clock.Now())
+			clock.Advance(c.silent)
+			d.CancelGroup("head")
+			g.Expect(ctx.Err() != nil).To(Equal(c.cancelled))
+		})
+	}
+}
