Look for a partition from other services once one is found

A request to a service with little traffic was the first to find out: each of its dials times out after 400 ms, and two instances have to fail before a sample is probed. On a node with three requests a second, a few of them to three workers of a control service, its callers would wait over a second each.

--- a/coordination/partition/detector.go
+++ b/coordination/partition/detector.go
@@ -76,8 +76,20 @@
 		return false
 	}
 	d.failed[id] = struct{}{}
-	isDue := !d.sampling && !d.partitioned.Load() && now.Sub(d.sampledAt) >= d.policy.SampleInterval
-	if !isDue || len(d.failed) < d.policy.SuspectInstances {
+	return len(d.failed) >= d.policy.SuspectInstances && d.beginSample(now)
+}
+
+// BeginSample reports whether a sample of instances must be probed because the node is partitioned from another
+// service. EndSample must follow then.
+func (d *Detector) BeginSample(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.beginSample(now)
+}
+
+// beginSample begins a sample if one is due. d.mu must be held.
+func (d *Detector) beginSample(now time.Time) bool {
+	if d.sampling || d.partitioned.Load() || now.Sub(d.sampledAt) < d.policy.SampleInterval {
 		return false
 	}
 	d.sampling, d.sampledAt = true, now
--- a/transport/entry/forward.go
+++ b/transport/entry/forward.go
@@ -122,6 +122,23 @@
 	n.log.WithFields(log.Fields{"service": service, "evidence": evidence}).Warn("partitioned from all instances")
 	n.requestRebuild()
 	n.requestStatusReport()
+	n.sampleOtherServices(service)
+}
+
+// sampleOtherServices probes samples of all other services. Requests to a service with little traffic would each wait for
+// the timeouts of several dials until the partition from it is detected, too.
+func (n *Node) sampleOtherServices(partitioned state.ServiceName) {
+	now := n.clock.Now()
+	sampled := map[state.ServiceName]bool{partitioned: true}
+	for _, v := range n.roster.All(now) {
+		if sampled[v.Service] {
+			continue
+		}
+		sampled[v.Service] = true
+		if n.partitions.Detector(v.Service).BeginSample(now) {
+			go n.probeSample(v.Service)
+		}
+	}
 }
 
 // sampleInstances returns random listed instances of a service. Those that answered their last call come first.
--- a/transport/entry/forward_test.go
+++ b/transport/entry/forward_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
 	"github.com/troutmast/troutmast/coordination/dispatch"
@@ -106,3 +107,32 @@
 	n.recordInstanceResponse("0")
 	g.Expect(n.peers.statusReport().Impaired).To(BeEmpty())
 }
+
+// A request to a service with little traffic must not be the first to find out that the node is partitioned.
+func TestPartitionFromOneServiceIsLookedForAtOthers(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		answering   []state.InstanceID
+		partitioned []state.ServiceName
+	}{
+		{"no instance answers", nil, []state.ServiceName{"lm", "plain"}},
+		{"an instance of the other service answers", []state.InstanceID{"plain-0"}, []state.ServiceName{"lm"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			clock := clockwork.NewFakeClock()
+			n := newProbingNode("node", clock, halls{answering: c.answering})
+			for i := range 3 {
+				for _, service := range []state.ServiceName{"lm", "plain"} {
+					id := state.InstanceID(fmt.Sprintf("%s-%d", service, i))
+					n.roster.ApplyFreshEntry(fleet.Instance{ID: id, Service: service, Address: testAddress(10 + i), Hall: "far"}, clock.Now())
+				}
+			}
+			clock.Advance(time.Second)
+			n.RecordFailure("lm-0", clock.Now())
+			n.RecordFailure("lm-1", clock.Now())
+			g.Eventually(n.partitions.Partitioned, 5*time.Second).Should(Equal(c.partitioned))
+			g.Consistently(n.partitions.Partitioned, 200*time.Millisecond).Should(Equal(c.partitioned))
+		})
+	}
+}
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -213,7 +213,7 @@
 
 // harness runs a gateway in front of fake instances.
 type harness struct {
-	t            *testing.T
+	t            testing.TB
 	gateway      *gateway.Gateway
 	server       *httptest.Server
 	table        *dispatch.Table
@@ -252,7 +252,7 @@
 
 // newHarness returns a harness with the routes /safe/, /unsafe/, /stream/, /once/ (a stream that cannot
 // be resumed) and /public/.
-func newHarness(t *testing.T) *harness {
+func newHarness(t testing.TB) *harness {
 	route := func(name string, kind catalog.RouteKind, service state.ServiceName) catalog.Route {
 		return catalog.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second, MaxAttempts: 2,
@@ -321,7 +321,7 @@
 }
 
 // refusingAddress returns an address that refuses connections.
-func refusingAddress(t *testing.T) netip.AddrPort {
+func refusingAddress(t testing.TB) netip.AddrPort {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
