Check that the route of a forwarded request needs no key

The receiver took the sender's word that a route is public, so that a header made up by anybody who reaches the port for other nodes would have passed without a key. It now looks the route up in its own configuration. The test failed before.

--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -305,10 +305,11 @@
 }
 
 // authenticateForwarded sets the team of a forwarded request. It reports false if this node's configuration does not
-// confirm the team's key: one of the two nodes may have an older version.
+// confirm the team's key, or that the route needs none: one of the two nodes may have an older version.
 func (c *call) authenticateForwarded(team state.TeamName) bool {
 	if team == "" {
-		return !c.catalog.RequiresKeys || c.route.Public
+		route := c.catalog.Route(stripPort(c.r.Host), uriPath(c.r.RequestURI))
+		return !c.catalog.RequiresKeys || route != nil && route.Public
 	}
 	if !c.keyTrusted() {
 		return false
--- a/transport/gateway/forward_test.go
+++ b/transport/gateway/forward_test.go
@@ -39,6 +39,7 @@
 	for _, c := range []struct{ name, path, service, body string }{
 		{"a request that may be repeated", "/safe/x?q=1", "plain", ""},
 		{"a request that may not be repeated", "/unsafe/x//y", "plain", "content"},
+		{"a request that needs no key", "/public/x", "plain", ""},
 		{"a stream", "/stream/x", "lm", "prompt"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -326,6 +327,7 @@
 	for _, value := range []string{
 		"", "x", "{}", "[]", `{"origin":"a"}`, `{"origin":"a","attempts":1}`, `{"origin":"a","attempts":0,"left":100}`, `{"origin":"a","attempts":1,"left":-1}`,
 		`{"origin":"a","attempts":"1","left":100}`, `{"origin":"a","attempts":1,"left":100,"service":"plain","team":"other"}`, `{"origin":"a","attempts":1,"left":100,"service":"plain"}`,
+		`{"origin":"a","attempts":1,"left":100,"service":"plain","public":true}`,
 	} {
 		t.Run(value, func(t *testing.T) {
 			g := NewWithT(t)
