--- a/transport/entry/forward_test.go
+++ b/transport/entry/forward_test.go
@@ -136,3 +136,29 @@
 		})
 	}
 }
+
+// A leader gives no orders to instances of plain services. If it does not reach them, most likely they have ended, and the
+// nodes that have not noticed yet are no better leaders.
+func TestOnlyPartitionsFromEnginesEndLeadership(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		service state.ServiceName
+		canLead bool
+	}{
+		{"a service with engines", "lm", false},
+		{"a plain service", "plain", true},
+		{"a service that is no longer configured", "old", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := ableNode(g)
+			n.configState = NewConfigState(engineConfiguration{}, false, time.Second, n.clock)
+			g.Expect(n.configState.Apply([]byte("x"))).Error().NotTo(HaveOccurred())
+			recordReport(n, 2, "hall", func(*receivedReport) {})
+			n.partitions.Detector(c.service).SetMostlyFar(true)
+			n.peers.mu.Lock()
+			defer n.peers.mu.Unlock()
+			g.Expect(n.peers.canLead(n.clock.Now())).To(Equal(c.canLead))
+		})
+	}
+}
