--- a/transport/entry/reach.go
+++ b/transport/entry/reach.go
@@ -86,8 +86,8 @@
 }
 
 // indirectProbers returns the nodes to use for indirect probes of an instance, out of those that recently
-// sent this node a status report and are not partitioned from the instance's service. The one that last reached the instance comes first, then others
-// in random order.
+// sent this node a status report and are not partitioned from the instance's service. The one that last
+// reached the instance comes first, then others in random order.
 func (p *peers) indirectProbers(m fleet.Instance, now time.Time) []NodeEntry {
 	lastProber := p.n.roster.LastIndirectProber(m.ID)
 	p.mu.Lock()
--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -112,13 +112,13 @@
 	return log.Fields{"request": e.ID, "instance": e.Instance, "error": e.Err.Error(), "sends": e.Sends}
 }
 
-// RequestForwarded tells that a request is sent to another node, since this one does not reach the instances.
+// RequestForwarded records that a request is sent to another node, since this one does not reach the instances.
 type RequestForwarded struct {
 	Request
 	Peer netip.AddrPort
 	// Unreachable is the number of instances or groups that could serve the request and that this node does not reach.
 	Unreachable int
-	// Partitioned tells that this node reaches no instance of the service.
+	// Partitioned reports whether this node reaches no instance of the service.
 	Partitioned bool
 	// Attempts is the number of instances that may still run the request.
 	Attempts int
--- a/transport/gateway/forward_test.go
+++ b/transport/gateway/forward_test.go
@@ -131,7 +131,7 @@
 	g.Expect(peer.recorder.counts["forward.received"]).To(BeZero())
 }
 
-// A stream whose instance becomes unreachable midway goes on at the other node after its last event.
+// A stream whose instance becomes unreachable is resumed at the other node after the last event that the caller received.
 func TestInterruptedStreamResumesAtAnotherNode(t *testing.T) {
 	g := NewWithT(t)
 	origin, peer := newForwardingPair(t)
@@ -199,8 +199,8 @@
 	},
 }
 
-// For any instances on both sides, a request runs at no more instances than its route allows, at most once if it may not be
-// repeated, and not at all if the caller is told so.
+// For any instances on both sides, a request runs at no more instances than its route allows, at most once if it is not
+// repeatable, and at none if the response states that it has not run.
 func TestForwardedRequestsKeepTheBoundsOfTheirRoute(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		kinds := []string{"answers", "breaks off", "fails", "refuses"}
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -48,8 +48,8 @@
 	// CodeRateLimited means that the instances that could run the request have reached their
 	// rate limits, which count the requests of all nodes.
 	CodeRateLimited Code = "rate-limited"
-	// CodeForwardLimit means that the node that the request was forwarded to serves as many requests of
-	// other nodes as it may, CodeForwardRefused that it could not accept this one.
+	// CodeForwardLimit means that this node forwards as many requests as it may, or that the other node serves as many
+	// as it may. CodeForwardRefused means that the other node rejected the forwarded request as invalid.
 	CodeForwardLimit   Code = "forward-limit"
 	CodeForwardRefused Code = "forward-refused"
 )
