--- a/transport/entry/partition_test.go
+++ b/transport/entry/partition_test.go
@@ -125,3 +125,38 @@
 	before := leading.orders.Load()
 	g.Consistently(func() int32 { return leading.orders.Load() - before }, time.Second).Should(BeZero())
 }
+
+// A planned stop must not interrupt requests that the node serves for others.
+func TestStoppingNodeCompletesForwardedRequests(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	s.add(source.Configuration, "config", 1)
+	var isSlow, finished atomic.Bool
+	started := make(chan struct{})
+	list, _ := startPlainInstance(t, s, "i1", func(http.ResponseWriter, *http.Request) {
+		if isSlow.Load() {
+			close(started)
+			time.Sleep(1500 * time.Millisecond)
+			finished.Store(true)
+		}
+	})
+	list(unchanged)
+	longStop := func(set *entry.Settings) {
+		set.Capacity = 2
+		set.StopTimeout = 2400 * time.Millisecond // the node stops to accept requests after half of it
+	}
+	other := startTuned(t, s, entry.Ports{Decoder: decoder{}, Target: answeringTargets{}, HeaderCodec: codec{}}, "other", longStop)
+	g.Eventually(func() int { return status(other.set.CallerAddress, "k") }, 10*time.Second).Should(Equal(http.StatusOK))
+	partitioned := startPrepared(t, s, entry.Ports{Decoder: decoder{}, Target: targets{}, HeaderCodec: codec{}}, "partitioned",
+		func(set *entry.Settings) { set.Capacity = 1 }, (*entry.Node).PartitionFromInstances, other.set.PeerAddress)
+	g.Eventually(func() int { return status(partitioned.set.CallerAddress, "k") }, 10*time.Second).Should(Equal(http.StatusOK))
+	isSlow.Store(true)
+	result := make(chan int, 1)
+	go func() { result <- status(partitioned.set.CallerAddress, "k") }()
+	<-started
+	other.stop()
+	g.Eventually(other.done, 5*time.Second).Should(Receive(BeNil()))
+	other.done <- nil // the cleanup of the node waits for it
+	g.Expect(finished.Load()).To(BeTrue(), "the node ended before the request")
+	g.Expect(<-result).To(Equal(http.StatusOK))
+}
