Evaluate the evidence of other nodes once per health check

A partition is found up to 50 ms later. The failed instances that a detector holds are bounded too: three tell what hundreds do. The test failed before.

--- a/coordination/partition/detector.go
+++ b/coordination/partition/detector.go
@@ -38,10 +38,12 @@
 	// mostlyFar is set by evidence of other nodes. Unlike a partition it does not end with one response: a node may
 	// still reach a few instances.
 	mostlyFar atomic.Bool
+	// reachedByPeer is set if another node has reached an instance since the last review.
+	reachedByPeer atomic.Bool
 
 	mu sync.Mutex
-	// respondedAt is when the last response of any instance arrived. failed holds the instances that
-	// did not answer a call sent after that.
+	// respondedAt is when the last response of any instance arrived. failed holds instances that did
+	// not answer a call sent after that, as many as it takes to detect a partition.
 	respondedAt time.Time
 	failed      map[state.InstanceID]struct{}
 	sampling    bool
@@ -75,10 +77,17 @@
 	if sentAt.Before(d.respondedAt) {
 		return false
 	}
-	d.failed[id] = struct{}{}
+	if len(d.failed) < d.neededFailures() {
+		d.failed[id] = struct{}{}
+	}
 	return len(d.failed) >= d.policy.SuspectInstances && d.beginSample(now)
 }
 
+// neededFailures returns the number of failed instances from which on a partition is detected.
+func (d *Detector) neededFailures() int {
+	return max(minFailedInstances, d.policy.SuspectInstances+1)
+}
+
 // BeginSample reports whether a sample of instances must be probed because the node is partitioned from another
 // service. EndSample must follow then.
 func (d *Detector) BeginSample(now time.Time) bool {
@@ -96,6 +105,9 @@
 	return true
 }
 
+// RecordReachedByPeer records that another node reached an instance that does not answer this one.
+func (d *Detector) RecordReachedByPeer() { d.reachedByPeer.Store(true) }
+
 // SetMostlyFar records whether other nodes reach most instances of the service that this one does not reach, and
 // reports whether that changed.
 func (d *Detector) SetMostlyFar(far bool) bool { return d.mostlyFar.Swap(far) != far }
@@ -106,7 +118,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sampling = false
-	if d.respondedAt.After(d.sampledAt) || len(d.failed) < max(minFailedInstances, d.policy.SuspectInstances+1) {
+	if d.respondedAt.After(d.sampledAt) || len(d.failed) < d.neededFailures() {
 		return false
 	}
 	return !d.partitioned.Swap(true)
--- a/coordination/partition/detector_test.go
+++ b/coordination/partition/detector_test.go
@@ -57,7 +57,10 @@
 	g.Expect(d.SetMostlyFar(true)).To(BeFalse())
 	g.Expect(d.IsPartitioned()).To(BeFalse(), "the node may reach a few instances")
 	d.RecordResponse(ms(0))
-	g.Expect(m.MostlyFar()).To(Equal([]state.ServiceName{"b"}), "one response must not end it")
+	g.Expect(m.Review()).To(Equal([]state.ServiceName{"b"}), "one response must not end it")
+	m.Detector("c").RecordReachedByPeer()
+	g.Expect(m.Review()).To(Equal([]state.ServiceName{"b", "c"}))
+	g.Expect(m.Review()).To(Equal([]state.ServiceName{"b"}), "evidence is reviewed once")
 	for i, id := range []state.InstanceID{"x", "y", "z"} {
 		m.Detector("a").RecordFailure(id, ms(i), ms(400))
 	}
--- a/coordination/partition/monitor.go
+++ b/coordination/partition/monitor.go
@@ -38,9 +38,10 @@
 	return m.filter(func(d *Detector) bool { return d.partitioned.Load() || d.mostlyFar.Load() })
 }
 
-// MostlyFar returns the services for which SetMostlyFar is in force, in order.
-func (m *Monitor) MostlyFar() []state.ServiceName {
-	return m.filter(func(d *Detector) bool { return d.mostlyFar.Load() })
+// Review returns the services with new evidence of other nodes since the last call, and those for which SetMostlyFar
+// is in force, in order.
+func (m *Monitor) Review() []state.ServiceName {
+	return m.filter(func(d *Detector) bool { return d.reachedByPeer.Swap(false) || d.mostlyFar.Load() })
 }
 
 // filter returns the services whose detectors fulfil a condition, in order.
--- a/transport/entry/forward.go
+++ b/transport/entry/forward.go
@@ -93,16 +93,19 @@
 
 // recordReachedByPeer records that another node reached an instance of a service that does not answer this one.
 func (n *Node) recordReachedByPeer(service state.ServiceName) {
-	if n.roster.IsMostlyFar(service) && n.partitions.Detector(service).SetMostlyFar(true) {
-		n.announcePartition(service, "other nodes reach most instances")
-	}
+	n.partitions.Detector(service).RecordReachedByPeer()
 }
 
-// reviewFarServices ends the partitions that other nodes gave evidence of, once most instances answer this node
-// again.
+// reviewFarServices compares, for each service with evidence of other nodes, the instances that only they reach with
+// those that answer this node. A comparison reads the state of all instances, so it is made once per health check.
 func (n *Node) reviewFarServices() {
-	for _, service := range n.partitions.MostlyFar() {
-		if !n.roster.IsMostlyFar(service) && n.partitions.Detector(service).SetMostlyFar(false) {
+	for _, service := range n.partitions.Review() {
+		isFar := n.roster.IsMostlyFar(service)
+		switch {
+		case !n.partitions.Detector(service).SetMostlyFar(isFar):
+		case isFar:
+			n.announcePartition(service, "other nodes reach most instances")
+		default:
 			n.logPartitionEnd(service)
 		}
 	}
--- a/transport/entry/forward_test.go
+++ b/transport/entry/forward_test.go
@@ -162,3 +162,23 @@
 		})
 	}
 }
+
+// The evidence of other nodes is evaluated once per health check. A leader that is partitioned from 12,000 instances
+// otherwise compares all of them for each instance that another node reaches.
+func TestEvidenceOfPeersIsEvaluatedOncePerHealthCheck(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestNode()
+	now := n.clock.Now()
+	n.roster.ApplyFreshEntry(fleet.Instance{ID: "i", Service: "lm", Address: testAddress(9)}, now)
+	for i := range n.settings.Policy.Roster.LostFailures {
+		n.roster.RecordFailure("i", now.Add(time.Duration(i)*time.Second))
+	}
+	n.roster.RecordIndirectReport("i", fleet.Report{Asked: now.Add(time.Minute)}, "other")
+	n.recordReachedByPeer("lm")
+	g.Expect(n.partitions.Partitioned()).To(BeEmpty())
+	n.reviewFarServices()
+	g.Expect(n.partitions.Partitioned()).To(Equal([]state.ServiceName{"lm"}))
+	n.roster.RecordResponse("i", now.Add(2*time.Minute))
+	n.reviewFarServices()
+	g.Expect(n.partitions.Partitioned()).To(BeEmpty())
+}
--- a/transport/entry/size_bench_test.go
+++ b/transport/entry/size_bench_test.go
@@ -198,3 +198,17 @@
 		})
 	}
 }
+
+// BenchmarkReachedByPeer measures what a leader does when other nodes reach each of the instances, none of which answers it.
+func BenchmarkReachedByPeer(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			leader := leaderOf(NewWithT(b), s)
+			for b.Loop() {
+				for range s.instances {
+					leader.recordReachedByPeer("lm")
+				}
+			}
+		})
+	}
+}
