--- a/transport/entry/forward_test.go
+++ b/transport/entry/forward_test.go
@@ -182,3 +182,16 @@
 	n.reviewFarServices()
 	g.Expect(n.partitions.Partitioned()).To(BeEmpty())
 }
+
+// A node that is partitioned itself can't tell whether an instance that the leader does not reach is lost.
+func TestPartitionedNodesMakeNoIndirectProbes(t *testing.T) {
+	g := NewWithT(t)
+	leader := newTestNode()
+	recordReport(leader, 2, "hall", func(r *receivedReport) { r.report.Partitioned = []state.ServiceName{"lm"} })
+	recordReport(leader, 3, "hall", func(r *receivedReport) { r.report.Partitioned = []state.ServiceName{"plain"} })
+	var names []string
+	for _, e := range leader.peers.indirectProbers(fleet.Instance{ID: "i", Service: "lm"}, leader.clock.Now()) {
+		names = append(names, e.Name)
+	}
+	g.Expect(names).To(Equal([]string{"3"}))
+}
--- a/transport/gateway/forward_test.go
+++ b/transport/gateway/forward_test.go
@@ -346,3 +346,17 @@
 		})
 	}
 }
+
+// The node that sends a request to an instance counts its demand, from which its share of the instances' rates follows; counted
+// at both nodes, the request would be planned for twice.
+func TestForwardedRequestCountsInTheDemandOfItsReceiver(t *testing.T) {
+	g := NewWithT(t)
+	origin, peer := newForwardingPair(t)
+	peer.addInstance("a", "plain", behaviors["answers"])
+	g.Expect(origin.call(http.MethodGet, "/safe/x", "", nil).status).To(Equal(http.StatusOK))
+	g.Expect(origin.gateway.Demand.Flows(time.Now())).To(BeEmpty())
+	g.Expect(peer.gateway.Demand.Flows(time.Now())).To(HaveLen(1))
+	origin.peers.peers = nil
+	origin.call(http.MethodGet, "/safe/x", "", nil)
+	g.Expect(origin.gateway.Demand.Flows(time.Now())).To(HaveLen(1), "a request that is not forwarded counts where it arrived")
+}
