Move the detection of partitions to a file of its own

Moves only: transport/entry/partition.go holds what a node does to detect a partition and what follows for leadership, forward.go what concerns peers.

--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -308,37 +308,6 @@
 	return false
 }
 
-// isMorePartitionedThanOthers reports whether another node that can serve is partitioned from fewer services with engines
-// than this one. Orders of this node would not arrive, and the groups that it wants to change would get no requests from any node
-// meanwhile. The caller holds p.mu.
-func (p *peers) isMorePartitionedThanOthers(now time.Time) bool {
-	own := p.countEngineServices(p.n.partitions.Partitioned())
-	if own == 0 {
-		return false
-	}
-	for _, h := range p.statusReports {
-		if p.countEngineServices(h.report.Partitioned) < own && !h.report.IsStopping && now.Sub(h.receivedAt) < p.n.policy.NodeTimeout {
-			return true
-		}
-	}
-	return false
-}
-
-// countEngineServices returns how many of the services have engines, by this node's configuration.
-func (p *peers) countEngineServices(services []state.ServiceName) int {
-	c := p.n.configState.Catalog()
-	if c == nil {
-		return 0
-	}
-	count := 0
-	for _, name := range services {
-		if s := c.Services[name]; s != nil && s.Engine != nil {
-			count++
-		}
-	}
-	return count
-}
-
 // staleStoreAge returns the age of its last read of the store from which on a node counts as cut
 // off from the store. Where keys are trusted only for a limited time, another node must take
 // over and relay the configuration well before that time ends.
