Refresh the leader's list of peers when a node reports a partition

Two ways in which a leader named nodes that can serve nothing: its list is cached for 0.1 s, also when a report in that time says that the node reaches no instance; and a node that has just started, whose first report comes before its first list of instances, reports no pool as impaired.

Each test failed before: 2 peers named where 1 serves, and the starting node among them.

--- a/transport/entry/forward.go
+++ b/transport/entry/forward.go
@@ -77,7 +77,8 @@
 }
 
 // servingNodes returns the nodes that serve requests of other nodes by their status reports, including this one. The
-// list is cached for SumInterval and must not be modified.
+// list is cached for SumInterval, unless a status report names other impaired pools than the one before, and must not
+// be modified.
 func (p *peers) servingNodes(now time.Time) []servingNode {
 	own := StatusReport{From: p.self(), Protocol: protocolVersion, Impaired: p.n.impairedPools(), IsOverloaded: p.isOverloaded(now)}
 	p.mu.Lock()
@@ -87,7 +88,8 @@
 	}
 	list := appendServing(make([]servingNode, 0, len(p.statusReports)+1), &own)
 	for _, r := range p.statusReports {
-		if now.Sub(r.receivedAt) < p.n.policy.NodeTimeout {
+		knowsInstances := r.report.FeedVersion > 0 // a node that has just started does not
+		if knowsInstances && now.Sub(r.receivedAt) < p.n.policy.NodeTimeout {
 			list = appendServing(list, &r.report)
 		}
 	}
--- a/transport/entry/forward_test.go
+++ b/transport/entry/forward_test.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
@@ -20,6 +22,7 @@
 	r := receivedReport{receivedAt: n.clock.Now()}
 	r.report.From = NodeEntry{Name: fmt.Sprint(number), Address: testAddress(number).String(), Hall: hall}
 	r.report.Protocol = protocolVersion
+	r.report.FeedVersion = 1
 	change(&r)
 	n.peers.statusReports[r.report.From.Name] = r
 }
@@ -33,6 +36,7 @@
 		{"a node that reaches the instances", func(*receivedReport) {}, true},
 		{"a node that does not reach them either", func(r *receivedReport) { r.report.Impaired = []dispatch.Pool{lmPool} }, false},
 		{"a node that does not reach those of another pool", func(r *receivedReport) { r.report.Impaired = []dispatch.Pool{{Service: "plain"}} }, true},
+		{"a node that has just started and knows no instances", func(r *receivedReport) { r.report.FeedVersion = 0 }, false},
 		{"an overloaded node", func(r *receivedReport) { r.report.IsOverloaded = true }, false},
 		{"a node of an earlier build", func(r *receivedReport) { r.report.Protocol = protocolForwarding - 1 }, false},
 		{"a silent node", func(r *receivedReport) { r.receivedAt = r.receivedAt.Add(-DefaultPolicy().Node.NodeTimeout) }, false},
@@ -60,6 +64,32 @@
 	}
 }
 
+// The peers of nodes that have just become partitioned must not include each other any longer than a status report takes.
+func TestReportedPartitionChangesPeersAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	leader := newTestNode()
+	report := func(impaired ...dispatch.Pool) *StatusReport {
+		return &StatusReport{
+			From:     NodeEntry{Name: "2", Address: testAddress(2).String(), Hall: "hall"},
+			Protocol: protocolVersion, FeedVersion: 1, Impaired: impaired,
+		}
+	}
+	send := func(r *StatusReport) {
+		_, err := leader.peers.handleStatusReport(context.Background(), connect.NewRequest(r))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	named := func() int {
+		list := leader.peers.peersFor(&NodeEntry{Address: testAddress(3).String(), Hall: "hall"}, []dispatch.Pool{lmPool})
+		return len(list[0].Peers)
+	}
+	send(report())
+	g.Expect(named()).To(Equal(2), "the leader and the node")
+	send(report(lmPool))
+	g.Expect(named()).To(Equal(1))
+	send(report())
+	g.Expect(named()).To(Equal(2))
+}
+
 // The answer to a node that needs peers must stay small in a system of hundreds of nodes.
 func TestLeaderNamesFewPeersOfEachKind(t *testing.T) {
 	g := NewWithT(t)
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -243,6 +244,9 @@
 	n.recordEra(w.Era, w.From.Name)
 	n.recordPeerVersion(w.Protocol, w.From.Name)
 	p.mu.Lock()
+	if !slices.Equal(p.statusReports[w.From.Name].report.Impaired, w.Impaired) {
+		p.serving = nil
+	}
 	p.statusReports[w.From.Name] = receivedReport{report: *w, receivedAt: now}
 	p.lastContact[w.From.Address] = now
 	p.hasRequests = p.hasRequests || w.HasRequests
