Take refused connections for endings only if other instances answer

What callers would see (own interface): a node that is cut off from the instances with refused connections reports the instances that it probes for its hall as ended. The nodes that reach them close intact groups, and the repair may move their members.

A refused connection now counts as an ending if another instance of a sample of four answers, if fewer than two others are left to ask, or if the instance was known to have ended. Cost: four probes for an instance that ends, none while it stays down (TestEndedInstanceCausesOneSample). All instances of a hall that end at once (three or more) are noticed when their evidence expires or their next process answers, no longer at the first refusal.

The prober detects the partition with coordination/partition. An answer that arrives at the very time at which a sample begins now counts for it: with a fake clock a partition was detected although an instance had answered.

--- a/coordination/partition/detector.go
+++ b/coordination/partition/detector.go
@@ -118,7 +118,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sampling = false
-	if d.respondedAt.After(d.sampledAt) || len(d.failed) < d.neededFailures() {
+	if !d.respondedAt.Before(d.sampledAt) || len(d.failed) < d.neededFailures() {
 		return false
 	}
 	return !d.partitioned.Swap(true)
--- a/coordination/probe/probe.go
+++ b/coordination/probe/probe.go
@@ -14,6 +14,7 @@
 
 	"github.com/troutmast/troutmast/coordination/control"
 	"github.com/troutmast/troutmast/coordination/evidence"
+	"github.com/troutmast/troutmast/coordination/partition"
 	"github.com/troutmast/troutmast/coordination/statelog"
 	"github.com/troutmast/troutmast/state"
 )
@@ -23,7 +24,8 @@
 
 // InstanceClient sends probes and orders to instances.
 type InstanceClient interface {
-	// Probe returns an instance's report. ErrNotListening means that the instance is certainly not running.
+	// Probe returns an instance's report. ErrNotListening means that the instance is not running, unless the node is
+	// partitioned from it.
 	Probe(ctx context.Context, addr netip.AddrPort) (evidence.Report, error)
 	Order(ctx context.Context, addr netip.AddrPort, o control.Order) error
 }
@@ -51,14 +53,15 @@
 }
 
 // Prober probes the instances that its node owns, and those whose evidence is about to expire
-// because their owner has not probed them.
+// because their owner has not probed them. It detects whether the node is partitioned from all of them.
 type Prober struct {
-	cfg    Config
-	target InstanceClient
-	src    Hooks
-	table  *evidence.Table
-	feed   *evidence.Feed
-	clock  clockwork.Clock
+	cfg       Config
+	target    InstanceClient
+	src       Hooks
+	table     *evidence.Table
+	feed      *evidence.Feed
+	clock     clockwork.Clock
+	partition *partition.Detector
 
 	mu       sync.Mutex
 	inFlight map[state.InstanceID]bool
@@ -66,7 +69,10 @@
 
 // New returns a Prober that records reports in a table and a feed.
 func New(cfg Config, target InstanceClient, src Hooks, table *evidence.Table, feed *evidence.Feed, clock clockwork.Clock) *Prober {
-	return &Prober{cfg: cfg, target: target, src: src, table: table, feed: feed, clock: clock, inFlight: map[state.InstanceID]bool{}}
+	return &Prober{
+		cfg: cfg, target: target, src: src, table: table, feed: feed, clock: clock,
+		partition: partition.NewDetector(partitionPolicy), inFlight: map[state.InstanceID]bool{},
+	}
 }
 
 // Run probes until ctx ends.
@@ -92,6 +98,9 @@
 			go p.probe(ctx, id, addr, owned)
 		}
 	}
+	if p.IsPartitioned() {
+		go p.probeSample(ctx, "")
+	}
 	p.feed.Expire(now.Add(-p.cfg.EvidenceWindow))
 }
 
@@ -145,25 +154,28 @@
 // probe probes one instance and sends it an order if its report calls for one.
 func (p *Prober) probe(ctx context.Context, id state.InstanceID, addr netip.AddrPort, owned bool) {
 	defer p.clearInFlight(id)
-	ctx, cancel := context.WithTimeout(ctx, p.cfg.EvidenceWindow/2)
-	defer cancel()
 	probedAt := p.clock.Now()
 	p.src.IncrementCounter("probes")
-	r, err := p.target.Probe(ctx, addr)
+	r, err := p.requestReport(ctx, addr)
 	switch {
-	case errors.Is(err, ErrNotListening):
-		p.src.IncrementCounter("probes.down")
-		p.recordReport(evidence.Report{Instance: id, Phase: evidence.PhaseDown}, probedAt, owned)
 	case err != nil:
-		p.src.IncrementCounter("probes.failed")
+		p.handleFailure(ctx, id, err, probedAt, owned)
 	case r.Instance != id:
 		p.src.IncrementCounter("probes.wrong-instance")
 	default:
+		p.recordResponse()
 		p.recordReport(r, probedAt, owned)
 		p.order(ctx, addr, r)
 	}
 }
 
+// requestReport sends one probe. It times out after half of the evidence window.
+func (p *Prober) requestReport(ctx context.Context, addr netip.AddrPort) (evidence.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.EvidenceWindow/2)
+	defer cancel()
+	return p.target.Probe(ctx, addr)
+}
+
 // recordReport records a report, also in the feed to peers if this node owns the instance.
 func (p *Prober) recordReport(r evidence.Report, probedAt time.Time, owned bool) {
 	p.table.Record(r, probedAt)
@@ -183,6 +195,8 @@
 		return
 	}
 	p.src.IncrementCounter("orders")
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.EvidenceWindow/2)
+	defer cancel()
 	fields := log.Fields{"instance": r.Instance, "group": o.Group, "epoch": o.Epoch}
 	if err := p.target.Order(ctx, addr, o); err != nil {
 		p.src.IncrementCounter("orders.failed")
