Forward requests of the own interface within the data hall

Cause: other nodes report the groups as whole, so the node goes on picking them, and it forwards only to other halls, only when no group is whole.

A node whose prober detects a partition lists no models to others and forwards its requests to nodes that list them, those of its own hall first. A forwarded request goes no further, as before. A request that could not be sent has its instance probed at once, since a node may own none of the hall's instances. No message between nodes has changed: nodes of earlier builds read an empty list of models.

The stand-in platform names an address of the test for the instances to the node that is cut off, so connections that live on are not covered.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -9,6 +9,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -41,6 +42,10 @@
 	Restore int `json:"restore"`
 	// CutFrom refuses readers and writers whose address is in the list.
 	CutFrom []string `json:"cut_from"`
+	// Partitioned are the readers that reach no instance: the list that they get names PartitionAddress
+	// as the address of each.
+	Partitioned      []string       `json:"partitioned"`
+	PartitionAddress netip.AddrPort `json:"partition_address"`
 }
 
 // listed is one state of an instance's entry and since when it has held.
@@ -212,7 +217,7 @@
 	for _, history := range p.instances {
 		for _, l := range slices.Backward(history) {
 			if !l.since.After(seen) {
-				list = append(list, l.entry)
+				list = append(list, f.readBy(r, l.entry))
 				break
 			}
 		}
@@ -222,6 +227,14 @@
 	writeTagged(w, r, list)
 }
 
+// readBy returns an entry of the list as the sender of a request is to see it.
+func (f *PlatformFaults) readBy(r *http.Request, i platform.Instance) platform.Instance {
+	if slices.Contains(f.Partitioned, r.Header.Get("User-Agent")) {
+		i.Address = f.PartitionAddress
+	}
+	return i
+}
+
 // writeTagged answers with a value as JSON, or with 304 when the client already holds it.
 func writeTagged(w http.ResponseWriter, r *http.Request, v any) {
 	sum := fnv.New64a()
--- a/transport/caller/attempt.go
+++ b/transport/caller/attempt.go
@@ -69,6 +69,9 @@
 	ans, outcome, err := s.c.Targets.Send(ctx, call)
 	s.heed(q, d, ans, err)
 	if err != nil {
+		if outcome == retry.NotRun && ctx.Err() == nil {
+			s.requestProbe(d)
+		}
 		return nil, outcome, cause(ctx, err)
 	}
 	if ans.Status >= http.StatusInternalServerError {
@@ -78,6 +81,15 @@
 	return ans, retry.Completed, nil
 }
 
+// requestProbe has the instance that a request did not reach probed at once: the node may be partitioned, while other
+// nodes still report the instance as ready.
+func (s *Server) requestProbe(d *routing.Dispatch) {
+	select {
+	case s.c.Unreached <- d.Group().Members[0]:
+	default:
+	}
+}
+
 // cause puts the reason for which a context ended before the error that followed from it.
 func cause(ctx context.Context, err error) error {
 	if c := context.Cause(ctx); c != nil {
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -162,8 +162,11 @@
 	return false, s.passOn(ctx, w, q, pool, allowedHere)
 }
 
-// openHere reports whether a pool has an open candidate in this hall.
+// openHere reports whether a pool has an open candidate in this hall that this node reaches.
 func (s *Server) openHere(pool string) bool {
+	if s.c.IsPartitioned() {
+		return false
+	}
 	now := s.c.Clock.Now()
 	return slices.ContainsFunc(s.c.Routing.Candidates(pool), func(c *routing.Candidate) bool { return s.c.Open(c, now) })
 }
--- a/transport/caller/forward.go
+++ b/transport/caller/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,7 +25,7 @@
 // errNoAnswer means a peer broke off before the head of its answer.
 var errNoAnswer = errors.New("caller: the peer did not answer")
 
-// passOn sends a request to a node of another hall that can serve it.
+// passOn sends a request to another node that can serve it.
 func (s *Server) passOn(ctx context.Context, w http.ResponseWriter, q *request, pool string, allowedHere bool) *Failure {
 	nodes := s.helpers(q, pool)
 	if len(nodes) == 0 {
@@ -52,14 +53,25 @@
 	return s.unroutable(q, pool, allowedHere)
 }
 
-// helpers returns the nodes of other halls that the team may use and that can serve the pool, the least loaded first.
+// helpers returns the nodes that can serve the pool in data halls that the team may use, the least loaded first. Those of
+// this hall can serve what this node can't only if it is partitioned from the instances; they come before the others then.
 func (s *Server) helpers(q *request, pool string) []membership.Node {
 	own := s.c.Directory.Self().Hall
+	isPartitioned := s.c.IsPartitioned()
 	nodes := s.c.Directory.LivePeers("", s.c.Clock.Now())
 	nodes = slices.DeleteFunc(nodes, func(n membership.Node) bool {
-		return n.Hall == own || !n.Ready || n.Stopping || q.team.Halls[n.Hall].Places == 0 || !slices.Contains(n.Models, pool)
+		isUseless := n.Hall == own && !isPartitioned
+		return isUseless || !n.Ready || n.Stopping || q.team.Halls[n.Hall].Places == 0 || !slices.Contains(n.Models, pool)
+	})
+	distance := func(n membership.Node) int {
+		if n.Hall == own {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(nodes, func(a, b membership.Node) int {
+		return cmp.Or(distance(a)-distance(b), a.InFlight-b.InFlight)
 	})
-	slices.SortStableFunc(nodes, func(a, b membership.Node) int { return a.InFlight - b.InFlight })
 	return nodes
 }
 
--- a/transport/core/core.go
+++ b/transport/core/core.go
@@ -51,6 +51,10 @@
 	Repairs   *Repairs
 	// Quarantine holds back requests that end the instances that run them.
 	Quarantine *quarantine.Ledger
+	// Unreached holds instances to which a request could not be sent, so that they are probed at once.
+	Unreached chan state.InstanceID
+	// IsPartitioned reports whether the node reaches no instance of its hall.
+	IsPartitioned func() bool
 	// Doubted holds a token when a request broke off, so that its instances are asked whether they live.
 	Doubted chan struct{}
 	// Cooldowns are the instances that asked this node to send them nothing for a while.
@@ -94,8 +98,12 @@
 	return ok && age < c.Settings.Behind
 }
 
-// OpenModels returns the models and services that have an open candidate here.
+// OpenModels returns the models and services that have an open candidate here. A node that is partitioned
+// from the instances has none, whatever other nodes report of them.
 func (c *Core) OpenModels() []string {
+	if c.IsPartitioned() {
+		return nil
+	}
 	now := c.Clock.Now()
 	var open []string
 	for name, pool := range c.Routing.Models() {
--- a/transport/node/loops.go
+++ b/transport/node/loops.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// doubtLoop asks instances on which requests broke off whether they live, at once: the next probe
-// in turn would let the same request end as many engines again before the first endings are proven.
+// doubtLoop probes instances that a request did not reach, and asks those on which requests broke off
+// whether they live, at once: the next probe in turn would let the same request end as many engines again before the first endings are proven.
 func (n *Node) doubtLoop(ctx context.Context) {
 	tick := n.Clock.NewTicker(doubtInterval)
 	defer tick.Stop()
@@ -100,6 +100,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case id := <-n.Unreached:
+			n.prober.ProbeInstance(ctx, id)
+			continue
 		case <-n.Doubted:
 		case <-tick.Chan():
 		}
--- a/transport/node/node.go
+++ b/transport/node/node.go
@@ -48,6 +48,8 @@
 	// retryRatio and retryMost bound the retries of requests.
 	retryRatio = 0.1
 	retryMost  = 20
+	// maxUnreached is the number of instances that wait for a probe after a failed send.
+	maxUnreached = 16
 	// claimDrain bounds how long a stopping node tries to append the results of claimed calls.
 	claimDrain = 10 * time.Second
 )
@@ -114,10 +116,12 @@
 
 		Quarantine: quarantine.NewLedger(quarantine.DefaultPolicy()),
 		Doubted:    make(chan struct{}, 1),
+		Unreached:  make(chan state.InstanceID, maxUnreached),
 		Cooldowns:  cooldown.NewTracker(cooldown.DefaultPolicy()),
 	}
 	n := &Node{Core: c, meter: meter, mirrors: newMirrors(), missing: newMissingSince(), refresh: make(chan struct{}, 1)}
 	n.prober = probe.New(probe.Config{Interval: set.ProbeInterval, EvidenceWindow: set.EvidenceWindow}, c.Targets, n.sources(), c.Evidence, c.Feed, clock)
+	c.IsPartitioned = n.prober.IsPartitioned
 	n.caller = caller.NewServer(c, exchange.New(exchange.Options{
 		DialTimeout: dialTimeout, KeepAlive: true, IdleConns: 64, Source: set.Peer.Addr(), TLS: peerTLS,
 	}))
