Read the configuration at once on a new leader

Cause: a standby waits in a read of the configuration for up to 1.25 s. The node became leader 0.24 s after it had begun one, and read again only at its end. What a leader relays is as old as the begin of its read, so it was 1.2 s old by then, the age at which followers read for themselves. Evidence: the leader's reads begin at 3.408 s and 4.673 s, leadership at 3.644 s, the followers' reads at 4.6 s.

Becoming leader now ends the waiting read. TestNewLeaderReadsConfigurationAtOnce failed before.

--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -26,7 +26,10 @@
 			continue
 		}
 		startedAt := n.clock.Now()
-		tail, reading, err := n.readNew(ctx, source.Configuration, cursor, n.configWait())
+		tail, reading, err := n.readConfig(ctx, cursor)
+		if errors.Is(err, errBecameLeader) {
+			continue
+		}
 		if err != nil {
 			if errors.Is(err, source.ErrTrimmed) {
 				cursor.Reset()
@@ -48,6 +51,38 @@
 	}
 }
 
+// errBecameLeader ends a read of the configuration that waits for a newer one when the node becomes leader.
+var errBecameLeader = errors.New("entry: read ended because the node became leader")
+
+// readConfig reads the configuration. A node that becomes leader does not wait for the end of a read that began before:
+// what it relays is as old as that read, and all other nodes would read the store themselves.
+func (n *Node) readConfig(ctx context.Context, cursor *source.Cursor) (source.ReadResult, source.ReadKind, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	select {
+	case <-n.becameLeader: // of an earlier leadership
+	default:
+	}
+	if leading, _ := n.peers.leadership(); !leading {
+		go func() {
+			select {
+			case <-n.becameLeader:
+				cancel(errBecameLeader)
+			case <-ctx.Done():
+			}
+		}()
+	}
+	return n.readNew(ctx, source.Configuration, cursor, n.configWait())
+}
+
+// endConfigWait ends a read of the configuration that began before the node became leader.
+func (n *Node) endConfigWait() {
+	select {
+	case n.becameLeader <- struct{}{}:
+	default:
+	}
+}
+
 // leavesConfigToLeader reports whether the node leaves reading the configuration to the leader: because it is relayed
 // in time, or because the first answer of a leader is about to come.
 func (n *Node) leavesConfigToLeader(now time.Time) bool {
@@ -179,6 +214,9 @@
 		n.recordEra(tail.Era, "store")
 		return tail, nil
 	}
+	if errors.Is(context.Cause(ctx), errBecameLeader) {
+		return tail, errBecameLeader
+	}
 	n.Count("store." + string(topic) + ".failed")
 	if !n.storeFailed.Swap(true) {
 		n.log.WithError(err).WithFields(log.Fields{
--- a/transport/entry/follow_test.go
+++ b/transport/entry/follow_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -119,3 +120,39 @@
 		})
 	}
 }
+
+// slowStore is a store whose reads last until their context ends, except the first one, which finds no record.
+type slowStore struct {
+	Store
+	waits chan time.Duration
+}
+
+func (s *slowStore) Newest(context.Context, source.Topic) (source.ReadResult, error) {
+	return source.ReadResult{AtEnd: true}, nil
+}
+
+func (s *slowStore) Read(ctx context.Context, _ source.Topic, _ int64, wait time.Duration) (source.ReadResult, error) {
+	s.waits <- wait
+	<-ctx.Done()
+	return source.ReadResult{}, ctx.Err()
+}
+
+// A new leader waited for the end of a read that had begun before. All nodes then read the store themselves, since the
+// configuration that it relayed was as old as that read.
+func TestNewLeaderReadsConfigurationAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	store := &slowStore{waits: make(chan time.Duration, 1)}
+	n := newTestNode()
+	n.ports.Store = store
+	n.clock.(*clockwork.FakeClock).Advance(time.Minute)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go n.followConfig(ctx)
+	g.Eventually(store.waits, 5*time.Second).Should(Receive(Equal(n.policy.ConfigWait)))
+	n.peers.setLeader(true)
+	g.Eventually(store.waits, 5*time.Second).Should(Receive(Equal(n.policy.ConfigWaitLeading)), "the clock stands still: it waits for nothing")
+	g.Expect(n.storeFailed.Load()).To(BeFalse())
+	n.peers.setLeader(false)
+	n.peers.setLeader(true)
+	g.Consistently(store.waits, 100*time.Millisecond).ShouldNot(Receive(), "a leader's own read goes on")
+}
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -449,6 +449,7 @@
 	p.mu.Unlock()
 	if leading && !wasLeading {
 		p.n.requestListRead()
+		p.n.endConfigWait()
 	}
 	if leading != wasLeading {
 		p.n.log.WithField("placing", leading).Info("leadership changed")
