Do not take a late failure of an early read for an outage

Cause: reads of the list of nodes wait up to 8 s. One that begins before the store is back may time out after others have succeeded; its failure then counted for the time of its end. A failure now counts only if no read that began later succeeded. TestReadThatFailsAfterALaterOneSucceededIsNoOutage failed before.

--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -218,6 +218,9 @@
 		return tail, errBecameLeader
 	}
 	n.Count("store." + string(topic) + ".failed")
+	if n.ownStoreAge() < n.clock.Since(startedAt) {
+		return tail, err // a read that began later succeeded: this one says nothing of the store now
+	}
 	if !n.storeFailed.Swap(true) {
 		n.log.WithError(err).WithFields(log.Fields{
 			"topic": topic, "from": from, "ms": n.clock.Since(startedAt).Milliseconds(),
--- a/transport/entry/follow_test.go
+++ b/transport/entry/follow_test.go
@@ -156,3 +156,37 @@
 	n.peers.setLeader(true)
 	g.Consistently(store.waits, 100*time.Millisecond).ShouldNot(Receive(), "a leader's own read goes on")
 }
+
+// When a store that did not answer for seconds is back, the reads that began before its return time out one after the
+// other. Each node then took the store for lost and read it again.
+func TestReadThatFailsAfterALaterOneSucceededIsNoOutage(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		succeeded time.Duration // the begin of the last successful read, after that of the one that fails
+		failed    bool
+	}{
+		{"a later read succeeded", time.Second, false},
+		{"an earlier read succeeded", -time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			store := &slowStore{waits: make(chan time.Duration, 1)}
+			n := newTestNode()
+			n.ports.Store = store
+			clock := n.clock.(*clockwork.FakeClock)
+			clock.Advance(time.Minute)
+			n.recordStoreRead(clock.Now().Add(c.succeeded))
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() {
+				_, err := n.readTail(ctx, source.Nodes, 1, n.policy.NodesWait)
+				done <- err
+			}()
+			g.Eventually(store.waits, 5*time.Second).Should(Receive())
+			clock.Advance(2 * time.Second)
+			cancel()
+			g.Eventually(done, 5*time.Second).Should(Receive(HaveOccurred()))
+			g.Expect(n.storeFailed.Load()).To(Equal(c.failed))
+		})
+	}
+}
