Try a failing store for one topic only on nodes that cannot lead

The configuration alone tells whether the store answers again; the leader relays all three. Nodes that may lead go on trying for each topic. TestOnlyNodesThatMayLeadReadTheListFromAFailingStore failed before.

--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -273,14 +273,19 @@
 }
 
 // leavesListToLeader reports whether the node leaves reading the list to the leader: because it is relayed in time, or
-// because the system has just started, so that a leader will relay it before the first request arrives.
+// because the system has just started, so that a leader will relay it before the first request arrives. It does not read
+// it either while the store fails.
 func (n *Node) leavesListToLeader(now time.Time) bool {
 	if leading, _ := n.peers.leadership(); leading {
 		return false
 	}
-	return n.feed.listAge(now) < n.feedTimeout() || n.awaitsFirstFeed(now) || n.awaitsFirstAnswer(now)
+	return n.feed.listAge(now) < n.feedTimeout() || n.awaitsFirstFeed(now) || n.awaitsFirstAnswer(now) || n.awaitsStore()
 }
 
+// awaitsStore reports whether the node reads nothing but the configuration until the store answers that: of hundreds of
+// nodes, only those that may lead try a failing store for each topic.
+func (n *Node) awaitsStore() bool { return n.storeFailed.Load() && !n.mayLead() }
+
 // nodesReadTime is the time after the start of a system by which a node has read of most other nodes, and so knows
 // whether it is a standby.
 const nodesReadTime = 300 * time.Millisecond
--- a/transport/entry/follow_test.go
+++ b/transport/entry/follow_test.go
@@ -190,3 +190,28 @@
 		})
 	}
 }
+
+// While the store fails, hundreds of nodes must not try it for each topic.
+func TestOnlyNodesThatMayLeadReadTheListFromAFailingStore(t *testing.T) {
+	policy := DefaultPolicy().Node
+	for _, c := range []struct {
+		name    string
+		larger  int
+		leading bool
+		failed  bool
+		waits   bool
+	}{
+		{"the leader", policy.Standbys + 1, true, true, false},
+		{"a standby", policy.Standbys, false, true, false},
+		{"another node", policy.Standbys + 1, false, true, true},
+		{"another node whose last read succeeded", policy.Standbys + 1, false, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := standing(c.larger)
+			n.peers.setLeader(c.leading)
+			n.storeFailed.Store(c.failed)
+			n.clock.(*clockwork.FakeClock).Advance(time.Minute)
+			NewWithT(t).Expect(n.leavesListToLeader(n.clock.Now())).To(Equal(c.waits))
+		})
+	}
+}
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -158,8 +158,8 @@
 	cursor := p.n.newCursor()
 	pause := p.n.policy.NodesPause
 	for {
-		if cursor.NextOffset(p.n.clock.Now()) >= 0 && p.n.feed.configAge(p.n.clock.Now()) < 2*p.n.feedTimeout() {
-			// The leader's answers list new nodes.
+		isRelayed := p.n.feed.configAge(p.n.clock.Now()) < 2*p.n.feedTimeout() // the leader's answers list new nodes
+		if cursor.NextOffset(p.n.clock.Now()) >= 0 && (isRelayed || p.n.awaitsStore()) {
 			pause = p.n.policy.NodesPause
 			if !p.n.sleep(ctx, p.n.feedTimeout()) {
 				return
