Take the quarantine of a starting node from the leader's answer

Each start of a node in a running system read the stored quarantine, though the leader's first answer brings its whole ledger within 150 ms, the time for which the configuration and the list are awaited, too. A node without such an answer reads the store as before, in particular after all nodes lost power. TestStartingNodeReadsQuarantineOnlyWithoutLeader fails without the change in the row with an answer.

--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -52,7 +52,9 @@
 // the quarantine survives the simultaneous loss of all nodes. It writes one record per request, and
 // another for each further independent ending.
 func (n *Node) persistQuarantine(ctx context.Context) {
-	n.restoreQuarantine(ctx)
+	if !n.awaitLedger(ctx) {
+		n.restoreQuarantine(ctx)
+	}
 	storedEndings := map[quarantine.Fingerprint]int{}
 	era := n.eras.current()
 	for n.sleep(ctx, persistInterval) {
@@ -93,6 +95,14 @@
 	return true
 }
 
+// awaitLedger waits for the first answer of a leader, if one is to be expected, and reports whether it has arrived. It
+// brings the leader's ledger.
+func (n *Node) awaitLedger(ctx context.Context) bool {
+	for n.awaitsFirstAnswer(n.clock.Now()) && n.sleep(ctx, n.feedPause()) {
+	}
+	return n.feed.isKnown()
+}
+
 // restoreQuarantine reads the stored quarantine, with backoff, and merges it into the ledger.
 func (n *Node) restoreQuarantine(ctx context.Context) {
 	pause := n.policy.StoreRetry
--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -128,6 +128,49 @@
 	g.Expect(isQuarantined(after, deadlyRequest)).To(BeTrue())
 }
 
+// A node that starts in a running system gets the ledger with the leader's first answer. The store's records would tell it
+// nothing new, and each start of hundreds of nodes would read them.
+func TestStartingNodeReadsQuarantineOnlyWithoutLeader(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		answered bool
+		restored bool
+	}{
+		{"a leader has answered", true, false},
+		{"no leader has answered", false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			store := &recordStore{}
+			last := newTestNode()
+			last.ports.Store = store
+			recordEndings(last, deadlyRequest)
+			now := last.clock.Now()
+			g.Expect(last.persistVerdict(context.Background(), deadlyRequest, last.ledger.Verdict(deadlyRequest, now), now)).To(BeTrue())
+
+			n := newTestNode()
+			n.ports.Store = store
+			clock := n.clock.(*clockwork.FakeClock)
+			clock.Advance(firstAnswerTime)
+			if c.answered {
+				n.feed.record(n.clock.Now(), n.clock.Now())
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go n.persistQuarantine(ctx)
+			restored := func() bool {
+				clock.Advance(time.Second) // verdicts are recomputed at intervals
+				return isQuarantined(n, deadlyRequest)
+			}
+			if c.restored {
+				g.Eventually(restored, 5*time.Second).Should(BeTrue())
+				return
+			}
+			g.Consistently(restored, 100*time.Millisecond).Should(BeFalse())
+		})
+	}
+}
+
 func TestUnreadableQuarantineRecordsAreSkipped(t *testing.T) {
 	g := NewWithT(t)
 	n := numbered(g, "a", 1)
