Do not leave out a peer for a single key

Found by reading before the landing: a peer refuses a forwarded request with keys-may-be-stale also if it knows a newer version in which the key is gone. Taken for a peer that can serve nothing, one caller whose key had been taken away would have kept all others of a partitioned node from that peer for a second each time. The rows of TestForwardedRequestIsRefused say which refusals count; the row on stale keys now expects that the peer is not left out.

Also rewords the comment of doubtLoop.

--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -148,8 +148,9 @@
 	return nil, false
 }
 
-// noTargetCodes are the refusals of a peer that would refuse other requests of the pool, too.
-var noTargetCodes = []Code{CodeNoTarget, CodeTargetsUnreachable, CodeNoConfig, CodeKeysStale, CodeStopping}
+// noTargetCodes are the refusals of a peer that would refuse other requests of the pool, too. CodeKeysStale is none of them:
+// it may concern a single key of which the two nodes know different versions.
+var noTargetCodes = []Code{CodeNoTarget, CodeTargetsUnreachable, CodeNoConfig, CodeStopping}
 
 // peerOutcome returns what the result of forwardTo shows of the peer.
 func (c *call) peerOutcome(res attemptResult, err error) forwarding.Outcome {
--- a/transport/gateway/forward_test.go
+++ b/transport/gateway/forward_test.go
@@ -90,7 +90,7 @@
 		// outcomes are what the forwarded requests show of the peer.
 		outcomes []forwarding.Outcome
 	}{
-		{"the other node's keys may be stale", nil, func(_, peer *harness) { peer.catalogs.stale.Store(true) }, gateway.CodeKeysStale, []forwarding.Outcome{forwarding.NoTarget}},
+		{"the other node's keys may be stale", nil, func(_, peer *harness) { peer.catalogs.stale.Store(true) }, gateway.CodeKeysStale, []forwarding.Outcome{forwarding.Reached}},
 		{"the other node is stopping", nil, func(_, peer *harness) { peer.gateway.RefuseNew() }, gateway.CodeStopping, []forwarding.Outcome{forwarding.NoTarget}},
 		{"the other node serves too many", nil, func(_, peer *harness) {
 			peer.gateway.Receiver = forwarding.NewReceiver(forwarding.Policy{})
--- a/transport/node/loops.go
+++ b/transport/node/loops.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// doubtLoop probes instances that a request did not reach, and asks those on which requests broke off
-// whether they live, at once: the next probe in turn would let the same request end as many engines again before the first endings are proven.
+// doubtLoop probes instances at once that a request did not reach or on which requests broke off: the next
+// probe in turn would let the same request end as many engines again before the first endings are proven.
 func (n *Node) doubtLoop(ctx context.Context) {
 	tick := n.Clock.NewTicker(doubtInterval)
 	defer tick.Stop()
