Read the store again before leadership is given up

Cause: the node whose retry came first had read the store before the leader, whose own read hung or whose pause lasted up to 0.7 s. A leader that is behind another node yielded at once, and the next one was behind a third. Evidence: leadership changed lines, and reads of the leader 1.1 s after those of others.

A node that hears that another one reads the store now ends its own read or pause and reads at once, and yields only if it is still behind 0.3 s later. One signal for each time that it falls behind: with 89 nodes a report comes every few ms, and each would end the read that has just begun.

--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -27,14 +27,14 @@
 		}
 		startedAt := n.clock.Now()
 		tail, reading, err := n.readConfig(ctx, cursor)
-		if errors.Is(err, errBecameLeader) {
+		if errors.Is(err, errReadAgain) {
 			continue
 		}
 		if err != nil {
 			if errors.Is(err, source.ErrTrimmed) {
 				cursor.Reset()
 			}
-			if !n.sleep(ctx, retryDelay) {
+			if !n.awaitRetry(ctx, retryDelay) {
 				return
 			}
 			retryDelay = min(2*retryDelay, n.storeRetryMax())
@@ -51,34 +51,57 @@
 	}
 }
 
-// errBecameLeader ends a read of the configuration that waits for a newer one when the node becomes leader.
-var errBecameLeader = errors.New("entry: read ended because the node became leader")
+// errReadAgain ends a read of the configuration that a new one replaces.
+var errReadAgain = errors.New("entry: read ended in favor of a new one")
 
 // readConfig reads the configuration. A node that becomes leader does not wait for the end of a read that began before:
-// what it relays is as old as that read, and all other nodes would read the store themselves.
+// what it relays is as old as that read, and all other nodes would read the store themselves. Nor does a node wait for a
+// store that answers other nodes again.
 func (n *Node) readConfig(ctx context.Context, cursor *source.Cursor) (source.ReadResult, source.ReadKind, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	drain(n.becameLeader)
+	drain(n.storeAnswers)
+	becameLeader := n.becameLeader
+	if leading, _ := n.peers.leadership(); leading {
+		becameLeader = nil
+	}
+	go func() {
+		select {
+		case <-becameLeader:
+			cancel(errReadAgain)
+		case <-n.storeAnswers:
+			cancel(errReadAgain)
+		case <-ctx.Done():
+		}
+	}()
+	return n.readNew(ctx, source.Configuration, cursor, n.configWait())
+}
+
+// awaitRetry waits until the next try of a failing store, or until the store answers other nodes, and reports whether
+// the node is still running.
+func (n *Node) awaitRetry(ctx context.Context, d time.Duration) bool {
 	select {
-	case <-n.becameLeader: // of an earlier leadership
-	default:
+	case <-ctx.Done():
+		return false
+	case <-n.clock.After(d):
+	case <-n.storeAnswers:
 	}
-	if leading, _ := n.peers.leadership(); !leading {
-		go func() {
-			select {
-			case <-n.becameLeader:
-				cancel(errBecameLeader)
-			case <-ctx.Done():
-			}
-		}()
+	return true
+}
+
+// drain removes an earlier signal from a channel of capacity 1.
+func drain(c <-chan struct{}) {
+	select {
+	case <-c:
+	default:
 	}
-	return n.readNew(ctx, source.Configuration, cursor, n.configWait())
 }
 
-// endConfigWait ends a read of the configuration that began before the node became leader.
-func (n *Node) endConfigWait() {
+// signal sends a signal to a channel of capacity 1, unless it holds one.
+func signal(c chan<- struct{}) {
 	select {
-	case n.becameLeader <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -214,8 +237,8 @@
 		n.recordEra(tail.Era, "store")
 		return tail, nil
 	}
-	if errors.Is(context.Cause(ctx), errBecameLeader) {
-		return tail, errBecameLeader
+	if errors.Is(context.Cause(ctx), errReadAgain) {
+		return tail, errReadAgain
 	}
 	n.Count("store." + string(topic) + ".failed")
 	if n.ownStoreAge() < n.clock.Since(startedAt) {
@@ -347,12 +370,7 @@
 }
 
 // requestListRead requests a read of the list at once.
-func (n *Node) requestListRead() {
-	select {
-	case n.listRequested <- struct{}{}:
-	default:
-	}
-}
+func (n *Node) requestListRead() { signal(n.listRequested) }
 
 // applyListRecords applies records of the instance list to the roster. If recent is set, records that
 // follow the last read count as just written: that read was within RecentRead.
--- a/transport/entry/follow_test.go
+++ b/transport/entry/follow_test.go
@@ -157,6 +157,64 @@
 	g.Consistently(store.waits, 100*time.Millisecond).ShouldNot(Receive(), "a leader's own read goes on")
 }
 
+// After an outage the node whose retry came first had read the store before the leader, which then yielded. Leadership passed
+// through three nodes in 1.2 s, and all others read the store meanwhile.
+func TestLeaderReadsStoreAgainBeforeItYields(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reads   bool
+		canLead bool
+	}{
+		{"the store answers the leader, too", true, true},
+		{"the store answers only others", false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := ableNode(g)
+			clock := n.clock.(*clockwork.FakeClock)
+			canLead := func() bool {
+				recordReport(n, 2, "hall", func(*receivedReport) {}) // it has just read the store
+				n.peers.mu.Lock()
+				defer n.peers.mu.Unlock()
+				return n.peers.canLead(clock.Now())
+			}
+			clock.Advance(time.Minute)
+			g.Expect(canLead()).To(BeTrue())
+			g.Expect(n.storeAnswers).To(Receive())
+			clock.Advance(behindGrace / 2)
+			g.Expect(canLead()).To(BeTrue())
+			g.Expect(n.storeAnswers).NotTo(Receive(), "each further report would end the read that has just begun")
+			if c.reads {
+				n.recordStoreRead(clock.Now())
+			}
+			clock.Advance(behindGrace / 2)
+			g.Expect(canLead()).To(Equal(c.canLead))
+		})
+	}
+}
+
+// A read of a store that is silent lasts until its timeout, and the next one begins after a pause. Both must end when the store
+// answers other nodes.
+func TestStoreIsReadAtOnceWhenItAnswersOthers(t *testing.T) {
+	g := NewWithT(t)
+	store := &slowStore{waits: make(chan time.Duration, 1)}
+	n := newTestNode()
+	n.ports.Store = store
+	n.clock.(*clockwork.FakeClock).Advance(time.Minute)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go n.followConfig(ctx)
+	for range 3 {
+		g.Eventually(store.waits, 5*time.Second).Should(Receive())
+		signal(n.storeAnswers)
+	}
+	waited := make(chan bool, 1)
+	cancel()
+	signal(n.storeAnswers)
+	go func() { waited <- n.awaitRetry(context.Background(), time.Hour) }()
+	g.Eventually(waited, 5*time.Second).Should(Receive(BeTrue()))
+}
+
 // When a store that did not answer for seconds is back, the reads that began before its return time out one after the
 // other. Each node then took the store for lost and read it again.
 func TestReadThatFailsAfterALaterOneSucceededIsNoOutage(t *testing.T) {
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -245,12 +245,7 @@
 }
 
 // requestStatusReport requests an immediate status report to the leader.
-func (n *Node) requestStatusReport() {
-	select {
-	case n.statusRequested <- struct{}{}:
-	default:
-	}
-}
+func (n *Node) requestStatusReport() { signal(n.statusRequested) }
 
 // suspicions returns the instances that did not answer this node within NodePolicy.SuspectTTL, and
 // removes older suspicions. Those of services from which the node is partitioned say nothing about the
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -88,8 +88,9 @@
 	fastListPolling atomic.Bool
 	// listRequested requests one read of the instance list.
 	listRequested chan struct{}
-	// becameLeader ends a read of the configuration that waits for a newer one.
-	becameLeader chan struct{}
+	// becameLeader and storeAnswers signal that the configuration must be read at once: because the node has become
+	// leader, or because the store answers other nodes.
+	becameLeader, storeAnswers chan struct{}
 	// rewriteRequested requests that the node's entry is written again.
 	rewriteRequested chan struct{}
 	// rebuildRequested requests a rebuild of the candidates.
@@ -142,6 +143,7 @@
 		statusRequested:  make(chan struct{}, 1),
 		listRequested:    make(chan struct{}, 1),
 		becameLeader:     make(chan struct{}, 1),
+		storeAnswers:     make(chan struct{}, 1),
 		excludedGroups:   map[fleet.GroupKey]bool{},
 		suspectedAt:      map[state.InstanceID]time.Time{},
 		leavingSince:     map[fleet.Incarnation]time.Time{},
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -64,6 +64,8 @@
 	leaderNodeCount     int
 	// nodesKnown reports whether this node knows the other nodes, from the store or from a leader.
 	nodesKnown bool
+	// behindSince is when this node noticed that another one reads the store while it can't, or zero.
+	behindSince time.Time
 	// noLeadUntil is the time until which this node does not lead because it was overloaded.
 	noLeadUntil time.Time
 	// inProgress is the number of requests in progress from all nodes at each instance, totalDemand the
@@ -293,9 +295,27 @@
 	return now.Before(p.noLeadUntil) || p.n.localHealth.Overloaded(now)
 }
 
-// isBehindOthers reports whether this node cannot read the store while another one recently could.
+// behindGrace is the time in which a node can read the store once another one could. Without it, leadership passes through
+// several nodes after each outage: each has read the store a little later than another one.
+const behindGrace = 300 * time.Millisecond
+
+// isBehindOthers reports whether this node cannot read the store although another one could for behindGrace.
 // The caller holds p.mu.
 func (p *peers) isBehindOthers() bool {
+	if !p.othersReadStore() {
+		p.behindSince = time.Time{}
+		return false
+	}
+	now := p.n.clock.Now()
+	if p.behindSince.IsZero() {
+		p.behindSince = now
+		signal(p.n.storeAnswers)
+	}
+	return now.Sub(p.behindSince) >= behindGrace
+}
+
+// othersReadStore reports whether another node recently read the store and this one did not. The caller holds p.mu.
+func (p *peers) othersReadStore() bool {
 	stale := p.n.staleStoreAge()
 	if p.n.storeAge() < stale {
 		return false
@@ -449,7 +469,7 @@
 	p.mu.Unlock()
 	if leading && !wasLeading {
 		p.n.requestListRead()
-		p.n.endConfigWait()
+		signal(p.n.becameLeader)
 	}
 	if leading != wasLeading {
 		p.n.log.WithField("placing", leading).Info("leadership changed")
