--- a/transport/entry/follow_test.go
+++ b/transport/entry/follow_test.go
@@ -204,15 +204,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go n.followConfig(ctx)
+	before := (n.policy.StoreTimeout + n.policy.ConfigWait) / 2 // a read ends by itself after twice that
 	for range 3 {
-		g.Eventually(store.waits, 5*time.Second).Should(Receive())
+		g.Eventually(store.waits, before).Should(Receive())
 		signal(n.storeAnswers)
 	}
-	waited := make(chan bool, 1)
 	cancel()
+	retried := make(chan bool, 1)
+	go func() { retried <- n.awaitRetry(context.Background(), time.Hour) }()
 	signal(n.storeAnswers)
-	go func() { waited <- n.awaitRetry(context.Background(), time.Hour) }()
-	g.Eventually(waited, 5*time.Second).Should(Receive(BeTrue()))
+	g.Eventually(retried, 5*time.Second).Should(Receive(BeTrue()))
 }
 
 // When a store that did not answer for seconds is back, the reads that began before its return time out one after the
