Probe only unreachable instances after a failed attempt

Found by reading the change before the landing: every attempt of the own interface that had not run asked for a probe, also one that the instance had refused or that was held back for its cooldown: a busy instance got a probe for each request that it turned away, and one that had asked for rest got them, too. Only ErrUnreachable, no connection, now does.

--- a/transport/caller/attempt.go
+++ b/transport/caller/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -69,9 +70,7 @@
 	ans, outcome, err := s.c.Targets.Send(ctx, call)
 	s.heed(q, d, ans, err)
 	if err != nil {
-		if outcome == retry.NotRun && ctx.Err() == nil {
-			s.requestProbe(d)
-		}
+		s.probeIfUnreachable(d, err)
 		return nil, outcome, cause(ctx, err)
 	}
 	if ans.Status >= http.StatusInternalServerError {
@@ -81,9 +80,12 @@
 	return ans, retry.Completed, nil
 }
 
-// requestProbe has the instance that a request did not reach probed at once: the node may be partitioned, while other
+// probeIfUnreachable has the instance that a request did not reach probed at once: the node may be partitioned, while other
 // nodes still report the instance as ready.
-func (s *Server) requestProbe(d *routing.Dispatch) {
+func (s *Server) probeIfUnreachable(d *routing.Dispatch, err error) {
+	if !errors.Is(err, target.ErrUnreachable) {
+		return
+	}
 	select {
 	case s.c.Unreached <- d.Group().Members[0]:
 	default:
