Probe no sample for each refusal while a partition is known

Found in the last read of the change: during a partition by refused connections every probe of an instance that the node owns had a sample of four others probed: 34 probes an interval for 6 instances where 10 are enough, and as many times more in a large hall. While the partition is known, one sample an interval, for its end, is left. TestKnownPartitionCausesOneSampleAnInterval failed before.

--- a/coordination/probe/partition.go
+++ b/coordination/probe/partition.go
@@ -43,7 +43,7 @@
 	}
 	isAlive := !p.isDown(id) // that an instance which has ended does not answer says nothing about this node
 	isSuspected := isAlive && p.partition.RecordFailure(id, probedAt, p.clock.Now())
-	needsProof := isAlive && isRefused
+	needsProof := isAlive && isRefused && !p.IsPartitioned()
 	var answered, sampled int
 	if isSuspected || needsProof {
 		answered, sampled = p.probeSample(ctx, id)
--- a/coordination/probe/partition_test.go
+++ b/coordination/probe/partition_test.go
@@ -142,6 +142,29 @@
 	g.Eventually(h.IsPartitioned, 5*time.Second).Should(BeFalse())
 }
 
+// A partition that lasts must not have a sample probed for each instance that refuses, at each interval.
+func TestKnownPartitionCausesOneSampleAnInterval(t *testing.T) {
+	const instances, sample = 6, 4
+	g := NewWithT(t)
+	var errs []error
+	for range instances {
+		errs = append(errs, probe.ErrNotListening)
+	}
+	h := newHall(errs...)
+	h.ProbeDue(context.Background())
+	g.Eventually(h.IsPartitioned, 5*time.Second).Should(BeTrue())
+	g.Eventually(func() int { // until the probes of the first interval have ended
+		n := h.instances.count()
+		time.Sleep(100 * time.Millisecond)
+		return h.instances.count() - n
+	}, 5*time.Second).Should(BeZero())
+	before := h.instances.count()
+	h.clock.Advance(350 * time.Millisecond)
+	h.ProbeDue(context.Background())
+	g.Eventually(h.instances.count, 5*time.Second).Should(Equal(before + instances + sample))
+	g.Consistently(h.instances.count, 100*time.Millisecond).Should(Equal(before + instances + sample))
+}
+
 // An instance that stays down must not have others probed more often than it is itself.
 func TestEndedInstanceCausesOneSample(t *testing.T) {
 	g := NewWithT(t)
