Test that an answer at the begin of a sample rules out a partition

The change of the detector had no test of its own in its package: with the former comparison the new row fails (a partition although an instance had answered).

--- a/coordination/partition/detector_test.go
+++ b/coordination/partition/detector_test.go
@@ -28,6 +28,7 @@
 	}{
 		{"no instance of the sample answers", []state.InstanceID{"c", "d"}, 0, true},
 		{"an instance answers during the sample", []state.InstanceID{"c", "d"}, 450, false},
+		{"an instance answers as the sample begins", []state.InstanceID{"c", "d", "e"}, 410, false},
 		{"there is no other instance", []state.InstanceID{"a", "b"}, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
