--- a/transport/entry/follow_test.go
+++ b/transport/entry/follow_test.go
@@ -137,17 +137,23 @@
 	return source.ReadResult{}, ctx.Err()
 }
 
-// A new leader waited for the end of a read that had begun before. All nodes then read the store themselves, since the
-// configuration that it relayed was as old as that read.
-func TestNewLeaderReadsConfigurationAtOnce(t *testing.T) {
-	g := NewWithT(t)
+// followSlowStore returns a node that reads the configuration from a slowStore until the test ends.
+func followSlowStore(t *testing.T) (*Node, *slowStore) {
 	store := &slowStore{waits: make(chan time.Duration, 1)}
 	n := newTestNode()
 	n.ports.Store = store
 	n.clock.(*clockwork.FakeClock).Advance(time.Minute)
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	t.Cleanup(cancel)
 	go n.followConfig(ctx)
+	return n, store
+}
+
+// A new leader waited for the end of a read that had begun before. All nodes then read the store themselves, since the
+// configuration that it relayed was as old as that read.
+func TestNewLeaderReadsConfigurationAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	n, store := followSlowStore(t)
 	g.Eventually(store.waits, 5*time.Second).Should(Receive(Equal(n.policy.ConfigWait)))
 	n.peers.setLeader(true)
 	g.Eventually(store.waits, 5*time.Second).Should(Receive(Equal(n.policy.ConfigWaitLeading)), "the clock stands still: it waits for nothing")
@@ -197,13 +203,7 @@
 // answers other nodes.
 func TestStoreIsReadAtOnceWhenItAnswersOthers(t *testing.T) {
 	g := NewWithT(t)
-	store := &slowStore{waits: make(chan time.Duration, 1)}
-	n := newTestNode()
-	n.ports.Store = store
-	n.clock.(*clockwork.FakeClock).Advance(time.Minute)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go n.followConfig(ctx)
+	n, store := followSlowStore(t)
 	before := (n.policy.StoreTimeout + n.policy.ConfigWait) / 2 // a read ends by itself after twice that
 	for range 3 {
 		g.Eventually(store.waits, before).Should(Receive())
--- a/transport/node/partition_test.go
+++ b/transport/node/partition_test.go
@@ -39,7 +39,7 @@
 	return "answered"
 }
 
-// A node that reached no instance told the others that the instances had ended, or refused its own callers.
+// A partitioned node must not report the instances as ended to other nodes, nor refuse callers whom those can serve.
 var _ = Describe("a node that is partitioned from all instances", func() {
 	for _, c := range []struct {
 		name    string
