--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -57,7 +57,19 @@
 	if leading, _ := n.peers.leadership(); leading {
 		return false
 	}
-	return n.feed.configAge(now) < n.feedTimeout() && n.reliesOnLeader() || n.awaitsFirstFeed(now) || n.awaitsFirstAnswer(now)
+	_, hasConfig := n.configState.Age()
+	return n.feed.configAge(now) < n.feedTimeout() && n.reliesOnLeader() || n.awaitsFirstFeed(now) || n.awaitsFirstAnswer(now) ||
+		hasConfig && n.awaitsRelay(now)
+}
+
+// relayReturnTime is the time in which the leader relays a store again that is back after an outage.
+const relayReturnTime = 500 * time.Millisecond
+
+// awaitsRelay reports whether the store has just answered this node again after an outage, so that the leader is about
+// to relay it. Without this pause each of hundreds of nodes reads all topics when the store is back.
+func (n *Node) awaitsRelay(now time.Time) bool {
+	at := n.storeBackAt.Load()
+	return at != 0 && now.Sub(n.started)-time.Duration(at) < relayReturnTime && !n.mayLead()
 }
 
 // firstAnswerTime is the time after its start by which a node has read the other nodes' entries and has got an answer
@@ -178,7 +190,7 @@
 	n.storeTriedAt.Store(int64(startedAt.Sub(n.started)))
 	tail, err := n.readTopic(ctx, topic, from, wait)
 	if err == nil {
-		n.storeFailed.Store(false)
+		n.recordStoreAnswer()
 		n.recordEra(tail.Era, "store")
 		return tail, nil
 	}
@@ -197,6 +209,15 @@
 	return tail, err
 }
 
+// recordStoreAnswer records that the store answered a read. After an outage the list is read at once, so that the leader
+// relays it together with the configuration.
+func (n *Node) recordStoreAnswer() {
+	if n.storeFailed.Swap(false) {
+		n.storeBackAt.Store(int64(n.clock.Since(n.started)))
+		n.requestListRead()
+	}
+}
+
 // readTopic is readTail without a timeout, counters and logs.
 func (n *Node) readTopic(ctx context.Context, topic source.Topic, from int64, wait time.Duration) (source.ReadResult, error) {
 	if from >= 0 {
@@ -242,12 +263,14 @@
 
 // leavesListToLeader reports whether the node leaves reading the list to the leader: because it is relayed in time, or
 // because the system has just started, so that a leader will relay it before the first request arrives. It does not read
-// it either while the store fails.
+// it either while the store fails or has just come back.
 func (n *Node) leavesListToLeader(now time.Time) bool {
 	if leading, _ := n.peers.leadership(); leading {
 		return false
 	}
-	return n.feed.listAge(now) < n.feedTimeout() || n.awaitsFirstFeed(now) || n.awaitsFirstAnswer(now) || n.awaitsStore()
+	hasList := n.roster.ListAge(now) < unknownAge
+	return n.feed.listAge(now) < n.feedTimeout() || n.awaitsFirstFeed(now) || n.awaitsFirstAnswer(now) || n.awaitsStore() ||
+		hasList && n.awaitsRelay(now)
 }
 
 // awaitsStore reports whether the node reads nothing but the configuration until the store answers that: of hundreds of
--- a/transport/entry/follow_test.go
+++ b/transport/entry/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -275,3 +276,84 @@
 		})
 	}
 }
+
+// returningStore counts its reads. It answers the newest records once it is back, and has no later ones.
+type returningStore struct {
+	Store
+	reads atomic.Int32
+	back  chan struct{}
+}
+
+func (s *returningStore) Newest(context.Context, source.Topic) (source.ReadResult, error) {
+	s.reads.Add(1)
+	<-s.back
+	return source.ReadResult{AtEnd: true}, nil
+}
+
+func (s *returningStore) Read(ctx context.Context, _ source.Topic, _ int64, _ time.Duration) (source.ReadResult, error) {
+	s.reads.Add(1)
+	<-ctx.Done()
+	return source.ReadResult{}, ctx.Err()
+}
+
+// In the second in which a silent store was back, each of 89 nodes read it five times, although a leader relayed it
+// within 0.3 s.
+func TestOnlyStandbysReadAllTopicsWhenTheStoreIsBack(t *testing.T) {
+	policy := DefaultPolicy().Node
+	for _, c := range []struct {
+		name   string
+		larger int
+		waits  bool
+	}{
+		{"a standby", policy.Standbys, false},
+		{"another node", policy.Standbys + 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			store := &returningStore{back: make(chan struct{})}
+			n := standing(c.larger)
+			n.ports.Store = store
+			n.storeFailed.Store(true)
+			clock := n.clock.(*clockwork.FakeClock)
+			clock.Advance(time.Minute)
+			n.roster.RecordListRead(n.started)
+			ctx, cancel := context.WithCancel(context.Background())
+			t.Cleanup(cancel)
+			go n.followConfig(ctx)
+			g.Eventually(store.reads.Load, 5*time.Second).Should(BeEquivalentTo(1))
+			close(store.back)
+			g.Eventually(n.storeFailed.Load, 5*time.Second).Should(BeFalse())
+			g.Eventually(n.listRequested, 5*time.Second).Should(Receive(), "a leader relays the list soon")
+			go n.followInstances(ctx)
+			if c.waits {
+				g.Consistently(func() int32 {
+					clock.Advance(relayReturnTime / 20)
+					return store.reads.Load()
+				}, 100*time.Millisecond, 10*time.Millisecond).Should(BeEquivalentTo(1))
+			}
+			g.Eventually(func() int32 {
+				if c.waits {
+					clock.Advance(relayReturnTime / 5)
+				}
+				return store.reads.Load()
+			}, 5*time.Second).Should(BeNumerically(">=", 3), "no leader relays the store: the list and later configurations are read")
+		})
+	}
+}
+
+// A node that started during an outage has neither a configuration nor a list to serve with.
+func TestNodeWithoutDataDoesNotAwaitLeaderWhenTheStoreIsBack(t *testing.T) {
+	g := NewWithT(t)
+	store := &returningStore{back: make(chan struct{})}
+	close(store.back)
+	n := standing(DefaultPolicy().Node.Standbys + 1)
+	n.ports.Store = store
+	n.clock.(*clockwork.FakeClock).Advance(firstAnswerTime)
+	n.storeFailed.Store(true)
+	n.recordStoreAnswer() // to the read of the nodes' entries
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go n.followConfig(ctx)
+	go n.followInstances(ctx)
+	g.Eventually(store.reads.Load, 5*time.Second).Should(BeEquivalentTo(2))
+}
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -81,9 +81,10 @@
 	// storeFailed reports whether the last read of the store failed. Only the first of consecutive
 	// failures is logged.
 	storeFailed atomic.Bool
-	// storeTriedAt is when the last read of the store began, in nanoseconds since started.
-	storeTriedAt atomic.Int64
-	stopping     atomic.Bool
+	// storeTriedAt is when the last read of the store began, in nanoseconds since started, and storeBackAt when a
+	// read succeeded after one that had failed.
+	storeTriedAt, storeBackAt atomic.Int64
+	stopping                  atomic.Bool
 	// fastListPolling requests frequent reads of the instance list.
 	fastListPolling atomic.Bool
 	// listRequested requests one read of the instance list.
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -160,8 +160,9 @@
 	cursor := p.n.newCursor()
 	pause := p.n.policy.NodesPause
 	for {
-		isRelayed := p.n.feed.configAge(p.n.clock.Now()) < 2*p.n.feedTimeout() // the leader's answers list new nodes
-		if cursor.NextOffset(p.n.clock.Now()) >= 0 && (isRelayed || p.n.awaitsStore()) {
+		now := p.n.clock.Now()
+		isRelayed := p.n.feed.configAge(now) < 2*p.n.feedTimeout() // the leader's answers list new nodes
+		if cursor.NextOffset(now) >= 0 && (isRelayed || p.n.awaitsStore() || p.n.awaitsRelay(now)) {
 			pause = p.n.policy.NodesPause
 			if !p.n.sleep(ctx, p.n.feedTimeout()) {
 				return
