--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -277,18 +277,15 @@
 // nodes, only those that may lead try a failing store for each topic.
 func (n *Node) awaitsStore() bool { return n.storeFailed.Load() && !n.mayLead() }
 
-// nodesReadTime is the time after the start of a system by which a node has read of most other nodes, and so knows
-// whether it is a standby.
-const nodesReadTime = 300 * time.Millisecond
-
 // awaitsFirstFeed reports whether the node waits for the first list that a leader relays. Only the nodes that may
 // lead read the list when a system starts: otherwise each of hundreds of nodes reads all instances several times.
+// Before it has read the other nodes' entries, a node does not know whether it is one of them.
 func (n *Node) awaitsFirstFeed(now time.Time) bool {
 	age := now.Sub(n.started)
 	if !n.settings.IsFirstStart || age >= n.policy.FirstFeedWait || n.peers.anyRequests() {
 		return false
 	}
-	return age < nodesReadTime || !n.peers.isStandby()
+	return !n.peers.hasAllNodes() || !n.peers.isStandby()
 }
 
 // feedPause returns the time until the next check of the age of the relayed data. A node that waits for its first answer
--- a/transport/entry/follow_test.go
+++ b/transport/entry/follow_test.go
@@ -24,7 +24,7 @@
 		leading     bool
 		waits       bool
 	}{
-		{"before the other nodes are known", true, 0, nodesReadTime / 2, false, false, true},
+		{"before the other nodes are known", true, unknownNodes, time.Second, false, false, true},
 		{"a standby", true, policy.Standbys, time.Second, false, false, false},
 		{"another node", true, policy.Standbys + 1, time.Second, false, false, true},
 		{"the leader", true, policy.Standbys + 1, time.Second, false, true, false},
@@ -42,12 +42,19 @@
 	}
 }
 
-// standing returns a node that knows the given number of larger nodes.
+// unknownNodes stands for nodes that are not known yet.
+const unknownNodes = -1
+
+// standing returns a node that knows the given number of larger nodes, or does not know the other nodes yet.
 func standing(larger int) *Node {
 	n := newTestNode()
+	if larger == unknownNodes {
+		return n
+	}
 	for i := range larger {
 		n.peers.recordNode(NodeEntry{Name: string(rune('a' + i)), Address: testAddress(2 + i).String(), Capacity: 2})
 	}
+	n.peers.setNodesKnown()
 	return n
 }
 
@@ -106,11 +113,11 @@
 		{"just started", false, false, firstAnswerTime / 2, true},
 		{"without an answer", false, false, firstAnswerTime, false},
 		{"with an old answer", false, true, firstAnswerTime / 2, false},
-		{"a system that starts", true, false, nodesReadTime, false},
+		{"a system that starts", true, false, firstAnswerTime / 2, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			n := newTestNode()
+			n := standing(0)
 			n.settings.IsFirstStart = c.firstStart
 			now := n.started.Add(c.after)
 			if c.answered {
@@ -357,3 +364,80 @@
 	go n.followInstances(ctx)
 	g.Eventually(store.reads.Load, 5*time.Second).Should(BeEquivalentTo(2))
 }
+
+// Of 295 nodes that started together, half read all topics: they had read the nodes' entries before the others had
+// written theirs, and took themselves for standbys.
+func TestNodesOfAStartingSystemReadTheEntriesOnceTheyAreWritten(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		firstStart bool
+		reads      int32 // until nodesWriteTime has passed
+	}{
+		{"a system that starts", true, 0},
+		{"a restarted node", false, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			store := &returningStore{back: make(chan struct{})}
+			n := newTestNode()
+			n.ports.Store = store
+			n.settings.IsFirstStart = c.firstStart
+			clock := n.clock.(*clockwork.FakeClock)
+			ctx, cancel := context.WithCancel(context.Background())
+			t.Cleanup(cancel)
+			t.Cleanup(func() { close(store.back) })
+			go n.peers.followNodes(ctx)
+			g.Eventually(store.reads.Load, 5*time.Second).Should(Equal(c.reads))
+			g.Consistently(func() int32 {
+				clock.Advance(nodesWriteTime / 20)
+				return store.reads.Load()
+			}, 100*time.Millisecond, 10*time.Millisecond).Should(Equal(c.reads))
+			g.Eventually(func() int32 {
+				clock.Advance(nodesWriteTime)
+				return store.reads.Load()
+			}, 5*time.Second).Should(BeEquivalentTo(1))
+		})
+	}
+}
+
+// A node that starts takes the quarantine from the leader's first answer. In a system that starts for the first time
+// only standbys read it from the store: of 295 nodes each did.
+func TestStartingNodeTakesTheQuarantineFromTheLeader(t *testing.T) {
+	const never = time.Duration(-1)
+	policy := DefaultPolicy().Node
+	for _, c := range []struct {
+		name       string
+		firstStart bool
+		larger     int
+		answerAt   time.Duration // after the start; 0: never
+		readsAt    time.Duration // after the start; never: not at all
+	}{
+		{"a restarted node", false, policy.Standbys + 1, firstAnswerTime / 2, never},
+		{"a restarted node without a leader", false, policy.Standbys + 1, 0, firstAnswerTime},
+		{"a standby of a system that starts", true, policy.Standbys, 0, 0},
+		{"a node of a system that starts before it knows the others", true, unknownNodes, 0, policy.FirstFeedWait},
+		{"another node of a system that starts", true, policy.Standbys + 1, 2 * time.Second, never},
+		{"another node of a system without a leader", true, policy.Standbys + 1, 0, policy.FirstFeedWait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := standing(c.larger)
+			n.settings.IsFirstStart = c.firstStart
+			const step = 5 * time.Millisecond
+			readAt := never
+			for at := time.Duration(0); at <= policy.FirstFeedWait; at += step {
+				if c.answerAt > 0 && at == c.answerAt {
+					now := n.started.Add(at)
+					n.feed.record(now, now)
+				}
+				if !n.awaitsLeader(n.started.Add(at)) {
+					if !n.feed.isKnown() {
+						readAt = at
+					}
+					break
+				}
+			}
+			g.Expect(readAt).To(Equal(c.readsAt))
+		})
+	}
+}
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -15,7 +13,6 @@
 
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/pacing"
-	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/coordination/succession"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
@@ -152,46 +149,6 @@
 	}
 }
 
-// maxNodesPauses is the maximum pause between two reads of the nodes' entries, in units of NodePolicy.NodesPause.
-const maxNodesPauses = 8
-
-// followNodes reads the nodes' entries from the store as they are written.
-func (p *peers) followNodes(ctx context.Context) {
-	cursor := p.n.newCursor()
-	pause := p.n.policy.NodesPause
-	for {
-		now := p.n.clock.Now()
-		isRelayed := p.n.feed.configAge(now) < 2*p.n.feedTimeout() // the leader's answers list new nodes
-		if cursor.NextOffset(now) >= 0 && (isRelayed || p.n.awaitsStore() || p.n.awaitsRelay(now)) {
-			pause = p.n.policy.NodesPause
-			if !p.n.sleep(ctx, p.n.feedTimeout()) {
-				return
-			}
-			continue
-		}
-		tail, _, err := p.n.readNew(ctx, source.Nodes, cursor, p.n.policy.NodesWait)
-		if errors.Is(err, source.ErrTrimmed) {
-			cursor.Reset()
-		}
-		for _, item := range tail.Items {
-			var e NodeEntry
-			if json.Unmarshal(item.Value, &e) == nil {
-				p.recordNode(e)
-			}
-		}
-		if err == nil && tail.AtEnd {
-			p.setNodesKnown()
-			p.shareBudgets()
-		}
-		// Each new entry completes all waiting reads. Without a pause that grows, nodes that start
-		// together would each read once for every other node.
-		if !p.n.sleep(ctx, pause) {
-			return
-		}
-		pause = min(2*pause, maxNodesPauses*p.n.policy.NodesPause)
-	}
-}
-
 // recordNode records a node's entry. It ignores this node's own and those without a name or a valid address.
 func (p *peers) recordNode(e NodeEntry) {
 	if _, err := netip.ParseAddrPort(e.Address); err != nil || e.Name == "" || e.Name == p.n.settings.Name {
--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -98,11 +98,17 @@
 // awaitLedger waits for the first answer of a leader, if one is to be expected, and reports whether it has arrived. It
 // brings the leader's ledger.
 func (n *Node) awaitLedger(ctx context.Context) bool {
-	for n.awaitsFirstAnswer(n.clock.Now()) && n.sleep(ctx, n.feedPause()) {
+	for n.awaitsLeader(n.clock.Now()) && n.sleep(ctx, n.feedPause()) {
 	}
 	return n.feed.isKnown()
 }
 
+// awaitsLeader reports whether the first answer of a leader is about to come. A system that starts for the first time has no
+// ledger yet, so that only its standbys look for one.
+func (n *Node) awaitsLeader(now time.Time) bool {
+	return n.awaitsFirstAnswer(now) || n.awaitsFirstFeed(now) && !n.feed.isKnown()
+}
+
 // restoreQuarantine reads the stored quarantine, with backoff, and merges it into the ledger.
 func (n *Node) restoreQuarantine(ctx context.Context) {
 	pause := n.policy.StoreRetry
