--- a/coordination/ratelimit/dealer.go
+++ b/coordination/ratelimit/dealer.go
@@ -182,7 +182,7 @@
 
 // chooseNode returns a random node, with probability proportional to its weight and to the
 // likelihood that it uses one more grant. Without the latter, nodes got second grants while
-// others had none: nine nodes whose callers sent 10 requests a second used 0.89 of a limit of 4.
+// others had none: nine nodes whose callers sent 10 requests a second used 0.87 of a limit of 4.
 func (d *Allocator) chooseNode(b *bucket, r *AllocationInput, l *Limit) string {
 	total := 0.0
 	d.weights = d.weights[:0]
