--- a/coordination/ratelimit/dealer.go
+++ b/coordination/ratelimit/dealer.go
@@ -23,15 +23,15 @@
 	// requests, including those that this node cannot reach.
 	Nodes []NodeUsage
 	Share float64
-	// Weight returns how much of an instance's rate a node can use, relative to the other nodes.
+	// Weight returns how many requests a second a node could send to an instance. It is above 0.
 	Weight func(node string, l *Limit) float64
 }
 
 // Allocator divides the rates of limited instances among nodes by grants of single requests.
 // Fixed shares would not do: with 85 nodes, a node's share may be one request in 38 s, and all
 // nodes may send theirs at the same time. Each grant goes to a node chosen at random by
-// weight and by the grants that it holds, and is issued again if the node does not use it in time. An Allocator is safe for
-// concurrent use.
+// weight and by the grants that it holds, and is issued again if the node does not use it in
+// time. An Allocator is safe for concurrent use.
 type Allocator struct {
 	policy Policy
 	random func() float64
--- a/transport/entry/follow_test.go
+++ b/transport/entry/follow_test.go
@@ -401,7 +401,7 @@
 }
 
 // A node that starts takes the quarantine from the leader's first answer. In a system that starts for the first time
-// only standbys read it from the store: of 295 nodes each did.
+// only standbys read it from the store, since otherwise each of hundreds of nodes does so at once.
 func TestStartingNodeTakesTheQuarantineFromTheLeader(t *testing.T) {
 	const never = time.Duration(-1)
 	policy := DefaultPolicy().Node
