Log and count the use of retry budgets

The hypotheses on the retry budget could not be told apart from logs or metrics: nothing showed what a process took from its budget, of which share, and since when it runs.

--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -52,13 +52,32 @@
 func (s *SharedBudget) TryTake(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	allowed := s.bounds.Ratio * float64(s.attempts.Within(now, s.bounds.Window))
-	if s.nodes > 0 {
-		allowed += s.bounds.Slack / float64(s.nodes)
-	}
+	allowed := s.bounds.Ratio*float64(s.attempts.Within(now, s.bounds.Window)) + s.share()
 	if float64(s.retries.Within(now, s.bounds.Window)+1) > usableFraction*allowed {
 		return false
 	}
 	s.retries.Add(now, s.bounds.Window)
 	return true
 }
+
+// Usage is the state of a SharedBudget in the window that ends now.
+type Usage struct {
+	// Attempts and Retries count what this process sent, Share is its part of the slack.
+	Attempts, Retries int
+	Share             float64
+}
+
+// Usage returns the state of the budget.
+func (s *SharedBudget) Usage(now time.Time) Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Usage{Attempts: s.attempts.Within(now, s.bounds.Window), Retries: s.retries.Within(now, s.bounds.Window), Share: s.share()}
+}
+
+// share returns this node's part of the slack. s.mu is held.
+func (s *SharedBudget) share() float64 {
+	if s.nodes == 0 {
+		return 0
+	}
+	return s.bounds.Slack / float64(s.nodes)
+}
--- a/transport/entry/beliefs.go
+++ b/transport/entry/beliefs.go
@@ -16,6 +16,7 @@
 
 // loggedState is the state of dependencies and instances as the node last logged it.
 type loggedState struct {
+	budgets            map[state.ServiceName]loggedBudget
 	store, keys, ready bool
 	instances          map[state.InstanceID]loggedInstance
 	// rosterVersion and timedStates identify the state of the roster at the last comparison.
@@ -31,7 +32,7 @@
 // logStateChanges logs each loss and recovery of a dependency, and each change in the observed state of
 // instances, quarantined requests and cooldowns.
 func (n *Node) logStateChanges(ctx context.Context) {
-	b := &loggedState{instances: map[state.InstanceID]loggedInstance{}}
+	b := &loggedState{instances: map[state.InstanceID]loggedInstance{}, budgets: map[state.ServiceName]loggedBudget{}}
 	quarantined := map[quarantine.Fingerprint]time.Time{}
 	for n.sleep(ctx, n.policy.LogInterval) {
 		n.logDependency("store", &b.store, n.storeAge() < n.policy.StoreLostAfter, n.storeAge())
@@ -41,6 +42,7 @@
 		n.logInstances(b, n.clock.Now())
 		n.logQuarantine(quarantined)
 		n.logCooldowns()
+		n.logRetryBudgets(b)
 		n.sweepLimits()
 	}
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -178,6 +178,17 @@
 	return b
 }
 
+// RetryBudgets returns the state of this node's share of the retry budget of each service.
+func (g *Gateway) RetryBudgets(now time.Time) map[state.ServiceName]retry.Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	usage := make(map[state.ServiceName]retry.Usage, len(g.budgets))
+	for service, b := range g.budgets {
+		usage[service] = b.Usage(now)
+	}
+	return usage
+}
+
 // call is the state of one request in progress.
 type call struct {
 	*Gateway
