Withhold a process's share of the retry slack for one window

What callers saw: nothing of their own; a service that rejects was sent more retries than all nodes together may send (BUDGET), 460 to 690 arrivals for 437 to 520 allowed, when nodes were killed and came back within a window.

Cause: the budget of all nodes is kept in the memory of processes that live shorter than its window. A new process has an empty window and took its share of the slack once more, while the retries of the process before it still counted at the service. A process now uses its share only once all retries of its node in the window are its own; the part that follows from its own attempts it has at once.

--- a/coordination/retry/restart_test.go
+++ b/coordination/retry/restart_test.go
@@ -16,7 +16,7 @@
 			Ratio: rapid.Float64Range(0, 0.5).Draw(t, "ratio"), Slack: rapid.Float64Range(0, 200).Draw(t, "slack"), Window: 10 * time.Second,
 		}
 		now := time.Unix(1000, 0)
-		start := func() *retry.SharedBudget { return retry.NewSharedBudget(b, 0) }
+		start := func() *retry.SharedBudget { return retry.NewSharedBudget(b, 0, now) }
 		nodes := make([]*retry.SharedBudget, rapid.IntRange(1, 9).Draw(t, "nodes"))
 		for i := range nodes {
 			nodes[i] = start()
--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -20,17 +20,23 @@
 const usableFraction = 0.85
 
 // SharedBudget is one node's share of a retry budget of all nodes. It is safe for concurrent use.
+//
+// The node's part of the slack is withheld for one window after its process has started: another process
+// of the node may have used it just before, and that one's retries still count at the service.
 type SharedBudget struct {
-	mu       sync.Mutex
-	bounds   SharedBudgetConfig
-	nodes    int
-	attempts window.Counter
-	retries  window.Counter
+	mu     sync.Mutex
+	bounds SharedBudgetConfig
+	nodes  int
+	// countsSince is since when all retries of this node are counted here.
+	countsSince time.Time
+	attempts    window.Counter
+	retries     window.Counter
 }
 
-// NewSharedBudget returns the SharedBudget of one of the given number of nodes.
-func NewSharedBudget(b SharedBudgetConfig, nodes int) *SharedBudget {
-	return &SharedBudget{bounds: b, nodes: nodes}
+// NewSharedBudget returns the SharedBudget of one of the given number of nodes. countsSince is when the node's
+// process started.
+func NewSharedBudget(b SharedBudgetConfig, nodes int, countsSince time.Time) *SharedBudget {
+	return &SharedBudget{bounds: b, nodes: nodes, countsSince: countsSince}
 }
 
 // SetNodes sets the number of nodes that share the budget; 0 means unknown. The node then
@@ -52,7 +58,7 @@
 func (s *SharedBudget) TryTake(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	allowed := s.bounds.Ratio*float64(s.attempts.Within(now, s.bounds.Window)) + s.share()
+	allowed := s.bounds.Ratio*float64(s.attempts.Within(now, s.bounds.Window)) + s.share(now)
 	if float64(s.retries.Within(now, s.bounds.Window)+1) > usableFraction*allowed {
 		return false
 	}
@@ -71,12 +77,12 @@
 func (s *SharedBudget) Usage(now time.Time) Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Usage{Attempts: s.attempts.Within(now, s.bounds.Window), Retries: s.retries.Within(now, s.bounds.Window), Share: s.share()}
+	return Usage{Attempts: s.attempts.Within(now, s.bounds.Window), Retries: s.retries.Within(now, s.bounds.Window), Share: s.share(now)}
 }
 
 // share returns this node's part of the slack. s.mu is held.
-func (s *SharedBudget) share() float64 {
-	if s.nodes == 0 {
+func (s *SharedBudget) share(now time.Time) float64 {
+	if s.nodes == 0 || now.Sub(s.countsSince) < s.bounds.Window {
 		return 0
 	}
 	return s.bounds.Slack / float64(s.nodes)
--- a/coordination/retry/shared_test.go
+++ b/coordination/retry/shared_test.go
@@ -28,7 +28,7 @@
 		start := time.Unix(1000, 0)
 		nodes := make([]*retry.SharedBudget, rapid.IntRange(1, 5).Draw(t, "nodes"))
 		for i := range nodes {
-			nodes[i] = retry.NewSharedBudget(b, len(nodes))
+			nodes[i] = retry.NewSharedBudget(b, len(nodes), start.Add(-b.Window))
 		}
 		var events []event
 		now := start
@@ -72,7 +72,7 @@
 func TestBurstMayUseTheBudgetOfTheWholeWindow(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	s := retry.NewSharedBudget(retry.SharedBudgetConfig{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}, 9)
+	s := retry.NewSharedBudget(retry.SharedBudgetConfig{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}, 9, now.Add(-10*time.Second))
 	for i := range 100 {
 		s.RecordAttempt(now.Add(time.Duration(i) * 90 * time.Millisecond))
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -122,6 +122,9 @@
 	refusing      atomic.Bool
 	requestCount  atomic.Int64
 
+	// startedAt is when the process started, or when the bounds of retries last changed.
+	startedAt time.Time
+
 	mu      sync.Mutex
 	budgets map[state.ServiceName]*retry.SharedBudget
 	nodes   int
@@ -132,6 +135,7 @@
 	return &Gateway{
 		Options:       o,
 		StallDetector: newStallDetector(o.Clock, o.FailureDetector, &o.Policy),
+		startedAt:     o.Clock.Now(),
 		budgets:       map[state.ServiceName]*retry.SharedBudget{},
 	}
 }
@@ -162,7 +166,7 @@
 	if b == g.Retry {
 		return
 	}
-	g.Retry = b
+	g.Retry, g.startedAt = b, g.Clock.Now()
 	clear(g.budgets)
 }
 
@@ -172,7 +176,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = retry.NewSharedBudget(g.Retry, g.nodes)
+		b = retry.NewSharedBudget(g.Retry, g.nodes, g.startedAt)
 		g.budgets[service] = b
 	}
 	return b
