Give a process its share at once when the system starts for the first time

When the whole system starts for the first time, no process ran before that could have spent anything, so nothing is withheld.

--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -33,8 +33,8 @@
 	retries     window.Counter
 }
 
-// NewSharedBudget returns the SharedBudget of one of the given number of nodes. countsSince is when the node's
-// process started.
+// NewSharedBudget returns the SharedBudget of one of the given number of nodes. countsSince is when the
+// node's process started, or zero if no process of the node ran before.
 func NewSharedBudget(b SharedBudgetConfig, nodes int, countsSince time.Time) *SharedBudget {
 	return &SharedBudget{bounds: b, nodes: nodes, countsSince: countsSince}
 }
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -151,13 +151,22 @@
 	}
 	n.gateway = gateway.New(gateway.Options{
 		Clock: clock, Codec: ports.HeaderCodec, Catalogs: n.configState, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
-		Retry: set.Retry, Name: set.Name, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
+		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
 	})
 	n.peers = newPeers(n)
 	n.placement = newPlacementController(n)
 	return n
 }
 
+// retriesCountedSince returns since when this process counts all retries of its node: since its start, or from the
+// beginning if no process of the node can have run before.
+func (n *Node) retriesCountedSince() time.Time {
+	if n.settings.IsFirstStart {
+		return time.Time{}
+	}
+	return n.started
+}
+
 // Count implements gateway.Recorder.
 func (n *Node) Count(name string) { metrics.GetOrRegisterCounter(name, n.metrics).Inc(1) }
 
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -110,8 +110,11 @@
 	Receiver Receiver
 	Demand   *demand.Meter
 	Policy   Policy
-	// Retry bounds the retries that all nodes together send to one service.
-	Retry retry.SharedBudgetConfig
+	// Retry bounds the retries that all nodes together send to one service. CountsSince is since when the gateway
+	// counts all retries of its node: when the process started or the bounds last changed, or zero if no other
+	// process ran before.
+	Retry       retry.SharedBudgetConfig
+	CountsSince time.Time
 }
 
 // Gateway is the HTTP handler for the requests of callers.
@@ -122,9 +125,6 @@
 	refusing      atomic.Bool
 	requestCount  atomic.Int64
 
-	// startedAt is when the process started, or when the bounds of retries last changed.
-	startedAt time.Time
-
 	mu      sync.Mutex
 	budgets map[state.ServiceName]*retry.SharedBudget
 	nodes   int
@@ -135,7 +135,6 @@
 	return &Gateway{
 		Options:       o,
 		StallDetector: newStallDetector(o.Clock, o.FailureDetector, &o.Policy),
-		startedAt:     o.Clock.Now(),
 		budgets:       map[state.ServiceName]*retry.SharedBudget{},
 	}
 }
@@ -166,7 +165,7 @@
 	if b == g.Retry {
 		return
 	}
-	g.Retry, g.startedAt = b, g.Clock.Now()
+	g.Retry, g.CountsSince = b, g.Clock.Now()
 	clear(g.budgets)
 }
 
@@ -176,7 +175,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = retry.NewSharedBudget(g.Retry, g.nodes, g.startedAt)
+		b = retry.NewSharedBudget(g.Retry, g.nodes, g.CountsSince)
 		g.budgets[service] = b
 	}
 	return b
