Count what a forwarded request reached at the other node

By reading, as part of the same class (a bound of all nodes kept by fewer): a peer that gives a request back did not say what had reached its instances, so the next send of the origin counted as the first arrival and took nothing from the budget. The result of a forwarded request now carries its arrivals. Earlier builds omit the field, and then as before.

TestArrivalsAtAnotherNodeCountAsAttempts failed before: with no budget, the origin sent the request to its own instance after one at the peer had refused it.

--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -76,6 +76,8 @@
 type forwardResult struct {
 	Code    Code  `json:"code,omitempty"`
 	AfterMS int64 `json:"after,omitempty"`
+	// Arrivals counts the sends that reached an instance. Earlier builds do not report it.
+	Arrivals int `json:"arrivals,omitempty"`
 }
 
 // forwardState is the part of a call that concerns forwarding.
@@ -242,6 +244,7 @@
 			return resultUnknown
 		}
 		c.Recorder.Count("forward.refused." + string(result.Code))
+		c.arrivals += max(result.Arrivals, 0)
 		c.peerRefusal = &refusal{code: result.Code, after: time.Duration(result.AfterMS) * time.Millisecond}
 		return resultNotRun
 	}
--- a/transport/gateway/forward_test.go
+++ b/transport/gateway/forward_test.go
@@ -291,6 +291,23 @@
 	g.Expect(origin.call(http.MethodGet, "/safe/x", "", nil).status).To(Equal(http.StatusOK))
 }
 
+// An instance that refused a request at the other node has received it: sending it again is a retry.
+func TestArrivalsAtAnotherNodeCountAsAttempts(t *testing.T) {
+	g := NewWithT(t)
+	origin, peer := newForwardingPair(t)
+	origin.gateway.SetNodes(1000) // reduces this node's share of the slack to almost nothing
+	origin.addInstance("own", "plain", behaviors["answers"])
+	peer.addInstance("other", "plain", func(w http.ResponseWriter, r *http.Request) {
+		origin.peers.mu.Lock()
+		origin.peers.partitioned = false
+		origin.peers.mu.Unlock()
+		behaviors["refuses"](w, r)
+	})
+	g.Expect(origin.call(http.MethodGet, "/safe/x", "", nil).status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(peer.runLog.all()).To(HaveLen(1))
+	g.Expect(origin.runLog.all()).To(BeEmpty())
+}
+
 // A request whose response was lost at the other node may have run there, even if this node reaches instances again.
 func TestRequestLostAtAnotherNodeIsNotSentAgain(t *testing.T) {
 	for _, path := range []string{"/unsafe/x", "/once/x"} {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -217,7 +217,7 @@
 	runs  int
 	sends int
 	tried []state.InstanceID
-	// arrivals counts the sends that reached an instance, also those that it refused.
+	// arrivals counts the sends that reached an instance, also those that it refused and those of another node.
 	arrivals int
 	// demandRecorded reports whether the request counts in this node's demand.
 	demandRecorded bool
@@ -400,7 +400,7 @@
 	if refused.after > 0 {
 		c.Codec.SetRetryAfter(h, refused.after)
 	}
-	c.setForwardResult(forwardResult{Code: refused.code, AfterMS: refused.after.Milliseconds()})
+	c.setForwardResult(forwardResult{Code: refused.code, AfterMS: refused.after.Milliseconds(), Arrivals: c.arrivals})
 	h.Set("Content-Type", "text/plain")
 	c.w.WriteHeader(c.Codec.StatusCode(refused.code))
 	_, _ = io.WriteString(c.w, string(refused.code)+"\n")
