Charge the retry budget only for what reaches an instance

Hypothesis: with the share of the slack withheld after a start, callers pay for each retry that is charged without need. The service counts arrivals; this code counted sends, so a request whose connections were refused, which no instance has received, paid for its next send, and a retry that did not reach its instance was lost. Both are free now: an attempt before any arrival takes nothing, and a retry without arrival is given back.

TestAttemptAfterRefusedConnectionNeedsNoRetryBudget failed before (503 with two of three instances gone and no budget), TestReturnedRetryCanBeTakenAgain is new.

--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -66,6 +66,13 @@
 	return true
 }
 
+// Return gives back a retry that was taken at a time and reached no instance.
+func (s *SharedBudget) Return(takenAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retries.Remove(takenAt, s.bounds.Window)
+}
+
 // Usage is the state of a SharedBudget in the window that ends now.
 type Usage struct {
 	// Attempts and Retries count what this process sent, Share is its part of the slack.
--- a/coordination/retry/shared_test.go
+++ b/coordination/retry/shared_test.go
@@ -84,3 +84,15 @@
 	}
 	g.Expect(taken).To(Equal(25), "0.85 of 0.2 x 100 + 90/9")
 }
+
+func TestReturnedRetryCanBeTakenAgain(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s := retry.NewSharedBudget(retry.SharedBudgetConfig{Slack: 2, Window: 10 * time.Second}, 1, time.Time{})
+	g.Expect(s.TryTake(now)).To(BeTrue())
+	g.Expect(s.TryTake(now)).To(BeFalse())
+	s.Return(now)
+	g.Expect(s.TryTake(now.Add(time.Second))).To(BeTrue())
+	s.Return(now)
+	g.Expect(s.TryTake(now.Add(time.Second))).To(BeFalse(), "a retry is given back once")
+}
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -38,6 +38,15 @@
 	s.count++
 }
 
+// Remove takes back an event that was added at a time, unless it is older than the window.
+func (c *Counter) Remove(at time.Time, length time.Duration) {
+	n := number(at, length)
+	s := &c.spans[(n%(parts+1)+parts+1)%(parts+1)]
+	if s.number == n && s.count > 0 {
+		s.count--
+	}
+}
+
 // Within returns the number of events in the window that ends now, and in up to a part of
 // its length before.
 func (c *Counter) Within(now time.Time, length time.Duration) int {
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -122,13 +122,17 @@
 		if err != nil {
 			return nil, false
 		}
-		if c.arrivals > 0 && !c.budget.TryTake(c.Clock.Now()) {
+		takenAt, arrivals := c.Clock.Now(), c.arrivals
+		if arrivals > 0 && !c.budget.TryTake(takenAt) {
 			c.Recorder.Count("retry.no-budget")
 			c.Peers.ReleasePeer(peer, pool, forwarding.Reached)
 			return nil, false
 		}
 		c.peerDials++
 		res, err := c.forwardTo(peer)
+		if arrivals > 0 && res == resultNotRun && c.arrivals == arrivals {
+			c.budget.Return(takenAt)
+		}
 		c.Peers.ReleasePeer(peer, pool, c.peerOutcome(res, err))
 		c.Recorder.Count("forward." + string(res))
 		switch {
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -380,3 +380,20 @@
 	}
 	g.Expect(len(h.runLog.all())).To(BeNumerically("<=", 12))
 }
+
+// A service counts what reaches its instances, so that a refused connection is no attempt.
+func TestAttemptAfterRefusedConnectionNeedsNoRetryBudget(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t)
+	h.gateway.SetNodes(1000) // reduces this node's share of the slack to almost nothing
+	h.addInstance("a", "plain", respondWith("a"))
+	for _, id := range []string{"gone-1", "gone-2"} {
+		h.addInstanceAt(id, "plain", refusingAddress(t))
+	}
+	for range 20 {
+		g.Expect(h.call(http.MethodGet, "/safe/x", "", nil).status).To(Equal(http.StatusOK))
+	}
+	h.recorder.mu.Lock()
+	defer h.recorder.mu.Unlock()
+	g.Expect(h.recorder.counts["attempt.not-run"]).To(BeNumerically(">", 0))
+}
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -63,14 +63,13 @@
 		if _, held := c.Quarantine.QuarantinedUntil(c.fingerprint); c.sends > 0 && held {
 			return c.giveUp(CodeQuarantined)
 		}
-		if c.sends > 0 && !c.budget.TryTake(c.Clock.Now()) {
-			c.Recorder.Count("retry.no-budget")
-			return c.giveUp(CodeRefusedByTargets)
-		}
 		if c.headerWritten {
 			c.Recorder.Count("retry.resume")
 		}
-		res := c.attempt(target)
+		res, allowed := c.attemptWithinBudget(target)
+		if !allowed {
+			return c.giveUp(CodeRefusedByTargets)
+		}
 		c.Recorder.Count("attempt." + string(res))
 		if res == resultAnswered {
 			c.recordAnswer(target)
@@ -86,6 +85,26 @@
 	}
 }
 
+// attemptWithinBudget makes an attempt. It reports false if the retry budget does not allow it. The budget counts what
+// instances receive, so that an attempt after refused connections only is free, and one that does not reach its
+// instance is given back.
+func (c *call) attemptWithinBudget(target *dispatch.Candidate) (res attemptResult, allowed bool) {
+	if c.arrivals == 0 {
+		return c.attempt(target), true
+	}
+	takenAt, arrivals := c.Clock.Now(), c.arrivals
+	if !c.budget.TryTake(takenAt) {
+		c.Recorder.Count("retry.no-budget")
+		return resultNotRun, false
+	}
+	res = c.attempt(target)
+	if c.arrivals == arrivals {
+		c.Recorder.Count("retry.returned")
+		c.budget.Return(takenAt)
+	}
+	return res, true
+}
+
 // checkAttemptAllowed returns a refusal if the request must not be sent: the caller has
 // disconnected, the keys may be stale before the first send, or no time or sends are left.
 func (c *call) checkAttemptAllowed() *refusal {
