Read the parts of prompts and log them with lost requests

No log line told what the requests under the endings have in common. The adapter reads the IDs of a prompt's parts, and attempt-failed and request-ended name the fingerprints of those that other requests may share: all but the last, 32 at most. Nothing is decided by them yet.

--- a/coordination/quarantine/fingerprint.go
+++ b/coordination/quarantine/fingerprint.go
@@ -26,6 +26,12 @@
 // sent.
 type Fingerprint [fingerprintSize]byte
 
+// Request identifies a request: its content and the parts of its prompt that other requests may share.
+type Request struct {
+	Fingerprint Fingerprint
+	Parts       []Fingerprint
+}
+
 // Content is the part of a request that identifies it. Headers are excluded: each attempt has its
 // own id and deadline, and a resumed stream names its last event.
 type Content struct {
--- /dev/null
+++ b/coordination/quarantine/part.go
@@ -0,0 +1,32 @@
+package quarantine
+
+import (
+	"bytes"
+	"crypto/sha256"
+)
+
+// partMark begins the fingerprint of a part of a prompt, which distinguishes it from that of a request.
+const partMark = "part"
+
+// MaxParts is the maximum number of parts of one prompt that are considered.
+const MaxParts = 32
+
+// NewPartFingerprints returns the fingerprints of the parts of a prompt that other requests may share, given the IDs of
+// all parts in order. The last part belongs to the request itself or to its session. Unlike that of a request, the
+// fingerprint of a part does not depend on the caller: a part that crashes instances does so whoever sends it.
+func NewPartFingerprints(ids []string) []Fingerprint {
+	if len(ids) < 2 {
+		return nil
+	}
+	shared := ids[:min(len(ids)-1, MaxParts)]
+	list := make([]Fingerprint, len(shared))
+	for i, id := range shared {
+		hash := sha256.Sum256([]byte(id))
+		copy(list[i][:], partMark)
+		copy(list[i][len(partMark):], hash[:])
+	}
+	return list
+}
+
+// IsPart reports whether the fingerprint is that of a part of a prompt.
+func (f Fingerprint) IsPart() bool { return bytes.HasPrefix(f[:], []byte(partMark)) }
--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -191,7 +192,7 @@
 type codec struct{}
 
 func (codec) ParseRequest(h http.Header) (gateway.RequestInfo, error) {
-	return gateway.RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: 2 * time.Second}, nil
+	return gateway.RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: 2 * time.Second, PromptParts: strings.Fields(h.Get("Parts"))}, nil
 }
 func (codec) SetForwardHeaders(http.Header, gateway.ForwardInfo) {}
 func (codec) MatchesRequest(h http.Header, id string) bool       { return h.Get("Id") == id }
--- a/transport/entry/querydeath_test.go
+++ b/transport/entry/querydeath_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -120,7 +122,7 @@
 // serve answers a request, or crashes the incarnation if the request is the deadly one.
 func (c *crashingInstances) serve(w http.ResponseWriter, r *http.Request, slot int, id string, inc *incarnation) {
 	body, _ := io.ReadAll(r.Body)
-	isDeadly := string(body) == deadly
+	isDeadly := string(body) == deadly || slices.Contains(strings.Fields(r.Header.Get("Parts")), deadly)
 	if isDeadly {
 		c.recordTime(&c.sends)
 	}
@@ -203,10 +205,16 @@
 
 // post sends a request with a body to a node and returns the status code and the response body.
 func post(client *http.Client, at netip.AddrPort, id, body string) (int, string) {
+	return postWithParts(client, at, id, body, "")
+}
+
+// postWithParts sends a request as post does, with the IDs of the parts of its prompt.
+func postWithParts(client *http.Client, at netip.AddrPort, id, body, parts string) (int, string) {
 	req, _ := http.NewRequest(http.MethodPost, "http://"+at.String()+"/x", bytes.NewBufferString(body))
 	req.Host = "h"
 	req.Header.Set("Id", id)
 	req.Header.Set("Key", "k")
+	req.Header.Set("Parts", parts)
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, err.Error()
--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -24,6 +24,8 @@
 	// ID is the caller's, Fingerprint the same for all requests that ask for the same.
 	ID          string
 	Fingerprint quarantine.Fingerprint
+	// Parts are the parts of its prompt that other requests may share.
+	Parts []quarantine.Fingerprint
 }
 
 // AttemptFailed tells that an attempt was lost: its answer did not come, or broke off.
@@ -61,7 +63,7 @@
 // Fields implements log.Fielder.
 func (e *AttemptFailed) Fields() log.Fields {
 	f := log.Fields{
-		"request": e.ID, "fingerprint": e.Fingerprint, "instance": e.Instance, "group": e.Group, "epoch": e.Epoch, "what": e.What,
+		"request": e.ID, "fingerprint": e.Fingerprint, "parts": e.Parts, "instance": e.Instance, "group": e.Group, "epoch": e.Epoch, "what": e.What,
 		"ms": e.After.Milliseconds(), "held": e.Held, "event": e.LastEvent,
 	}
 	if e.Err != nil {
@@ -177,7 +179,7 @@
 
 // Fields implements log.Fielder.
 func (e *RequestEnded) Fields() log.Fields {
-	return e.fields(log.Fields{"request": e.ID, "fingerprint": e.Fingerprint, "code": e.Code, "tried": e.Tried, "begun": e.Begun, "unreachable": e.Unreachable})
+	return e.fields(log.Fields{"request": e.ID, "fingerprint": e.Fingerprint, "parts": e.Parts, "code": e.Code, "tried": e.Tried, "begun": e.Begun, "unreachable": e.Unreachable})
 }
 
 // RequestAnswered tells that a caller got the whole answer of an instance.
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -99,7 +99,7 @@
 	if c.origin != "" || c.peer != "" {
 		return false
 	}
-	if _, held := c.Quarantine.QuarantinedUntil(c.fingerprint); c.sends > 0 && held {
+	if _, held := c.Quarantine.QuarantinedUntil(c.identity.Fingerprint); c.sends > 0 && held {
 		return false
 	}
 	if c.Peers.IsPartitioned(c.service) {
@@ -319,8 +319,8 @@
 	if c.readBody() != nil {
 		return &refusal{code: CodeForwardRefused}
 	}
-	c.fingerprint = c.computeFingerprint()
-	if until, held := c.Quarantine.QuarantinedUntil(c.fingerprint); held {
+	c.identity = c.computeIdentity()
+	if until, held := c.Quarantine.QuarantinedUntil(c.identity.Fingerprint); held {
 		return &refusal{code: CodeQuarantined, after: until.Sub(c.arrivedAt)}
 	}
 	c.deadline = c.arrivedAt.Add(time.Duration(info.TimeLeftMS) * time.Millisecond)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -204,10 +204,10 @@
 	service state.ServiceName
 	model   string
 	body    []byte
-	// fingerprint identifies the content of the request. It is the same for all attempts.
-	fingerprint quarantine.Fingerprint
-	ctx         context.Context
-	arrivedAt   time.Time
+	// identity identifies the content of the request and the parts of its prompt. It is the same for all attempts.
+	identity  quarantine.Request
+	ctx       context.Context
+	arrivedAt time.Time
 	// deadline is when the time-out of the caller or of the route expires.
 	deadline time.Time
 	budget   *retry.SharedBudget
@@ -291,8 +291,8 @@
 	if refused := c.readBody(); refused != nil {
 		return refused
 	}
-	c.fingerprint = c.computeFingerprint()
-	if until, held := c.Quarantine.QuarantinedUntil(c.fingerprint); held {
+	c.identity = c.computeIdentity()
+	if until, held := c.Quarantine.QuarantinedUntil(c.identity.Fingerprint); held {
 		return &refusal{code: CodeQuarantined, after: until.Sub(c.arrivedAt)}
 	}
 	timeout := claims.Timeout
@@ -342,13 +342,13 @@
 	return !c.catalog.RequiresKeys || c.route.Public || c.Catalogs.KeysFresh()
 }
 
-// computeFingerprint returns the fingerprint of the request. The body must have been read.
-func (c *call) computeFingerprint() quarantine.Fingerprint {
+// computeIdentity returns the fingerprints of the request and of the parts of its prompt. The body must have been read.
+func (c *call) computeIdentity() quarantine.Request {
 	content := quarantine.Content{Method: c.r.Method, Host: strings.ToLower(stripPort(c.r.Host)), Target: c.r.RequestURI, Body: c.body}
 	if c.team != nil {
 		content.Caller = string(c.team.Name)
 	}
-	return quarantine.NewFingerprint(content)
+	return quarantine.Request{Fingerprint: quarantine.NewFingerprint(content), Parts: quarantine.NewPartFingerprints(c.claims.PromptParts)}
 }
 
 // bodyReadTimeout is the time-out for reading a request body.
@@ -408,7 +408,7 @@
 
 // eventRequest returns the identity of the request for the log.
 func (c *call) eventRequest() event.Request {
-	return event.Request{ID: c.claims.ID, Fingerprint: c.fingerprint}
+	return event.Request{ID: c.claims.ID, Fingerprint: c.identity.Fingerprint, Parts: c.identity.Parts}
 }
 
 // eventProgress returns the progress of the request for the log.
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -71,6 +71,9 @@
 	// caller expects. 0 means unknown.
 	PromptTokens   int
 	ResponseTokens int
+	// PromptParts are the IDs of the parts of the prompt in order, if it states any. Requests with the same part have
+	// its ID in common.
+	PromptParts []string
 	// Timeout is the caller's time-out. 0 means none.
 	Timeout time.Duration
 }
