Hold back parts of prompts that end instances

Cause: evidence was kept for a whole request only. Requests that share nothing but one part of their prompts each began at zero, and ended two instances a try.

The ledger now records interruptions for each part too (all but the last), merges and relays them like those of requests, and lets parts compete with requests for the endings: the part has more of them than each request with it, and so explains those of the sound requests beside it. What tells sound parts from the deadly one is their complete responses: a node never holds a part that it has seen answered since, and clears it for the others as soon as they may suspect it; one clearing a part is relayed, not one from each node. A part that was answered here before, or any at a node that has seen few responses, is held only after the time in which another node's clearing arrives. Parts with the same endings are held only together, and a request is held rather than its parts. Earlier builds get parts in fields that they ignore.

--- a/coordination/quarantine/doubt.go
+++ b/coordination/quarantine/doubt.go
@@ -28,11 +28,19 @@
 }
 
 // RecordInterruption records that an attempt of a request, sent at began, got no complete response because one
-// of the members may have ended.
-func (l *Ledger) RecordInterruption(f Fingerprint, members []fleet.Incarnation, began, now time.Time) {
+// of the members may have ended. It counts for the request and for each part of its prompt.
+func (l *Ledger) RecordInterruption(r Request, members []fleet.Incarnation, began, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := interruption{request: f, began: began, at: now, retried: l.interruptedJustBefore(f, began)}
+	for _, part := range r.Parts {
+		l.recordInterruption(interruption{request: part, began: began, at: now}, members)
+	}
+	l.recordInterruption(interruption{request: r.Fingerprint, began: began, at: now, retried: l.interruptedJustBefore(r.Fingerprint, began)}, members)
+}
+
+// recordInterruption records an interruption on one of the members. l.mu is held.
+func (l *Ledger) recordInterruption(b interruption, members []fleet.Incarnation) {
+	began, now := b.began, b.at
 	for _, m := range members {
 		if r := l.latestEpisode(m); r != nil && !r.endedBefore(began) {
 			if now.Sub(r.last()) < l.policy.EvidenceWindow {
@@ -45,12 +53,17 @@
 			d = &suspicion{nextProbe: now}
 			l.pending[m] = d
 		}
-		if len(d.interruptions) < l.policy.MaxRequests {
+		if len(d.interruptions) < l.policy.MaxRequests && !(b.request.IsPart() && d.contains(b.request)) {
 			d.interruptions = append(d.interruptions, b)
 		}
 	}
 }
 
+// contains reports whether an attempt of a request, or one with a part, was interrupted.
+func (d *suspicion) contains(f Fingerprint) bool {
+	return slices.ContainsFunc(d.interruptions, func(b interruption) bool { return b.request == f })
+}
+
 // interruptedJustBefore reports whether an attempt of a request was interrupted less than the
 // spacing before began. l.mu is held.
 func (l *Ledger) interruptedJustBefore(f Fingerprint, began time.Time) bool {
--- a/coordination/quarantine/history_test.go
+++ b/coordination/quarantine/history_test.go
@@ -222,7 +222,7 @@
 				left, crashed = append(left, a), true
 			case a.lost:
 			default:
-				h.ledgers[a.node].RecordComplete(a.request, h.now)
+				h.ledgers[a.node].RecordComplete(quarantine.Request{Fingerprint: a.request}, h.now)
 			}
 		}
 		w.work = left
@@ -267,7 +267,7 @@
 // interrupt records the interruption of an attempt at its node, and schedules the proof of the
 // ending.
 func (h *simulation) interrupt(a attempt, i int, in fleet.Incarnation) {
-	h.ledgers[a.node].RecordInterruption(a.request, []fleet.Incarnation{in}, a.began, h.now)
+	h.ledgers[a.node].RecordInterruption(quarantine.Request{Fingerprint: a.request}, []fleet.Incarnation{in}, a.began, h.now)
 	h.proofs = append(h.proofs, proof{a.node, i, in, h.now.Add(time.Duration(h.rng.Int64N(int64(maxProofDelay))))})
 }
 
--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/troutmast/troutmast/state"
@@ -45,8 +47,11 @@
 	// IndependentEndings counts the consecutive endings during the request that no other request accounts for.
 	// Endings that coincide count once.
 	IndependentEndings int
-	// Until is when the quarantine of the request ends; zero if it is not quarantined.
-	Until time.Time
+	// Until is when the quarantine of the request ends; zero if it is not quarantined. From is when it begins.
+	From, Until time.Time
+	// Joint holds the other parts of prompts with the same evidence. It shows only that one of them ends instances, so
+	// that requests with some of them are not held back.
+	Joint []Fingerprint
 	// Evidence holds all these endings, including those that coincide, without the other requests in
 	// progress.
 	Evidence []Ending
@@ -62,7 +67,7 @@
 }
 
 // Quarantined reports whether the request is quarantined at now.
-func (v Verdict) Quarantined(now time.Time) bool { return now.Before(v.Until) }
+func (v Verdict) Quarantined(now time.Time) bool { return !now.Before(v.From) && now.Before(v.Until) }
 
 // evaluate returns the verdicts on the requests that are to be quarantined, or may be after one
 // more ending. cleared holds the time of the last complete response to each request.
@@ -71,13 +76,14 @@
 // endings accounts for them, so that they no longer count against the requests that merely ran
 // beside it; then the next one is determined. Requests that never got a complete response come
 // first: a popular sound request is in progress on every instance that ends, and must not account
-// for the endings of a deadly one.
+// for the endings of a deadly one. Parts of prompts compete with requests that never got one: a part that ends
+// instances has more endings than each of the requests with it.
 func evaluate(endings []Ending, cleared map[Fingerprint]time.Time, policy *Policy) map[Fingerprint]Verdict {
 	h := newHistory(endings, policy.Spacing)
 	byRequest := h.suspects(cleared, max(policy.Endings-1, 1))
 	neverAnswered, onceAnswered := map[Fingerprint][]int{}, map[Fingerprint][]int{}
 	for f, list := range byRequest {
-		if _, answered := cleared[f]; answered {
+		if _, answered := cleared[f]; answered && !f.IsPart() {
 			onceAnswered[f] = list
 		} else {
 			neverAnswered[f] = list
@@ -100,8 +106,8 @@
 func (h *history) quarantineWorst(byRequest map[Fingerprint][]int, verdicts map[Fingerprint]Verdict, policy *Policy) {
 	for {
 		worst := h.worstRequests(byRequest, verdicts, policy)
-		for f, b := range worst {
-			verdicts[f] = h.quarantineVerdict(f, b, policy)
+		for _, group := range h.groupByEndings(worst) {
+			h.addGroupVerdicts(group, worst, verdicts, policy)
 		}
 		for f := range worst {
 			for _, i := range byRequest[f] {
@@ -114,6 +120,36 @@
 	}
 }
 
+// groupByEndings groups the worst requests and parts by the endings that count against them.
+func (h *history) groupByEndings(worst map[Fingerprint]evidence) [][]Fingerprint {
+	groups := map[string][]Fingerprint{}
+	for f, b := range worst {
+		var key []byte
+		for _, i := range b.counted {
+			key = strconv.AppendInt(append(key, ' '), int64(h.endingOf[i]), 10)
+		}
+		groups[string(key)] = append(groups[string(key)], f)
+	}
+	return slices.Collect(maps.Values(groups))
+}
+
+// addGroupVerdicts adds the verdicts on requests and parts with the same endings. A request is held back rather than
+// the parts of its prompt, which other requests may share.
+func (h *history) addGroupVerdicts(group []Fingerprint, worst map[Fingerprint]evidence, verdicts map[Fingerprint]Verdict, policy *Policy) {
+	hasRequest := slices.ContainsFunc(group, func(f Fingerprint) bool { return !f.IsPart() })
+	for _, f := range group {
+		if hasRequest && f.IsPart() {
+			verdicts[f] = Verdict{IndependentEndings: worst[f].independent, Evidence: h.endingsOf(f, worst[f].counted)}
+			continue
+		}
+		v := h.quarantineVerdict(f, worst[f], policy)
+		if f.IsPart() {
+			v.Joint = slices.DeleteFunc(slices.Clone(group), func(other Fingerprint) bool { return other == f })
+		}
+		verdicts[f] = v
+	}
+}
+
 // worstRequests returns the requests without a verdict that are to be quarantined and have the most
 // evidence against them. Of requests with the same number of independent endings, the one with more
 // endings in total was also in progress at endings where the others were not.
--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -31,6 +31,8 @@
 	// the most popular request were quarantined in 4 scenarios of
 	// TestRandomHistoriesQuarantineDeadlyRequest.
 	lastAnswers *lru.Cache[Fingerprint, time.Time]
+	// partAnswers is what this node knows of parts of prompts that got complete responses.
+	partAnswers partAnswers
 	// version counts the changes of endings and cleared.
 	version uint64
 	// dirty is set if endings or cleared have changed since the verdicts were computed, at
@@ -71,6 +73,7 @@
 	}
 	l.verdicts.Store(&map[Fingerprint]Verdict{})
 	l.lastAnswers = newAnswerCache(p.MaxAnswers)
+	l.partAnswers.last = newAnswerCache(p.MaxAnswers)
 	return l
 }
 
@@ -123,13 +126,19 @@
 	}
 }
 
-// RecordComplete records a complete response to a request. It clears the request if the next ending would
-// quarantine it.
-func (l *Ledger) RecordComplete(f Fingerprint, now time.Time) {
-	l.lastAnswers.Add(f, now)
-	if l.Verdict(f, now).IndependentEndings >= max(l.policy.Endings-1, 1) {
-		l.Clear(f, now)
+// RecordComplete records a complete response to a request. It clears the request, and the parts of its prompt, if the
+// next ending would quarantine them. It reports whether other nodes must know of that.
+func (l *Ledger) RecordComplete(r Request, now time.Time) (cleared bool) {
+	l.lastAnswers.Add(r.Fingerprint, now)
+	if l.Verdict(r.Fingerprint, now).IndependentEndings >= max(l.policy.Endings-1, 1) {
+		l.Clear(r.Fingerprint, now)
+		cleared = true
 	}
+	for _, part := range l.partAnswers.record(r.Parts, now) {
+		l.Clear(part, now)
+		cleared = true
+	}
+	return cleared
 }
 
 // Clear discards the endings before now as evidence against a request.
@@ -172,7 +181,10 @@
 			setIfLater(cleared, f, c.at)
 		}
 	}
+	l.shareAnswers(endings, cleared)
+	l.partAnswers.addTo(cleared)
 	verdicts := evaluate(endings, cleared, &l.policy)
+	l.delayUnsurePartVerdicts(verdicts)
 	l.verdicts.Store(&verdicts)
 	l.dirty, l.evaluatedAt = false, now
 }
@@ -207,18 +219,22 @@
 	}
 }
 
-// enforceLimits removes the oldest endings, and arbitrary clearings, beyond Policy.MaxEndings. l.mu
-// is held.
+// enforceLimits removes the oldest endings, and arbitrary clearings, beyond Policy.MaxEndings. Endings that hold a request
+// back go last, or the loss of many instances releases it. l.mu is held.
 func (l *Ledger) enforceLimits() {
+	var isEvidence map[fleet.Incarnation]bool
 	for len(l.endings) > l.policy.MaxEndings {
-		var oldest endingKey
-		var at time.Time
-		for key, r := range l.endings {
-			if last := r.last(); at.IsZero() || last.Before(at) {
-				oldest, at = key, last
+		if isEvidence == nil {
+			isEvidence = l.evidenceInUse()
+		}
+		var oldest *endingRecord
+		for _, r := range l.endings {
+			if oldest == nil || isEvidence[oldest.instance] && !isEvidence[r.instance] ||
+				isEvidence[oldest.instance] == isEvidence[r.instance] && r.last().Before(oldest.last()) {
+				oldest = r
 			}
 		}
-		delete(l.endings, oldest)
+		delete(l.endings, oldest.key())
 	}
 	for len(l.cleared) > l.policy.MaxEndings {
 		for f := range l.cleared {
@@ -227,3 +243,14 @@
 		}
 	}
 }
+
+// evidenceInUse returns the instances whose endings hold requests or parts back.
+func (l *Ledger) evidenceInUse() map[fleet.Incarnation]bool {
+	inUse := map[fleet.Incarnation]bool{}
+	for _, v := range *l.verdicts.Load() {
+		for _, e := range v.Evidence {
+			inUse[e.Instance] = inUse[e.Instance] || !v.Until.IsZero()
+		}
+	}
+	return inUse
+}
--- a/coordination/quarantine/ledger_test.go
+++ b/coordination/quarantine/ledger_test.go
@@ -34,7 +34,7 @@
 func endInstance(l *quarantine.Ledger, id string, after time.Duration, requests ...string) {
 	at := start.Add(after)
 	for _, r := range requests {
-		l.RecordInterruption(request(r), []fleet.Incarnation{instance(id)}, at.Add(-runTime), at)
+		l.RecordInterruption(quarantine.Request{Fingerprint: request(r)}, []fleet.Incarnation{instance(id)}, at.Add(-runTime), at)
 	}
 	l.RecordEnding(instance(id), at.Add(10*time.Millisecond))
 }
@@ -127,7 +127,7 @@
 			endAll := func(instances int, from time.Duration) {
 				for i := range instances {
 					in, at := fleet.Incarnation{ID: state.InstanceID(fmt.Sprint(i)), Life: c.life}, start.Add(from+time.Duration(i)*time.Second)
-					l.RecordInterruption(request("deadly"), []fleet.Incarnation{in}, at.Add(-runTime), at)
+					l.RecordInterruption(quarantine.Request{Fingerprint: request("deadly")}, []fleet.Incarnation{in}, at.Add(-runTime), at)
 					l.RecordEnding(in, at)
 					l.RecordProbeResponse(in, at.Add(500*time.Millisecond))
 				}
@@ -164,7 +164,7 @@
 			for i := range 3 {
 				in, began := instance(fmt.Sprint(i)), ended.Add(c.began)
 				ended = ended.Add(10 * time.Millisecond)
-				l.RecordInterruption(request("deadly"), []fleet.Incarnation{in}, began, ended)
+				l.RecordInterruption(quarantine.Request{Fingerprint: request("deadly")}, []fleet.Incarnation{in}, began, ended)
 				l.RecordEnding(in, ended.Add(5*time.Millisecond))
 			}
 			NewWithT(t).Expect(isQuarantined(l, "deadly", time.Second)).To(Equal(c.quarantined))
@@ -194,7 +194,7 @@
 			sender, other := quarantine.NewLedger(quarantine.DefaultPolicy()), quarantine.NewLedger(quarantine.DefaultPolicy())
 			for i, id := range []string{"a", "b", "c"} {
 				at := start.Add(time.Duration(i) * pause)
-				sender.RecordInterruption(request("deadly"), []fleet.Incarnation{instance(id)}, at.Add(-time.Millisecond), at)
+				sender.RecordInterruption(quarantine.Request{Fingerprint: request("deadly")}, []fleet.Incarnation{instance(id)}, at.Add(-time.Millisecond), at)
 				sender.RecordEnding(instance(id), at)
 			}
 			d, _ := sender.ChangesSince(0, 0)
@@ -215,7 +215,7 @@
 func TestPopularRequestDoesNotShieldDeadlyOne(t *testing.T) {
 	g := NewWithT(t)
 	l := quarantine.NewLedger(quarantine.DefaultPolicy())
-	l.RecordComplete(request("popular"), start)
+	l.RecordComplete(quarantine.Request{Fingerprint: request("popular")}, start)
 	endInstance(l, "chance", time.Second, "popular")
 	for i := range 3 {
 		endInstance(l, fmt.Sprint(i), time.Duration(2+i)*time.Second, "popular", "deadly", fmt.Sprint("beside ", i))
@@ -267,9 +267,9 @@
 		{"a hall is cut off, and each attempt is retried on the next instance that is cut off", func(l *quarantine.Ledger) {
 			for i := range 20 {
 				in, at := instance(fmt.Sprintf("i%d", i)), start.Add(time.Second+time.Duration(i)*5*time.Millisecond)
-				l.RecordInterruption(request(fmt.Sprint("beside ", i)), []fleet.Incarnation{in}, start, at)
+				l.RecordInterruption(quarantine.Request{Fingerprint: request(fmt.Sprint("beside ", i))}, []fleet.Incarnation{in}, start, at)
 				if i < 4 {
-					l.RecordInterruption(request("popular"), []fleet.Incarnation{in}, at.Add(-5*time.Millisecond), at)
+					l.RecordInterruption(quarantine.Request{Fingerprint: request("popular")}, []fleet.Incarnation{in}, at.Add(-5*time.Millisecond), at)
 				}
 				l.RecordEnding(in, at.Add(time.Millisecond))
 			}
@@ -277,7 +277,7 @@
 		{"its instances answer again after the partition", func(l *quarantine.Ledger) {
 			for i := range 4 {
 				in, at := fleet.Incarnation{ID: "i", Life: fmt.Sprint(i)}, start.Add(time.Duration(i)*time.Second)
-				l.RecordInterruption(request("popular"), []fleet.Incarnation{in}, at.Add(-runTime), at)
+				l.RecordInterruption(quarantine.Request{Fingerprint: request("popular")}, []fleet.Incarnation{in}, at.Add(-runTime), at)
 				l.RecordEnding(in, at)
 				l.RecordProbeResponse(in, start.Add(4*time.Second))
 			}
@@ -285,7 +285,7 @@
 		{"a complete response in between", func(l *quarantine.Ledger) {
 			endInstance(l, "a", time.Second, "popular")
 			endInstance(l, "b", 2*time.Second, "popular")
-			l.RecordComplete(request("popular"), start.Add(2500*time.Millisecond))
+			l.RecordComplete(quarantine.Request{Fingerprint: request("popular")}, start.Add(2500*time.Millisecond))
 			endInstance(l, "c", 3*time.Second, "popular")
 			endInstance(l, "d", 4*time.Second, "popular")
 		}},
@@ -293,7 +293,7 @@
 			for i := range 9 {
 				in := instance(fmt.Sprintf("i%d", i))
 				at := start.Add(time.Duration(i) * time.Second / 2)
-				l.RecordInterruption(request("popular"), []fleet.Incarnation{in}, at.Add(-runTime), at)
+				l.RecordInterruption(quarantine.Request{Fingerprint: request("popular")}, []fleet.Incarnation{in}, at.Add(-runTime), at)
 				l.RecordProbeResponse(in, at.Add(time.Millisecond))
 				l.RecordEnding(in, at.Add(10*time.Millisecond))
 			}
@@ -301,7 +301,7 @@
 		{"its instances ended long after it was interrupted", func(l *quarantine.Ledger) {
 			for i := range 9 {
 				in := instance(fmt.Sprintf("i%d", i))
-				l.RecordInterruption(request("popular"), []fleet.Incarnation{in}, start.Add(-2*time.Minute), start.Add(-time.Minute+time.Duration(i)*time.Second))
+				l.RecordInterruption(quarantine.Request{Fingerprint: request("popular")}, []fleet.Incarnation{in}, start.Add(-2*time.Minute), start.Add(-time.Minute+time.Duration(i)*time.Second))
 				l.RecordEnding(in, start.Add(time.Duration(i)*time.Second/2))
 			}
 		}},
@@ -441,11 +441,11 @@
 			for i := range 3 {
 				in, at := instance(fmt.Sprintf("i%d", i)), start.Add(time.Duration(i)*time.Second)
 				if c.interruptedFirst {
-					l.RecordInterruption(request("deadly"), []fleet.Incarnation{in}, at.Add(-runTime), at)
+					l.RecordInterruption(quarantine.Request{Fingerprint: request("deadly")}, []fleet.Incarnation{in}, at.Add(-runTime), at)
 				}
 				c.report(l, in, at)
 				if !c.interruptedFirst {
-					l.RecordInterruption(request("deadly"), []fleet.Incarnation{in}, at.Add(-runTime), at.Add(time.Second))
+					l.RecordInterruption(quarantine.Request{Fingerprint: request("deadly")}, []fleet.Incarnation{in}, at.Add(-runTime), at.Add(time.Second))
 				}
 			}
 			NewWithT(t).Expect(isQuarantined(l, "deadly", 5*time.Second)).To(BeTrue())
@@ -459,7 +459,7 @@
 	l := quarantine.NewLedger(p)
 	for i := range 4 * p.MaxEndings {
 		for r := range 2 * p.MaxRequests {
-			l.RecordInterruption(request(fmt.Sprint(r)), []fleet.Incarnation{instance(fmt.Sprint(i))}, start, start.Add(time.Duration(i)*time.Millisecond))
+			l.RecordInterruption(quarantine.Request{Fingerprint: request(fmt.Sprint(r))}, []fleet.Incarnation{instance(fmt.Sprint(i))}, start, start.Add(time.Duration(i)*time.Millisecond))
 		}
 		l.RecordEnding(instance(fmt.Sprint(i)), start.Add(time.Duration(i)*time.Millisecond))
 	}
--- a/coordination/quarantine/part.go
+++ b/coordination/quarantine/part.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"slices"
 )
 
 // partMark begins the fingerprint of a part of a prompt, which distinguishes it from that of a request.
@@ -30,3 +31,13 @@
 
 // IsPart reports whether the fingerprint is that of a part of a prompt.
 func (f Fingerprint) IsPart() bool { return bytes.HasPrefix(f[:], []byte(partMark)) }
+
+// containsAll reports whether a list of parts contains all of another.
+func containsAll(list, parts []Fingerprint) bool {
+	for _, part := range parts {
+		if !slices.Contains(list, part) {
+			return false
+		}
+	}
+	return true
+}
--- a/coordination/quarantine/property_test.go
+++ b/coordination/quarantine/property_test.go
@@ -73,14 +73,14 @@
 	f := request(fmt.Sprintf("r%d", rapid.IntRange(0, 4).Draw(t, "request")))
 	switch rapid.IntRange(0, 6).Draw(t, "event") {
 	case 0, 1:
-		d.nodes[node].RecordInterruption(f, []fleet.Incarnation{in}, d.now.Add(-time.Duration(rapid.IntRange(0, 300).Draw(t, "run"))*time.Millisecond), d.now)
+		d.nodes[node].RecordInterruption(quarantine.Request{Fingerprint: f}, []fleet.Incarnation{in}, d.now.Add(-time.Duration(rapid.IntRange(0, 300).Draw(t, "run"))*time.Millisecond), d.now)
 	case 2:
 		d.nodes[node].RecordEnding(in, d.now)
 	case 3:
-		d.nodes[node].RecordInterruption(f, []fleet.Incarnation{in}, d.now.Add(-time.Duration(rapid.IntRange(0, 300).Draw(t, "run"))*time.Millisecond), d.now)
+		d.nodes[node].RecordInterruption(quarantine.Request{Fingerprint: f}, []fleet.Incarnation{in}, d.now.Add(-time.Duration(rapid.IntRange(0, 300).Draw(t, "run"))*time.Millisecond), d.now)
 		d.nodes[node].RecordEnding(in, d.now)
 	case 4:
-		d.nodes[node].RecordComplete(f, d.now)
+		d.nodes[node].RecordComplete(quarantine.Request{Fingerprint: f}, d.now)
 	case 5:
 		d.nodes[node].RecordProbeResponse(in, d.now)
 	case 6:
--- a/coordination/quarantine/share.go
+++ b/coordination/quarantine/share.go
@@ -139,6 +139,9 @@
 		by = map[Source]*clearing{}
 		l.cleared[c.Request] = by
 	}
+	if c.Request.IsPart() && l.hasLaterClearing(by, &c) {
+		return
+	}
 	known := by[c.By]
 	if known == nil {
 		known = &clearing{}
@@ -150,6 +153,20 @@
 	}
 }
 
+// hasLaterClearing reports whether a clearing adds nothing to those known. Requests with a popular part are answered by
+// all nodes at all times: only one node's clearing of it is kept and relayed, and a later one once the spacing has passed.
+func (l *Ledger) hasLaterClearing(by map[Source]*clearing, c *Clearing) bool {
+	for source, known := range by {
+		if c.At.Sub(known.at) < l.policy.Spacing {
+			return true
+		}
+		if source != c.By {
+			delete(by, source)
+		}
+	}
+	return false
+}
+
 // attributeInterruptions adds the requests that were interrupted at this node on an instance that
 // another node reports as ended. An attempt that began after the ending was interrupted for another
 // reason. l.mu is held.
--- a/transport/caller/quarantine.go
+++ b/transport/caller/quarantine.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 
+	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/coordination/routing"
 	"github.com/troutmast/troutmast/state/fleet"
@@ -37,9 +38,9 @@
 func (s *Server) learn(q *request, outcome retry.Outcome, err error) {
 	switch {
 	case err == nil:
-		s.c.Quarantine.RecordComplete(q.fingerprint, s.c.Clock.Now())
+		s.c.Quarantine.RecordComplete(quarantine.Request{Fingerprint: q.fingerprint}, s.c.Clock.Now())
 	case outcome == retry.Unknown && !errors.Is(err, errCallerGone):
-		s.c.Quarantine.RecordInterruption(q.fingerprint, q.lives, q.sentAt, s.c.Clock.Now())
+		s.c.Quarantine.RecordInterruption(quarantine.Request{Fingerprint: q.fingerprint}, q.lives, q.sentAt, s.c.Clock.Now())
 		select {
 		case s.c.Doubted <- struct{}{}:
 		default:
--- a/transport/entry/endings.go
+++ b/transport/entry/endings.go
@@ -29,7 +29,7 @@
 )
 
 // RecordInterruption implements gateway.Quarantine.
-func (n *Node) RecordInterruption(f quarantine.Fingerprint, instances []fleet.Instance, began time.Time) {
+func (n *Node) RecordInterruption(r quarantine.Request, instances []fleet.Instance, began time.Time) {
 	var incarnations []fleet.Incarnation
 	for i := range instances {
 		// The members of a stalled group have just been probed. Only those that did not answer may
@@ -38,7 +38,7 @@
 			incarnations = append(incarnations, instances[i].Incarnation())
 		}
 	}
-	n.ledger.RecordInterruption(f, incarnations, began, n.clock.Now())
+	n.ledger.RecordInterruption(r, incarnations, began, n.clock.Now())
 }
 
 // RecordConnectionRefused implements gateway.Quarantine.
--- a/transport/entry/ledger.go
+++ b/transport/entry/ledger.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/quarantine"
@@ -15,6 +16,8 @@
 	AgeMS    int64                    `json:"a"`
 	Requests []quarantine.Fingerprint `json:"r"`
 	Apart    []quarantine.Fingerprint `json:"p,omitempty"`
+	// Parts are the parts of the prompts of the requests. Earlier builds ignore them: they would take each for a request.
+	Parts []quarantine.Fingerprint `json:"t,omitempty"`
 	// Episode and Back are as in quarantine.Ending.
 	Episode int  `json:"n,omitempty"`
 	Back    bool `json:"v,omitempty"`
@@ -34,6 +37,8 @@
 type LedgerReport struct {
 	Endings []EndingReport  `json:"e,omitempty"`
 	Cleared []ClearedReport `json:"c,omitempty"`
+	// ClearedParts are parts of prompts instead of requests.
+	ClearedParts []ClearedReport `json:"cp,omitempty"`
 }
 
 // newLedgerReport returns the report of the changes to a ledger, or nil if there are none.
@@ -43,16 +48,33 @@
 	}
 	r := &LedgerReport{}
 	for _, e := range d.Endings {
+		requests, parts := splitParts(e.Requests)
 		r.Endings = append(r.Endings, EndingReport{
-			Instance: e.Instance, By: e.By, AgeMS: now.Sub(e.At).Milliseconds(), Requests: e.Requests, Apart: e.Apart, Episode: e.Episode, Back: e.Back,
+			Instance: e.Instance, By: e.By, AgeMS: now.Sub(e.At).Milliseconds(), Requests: requests, Apart: e.Apart, Parts: parts, Episode: e.Episode, Back: e.Back,
 		})
 	}
 	for _, c := range d.Cleared {
-		r.Cleared = append(r.Cleared, ClearedReport{Request: c.Request, By: c.By, Number: c.Number, AgeMS: now.Sub(c.At).Milliseconds()})
+		list := &r.Cleared
+		if c.Request.IsPart() {
+			list = &r.ClearedParts
+		}
+		*list = append(*list, ClearedReport{Request: c.Request, By: c.By, Number: c.Number, AgeMS: now.Sub(c.At).Milliseconds()})
 	}
 	return r
 }
 
+// splitParts splits fingerprints into those of requests and those of parts of prompts.
+func splitParts(list []quarantine.Fingerprint) (requests, parts []quarantine.Fingerprint) {
+	for _, f := range list {
+		if f.IsPart() {
+			parts = append(parts, f)
+		} else {
+			requests = append(requests, f)
+		}
+	}
+	return requests, parts
+}
+
 // delta converts a report to changes with times by the receiver's clock, where now is the time of receipt.
 func (r *LedgerReport) delta(now time.Time) quarantine.Delta {
 	var d quarantine.Delta
@@ -62,10 +84,10 @@
 	at := func(ageMS int64) time.Time { return now.Add(-time.Duration(max(ageMS, 0)) * time.Millisecond) }
 	for _, e := range r.Endings {
 		d.Endings = append(d.Endings, quarantine.Ending{
-			Instance: e.Instance, Episode: e.Episode, By: e.By, At: at(e.AgeMS), Requests: e.Requests, Apart: e.Apart, Back: e.Back,
+			Instance: e.Instance, Episode: e.Episode, By: e.By, At: at(e.AgeMS), Requests: slices.Concat(e.Requests, e.Parts), Apart: e.Apart, Back: e.Back,
 		})
 	}
-	for _, c := range r.Cleared {
+	for _, c := range slices.Concat(r.Cleared, r.ClearedParts) {
 		d.Cleared = append(d.Cleared, quarantine.Clearing{Request: c.Request, By: c.By, Number: c.Number, At: at(c.AgeMS)})
 	}
 	return d
--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -17,19 +17,21 @@
 )
 
 // QuarantinedUntil implements gateway.Quarantine.
-func (n *Node) QuarantinedUntil(f quarantine.Fingerprint) (time.Time, bool) {
+func (n *Node) QuarantinedUntil(r quarantine.Request) (time.Time, bool) {
 	now := n.clock.Now()
-	v := n.ledger.Verdict(f, now)
+	v := n.ledger.VerdictOn(r, now)
 	return v.Until, v.Quarantined(now)
 }
 
 // IsSuspected implements gateway.Quarantine.
-func (n *Node) IsSuspected(f quarantine.Fingerprint) bool {
-	return n.ledger.Verdict(f, n.clock.Now()).IndependentEndings >= n.settings.Policy.Quarantine.Endings-1
-}
+func (n *Node) IsSuspected(r quarantine.Request) bool { return n.ledger.IsSuspected(r, n.clock.Now()) }
 
 // RecordComplete implements gateway.Quarantine.
-func (n *Node) RecordComplete(f quarantine.Fingerprint) { n.ledger.RecordComplete(f, n.clock.Now()) }
+func (n *Node) RecordComplete(r quarantine.Request) {
+	if n.ledger.RecordComplete(r, n.clock.Now()) {
+		n.requestStatusReport()
+	}
+}
 
 // Bounds of persisting the quarantine in the store.
 const (
@@ -166,7 +168,7 @@
 		quarantinedUntil[f] = v.Until
 		n.Count("quarantine.held")
 		n.log.WithFields(log.Fields{
-			"fingerprint": f, "endings": v.IndependentEndings, "instances": v.Instances(), "hold_ms": v.Until.Sub(now).Milliseconds(),
+			"fingerprint": f, "part": f.IsPart(), "joint": v.Joint, "endings": v.IndependentEndings, "instances": v.Instances(), "hold_ms": v.Until.Sub(now).Milliseconds(),
 			"last_ms": now.Sub(v.Evidence[len(v.Evidence)-1].At).Milliseconds(),
 		}).Warn("request quarantined")
 	}
--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -33,14 +33,14 @@
 	for i := range 3 {
 		in := fleet.Incarnation{ID: state.InstanceID(fmt.Sprintf("%s-i%d", n.settings.Name, i)), Life: "1"}
 		at := n.clock.Now().Add(time.Duration(i-5) * time.Second)
-		n.ledger.RecordInterruption(f, []fleet.Incarnation{in}, at.Add(-time.Second), at)
+		n.ledger.RecordInterruption(quarantine.Request{Fingerprint: f}, []fleet.Incarnation{in}, at.Add(-time.Second), at)
 		n.ledger.RecordEnding(in, at)
 	}
 }
 
 // isQuarantined reports whether a request is quarantined on a node.
 func isQuarantined(n *Node, f quarantine.Fingerprint) bool {
-	_, held := n.QuarantinedUntil(f)
+	_, held := n.QuarantinedUntil(quarantine.Request{Fingerprint: f})
 	return held
 }
 
@@ -98,7 +98,7 @@
 	for i, n := range nodes {
 		in := fleet.Incarnation{ID: state.InstanceID(fmt.Sprintf("i%d", i))}
 		at := n.clock.Now().Add(time.Duration(i-5) * time.Second)
-		n.ledger.RecordInterruption(deadlyRequest, []fleet.Incarnation{in}, at.Add(-time.Second), at)
+		n.ledger.RecordInterruption(quarantine.Request{Fingerprint: deadlyRequest}, []fleet.Incarnation{in}, at.Add(-time.Second), at)
 		n.ledger.RecordEnding(in, at)
 	}
 	for range 2 {
@@ -239,7 +239,7 @@
 			n := New(set, Ports{Decoder: anyConfiguration{}, Target: proofs{c.rep, c.err}}, clock, &log.Logger{Handler: discard.New()})
 			in := fleet.Instance{ID: "i", Born: born, Service: "lm", Address: testAddress(9)}
 			n.roster.ApplyFreshEntry(in, clock.Now())
-			n.ledger.RecordInterruption(deadlyRequest, []fleet.Incarnation{in.Incarnation()}, clock.Now().Add(-time.Second), clock.Now())
+			n.ledger.RecordInterruption(quarantine.Request{Fingerprint: deadlyRequest}, []fleet.Incarnation{in.Incarnation()}, clock.Now().Add(-time.Second), clock.Now())
 			clock.Advance(time.Millisecond)
 			n.probeAndRecord(t.Context(), in, clock.Now())
 			d, _ := n.ledger.ChangesSince(0, 0)
@@ -287,7 +287,7 @@
 				n.roster.ApplyFreshEntry(fleet.Instance{ID: state.InstanceID(id), Service: "lm", Address: testAddress(10 + i), Hall: "near", Domain: id[:1]}, clock.Now())
 			}
 			n.roster.ApplyFreshEntry(fleet.Instance{ID: "far", Service: "lm", Address: testAddress(20), Hall: "far", Domain: "c"}, clock.Now())
-			n.ledger.RecordInterruption(deadlyRequest, []fleet.Incarnation{in.Incarnation()}, clock.Now().Add(-time.Second), clock.Now())
+			n.ledger.RecordInterruption(quarantine.Request{Fingerprint: deadlyRequest}, []fleet.Incarnation{in.Incarnation()}, clock.Now().Add(-time.Second), clock.Now())
 			clock.Advance(time.Millisecond)
 			n.probeAndRecord(t.Context(), in, clock.Now())
 			d, _ := n.ledger.ChangesSince(0, 0)
@@ -350,11 +350,11 @@
 	g := NewWithT(t)
 	n := numbered(g, "a", 1)
 	for endings := range 3 {
-		g.Expect(n.IsSuspected(deadlyRequest)).To(Equal(endings == 2))
+		g.Expect(n.IsSuspected(quarantine.Request{Fingerprint: deadlyRequest})).To(Equal(endings == 2))
 		g.Expect(isQuarantined(n, deadlyRequest)).To(BeFalse())
 		in := fleet.Incarnation{ID: state.InstanceID(fmt.Sprint("i", endings)), Life: "1"}
 		at := n.clock.Now().Add(time.Duration(endings-5) * time.Second)
-		n.ledger.RecordInterruption(deadlyRequest, []fleet.Incarnation{in}, at.Add(-time.Second), at)
+		n.ledger.RecordInterruption(quarantine.Request{Fingerprint: deadlyRequest}, []fleet.Incarnation{in}, at.Add(-time.Second), at)
 		n.ledger.RecordEnding(in, at)
 		n.clock.(*clockwork.FakeClock).Advance(100 * time.Millisecond)
 	}
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -99,7 +99,7 @@
 	if c.origin != "" || c.peer != "" {
 		return false
 	}
-	if _, held := c.Quarantine.QuarantinedUntil(c.identity.Fingerprint); c.sends > 0 && held {
+	if _, held := c.Quarantine.QuarantinedUntil(c.identity); c.sends > 0 && held {
 		return false
 	}
 	if c.Peers.IsPartitioned(c.service) {
@@ -320,7 +320,7 @@
 		return &refusal{code: CodeForwardRefused}
 	}
 	c.identity = c.computeIdentity()
-	if until, held := c.Quarantine.QuarantinedUntil(c.identity.Fingerprint); held {
+	if until, held := c.Quarantine.QuarantinedUntil(c.identity); held {
 		return &refusal{code: CodeQuarantined, after: until.Sub(c.arrivedAt)}
 	}
 	c.deadline = c.arrivedAt.Add(time.Duration(info.TimeLeftMS) * time.Millisecond)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -47,15 +47,15 @@
 // Quarantine refuses requests that repeatedly end the instances that run them.
 type Quarantine interface {
 	// QuarantinedUntil returns until when a request is quarantined, and whether it is.
-	QuarantinedUntil(f quarantine.Fingerprint) (time.Time, bool)
+	QuarantinedUntil(r quarantine.Request) (time.Time, bool)
 	// IsSuspected reports whether instances ended while running a request, even if too few to
 	// quarantine it.
-	IsSuspected(f quarantine.Fingerprint) bool
+	IsSuspected(r quarantine.Request) bool
 	// RecordInterruption records that an attempt that began at a time got no complete response. One of the
 	// instances may have ended.
-	RecordInterruption(f quarantine.Fingerprint, instances []fleet.Instance, began time.Time)
+	RecordInterruption(r quarantine.Request, instances []fleet.Instance, began time.Time)
 	// RecordComplete records that a request got a complete response.
-	RecordComplete(f quarantine.Fingerprint)
+	RecordComplete(r quarantine.Request)
 	// RecordConnectionRefused records that an instance's address refused a connection.
 	RecordConnectionRefused(c *dispatch.Candidate)
 }
@@ -292,7 +292,7 @@
 		return refused
 	}
 	c.identity = c.computeIdentity()
-	if until, held := c.Quarantine.QuarantinedUntil(c.identity.Fingerprint); held {
+	if until, held := c.Quarantine.QuarantinedUntil(c.identity); held {
 		return &refusal{code: CodeQuarantined, after: until.Sub(c.arrivedAt)}
 	}
 	timeout := claims.Timeout
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -60,7 +60,7 @@
 		if c.sends == 0 && target.IsFull(c.Clock.Now()) {
 			return refusalWithRetryAfter(CodeOverloaded, c.Policy.OverloadRetryAfter)
 		}
-		if _, held := c.Quarantine.QuarantinedUntil(c.identity.Fingerprint); c.sends > 0 && held {
+		if _, held := c.Quarantine.QuarantinedUntil(c.identity); c.sends > 0 && held {
 			return c.giveUp(CodeQuarantined)
 		}
 		if c.headerWritten {
@@ -171,7 +171,7 @@
 		_, cooling := c.Backpressure.CooldownUntil(&t.Instance)
 		return cooling
 	}
-	if c.Quarantine.IsSuspected(c.identity.Fingerprint) {
+	if c.Quarantine.IsSuspected(c.identity) {
 		return c.Table.PickLeastLoaded(c.service, c.model, excluded)
 	}
 	return c.Table.Pick(c.service, c.model, c.Clock.Now(), excluded)
@@ -289,7 +289,7 @@
 		return resultCallerGone
 	}
 	cause := context.Cause(ctx)
-	c.Quarantine.RecordInterruption(c.identity.Fingerprint, possiblyEndedInstances(target, cause), sent)
+	c.Quarantine.RecordInterruption(c.identity, possiblyEndedInstances(target, cause), sent)
 	switch {
 	case errors.Is(cause, errGroupStalled):
 		c.recordFailure(target, sent, event.Stalled, err)
@@ -381,9 +381,14 @@
 		return
 	}
 	s.target.RecordCompleteResponse()
-	if resp.IsFramed() {
-		s.call.Quarantine.RecordComplete(s.call.identity.Fingerprint)
+	if !resp.IsFramed() {
+		return
+	}
+	r := s.call.identity
+	if resp.Status >= http.StatusMultipleChoices {
+		r.Parts = nil // the instance may have refused the request before it read the prompt
 	}
+	s.call.Quarantine.RecordComplete(r)
 }
 
 func (s *instanceSource) lost(ctx context.Context, err error) attemptResult {
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -130,29 +130,29 @@
 	refused          []state.InstanceID
 }
 
-func (q *fakeQuarantine) QuarantinedUntil(f quarantine.Fingerprint) (time.Time, bool) {
+func (q *fakeQuarantine) QuarantinedUntil(r quarantine.Request) (time.Time, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return time.Now().Add(time.Minute), q.held[f]
+	return time.Now().Add(time.Minute), q.held[r.Fingerprint]
 }
 
-func (q *fakeQuarantine) IsSuspected(f quarantine.Fingerprint) bool {
+func (q *fakeQuarantine) IsSuspected(r quarantine.Request) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.suspected[f]
+	return q.suspected[r.Fingerprint]
 }
 
-func (q *fakeQuarantine) RecordInterruption(f quarantine.Fingerprint, _ []fleet.Instance, _ time.Time) {
+func (q *fakeQuarantine) RecordInterruption(r quarantine.Request, _ []fleet.Instance, _ time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.broken = append(q.broken, f)
-	q.held[f] = q.held[f] || q.holdsInterrupted
+	q.broken = append(q.broken, r.Fingerprint)
+	q.held[r.Fingerprint] = q.held[r.Fingerprint] || q.holdsInterrupted
 }
 
-func (q *fakeQuarantine) RecordComplete(f quarantine.Fingerprint) {
+func (q *fakeQuarantine) RecordComplete(r quarantine.Request) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.answered = append(q.answered, f)
+	q.answered = append(q.answered, r.Fingerprint)
 }
 
 func (q *fakeQuarantine) RecordConnectionRefused(c *dispatch.Candidate) {
--- a/transport/node/lives_test.go
+++ b/transport/node/lives_test.go
@@ -39,7 +39,7 @@
 		alive := evidence.Report{Instance: id, Incarnation: "first", Phase: evidence.PhaseReady}
 		peerAsked := clock.Now()
 		clock.Advance(time.Second)
-		n.Quarantine.RecordInterruption(f, []fleet.Incarnation{{ID: id, Life: "first"}}, clock.Now().Add(-time.Millisecond), clock.Now())
+		n.Quarantine.RecordInterruption(quarantine.Request{Fingerprint: f}, []fleet.Incarnation{{ID: id, Life: "first"}}, clock.Now().Add(-time.Millisecond), clock.Now())
 		clock.Advance(time.Millisecond)
 		observe(evidence.Report{Instance: id, Phase: evidence.PhaseDown}, clock.Now())
 		observe(alive, peerAsked)
