Test deadly parts of prompts in drawn histories

9 and 85 nodes, 0.5 to 20 deadly requests a second beside 135 and 500 sound ones with popular first parts and 50 topics, one or two deadly parts, all with one topic or not, cuts of halls, and endings with no deadly part at all.

--- a/coordination/quarantine/history_test.go
+++ b/coordination/quarantine/history_test.go
@@ -48,6 +48,8 @@
 	quarantineEnabled bool
 	// partitions are the network partitions of the simulation.
 	partitions []partition
+	// prompts are the parts of the prompts of all requests.
+	prompts prompts
 	// noIncarnations is set if instances restart without reporting a new incarnation.
 	noIncarnations bool
 }
@@ -60,6 +62,9 @@
 	// refusedSound counts the attempts of sound requests that were quarantined, brokenSound those
 	// that got no response, allSound all of them.
 	refusedSound, brokenSound, allSound int
+	// refusedLate is the part of refusedSound that was sent more than twice maxPropagation after the fifth ending under a
+	// deadly part.
+	refusedLate int
 	// released counts the releases of the deadly request from quarantine, over all nodes.
 	released int
 	// nodeBytes is the traffic of the busiest node in bytes a second, sent and received, on average
@@ -71,6 +76,7 @@
 // attempt is an attempt of a request in progress on an instance.
 type attempt struct {
 	request quarantine.Fingerprint
+	parts   []quarantine.Fingerprint
 	node    int
 	began   time.Time
 	end     time.Time
@@ -104,8 +110,10 @@
 	traffic      []float64
 	proofs       []proof
 	thirdEnding  time.Time
-	soundSent    int
-	out          outcome
+	// partEndings holds the times at which instances ended under each deadly part.
+	partEndings map[quarantine.Fingerprint][]time.Time
+	soundSent   int
+	out         outcome
 }
 
 // proof is the proof of an ending that a node obtains at a time.
@@ -117,7 +125,7 @@
 
 // simulate runs a simulation.
 func simulate(s scenario, seed uint64) outcome {
-	h := &simulation{scenario: s, rng: rand.New(rand.NewPCG(seed, 1)), now: start, received: map[link]uint64{}, sent: map[link]uint64{}, quarantining: make([]bool, s.nodes), traffic: make([]float64, s.nodes)}
+	h := &simulation{scenario: s, rng: rand.New(rand.NewPCG(seed, 1)), now: start, received: map[link]uint64{}, sent: map[link]uint64{}, quarantining: make([]bool, s.nodes), partEndings: map[quarantine.Fingerprint][]time.Time{}, traffic: make([]float64, s.nodes)}
 	for range s.nodes {
 		h.ledgers = append(h.ledgers, quarantine.NewLedger(quarantine.DefaultPolicy()))
 	}
@@ -153,7 +161,7 @@
 // generateRequests generates the requests of one tick.
 func (h *simulation) generateRequests() {
 	for range h.randomCount(h.deadly) {
-		h.send(attempt{request: request("deadly"), deadly: true})
+		h.send(h.newDeadlyAttempt())
 	}
 	for range h.randomCount(h.sound) {
 		body := "popular"
@@ -161,7 +169,7 @@
 			h.soundSent++
 			body = fmt.Sprint("sound ", h.soundSent)
 		}
-		h.send(attempt{request: request(body)})
+		h.send(attempt{request: request(body), parts: h.prompts.draw(h.rng, false)})
 	}
 }
 
@@ -173,7 +181,7 @@
 	}
 	if h.isQuarantined(a) {
 		if !a.deadly {
-			h.out.refusedSound++
+			h.countRefusedSound()
 		}
 		return
 	}
@@ -182,7 +190,7 @@
 
 // isQuarantined reports whether the node of an attempt quarantines its request.
 func (h *simulation) isQuarantined(a attempt) bool {
-	return h.quarantineEnabled && h.ledgers[a.node].Verdict(a.request, h.now).Quarantined(h.now)
+	return h.quarantineEnabled && h.ledgers[a.node].VerdictOn(a.identity(), h.now).Quarantined(h.now)
 }
 
 // run sends an attempt to an instance, if the instance is up and reachable.
@@ -192,7 +200,7 @@
 	if h.now.Before(w.backAt) || !h.reaches(a.node, i) {
 		return
 	}
-	if a.deadly && !h.thirdEnding.IsZero() && h.now.Sub(h.thirdEnding) > maxPropagation && h.isConnected(a.node) {
+	if a.deadly && h.isLate(a) && h.isConnected(a.node) {
 		h.out.late++
 	}
 	a.runs++
@@ -222,7 +230,7 @@
 				left, crashed = append(left, a), true
 			case a.lost:
 			default:
-				h.ledgers[a.node].RecordComplete(quarantine.Request{Fingerprint: a.request}, h.now)
+				h.ledgers[a.node].RecordComplete(a.identity(), h.now)
 			}
 		}
 		w.work = left
@@ -247,6 +255,7 @@
 	for _, a := range interrupted {
 		h.interrupt(a, i, in)
 	}
+	h.countPartEndings(interrupted)
 	if deadly && h.thirdEnding.IsZero() && h.out.ended >= 3 {
 		h.thirdEnding = h.now
 	}
@@ -267,7 +276,7 @@
 // interrupt records the interruption of an attempt at its node, and schedules the proof of the
 // ending.
 func (h *simulation) interrupt(a attempt, i int, in fleet.Incarnation) {
-	h.ledgers[a.node].RecordInterruption(quarantine.Request{Fingerprint: a.request}, []fleet.Incarnation{in}, a.began, h.now)
+	h.ledgers[a.node].RecordInterruption(a.identity(), []fleet.Incarnation{in}, a.began, h.now)
 	h.proofs = append(h.proofs, proof{a.node, i, in, h.now.Add(time.Duration(h.rng.Int64N(int64(maxProofDelay))))})
 }
 
@@ -280,7 +289,7 @@
 		if !a.deadly {
 			h.out.brokenSound++
 		}
-		h.send(attempt{request: a.request, deadly: a.deadly, try: a.try + 1})
+		h.send(attempt{request: a.request, parts: a.parts, deadly: a.deadly, try: a.try + 1})
 	case !a.deadly:
 		h.out.brokenSound++
 	}
@@ -409,6 +418,7 @@
 
 // add adds the outcome of one simulation.
 func (t *totals) add(o outcome) {
+	t.refusedLate += o.refusedLate
 	t.histories++
 	t.ended += o.ended
 	t.late += o.late
