Require four endings to hold back a part of prompts

Hypothesis: a part is on many sound requests, so a rare one is under three endings by chance more often than a request is.

--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -157,11 +157,11 @@
 	worst := map[Fingerprint]evidence{}
 	var most evidence
 	for f, list := range byRequest {
-		if _, done := verdicts[f]; done || len(list) < policy.Endings {
+		if _, done := verdicts[f]; done || len(list) < policy.endingsToHold(f) {
 			continue
 		}
 		b := h.evidenceAgainst(f, list)
-		if b.independent < policy.Endings || b.compare(most) < 0 {
+		if b.independent < policy.endingsToHold(f) || b.compare(most) < 0 {
 			continue
 		}
 		if b.compare(most) > 0 {
@@ -178,7 +178,7 @@
 func (h *history) quarantineVerdict(f Fingerprint, b evidence, policy *Policy) Verdict {
 	v := Verdict{IndependentEndings: b.independent, Evidence: h.endingsOf(f, b.counted)}
 	hold := policy.Hold
-	for range b.independent - policy.Endings {
+	for range b.independent - policy.endingsToHold(f) {
 		hold = min(2*hold, policy.Retention)
 	}
 	v.Until = v.Evidence[len(v.Evidence)-1].At.Add(hold)
--- a/coordination/quarantine/partanswers.go
+++ b/coordination/quarantine/partanswers.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		if _, answered := l.partAnswers.last.Peek(f); isNew || answered {
-			v.From = v.Evidence[l.policy.Endings-1].At.Add(clearingDelay)
+			v.From = v.Evidence[l.policy.PartEndings-1].At.Add(clearingDelay)
 			verdicts[f] = v
 		}
 	}
@@ -139,12 +139,11 @@
 // IsSuspected reports whether the next ending would quarantine a request or a part of its prompt.
 func (l *Ledger) IsSuspected(r Request, now time.Time) bool {
 	verdicts := l.Verdicts(now)
-	enough := l.policy.Endings - 1
-	if verdicts[r.Fingerprint].IndependentEndings >= enough {
+	if verdicts[r.Fingerprint].IndependentEndings >= l.policy.Endings-1 {
 		return true
 	}
 	for _, part := range r.Parts {
-		if verdicts[part].IndependentEndings >= enough {
+		if verdicts[part].IndependentEndings >= l.policy.PartEndings-1 {
 			return true
 		}
 	}
--- a/coordination/quarantine/policy.go
+++ b/coordination/quarantine/policy.go
@@ -9,6 +9,9 @@
 	// with network partitions, connection resets and lost instances, 76 were interrupted on one
 	// instance, 4 on two, none on three.
 	Endings int `flag:"endings" help:"instances that must end in a row during a request, without a complete response in between, to quarantine it" min:"1" max:"1000"`
+	// PartEndings is the same for a part of a prompt. Many sound requests share a part, so that a rare part is more
+	// often than a request on several instances that end by chance before one of its requests is answered.
+	PartEndings int `flag:"part-endings" help:"instances that must end in a row during requests with a part of a prompt, without a complete response in between, to quarantine the part" min:"1" max:"1000"`
 	// Spacing is the time within which endings count as one: instances that end together, for
 	// example with their rack, have a common cause whatever ran on them. In simulated histories of
 	// 85 nodes with 20 deadly requests a second (BenchmarkHistories), 35 instances end with 150 ms,
@@ -42,6 +45,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Endings:            3,
+		PartEndings:        4,
 		Spacing:            150 * time.Millisecond,
 		Hold:               10 * time.Minute,
 		Retention:          time.Hour,
@@ -53,3 +57,11 @@
 		EvaluationInterval: 50 * time.Millisecond,
 	}
 }
+
+// endingsToHold returns the number of endings after which a request or a part of a prompt is quarantined.
+func (p *Policy) endingsToHold(f Fingerprint) int {
+	if f.IsPart() {
+		return p.PartEndings
+	}
+	return p.Endings
+}
