--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -360,3 +360,64 @@
 	}
 	g.Expect(isQuarantined(n, deadlyRequest)).To(BeTrue())
 }
+
+// deadlyPart is the fingerprint of a part of prompts.
+var deadlyPart = quarantine.NewPartFingerprints([]string{"deadly", "own"})[0]
+
+// recordPartEndings has a node record that instances ended while they ran different requests with a part.
+func recordPartEndings(n *Node) {
+	for i := range n.settings.Policy.Quarantine.PartEndings {
+		in := fleet.Incarnation{ID: state.InstanceID(fmt.Sprintf("%s-p%d", n.settings.Name, i)), Life: "1"}
+		at := n.clock.Now().Add(time.Duration(i-8) * time.Second)
+		r := quarantine.Request{Fingerprint: quarantine.NewFingerprint(quarantine.Content{Target: fmt.Sprint(i)}), Parts: []quarantine.Fingerprint{deadlyPart}}
+		n.ledger.RecordInterruption(r, []fleet.Incarnation{in}, at.Add(-time.Second), at)
+		n.ledger.RecordEnding(in, at)
+	}
+}
+
+// holdsPart reports whether a node holds a new request with the part back.
+func holdsPart(n *Node) bool {
+	_, held := n.QuarantinedUntil(quarantine.Request{Fingerprint: deadlyRequest, Parts: []quarantine.Fingerprint{deadlyPart}})
+	return held
+}
+
+func TestQuarantineOfPartReachesAllNodesAndSurvivesTheirLoss(t *testing.T) {
+	g := NewWithT(t)
+	leader, a, b := numbered(g, "leader", 1), numbered(g, "a", 2), numbered(g, "b", 3)
+	recordPartEndings(a)
+	exchangeReport(g, a, leader)
+	exchangeReport(g, b, leader)
+	for _, n := range []*Node{leader, a, b} {
+		g.Expect(holdsPart(n)).To(BeTrue(), n.settings.Name)
+	}
+	store := &recordStore{}
+	leader.ports.Store = store
+	now := leader.clock.Now()
+	g.Expect(leader.persistVerdict(t.Context(), deadlyPart, leader.ledger.Verdict(deadlyPart, now), now)).To(BeTrue())
+	after := numbered(g, "after", 4)
+	after.ports.Store = store
+	after.restoreQuarantine(t.Context())
+	g.Expect(holdsPart(after)).To(BeTrue())
+}
+
+// An earlier build takes each fingerprint under "r" for that of a request.
+func TestEarlierBuildsGetNoPartsAsRequests(t *testing.T) {
+	g := NewWithT(t)
+	n := numbered(g, "a", 1)
+	recordPartEndings(n)
+	n.ledger.Clear(deadlyPart, n.clock.Now())
+	d, _ := n.ledger.ChangesSince(0, 0)
+	now := n.clock.Now()
+	r := newLedgerReport(d, now)
+	g.Expect(r.Endings).NotTo(BeEmpty())
+	for _, e := range r.Endings {
+		g.Expect(e.Requests).To(HaveLen(1))
+		g.Expect(e.Requests[0].IsPart()).To(BeFalse())
+		g.Expect(e.Parts).To(Equal([]quarantine.Fingerprint{deadlyPart}))
+	}
+	g.Expect(r.Cleared).To(BeEmpty())
+	g.Expect(r.ClearedParts).To(HaveLen(1))
+	back := r.delta(now)
+	g.Expect(back.Cleared).To(HaveLen(1))
+	g.Expect(back.Endings[0].Requests).To(ContainElement(deadlyPart))
+}
