Let the leader grant retries to processes that have just started

A process that runs out now asks in its status reports, and the leader deals a tenth of the slack to such processes, in each window and 2 s, by the nodes that report to it. A leader deals nothing until what the one before it dealt has expired. The tenth comes from the 0.15 of the budget that nodes leave unused; 0.05 remain for the resolution of the windows.

--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -22,7 +22,8 @@
 // SharedBudget is one node's share of a retry budget of all nodes. It is safe for concurrent use.
 //
 // The node's part of the slack is withheld for one window after its process has started: another process
-// of the node may have used it just before, and that one's retries still count at the service.
+// of the node may have used it just before, and that one's retries still count at the service. Meanwhile the leader
+// grants the process some retries.
 type SharedBudget struct {
 	mu     sync.Mutex
 	bounds SharedBudgetConfig
@@ -31,6 +32,7 @@
 	countsSince time.Time
 	attempts    window.Counter
 	retries     window.Counter
+	granted     grantedRetries
 }
 
 // NewSharedBudget returns the SharedBudget of one of the given number of nodes. countsSince is when the
@@ -58,8 +60,8 @@
 func (s *SharedBudget) TryTake(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	allowed := s.bounds.Ratio*float64(s.attempts.Within(now, s.bounds.Window)) + s.share(now)
-	if float64(s.retries.Within(now, s.bounds.Window)+1) > usableFraction*allowed {
+	allowed := usableFraction*(s.bounds.Ratio*float64(s.attempts.Within(now, s.bounds.Window))+s.share(now)) + float64(s.granted.taken.Within(now, s.bounds.Window))
+	if float64(s.retries.Within(now, s.bounds.Window)+1) > allowed && !s.granted.take(now, s.bounds.Window) {
 		return false
 	}
 	s.retries.Add(now, s.bounds.Window)
@@ -75,22 +77,29 @@
 
 // Usage is the state of a SharedBudget in the window that ends now.
 type Usage struct {
-	// Attempts and Retries count what this process sent, Share is its part of the slack.
-	Attempts, Retries int
-	Share             float64
+	// Attempts and Retries count what this process sent, Granted those of the retries that the leader granted. Share is
+	// its part of the slack.
+	Attempts, Retries, Granted int
+	Share                      float64
 }
 
 // Usage returns the state of the budget.
 func (s *SharedBudget) Usage(now time.Time) Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Usage{Attempts: s.attempts.Within(now, s.bounds.Window), Retries: s.retries.Within(now, s.bounds.Window), Share: s.share(now)}
+	w := s.bounds.Window
+	return Usage{Attempts: s.attempts.Within(now, w), Retries: s.retries.Within(now, w), Granted: s.granted.taken.Within(now, w), Share: s.share(now)}
 }
 
 // share returns this node's part of the slack. s.mu is held.
 func (s *SharedBudget) share(now time.Time) float64 {
-	if s.nodes == 0 || now.Sub(s.countsSince) < s.bounds.Window {
+	if s.nodes == 0 || s.isWithheld(now) {
 		return 0
 	}
 	return s.bounds.Slack / float64(s.nodes)
 }
+
+// isWithheld reports whether the node's part of the slack is withheld. s.mu is held.
+func (s *SharedBudget) isWithheld(now time.Time) bool {
+	return now.Sub(s.countsSince) < s.bounds.Window
+}
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -81,6 +81,8 @@
 	// node knows of rate limits and therefore sends requests to limited instances only by grants.
 	Usage      map[state.InstanceID]ratelimit.Usage `json:"usage,omitempty"`
 	UsesGrants bool                                 `json:"by_grants,omitempty"`
+	// WantedRetries are the retries to each service that the node asks for while its share of the slack is withheld.
+	WantedRetries map[state.ServiceName]int `json:"want_retries,omitempty"`
 }
 
 // StatusAnswer is a node's response to a status report. Most of its fields are set only by the leader.
@@ -140,6 +142,8 @@
 	// PossibleNodes is the number of nodes that may be running, if it differs from the number of nodes
 	// that the sender knows.
 	PossibleNodes int `json:"possible,omitempty"`
+	// GrantedRetries are those of the wanted retries that the sender may use.
+	GrantedRetries map[state.ServiceName]int `json:"retries,omitempty"`
 }
 
 // LimitReport is an instance's last announcement of its rate limit, which applies to all nodes together.
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/pacing"
+	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/coordination/succession"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
@@ -59,6 +60,8 @@
 	leaderLimitsVersion uint64
 	allocatedAt         time.Time
 	leaderNodeCount     int
+	// retryGrants deals retries to nodes that have just started; nil if this node does not lead.
+	retryGrants *retry.Grants
 	// nodesKnown reports whether this node knows the other nodes, from the store or from a leader.
 	nodesKnown bool
 	// behindSince is when this node noticed that another one reads the store while it can't, or zero.
@@ -423,6 +426,10 @@
 	p.isLeader = leading
 	if leading && !wasLeading {
 		p.leaderSince = p.n.clock.Now()
+		p.retryGrants = retry.NewGrants(p.leaderSince)
+	}
+	if !leading {
+		p.retryGrants = nil
 	}
 	p.mu.Unlock()
 	if leading && !wasLeading {
--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -67,15 +67,39 @@
 		if leading, _ := n.peers.leadership(); !leading {
 			continue
 		}
-		now := n.clock.Now()
-		for f, v := range n.ledger.Verdicts(now) {
-			if v.Quarantined(now) && storedEndings[f] < v.IndependentEndings && n.persistVerdict(ctx, f, v, now) {
-				storedEndings[f] = v.IndependentEndings
-			}
+		n.persistVerdicts(ctx, storedEndings)
+	}
+}
+
+// persistVerdicts writes the quarantined requests that are not yet stored and removes those that were released, which a
+// new system must not hold back again. storedEndings maps the stored requests to their endings; it is updated.
+func (n *Node) persistVerdicts(ctx context.Context, storedEndings map[quarantine.Fingerprint]int) {
+	now := n.clock.Now()
+	verdicts := n.ledger.Verdicts(now)
+	for f, v := range verdicts {
+		if v.Quarantined(now) && storedEndings[f] < v.IndependentEndings && n.persistVerdict(ctx, f, v, now) {
+			storedEndings[f] = v.IndependentEndings
+		}
+	}
+	for f := range storedEndings {
+		if !verdicts[f].Quarantined(now) && n.removePersisted(ctx, f) {
+			delete(storedEndings, f)
 		}
 	}
 }
 
+// removePersisted removes a request from the store and reports whether it succeeded.
+func (n *Node) removePersisted(ctx context.Context, f quarantine.Fingerprint) bool {
+	ctx, cancel := context.WithTimeout(ctx, n.policy.StoreTimeout)
+	defer cancel()
+	if _, err := n.ports.Store.Append(ctx, source.Quarantine, f.String(), nil); err != nil {
+		n.Count("quarantine.keep-failed")
+		return false
+	}
+	n.Count("quarantine.removed")
+	return true
+}
+
 // persistVerdict writes a quarantined request to the store and reports whether it succeeded.
 func (n *Node) persistVerdict(ctx context.Context, f quarantine.Fingerprint, v quarantine.Verdict, now time.Time) bool {
 	var list []persistedEnding
--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -421,3 +421,24 @@
 	g.Expect(back.Cleared).To(HaveLen(1))
 	g.Expect(back.Endings[0].Requests).To(ContainElement(deadlyPart))
 }
+
+// A request that was released must not be held back again after all nodes were lost.
+func TestReleasedRequestIsRemovedFromTheStore(t *testing.T) {
+	g := NewWithT(t)
+	n := numbered(g, "a", 1)
+	recordPartEndings(n)
+	store := &recordStore{}
+	n.ports.Store = store
+	stored := map[quarantine.Fingerprint]int{}
+	n.persistVerdicts(t.Context(), stored)
+	g.Expect(stored).To(HaveKey(deadlyPart))
+	g.Expect(store.items).To(HaveLen(1))
+	n.ledger.Clear(deadlyPart, n.clock.Now())
+	g.Eventually(func() int {
+		n.persistVerdicts(t.Context(), stored)
+		return len(store.items)
+	}, time.Second).Should(Equal(2))
+	g.Expect(store.items[1].Key).To(Equal(deadlyPart.String()))
+	g.Expect(store.items[1].Value).To(BeEmpty())
+	g.Expect(stored).To(BeEmpty())
+}
--- a/transport/entry/retrybudget.go
+++ b/transport/entry/retrybudget.go
@@ -31,7 +31,7 @@
 		}
 		b.budgets[service] = loggedBudget{usage: u, at: now}
 		n.log.WithFields(log.Fields{
-			"service": service, "attempts": u.Attempts, "retries": u.Retries, "share": u.Share, "up_ms": now.Sub(n.started).Milliseconds(),
+			"service": service, "attempts": u.Attempts, "retries": u.Retries, "granted": u.Granted, "share": u.Share, "up_ms": now.Sub(n.started).Milliseconds(),
 		}).Info("retry budget")
 	}
 }
@@ -43,3 +43,35 @@
 	metrics.GetOrRegisterGauge(prefix+".retries", n.metrics).Update(int64(u.Retries))
 	metrics.GetOrRegisterGaugeFloat64(prefix+".share", n.metrics).Update(u.Share)
 }
+
+// grantRetries adds to an answer the retries that the leader grants the sender of a status report.
+func (p *peers) grantRetries(a *StatusAnswer, w *StatusReport, now time.Time) {
+	if len(w.WantedRetries) == 0 {
+		return
+	}
+	p.mu.Lock()
+	grants := p.retryGrants
+	reporting := 1
+	for _, h := range p.statusReports {
+		if now.Sub(h.receivedAt) < p.n.policy.NodeTimeout {
+			reporting++
+		}
+	}
+	p.mu.Unlock()
+	if grants == nil {
+		return
+	}
+	fraction := min(float64(reporting)/float64(p.possibleNodes(now)), 1)
+	for service, want := range w.WantedRetries {
+		n := grants.Deal(service, want, p.n.gateway.RetryBounds(), fraction, now)
+		if n == 0 {
+			p.n.Count("retry-grants.none-left")
+			continue
+		}
+		if a.GrantedRetries == nil {
+			a.GrantedRetries = map[state.ServiceName]int{}
+		}
+		a.GrantedRetries[service] = n
+		p.n.Count("retry-grants.dealt")
+	}
+}
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -91,6 +91,7 @@
 		w.ConfigAgeMS = ceilMS(a)
 	}
 	p.addLimits(w, now)
+	w.WantedRetries = n.gateway.WantedRetries(now)
 	return w
 }
 
@@ -217,6 +218,7 @@
 	n.setLoads(a.InProgress, a.Demand)
 	n.forwarding.SetPeers(a.Peers, n.clock.Now())
 	p.mergeLimits(a, sentAt)
+	n.gateway.GrantRetries(a.GrantedRetries, sentAt)
 }
 
 // setLoads updates the dispatch table with the requests in progress at each instance and the
@@ -269,6 +271,7 @@
 		err = errors.Join(err, p.addTotals(a, w, now), p.addNodes(a, w), p.addChanges(a, w, now))
 		n.addLedgerToAnswer(a, w, now)
 		p.addLimitsToAnswer(a, w, now)
+		p.grantRetries(a, w, now)
 	}
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -181,6 +181,42 @@
 	return b
 }
 
+// RetryBounds returns the bounds of the retries that all nodes together send to one service.
+func (g *Gateway) RetryBounds() retry.SharedBudgetConfig {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Retry
+}
+
+// WantedRetries returns how many retries to each service to ask the leader for.
+func (g *Gateway) WantedRetries(now time.Time) map[state.ServiceName]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var wanted map[state.ServiceName]int
+	for service, b := range g.budgets {
+		n := b.Wanted(now)
+		if n == 0 {
+			continue
+		}
+		if wanted == nil {
+			wanted = map[state.ServiceName]int{}
+		}
+		wanted[service] = n
+	}
+	return wanted
+}
+
+// GrantRetries records the retries that the leader granted this node, which asked for them at a time.
+func (g *Gateway) GrantRetries(granted map[state.ServiceName]int, askedAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for service, n := range granted {
+		if b := g.budgets[service]; b != nil {
+			b.Grant(n, askedAt)
+		}
+	}
+}
+
 // RetryBudgets returns the state of this node's share of the retry budget of each service.
 func (g *Gateway) RetryBudgets(now time.Time) map[state.ServiceName]retry.Usage {
 	g.mu.Lock()
