--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -434,10 +434,9 @@
 	g.Expect(stored).To(HaveKey(deadlyPart))
 	g.Expect(store.items).To(HaveLen(1))
 	n.ledger.Clear(deadlyPart, n.clock.Now())
-	g.Eventually(func() int {
-		n.persistVerdicts(t.Context(), stored)
-		return len(store.items)
-	}, time.Second).Should(Equal(2))
+	n.clock.(*clockwork.FakeClock).Advance(time.Second)
+	n.persistVerdicts(t.Context(), stored)
+	g.Expect(store.items).To(HaveLen(2))
 	g.Expect(store.items[1].Key).To(Equal(deadlyPart.String()))
 	g.Expect(store.items[1].Value).To(BeEmpty())
 	g.Expect(stored).To(BeEmpty())
