Replace clearings of parts in one place, and tell them apart

From the read of the change: the check for a later clearing also removed others, and a node whose clearing had been replaced numbered the next one from 1 again, so that a node which had missed the replacement ignored it. Clearings of a part are now merged by their time, the same one is known by its node and number, and numbers rise with the ledger's version. Drawn histories of nine nodes and the properties of exchanges pass as before.

--- a/coordination/quarantine/doubt.go
+++ b/coordination/quarantine/doubt.go
@@ -53,13 +53,14 @@
 			d = &suspicion{nextProbe: now}
 			l.pending[m] = d
 		}
-		if len(d.interruptions) < l.policy.MaxRequests && !(b.request.IsPart() && d.contains(b.request)) {
+		isKnownPart := b.request.IsPart() && d.contains(b.request)
+		if len(d.interruptions) < l.policy.MaxRequests && !isKnownPart {
 			d.interruptions = append(d.interruptions, b)
 		}
 	}
 }
 
-// contains reports whether an attempt of a request, or one with a part, was interrupted.
+// contains reports whether an attempt of a request, or of one with a part, was interrupted.
 func (d *suspicion) contains(f Fingerprint) bool {
 	return slices.ContainsFunc(d.interruptions, func(b interruption) bool { return b.request == f })
 }
--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -152,11 +152,14 @@
 // before. l.mu is held.
 func (l *Ledger) clearAt(f Fingerprint, now time.Time) {
 	number := uint64(1)
+	if f.IsPart() {
+		number = l.version + 1 // an earlier clearing may have been replaced by another node's
+	}
 	if c := l.cleared[f][l.own]; c != nil {
 		if now.Sub(c.at) < l.policy.Spacing {
 			return
 		}
-		number = c.number + 1
+		number = max(number, c.number+1)
 	}
 	l.mergeCleared(Clearing{Request: f, By: l.own, Number: number, At: now}, self)
 }
@@ -244,7 +247,7 @@
 	}
 }
 
-// evidenceInUse returns the instances whose endings hold requests or parts back.
+// evidenceInUse returns the instances whose endings hold requests or parts back, by the last verdicts.
 func (l *Ledger) evidenceInUse() map[fleet.Incarnation]bool {
 	inUse := map[fleet.Incarnation]bool{}
 	for _, v := range *l.verdicts.Load() {
--- a/coordination/quarantine/share.go
+++ b/coordination/quarantine/share.go
@@ -139,7 +139,8 @@
 		by = map[Source]*clearing{}
 		l.cleared[c.Request] = by
 	}
-	if c.Request.IsPart() && l.hasLaterClearing(by, &c) {
+	if c.Request.IsPart() {
+		l.mergeClearedPart(by, &c, from)
 		return
 	}
 	known := by[c.By]
@@ -153,18 +154,18 @@
 	}
 }
 
-// hasLaterClearing reports whether a clearing adds nothing to those known. Requests with a popular part are answered by
-// all nodes at all times: only one node's clearing of it is kept and relayed, and a later one once the spacing has passed.
-func (l *Ledger) hasLaterClearing(by map[Source]*clearing, c *Clearing) bool {
+// mergeClearedPart merges a clearing of a part of prompts. All nodes answer requests with a popular part at all times: only
+// one clearing of it is kept and relayed, and the next one once the spacing has passed. l.mu is held.
+func (l *Ledger) mergeClearedPart(by map[Source]*clearing, c *Clearing, from Source) {
 	for source, known := range by {
-		if c.At.Sub(known.at) < l.policy.Spacing {
-			return true
-		}
-		if source != c.By {
-			delete(by, source)
+		isSame := source == c.By && known.number == c.Number
+		if isSame || c.At.Sub(known.at) < l.policy.Spacing {
+			return
 		}
 	}
-	return false
+	clear(by)
+	by[c.By] = &clearing{number: c.Number, at: c.At}
+	l.markChanged(&by[c.By].change, from)
 }
 
 // attributeInterruptions adds the requests that were interrupted at this node on an instance that
