Take back a granted retry with the retry that is returned

From the read of the change: a granted retry that reached no instance stayed in the count of granted ones, and could be used for a window more, after the leader had forgotten it.

--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -73,6 +73,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retries.Remove(takenAt, s.bounds.Window)
+	s.granted.taken.Remove(takenAt, s.bounds.Window) // or a granted one could be used again after it has expired
 }
 
 // Usage is the state of a SharedBudget in the window that ends now.
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -38,7 +38,8 @@
 	CodeTargetsUnreachable Code = "targets-unreachable"
 	CodeNoTimeLeft         Code = "no-time-left"
 	CodeStopping           Code = "stopping"
-	// CodeQuarantined means that instances ended while running earlier attempts of the request.
+	// CodeQuarantined means that instances ended while running earlier attempts of the request, or requests with the same
+	// part in their prompts.
 	// It guarantees that this attempt has not run and tells when to retry. The request may be
 	// valid, so the status is not a client error.
 	CodeQuarantined Code = "quarantined"
