Let a new process inherit the retry budget of the one before it

A process that is told nothing uses 0.4 of the ratio and no share of the slack for a window, besides what the leader grants, now a tenth of the whole budget.

--- a/coordination/retry/grants.go
+++ b/coordination/retry/grants.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// grantFraction is the fraction of the slack that a leader deals to processes whose share is withheld.
+	// grantFraction is the fraction of a budget that a leader deals to processes whose part is withheld.
 	grantFraction = 0.1
 	// GrantTTL is how long after a process has asked for them granted retries may be used.
 	GrantTTL = 2 * time.Second
@@ -19,7 +19,7 @@
 	wantSpan = time.Second
 )
 
-// Grants deals a part of the slack of retry budgets to processes that have just started and are withheld their own share.
+// Grants deals a part of the retry budgets to processes that have just started and are withheld their own part.
 // It is safe for concurrent use.
 type Grants struct {
 	// since is when the node that deals became leader. What another leader dealt before may still be in use.
@@ -34,10 +34,10 @@
 	return &Grants{since: since, dealt: map[state.ServiceName]*window.Counter{}}
 }
 
-// Deal returns how many of the wanted retries to a service are granted. fraction is that of all nodes which report to
-// the leader: the others may follow another one, which deals the rest.
-func (g *Grants) Deal(service state.ServiceName, want int, b SharedBudgetConfig, fraction float64, now time.Time) int {
-	span := b.Window + GrantTTL
+// Deal returns how many of the wanted retries to a service are granted. budget is what all nodes that report to the
+// leader may send in a window: other nodes may follow another leader, which deals the rest.
+func (g *Grants) Deal(service state.ServiceName, want int, budget float64, length time.Duration, now time.Time) int {
+	span := length + GrantTTL
 	if now.Sub(g.since) < span {
 		return 0
 	}
@@ -48,7 +48,7 @@
 		c = &window.Counter{}
 		g.dealt[service] = c
 	}
-	left := int(grantFraction*b.Slack*fraction) - c.Within(now, span)
+	left := int(grantFraction*budget) - c.Within(now, span)
 	n := max(min(want, maxWanted, left), 0)
 	for range n {
 		c.Add(now, span)
@@ -79,7 +79,7 @@
 	return true
 }
 
-// Wanted returns how many retries to ask the leader for: none once the node has its share, or while it has some left.
+// Wanted returns how many retries to ask the leader for: none once the node has its part, or while it has some left.
 func (s *SharedBudget) Wanted(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -19,11 +19,15 @@
 // for the error of nodes that count independently of each other.
 const usableFraction = 0.85
 
+// newProcessFraction is the fraction of Ratio that a process uses while it does not know what the one before it used: that
+// one may have just spent what it had saved since before the window.
+const newProcessFraction = 0.4
+
 // SharedBudget is one node's share of a retry budget of all nodes. It is safe for concurrent use.
 //
-// The node's part of the slack is withheld for one window after its process has started: another process
-// of the node may have used it just before, and that one's retries still count at the service. Meanwhile the leader
-// grants the process some retries.
+// The node's part is withheld for one window after its process has started: the process before it may have used it, and
+// that one's retries still count at the service. Meanwhile the process inherits what is known of the one before, or
+// the leader grants it some retries.
 type SharedBudget struct {
 	mu     sync.Mutex
 	bounds SharedBudgetConfig
@@ -60,7 +64,11 @@
 func (s *SharedBudget) TryTake(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	allowed := usableFraction*(s.bounds.Ratio*float64(s.attempts.Within(now, s.bounds.Window))+s.share(now)) + float64(s.granted.taken.Within(now, s.bounds.Window))
+	ratio := s.bounds.Ratio
+	if s.isWithheld(now) {
+		ratio *= newProcessFraction
+	}
+	allowed := usableFraction*(ratio*float64(s.attempts.Within(now, s.bounds.Window))+s.share(now)) + float64(s.granted.taken.Within(now, s.bounds.Window))
 	if float64(s.retries.Within(now, s.bounds.Window)+1) > allowed && !s.granted.take(now, s.bounds.Window) {
 		return false
 	}
@@ -100,7 +108,38 @@
 	return s.bounds.Slack / float64(s.nodes)
 }
 
-// isWithheld reports whether the node's part of the slack is withheld. s.mu is held.
+// Inherit adds what another process of the node had used at a time, which this one goes on counting.
+func (s *SharedBudget) Inherit(u Usage, at, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isWithheld(now) {
+		return
+	}
+	s.countsSince = time.Time{}
+	for range u.Retries {
+		s.addPast(&s.retries, at, now)
+	}
+	// The attempts were spread over the window before.
+	for range u.Attempts {
+		s.addPast(&s.attempts, at.Add(-s.bounds.Window/2), now)
+	}
+}
+
+// addPast adds an event at a past time, unless it is out of the window. s.mu is held.
+func (s *SharedBudget) addPast(c *window.Counter, at, now time.Time) {
+	if now.Sub(at) < s.bounds.Window {
+		c.Add(at, s.bounds.Window)
+	}
+}
+
+// IsWithheld reports whether the node's part of the budget is withheld.
+func (s *SharedBudget) IsWithheld(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isWithheld(now)
+}
+
+// isWithheld reports whether the node's part of the budget is withheld. s.mu is held.
 func (s *SharedBudget) isWithheld(now time.Time) bool {
 	return now.Sub(s.countsSince) < s.bounds.Window
 }
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -81,7 +81,13 @@
 	// node knows of rate limits and therefore sends requests to limited instances only by grants.
 	Usage      map[state.InstanceID]ratelimit.Usage `json:"usage,omitempty"`
 	UsesGrants bool                                 `json:"by_grants,omitempty"`
-	// WantedRetries are the retries to each service that the node asks for while its share of the slack is withheld.
+	// Process identifies the process of the node. Earlier builds name none.
+	Process int64 `json:"process,omitempty"`
+	// RetryUse is what the process has used of the retry budget of each service with retries in the current window.
+	RetryUse map[state.ServiceName]RetryUse `json:"retry_use,omitempty"`
+	// AwaitsRetries reports whether the process knows nothing of the one before it, so that its part of the retry budgets
+	// is withheld. WantedRetries are the retries to each service that it asks for meanwhile.
+	AwaitsRetries bool                      `json:"awaits_retries,omitempty"`
 	WantedRetries map[state.ServiceName]int `json:"want_retries,omitempty"`
 }
 
@@ -144,6 +150,20 @@
 	PossibleNodes int `json:"possible,omitempty"`
 	// GrantedRetries are those of the wanted retries that the sender may use.
 	GrantedRetries map[state.ServiceName]int `json:"retries,omitempty"`
+	// Predecessor is what the process of the sender's node before this one had used of the retry budgets.
+	Predecessor *PredecessorReport `json:"predecessor,omitempty"`
+}
+
+// RetryUse is what a process has used of the retry budget of a service in one window.
+type RetryUse struct {
+	Attempts int `json:"a"`
+	Retries  int `json:"r"`
+}
+
+// PredecessorReport is the last report of a process that has ended.
+type PredecessorReport struct {
+	RetryUse map[state.ServiceName]RetryUse `json:"u,omitempty"`
+	AgeMS    int64                          `json:"a"`
 }
 
 // LimitReport is an instance's last announcement of its rate limit, which applies to all nodes together.
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -73,6 +74,8 @@
 	leaderLoad  leaderLoad
 	feed        feed
 	started     time.Time
+	// process identifies this process in status reports.
+	process int64
 
 	// incarnationNumber identifies this incarnation of the node: the offset of its first entry in the store, plus one.
 	incarnationNumber atomic.Int64
@@ -140,6 +143,7 @@
 		rateAllocator:    ratelimit.NewAllocator(set.Policy.RateLimit, rand.Float64),
 		log:              logger,
 		started:          clock.Now(),
+		process:          1 + rand.Int64N(math.MaxInt64),
 		rebuildRequested: make(chan struct{}, 1),
 		statusRequested:  make(chan struct{}, 1),
 		listRequested:    make(chan struct{}, 1),
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -60,6 +60,8 @@
 	leaderLimitsVersion uint64
 	allocatedAt         time.Time
 	leaderNodeCount     int
+	// retryUse is what the processes of each node last reported of their retry budgets, by the node's name.
+	retryUse map[string]*nodeRetryUse
 	// retryGrants deals retries to nodes that have just started; nil if this node does not lead.
 	retryGrants *retry.Grants
 	// nodesKnown reports whether this node knows the other nodes, from the store or from a leader.
@@ -99,6 +101,7 @@
 		backoffUntil:  map[string]time.Time{},
 		statusReports: map[string]receivedReport{},
 		greetedAt:     map[string]time.Time{},
+		retryUse:      map[string]*nodeRetryUse{},
 		clients:       map[string]*connect.Client[StatusReport, StatusAnswer]{},
 	}
 }
--- a/transport/entry/retrybudget.go
+++ b/transport/entry/retrybudget.go
@@ -44,6 +44,83 @@
 	metrics.GetOrRegisterGaugeFloat64(prefix+".share", n.metrics).Update(u.Share)
 }
 
+// processRetryUse is what a process last reported of its retry budgets, and when.
+type processRetryUse struct {
+	process int64
+	use     map[state.ServiceName]RetryUse
+	at      time.Time
+}
+
+// nodeRetryUse is what the current process of a node and the one before it last reported.
+type nodeRetryUse struct{ current, previous processRetryUse }
+
+// addRetryUse adds to a status report what this process has used of its retry budgets, and what it asks for.
+func (p *peers) addRetryUse(w *StatusReport, now time.Time) {
+	g := p.n.gateway
+	w.Process = p.n.process
+	for service, u := range g.RetryBudgets(now) {
+		if u.Retries == 0 {
+			continue
+		}
+		if w.RetryUse == nil {
+			w.RetryUse = map[state.ServiceName]RetryUse{}
+		}
+		w.RetryUse[service] = RetryUse{Attempts: u.Attempts, Retries: u.Retries}
+	}
+	w.AwaitsRetries = g.IsRetryWithheld(now)
+	w.WantedRetries = g.WantedRetries(now)
+}
+
+// recordRetryUse records what a process has used of its retry budgets. p.mu is held.
+func (p *peers) recordRetryUse(w *StatusReport, now time.Time) {
+	u := p.retryUse[w.From.Name]
+	if u == nil {
+		u = &nodeRetryUse{}
+		p.retryUse[w.From.Name] = u
+	}
+	if w.Process == u.previous.process && w.Process != 0 {
+		return // a late report
+	}
+	if u.current.process != w.Process {
+		u.previous = u.current
+	}
+	u.current = processRetryUse{process: w.Process, use: w.RetryUse, at: now}
+}
+
+// addPredecessor adds to an answer what the process before the sender's had used of its retry budgets. Only a leader to
+// which that process reported within the last window knows it: it may have reported to another one since.
+func (p *peers) addPredecessor(a *StatusAnswer, w *StatusReport, now time.Time) {
+	if !w.AwaitsRetries {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.retryUse[w.From.Name]
+	if u == nil || u.previous.process == 0 || !p.isLeader || u.previous.at.Before(p.leaderSince) {
+		return
+	}
+	age := now.Sub(u.previous.at)
+	if age >= p.n.gateway.RetryBounds().Window {
+		return
+	}
+	a.Predecessor = &PredecessorReport{RetryUse: u.previous.use, AgeMS: age.Milliseconds()}
+	p.n.Count("retry-use.told")
+}
+
+// inheritRetries goes on counting what the process of this node before this one had used of its retry budgets.
+func (n *Node) inheritRetries(r *PredecessorReport) {
+	now := n.clock.Now()
+	if r == nil || !n.gateway.IsRetryWithheld(now) {
+		return
+	}
+	used := make(map[state.ServiceName]retry.Usage, len(r.RetryUse))
+	for service, u := range r.RetryUse {
+		used[service] = retry.Usage{Attempts: u.Attempts, Retries: u.Retries}
+	}
+	n.gateway.InheritRetries(used, now.Add(-time.Duration(r.AgeMS)*time.Millisecond), now)
+	n.log.WithFields(log.Fields{"used": r.RetryUse, "age_ms": r.AgeMS}).Info("retry budgets inherited")
+}
+
 // grantRetries adds to an answer the retries that the leader grants the sender of a status report.
 func (p *peers) grantRetries(a *StatusAnswer, w *StatusReport, now time.Time) {
 	if len(w.WantedRetries) == 0 {
@@ -62,8 +139,10 @@
 		return
 	}
 	fraction := min(float64(reporting)/float64(p.possibleNodes(now)), 1)
+	bounds := p.n.gateway.RetryBounds()
 	for service, want := range w.WantedRetries {
-		n := grants.Deal(service, want, p.n.gateway.RetryBounds(), fraction, now)
+		budget := bounds.Slack*fraction + bounds.Ratio*p.requestRate(service)*bounds.Window.Seconds()
+		n := grants.Deal(service, want, budget, bounds.Window, now)
 		if n == 0 {
 			p.n.Count("retry-grants.none-left")
 			continue
@@ -75,3 +154,15 @@
 		p.n.Count("retry-grants.dealt")
 	}
 }
+
+// requestRate returns the requests per second for a service at all nodes that report to the leader.
+func (p *peers) requestRate(service state.ServiceName) float64 {
+	_, flows := p.totals()
+	var rate float64
+	for i := range flows {
+		if flows[i].Service == service {
+			rate += flows[i].Requests
+		}
+	}
+	return rate
+}
--- a/transport/entry/retrybudget_test.go
+++ b/transport/entry/retrybudget_test.go
@@ -37,3 +37,74 @@
 		})
 	}
 }
+
+// reportOf returns a status report of a process of node "b".
+func reportOf(process int64, awaits bool, retries int) *StatusReport {
+	w := &StatusReport{From: NodeEntry{Name: "b", Address: "127.0.0.1:9"}, Process: process, AwaitsRetries: awaits}
+	if retries > 0 {
+		w.RetryUse = map[state.ServiceName]RetryUse{"s": {Attempts: 100, Retries: retries}}
+	}
+	return w
+}
+
+// Only the leader that the ended process reported to knows what it had used.
+func TestLeaderTellsNewProcessWhatThePreviousOneUsed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reports []*StatusReport
+		// ledFor is how long the node has led, in place of an hour.
+		ledFor time.Duration
+		after  time.Duration
+		told   bool
+	}{
+		{"a process that ended just before", []*StatusReport{reportOf(1, false, 7), reportOf(2, true, 0)}, time.Hour, time.Second, true},
+		{"a late report of the ended process", []*StatusReport{reportOf(1, false, 7), reportOf(2, true, 0), reportOf(1, false, 7), reportOf(2, true, 0)}, time.Hour, time.Second, true},
+		{"a process that ended long before", []*StatusReport{reportOf(1, false, 7), reportOf(2, true, 0)}, time.Hour, 11 * time.Second, false},
+		{"a leader that took over since", []*StatusReport{reportOf(1, false, 7), reportOf(2, true, 0)}, 500 * time.Millisecond, time.Second, false},
+		{"a process of an earlier build", []*StatusReport{reportOf(0, false, 0), reportOf(2, true, 0)}, time.Hour, time.Second, false},
+		{"no process before", []*StatusReport{reportOf(2, true, 0)}, time.Hour, time.Second, false},
+		{"a process that knows", []*StatusReport{reportOf(1, false, 7), reportOf(2, false, 0)}, time.Hour, time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := numbered(g, "leader", 1)
+			n.gateway.SetRetryBounds(retry.SharedBudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second})
+			now := n.clock.Now()
+			n.peers.setLeader(true)
+			n.peers.leaderSince = now.Add(-c.ledFor)
+			var a StatusAnswer
+			for i, w := range c.reports {
+				at := now
+				if i == 0 && len(c.reports) > 1 {
+					at = now.Add(-c.after)
+				}
+				a = StatusAnswer{}
+				n.peers.mu.Lock()
+				n.peers.recordRetryUse(w, at)
+				n.peers.mu.Unlock()
+				n.peers.addPredecessor(&a, w, at)
+			}
+			if !c.told {
+				g.Expect(a.Predecessor).To(BeNil())
+				return
+			}
+			g.Expect(a.Predecessor.RetryUse["s"].Retries).To(Equal(7))
+			g.Expect(a.Predecessor.AgeMS).To(Equal(c.after.Milliseconds()))
+		})
+	}
+}
+
+func TestNewProcessInheritsTheRetryBudget(t *testing.T) {
+	g := NewWithT(t)
+	n := numbered(g, "b", 2)
+	now := n.clock.Now()
+	n.gateway.SetRetryBounds(retry.SharedBudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second})
+	w := n.peers.statusReport()
+	g.Expect(w.AwaitsRetries).To(BeTrue())
+	g.Expect(w.Process).NotTo(BeZero())
+	n.inheritRetries(&PredecessorReport{RetryUse: map[state.ServiceName]RetryUse{"s": {Attempts: 100, Retries: 7}}, AgeMS: 1000})
+	w = n.peers.statusReport()
+	g.Expect(w.AwaitsRetries).To(BeFalse())
+	g.Expect(w.RetryUse["s"].Retries).To(Equal(7), "the next process inherits it, too")
+	g.Expect(n.gateway.RetryBudgets(now)["s"].Attempts).To(Equal(100))
+}
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -91,7 +91,7 @@
 		w.ConfigAgeMS = ceilMS(a)
 	}
 	p.addLimits(w, now)
-	w.WantedRetries = n.gateway.WantedRetries(now)
+	p.addRetryUse(w, now)
 	return w
 }
 
@@ -219,6 +219,7 @@
 	n.forwarding.SetPeers(a.Peers, n.clock.Now())
 	p.mergeLimits(a, sentAt)
 	n.gateway.GrantRetries(a.GrantedRetries, sentAt)
+	n.inheritRetries(a.Predecessor)
 }
 
 // setLoads updates the dispatch table with the requests in progress at each instance and the
@@ -252,6 +253,7 @@
 	p.statusReports[w.From.Name] = receivedReport{report: *w, receivedAt: now}
 	p.lastContact[w.From.Address] = now
 	p.hasRequests = p.hasRequests || w.HasRequests
+	p.recordRetryUse(w, now)
 	a := &StatusAnswer{CanLead: p.canLead(now), Protocol: protocolVersion, Era: n.eras.current()}
 	p.mu.Unlock()
 	n.applyConfig(w.Config, "peer")
@@ -272,6 +274,7 @@
 		n.addLedgerToAnswer(a, w, now)
 		p.addLimitsToAnswer(a, w, now)
 		p.grantRetries(a, w, now)
+		p.addPredecessor(a, w, now)
 	}
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -217,6 +217,26 @@
 	}
 }
 
+// IsRetryWithheld reports whether this node's part of the retry budgets is withheld.
+func (g *Gateway) IsRetryWithheld(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return now.Sub(g.CountsSince) < g.Retry.Window
+}
+
+// InheritRetries records what the process of this node before this one had used of its retry budgets at a time.
+func (g *Gateway) InheritRetries(used map[state.ServiceName]retry.Usage, at, now time.Time) {
+	for service := range used {
+		g.budget(service)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for service, b := range g.budgets {
+		b.Inherit(used[service], at, now)
+	}
+	g.CountsSince = time.Time{}
+}
+
 // RetryBudgets returns the state of this node's share of the retry budget of each service.
 func (g *Gateway) RetryBudgets(now time.Time) map[state.ServiceName]retry.Usage {
 	g.mu.Lock()
