--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -26,8 +26,8 @@
 // SharedBudget is one node's share of a retry budget of all nodes. It is safe for concurrent use.
 //
 // The node's part is withheld for one window after its process has started: the process before it may have used it, and
-// that one's retries still count at the service. Meanwhile the process inherits what is known of the one before, or
-// the leader grants it some retries.
+// that one's retries still count at the service. Meanwhile the process inherits the count of the one before, or the
+// leader grants it some retries.
 type SharedBudget struct {
 	mu     sync.Mutex
 	bounds SharedBudgetConfig
@@ -108,7 +108,7 @@
 	return s.bounds.Slack / float64(s.nodes)
 }
 
-// Inherit adds what another process of the node had used at a time, which this one goes on counting.
+// Inherit adds what the previous process of the node had used at a time, so that this one continues its count.
 func (s *SharedBudget) Inherit(u Usage, at, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/transport/entry/retrybudget.go
+++ b/transport/entry/retrybudget.go
@@ -107,7 +107,7 @@
 	p.n.Count("retry-use.told")
 }
 
-// inheritRetries goes on counting what the process of this node before this one had used of its retry budgets.
+// inheritRetries continues the count of the retry budgets that the previous process of this node had reported.
 func (n *Node) inheritRetries(r *PredecessorReport) {
 	now := n.clock.Now()
 	if r == nil || !n.gateway.IsRetryWithheld(now) {
--- /dev/null
+++ b/transport/gateway/retrybudget.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/retry"
+	"github.com/troutmast/troutmast/state"
+)
+
+// SetNodes sets the number of nodes that share the retry budgets. 0 means unknown.
+func (g *Gateway) SetNodes(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nodes = n
+	for _, b := range g.budgets {
+		b.SetNodes(n)
+	}
+}
+
+// SetRetryBounds sets the bounds of retries. New bounds reset all retry budgets.
+func (g *Gateway) SetRetryBounds(b retry.SharedBudgetConfig) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if b == g.Retry {
+		return
+	}
+	g.Retry, g.CountsSince = b, g.Clock.Now()
+	clear(g.budgets)
+}
+
+// budget returns this node's share of the retry budget of a service.
+func (g *Gateway) budget(service state.ServiceName) *retry.SharedBudget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[service]
+	if b == nil {
+		b = retry.NewSharedBudget(g.Retry, g.nodes, g.CountsSince)
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// RetryBounds returns the bounds of the retries that all nodes together send to one service.
+func (g *Gateway) RetryBounds() retry.SharedBudgetConfig {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Retry
+}
+
+// WantedRetries returns how many retries to each service to ask the leader for.
+func (g *Gateway) WantedRetries(now time.Time) map[state.ServiceName]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var wanted map[state.ServiceName]int
+	for service, b := range g.budgets {
+		n := b.Wanted(now)
+		if n == 0 {
+			continue
+		}
+		if wanted == nil {
+			wanted = map[state.ServiceName]int{}
+		}
+		wanted[service] = n
+	}
+	return wanted
+}
+
+// GrantRetries records the retries that the leader granted this node, which asked for them at a time.
+func (g *Gateway) GrantRetries(granted map[state.ServiceName]int, askedAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for service, n := range granted {
+		if b := g.budgets[service]; b != nil {
+			b.Grant(n, askedAt)
+		}
+	}
+}
+
+// IsRetryWithheld reports whether this node's part of the retry budgets is withheld.
+func (g *Gateway) IsRetryWithheld(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return now.Sub(g.CountsSince) < g.Retry.Window
+}
+
+// InheritRetries records what the process of this node before this one had used of its retry budgets at a time.
+func (g *Gateway) InheritRetries(used map[state.ServiceName]retry.Usage, at, now time.Time) {
+	for service := range used {
+		g.budget(service)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for service, b := range g.budgets {
+		b.Inherit(used[service], at, now)
+	}
+	g.CountsSince = time.Time{}
+}
+
+// RetryBudgets returns the state of this node's share of the retry budget of each service.
+func (g *Gateway) RetryBudgets(now time.Time) map[state.ServiceName]retry.Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	usage := make(map[state.ServiceName]retry.Usage, len(g.budgets))
+	for service, b := range g.budgets {
+		usage[service] = b.Usage(now)
+	}
+	return usage
+}
