--- /dev/null
+++ b/transport/gateway/unframed_test.go
@@ -0,0 +1,72 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// respondUnframed responds with a body that has neither a length nor chunks, and ends it by closing the connection.
+func respondUnframed(w http.ResponseWriter, contentType, body string) {
+	head := "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: " + contentType + "\r\nId: " + w.Header().Get("Id") + "\r\nSeal: " + w.Header().Get("Seal") + "\r\n\r\n"
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = buf.WriteString(head + body)
+	_ = buf.Flush()
+	_ = conn.Close()
+}
+
+// events returns the events of a stream from one ID to another.
+func events(from, to int) string {
+	text := ""
+	for i := from; i <= to; i++ {
+		text += fmt.Sprintf("id: %d\ndata: x%d\n\n", i, i)
+	}
+	return text
+}
+
+// The end of the connection ends such a stream; it has been broken off if that is inside an event.
+func TestStreamWithoutLengthEndsWithItsConnection(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first string
+		runs  int
+	}{
+		{"after an event", events(1, 6), 1},
+		{"inside an event", events(1, 3) + "id: 4\nda", 2},
+		{"after the first line of an event", events(1, 5) + "id: 6\n", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t)
+			for _, id := range []string{"a", "b"} {
+				h.addInstance(id, "lm", func(w http.ResponseWriter, r *http.Request) {
+					if last, _ := strconv.Atoi(r.Header.Get("Last")); last > 0 {
+						respondUnframed(w, "text/event-stream", events(last+1, 6))
+						return
+					}
+					respondUnframed(w, "text/event-stream", c.first)
+				})
+			}
+			a := h.call(http.MethodPost, "/stream/", "x", nil)
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.body).To(Equal(events(1, 6)))
+			g.Expect(h.runLog.all()).To(HaveLen(c.runs))
+		})
+	}
+}
+
+func TestResponseWithoutLengthIsForwardedWhole(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t)
+	h.addInstance("a", "plain", func(w http.ResponseWriter, _ *http.Request) { respondUnframed(w, "text/plain", "whole") })
+	a := h.call(http.MethodGet, "/safe/x", "", nil)
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.status).To(Equal(http.StatusOK))
+	g.Expect(a.body).To(Equal("whole"))
+}
