Let no sound part of prompts stand for the deadly one

Cause: sound parts that are in progress on every instance that ends have as many endings as the deadly one, or one more while a report is on its way. They then account for its endings, which releases it; and while held they get no response that could clear them.

Change: parts that got a response before are judged after those that never did; a verdict in force is kept for 3 s, in which all nodes learn the same endings; the leader lets one request with held parts through: after 1 s while two fifths of the requests are held, after 30 s otherwise, two at most that end an instance, one at a time.

A deadly part in two fifths of the requests costs up to two more endings.

--- a/coordination/quarantine/doubt.go
+++ b/coordination/quarantine/doubt.go
@@ -32,6 +32,7 @@
 func (l *Ledger) RecordInterruption(r Request, members []fleet.Incarnation, began, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.trials.recordInterruption(r.Parts, now)
 	for _, part := range r.Parts {
 		l.recordInterruption(interruption{request: part, began: began, at: now}, members)
 	}
--- a/coordination/quarantine/history_test.go
+++ b/coordination/quarantine/history_test.go
@@ -50,6 +50,8 @@
 	partitions []partition
 	// prompts are the parts of the prompts of all requests.
 	prompts prompts
+	// slowdown multiplies the times that responses, proofs of endings and messages between nodes take; 0 means 1.
+	slowdown int
 	// noIncarnations is set if instances restart without reporting a new incarnation.
 	noIncarnations bool
 }
@@ -158,6 +160,11 @@
 	return n
 }
 
+// slowed returns how long something takes in the simulation that takes d on idle nodes.
+func (h *simulation) slowed(d time.Duration) time.Duration {
+	return d * time.Duration(max(h.slowdown, 1))
+}
+
 // generateRequests generates the requests of one tick.
 func (h *simulation) generateRequests() {
 	for range h.randomCount(h.deadly) {
@@ -179,7 +186,7 @@
 	if !a.deadly {
 		h.out.allSound++
 	}
-	if h.isQuarantined(a) {
+	if h.isHeldAtArrival(a) {
 		if !a.deadly {
 			h.countRefusedSound()
 		}
@@ -193,6 +200,11 @@
 	return h.quarantineEnabled && h.ledgers[a.node].VerdictOn(a.identity(), h.now).Quarantined(h.now)
 }
 
+// isHeldAtArrival reports whether the node of an attempt quarantines its request when it arrives.
+func (h *simulation) isHeldAtArrival(a attempt) bool {
+	return h.quarantineEnabled && h.ledgers[a.node].Admit(a.identity(), h.leaderOf(a.node) == a.node, h.now).Held
+}
+
 // run sends an attempt to an instance, if the instance is up and reachable.
 func (h *simulation) run(a attempt) {
 	i := h.pickInstance(a.node)
@@ -205,7 +217,7 @@
 	}
 	a.runs++
 	a.began = h.now
-	a.end = h.now.Add(time.Duration(50+h.rng.IntN(900)) * time.Millisecond)
+	a.end = h.now.Add(h.slowed(time.Duration(50+h.rng.IntN(900)) * time.Millisecond))
 	if a.deadly {
 		a.end = h.now.Add(time.Duration(30+h.rng.IntN(300)) * time.Millisecond)
 	}
@@ -277,7 +289,7 @@
 // ending.
 func (h *simulation) interrupt(a attempt, i int, in fleet.Incarnation) {
 	h.ledgers[a.node].RecordInterruption(a.identity(), []fleet.Incarnation{in}, a.began, h.now)
-	h.proofs = append(h.proofs, proof{a.node, i, in, h.now.Add(time.Duration(h.rng.Int64N(int64(maxProofDelay))))})
+	h.proofs = append(h.proofs, proof{a.node, i, in, h.now.Add(h.slowed(time.Duration(h.rng.Int64N(int64(maxProofDelay)))))})
 }
 
 // retry sends an interrupted attempt to another instance, or has its caller try again.
@@ -312,10 +324,11 @@
 
 // exchangeLedgers has each node exchange ledgers with its leader once in each status interval.
 func (h *simulation) exchangeLedgers() {
-	phase := int(h.now.Sub(start)/tick) % int(statusInterval/tick)
+	ticks := int(h.slowed(statusInterval) / tick)
+	phase := int(h.now.Sub(start)/tick) % ticks
 	for n := 1; n < h.nodes; n++ {
 		leader := h.leaderOf(n)
-		if n%int(statusInterval/tick) != phase || n == leader {
+		if n%ticks != phase || n == leader {
 			continue
 		}
 		l, source := link{n, leader}, quarantine.Source(1000+leader)
@@ -333,7 +346,7 @@
 // delayed returns a delta as another node receives it: the message delay makes everything in it
 // look younger.
 func (h *simulation) delayed(d quarantine.Delta) quarantine.Delta {
-	delay := time.Duration(h.rng.Int64N(int64(maxMessageDelay)))
+	delay := h.slowed(time.Duration(h.rng.Int64N(int64(maxMessageDelay))))
 	out := quarantine.Delta{Endings: slices.Clone(d.Endings), Cleared: slices.Clone(d.Cleared)}
 	for i := range out.Endings {
 		out.Endings[i].At = out.Endings[i].At.Add(delay)
--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -83,7 +83,7 @@
 	byRequest := h.suspects(cleared, max(policy.Endings-1, 1))
 	neverAnswered, onceAnswered := map[Fingerprint][]int{}, map[Fingerprint][]int{}
 	for f, list := range byRequest {
-		if _, answered := cleared[f]; answered && !f.IsPart() {
+		if _, answered := cleared[f]; answered {
 			onceAnswered[f] = list
 		} else {
 			neverAnswered[f] = list
@@ -181,7 +181,7 @@
 	for range b.independent - policy.endingsToHold(f) {
 		hold = min(2*hold, policy.Retention)
 	}
-	v.Until = v.Evidence[len(v.Evidence)-1].At.Add(hold)
+	v.Until = v.lastEnding().Add(hold)
 	return v
 }
 
--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -33,6 +33,8 @@
 	lastAnswers *lru.Cache[Fingerprint, time.Time]
 	// partAnswers is what this node knows of parts of prompts that got complete responses.
 	partAnswers partAnswers
+	// trials is the state of letting requests with held parts through.
+	trials trials
 	// version counts the changes of endings and cleared.
 	version uint64
 	// dirty is set if endings or cleared have changed since the verdicts were computed, at
@@ -69,6 +71,7 @@
 		pending: map[fleet.Incarnation]*suspicion{},
 		endings: map[endingKey]*endingRecord{},
 		cleared: map[Fingerprint]map[Source]*clearing{},
+		trials:  trials{parts: map[Fingerprint]*trial{}},
 		own:     Source(1 + rand.Int64N(maxSource)),
 	}
 	l.verdicts.Store(&map[Fingerprint]Verdict{})
@@ -188,6 +191,8 @@
 	l.partAnswers.addTo(cleared)
 	verdicts := evaluate(endings, cleared, &l.policy)
 	l.delayUnsurePartVerdicts(verdicts)
+	l.keepPartVerdicts(verdicts, endings, cleared, now)
+	l.trials.keep(verdicts)
 	l.verdicts.Store(&verdicts)
 	l.dirty, l.evaluatedAt = false, now
 }
--- a/coordination/quarantine/partanswers.go
+++ b/coordination/quarantine/partanswers.go
@@ -128,10 +128,8 @@
 	if own.Quarantined(now) {
 		return own
 	}
-	for _, part := range r.Parts {
-		if v := verdicts[part]; v.Quarantined(now) && containsAll(r.Parts, v.Joint) {
-			return v
-		}
+	if held := heldParts(verdicts, r, now); len(held) > 0 {
+		return verdicts[held[0]]
 	}
 	return own
 }
--- a/coordination/quarantine/parthistory_test.go
+++ b/coordination/quarantine/parthistory_test.go
@@ -131,6 +131,25 @@
 	}
 }
 
+// On busy nodes responses take seconds, so that all instances may end before a popular part gets any.
+func TestRandomHistoriesOnBusyNodesQuarantineDeadlyPartOnly(t *testing.T) {
+	for _, c := range []struct {
+		slowdown      int
+		sound, deadly float64
+	}{
+		{1, 135, 30}, {2, 50, 16}, {2, 135, 16}, {2, 135, 30}, {3, 50, 16}, {3, 135, 16}, {3, 50, 30},
+	} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			s := scenario{nodes: 3, instances: 12, sound: c.sound, deadly: c.deadly, slowdown: c.slowdown, quarantineEnabled: true, prompts: prompts{topics: 3, deadlyParts: 1}}
+			for seed := range uint64(20) {
+				out := simulate(s, seed)
+				NewWithT(t).Expect(out.late).To(BeNumerically("<=", 3), "seed %d: %+v", seed, out)
+				NewWithT(t).Expect(out.refusedLate).To(BeZero(), "seed %d: %+v", seed, out)
+			}
+		})
+	}
+}
+
 // Popular parts are on nearly every request that an ending interrupts.
 func TestRandomHistoriesWithoutDeadlyPartQuarantineNothing(t *testing.T) {
 	for _, s := range partScenarios(0, prompts{topics: 50}) {
--- a/transport/entry/quarantine.go
+++ b/transport/entry/quarantine.go
@@ -16,6 +16,17 @@
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
+// Admit implements gateway.Quarantine. Of all nodes only the leader lets requests with held parts through, so that their
+// number is bounded.
+func (n *Node) Admit(r quarantine.Request) (time.Time, bool) {
+	isLeader, _ := n.peers.leadership()
+	a := n.ledger.Admit(r, isLeader, n.clock.Now())
+	if a.IsTrial {
+		n.Count("quarantine.trial")
+	}
+	return a.Verdict.Until, a.Held
+}
+
 // QuarantinedUntil implements gateway.Quarantine.
 func (n *Node) QuarantinedUntil(r quarantine.Request) (time.Time, bool) {
 	now := n.clock.Now()
--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/quarantine"
@@ -381,6 +382,25 @@
 	return held
 }
 
+// Each node would let requests with a deadly part through otherwise.
+func TestOnlyLeaderTriesHeldPart(t *testing.T) {
+	for _, isLeader := range []bool{false, true} {
+		g := NewWithT(t)
+		n := numbered(g, "n", 1)
+		n.peers.setLeader(isLeader)
+		recordPartEndings(n)
+		admitted := 0
+		for i := range 60 {
+			r := quarantine.Request{Fingerprint: quarantine.NewFingerprint(quarantine.Content{Target: fmt.Sprint("new ", i)}), Parts: []quarantine.Fingerprint{deadlyPart}}
+			if _, held := n.Admit(r); !held {
+				admitted++
+			}
+		}
+		g.Expect(admitted == 1).To(Equal(isLeader), "%d admitted", admitted)
+		g.Expect(metrics.GetOrRegisterCounter("quarantine.trial", n.metrics).Count()).To(BeEquivalentTo(admitted))
+	}
+}
+
 func TestQuarantineOfPartReachesAllNodesAndSurvivesTheirLoss(t *testing.T) {
 	g := NewWithT(t)
 	leader, a, b := numbered(g, "leader", 1), numbered(g, "a", 2), numbered(g, "b", 3)
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -320,7 +320,7 @@
 		return &refusal{code: CodeForwardRefused}
 	}
 	c.identity = c.computeIdentity()
-	if until, held := c.Quarantine.QuarantinedUntil(c.identity); held {
+	if until, held := c.Quarantine.Admit(c.identity); held {
 		return &refusal{code: CodeQuarantined, after: until.Sub(c.arrivedAt)}
 	}
 	c.deadline = c.arrivedAt.Add(time.Duration(info.TimeLeftMS) * time.Millisecond)
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -46,6 +46,8 @@
 
 // Quarantine refuses requests that repeatedly end the instances that run them.
 type Quarantine interface {
+	// Admit returns until when a request that has arrived is held back, and whether it is.
+	Admit(r quarantine.Request) (time.Time, bool)
 	// QuarantinedUntil returns until when a request is quarantined, and whether it is.
 	QuarantinedUntil(r quarantine.Request) (time.Time, bool)
 	// IsSuspected reports whether instances ended while running a request, even if too few to
@@ -248,7 +250,7 @@
 		return refused
 	}
 	c.identity = c.computeIdentity()
-	if until, held := c.Quarantine.QuarantinedUntil(c.identity); held {
+	if until, held := c.Quarantine.Admit(c.identity); held {
 		return &refusal{code: CodeQuarantined, after: until.Sub(c.arrivedAt)}
 	}
 	timeout := claims.Timeout
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -136,6 +136,8 @@
 	return time.Now().Add(time.Minute), q.held[r.Fingerprint]
 }
 
+func (q *fakeQuarantine) Admit(r quarantine.Request) (time.Time, bool) { return q.QuarantinedUntil(r) }
+
 func (q *fakeQuarantine) IsSuspected(r quarantine.Request) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
