Hold back passages of prompts that end instances, in the own interface too

Its prompts have no part IDs. Hashes of leading blocks, as routing has them, were the other way: they find a passage only if all text before it is the same.

Parts travel in fields of their own, since older builds take every fingerprint for that of a request. Left: no leader here, so no held part is tried before its time is over.

--- a/coordination/quarantine/part.go
+++ b/coordination/quarantine/part.go
@@ -22,13 +22,20 @@
 	shared := ids[:min(len(ids)-1, MaxParts)]
 	list := make([]Fingerprint, len(shared))
 	for i, id := range shared {
-		hash := sha256.Sum256([]byte(id))
-		copy(list[i][:], partMark)
-		copy(list[i][len(partMark):], hash[:])
+		list[i] = newPartFingerprint([]byte(id))
 	}
 	return list
 }
 
+// newPartFingerprint returns the fingerprint of a part, given its ID or its text.
+func newPartFingerprint(content []byte) Fingerprint {
+	var f Fingerprint
+	hash := sha256.Sum256(content)
+	copy(f[:], partMark)
+	copy(f[len(partMark):], hash[:])
+	return f
+}
+
 // IsPart reports whether the fingerprint is that of a part of a prompt.
 func (f Fingerprint) IsPart() bool { return bytes.HasPrefix(f[:], []byte(partMark)) }
 
--- a/protocol/peer/ledger.go
+++ b/protocol/peer/ledger.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/quarantine"
@@ -15,12 +16,30 @@
 	m.LedgerVersion = version
 	for _, e := range d.Endings {
 		ending := &rpc.Ending{Instance: string(e.Instance.ID), Incarnation: e.Instance.Life, By: int64(e.By), AgeMs: CeilMilliseconds(now.Sub(e.At)), Back: e.Back, Episode: uint32(max(e.Episode, 0))}
-		ending.Requests, ending.Apart = encodeFingerprints(e.Requests), encodeFingerprints(e.Apart)
+		requests, parts := splitParts(e.Requests)
+		ending.Requests, ending.Parts, ending.Apart = encodeFingerprints(requests), encodeFingerprints(parts), encodeFingerprints(e.Apart)
 		m.Endings = append(m.Endings, ending)
 	}
 	for _, c := range d.Cleared {
-		m.Cleared = append(m.Cleared, &rpc.Cleared{Request: c.Request[:], AgeMs: CeilMilliseconds(now.Sub(c.At)), By: int64(c.By), Number: c.Number})
+		cleared := &rpc.Cleared{Request: c.Request[:], AgeMs: CeilMilliseconds(now.Sub(c.At)), By: int64(c.By), Number: c.Number}
+		if c.Request.IsPart() {
+			m.ClearedParts = append(m.ClearedParts, cleared)
+			continue
+		}
+		m.Cleared = append(m.Cleared, cleared)
+	}
+}
+
+// splitParts returns the fingerprints of requests, and those of parts of prompts.
+func splitParts(list []quarantine.Fingerprint) (requests, parts []quarantine.Fingerprint) {
+	for _, f := range list {
+		if f.IsPart() {
+			parts = append(parts, f)
+			continue
+		}
+		requests = append(requests, f)
 	}
+	return requests, parts
 }
 
 // DecodeLedgerDelta returns the changes of a quarantine ledger in a response, with
@@ -30,10 +49,10 @@
 	for _, e := range m.GetEndings() {
 		incarnation := fleet.Incarnation{ID: state.InstanceID(e.GetInstance()), Life: e.GetIncarnation()}
 		ending := quarantine.Ending{Instance: incarnation, Episode: int(e.GetEpisode()), By: quarantine.Source(e.GetBy()), At: now.Add(-FromMilliseconds(e.GetAgeMs())), Back: e.GetBack()}
-		ending.Requests, ending.Apart = decodeFingerprints(e.GetRequests()), decodeFingerprints(e.GetApart())
+		ending.Requests, ending.Apart = decodeFingerprints(slices.Concat(e.GetRequests(), e.GetParts())), decodeFingerprints(e.GetApart())
 		d.Endings = append(d.Endings, ending)
 	}
-	for _, c := range m.GetCleared() {
+	for _, c := range slices.Concat(m.GetCleared(), m.GetClearedParts()) {
 		if f, ok := quarantine.ParseFingerprint(c.GetRequest()); ok {
 			d.Cleared = append(d.Cleared, quarantine.Clearing{
 				Request: f, By: quarantine.Source(c.GetBy()), Number: c.GetNumber(), At: now.Add(-FromMilliseconds(c.GetAgeMs())),
--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -16,6 +16,9 @@
 	if f := q.readCompletion(); f != nil {
 		return f
 	}
+	if f := s.quarantined(q); f != nil {
+		return f
+	}
 	here, f := s.route(ctx, w, q, q.model)
 	if !here {
 		return f
--- a/transport/caller/request.go
+++ b/transport/caller/request.go
@@ -47,11 +47,11 @@
 
 	key string
 
-	// fingerprint names the request alike for all its attempts, lives are those of the
+	// identity names the request alike for all its attempts, lives are those of the
 	// instances that it was last sent to, at sentAt.
-	fingerprint quarantine.Fingerprint
-	lives       []fleet.Incarnation
-	sentAt      time.Time
+	identity quarantine.Request
+	lives    []fleet.Incarnation
+	sentAt   time.Time
 }
 
 // completion is the part of a completion's body that routing looks at.
@@ -97,7 +97,7 @@
 		return q, notRun(http.StatusBadRequest, CodeBadRequest, "the body could not be read")
 	}
 	q.body = body
-	q.fingerprint = quarantine.NewFingerprint(quarantine.Content{Method: q.method, Target: q.path, Caller: string(q.team.Name), Body: q.body})
+	q.identity.Fingerprint = quarantine.NewFingerprint(quarantine.Content{Method: q.method, Target: q.path, Caller: string(q.team.Name), Body: q.body})
 	return q, nil
 }
 
@@ -162,5 +162,6 @@
 	}
 	q.tokens = int64(len(q.body)/bytesPerToken) + answer
 	q.prefix = routing.HashPrefix(q.body)
+	q.identity.Parts = quarantine.NewChunkFingerprints(q.body)
 	return nil
 }
--- a/transport/node/querydeath_test.go
+++ b/transport/node/querydeath_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -60,6 +61,52 @@
 		}
 	})
 
+	It("is held back with all that share its deadly passage, though no two are alike", func() {
+		const engines, identified, lateSends = 3, 5, 3
+		flags := []string{"--crash-on", "deadly"}
+		w := newWorld(engines, []string{hallA, hallA}, flags...)
+		for i := range engines {
+			w.accepted(fmt.Sprintf("create group g%d model lm version v1 with gpu-%d", i+1, i+1))
+			w.whole(fmt.Sprintf("g%d", i+1))
+		}
+		rng := rand.New(rand.NewPCG(7, 8))
+		text := func(size int) string {
+			raw := make([]byte, size)
+			for i := range raw {
+				raw[i] = byte('0' + rng.IntN(10))
+			}
+			return string(raw)
+		}
+		shared, passage := text(2048), text(1024)+"deadly"+text(1024)
+		send := func(n *lab.Node, middle string) reply {
+			return post(n, "/v1/chat/completions", prompt(shared+text(300)+middle+text(300), 4, false), "Troutmast-Timeout", "2s")
+		}
+		ended := 0
+		restart := func() {
+			for i := range engines {
+				id := fmt.Sprintf("gpu-%d", i+1)
+				select {
+				case <-w.Targets[id].Done():
+					ended++
+					Expect(w.RestartTarget(id, hallA, "fabric-a", flags...)).To(Succeed())
+				default:
+				}
+			}
+		}
+		isAnswered := func(n *lab.Node) func() int { return func() int { return send(n, text(600)).status } }
+		for i := range 16 {
+			Eventually(isAnswered(w.Nodes[i%2]), "15s", "50ms").Should(Equal(200))
+			send(w.Nodes[i%2], passage)
+			time.Sleep(300 * time.Millisecond) // an ending is proven by the next probe
+			restart()
+		}
+		Expect(ended).To(And(BeNumerically(">=", 3), BeNumerically("<=", identified+lateSends)))
+		for _, n := range w.Nodes {
+			Expect(send(n, passage).reason).To(Equal("quarantined"))
+			Eventually(isAnswered(n), "15s", "50ms").Should(Equal(200))
+		}
+	})
+
 	// Callers try again as soon as an engine is back, which is sooner than the next probe.
 	It("is held back as soon as three engines have ended, however long the time between two probes", func() {
 		const engines = 3
