--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -26,13 +26,9 @@
 	credit    float64
 }
 
-// initialCredit is the number of retries that a new process may make before it has earned any. With a full Budget, nodes
-// that are killed one after the other would each bring another maxCredit retries.
-const initialCredit = 2
-
-// NewBudget returns a Budget that earns ratio retries per first attempt and holds at most maxCredit.
+// NewBudget returns a full Budget that earns ratio retries per first attempt and holds at most most.
 func NewBudget(ratio, maxCredit float64) *Budget {
-	return &Budget{ratio: ratio, maxCredit: maxCredit, credit: min(initialCredit, maxCredit)}
+	return &Budget{ratio: ratio, maxCredit: maxCredit, credit: maxCredit}
 }
 
 // RecordAttempt records a first attempt.
