Tell complete responses that end with their connection from cut ones

It cleared nothing, so that popular parts of prompts would be held if all responses were like that; nor did it count as interrupted, so that a deadly part was not found by them.

Change: such a response waits in the ledger. No probe is sent for it.

--- a/coordination/quarantine/doubt.go
+++ b/coordination/quarantine/doubt.go
@@ -32,6 +32,14 @@
 func (l *Ledger) RecordInterruption(r Request, members []fleet.Incarnation, began, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for _, in := range members {
+		l.doubtUnconfirmed(in, now)
+	}
+	l.recordInterruptions(r, members, began, now)
+}
+
+// recordInterruptions records an interruption of a request and of each part of its prompt. l.mu is held.
+func (l *Ledger) recordInterruptions(r Request, members []fleet.Incarnation, began, now time.Time) {
 	l.trials.recordInterruption(r.Parts, now)
 	for _, part := range r.Parts {
 		l.recordInterruption(interruption{request: part, began: began, at: now}, members)
@@ -93,6 +101,7 @@
 // then have another cause than its ending. It reports whether the ending had been recorded as
 // proven.
 func (l *Ledger) RecordProbeResponse(in fleet.Incarnation, probedAt time.Time) (wasEnded bool) {
+	l.RecordAlive(in, probedAt)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r := l.latestEpisode(in); r != nil {
@@ -182,6 +191,7 @@
 func (l *Ledger) BeginInvestigation(in fleet.Incarnation, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.doubtUnconfirmed(in, now)
 	d := l.pending[in]
 	if d == nil || !d.investigatedAt.IsZero() && now.Sub(d.investigatedAt) < l.policy.CheckInterval {
 		return false
--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -33,6 +33,7 @@
 	lastAnswers *lru.Cache[Fingerprint, time.Time]
 	// partAnswers is what this node knows of parts of prompts that got complete responses.
 	partAnswers partAnswers
+	unconfirmed unconfirmedResponses
 	// trials is the state of letting requests with held parts through.
 	trials trials
 	// version counts the changes of endings and cleared.
@@ -67,12 +68,13 @@
 // NewLedger returns an empty Ledger.
 func NewLedger(p Policy) *Ledger {
 	l := &Ledger{
-		policy:  p,
-		pending: map[fleet.Incarnation]*suspicion{},
-		endings: map[endingKey]*endingRecord{},
-		cleared: map[Fingerprint]map[Source]*clearing{},
-		trials:  trials{parts: map[Fingerprint]*trial{}},
-		own:     Source(1 + rand.Int64N(maxSource)),
+		policy:      p,
+		pending:     map[fleet.Incarnation]*suspicion{},
+		endings:     map[endingKey]*endingRecord{},
+		cleared:     map[Fingerprint]map[Source]*clearing{},
+		unconfirmed: unconfirmedResponses{byInstance: map[fleet.Incarnation][]unconfirmed{}},
+		trials:      trials{parts: map[Fingerprint]*trial{}},
+		own:         Source(1 + rand.Int64N(maxSource)),
 	}
 	l.verdicts.Store(&map[Fingerprint]Verdict{})
 	l.lastAnswers = newAnswerCache(p.MaxAnswers)
--- a/transport/entry/endings.go
+++ b/transport/entry/endings.go
@@ -41,6 +41,18 @@
 	n.ledger.RecordInterruption(r, incarnations, began, n.clock.Now())
 }
 
+// RecordUnconfirmed implements gateway.Quarantine.
+func (n *Node) RecordUnconfirmed(r quarantine.Request, instance fleet.Instance, began time.Time) {
+	n.ledger.RecordUnconfirmed(r, instance.Incarnation(), began, n.clock.Now())
+}
+
+// RecordAlive implements gateway.Quarantine.
+func (n *Node) RecordAlive(instance fleet.Instance, sentAt time.Time) {
+	if n.ledger.RecordAlive(instance.Incarnation(), sentAt) {
+		n.requestStatusReport()
+	}
+}
+
 // RecordConnectionRefused implements gateway.Quarantine.
 func (n *Node) RecordConnectionRefused(c *dispatch.Candidate) { go n.onRefusal(c.Incarnation()) }
 
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -58,6 +58,10 @@
 	RecordInterruption(r quarantine.Request, instances []fleet.Instance, began time.Time)
 	// RecordComplete records that a request got a complete response.
 	RecordComplete(r quarantine.Request)
+	// RecordUnconfirmed records that a request, sent at began, got a response that ended with its connection.
+	RecordUnconfirmed(r quarantine.Request, instance fleet.Instance, began time.Time)
+	// RecordAlive records that an instance responded to an attempt sent at a time.
+	RecordAlive(instance fleet.Instance, sentAt time.Time)
 	// RecordConnectionRefused records that an instance's address refused a connection.
 	RecordConnectionRefused(c *dispatch.Candidate)
 }
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -323,6 +323,7 @@
 		c.FailureDetector.RecordReplaced(target.ID)
 	} else {
 		c.Backpressure.RecordNotice(&target.Instance, v.Notice, c.claims.ID, sent)
+		c.Quarantine.RecordAlive(target.Instance, sent)
 	}
 	if v.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
@@ -374,20 +375,21 @@
 }
 
 // completed records a complete response of the instance. A response that is delimited by the end of its
-// connection also looks complete if the instance ended, so it does not clear the request.
+// connection also looks complete if the instance ended, so it clears the request only once the instance responds again.
 func (s *instanceSource) completed(resp *direct.Response) {
 	if resp.Status >= http.StatusInternalServerError {
 		s.target.RecordFailure()
 		return
 	}
 	s.target.RecordCompleteResponse()
-	if !resp.IsFramed() {
-		return
-	}
 	r := s.call.identity
 	if resp.Status >= http.StatusMultipleChoices {
 		r.Parts = nil // the instance may have refused the request before it read the prompt
 	}
+	if !resp.IsFramed() {
+		s.call.Quarantine.RecordUnconfirmed(r, s.target.Instance, s.sent)
+		return
+	}
 	s.call.Quarantine.RecordComplete(r)
 }
 
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -127,6 +127,8 @@
 	holdsInterrupted bool
 	broken           []quarantine.Fingerprint
 	answered         []quarantine.Fingerprint
+	unconfirmed      []quarantine.Fingerprint
+	alive            []state.InstanceID
 	refused          []state.InstanceID
 }
 
@@ -157,6 +159,18 @@
 	q.answered = append(q.answered, r.Fingerprint)
 }
 
+func (q *fakeQuarantine) RecordUnconfirmed(r quarantine.Request, _ fleet.Instance, _ time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.unconfirmed = append(q.unconfirmed, r.Fingerprint)
+}
+
+func (q *fakeQuarantine) RecordAlive(instance fleet.Instance, _ time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.alive = append(q.alive, instance.ID)
+}
+
 func (q *fakeQuarantine) RecordConnectionRefused(c *dispatch.Candidate) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/transport/gateway/unframed_test.go
+++ b/transport/gateway/unframed_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/state"
 )
 
 // respondUnframed responds with a body that has neither a length nor chunks, and ends it by closing the connection.
@@ -70,3 +72,22 @@
 	g.Expect(a.status).To(Equal(http.StatusOK))
 	g.Expect(a.body).To(Equal("whole"))
 }
+
+// It may also have been cut off by the end of its instance, which only a later response of the instance rules out.
+func TestResponseWithoutLengthIsUnconfirmed(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t)
+			for _, service := range []state.ServiceName{"plain", "lm"} {
+				h.addInstance(string(service), service, func(w http.ResponseWriter, _ *http.Request) { respondUnframed(w, "text/event-stream", events(1, 2)) })
+			}
+			g.Expect(h.call(http.MethodPost, path, "x", nil).status).To(Equal(http.StatusOK))
+			h.quarantine.mu.Lock()
+			defer h.quarantine.mu.Unlock()
+			g.Expect(h.quarantine.unconfirmed).To(HaveLen(1))
+			g.Expect(h.quarantine.answered).To(BeEmpty())
+			g.Expect(h.quarantine.alive).To(HaveLen(1))
+		})
+	}
+}
