Keep the counts of retries when an operator changes ratio or slack

With the counts kept, nothing is forgotten and nothing withheld. A window of another length still resets them, since counts are kept in parts of the window.

Test: TestNewRetryBoundsKeepTheCounts (0 attempts in place of 1 before).

--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -53,6 +53,13 @@
 	s.nodes = n
 }
 
+// SetBounds changes the bounds and keeps what has been counted. The length of the window must stay the same.
+func (s *SharedBudget) SetBounds(b SharedBudgetConfig) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bounds = b
+}
+
 // RecordAttempt records a first attempt.
 func (s *SharedBudget) RecordAttempt(now time.Time) {
 	s.mu.Lock()
--- a/transport/gateway/retrybudget.go
+++ b/transport/gateway/retrybudget.go
@@ -17,15 +17,20 @@
 	}
 }
 
-// SetRetryBounds sets the bounds of retries. New bounds reset all retry budgets.
+// SetRetryBounds sets the bounds of retries. A window of another length resets all retry budgets.
 func (g *Gateway) SetRetryBounds(b retry.SharedBudgetConfig) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if b == g.Retry {
+	isSameWindow := b.Window == g.Retry.Window
+	g.Retry = b
+	if !isSameWindow {
+		g.CountsSince = g.Clock.Now()
+		clear(g.budgets)
 		return
 	}
-	g.Retry, g.CountsSince = b, g.Clock.Now()
-	clear(g.budgets)
+	for _, budget := range g.budgets {
+		budget.SetBounds(b)
+	}
 }
 
 // budget returns this node's share of the retry budget of a service.
