Count only attempts of the trial itself as its outcome

Cause: an interrupted request from before its part was held back, on any instance, counted as the end of the trial of that part. Two of them, and a sound part was held for its whole time. The new test lets 2 requests through without the change, more than 2 with it.

Test: TestInterruptionOfEarlierRequestIsNoOutcomeOfTrial.

--- a/coordination/quarantine/doubt.go
+++ b/coordination/quarantine/doubt.go
@@ -40,7 +40,7 @@
 
 // recordInterruptions records an interruption of a request and of each part of its prompt. l.mu is held.
 func (l *Ledger) recordInterruptions(r Request, members []fleet.Incarnation, began, now time.Time) {
-	l.trials.recordInterruption(r.Parts, now)
+	l.trials.recordInterruption(r.Parts, began, now)
 	for _, part := range r.Parts {
 		l.recordInterruption(interruption{request: part, began: began, at: now}, members)
 	}
--- a/coordination/quarantine/trial.go
+++ b/coordination/quarantine/trial.go
@@ -27,8 +27,10 @@
 // all instances ran when they ended gets no response while it is held, and would be held as long as a deadly one.
 type trials struct {
 	parts map[Fingerprint]*trial
-	// current holds the parts of the request that was let through last, until its outcome is known or it times out.
-	current []Fingerprint
+	// current holds the parts of the request that was let through last, at startedAt, until its outcome is known or it times
+	// out.
+	current   []Fingerprint
+	startedAt time.Time
 	// next is when the next request may be let through.
 	next time.Time
 	// admissions counts the recent requests with parts at this node, held those of them with held parts.
@@ -109,7 +111,7 @@
 	for _, part := range held {
 		t.parts[part].sent++
 	}
-	t.current, t.next = held, now.Add(trialTimeout)
+	t.current, t.startedAt, t.next = held, now, now.Add(trialTimeout)
 	return true
 }
 
@@ -123,9 +125,9 @@
 	return p
 }
 
-// recordInterruption records that a request with the given parts was interrupted.
-func (t *trials) recordInterruption(parts []Fingerprint, now time.Time) {
-	if len(t.current) == 0 || !containsAll(parts, t.current) {
+// recordInterruption records that an attempt of a request with the given parts, sent at began, was interrupted.
+func (t *trials) recordInterruption(parts []Fingerprint, began, now time.Time) {
+	if len(t.current) == 0 || began.Before(t.startedAt) || !containsAll(parts, t.current) {
 		return
 	}
 	for _, part := range t.current {
--- a/coordination/quarantine/trial_test.go
+++ b/coordination/quarantine/trial_test.go
@@ -97,6 +97,18 @@
 	g.Expect(holds(l, 5*time.Minute, "a")).To(BeTrue())
 }
 
+// Requests from before a part was held back may be interrupted by anything while one is let through.
+func TestInterruptionOfEarlierRequestIsNoOutcomeOfTrial(t *testing.T) {
+	g := NewWithT(t)
+	l := newHoldingLedger()
+	times := trialsOf(l, 1, 20*time.Second, true, func(r quarantine.Request, now time.Time) {
+		in := instance("earlier " + now.String())
+		l.RecordInterruption(r, []fleet.Incarnation{in}, start, now.Add(50*time.Millisecond))
+		l.RecordEnding(in, now.Add(60*time.Millisecond))
+	})
+	g.Expect(len(times)).To(BeNumerically(">", 2))
+}
+
 // Requests that are let through without an outcome, because no instance is up, are bounded too.
 func TestTrialsWithoutOutcomeAreBounded(t *testing.T) {
 	times := trialsOf(newHoldingLedger(), 1, 5*time.Minute, true, func(quarantine.Request, time.Time) {})
