--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -33,6 +33,7 @@
 	lastAnswers *lru.Cache[Fingerprint, time.Time]
 	// partAnswers is what this node knows of parts of prompts that got complete responses.
 	partAnswers partAnswers
+	// unconfirmed holds the responses of instances that may have ended during them.
 	unconfirmed unconfirmedResponses
 	// trials is the state of letting requests with held parts through.
 	trials trials
