Split fingerprints of requests and parts in one place

The same function stood in protocol/peer and transport/entry. No change of behaviour; the comment of CountsSince says what resets the counts since new bounds keep them.

--- a/coordination/quarantine/part.go
+++ b/coordination/quarantine/part.go
@@ -39,6 +39,18 @@
 // IsPart reports whether the fingerprint is that of a part of a prompt.
 func (f Fingerprint) IsPart() bool { return bytes.HasPrefix(f[:], []byte(partMark)) }
 
+// SplitParts splits fingerprints into those of requests and those of parts of prompts.
+func SplitParts(list []Fingerprint) (requests, parts []Fingerprint) {
+	for _, f := range list {
+		if f.IsPart() {
+			parts = append(parts, f)
+		} else {
+			requests = append(requests, f)
+		}
+	}
+	return requests, parts
+}
+
 // containsAll reports whether a list of parts contains all of another.
 func containsAll(list, parts []Fingerprint) bool {
 	for _, part := range parts {
--- a/protocol/peer/ledger.go
+++ b/protocol/peer/ledger.go
@@ -16,7 +16,7 @@
 	m.LedgerVersion = version
 	for _, e := range d.Endings {
 		ending := &rpc.Ending{Instance: string(e.Instance.ID), Incarnation: e.Instance.Life, By: int64(e.By), AgeMs: CeilMilliseconds(now.Sub(e.At)), Back: e.Back, Episode: uint32(max(e.Episode, 0))}
-		requests, parts := splitParts(e.Requests)
+		requests, parts := quarantine.SplitParts(e.Requests)
 		ending.Requests, ending.Parts, ending.Apart = encodeFingerprints(requests), encodeFingerprints(parts), encodeFingerprints(e.Apart)
 		m.Endings = append(m.Endings, ending)
 	}
@@ -30,18 +30,6 @@
 	}
 }
 
-// splitParts returns the fingerprints of requests, and those of parts of prompts.
-func splitParts(list []quarantine.Fingerprint) (requests, parts []quarantine.Fingerprint) {
-	for _, f := range list {
-		if f.IsPart() {
-			parts = append(parts, f)
-			continue
-		}
-		requests = append(requests, f)
-	}
-	return requests, parts
-}
-
 // DecodeLedgerDelta returns the changes of a quarantine ledger in a response, with
 // times by the clock of the receiving node. It skips fingerprints of the wrong size.
 func DecodeLedgerDelta(m *rpc.ExchangeResponse, now time.Time) quarantine.Delta {
--- a/transport/entry/ledger.go
+++ b/transport/entry/ledger.go
@@ -48,7 +48,7 @@
 	}
 	r := &LedgerReport{}
 	for _, e := range d.Endings {
-		requests, parts := splitParts(e.Requests)
+		requests, parts := quarantine.SplitParts(e.Requests)
 		r.Endings = append(r.Endings, EndingReport{
 			Instance: e.Instance, By: e.By, AgeMS: now.Sub(e.At).Milliseconds(), Requests: requests, Apart: e.Apart, Parts: parts, Episode: e.Episode, Back: e.Back,
 		})
@@ -63,18 +63,6 @@
 	return r
 }
 
-// splitParts splits fingerprints into those of requests and those of parts of prompts.
-func splitParts(list []quarantine.Fingerprint) (requests, parts []quarantine.Fingerprint) {
-	for _, f := range list {
-		if f.IsPart() {
-			parts = append(parts, f)
-		} else {
-			requests = append(requests, f)
-		}
-	}
-	return requests, parts
-}
-
 // delta converts a report to changes with times by the receiver's clock, where now is the time of receipt.
 func (r *LedgerReport) delta(now time.Time) quarantine.Delta {
 	var d quarantine.Delta
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -117,7 +117,7 @@
 	Demand   *demand.Meter
 	Policy   Policy
 	// Retry bounds the retries that all nodes together send to one service. CountsSince is since when the gateway
-	// counts all retries of its node: when the process started or the bounds last changed, or zero if no other
+	// counts all retries of its node: when the process started or the length of the window last changed, or zero if no other
 	// process ran before.
 	Retry       retry.SharedBudgetConfig
 	CountsSince time.Time
