--- a/transport/node/querydeath_test.go
+++ b/transport/node/querydeath_test.go
@@ -11,6 +11,20 @@
 	"github.com/troutmast/troutmast/internal/lab"
 )
 
+// restartEnded starts those of the first engines again that have ended, and returns their number.
+func (w *world) restartEnded(engines int, flags ...string) (ended int) {
+	for i := range engines {
+		id := fmt.Sprintf("gpu-%d", i+1)
+		select {
+		case <-w.Targets[id].Done():
+			ended++
+			Expect(w.RestartTarget(id, hallA, "fabric-a", flags...)).To(Succeed())
+		default:
+		}
+	}
+	return ended
+}
+
 // Engines that ended under one completion came back, got their groups again, and
 // ended again under the next attempt of it, at whatever node. Nothing was known of it
 // after an attempt, and the caller was told to come back two seconds later.
@@ -27,18 +41,6 @@
 			return post(n, "/v1/chat/completions", prompt("deadly", 4, false), "Troutmast-Timeout", "2s")
 		}
 		ended := 0
-		// restart starts every engine again that has ended.
-		restart := func() {
-			for i := range engines {
-				id := fmt.Sprintf("gpu-%d", i+1)
-				select {
-				case <-w.Targets[id].Done():
-					ended++
-					Expect(w.RestartTarget(id, hallA, "fabric-a", flags...)).To(Succeed())
-				default:
-				}
-			}
-		}
 		for i := range 12 {
 			for attempt := 0; ; attempt++ {
 				r := deadly(w.Nodes[i%2])
@@ -49,7 +51,7 @@
 				time.Sleep(50 * time.Millisecond)
 			}
 			time.Sleep(300 * time.Millisecond) // an ending is proven by the next probe
-			restart()
+			ended += w.restartEnded(engines, flags...)
 		}
 		Expect(ended).To(And(BeNumerically(">=", 3), BeNumerically("<=", 5)))
 		for _, n := range w.Nodes {
@@ -82,23 +84,12 @@
 			return post(n, "/v1/chat/completions", prompt(shared+text(300)+middle+text(300), 4, false), "Troutmast-Timeout", "2s")
 		}
 		ended := 0
-		restart := func() {
-			for i := range engines {
-				id := fmt.Sprintf("gpu-%d", i+1)
-				select {
-				case <-w.Targets[id].Done():
-					ended++
-					Expect(w.RestartTarget(id, hallA, "fabric-a", flags...)).To(Succeed())
-				default:
-				}
-			}
-		}
 		isAnswered := func(n *lab.Node) func() int { return func() int { return send(n, text(600)).status } }
 		for i := range 16 {
 			Eventually(isAnswered(w.Nodes[i%2]), "15s", "50ms").Should(Equal(200))
 			send(w.Nodes[i%2], passage)
 			time.Sleep(300 * time.Millisecond) // an ending is proven by the next probe
-			restart()
+			ended += w.restartEnded(engines, flags...)
 		}
 		Expect(ended).To(And(BeNumerically(">=", 3), BeNumerically("<=", identified+lateSends)))
 		for _, n := range w.Nodes {
