Try a held part soon only if a sound one may be held

Cause: two fifths of all requests held was taken as a sign that a sound part is held. Now a part is tried after 1 s only if besides either several parts are held or no request with parts was answered for 1 s; otherwise after 30 s.

--- a/coordination/quarantine/ledger.go
+++ b/coordination/quarantine/ledger.go
@@ -144,6 +144,9 @@
 		l.Clear(part, now)
 		cleared = true
 	}
+	if len(r.Parts) > 0 {
+		l.recordAnswered(now)
+	}
 	return cleared
 }
 
--- a/coordination/quarantine/trial.go
+++ b/coordination/quarantine/trial.go
@@ -6,8 +6,8 @@
 	// trialDelay is how long a part of prompts is held back before a request with it is let through again, and how long
 	// after one that ended an instance the next one is.
 	trialDelay = time.Second
-	// rareTrialDelay replaces trialDelay while few requests are held back, as they are for a deadly part.
-	rareTrialDelay = 30 * time.Second
+	// settledTrialDelay replaces trialDelay while nothing tells that a sound part is held back.
+	settledTrialDelay = 30 * time.Second
 	// commonShare is the share of the requests with parts that is not few, minAdmissions the number of requests from
 	// which on it is known.
 	commonShare, minAdmissions = 0.4, 20
@@ -35,6 +35,8 @@
 	next time.Time
 	// admissions counts the recent requests with parts at this node, held those of them with held parts.
 	admissions, held int
+	// answeredAt is when a request with parts last got a complete response at this node.
+	answeredAt time.Time
 }
 
 // trial is what is known of the trials of one part.
@@ -74,6 +76,15 @@
 	return Admission{Held: true, Verdict: verdicts[held[0]]}
 }
 
+// recordAnswered records that a request with parts got a complete response.
+func (l *Ledger) recordAnswered(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.After(l.trials.answeredAt) {
+		l.trials.answeredAt = now
+	}
+}
+
 // count counts a request.
 func (t *trials) count(r Request, held []Fingerprint) {
 	if len(r.Parts) == 0 {
@@ -88,12 +99,25 @@
 	}
 }
 
-// delay returns how long a part is held back before the next request with it is let through.
-func (t *trials) delay() time.Duration {
-	if t.admissions >= minAdmissions && float64(t.held) >= commonShare*float64(t.admissions) {
+// delay returns how long a part is held back before the next request with it is let through. A sound part may be held back
+// if many requests are, and either several parts are suspected of the endings or no request gets a response.
+func (t *trials) delay(verdicts map[Fingerprint]Verdict, now time.Time) time.Duration {
+	isCommon := t.admissions >= minAdmissions && float64(t.held) >= commonShare*float64(t.admissions)
+	if isCommon && (now.Sub(t.answeredAt) > trialDelay || countHeldParts(verdicts, now) > 1) {
 		return trialDelay
 	}
-	return rareTrialDelay
+	return settledTrialDelay
+}
+
+// countHeldParts returns the number of parts that are held back.
+func countHeldParts(verdicts map[Fingerprint]Verdict, now time.Time) int {
+	n := 0
+	for f, v := range verdicts {
+		if f.IsPart() && v.Quarantined(now) {
+			n++
+		}
+	}
+	return n
 }
 
 // begin reports whether to let a request with the given held parts through, and records that it is.
@@ -101,7 +125,7 @@
 	if now.Before(t.next) {
 		return false
 	}
-	wait := t.delay() + time.Duration(len(held)-1)*trialPatience
+	wait := t.delay(verdicts, now) + time.Duration(len(held)-1)*trialPatience
 	for _, part := range held {
 		p := t.of(part, verdicts[part])
 		if p.interrupted >= maxTrialEndings || p.sent >= maxTrials || now.Sub(p.since) < wait {
--- a/coordination/quarantine/trial_test.go
+++ b/coordination/quarantine/trial_test.go
@@ -97,6 +97,43 @@
 	g.Expect(holds(l, 5*time.Minute, "a")).To(BeTrue())
 }
 
+// A deadly part may be in most of the requests. While others with other parts are answered, no sound part is held back, and
+// a trial would only end instances.
+func TestCommonPartIsNotTriedWhileOthersAreAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// alsoHeld is set if another part is suspected of the same endings.
+		alsoHeld bool
+		want     int
+	}{
+		{"the only suspect", false, 0},
+		{"one of two suspects", true, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := newHoldingLedger()
+			if c.alsoHeld {
+				for i := range 4 {
+					endUnderParts(l, fmt.Sprint("more ", i), fmt.Sprint("more ", i), time.Duration(i+1)*time.Second+500*time.Millisecond, "b")
+				}
+			}
+			trials := 0
+			for after := heldSince; after < heldSince+20*time.Second; after += 100 * time.Millisecond {
+				now := start.Add(after)
+				l.RecordComplete(requestWith(fmt.Sprint("sound ", after), "other"), now)
+				r := requestWith(after.String(), "a")
+				if l.Admit(r, true, now).IsTrial {
+					trials++
+					in := instance(fmt.Sprint("trial ", trials))
+					l.RecordInterruption(r, []fleet.Incarnation{in}, now, now.Add(50*time.Millisecond))
+					l.RecordEnding(in, now.Add(60*time.Millisecond))
+				}
+			}
+			g.Expect(trials).To(Equal(c.want))
+		})
+	}
+}
+
 // Requests from before a part was held back may be interrupted by anything while one is let through.
 func TestInterruptionOfEarlierRequestIsNoOutcomeOfTrial(t *testing.T) {
 	g := NewWithT(t)
