Carry on from when the count of a process killed twice is complete

Change: a report says for how long all retries of its node have been counted, and a successor is told so: its share is withheld until that is a window. Ruled out: grants (none in the logs).

Test: TestCountOfProcessKilledTwiceIsIncomplete.

--- a/coordination/retry/restart_test.go
+++ b/coordination/retry/restart_test.go
@@ -69,7 +69,7 @@
 			now := time.Unix(1000, 0)
 			s := retry.NewSharedBudget(b, 1, now)
 			g.Expect(s.IsWithheld(now)).To(BeTrue())
-			s.Inherit(retry.Usage{Attempts: 50, Retries: 12}, now.Add(-c.age), now)
+			s.Inherit(retry.Usage{Attempts: 50, Retries: 12}, time.Time{}, now.Add(-c.age), now)
 			g.Expect(s.IsWithheld(now)).To(BeFalse())
 			taken := 0
 			for s.TryTake(now) {
--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -115,14 +115,15 @@
 	return s.bounds.Slack / float64(s.nodes)
 }
 
-// Inherit adds what the previous process of the node had used at a time, so that this one continues its count.
-func (s *SharedBudget) Inherit(u Usage, at, now time.Time) {
+// Inherit adds what the previous process of the node had used at a time, so that this one continues its count. That one
+// had counted all retries since countsSince, or for a whole window if it is zero.
+func (s *SharedBudget) Inherit(u Usage, countsSince, at, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.isWithheld(now) {
 		return
 	}
-	s.countsSince = time.Time{}
+	s.countsSince = countsSince
 	for range u.Retries {
 		s.addPast(&s.retries, at, now)
 	}
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -87,7 +87,10 @@
 	RetryUse map[state.ServiceName]RetryUse `json:"retry_use,omitempty"`
 	// AwaitsRetries reports whether the process knows nothing of the one before it, so that its part of the retry budgets
 	// is withheld. WantedRetries are the retries to each service that it asks for meanwhile.
-	AwaitsRetries bool                      `json:"awaits_retries,omitempty"`
+	AwaitsRetries bool `json:"awaits_retries,omitempty"`
+	// CountsForMS is for how long all retries of the node have been counted by the process, or by one that it goes on
+	// from, in milliseconds; zero if for a whole window.
+	CountsForMS   int64                     `json:"counts_for_ms,omitempty"`
 	WantedRetries map[state.ServiceName]int `json:"want_retries,omitempty"`
 }
 
@@ -164,6 +167,8 @@
 type PredecessorReport struct {
 	RetryUse map[state.ServiceName]RetryUse `json:"u,omitempty"`
 	AgeMS    int64                          `json:"a"`
+	// CountsForMS is that of the process's last report, counted until now.
+	CountsForMS int64 `json:"c,omitempty"`
 }
 
 // LimitReport is an instance's last announcement of its rate limit, which applies to all nodes together.
--- a/transport/entry/retrybudget.go
+++ b/transport/entry/retrybudget.go
@@ -49,6 +49,8 @@
 	process int64
 	use     map[state.ServiceName]RetryUse
 	at      time.Time
+	// countsSince is since when it counted all retries of its node; zero if for a whole window.
+	countsSince time.Time
 }
 
 // nodeRetryUse is what the current process of a node and the one before it last reported.
@@ -67,7 +69,8 @@
 		}
 		w.RetryUse[service] = RetryUse{Attempts: u.Attempts, Retries: u.Retries}
 	}
-	w.AwaitsRetries = g.IsRetryWithheld(now)
+	w.AwaitsRetries = g.AwaitsInheritance(now)
+	w.CountsForMS = g.RetriesCountedFor(now).Milliseconds()
 	w.WantedRetries = g.WantedRetries(now)
 }
 
@@ -85,6 +88,9 @@
 		u.previous = u.current
 	}
 	u.current = processRetryUse{process: w.Process, use: w.RetryUse, at: now}
+	if w.CountsForMS > 0 {
+		u.current.countsSince = now.Add(-time.Duration(w.CountsForMS) * time.Millisecond)
+	}
 }
 
 // addPredecessor adds to an answer what the process before the sender's had used of its retry budgets. Only a leader to
@@ -104,21 +110,29 @@
 		return
 	}
 	a.Predecessor = &PredecessorReport{RetryUse: u.previous.use, AgeMS: age.Milliseconds()}
+	if since := u.previous.countsSince; !since.IsZero() {
+		a.Predecessor.CountsForMS = max(now.Sub(since).Milliseconds(), 1)
+	}
 	p.n.Count("retry-use.told")
 }
 
-// inheritRetries continues the count of the retry budgets that the previous process of this node had reported.
+// inheritRetries continues the count of the retry budgets that the previous process of this node had reported. What one
+// before that had used still counts, so that the new count is complete only since the previous one was.
 func (n *Node) inheritRetries(r *PredecessorReport) {
 	now := n.clock.Now()
-	if r == nil || !n.gateway.IsRetryWithheld(now) {
+	if r == nil || !n.gateway.AwaitsInheritance(now) {
 		return
 	}
+	var countsSince time.Time
+	if r.CountsForMS > 0 {
+		countsSince = now.Add(-time.Duration(r.CountsForMS) * time.Millisecond)
+	}
 	used := make(map[state.ServiceName]retry.Usage, len(r.RetryUse))
 	for service, u := range r.RetryUse {
 		used[service] = retry.Usage{Attempts: u.Attempts, Retries: u.Retries}
 	}
-	n.gateway.InheritRetries(used, now.Add(-time.Duration(r.AgeMS)*time.Millisecond), now)
-	n.log.WithFields(log.Fields{"used": r.RetryUse, "age_ms": r.AgeMS}).Info("retry budgets inherited")
+	n.gateway.InheritRetries(used, countsSince, now.Add(-time.Duration(r.AgeMS)*time.Millisecond), now)
+	n.log.WithFields(log.Fields{"used": r.RetryUse, "age_ms": r.AgeMS, "counts_for_ms": r.CountsForMS}).Info("retry budgets inherited")
 }
 
 // grantRetries adds to an answer the retries that the leader grants the sender of a status report.
--- a/transport/entry/retrybudget_test.go
+++ b/transport/entry/retrybudget_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
 	"github.com/troutmast/troutmast/coordination/retry"
@@ -108,3 +109,42 @@
 	g.Expect(w.RetryUse["s"].Retries).To(Equal(7), "the next process inherits it, too")
 	g.Expect(n.gateway.RetryBudgets(now)["s"].Attempts).To(Equal(100))
 }
+
+// A process that was killed soon after its start knew nothing of the one before it, whose retries still count. Its successor
+// took its count for complete, and used a whole share again: 603 retries arrived where 559 were allowed.
+func TestCountOfProcessKilledTwiceIsIncomplete(t *testing.T) {
+	g := NewWithT(t)
+	leader, first := numbered(g, "leader", 1), numbered(g, "b", 2)
+	second := numbered(g, "b", 2)
+	for _, n := range []*Node{leader, first, second} {
+		n.gateway.SetRetryBounds(retry.SharedBudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second})
+	}
+	leader.peers.setLeader(true)
+	leader.peers.leaderSince = leader.clock.Now().Add(-time.Hour)
+	tell := func(n *Node) *StatusAnswer {
+		w := n.peers.statusReport()
+		var a StatusAnswer
+		leader.peers.mu.Lock()
+		leader.peers.recordRetryUse(w, leader.clock.Now())
+		leader.peers.mu.Unlock()
+		leader.peers.addPredecessor(&a, w, leader.clock.Now())
+		return &a
+	}
+	advance := func(d time.Duration) {
+		for _, n := range []*Node{leader, first, second} {
+			n.clock.(*clockwork.FakeClock).Advance(d)
+		}
+	}
+	g.Expect(tell(first).Predecessor).To(BeNil())
+	advance(3 * time.Second)
+	tell(first)
+	answer := tell(second)
+	g.Expect(answer.Predecessor.CountsForMS).To(BeEquivalentTo(3000))
+	second.inheritRetries(answer.Predecessor)
+	g.Expect(second.peers.statusReport().AwaitsRetries).To(BeFalse(), "it is told once")
+	g.Expect(second.gateway.IsRetryWithheld(second.clock.Now())).To(BeTrue())
+	advance(6 * time.Second)
+	g.Expect(second.gateway.IsRetryWithheld(second.clock.Now())).To(BeTrue())
+	advance(2 * time.Second)
+	g.Expect(second.gateway.IsRetryWithheld(second.clock.Now())).To(BeFalse())
+}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -133,7 +133,9 @@
 
 	mu      sync.Mutex
 	budgets map[state.ServiceName]*retry.SharedBudget
-	nodes   int
+	// hasInherited is set once the count of the previous process of the node is known.
+	hasInherited bool
+	nodes        int
 }
 
 // New returns a Gateway.
--- a/transport/gateway/retrybudget.go
+++ b/transport/gateway/retrybudget.go
@@ -24,7 +24,7 @@
 	isSameWindow := b.Window == g.Retry.Window
 	g.Retry = b
 	if !isSameWindow {
-		g.CountsSince = g.Clock.Now()
+		g.CountsSince, g.hasInherited = g.Clock.Now(), false
 		clear(g.budgets)
 		return
 	}
@@ -88,17 +88,37 @@
 	return now.Sub(g.CountsSince) < g.Retry.Window
 }
 
-// InheritRetries records what the process of this node before this one had used of its retry budgets at a time.
-func (g *Gateway) InheritRetries(used map[state.ServiceName]retry.Usage, at, now time.Time) {
+// AwaitsInheritance reports whether this node's part of the retry budgets is withheld and nothing is known of the process
+// before this one.
+func (g *Gateway) AwaitsInheritance(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.hasInherited && now.Sub(g.CountsSince) < g.Retry.Window
+}
+
+// RetriesCountedFor returns for how long all retries of this node have been counted, a millisecond at least, or 0 if for a
+// whole window.
+func (g *Gateway) RetriesCountedFor(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if d := now.Sub(g.CountsSince); d < g.Retry.Window {
+		return max(d, time.Millisecond)
+	}
+	return 0
+}
+
+// InheritRetries records what the process of this node before this one had used of its retry budgets at a time. That
+// one had counted all retries since countsSince, or for a whole window if it is zero.
+func (g *Gateway) InheritRetries(used map[state.ServiceName]retry.Usage, countsSince, at, now time.Time) {
 	for service := range used {
 		g.budget(service)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for service, b := range g.budgets {
-		b.Inherit(used[service], at, now)
+		b.Inherit(used[service], countsSince, at, now)
 	}
-	g.CountsSince = time.Time{}
+	g.CountsSince, g.hasInherited = countsSince, true
 }
 
 // RetryBudgets returns the state of this node's share of the retry budget of each service.
