--- a/coordination/quarantine/trial.go
+++ b/coordination/quarantine/trial.go
@@ -8,8 +8,8 @@
 	trialDelay = time.Second
 	// settledTrialDelay replaces trialDelay while nothing tells that a sound part is held back.
 	settledTrialDelay = 30 * time.Second
-	// commonShare is the share of the requests with parts that is not few, minAdmissions the number of requests from
-	// which on it is known.
+	// commonShare is the share of the requests with parts from which on sound ones may be among those held back,
+	// minAdmissions the number of requests from which on the share is known.
 	commonShare, minAdmissions = 0.4, 20
 	// maxAdmissions is the number of requests with parts after which their counts are halved.
 	maxAdmissions = 60
