Let a leader wait in its reads of a restored store

The check now comes after that of the restored store.

Test: TestLeaderWaitsInReadsOfRestoredStore (a wait of 0 before).

--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -117,16 +117,18 @@
 	now := n.clock.Now()
 	wait := n.policy.ConfigWait
 	age, isConfirmed := n.configState.Age()
+	maxAge := unknownAge
 	if leading, _ := n.peers.leadership(); leading {
 		wait = n.policy.ConfigWaitLeading
-		if isConfirmed && age > 2*wait {
-			return 0 // a new leader ended its pending read, which would have confirmed the configuration that it relays
-		}
+		maxAge = 2 * wait // a new leader ended its pending read, which would have confirmed the configuration that it relays
 	} else if n.settings.StrictKeys {
 		wait = min(n.policy.ConfigWait, n.settings.MaxKeyAge/4)
 	}
 	if unsettled := n.eras.settlingTime(now); unsettled > 0 {
-		return min(wait, unsettled)
+		return min(wait, unsettled) // until then no read confirms anything, however soon it returns
+	}
+	if isConfirmed && age > maxAge {
+		return 0
 	}
 	// Keys that could not be confirmed while the store was being restored are about to expire: do not wait.
 	if n.settings.StrictKeys && isConfirmed && age > n.settings.MaxKeyAge/2 {
--- a/transport/entry/follow_test.go
+++ b/transport/entry/follow_test.go
@@ -182,6 +182,23 @@
 	g.Eventually(store.waits, 5*time.Second).Should(Receive(BeZero()))
 }
 
+// After a restoration no read confirms the configuration for a while. A leader that reads without waiting until one does
+// sends the store one read after the other.
+func TestLeaderWaitsInReadsOfRestoredStore(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestNode()
+	clock := n.clock.(*clockwork.FakeClock)
+	n.recordEra(1, "store")
+	n.configState.RecordConfirmation(clock.Now())
+	n.peers.setLeader(true)
+	clock.Advance(n.policy.RestoreSettle / 2)
+	g.Expect(n.configWait()).To(BeZero())
+	n.recordEra(2, "store")
+	g.Expect(n.configWait()).To(BeNumerically(">", 0))
+	clock.Advance(n.policy.RestoreSettle)
+	g.Expect(n.configWait()).To(BeZero())
+}
+
 // After an outage the node whose retry came first had read the store before the leader, which then yielded. Leadership passed
 // through three nodes in 1.2 s, and all others read the store meanwhile.
 func TestLeaderReadsStoreAgainBeforeItYields(t *testing.T) {
