Let the leader schedule requests on groups where halls are far apart

Nodes choose groups by status reports that are some hundred milliseconds old. A group processes prompts one after another, so under load first events are late at all groups in turn, and with long prompts also in calm times. The leader now tracks when the prompts sent to each group will have been processed, sends each request to the group where it waits least, and refuses those that would miss their goal wherever they went, by priority and by team. Nodes ask it for each request and pick a group themselves if no answer comes in time. It applies where the configuration states a delay between halls of at least schedule-min-hall-delay.

Not yet measured on a deployment.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -243,6 +243,16 @@
 	return (*t.pools.Load())[Pool{service, model}]
 }
 
+// Candidate returns the candidate of a pool with an ID, or nil.
+func (t *Table) Candidate(service state.ServiceName, model string, id state.InstanceID) *Candidate {
+	for _, c := range t.Candidates(service, model) {
+		if c.ID == id {
+			return c
+		}
+	}
+	return nil
+}
+
 // Unreachable returns the number of instances of a service, or groups of one of its models, that would be
 // candidates if this node reached them.
 func (t *Table) Unreachable(service state.ServiceName, model string) int {
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -104,6 +104,8 @@
 	PrefillTokensPerSecond float64
 	// StepsPerPass is the number of token steps that are run in one pass.
 	StepsPerPass int
+	// PromptTokensPerPass is the maximum number of prompt tokens that are processed in one pass, or 0 if unknown.
+	PromptTokensPerPass int
 	// MeanPromptTokens and MeanResponseTokens are the mean numbers of prompt and response tokens of a request.
 	MeanPromptTokens   float64
 	MeanResponseTokens float64
@@ -116,6 +118,23 @@
 	// MaxReportAge is the maximum age of the information that an instance reports.
 	MaxReportAge time.Duration
 	Models       []Model
+	// HallDelays are the one-way delays between data halls, as far as the configuration states them.
+	HallDelays []HallDelay
+}
+
+// HallDelay is the one-way delay between two data halls, in either direction.
+type HallDelay struct {
+	From, To state.HallName
+	Delay    time.Duration
+}
+
+// MaxHallDelay returns the longest delay between two data halls, or 0 if none is stated.
+func (e *Engine) MaxHallDelay() time.Duration {
+	var longest time.Duration
+	for i := range e.HallDelays {
+		longest = max(longest, e.HallDelays[i].Delay)
+	}
+	return longest
 }
 
 // Model returns a model by name, or nil.
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -70,6 +70,7 @@
 	log         *log.Logger
 	peers       *peers
 	placement   *placementController
+	schedules   *schedules
 	localHealth localhealth.Monitor
 	leaderLoad  leaderLoad
 	feed        feed
@@ -153,7 +154,10 @@
 		suspectedAt:      map[state.InstanceID]time.Time{},
 		leavingSince:     map[fleet.Incarnation]time.Time{},
 	}
+	n.schedules = newSchedules(n)
 	n.gateway = gateway.New(gateway.Options{
+		Scheduler: n.schedules,
+
 		Clock: clock, Codec: ports.HeaderCodec, Catalogs: n.configState, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
 		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
 	})
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -26,6 +26,8 @@
 type peers struct {
 	n  *Node
 	hc *http.Client
+	// scheduleClient sends the requests for decisions of the scheduler, over connections of their own.
+	scheduleClient *http.Client
 
 	mu    sync.Mutex
 	known map[string]NodeEntry
@@ -42,6 +44,8 @@
 	requestedInterval time.Duration
 	// lastLeaderAddress is the address of the node that last answered as leader.
 	lastLeaderAddress string
+	// leaderAnsweredAt is when that node answered.
+	leaderAnsweredAt time.Time
 	// hasRequests reports whether any node has received requests.
 	hasRequests bool
 	// leaderConfigVersion is the version of the leader's configuration, as of its last answer.
@@ -90,19 +94,23 @@
 	receivedAt time.Time
 }
 
+// maxScheduleConns is the maximum number of idle connections to the leader for scheduling. Requests arrive in bursts.
+const maxScheduleConns = 4
+
 // newPeers returns the peers of a node, none of them known yet.
 func newPeers(n *Node) *peers {
 	dialer := direct.Dialer{Timeout: n.policy.StatusTimeout, AckTimeout: ackTimeout}
 	return &peers{
-		n:             n,
-		hc:            &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}},
-		known:         map[string]NodeEntry{},
-		lastContact:   map[string]time.Time{},
-		backoffUntil:  map[string]time.Time{},
-		statusReports: map[string]receivedReport{},
-		greetedAt:     map[string]time.Time{},
-		retryUse:      map[string]*nodeRetryUse{},
-		clients:       map[string]*connect.Client[StatusReport, StatusAnswer]{},
+		n:              n,
+		hc:             &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}},
+		scheduleClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxScheduleConns, IdleConnTimeout: 30 * time.Second}},
+		known:          map[string]NodeEntry{},
+		lastContact:    map[string]time.Time{},
+		backoffUntil:   map[string]time.Time{},
+		statusReports:  map[string]receivedReport{},
+		greetedAt:      map[string]time.Time{},
+		retryUse:       map[string]*nodeRetryUse{},
+		clients:        map[string]*connect.Client[StatusReport, StatusAnswer]{},
 	}
 }
 
@@ -384,7 +392,17 @@
 func (p *peers) setLastLeader(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastLeaderAddress = address
+	p.lastLeaderAddress, p.leaderAnsweredAt = address, p.n.clock.Now()
+}
+
+// currentLeader returns the address of the node that leads, or "" if none has answered within NodeTimeout.
+func (p *peers) currentLeader(now time.Time) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.leaderAnsweredAt) > p.n.policy.NodeTimeout {
+		return ""
+	}
+	return p.lastLeaderAddress
 }
 
 // greetSilentNodes sends status reports to a few nodes from which none arrived within NodeTimeout. A node
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -12,6 +12,7 @@
 	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/coordination/scheduling"
 	"github.com/troutmast/troutmast/transport/gateway"
 )
 
@@ -32,7 +33,9 @@
 	RateLimit ratelimit.Policy `flag:"rate-limit"`
 	// Partition configures the detection of a partition from all instances, Forwarding the forwarding of
 	// requests to nodes that reach them.
-	Partition  partition.Policy  `flag:"partition"`
+	Partition partition.Policy `flag:"partition"`
+	// Scheduling configures the scheduling of requests by the leader.
+	Scheduling scheduling.Policy `flag:"schedule"`
 	Forwarding forwarding.Policy `flag:"forwarding"`
 }
 
@@ -165,6 +168,7 @@
 		RateLimit:  ratelimit.DefaultPolicy(),
 		Partition:  partition.DefaultPolicy(),
 		Forwarding: forwarding.DefaultPolicy(),
+		Scheduling: scheduling.DefaultPolicy(),
 		Node: NodePolicy{
 			PlanInterval:         100 * time.Millisecond,
 			PlanPause:            25 * time.Millisecond,
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -49,6 +49,7 @@
 		n.peers.run,
 		n.peers.followNodes,
 		n.placement.run,
+		n.every(updateInterval, n.schedules.update),
 		n.watchHealth,
 		n.persistQuarantine,
 		n.every(time.Second, func(context.Context) {
@@ -78,6 +79,7 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(statusReportProcedure, connect.NewUnaryHandler(statusReportProcedure, n.peers.handleStatusReport, statusHandlerOptions()...))
 	peerMux.Handle(indirectProbeProcedure, connect.NewUnaryHandler(indirectProbeProcedure, n.peers.handleIndirectProbe, connect.WithCodec(peer.JSONCodec{})))
+	peerMux.Handle(scheduleProcedure, connect.NewUnaryHandler(scheduleProcedure, n.schedules.handleSchedule, connect.WithCodec(peer.JSONCodec{})))
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("/", n.serveReady)
 	operatorMux := http.NewServeMux()
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -115,7 +115,9 @@
 	PeerPool *direct.Pool
 	Receiver Receiver
 	Demand   *demand.Meter
-	Policy   Policy
+	// Scheduler decides for all nodes which group gets a request; nil if every node does so itself.
+	Scheduler Scheduler
+	Policy    Policy
 	// Retry bounds the retries that all nodes together send to one service. CountsSince is since when the gateway
 	// counts all retries of its node: when the process started or the length of the window last changed, or zero if no other
 	// process ran before.
@@ -186,6 +188,7 @@
 	// demandRecorded reports whether the request counts in this node's demand.
 	demandRecorded bool
 	forwardState
+	scheduleState
 	// hold counts the current attempt in the load of its target.
 	hold *dispatch.InFlightRequest
 	// loadAtPick is the known number of requests in progress at the last target when it was picked.
--- a/transport/gateway/policy.go
+++ b/transport/gateway/policy.go
@@ -11,6 +11,9 @@
 	// NetworkAllowance is subtracted from the time left that is forwarded to an instance, to
 	// allow for network latency.
 	NetworkAllowance time.Duration `flag:"network-allowance" help:"network latency subtracted from the time left that is forwarded to an instance" min:"0s" max:"1s"`
+	// ReturningTimeout is the part of a route's time-out below which the time-out that a caller states shows that
+	// it has already waited for a retry delay. First attempts of some callers state up to 15% less than the route.
+	ReturningTimeout float64 `flag:"returning-timeout" help:"part of a route's time-out below which a caller's time-out marks a retry" min:"0" max:"1"`
 	// ExtraSends is the number of sends of a request allowed beyond the route's maximum of attempts.
 	ExtraSends int `flag:"extra-sends" help:"sends of a request allowed beyond the route's maximum of attempts" min:"0" max:"100"`
 
@@ -50,6 +53,7 @@
 		DefaultTimeout:     time.Minute,
 		MinTimeLeft:        20 * time.Millisecond,
 		NetworkAllowance:   5 * time.Millisecond,
+		ReturningTimeout:   0.85,
 		ExtraSends:         2,
 		ResumeWait:         1500 * time.Millisecond,
 		ResumePoll:         50 * time.Millisecond,
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -44,8 +44,11 @@
 		if refused := c.checkAttemptAllowed(); refused != nil {
 			return refused
 		}
-		target := c.pick()
-		if c.shouldForward(target) {
+		target, refused, ended := c.choose()
+		if ended {
+			return refused
+		}
+		if c.decision.Instance == "" && c.shouldForward(target) {
 			if refused, done := c.forward(); done {
 				return refused
 			}
@@ -57,7 +60,7 @@
 		if target == nil {
 			return c.refuseNoTarget()
 		}
-		if c.sends == 0 && target.IsFull(c.Clock.Now()) {
+		if c.sends == 0 && c.decision.Instance == "" && target.IsFull(c.Clock.Now()) {
 			return refusalWithRetryAfter(CodeOverloaded, c.Policy.OverloadRetryAfter)
 		}
 		if _, held := c.Quarantine.QuarantinedUntil(c.identity); c.sends > 0 && held {
@@ -372,6 +375,7 @@
 func (s *instanceSource) dataReceived(now time.Time) {
 	s.call.StallDetector.recordData(s.watched, now)
 	s.call.hold.RecordFirstEvent()
+	s.call.recordFirstEvent(s.target.ID, now)
 }
 
 // completed records a complete response of the instance. A response that is delimited by the end of its
