--- a/coordination/scheduling/load_test.go
+++ b/coordination/scheduling/load_test.go
@@ -245,7 +245,6 @@
 type byNodes struct {
 	tables  []*dispatch.Table
 	reports []map[state.InstanceID]int
-	ends    int
 }
 
 func (b *byNodes) route(sim *simulation, node int, r *request) (*simGroup, time.Duration) {
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -25,6 +25,8 @@
 	teams   teamUse
 	// nextReturn is when the next refused caller is told to return.
 	nextReturn time.Time
+	// spreads counts the refused callers who could not be given a turn of their own.
+	spreads int
 	// meanPrompt is the mean prompt length, in tokens.
 	meanPrompt ewma
 	// refusedAt is when a request was last refused because the wait was too long.
@@ -230,16 +232,20 @@
 	longest := min(p.policy.MaxRetryAfter, time.Duration(p.policy.MaxRetryShare*float64(r.TimeLeft)))
 	after := p.nextReturn.Sub(now)
 	if after > longest {
-		return max(spread(longest, p.nextReturn), p.policy.MinRetryAfter)
+		p.spreads++
+		return max(spread(longest, p.spreads), p.policy.MinRetryAfter)
 	}
 	p.nextReturn = p.nextReturn.Add(p.returnInterval())
 	return after
 }
 
-// spread returns a duration between a half of longest and longest that differs between calls.
-func spread(longest time.Duration, at time.Time) time.Duration {
-	const steps = 16
-	return longest/2 + longest/2*time.Duration(at.UnixNano()/1000%steps)/steps
+// goldenRatio is the fractional part of the golden ratio: its multiples are spread evenly between whole numbers.
+const goldenRatio = 0.6180339887498949
+
+// spread returns the n-th of a sequence of durations that are spread evenly between a half of longest and longest.
+func spread(longest time.Duration, n int) time.Duration {
+	_, part := math.Modf(float64(n) * goldenRatio)
+	return longest/2 + time.Duration(part*float64(longest/2))
 }
 
 // returnInterval returns the time between two refused callers who return.
--- a/transport/entry/schedule.go
+++ b/transport/entry/schedule.go
@@ -164,7 +164,8 @@
 func (s *schedules) RecordLatency(pool scheduling.Pool, sample scheduling.Sample) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := append(s.samples[pool], LatencySample{Instance: sample.Instance, MS: sample.Latency.Milliseconds()})
+	list := s.samples[pool]
+	list = append(list, LatencySample{Instance: sample.Instance, MS: sample.Latency.Milliseconds()})
 	s.samples[pool] = list[max(len(list)-maxSamples, 0):]
 }
 
