Send no requests into evacuated halls

An operator evacuates a hall by a record of the configuration topic. Nodes did not read these records and kept sending requests to the hall's instances.

Package coordination/evacuation holds the set of evacuated halls with its position in the topic. Nodes read it with the configuration, and leaders relay it beside the configuration (protocol version 4). The candidates leave out evacuated halls, each request is checked again right before it is sent, and requests are refused with the code "evacuated" if nothing else remains. The planner uses no instance of an evacuated hall and does not count its groups. GET /evacuations lists the evacuated halls.

TestEvacuatedHallGetsNoRequests and TestRequestsAreRefusedWhileAllHallsAreEvacuated run three and two nodes with callers.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/demand"
+	"github.com/troutmast/troutmast/coordination/evacuation"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/internal/steady"
 	"github.com/troutmast/troutmast/state"
@@ -98,6 +99,10 @@
 	// unreachable is the number of instances and groups of each pool that would be candidates if this
 	// node reached them.
 	unreachable atomic.Pointer[map[Pool]int]
+	// evacuatedHalls holds the phases of the evacuated halls, evacuated the number of instances and groups of each pool
+	// that would be candidates if their hall were not evacuated.
+	evacuatedHalls evacuation.View
+	evacuated      atomic.Pointer[map[Pool]int]
 	// demand holds the measured demand by model.
 	demand atomic.Pointer[map[Pool]modelDemand]
 }
@@ -107,6 +112,7 @@
 	t := &Table{hall: hall, policy: policy, loads: map[fleet.Incarnation]*load{}}
 	t.pools.Store(&map[Pool][]*Candidate{})
 	t.unreachable.Store(&map[Pool]int{})
+	t.evacuated.Store(&map[Pool]int{})
 	t.demand.Store(&map[Pool]modelDemand{})
 	return t
 }
@@ -167,11 +173,12 @@
 		}
 		if reachable {
 			pools[key] = append(pools[key], cand)
-		} else {
+		} else if t.evacuatedHalls[v.Hall] == evacuation.Admitted {
 			unreachable[key]++
 		}
 	}
 	t.loads = loads
+	t.removeEvacuated(pools)
 	previous := t.pools.Swap(&pools)
 	t.unreachable.Store(&unreachable)
 	d := difference(*previous, pools)
--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -167,13 +167,19 @@
 		alloc = newDemandAllocation(s.engine, s.Demand, &s.policy)
 	}
 	for _, g := range s.groups {
-		if i := s.modelIndex(g.model); i >= 0 && g.failure == "" && g.donorSince.IsZero() && !s.isDraining(g) {
+		if i := s.modelIndex(g.model); i >= 0 && g.failure == "" && g.donorSince.IsZero() && !s.isDraining(g) && !s.isEvacuated(g) {
 			alloc.current[i] += float64(len(g.members))
 		}
 	}
 	return alloc
 }
 
+// isEvacuated reports whether a group's head is in an evacuated hall, so that the group gets no requests.
+func (s *step) isEvacuated(g *group) bool {
+	head := s.headOf(g)
+	return head != nil && head.evacuated
+}
+
 // modelIndex returns the index of a model in the configuration, or -1.
 func (s *step) modelIndex(name string) int {
 	return slices.IndexFunc(s.engine.Models, func(m catalog.Model) bool { return m.Name == name })
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/evacuation"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
@@ -30,6 +31,8 @@
 	// Far reports whether the instance does not answer this node but may answer others. Its
 	// group continues to serve those, but no orders can be sent to it.
 	Far bool
+	// evacuated reports whether the instance's hall is evacuated.
+	evacuated bool
 	// OrderPending reports whether an order to the instance is still unanswered.
 	OrderPending bool
 	// SupersededGroup is the group that the instance last refused to join because it had seen a later epoch.
@@ -39,7 +42,9 @@
 }
 
 // usable reports whether the instance can become a member of a new group.
-func (m *Member) usable() bool { return !m.Lost && !m.Far && !m.Ended && !m.Draining && !m.Unlisted }
+func (m *Member) usable() bool {
+	return !m.Lost && !m.Far && !m.Ended && !m.Draining && !m.Unlisted && !m.evacuated
+}
 
 // hasNoModel reports whether the instance has neither a loaded nor a staged model.
 func (m *Member) hasNoModel() bool { return m.Model == "" && len(m.Staged) == 0 }
@@ -73,6 +78,8 @@
 	// Demand is the demand for each model: the average number of slots that its requests occupy
 	// in groups of pace 1. It is nil if unknown.
 	Demand []float64
+	// Evacuated holds the evacuated halls. Their groups stay formed, but do not count as capacity.
+	Evacuated evacuation.View
 }
 
 // NewPlanner returns a Planner. The function nextEpoch must return a new epoch that is greater
@@ -143,6 +150,7 @@
 	for i := range members {
 		m := &members[i]
 		s.byID[m.ID] = m
+		m.evacuated = p.Evacuated[m.Hall] != evacuation.Admitted
 		s.highestEpoch = max(s.highestEpoch, m.Membership.Epoch)
 		if m.Membership.Group != "" && !m.Ended {
 			s.membersByGroup[m.Membership.Key()] = append(s.membersByGroup[m.Membership.Key()], m)
--- /dev/null
+++ b/transport/entry/evacuation_test.go
@@ -0,0 +1,190 @@
+package entry_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/evacuation"
+	"github.com/troutmast/troutmast/coordination/source"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
+	"github.com/troutmast/troutmast/transport/entry"
+)
+
+// evacuateTimeout is the bound of evacuations in the tests.
+const evacuateTimeout = 5 * time.Second
+
+// hallDeployment is a set of nodes and one plain instance in each hall. Callers send requests to all nodes all the time.
+type hallDeployment struct {
+	t     *testing.T
+	g     *WithT
+	s     *store
+	nodes []*running
+
+	mu sync.Mutex
+	// arrivals holds the times of the requests at the instance of each hall, by the node that sent them.
+	arrivals map[state.HallName]map[string][]time.Time
+}
+
+// newHallDeployment starts a deployment with the given halls and nodes and waits until each node uses all halls.
+func newHallDeployment(t *testing.T, nodes int, halls ...state.HallName) *hallDeployment {
+	d := &hallDeployment{t: t, g: NewWithT(t), s: &store{topics: map[source.Topic][]source.Item{}, era: 1}, arrivals: map[state.HallName]map[string][]time.Time{}}
+	d.s.add(source.Configuration, "config", 1)
+	for _, hall := range halls {
+		d.startInstance(hall)
+	}
+	for range nodes {
+		d.startNode()
+	}
+	for _, hall := range halls {
+		d.waitForArrivals(hall, d.nodes...)
+	}
+	return d
+}
+
+// startInstance starts the instance of a hall and lists it.
+func (d *hallDeployment) startInstance(hall state.HallName) {
+	d.arrivals[hall] = map[string][]time.Time{}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.mu.Lock()
+		d.arrivals[hall][r.Header.Get("Node")] = append(d.arrivals[hall][r.Header.Get("Node")], time.Now())
+		d.mu.Unlock()
+		w.Header().Set("Id", r.Header.Get("Id"))
+	}))
+	d.t.Cleanup(srv.Close)
+	id := "i-" + string(hall)
+	d.s.add(source.Instances, id, fleet.Instance{
+		ID: state.InstanceID(id), Service: "plain", Slots: 4, Hall: hall, Address: netip.MustParseAddrPort(srv.Listener.Addr().String()),
+	})
+}
+
+// startNode starts a node whose seeds are all nodes before it, and callers of it.
+func (d *hallDeployment) startNode() *running {
+	ports := entry.Ports{Decoder: decoder{}, Target: dialTargets{}, HeaderCodec: codec{}}
+	return d.startNodeWith(ports, func(*entry.Settings) {})
+}
+
+// startNodeWith starts a node with the given ports, after tune has changed its settings.
+func (d *hallDeployment) startNodeWith(ports entry.Ports, tune func(*entry.Settings)) *running {
+	var seeds []netip.AddrPort
+	for _, n := range d.nodes {
+		seeds = append(seeds, n.set.PeerAddress)
+	}
+	name := "n" + string(rune('0'+len(d.nodes)))
+	n := startTuned(d.t, d.s, ports, name, func(set *entry.Settings) {
+		set.EvacuateTimeout, set.MaxKeyAge = evacuateTimeout, time.Minute
+		tune(set)
+	}, seeds...)
+	d.nodes = append(d.nodes, n)
+	d.call(n)
+	return n
+}
+
+// call sends requests to a node until the test ends.
+func (d *hallDeployment) call(n *running) {
+	stop, done := make(chan struct{}), make(chan struct{})
+	d.t.Cleanup(func() {
+		close(stop)
+		<-done
+	})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+				d.request(n)
+			}
+		}
+	}()
+}
+
+// request sends a request to a node and returns the status code and the refusal, if any.
+func (d *hallDeployment) request(n *running) (int, string) {
+	req, _ := http.NewRequest(http.MethodGet, "http://"+n.set.CallerAddress.String()+"/x", nil)
+	req.Host = "h"
+	req.Header = http.Header{"Id": {"r1"}, "Key": {"k"}, "Node": {n.set.Name}}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body := make([]byte, 64)
+	length, _ := resp.Body.Read(body)
+	return resp.StatusCode, string(body[:length])
+}
+
+// evacuate writes the record that evacuates a hall, and returns when it was acknowledged.
+func (d *hallDeployment) evacuate(hall state.HallName) time.Time {
+	d.s.add(source.Configuration, evacuation.Key(hall), struct{}{})
+	return time.Now()
+}
+
+// readmit deletes the record that evacuates a hall.
+func (d *hallDeployment) readmit(hall state.HallName) {
+	d.s.drop(source.Configuration, evacuation.Key(hall))
+}
+
+// arrivalsSince returns the number of requests of a node that arrived in a hall after a time.
+func (d *hallDeployment) arrivalsSince(hall state.HallName, n *running, since time.Time) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	count := 0
+	for _, at := range d.arrivals[hall][n.set.Name] {
+		if at.After(since) {
+			count++
+		}
+	}
+	return count
+}
+
+// waitForArrivals waits until requests of each of the nodes arrive in a hall.
+func (d *hallDeployment) waitForArrivals(hall state.HallName, nodes ...*running) {
+	since := time.Now()
+	for _, n := range nodes {
+		d.g.Eventually(func() int { return d.arrivalsSince(hall, n, since) }, 10*time.Second, 10*time.Millisecond).Should(BeNumerically(">", 0), "%s sends nothing to %s", n.set.Name, hall)
+	}
+}
+
+// expectNoArrivals expects that no request of the nodes arrives in a hall from a time on until the given duration has
+// passed after it.
+func (d *hallDeployment) expectNoArrivals(hall state.HallName, from time.Time, duration time.Duration, nodes ...*running) {
+	time.Sleep(time.Until(from.Add(duration)))
+	for _, n := range nodes {
+		d.g.Expect(d.arrivalsSince(hall, n, from)).To(BeZero(), "requests of %s arrived in %s", n.set.Name, hall)
+	}
+}
+
+// Guards against nodes that keep sending requests into an evacuated hall, and against nodes that do not return.
+func TestEvacuatedHallGetsNoRequests(t *testing.T) {
+	d := newHallDeployment(t, 3, "h1", "h2")
+	acknowledged := d.evacuate("h2")
+	d.waitForArrivals("h1", d.nodes...)
+	// The bound is 5 s; with the leader and the store in reach, nodes know within a second.
+	d.expectNoArrivals("h2", acknowledged.Add(2*time.Second), 3*time.Second, d.nodes...)
+	for _, n := range d.nodes {
+		d.g.Expect(status(n.set.CallerAddress, "k")).To(Equal(http.StatusOK))
+	}
+	d.readmit("h2")
+	d.waitForArrivals("h2", d.nodes...)
+}
+
+// Guards against requests that wait for their deadline, or are refused without a reason, while all halls are evacuated.
+func TestRequestsAreRefusedWhileAllHallsAreEvacuated(t *testing.T) {
+	d := newHallDeployment(t, 2, "h1", "h2")
+	d.evacuate("h1")
+	d.evacuate("h2")
+	for _, n := range d.nodes {
+		d.g.Eventually(func() string { _, code := d.request(n); return code }, 5*time.Second).Should(Equal("evacuated\n"))
+		d.g.Expect(status(n.set.CallerAddress, "k")).To(Equal(http.StatusServiceUnavailable))
+	}
+	d.readmit("h1")
+	d.waitForArrivals("h1", d.nodes...)
+}
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -5,6 +5,7 @@
 
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/evacuation"
 	"github.com/troutmast/troutmast/coordination/forwarding"
 	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/coordination/roster"
@@ -51,6 +52,10 @@
 	ConfigVersion int64  `json:"version"`
 	ConfigAgeMS   int64  `json:"age"`
 	Config        []byte `json:"config,omitempty"`
+	// EvacuationsAt is the position of the set of evacuated halls in force at the node, 0 if there is none. Evacuations is
+	// the set itself if it is newer than the leader's.
+	EvacuationsAt int64           `json:"evac_at,omitempty"`
+	Evacuations   *evacuation.Set `json:"evac,omitempty"`
 	// Era is the newest era of the store that the node knows of.
 	Era int64 `json:"era,omitempty"`
 	// Feed and FeedVersion identify the instance changes that the node has: those of the node
@@ -114,6 +119,10 @@
 	ConfigVersion int64  `json:"version"`
 	ConfigAgeMS   int64  `json:"age"`
 	Config        []byte `json:"config,omitempty"`
+	// EvacuationsAt is the position of the set of evacuated halls in force at the answering node, as old as its
+	// configuration; 0 if there is none. Evacuations is the set itself if the sender's is older.
+	EvacuationsAt int64           `json:"evac_at,omitempty"`
+	Evacuations   *evacuation.Set `json:"evac,omitempty"`
 	// Era is the newest era of the store that the node knows of.
 	Era int64 `json:"era,omitempty"`
 	// Changes are the instance changes that the sender lacks, up to the roster version FeedVersion of
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -41,9 +41,7 @@
 			continue
 		}
 		retryDelay = n.policy.StoreRetry
-		for _, item := range tail.Items {
-			n.applyConfig(item.Value, "store")
-		}
+		n.applyConfigRecords(ctx, cursor, tail, reading, startedAt)
 		if tail.AtEnd && reading != source.ReadRestored && n.eras.isCurrent(startedAt) {
 			n.configState.RecordConfirmation(startedAt)
 		}
@@ -54,7 +52,7 @@
 // leavesConfigToLeader reports whether the node leaves reading the configuration to the leader: because it is relayed
 // in time, or because the first answer of a leader is about to come.
 func (n *Node) leavesConfigToLeader(now time.Time) bool {
-	if leading, _ := n.peers.leadership(); leading {
+	if leading, _ := n.peers.leadership(); leading || n.feed.isKnown() && !n.evacuations.areRelayed() {
 		return false
 	}
 	_, hasConfig := n.configState.Age()
--- a/transport/entry/forward.go
+++ b/transport/entry/forward.go
@@ -86,11 +86,12 @@
 	if p.serving != nil && now.Sub(p.servingAt) < p.n.policy.SumInterval {
 		return p.serving
 	}
-	list := appendServing(make([]servingNode, 0, len(p.statusReports)+1), &own)
+	minVersion := p.n.forwardVersion()
+	list := appendServing(make([]servingNode, 0, len(p.statusReports)+1), &own, minVersion)
 	for _, r := range p.statusReports {
 		knowsInstances := r.report.FeedVersion > 0 // a node that has just started does not
 		if knowsInstances && now.Sub(r.receivedAt) < p.n.policy.NodeTimeout {
-			list = appendServing(list, &r.report)
+			list = appendServing(list, &r.report, minVersion)
 		}
 	}
 	p.serving, p.servingAt = list, now
@@ -98,10 +99,10 @@
 }
 
 // appendServing appends the sender of a status report unless it is overloaded or of a build that can't serve
-// requests of other nodes.
-func appendServing(list []servingNode, r *StatusReport) []servingNode {
+// requests of other nodes, which is one of a protocol version below minVersion.
+func appendServing(list []servingNode, r *StatusReport, minVersion int) []servingNode {
 	at, err := netip.ParseAddrPort(r.From.Address)
-	if err != nil || r.Protocol < protocolForwarding || r.IsOverloaded {
+	if err != nil || r.Protocol < minVersion || r.IsOverloaded {
 		return list
 	}
 	return append(list, servingNode{forwarding.Peer{Address: at, Hall: r.From.Hall}, r.Impaired})
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -16,6 +16,7 @@
 	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/evacuation"
 	"github.com/troutmast/troutmast/coordination/forwarding"
 	"github.com/troutmast/troutmast/coordination/localhealth"
 	"github.com/troutmast/troutmast/coordination/partition"
@@ -73,6 +74,7 @@
 	localHealth localhealth.Monitor
 	leaderLoad  leaderLoad
 	feed        feed
+	evacuations evacuations
 	started     time.Time
 	// process identifies this process in status reports.
 	process int64
@@ -153,8 +155,9 @@
 		suspectedAt:      map[state.InstanceID]time.Time{},
 		leavingSince:     map[fleet.Incarnation]time.Time{},
 	}
+	n.evacuations.policy = evacuation.Policy{Bound: set.EvacuateTimeout}
 	n.gateway = gateway.New(gateway.Options{
-		Clock: clock, Codec: ports.HeaderCodec, Catalogs: n.configState, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
+		Clock: clock, Codec: ports.HeaderCodec, Catalogs: servingCatalogs{n.configState, n}, Evacuations: n, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
 		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
 	})
 	n.peers = newPeers(n)
@@ -240,11 +243,12 @@
 	// timedStates covers the changes of instances by the passage of time alone.
 	timedStates uint64
 	exclusions  int64
+	evacuations evacuationState
 }
 
 // candidateInputs returns what the candidates would be built from now.
 func (n *Node) candidateInputs(now time.Time) candidateInputs {
-	return candidateInputs{n.configState.Catalog(), n.roster.Version(), n.roster.TimedStates(now), n.exclusions.Load()}
+	return candidateInputs{n.configState.Catalog(), n.roster.Version(), n.roster.TimedStates(now), n.exclusions.Load(), n.evacuations.state(now)}
 }
 
 // rebuildCandidates rebuilds the candidates when the catalog, an instance, an exclusion or the time changes them.
@@ -264,6 +268,7 @@
 			continue
 		}
 		last = in
+		n.table.SetEvacuated(n.evacuations.view(began))
 		n.logRouting(n.table.Update(in.catalog, n.roster.All(began), n.isExcluded), in.rosterVersion)
 		if pools := n.impairedPools(); !slices.Equal(pools, impaired) {
 			impaired = pools
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -102,6 +102,7 @@
 		planner := p.planner(s)
 		planner.BeforeTraffic = p.node.settings.IsFirstStart && !p.node.peers.anyRequests()
 		planner.Demand = p.plannedDemand(s, flows, now)
+		planner.Evacuated = p.node.evacuations.view(now)
 		members := p.node.roster.Members(s.Name, since, now)
 		instances += len(members)
 		plan := planner.Step(now, members)
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -122,7 +122,9 @@
 }
 
 // isReady reports whether the node can answer callers.
-func (n *Node) isReady() bool { return !n.stopping.Load() && n.configState.Catalog() != nil }
+func (n *Node) isReady() bool {
+	return !n.stopping.Load() && (servingCatalogs{n.configState, n}).Catalog() != nil
+}
 
 // forwardedPollInterval is the time between two checks whether the requests of other nodes have ended.
 const forwardedPollInterval = 20 * time.Millisecond
@@ -142,6 +144,7 @@
 	mux.HandleFunc("GET /quarantine", n.serveQuarantine)
 	mux.HandleFunc("GET /cooldowns", n.serveCooldowns)
 	mux.HandleFunc("GET /limits", n.serveLimits)
+	mux.HandleFunc("GET /evacuations", n.serveEvacuations)
 	mux.HandleFunc("DELETE /quarantine/{fingerprint}", n.serveRelease)
 }
 
--- a/transport/entry/settings.go
+++ b/transport/entry/settings.go
@@ -42,6 +42,9 @@
 	MaxKeyAge  time.Duration
 	// StallTimeout is the time for which a group with a dead member stalls before it reports an error.
 	StallTimeout time.Duration
+	// EvacuateTimeout is the time from the record that evacuates a hall on within which the last request may arrive there;
+	// 0 if the deployment has no evacuations.
+	EvacuateTimeout time.Duration
 	// Retry bounds the retries that all nodes together send to one service.
 	Retry retry.SharedBudgetConfig
 	// Policy holds the tunable parameters of the node.
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -90,6 +90,7 @@
 	if a, ok := n.configState.Age(); ok {
 		w.ConfigAgeMS = ceilMS(a)
 	}
+	n.evacuations.addToReport(w)
 	p.addLimits(w, now)
 	p.addRetryUse(w, now)
 	return w
@@ -113,6 +114,7 @@
 	if len(a.Config) > 0 {
 		n.applyConfig(a.Config, "peer")
 	}
+	n.applyRelayedEvacuations(a, sentAt)
 	if _, version := n.configState.Encoded(); version == a.ConfigVersion && version > 0 {
 		n.configState.RecordConfirmation(sentAt.Add(-time.Duration(a.ConfigAgeMS) * time.Millisecond))
 	}
@@ -201,6 +203,7 @@
 func (p *peers) applyAnswer(a *StatusAnswer, sentAt time.Time) {
 	n := p.n
 	p.applyConfig(a, sentAt)
+	n.evacuations.recordLeader(a.EvacuationsAt)
 	p.applyChanges(a)
 	configAsOf := sentAt.Add(-time.Duration(a.ConfigAgeMS) * time.Millisecond)
 	listAsOf := sentAt.Add(-time.Duration(a.ListAgeMS) * time.Millisecond)
@@ -257,6 +260,8 @@
 	a := &StatusAnswer{CanLead: p.canLead(now), Protocol: protocolVersion, Era: n.eras.current()}
 	p.mu.Unlock()
 	n.applyConfig(w.Config, "peer")
+	n.mergeEvacuations(w.Evacuations, w.From.Name)
+	n.evacuations.addToAnswer(a, w)
 	n.ledger.Merge(w.Ledger.delta(now), quarantine.Source(w.From.Number))
 	for _, s := range w.Suspects {
 		n.placement.recordPeerSuspicion(s.Instance, now.Add(-time.Duration(s.AgeMS)*time.Millisecond))
--- a/transport/entry/version.go
+++ b/transport/entry/version.go
@@ -21,8 +21,10 @@
 	protocolPacked = 2
 	// protocolForwarding is the first version whose nodes serve requests that other nodes forward.
 	protocolForwarding = 3
+	// protocolEvacuation is the first version whose nodes send no requests into evacuated halls and relay the set of them.
+	protocolEvacuation = 4
 	// protocolVersion is the protocol version of this build.
-	protocolVersion = protocolForwarding
+	protocolVersion = protocolEvacuation
 )
 
 // versionBonus is added per protocol version to the capacity that a node reports, in cores. It is
--- a/transport/gateway/backpressure.go
+++ b/transport/gateway/backpressure.go
@@ -19,6 +19,7 @@
 	errCoolingDown = fmt.Errorf("%w: the instance is cooling down", errHeldBack)
 	errLeaving     = fmt.Errorf("%w: the instance is leaving", errHeldBack)
 	errKeysStale   = fmt.Errorf("%w: keys may be stale", errHeldBack)
+	errEvacuated   = fmt.Errorf("%w: the instance's hall is evacuated", errHeldBack)
 	errRateLimited = fmt.Errorf("%w: the instance takes no more requests for now", errHeldBack)
 )
 
@@ -27,12 +28,13 @@
 	errCoolingDown: "held-back.cooling-down",
 	errLeaving:     "held-back.leaving",
 	errKeysStale:   "held-back.keys-may-be-stale",
+	errEvacuated:   "evacuation.held-back",
 	errRateLimited: "held-back.rate-limited",
 }
 
 // checkBeforeSend returns the reason why a request must not be sent to an instance now, or nil. It
 // is called once the connection is established: other requests may have received a cooldown, a
-// rate limit or a leaving notice of the instance during the dial.
+// rate limit or a leaving notice of the instance during the dial, and its hall may have been evacuated.
 func (c *call) checkBeforeSend(target *dispatch.Candidate) error {
 	if _, cooling := c.Backpressure.CooldownUntil(&target.Instance); cooling {
 		return errCoolingDown
@@ -40,6 +42,9 @@
 	if c.Backpressure.IsLeaving(&target.Instance) {
 		return errLeaving
 	}
+	if c.isEvacuated(target) {
+		return errEvacuated
+	}
 	if c.sends == 1 && !c.keyTrusted() {
 		return errKeysStale
 	}
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -156,7 +156,7 @@
 
 // noTargetCodes are the refusals of a peer that would refuse other requests of the pool, too. CodeKeysStale is none of them:
 // it may concern a single key of which the two nodes know different versions.
-var noTargetCodes = []Code{CodeNoTarget, CodeTargetsUnreachable, CodeNoConfig, CodeStopping}
+var noTargetCodes = []Code{CodeNoTarget, CodeTargetsUnreachable, CodeNoConfig, CodeStopping, CodeEvacuated}
 
 // peerOutcome returns what the result of forwardTo shows of the peer.
 func (c *call) peerOutcome(res attemptResult, err error) forwarding.Outcome {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -108,7 +108,9 @@
 	Recorder        Recorder
 	Quarantine      Quarantine
 	Backpressure    Backpressure
-	Pool            *direct.Pool
+	// Evacuations tells which halls are evacuated; nil if none ever is.
+	Evacuations Evacuations
+	Pool        *direct.Pool
 	// Peers chooses the nodes that requests are forwarded to, PeerPool holds the connections to them. Receiver
 	// bounds the requests of other nodes.
 	Peers    Peers
@@ -140,6 +142,9 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
+	if o.Evacuations == nil {
+		o.Evacuations = noEvacuations{}
+	}
 	return &Gateway{
 		Options:       o,
 		StallDetector: newStallDetector(o.Clock, o.FailureDetector, &o.Policy),
