--- a/coordination/evacuation/evacuation.go
+++ b/coordination/evacuation/evacuation.go
@@ -32,6 +32,8 @@
 	// Bound is the time from the operator's record on within which the last request may arrive at an instance of the
 	// hall; 0 if the deployment has no evacuations.
 	Bound time.Duration
+	// RestoreSettle is the time after a restore of the store from a backup within which its records may be incomplete.
+	RestoreSettle time.Duration
 }
 
 // Set is the set of the evacuated halls, in ascending order, as of a position in the configuration topic: it takes into
@@ -39,6 +41,9 @@
 type Set struct {
 	Position int64            `json:"p"`
 	Halls    []state.HallName `json:"h,omitempty"`
+	// IsUnsettled is set if the store was restored from a backup so recently that the sender has not replaced its set yet.
+	// The receiver may have read the backup only: it adds the halls to its own.
+	IsUnsettled bool `json:"u,omitempty"`
 }
 
 // Evacuation is the evacuation of one hall, as a node knows it.
@@ -103,6 +108,10 @@
 	IsIncomplete bool
 	// ConfirmedAt is the latest time as of which the set was known to be current.
 	ConfirmedAt time.Time
+	// knownSince is when the node first knew any set.
+	knownSince time.Time
+	// unsettledUntil is the time until which the node's reads may lack records, according to another node.
+	unsettledUntil time.Time
 	// readTo is the position up to which the node's own reads of the topic have come.
 	readTo int64
 }
@@ -110,7 +119,8 @@
 // Read is the result of one read of the configuration topic.
 type Read struct {
 	source.ReadResult
-	Kind source.ReadKind
+	Kind      source.ReadKind
+	StartedAt time.Time
 	// IsSettled is set unless the store was restored from a backup so recently that its records may be incomplete.
 	IsSettled bool
 }
@@ -121,13 +131,13 @@
 	from, end := k.readTo, source.Position(r.Era, r.NextOffset)
 	k.readTo = end
 	isFull := r.Kind == source.ReadFull || r.Kind == source.ReadRestored
-	isSettled := r.IsSettled && r.Kind != source.ReadRestored
+	isSettled := r.IsSettled && r.Kind != source.ReadRestored && !r.StartedAt.Before(k.unsettledUntil)
 	switch {
 	case isFull && isSettled && (!k.Known || end >= k.Position):
 		return k.replace(apply(nil, r.Items), end, policy, now)
 	case isFull && isSettled:
 		return k, Change{} // a later set is known already
-	case !isFull && isSettled && from <= k.Position && source.Era(k.Position) == r.Era:
+	case !isFull && isSettled && !k.IsIncomplete && from <= k.Position && source.Era(k.Position) == r.Era:
 		later := slices.DeleteFunc(slices.Clone(r.Items), func(it source.Item) bool { return it.Offset < source.Offset(k.Position) })
 		return k.replace(apply(k.halls(), later), max(k.Position, end), policy, now)
 	}
@@ -138,6 +148,13 @@
 func (k Knowledge) Merge(s Set, isSettled bool, policy Policy, now time.Time) (Knowledge, Change) {
 	isNewer := s.Position > k.Position || s.Position == k.Position && k.IsIncomplete
 	switch {
+	case s.IsUnsettled && k.Known && now.Sub(k.knownSince) >= policy.RestoreSettle:
+		return k, Change{} // the node has noticed the restore itself, or started long after it
+	case s.IsUnsettled:
+		if !now.Before(k.unsettledUntil) {
+			k.unsettledUntil = now.Add(policy.RestoreSettle)
+		}
+		return k.add(s.Halls, policy, now)
 	case s.Position == 0 || !isNewer:
 		return k, Change{}
 	case !isSettled:
@@ -154,8 +171,10 @@
 	return k
 }
 
-// NeedsFullRead reports whether the node must read all records of the topic to know a complete set.
-func (k Knowledge) NeedsFullRead() bool { return k.IsIncomplete }
+// NeedsFullRead reports whether the node must read all records of the topic now to know a complete set.
+func (k Knowledge) NeedsFullRead(now time.Time) bool {
+	return k.IsIncomplete && !now.Before(k.unsettledUntil)
+}
 
 // Set returns the set for other nodes.
 func (k Knowledge) Set() Set { return Set{Position: k.Position, Halls: k.halls()} }
@@ -229,6 +248,9 @@
 		ended[hall] = now
 	}
 	slices.Sort(change.Began)
+	if !k.Known {
+		k.knownSince = now
+	}
 	k.Known, k.Position, k.Evacuations, k.EndedAt, k.IsIncomplete = true, position, evacuations, ended, false
 	return k, change
 }
--- a/transport/entry/evacuation.go
+++ b/transport/entry/evacuation.go
@@ -82,8 +82,11 @@
 	return s
 }
 
-// areRelayed reports whether the leader relays the set of evacuated halls, so that the node need not read it itself.
-func (e *evacuations) areRelayed() bool { return !e.isOn() || e.leaderAt.Load() > 0 }
+// areRelayed reports whether the leader relays the set of evacuated halls, so that the node need not read it itself. The
+// leader names no set to a node that has an incomplete one as of the same position.
+func (e *evacuations) areRelayed(now time.Time) bool {
+	return !e.isOn() || e.leaderAt.Load() > 0 && !e.current().NeedsFullRead(now)
+}
 
 // recordLeader records the position of the set that the leader's answer names.
 func (e *evacuations) recordLeader(position int64) { e.leaderAt.Store(position) }
@@ -101,13 +104,15 @@
 }
 
 // addToAnswer adds the position of the set to an answer, and the set itself if the sender of the report has an older one.
-func (e *evacuations) addToAnswer(a *StatusAnswer, w *StatusReport) {
+// While the store's records may be incomplete after a restore, the set is added also for a sender that has read them.
+func (e *evacuations) addToAnswer(a *StatusAnswer, w *StatusReport, isSettled bool) {
 	if !e.isOn() {
 		return
 	}
 	set := e.current().Set()
 	a.EvacuationsAt = set.Position
-	if set.Position > w.EvacuationsAt && w.Protocol >= protocolEvacuation {
+	set.IsUnsettled = !isSettled && source.Era(set.Position) < source.Era(w.EvacuationsAt)
+	if set.Position > w.EvacuationsAt || set.IsUnsettled {
 		a.Evacuations = &set
 	}
 }
@@ -123,14 +128,14 @@
 		return
 	}
 	now := n.clock.Now()
-	read := evacuation.Read{ReadResult: tail, Kind: reading, IsSettled: n.eras.isCurrent(startedAt)}
+	read := evacuation.Read{ReadResult: tail, Kind: reading, StartedAt: startedAt, IsSettled: n.eras.isCurrent(startedAt)}
 	n.recordEvacuations("store", n.evacuations.update(func(k evacuation.Knowledge) (evacuation.Knowledge, evacuation.Change) {
 		return k.ApplyRead(read, n.evacuations.policy, now)
 	}))
 	if tail.AtEnd && reading != source.ReadRestored && read.IsSettled {
 		n.evacuations.confirm(source.Position(tail.Era, tail.NextOffset), startedAt)
 	}
-	if n.evacuations.current().NeedsFullRead() && n.eras.isCurrent(now) {
+	if n.evacuations.current().NeedsFullRead(now) && n.eras.isCurrent(now) {
 		cursor.Reset()
 		n.sleep(ctx, n.policy.StoreRetry) // the set of another node may be ahead of the store's answers
 	}
--- a/transport/entry/evacuation_test.go
+++ b/transport/entry/evacuation_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -106,19 +107,19 @@
 	}()
 }
 
-// request sends a request to a node and returns the status code and the refusal, if any.
-func (d *hallDeployment) request(n *running) (int, string) {
+// request sends a request to a node and returns the code of its refusal, "" if there is none.
+func (d *hallDeployment) request(n *running) string {
 	req, _ := http.NewRequest(http.MethodGet, "http://"+n.set.CallerAddress.String()+"/x", nil)
 	req.Host = "h"
 	req.Header = http.Header{"Id": {"r1"}, "Key": {"k"}, "Node": {n.set.Name}}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0, ""
+		return ""
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body := make([]byte, 64)
 	length, _ := resp.Body.Read(body)
-	return resp.StatusCode, string(body[:length])
+	return strings.TrimSpace(string(body[:length]))
 }
 
 // evacuate writes the record that evacuates a hall, and returns when it was acknowledged.
@@ -182,7 +183,7 @@
 	d.evacuate("h1")
 	d.evacuate("h2")
 	for _, n := range d.nodes {
-		d.g.Eventually(func() string { _, code := d.request(n); return code }, 5*time.Second).Should(Equal("evacuated\n"))
+		d.g.Eventually(func() string { return d.request(n) }, 5*time.Second).Should(Equal("evacuated"))
 		d.g.Expect(status(n.set.CallerAddress, "k")).To(Equal(http.StatusServiceUnavailable))
 	}
 	d.readmit("h1")
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -52,7 +52,7 @@
 // leavesConfigToLeader reports whether the node leaves reading the configuration to the leader: because it is relayed
 // in time, or because the first answer of a leader is about to come.
 func (n *Node) leavesConfigToLeader(now time.Time) bool {
-	if leading, _ := n.peers.leadership(); leading || n.feed.isKnown() && !n.evacuations.areRelayed() {
+	if leading, _ := n.peers.leadership(); leading || n.feed.isKnown() && !n.evacuations.areRelayed(now) {
 		return false
 	}
 	_, hasConfig := n.configState.Age()
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -155,7 +155,7 @@
 		suspectedAt:      map[state.InstanceID]time.Time{},
 		leavingSince:     map[fleet.Incarnation]time.Time{},
 	}
-	n.evacuations.policy = evacuation.Policy{Bound: set.EvacuateTimeout}
+	n.evacuations.policy = evacuation.Policy{Bound: set.EvacuateTimeout, RestoreSettle: n.policy.RestoreSettle}
 	n.gateway = gateway.New(gateway.Options{
 		Clock: clock, Codec: ports.HeaderCodec, Catalogs: servingCatalogs{n.configState, n}, Evacuations: n, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
 		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
