Test that nodes enforce evacuations despite failures

The tests run three nodes with callers and fail the leader, the store, the links between nodes, all processes, and the store's contents during an evacuation.

Tested: TestEvacuationIsEnforcedDespiteFailures, TestNodesReadEvacuationsThemselvesIfLeaderRelaysNone, TestRestoredStoreReadmitsHallOnlyWhenSettled and TestEvacuationOfUnknownHallHasNoEffect pass.

--- a/transport/entry/evacuation_test.go
+++ b/transport/entry/evacuation_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 	mu sync.Mutex
 	// arrivals holds the times of the requests at the instance of each hall, by the node that sent them.
 	arrivals map[state.HallName]map[string][]time.Time
+	// cutNode is the node whose calls of other nodes fail, or nil.
+	cutNode atomic.Pointer[string]
 }
 
 // newHallDeployment starts a deployment with the given halls and nodes and waits until each node uses all halls.
@@ -65,7 +68,7 @@
 	})
 }
 
-// startNode starts a node whose seeds are all nodes before it, and callers of it.
+// startNode starts a node whose seeds are all nodes before it, and callers of it. Nodes lead in the order of their start.
 func (d *hallDeployment) startNode() *running {
 	ports := entry.Ports{Decoder: decoder{}, Target: dialTargets{}, HeaderCodec: codec{}}
 	return d.startNodeWith(ports, func(*entry.Settings) {})
@@ -78,9 +81,11 @@
 		seeds = append(seeds, n.set.PeerAddress)
 	}
 	name := "n" + string(rune('0'+len(d.nodes)))
-	n := startTuned(d.t, d.s, ports, name, func(set *entry.Settings) {
-		set.EvacuateTimeout, set.MaxKeyAge = evacuateTimeout, time.Minute
+	n := startPrepared(d.t, d.s, ports, name, func(set *entry.Settings) {
+		set.EvacuateTimeout, set.MaxKeyAge, set.Capacity = evacuateTimeout, time.Minute, 10-float64(len(d.nodes))
 		tune(set)
+	}, func(node *entry.Node) {
+		node.PartitionFromPeers(func() bool { cut := d.cutNode.Load(); return cut != nil && *cut == name })
 	}, seeds...)
 	d.nodes = append(d.nodes, n)
 	d.call(n)
@@ -189,3 +194,122 @@
 	d.readmit("h1")
 	d.waitForArrivals("h1", d.nodes...)
 }
+
+// stopNode stops a node.
+func (d *hallDeployment) stopNode(n *running) {
+	n.stop()
+	d.g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
+	n.done <- nil
+}
+
+// Guards against requests into an evacuated hall when the way fails by which a node learns of the evacuation. Nodes lead in
+// the order of their start.
+func TestEvacuationIsEnforcedDespiteFailures(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// before is called before the evacuation. after is called when all nodes enforce it, and returns the nodes that
+		// must go on doing so.
+		before func(d *hallDeployment)
+		after  func(d *hallDeployment) []*running
+	}{
+		{"the leader is lost as the evacuation begins", func(d *hallDeployment) {
+			d.nodes[0].stop()
+		}, nil},
+		{"the leader does not reach the store", func(d *hallDeployment) { d.nodes[0].view.setCut(true) }, nil},
+		{"a node does not reach the store", func(d *hallDeployment) { d.nodes[2].view.setCut(true) }, nil},
+		{"a node does not reach other nodes", func(d *hallDeployment) { d.cutNode.Store(&d.nodes[2].set.Name) }, nil},
+		{"the store is silent for all nodes afterwards", nil, func(d *hallDeployment) []*running {
+			for _, n := range d.nodes {
+				n.view.setCut(true)
+			}
+			return d.nodes
+		}},
+		{"a node reaches neither the store nor other nodes afterwards", nil, func(d *hallDeployment) []*running {
+			d.cutNode.Store(&d.nodes[2].set.Name)
+			d.nodes[2].view.setCut(true)
+			return d.nodes
+		}},
+		{"all nodes are replaced during the evacuation", nil, func(d *hallDeployment) []*running {
+			var replaced []*running
+			for _, n := range d.nodes {
+				d.stopNode(n)
+			}
+			for range d.nodes {
+				replaced = append(replaced, d.startNode())
+			}
+			d.waitForArrivals("h1", replaced...)
+			return replaced
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newHallDeployment(t, 3, "h1", "h2")
+			if c.before != nil {
+				c.before(d)
+			}
+			acknowledged := d.evacuate("h2")
+			d.expectNoArrivals("h2", acknowledged.Add(evacuateTimeout), time.Second, d.nodes...)
+			if c.after == nil {
+				return
+			}
+			from := time.Now()
+			nodes := c.after(d)
+			d.waitForArrivals("h1", nodes...)
+			d.expectNoArrivals("h2", from, 3*time.Second, nodes...)
+		})
+	}
+}
+
+// Guards against nodes of this build that rely on a leader of an earlier build, which relays no evacuations. A leader that
+// has no evacuations names no set either.
+func TestNodesReadEvacuationsThemselvesIfLeaderRelaysNone(t *testing.T) {
+	d := newHallDeployment(t, 0, "h1", "h2")
+	ports := entry.Ports{Decoder: decoder{}, Target: dialTargets{}, HeaderCodec: codec{}}
+	d.startNodeWith(ports, func(set *entry.Settings) { set.EvacuateTimeout = 0 })
+	current := []*running{d.startNode(), d.startNode()}
+	d.waitForArrivals("h2", d.nodes...)
+	acknowledged := d.evacuate("h2")
+	d.expectNoArrivals("h2", acknowledged.Add(evacuateTimeout), 2*time.Second, current...)
+	current = append(current, d.startNode())
+	d.waitForArrivals("h1", current...)
+	d.expectNoArrivals("h2", acknowledged.Add(evacuateTimeout), 4*time.Second, current...)
+	d.readmit("h2")
+	d.waitForArrivals("h2", current...)
+}
+
+// Guards against nodes that readmit a hall because the store lost the record in a restore and the operator's side is
+// about to write it again, and against nodes that never readmit it.
+func TestRestoredStoreReadmitsHallOnlyWhenSettled(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		rewritten bool
+	}{
+		{"the record is written again", true},
+		{"the record stays lost", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newHallDeployment(t, 3, "h1", "h2")
+			backup := d.s.copy()
+			acknowledged := d.evacuate("h2")
+			d.expectNoArrivals("h2", acknowledged.Add(3*time.Second), time.Second, d.nodes...)
+			d.s.restore(backup)
+			time.Sleep(time.Second)
+			if c.rewritten {
+				d.evacuate("h2")
+				d.expectNoArrivals("h2", acknowledged.Add(3*time.Second), 8*time.Second, d.nodes...)
+				d.readmit("h2")
+			}
+			d.waitForArrivals("h2", d.nodes...)
+		})
+	}
+}
+
+// Guards against a record that names no hall and still takes effect.
+func TestEvacuationOfUnknownHallHasNoEffect(t *testing.T) {
+	d := newHallDeployment(t, 1, "h1")
+	d.evacuate("h9")
+	time.Sleep(time.Second)
+	d.waitForArrivals("h1", d.nodes...)
+	d.g.Expect(d.request(d.nodes[0])).To(BeEmpty())
+}
