--- /dev/null
+++ b/transport/entry/evacuationrelay_test.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	metrics "github.com/rcrowley/go-metrics"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/evacuation"
+	"github.com/troutmast/troutmast/coordination/source"
+	"github.com/troutmast/troutmast/state"
+)
+
+// evacuationNode returns a node that is not running, in a deployment with evacuations, that knows a set of halls.
+func evacuationNode(position int64, halls ...state.HallName) *observedNode {
+	n := observe(targetsWithoutAnswer{})
+	n.evacuations.policy = evacuation.Policy{Bound: 5 * time.Second, RestoreSettle: n.policy.RestoreSettle}
+	if position > 0 {
+		n.mergeEvacuations(&evacuation.Set{Position: position, Halls: halls}, "store")
+	}
+	return n
+}
+
+// targetsWithoutAnswer is used by nodes that are not running and call no instances.
+type targetsWithoutAnswer struct{ TargetClient }
+
+// answerTo returns a node's answer to another node's status report.
+func answerTo(g *WithT, leader, sender *observedNode) *StatusAnswer {
+	resp, err := leader.peers.handleStatusReport(context.Background(), connect.NewRequest(sender.peers.statusReport()))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Msg.unpack()).To(Succeed())
+	return resp.Msg
+}
+
+// Guards against sets that are sent with every message, and against a newer set that does not reach the leader.
+func TestStatusReportsRelayEvacuations(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		leader, sender    int64
+		inReport, relayed bool
+		want              int64
+	}{
+		{"the leader's set is newer", 9, 5, false, true, 9},
+		{"the sender knows none", 9, 0, false, true, 9},
+		{"the sets are the same", 9, 9, false, false, 9},
+		{"the sender's set is newer", 5, 9, true, false, 9},
+		{"the leader knows none", 0, 9, false, false, 9},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			leader, sender := evacuationNode(c.leader, "a", "b"), evacuationNode(c.sender, "a", "b")
+			sender.evacuations.recordLeader(answerTo(g, leader, sender).EvacuationsAt)
+			w := sender.peers.statusReport()
+			g.Expect(w.Evacuations != nil).To(Equal(c.inReport))
+			a := answerTo(g, leader, sender)
+			g.Expect(a.Evacuations != nil).To(Equal(c.relayed))
+			sender.peers.applyAnswer(a, sender.clock.Now())
+			g.Expect(sender.evacuations.current().Position).To(Equal(c.want))
+			if c.inReport {
+				g.Expect(leader.evacuations.current().Position).To(Equal(c.want))
+			}
+		})
+	}
+}
+
+// Guards against changed messages and refusals in deployments without evacuations.
+func TestDeploymentWithoutEvacuationsIsUnchanged(t *testing.T) {
+	g := NewWithT(t)
+	on, off := evacuationNode(9, "a"), observe(targetsWithoutAnswer{})
+	a := answerTo(g, off, on)
+	g.Expect(a.EvacuationsAt).To(BeZero())
+	g.Expect(a.Evacuations).To(BeNil())
+	off.peers.applyAnswer(answerTo(g, on, off), off.clock.Now())
+	off.mergeEvacuations(&evacuation.Set{Position: 9, Halls: []state.HallName{"a"}}, "b")
+	g.Expect(off.EvacuationPhase("a")).To(Equal(evacuation.Admitted))
+	for _, m := range []any{off.peers.statusReport(), a} {
+		raw, err := json.Marshal(m)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(raw)).NotTo(ContainSubstring("evac"))
+	}
+	g.Expect(off.configState.Apply([]byte("x"))).Error().NotTo(HaveOccurred())
+	g.Expect(off.isReady()).To(BeTrue())
+}
+
+// Guards against a process that serves by the configuration of an earlier build's leader before it knows the evacuations.
+func TestNodeIsNotReadyBeforeItKnowsEvacuations(t *testing.T) {
+	g := NewWithT(t)
+	n := evacuationNode(0)
+	g.Expect(n.configState.Apply([]byte("x"))).Error().NotTo(HaveOccurred())
+	g.Expect(n.isReady()).To(BeFalse())
+	n.mergeEvacuations(&evacuation.Set{Position: 4}, "leader")
+	g.Expect(n.isReady()).To(BeTrue())
+}
+
+// Guards against requests that another node, of a build without evacuations, sends into an evacuated hall.
+func TestEarlierBuildsAreNoPeersDuringEvacuation(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		halls []state.HallName
+		named bool
+	}{
+		{"no hall is evacuated", nil, true},
+		{"a hall is evacuated", []state.HallName{"a"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			leader := evacuationNode(9, c.halls...)
+			recordReport(leader.Node, 3, "hall", func(r *receivedReport) { r.report.Protocol = protocolEvacuation - 1 })
+			recordReport(leader.Node, 4, "hall", func(*receivedReport) {})
+			sender := NodeEntry{Name: "2", Address: testAddress(2).String()}
+			text := fmt.Sprint(leader.peers.peersFor(&sender, []dispatch.Pool{lmPool}))
+			g.Expect(text).To(ContainSubstring(testAddress(4).String()))
+			g.Expect(strings.Contains(text, testAddress(3).String())).To(Equal(c.named))
+		})
+	}
+}
+
+// Guards against an evacuation that an operator can't see.
+func TestEvacuationsAreReported(t *testing.T) {
+	g := NewWithT(t)
+	n := evacuationNode(source.Position(1, 4))
+	n.evacuations.confirm(source.Position(1, 4), n.clock.Now())
+	n.roster.RecordListRead(n.clock.Now())
+	n.clock.Advance(time.Second)
+	n.mergeEvacuations(&evacuation.Set{Position: source.Position(1, 5), Halls: []state.HallName{"", "nowhere"}}, "store")
+	n.clock.Advance(time.Second)
+	for range 3 {
+		n.reportEvacuations()
+	}
+	g.Expect(n.logged("evacuation began")).To(Equal(2))
+	g.Expect(n.logged("evacuation ignored: the hall has no instances")).To(Equal(1), "the instance of the test is in hall \"\"")
+	gauge := metrics.GetOrRegisterGauge("evacuation.halls", n.metrics)
+	g.Expect(gauge.Value()).To(BeEquivalentTo(2))
+	rec := httptest.NewRecorder()
+	n.serveEvacuations(rec, nil)
+	var list evacuationList
+	g.Expect(json.Unmarshal(rec.Body.Bytes(), &list)).To(Succeed())
+	g.Expect(list.Position).To(Equal(source.Position(1, 5)))
+	g.Expect(list.AgeMS).To(BeEquivalentTo(2000))
+	g.Expect(list.Halls).To(Equal([]evacuationEntry{{"", 1000, 1500}, {"nowhere", 1000, 1500}}))
+
+	_, ended := n.EvacuationEndedAt("nowhere")
+	g.Expect(ended).To(BeFalse())
+	n.mergeEvacuations(&evacuation.Set{Position: source.Position(1, 6)}, "store")
+	at, ended := n.EvacuationEndedAt("nowhere")
+	g.Expect(ended).To(BeTrue())
+	g.Expect(at).To(Equal(n.clock.Now()))
+	g.Expect(n.logged("evacuation ended")).To(Equal(2))
+	n.mergeEvacuations(&evacuation.Set{Position: source.Position(1, 7), Halls: []state.HallName{"nowhere"}}, "store")
+	_, ended = n.EvacuationEndedAt("nowhere")
+	g.Expect(ended).To(BeFalse(), "the hall is evacuated again")
+}
+
+// Guards against messages that grow with the system: the set is as long as the number of evacuated halls, whatever the
+// number of nodes and teams, and is sent only when it has changed.
+func TestSizeOfEvacuationsInMessages(t *testing.T) {
+	g := NewWithT(t)
+	size := func(m any) int {
+		raw, err := json.Marshal(m)
+		g.Expect(err).NotTo(HaveOccurred())
+		return len(raw)
+	}
+	halls := []state.HallName{"hall-1", "hall-2", "hall-3", "hall-4", "hall-5"}
+	at := source.Position(3, 1<<20)
+	for _, c := range []struct {
+		name          string
+		known         int64
+		report, extra int
+	}{
+		{"nothing has changed", at, 30, 30},
+		{"the sender's set is older", at - 1, 30, 120},
+	} {
+		sender, leader := evacuationNode(c.known, halls...), evacuationNode(at, halls...)
+		w, a := sender.peers.statusReport(), answerTo(g, leader, sender)
+		report, answer := size(w), size(a)
+		w.EvacuationsAt, w.Evacuations, a.EvacuationsAt, a.Evacuations = 0, nil, 0, nil
+		g.Expect(report-size(w)).To(BeNumerically("<=", c.report), c.name)
+		g.Expect(answer-size(a)).To(BeNumerically("<=", c.extra), c.name)
+	}
+}
+
+// BenchmarkEvacuationCheck measures the check of one instance's hall before a request is sent, with the number of evacuated
+// halls that the name states.
+func BenchmarkEvacuationCheck(b *testing.B) {
+	for _, halls := range [][]state.HallName{nil, {"a"}, {"a", "b", "c", "d"}} {
+		b.Run(fmt.Sprint("halls=", len(halls)), func(b *testing.B) {
+			n := evacuationNode(9, halls...)
+			b.ReportAllocs()
+			for b.Loop() {
+				n.EvacuationPhase("c")
+			}
+		})
+	}
+}
