Keep nodes of earlier builds from evacuated halls

Nodes of builds without evacuations sent requests into evacuated halls during an upgrade. A leader of this build now names the hall's groups to them as groups to avoid, and shows its plain instances as full, as it does for rate limits. Plain instances there are used if there are no others.

Tested: TestEarlierBuildsAreKeptFromEvacuatedHalls and the tests of the relay pass.

--- a/transport/entry/evacuationrelay_test.go
+++ b/transport/entry/evacuationrelay_test.go
@@ -18,6 +18,7 @@
 	"github.com/troutmast/troutmast/coordination/evacuation"
 	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // evacuationNode returns a node that is not running, in a deployment with evacuations, that knows a set of halls.
@@ -124,6 +125,52 @@
 	}
 }
 
+// Guards against requests that nodes of builds without evacuations send into an evacuated hall: they read no set, but apply
+// the list of groups to avoid and the number of requests at each instance.
+func TestEarlierBuildsAreKeptFromEvacuatedHalls(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		version  int
+		halls    []state.HallName
+		after    time.Duration
+		isHidden bool
+	}{
+		{"an earlier build", protocolEvacuation - 1, []state.HallName{"x"}, 5 * time.Second, true},
+		{"a build before the packed answers", protocolPacked - 1, []state.HallName{"x"}, 5 * time.Second, true},
+		{"an earlier build, while the hall serves as a last resort", protocolEvacuation - 1, []state.HallName{"x"}, 0, false},
+		{"an earlier build, another hall is evacuated", protocolEvacuation - 1, []state.HallName{"y"}, 5 * time.Second, false},
+		{"an earlier build, no hall is evacuated", protocolEvacuation - 1, nil, 5 * time.Second, false},
+		{"this build", protocolVersion, []state.HallName{"x"}, 5 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			leader := evacuationNode(8)
+			leader.incarnationNumber.Store(1)
+			g.Expect(leader.configState.Apply([]byte("x"))).Error().NotTo(HaveOccurred())
+			leader.recordStoreRead(leader.clock.Now())
+			leader.evacuations.confirm(8, leader.clock.Now())
+			head := fleet.Instance{ID: "head", Service: "lm", Hall: "x", Slots: 4, Model: "m", Address: testAddress(8), Membership: fleet.Membership{Group: "g", Epoch: 7, State: fleet.Open}}
+			plain := fleet.Instance{ID: "plain", Service: "plain", Hall: "x", Slots: 4, Address: testAddress(7)}
+			leader.roster.ApplyFreshEntry(head, leader.clock.Now())
+			leader.roster.ApplyFreshEntry(plain, leader.clock.Now())
+			leader.mergeEvacuations(&evacuation.Set{Position: 9, Halls: c.halls}, "store")
+			leader.clock.Advance(c.after)
+			leader.recordStoreRead(leader.clock.Now())
+			a := reportAsVersion(g, evacuationNode(0).Node, leader.Node, c.version)
+			g.Expect(a.CanLead).To(BeTrue())
+			if !c.isHidden {
+				g.Expect(a.Avoid).To(BeEmpty())
+				g.Expect(a.InProgress).To(BeEmpty())
+				return
+			}
+			g.Expect(a.Avoid).To(Equal([]GroupEpoch{{Group: "g", Epoch: 7}}))
+			g.Expect(a.InProgress[plain.ID]).To(BeNumerically(">", 4*plain.Slots))
+			held, _ := leader.peers.totals()
+			g.Expect(held).To(BeEmpty(), "the leader's own totals should not change")
+		})
+	}
+}
+
 // Guards against an evacuation that an operator can't see.
 func TestEvacuationsAreReported(t *testing.T) {
 	g := NewWithT(t)
@@ -183,6 +230,7 @@
 		w, a := sender.peers.statusReport(), answerTo(g, leader, sender)
 		report, answer := size(w), size(a)
 		w.EvacuationsAt, w.Evacuations, a.EvacuationsAt, a.Evacuations = 0, nil, 0, nil
+		t.Logf("%s: %d bytes in a report, %d in an answer", c.name, report-size(w), answer-size(a))
 		g.Expect(report-size(w)).To(BeNumerically("<=", c.report), c.name)
 		g.Expect(answer-size(a)).To(BeNumerically("<=", c.extra), c.name)
 	}
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -79,9 +79,11 @@
 	serving   []servingNode
 	servingAt time.Time
 
-	// changes, sharedTotals, sharedNodes and sharedConfig hold what a leader sends to all nodes, packed.
+	// changes, sharedTotals, sharedNodes and sharedConfig hold what a leader sends to all nodes, packed,
+	// sharedEarlierTotals the totals for those of builds without evacuations while a hall is evacuated.
 	changes                                 changeLog
 	sharedTotals, sharedNodes, sharedConfig sharedPart
+	sharedEarlierTotals                     sharedPart
 }
 
 // receivedReport is the last status report of a node and when it arrived.
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -168,13 +168,18 @@
 func (p *peers) addTotals(a *StatusAnswer, w *StatusReport, now time.Time) error {
 	t := totals{Avoid: p.n.placement.excluded(), Staging: p.n.placement.stagings(now)}
 	t.InProgress, t.Demand = p.totals()
+	shared := &p.sharedTotals
+	if w.Protocol < protocolEvacuation && p.n.forwardVersion() == protocolEvacuation {
+		p.n.hideEvacuated(&t, now)
+		shared = &p.sharedEarlierTotals
+	}
 	// Nodes without rate limits get totals of their own, see hideLimited.
 	if w.Protocol < protocolPacked {
 		a.InProgress, a.Demand, a.Avoid, a.Staging = t.InProgress, t.Demand, t.Avoid, t.Staging
 		return nil
 	}
 	var err error
-	a.Totals, err = p.sharedTotals.pack(p.totalsTime(), func() any { return t })
+	a.Totals, err = shared.pack(p.totalsTime(), func() any { return t })
 	return err
 }
 
--- a/transport/entry/version.go
+++ b/transport/entry/version.go
@@ -2,10 +2,13 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/apex/log"
 
+	"github.com/troutmast/troutmast/coordination/evacuation"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // Protocol versions of the status reports between nodes. Builds that name none have version 0.
@@ -62,19 +65,40 @@
 	if len(limits) == 0 {
 		return
 	}
-	inProgress := maps.Clone(a.InProgress)
+	var limited []fleet.Instance
+	for i := range limits {
+		limited = append(limited, n.instance(limits[i].Instance.ID))
+	}
+	a.InProgress, a.Avoid = hideInstances(limited, a.InProgress, a.Avoid)
+}
+
+// hideEvacuated changes totals so that nodes of builds without evacuations send nothing to groups in evacuated halls,
+// and to plain instances there only if there are no others.
+func (n *Node) hideEvacuated(t *totals, now time.Time) {
+	phases := n.evacuations.view(now)
+	var hidden []fleet.Instance
+	for _, v := range n.roster.All(now) {
+		if phases[v.Hall] == evacuation.Closed {
+			hidden = append(hidden, v.Instance)
+		}
+	}
+	t.InProgress, t.Avoid = hideInstances(hidden, t.InProgress, t.Avoid)
+}
+
+// hideInstances returns the given requests in progress and groups to avoid with changes that make instances look full.
+func hideInstances(hidden []fleet.Instance, inProgress map[state.InstanceID]int, avoid []GroupEpoch) (map[state.InstanceID]int, []GroupEpoch) {
+	inProgress = maps.Clone(inProgress)
 	if inProgress == nil {
 		inProgress = map[state.InstanceID]int{}
 	}
-	avoid := a.Avoid
-	for i := range limits {
-		in := n.instance(limits[i].Instance.ID)
+	for i := range hidden {
+		in := &hidden[i]
 		inProgress[in.ID] += inProgressWhenFull * max(in.Slots, 1)
 		if key := in.Membership.Key(); key.Group != "" && in.Membership.Rank == 0 {
 			avoid = append(avoid[:len(avoid):len(avoid)], GroupEpoch{Group: key.Group, Epoch: key.Epoch})
 		}
 	}
-	a.InProgress, a.Avoid = inProgress, avoid
+	return inProgress, avoid
 }
 
 // inProgressWhenFull is the number of requests in progress per slot that is reported for an instance to
--- a/transport/gateway/evacuation.go
+++ b/transport/gateway/evacuation.go
@@ -20,7 +20,7 @@
 // isEvacuated reports whether a target gets no requests because its hall is evacuated.
 func (c *call) isEvacuated(target *dispatch.Candidate) bool {
 	phase := c.Evacuations.EvacuationPhase(target.Hall)
-	return phase != evacuation.Admitted && !phase.MayServe(target.Size > 0, c.servedElsewhere())
+	return !phase.MayServe(target.Size > 0, phase == evacuation.LastResort && c.servedElsewhere())
 }
 
 // servedElsewhere reports whether a hall that is not evacuated has a candidate for the request.
