Let the test of leaders without evacuations run without standbys

The test passed although nodes left the store to such a leader: both of the other nodes were standbys, which read the store in any case. It now runs without standbys.

Tested: TestNodesReadEvacuationsThemselvesIfLeaderRelaysNone passes, and fails if nodes leave the store to a leader that names no set.

--- a/transport/entry/evacuation_test.go
+++ b/transport/entry/evacuation_test.go
@@ -70,12 +70,12 @@
 
 // startNode starts a node whose seeds are all nodes before it, and callers of it. Nodes lead in the order of their start.
 func (d *hallDeployment) startNode() *running {
-	ports := entry.Ports{Decoder: decoder{}, Target: dialTargets{}, HeaderCodec: codec{}}
-	return d.startNodeWith(ports, func(*entry.Settings) {})
+	return d.startNodeWith(func(*entry.Settings) {})
 }
 
-// startNodeWith starts a node with the given ports, after tune has changed its settings.
-func (d *hallDeployment) startNodeWith(ports entry.Ports, tune func(*entry.Settings)) *running {
+// startNodeWith starts a node as startNode does, after tune has changed its settings.
+func (d *hallDeployment) startNodeWith(tune func(*entry.Settings)) *running {
+	ports := entry.Ports{Decoder: decoder{}, Target: dialTargets{}, HeaderCodec: codec{}}
 	var seeds []netip.AddrPort
 	for _, n := range d.nodes {
 		seeds = append(seeds, n.set.PeerAddress)
@@ -284,13 +284,19 @@
 // has no evacuations names no set either.
 func TestNodesReadEvacuationsThemselvesIfLeaderRelaysNone(t *testing.T) {
 	d := newHallDeployment(t, 0, "h1", evacuatedHall)
-	ports := entry.Ports{Decoder: decoder{}, Target: dialTargets{}, HeaderCodec: codec{}}
-	d.startNodeWith(ports, func(set *entry.Settings) { set.EvacuateTimeout = 0 })
-	current := []*running{d.startNode(), d.startNode()}
+	startNode := func(timeout time.Duration) *running {
+		return d.startNodeWith(func(set *entry.Settings) {
+			set.EvacuateTimeout = timeout
+			set.Policy.Node.Standbys = 0 // a standby reads the store in any case
+		})
+	}
+	startNode(0)
+	current := []*running{startNode(evacuateTimeout), startNode(evacuateTimeout)}
 	d.waitForArrivals(evacuatedHall, d.nodes...)
+	time.Sleep(3 * time.Second) // until nodes would leave the store to a leader that relays evacuations
 	acknowledged := d.evacuate(evacuatedHall)
 	d.expectNoArrivals(acknowledged.Add(evacuateTimeout), 2*time.Second, current...)
-	current = append(current, d.startNode())
+	current = append(current, startNode(evacuateTimeout))
 	d.waitForArrivals("h1", current...)
 	d.expectNoArrivals(acknowledged.Add(evacuateTimeout), 4*time.Second, current...)
 	d.readmit(evacuatedHall)
