Check each evacuated hall for instances once

The check for halls without instances copied the whole instance list at each log interval while a hall was evacuated. It now runs once for each hall.

Tested: TestEvacuationsAreReported and TestEvacuationOfUnknownHallHasNoEffect pass.

--- a/transport/entry/evacuation.go
+++ b/transport/entry/evacuation.go
@@ -225,24 +225,30 @@
 		return
 	}
 	now := n.clock.Now()
-	unknown := n.evacuations.current().Set().Halls
-	metrics.GetOrRegisterGauge("evacuation.halls", n.metrics).Update(int64(len(unknown)))
-	if len(unknown) == 0 || n.roster.ListAge(now) >= unknownAge {
+	halls := n.evacuations.current().Set().Halls
+	metrics.GetOrRegisterGauge("evacuation.halls", n.metrics).Update(int64(len(halls)))
+	unchecked := slices.DeleteFunc(halls, func(hall state.HallName) bool {
+		_, checked := n.loggedOnce.Load(checkedHallKey(hall))
+		return checked
+	})
+	if len(unchecked) == 0 || n.roster.ListAge(now) >= unknownAge {
 		return
 	}
+	known := map[state.HallName]bool{}
 	for _, v := range n.roster.All(now) {
-		unknown = slices.DeleteFunc(unknown, func(hall state.HallName) bool { return hall == v.Hall })
+		known[v.Hall] = true
 	}
-	for _, hall := range unknown {
-		if _, logged := n.loggedOnce.LoadOrStore(unknownHallKey(hall), true); !logged {
+	for _, hall := range unchecked {
+		n.loggedOnce.Store(checkedHallKey(hall), true)
+		if !known[hall] {
 			n.Count("evacuation.ignored")
 			n.log.WithField("evacuated", hall).Warn("evacuation ignored: the hall has no instances")
 		}
 	}
 }
 
-// unknownHallKey is the key in Node.loggedOnce for an evacuated hall without instances.
-type unknownHallKey state.HallName
+// checkedHallKey is the key in Node.loggedOnce for an evacuated hall that was checked for instances.
+type checkedHallKey state.HallName
 
 // evacuationEntry is an evacuated hall in the response to an operator.
 type evacuationEntry struct {
