--- a/coordination/placement/evacuation_test.go
+++ b/coordination/placement/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -139,3 +140,50 @@
 		g.Expect(plan.Orders).To(BeEmpty())
 	}
 }
+
+// Guards against groups of an evacuated hall that are not there any more when the hall is readmitted, and against orders to
+// its instances over a whole evacuation, after which the planner uses them again.
+func TestGroupsOfEvacuatedHallOutliveEvacuation(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(1, 3, 8, 1)
+	sim.faultsEnabled = false
+	for _, target := range sim.targets {
+		target.Hall = state.HallName("hall-" + target.Domain)
+		sim.recordChange(target)
+	}
+	sim.setLeading(sim.nodes[0], true)
+	sim.run(10 * time.Second)
+	later := map[state.InstanceID]bool{}
+	addTarget := func() {
+		added := sim.addTarget("d1")
+		added.Hall, later[added.ID] = "hall-d1", true
+		sim.recordChange(added)
+	}
+	groups := func() map[state.InstanceID]fleet.GroupKey {
+		keys := sim.groupKeys()
+		maps.DeleteFunc(keys, func(id state.InstanceID, _ fleet.GroupKey) bool {
+			return sim.targets[id].Domain != "d1" || later[id]
+		})
+		return keys
+	}
+	before := groups()
+	sim.nodes[0].planner.Evacuated = evacuation.View{"hall-d1": evacuation.Closed}
+	var ordered []placement.Action
+	sim.onOrder = func(o placement.Order) {
+		if sim.targets[o.Instance].Domain == "d1" {
+			ordered = append(ordered, o.Action)
+		}
+	}
+	sim.run(20 * time.Second)
+	g.Expect(ordered).To(BeEmpty())
+	addTarget()
+	addTarget()
+	sim.run(5 * time.Second)
+	g.Expect(ordered).To(BeEmpty())
+	g.Expect(groups()).To(Equal(before))
+	sim.nodes[0].planner.Evacuated = nil
+	sim.run(20 * time.Second)
+	g.Expect(groups()).To(Equal(before))
+	g.Expect(ordered).To(ContainElement(placement.Join), "the new instances of the hall form a group")
+	g.Expect(sim.violations).To(BeEmpty())
+}
