Bound the requests of all nodes to cold instances

An instance that has just started handles only cold_per_s requests a second for some time. Nodes did not read how long an instance stays cold, so that after a start all of them sent to the least loaded instance at once.

The roster counts the remaining time down from when the entry was read and relays it with its age. coordination/ratelimit treats a cold instance as one with a rate limit; the lower of that and an announced limit counts. For such limits an Allocator bounds unused grants and tokens together by what remains of the bound on one second after the rate, in proportion to its share of the nodes. A node counts toward a share only while no other Allocator can count it, by a lease that the answers to status reports carry. Nodes of earlier builds are kept away from cold instances.

The history test of announced limits allocated rates only if the test began at a whole 10 ms; it does now in each run.

--- a/coordination/ratelimit/book.go
+++ b/coordination/ratelimit/book.go
@@ -21,6 +21,8 @@
 	// the lock while the count they depend on is 0.
 	active atomic.Int64
 	known  atomic.Int64
+	// coldCount is the number of entries with the limit of a cold instance.
+	coldCount atomic.Int64
 
 	mu      sync.Mutex
 	version uint64
@@ -33,6 +35,7 @@
 // entry is the state of one instance's limit.
 type entry struct {
 	Limit
+	cold cold
 	// version is the version of the Tracker at the last change.
 	version uint64
 	// observedAt is when the instance announced the last change to this node. It is zero if the
@@ -110,8 +113,7 @@
 func (b *Tracker) insert(l Limit, now time.Time) Change {
 	before := b.entries[l.Instance.ID]
 	if before != nil {
-		b.active.Add(-inForceCount(&before.Limit))
-		b.known.Add(-1)
+		b.dropCounts(before)
 	}
 	l.KnownSince = now
 	e := &entry{Limit: l}
@@ -128,6 +130,15 @@
 	return LimitUnchanged
 }
 
+// dropCounts removes an entry from the counts. b.mu is held.
+func (b *Tracker) dropCounts(e *entry) {
+	b.active.Add(-inForceCount(&e.Limit))
+	b.known.Add(-1)
+	if !e.cold.until.IsZero() {
+		b.coldCount.Add(-1)
+	}
+}
+
 // markChanged marks an entry as changed. b.mu is held.
 func (b *Tracker) markChanged(e *entry) {
 	b.version++
@@ -159,7 +170,7 @@
 	return nil
 }
 
-// Limited returns the limit of an incarnation of an instance, in requests a second, and
+// Limited returns the announced limit of an incarnation of an instance, in requests a second, and
 // whether it has one.
 func (b *Tracker) Limited(in fleet.Incarnation) (perSecond float64, limited bool) {
 	if !b.HasActive() {
@@ -174,12 +185,12 @@
 	return e.PerSecond, true
 }
 
-// HasActive reports whether any limit is in force.
-func (b *Tracker) HasActive() bool { return b.active.Load() > 0 }
+// HasActive reports whether any limit, announced or of a cold instance, is in force.
+func (b *Tracker) HasActive() bool { return b.active.Load() > 0 || b.coldCount.Load() > 0 }
 
-// Active returns the limits in force, sorted by instance ID.
+// Active returns the announced limits in force, sorted by instance ID.
 func (b *Tracker) Active() []Limit {
-	if !b.HasActive() {
+	if b.active.Load() == 0 {
 		return nil
 	}
 	return b.collect(func(e *entry) bool { return !e.Ended })
@@ -230,11 +241,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, e := range b.entries {
-		if known(e.Instance) && (!e.Ended || now.Sub(e.AnsweredAt) < b.policy.EndedTTL) {
+		if known(e.Instance) && (!e.Ended || !e.cold.until.IsZero() || now.Sub(e.AnsweredAt) < b.policy.EndedTTL) {
 			continue
 		}
-		b.active.Add(-inForceCount(&e.Limit))
-		b.known.Add(-1)
+		b.dropCounts(e)
 		delete(b.entries, id)
 	}
 	if now.Sub(b.sweptAt) < b.policy.Window {
--- a/coordination/ratelimit/dealer.go
+++ b/coordination/ratelimit/dealer.go
@@ -13,6 +13,11 @@
 	Name string
 	// Usage is the node's use of each instance's rate, from its last status report.
 	Usage map[state.InstanceID]Usage
+	// Echo is the stamp of the last answer that the node had received when it reported Usage. Process identifies its
+	// process. UsesCold is set if it sends requests to cold instances by grants only.
+	Echo     int64
+	Process  int64
+	UsesCold bool
 }
 
 // AllocationInput is the input of one round of issuing grants.
@@ -23,6 +28,8 @@
 	// requests, including those that this node cannot reach.
 	Nodes []NodeUsage
 	Share float64
+	// ColdShare is the same for the limits of cold instances: only nodes that no other Allocator may count.
+	ColdShare float64
 	// Weight returns how many requests a second a node could send to an instance. It is above 0.
 	Weight func(node string, l *Limit) float64
 }
@@ -48,7 +55,9 @@
 	tokens     float64
 	refilledAt time.Time
 	// perSecond is the limit at the last refill.
-	perSecond  float64
+	perSecond float64
+	// isCold is set if the grants are for a cold instance.
+	isCold     bool
 	allotments map[string]*allotment
 }
 
@@ -60,6 +69,11 @@
 	// reports do not include yet.
 	collected   int
 	collectedAt time.Time
+	// inTransit are the grants for a cold instance that the node has collected with each answer and that its reports do
+	// not include yet.
+	inTransit []collection
+	// process is the node's process that reported expired.
+	process int64
 	// expired is the node's last reported number of expired grants. hasReported reports whether
 	// it has reported one.
 	expired     int
@@ -82,7 +96,10 @@
 		if b == nil {
 			b = &bucket{refilledAt: now, allotments: map[string]*allotment{}, perSecond: l.PerSecond}
 		}
-		b.refill(l.PerSecond, r.Share, now, &d.policy)
+		b.isCold = l.MaxInSecond > 0
+		if !b.isCold {
+			b.refill(l.PerSecond, r.Share, now, &d.policy)
+		}
 		buckets[l.Instance.ID] = b
 	}
 	d.buckets = buckets
@@ -90,6 +107,10 @@
 	for i := range r.Limits {
 		l := &r.Limits[i]
 		b := buckets[l.Instance.ID]
+		if b.isCold {
+			d.issueBounded(b, l, &r, now)
+			continue
+		}
 		d.issue(b, l, &r, sent[l.Instance.ID], outstanding[l.Instance.ID]+b.unreported(now, &d.policy), now)
 	}
 }
@@ -104,7 +125,7 @@
 			sent[id] += u.Sent
 			outstanding[id] += u.Unused
 			if b := d.buckets[id]; b != nil {
-				b.reclaim(b.allotment(nodes[i].Name), u.Expired)
+				b.reclaim(b.allotment(nodes[i].Name), nodes[i].Process, u.Expired)
 			}
 		}
 	}
@@ -112,11 +133,15 @@
 }
 
 // reclaim returns the tokens of grants that expired at a node since its last report.
-func (b *bucket) reclaim(a *allotment, expired int) {
-	if a.hasReported && expired > a.expired {
+func (b *bucket) reclaim(a *allotment, process int64, expired int) {
+	isSame := a.hasReported && process == a.process
+	if isSame && expired > a.expired {
 		b.tokens += float64(expired - a.expired)
 	}
-	a.expired, a.hasReported = expired, true
+	if isSame && process != 0 {
+		expired = max(expired, a.expired) // a report that arrives late has a lower number
+	}
+	a.expired, a.process, a.hasReported = expired, process, true
 }
 
 // unreported returns the number of issued grants that no status report includes yet. It takes
@@ -189,8 +214,15 @@
 	for i := range r.Nodes {
 		n := &r.Nodes[i]
 		w := r.Weight(n.Name, l)
+		ttl := d.policy.GrantTTL
+		if b.isCold {
+			ttl = d.policy.ColdGrantTTL
+		}
+		if b.isCold && !n.UsesCold {
+			w = 0
+		}
 		if held := n.Usage[l.Instance.ID].Unused + b.allotments[n.Name].unreported(); held > 0 {
-			w *= useLikelihood(w*d.policy.GrantTTL.Seconds(), held)
+			w *= useLikelihood(w*ttl.Seconds(), held)
 		}
 		d.weights = append(d.weights, w)
 		total += w
@@ -201,7 +233,13 @@
 			return r.Nodes[i].Name
 		}
 	}
-	return r.Nodes[len(r.Nodes)-1].Name
+	// All weights are 0: every node holds more grants than it can be expected to use.
+	for i := range r.Nodes {
+		if n := &r.Nodes[len(r.Nodes)-1-i]; !b.isCold || n.UsesCold {
+			return n.Name
+		}
+	}
+	return ""
 }
 
 // unreported returns the number of grants issued to a node that its status reports do not
@@ -210,7 +248,11 @@
 	if a == nil {
 		return 0
 	}
-	return len(a.uncollected) + a.collected
+	n := len(a.uncollected) + a.collected
+	for _, c := range a.inTransit {
+		n += c.requests
+	}
+	return n
 }
 
 // useLikelihood returns the probability that a node which gets requests gets more than held of
@@ -230,7 +272,8 @@
 }
 
 // Collect returns and clears the uncollected grants of a node whose status report has just arrived.
-func (d *Allocator) Collect(node string, now time.Time) []Grant {
+// stamp identifies the answer; it is higher than that of each earlier answer to the node.
+func (d *Allocator) Collect(node string, stamp int64, now time.Time) []Grant {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var list []Grant
@@ -239,11 +282,17 @@
 		if a == nil {
 			continue
 		}
-		a.collected, a.collectedAt = len(a.uncollected), now
-		if a.collected > 0 {
-			list = append(list, Grant{Instance: id, Requests: a.collected})
+		n := len(a.uncollected)
+		a.uncollected, a.collected = nil, 0
+		switch {
+		case n == 0:
+			continue
+		case b.isCold:
+			a.inTransit = append(a.inTransit, collection{stamp, now, n})
+		default:
+			a.collected, a.collectedAt = n, now
 		}
-		a.uncollected = nil
+		list = append(list, Grant{Instance: id, Requests: n})
 	}
 	return list
 }
--- a/coordination/ratelimit/dealer_test.go
+++ b/coordination/ratelimit/dealer_test.go
@@ -69,7 +69,7 @@
 		}
 		if !now.Before(n.nextReport) {
 			n.usage = n.book.Usage(now)
-			n.book.AddGrants(s.dealer.Collect(n.name, now), now.Add(DefaultPolicy().GrantTTL))
+			n.book.AddGrants(s.dealer.Collect(n.name, 0, now), now.Add(DefaultPolicy().GrantTTL))
 			n.nextReport = now.Add(statusInterval)
 		}
 		for at := rng.ExpFloat64() / n.demand; at < tick.Seconds(); at += rng.ExpFloat64() / n.demand {
@@ -197,16 +197,16 @@
 	deal(10, 200)
 	g.Expect(d.buckets["i"].allotments["n"].uncollected).To(HaveLen(2))
 	deal(1, 250)
-	g.Expect(d.Collect("n", at(260))).To(BeEmpty())
+	g.Expect(d.Collect("n", 0, at(260))).To(BeEmpty())
 	// The ten requests sent under the higher limit count against the lower one.
 	r.Nodes[0].Usage = map[state.InstanceID]Usage{"i": {Sent: 10}}
 	for ms := 300; ms < 5000; ms += 50 {
 		deal(1, ms)
 	}
-	g.Expect(d.Collect("n", at(5000))).To(BeEmpty())
+	g.Expect(d.Collect("n", 0, at(5000))).To(BeEmpty())
 	r.Nodes[0].Usage = map[state.InstanceID]Usage{"i": {Sent: 3}}
 	deal(1, 5050)
-	g.Expect(d.Collect("n", at(5060))).To(Equal([]Grant{{Instance: "i", Requests: 1}}))
+	g.Expect(d.Collect("n", 0, at(5060))).To(Equal([]Grant{{Instance: "i", Requests: 1}}))
 }
 
 // After a pause, tokens and grants from before it are dropped: another node may have issued
@@ -218,9 +218,9 @@
 	d.Allocate(r, at(0))
 	d.Allocate(r, at(200))
 	d.Allocate(r, at(2000))
-	g.Expect(d.Collect("n", at(2000))).To(BeEmpty())
+	g.Expect(d.Collect("n", 0, at(2000))).To(BeEmpty())
 	d.Allocate(r, at(2130))
-	g.Expect(d.Collect("n", at(2130))).To(HaveLen(1))
+	g.Expect(d.Collect("n", 0, at(2130))).To(HaveLen(1))
 }
 
 // A second grant at a node is used only if the node gets two requests while it is valid.
--- a/coordination/ratelimit/grant.go
+++ b/coordination/ratelimit/grant.go
@@ -44,10 +44,10 @@
 
 // Allow reports whether the rate limit of an instance allows a request now.
 func (b *Tracker) Allow(in fleet.Incarnation, now time.Time) bool {
-	return b.allows(in, now, func(e *entry) bool { return len(e.grants) > 0 })
+	return b.allows(in, now, func(e *entry) bool { return !e.isLimited(now) || len(e.grants) > 0 })
 }
 
-// allows reports whether an incarnation of an instance has no limit in force or satisfies
+// allows reports whether an incarnation of an instance has no entry or satisfies
 // allowed. Expired grants are removed before allowed is called.
 func (b *Tracker) allows(in fleet.Incarnation, now time.Time, allowed func(*entry) bool) bool {
 	if !b.HasActive() {
@@ -55,7 +55,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e := b.findInForce(in)
+	e := b.find(in)
 	if e == nil {
 		return true
 	}
@@ -69,7 +69,7 @@
 func (b *Tracker) Take(in fleet.Incarnation, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e := b.findInForce(in); e != nil && !e.consumeGrant(now) {
+	if e := b.find(in); e != nil && e.isLimited(now) && !e.consumeGrant(now) {
 		return false
 	}
 	b.recordCall(in.ID, now)
@@ -114,7 +114,7 @@
 
 // CanProbe reports whether the rate limit of an instance allows a probe now.
 func (b *Tracker) CanProbe(in fleet.Incarnation, by ProbeRequest, now time.Time) bool {
-	return b.allows(in, now, func(e *entry) bool { return e.canProbe(by, now, &b.policy) })
+	return b.allows(in, now, func(e *entry) bool { return e.Ended || e.canProbe(by, now, &b.policy) })
 }
 
 // canProbe reports whether a limited instance may be probed now. Expired grants must have
@@ -177,7 +177,7 @@
 	defer b.mu.Unlock()
 	usage := map[state.InstanceID]Usage{}
 	for id, e := range b.entries {
-		if e.Ended {
+		if !e.isLimited(now) {
 			continue
 		}
 		e.expire(now)
--- a/coordination/ratelimit/policy.go
+++ b/coordination/ratelimit/policy.go
@@ -14,6 +14,14 @@
 	// rate that no longer applies.
 	GrantTTL       time.Duration `flag:"grant-for" help:"lifetime of a grant to send to an instance with a rate limit" min:"50ms" max:"10s"`
 	CollectTimeout time.Duration `flag:"pick-up-within" help:"how long a grant waits for the next status report of its node" min:"50ms" max:"10s"`
+	// ColdGrantTTL is the lifetime of a grant for a cold instance. ColdUse is the fraction of the bound on the
+	// requests to a cold instance in one second that is used: nodes that start on both sides of a network
+	// partition make the shares of the sides add up to somewhat more than one.
+	ColdGrantTTL time.Duration `flag:"cold-grant-for" help:"lifetime of a grant to send to a cold instance" min:"50ms" max:"10s"`
+	ColdUse      float64       `flag:"cold-use" help:"fraction of the bound on requests to a cold instance that is used" min:"0.01" max:"1"`
+	// ColdLease is how long after an answer to its status report a node counts toward the share of the
+	// limits of cold instances that the leader allocates.
+	ColdLease time.Duration `flag:"cold-lease" help:"how long after an answer a node counts toward the share of the limits of cold instances that a leader allocates" min:"100ms" max:"1m"`
 	// MaxRate bounds the rate at which grants are issued for an instance, in requests a second.
 	MaxRate float64 `flag:"max-rate" help:"highest rate at which requests are sent to an instance with a rate limit, in requests a second" min:"1" max:"100000"`
 	// ProbeShare is the fraction of the rate that the leader's probes use. MinProbeInterval
@@ -38,6 +46,9 @@
 		Burst:              time.Second,
 		GrantTTL:           time.Second,
 		CollectTimeout:     500 * time.Millisecond,
+		ColdGrantTTL:       400 * time.Millisecond,
+		ColdUse:            0.95,
+		ColdLease:          1200 * time.Millisecond,
 		MaxRate:            1000,
 		ProbeShare:         0.125,
 		MinProbeInterval:   2 * time.Second,
--- a/coordination/ratelimit/ratelimit.go
+++ b/coordination/ratelimit/ratelimit.go
@@ -26,6 +26,11 @@
 	// made the statement at some time in between.
 	SentAt     time.Time
 	AnsweredAt time.Time
+	// Cause is the reason for a limit in force. MaxInSecond is the number of requests that all nodes together may
+	// send in any one second, or 0 if only the rate is bounded; it applies until ColdUntil.
+	Cause       Cause
+	MaxInSecond float64
+	ColdUntil   time.Time
 	// KnownSince is when this node learned that the instance is limited.
 	KnownSince time.Time
 }
--- a/coordination/ratelimit/size_bench_test.go
+++ b/coordination/ratelimit/size_bench_test.go
@@ -63,7 +63,7 @@
 			}
 			n.usage = n.book.Usage(now)
 			began := time.Now()
-			grants := s.dealer.Collect(n.name, now)
+			grants := s.dealer.Collect(n.name, 0, now)
 			dealTime += time.Since(began)
 			n.book.AddGrants(grants, now.Add(DefaultPolicy().GrantTTL))
 			n.nextReport = now.Add(statusInterval)
--- a/coordination/roster/list.go
+++ b/coordination/roster/list.go
@@ -127,6 +127,9 @@
 	if in.Draining != e.listed.Draining || !e.inList || in.Address != e.listed.Address {
 		r.markChanged(e)
 	}
+	if e.cold.set(in.ColdLeft, now, now) {
+		r.markChanged(e)
+	}
 	e.listed, e.inList, e.restored = in, true, false
 	return e
 }
@@ -184,10 +187,13 @@
 	Leaving bool `json:",omitempty"`
 	// Restored is set if the entry comes from a backup of the list.
 	Restored bool `json:",omitempty"`
+	// ColdAge is the time since the entry was read that states Instance.ColdLeft, which is relayed as of
+	// when the change was made up. Builds that relay no cold times leave both out.
+	ColdAge time.Duration `json:",omitzero"`
 }
 
-// ChangesSince returns the instances that changed after a version, sorted by ID, and the current version.
-func (r *Roster) ChangesSince(after uint64) ([]Change, uint64) {
+// ChangesSince returns the instances that changed after a version, as of now, sorted by ID, and the current version.
+func (r *Roster) ChangesSince(after uint64, now time.Time) ([]Change, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if after == r.version {
@@ -196,7 +202,9 @@
 	var list []Change
 	for _, e := range r.entries {
 		if e.changeVersion > after {
-			list = append(list, Change{Instance: e.current(), Unlisted: !e.inList, Leaving: e.leaving, Restored: e.restored})
+			c := Change{Instance: e.current(), Unlisted: !e.inList, Leaving: e.leaving, Restored: e.restored}
+			c.ColdLeft, c.ColdAge = e.cold.left(now)
+			list = append(list, c)
 		}
 	}
 	slices.SortFunc(list, func(a, b Change) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -229,7 +237,7 @@
 		// The backup contains an entry that this node knows to have been removed since.
 		r.retainKnown(e, c.Instance)
 	default:
-		r.applyRelayedEntry(c.Instance, c.Restored, e, now)
+		r.applyRelayedEntry(c, e, now)
 	}
 	// Leaving is final for an incarnation, whatever this node has read from the list since.
 	if c.Leaving {
@@ -238,11 +246,14 @@
 }
 
 // applyRelayedEntry applies a change relayed by another node for a listed instance. r.mu must be held.
-func (r *Roster) applyRelayedEntry(in fleet.Instance, restored bool, e *entry, now time.Time) {
+func (r *Roster) applyRelayedEntry(c Change, e *entry, now time.Time) {
+	in, restored := c.Instance, c.Restored
 	if e.isLaterIncarnation(in.Born) {
 		r.startIncarnation(e, in, now)
+		e.cold.setRelayed(&c, now)
 	}
 	if in.Position > e.listed.Position {
+		e.cold.setRelayed(&c, now)
 		e.heartbeatAt = now
 		r.clearGone(e)
 	}
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -38,6 +38,7 @@
 	// membership, the model or the staged models in the list last changed.
 	heartbeatAt   time.Time
 	listChangedAt time.Time
+	cold          coldState
 	// restored is set if the entry was read from a backup of the list and no entry
 	// written since is known.
 	restored bool
@@ -114,6 +115,8 @@
 	// unreachable holds the instances that have become unreachable. Those that answer again are removed by the next
 	// scan. It keeps the cost of DueRetries independent of the number of instances that answer.
 	unreachable map[state.InstanceID]struct{}
+	// coldStarts holds how long the instances of each service are cold after a start.
+	coldStarts map[state.ServiceName]time.Duration
 	// hallRetriedAt is when an unreachable instance of a data hall was last returned by DueRetries.
 	hallRetriedAt map[state.HallName]time.Time
 }
@@ -320,6 +323,7 @@
 	listed := e.listed
 	listed.Born, listed.Draining = in.Born, false
 	*e = entry{policy: e.policy, listed: listed, inList: e.inList, unlistedAt: e.unlistedAt, firstSeen: now, listChangedAt: now, latest: in, incarnation: e.incarnation + 1}
+	r.assumeStarted(e, now)
 	r.markChanged(e)
 }
 
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -236,7 +236,7 @@
 	second := fleet.Instance{ID: "i2", Service: "lm", Position: 6}
 	from.ApplyFreshEntry(second, start)
 	relay := func(after uint64, expect int) uint64 {
-		changes, version := from.ChangesSince(after)
+		changes, version := from.ChangesSince(after, start)
 		g.Expect(changes).To(HaveLen(expect))
 		for _, c := range changes {
 			to.ApplyRelayed(c, start.Add(time.Second))
@@ -378,9 +378,9 @@
 	newer := free
 	newer.Position = 9
 	other.ApplyFreshEntry(newer, start)
-	_, before := r.ChangesSince(0)
+	_, before := r.ChangesSince(0, start)
 	r.MarkLeaving(free.Incarnation())
-	changes, _ := r.ChangesSince(before)
+	changes, _ := r.ChangesSince(before, start)
 	g.Expect(changes).To(HaveLen(1))
 	other.ApplyRelayed(changes[0], start)
 	g.Expect(other.IsLeaving(free.Incarnation())).To(BeTrue())
--- a/coordination/roster/view.go
+++ b/coordination/roster/view.go
@@ -63,6 +63,8 @@
 	// Unreachable is set if the instance does not answer, Unlisted if it is no longer in the list.
 	Unreachable bool
 	Unlisted    bool
+	// ColdUntil is when the instance stops being cold at the latest; zero if it is not known to be cold.
+	ColdUntil time.Time
 }
 
 // All returns every instance that has not ended, sorted by ID.
@@ -86,7 +88,7 @@
 
 // view returns the state of the instance for request routing.
 func (e *entry) view(now time.Time) View {
-	v := View{Instance: e.current(), Unreachable: e.lost(now), Unlisted: !e.inList}
+	v := View{Instance: e.current(), Unreachable: e.lost(now), Unlisted: !e.inList, ColdUntil: e.cold.until}
 	v.Draining = v.Draining || e.unlistedTooLong(now)
 	return v
 }
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -133,6 +133,10 @@
 	Name state.ServiceName
 	// MaxConns is the number of connections that one instance accepts from all callers.
 	MaxConns int
+	// ColdStart is how long an instance is cold after a start under traffic, ColdPerSecond the number
+	// of requests that a cold instance can handle a second; 0 if instances of the service are never cold.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/state/fleet/instance.go
+++ b/state/fleet/instance.go
@@ -75,6 +75,9 @@
 	Slots int
 	// Draining is set if the instance shuts down soon and accepts no new requests.
 	Draining bool
+	// ColdLeft is the time for which the instance remains cold, counted from when the entry was read: a
+	// cold instance handles only a few requests a second. It is 0 if the instance is warm.
+	ColdLeft time.Duration `json:",omitzero"`
 	// Model is the model that it has loaded, or had in its last group. Staged are the models that its
 	// host stores.
 	Model      string
--- a/transport/entry/changelog.go
+++ b/transport/entry/changelog.go
@@ -87,7 +87,7 @@
 // closeBatch adds a batch of the changes since the last one, if there are any. l.mu must be held.
 func (l *changeLog) closeBatch(r *roster.Roster, now time.Time) error {
 	listAsOf := now.Add(-r.ListAge(now)) // read first: the changes that follow are at least as new
-	changes, version := r.ChangesSince(l.end)
+	changes, version := r.ChangesSince(l.end, now)
 	if len(changes) > 0 {
 		packed, err := peer.Pack(changes)
 		if err != nil {
@@ -109,7 +109,7 @@
 	if err := l.closeBatch(r, now); err != nil {
 		return err
 	}
-	changes, _ := r.ChangesSince(0) // may contain newer changes than the last batch, which the next one repeats
+	changes, _ := r.ChangesSince(0, now) // may contain newer changes than the last batch, which the next one repeats
 	packed, err := peer.Pack(changes)
 	if err != nil {
 		return err
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -81,6 +81,8 @@
 	// node knows of rate limits and therefore sends requests to limited instances only by grants.
 	Usage      map[state.InstanceID]ratelimit.Usage `json:"usage,omitempty"`
 	UsesGrants bool                                 `json:"by_grants,omitempty"`
+	// Standing is where the node gets its grants for cold instances from; builds without cold instances report none.
+	Standing *ratelimit.Standing `json:"standing,omitempty"`
 	// Process identifies the process of the node. Earlier builds name none.
 	Process int64 `json:"process,omitempty"`
 	// RetryUse is what the process has used of the retry budget of each service with retries in the current window.
@@ -148,6 +150,9 @@
 	// reports whether the leader allocates their rates to all nodes that report to it.
 	Grants         []ratelimit.Grant `json:"grants,omitempty"`
 	AllocatesRates bool              `json:"dealing,omitempty"`
+	// Stamp identifies the answer among those of a leader that allocates the limits of cold instances; the next status
+	// report echoes it.
+	Stamp int64 `json:"stamp,omitempty"`
 	// PossibleNodes is the number of nodes that may be running, if it differs from the number of nodes
 	// that the sender knows.
 	PossibleNodes int `json:"possible,omitempty"`
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -271,7 +271,7 @@
 // because the system has just started, so that a leader will relay it before the first request arrives. It does not read
 // it either while the store fails or has just come back.
 func (n *Node) leavesListToLeader(now time.Time) bool {
-	if leading, _ := n.peers.leadership(); leading {
+	if leading, _ := n.peers.leadership(); leading || n.cold.leaderHidesCold.Load() {
 		return false
 	}
 	hasList := n.roster.ListAge(now) < unknownAge
--- a/transport/entry/limithistory_test.go
+++ b/transport/entry/limithistory_test.go
@@ -40,8 +40,10 @@
 	g     *WithT
 	rng   *rand.Rand
 	clock *clockwork.FakeClock
-	nodes []*historyNode
-	in    fleet.Instance
+	// started is when the history began.
+	started time.Time
+	nodes   []*historyNode
+	in      fleet.Instance
 	// callerRate is the mean rate of requests from callers to each node, per second.
 	callerRate float64
 	// limit is the current limit of the instance, changes are all its limits with their times.
@@ -50,6 +52,11 @@
 	sent       []historySend
 	events     []historyEvent
 	lastNumber int64
+	// decoder decodes the configuration of the nodes, cold is their bound on requests to cold instances.
+	decoder Decoder
+	cold    ratelimit.ColdBound
+	// coldUntil is when the instance stops being cold.
+	coldUntil time.Time
 }
 
 // limitChange is a limit that the instance set at a time; a negative rate is no limit.
@@ -98,12 +105,15 @@
 
 // newLimitHistory returns a history with the given number of nodes, the first of which leads.
 func newLimitHistory(g *WithT, rng *rand.Rand, nodes int, callerRate float64) *limitHistory {
-	h := &limitHistory{g: g, rng: rng, clock: clockwork.NewFakeClock(), callerRate: callerRate, limit: fleet.Unlimited()}
+	h := &limitHistory{g: g, rng: rng, clock: clockwork.NewFakeClock(), callerRate: callerRate, limit: fleet.Unlimited(), decoder: anyConfiguration{}}
+	h.started = h.clock.Now()
 	h.in = fleet.Instance{ID: "i", Service: "plain", Address: testAddress(200)}
 	for range nodes {
 		h.join().stoppedAt = time.Time{}
 	}
-	h.setLeader(h.nodes[0])
+	if nodes > 0 {
+		h.setLeader(h.nodes[0])
+	}
 	return h
 }
 
@@ -111,12 +121,15 @@
 func (h *limitHistory) join() *historyNode {
 	h.lastNumber++
 	name := fmt.Sprint("n", h.lastNumber)
-	set := &Settings{Name: name, Hall: "hall", PeerAddress: testAddress(int(h.lastNumber)), Capacity: 1, Policy: DefaultPolicy()}
-	n := New(set, Ports{Decoder: anyConfiguration{}}, h.clock, &log.Logger{Handler: discard.New()})
+	set := &Settings{Name: name, Hall: "hall", PeerAddress: testAddress(int(h.lastNumber)), Capacity: 1, Policy: DefaultPolicy(), Cold: h.cold}
+	n := New(set, Ports{Decoder: h.decoder}, h.clock, &log.Logger{Handler: discard.New()})
 	n.incarnationNumber.Store(h.lastNumber)
 	n.rateAllocator = ratelimit.NewAllocator(set.Policy.RateLimit, h.rng.Float64)
 	h.g.Expect(n.configState.Apply([]byte("x"))).Error().NotTo(HaveOccurred())
-	n.roster.ApplyFreshEntry(h.in, h.clock.Now())
+	in := h.in
+	in.ColdLeft = max(h.coldUntil.Sub(h.clock.Now()), 0)
+	n.roster.ApplyFreshEntry(in, h.clock.Now())
+	n.rebuildCold()
 	n.peers.setNodesKnown()
 	for _, o := range h.nodes {
 		n.peers.recordNode(o.peers.self())
@@ -175,7 +188,7 @@
 			continue
 		}
 		n.recordStoreRead(now)
-		if now.UnixMilli()%50 == 0 {
+		if now.Sub(h.started)%(50*time.Millisecond) == 0 {
 			n.allocateRates(now)
 		}
 		if !now.Before(n.nextReport) {
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -59,6 +59,7 @@
 	// limits tracks the instances that limit the requests per second from all nodes together.
 	limits        *ratelimit.Tracker
 	rateAllocator *ratelimit.Allocator
+	cold          *coldness
 	pool          *direct.Pool
 	// peerPool holds the connections for requests forwarded to other nodes.
 	peerPool   *direct.Pool
@@ -141,6 +142,7 @@
 		cooldowns:        cooldown.NewTracker(set.Policy.Cooldown),
 		limits:           ratelimit.NewTracker(set.Policy.RateLimit),
 		rateAllocator:    ratelimit.NewAllocator(set.Policy.RateLimit, rand.Float64),
+		cold:             newColdness(set, clock.Now()),
 		log:              logger,
 		started:          clock.Now(),
 		process:          1 + rand.Int64N(math.MaxInt64),
@@ -264,7 +266,7 @@
 			continue
 		}
 		last = in
-		n.logRouting(n.table.Update(in.catalog, n.roster.All(began), n.isExcluded), in.rosterVersion)
+		n.logRouting(n.table.Update(in.catalog, n.coldViews(in.catalog, began), n.isExcluded), in.rosterVersion)
 		if pools := n.impairedPools(); !slices.Equal(pools, impaired) {
 			impaired = pools
 			n.requestStatusReport() // the answer names peers for the impaired pools
--- a/transport/entry/ratelimit.go
+++ b/transport/entry/ratelimit.go
@@ -18,14 +18,24 @@
 
 // RateLimit implements gateway.Backpressure.
 func (n *Node) RateLimit(in *fleet.Instance) (perSecond float64, limited bool) {
-	return n.limits.Limited(in.Incarnation())
+	l, limited := n.limits.LimitOf(in.Incarnation(), n.clock.Now())
+	return l.PerSecond, limited
 }
 
 // CanSend implements gateway.Backpressure.
 func (n *Node) CanSend(i *fleet.Instance) bool { return n.limits.Allow(i.Incarnation(), n.clock.Now()) }
 
 // TrySend implements gateway.Backpressure.
-func (n *Node) TrySend(i *fleet.Instance) bool { return n.limits.Take(i.Incarnation(), n.clock.Now()) }
+func (n *Node) TrySend(i *fleet.Instance) bool {
+	now := n.clock.Now()
+	if n.limits.Take(i.Incarnation(), now) {
+		return true
+	}
+	if l, _ := n.limits.LimitOf(i.Incarnation(), now); l.Cause == ratelimit.CauseCold {
+		n.Count("cold.held-back")
+	}
+	return false
+}
 
 // probeRequest describes this node as the sender of a probe to an instance.
 func (n *Node) probeRequest(id state.InstanceID) ratelimit.ProbeRequest {
@@ -102,6 +112,7 @@
 func (p *peers) addLimits(w *StatusReport, now time.Time) {
 	n := p.n
 	w.Limits = limitReports(n.limits.RecentlyObserved(now), now)
+	n.addStanding(w, now)
 	w.Usage = n.limits.Usage(now)
 	w.UsesGrants = n.limits.HasActive()
 	p.mu.Lock()
@@ -125,9 +136,16 @@
 	if w.Protocol < protocolRateLimits {
 		n.hideLimited(a)
 	}
-	if leading, _ := p.leadership(); leading && w.UsesGrants {
+	if n.hidesCold(w) {
+		n.hideCold(a, now)
+	}
+	leading, _ := p.leadership()
+	if leading && n.settings.Cold.Enabled() {
+		a.Stamp = n.leaderStamp(now)
+	}
+	if leading && w.UsesGrants {
 		a.AllocatesRates = true
-		a.Grants = n.rateAllocator.Collect(w.From.Name, now)
+		a.Grants = n.rateAllocator.Collect(w.From.Name, a.Stamp, now)
 	}
 }
 
@@ -135,7 +153,11 @@
 func (p *peers) mergeLimits(a *StatusAnswer, sentAt time.Time) {
 	n := p.n
 	n.mergeLimits(a.Limits, "leader", n.clock.Now())
-	n.limits.AddGrants(a.Grants, sentAt.Add(n.settings.Policy.RateLimit.GrantTTL))
+	n.limits.ReceiveGrants(a.Grants, sentAt, n.clock.Now())
+	n.cold.leaderHidesCold.Store(n.settings.Cold.Enabled() && a.Protocol < protocolColdInstances)
+	if a.Stamp > 0 {
+		n.cold.allegiance.Follow(a.Feed, a.Stamp, n.clock.Now())
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leaderLimitsVersion, p.leaderNodeCount, p.nodesKnown = a.LimitsVersion, a.PossibleNodes, true
@@ -152,23 +174,30 @@
 	if !n.limits.HasActive() {
 		return
 	}
-	r := ratelimit.AllocationInput{Limits: n.limits.Active()}
-	knownNodes, countedNodes := n.peers.possibleNodes(now), 1
+	r := ratelimit.AllocationInput{Limits: n.limitsToAllocate(now)}
+	knownNodes, countedNodes, countedCold := n.peers.possibleNodes(now), 1, 0
 	leading, _ := n.peers.leadership()
 	switch {
 	case !n.peers.hasAllNodes():
 		return
 	case leading:
-		countedNodes = n.peers.addReportingNodes(&r, now)
+		countedNodes, countedCold = n.peers.addReportingNodes(&r, now)
+		r.ColdShare = min(float64(countedCold)/float64(knownNodes), 1)
 	case n.peers.hasAllocation(now):
 		return
 	default:
-		r.Nodes = []ratelimit.NodeUsage{{Name: n.settings.Name, Usage: n.limits.Usage(now)}}
+		r.Nodes = []ratelimit.NodeUsage{n.ownUsage(now)}
+		r.ColdShare = n.coldShareAlone(r.Limits, knownNodes, now)
 		r.Weight = func(string, *ratelimit.Limit) float64 { return 1 }
 	}
 	r.Share = min(float64(countedNodes)/float64(knownNodes), 1)
 	n.rateAllocator.Allocate(r, now)
-	n.limits.AddGrants(n.rateAllocator.Collect(n.settings.Name, now), now.Add(n.settings.Policy.RateLimit.GrantTTL))
+	n.limits.ReceiveGrants(n.rateAllocator.Collect(n.settings.Name, 0, now), now, now)
+}
+
+// ownUsage returns this node's use of the rates that it allocates.
+func (n *Node) ownUsage(now time.Time) ratelimit.NodeUsage {
+	return ratelimit.NodeUsage{Name: n.settings.Name, Usage: n.limits.Usage(now), Echo: ratelimit.EchoOwn, Process: n.process, UsesCold: true}
 }
 
 // hasAllocation reports whether a leader allocated rates for this node within NodePolicy.NodeTimeout.
@@ -183,22 +212,31 @@
 
 // addReportingNodes adds to an allocation round the nodes that send by grants: this one and those that
 // report to it, each with its demand. It returns the number of nodes whose share of the rate may be
-// allocated. Nodes of earlier builds count too, since they are kept away from limited instances.
-func (p *peers) addReportingNodes(r *ratelimit.AllocationInput, now time.Time) (counted int) {
+// allocated, and those whose share of the limits of cold instances may be. Nodes of earlier builds count too,
+// since they are kept away from limited instances.
+func (p *peers) addReportingNodes(r *ratelimit.AllocationInput, now time.Time) (counted, countedCold int) {
 	n := p.n
 	requestRates := map[string]map[servedModel]float64{n.settings.Name: byModel(n.demand.Flows(now))}
-	r.Nodes = []ratelimit.NodeUsage{{Name: n.settings.Name, Usage: n.limits.Usage(now)}}
+	r.Nodes = []ratelimit.NodeUsage{n.ownUsage(now)}
 	counted = 1
+	if n.isSettled(now) {
+		countedCold = 1
+	}
 	p.mu.Lock()
 	for name, h := range p.statusReports {
 		if now.Sub(h.receivedAt) >= n.policy.NodeTimeout || h.report.Protocol >= protocolRateLimits && !h.report.UsesGrants {
 			continue
 		}
 		counted++
+		if n.isCounted(&h.report, now) {
+			countedCold++
+		}
 		if h.report.Protocol < protocolRateLimits {
 			continue
 		}
-		r.Nodes = append(r.Nodes, ratelimit.NodeUsage{Name: name, Usage: h.report.Usage})
+		r.Nodes = append(r.Nodes, ratelimit.NodeUsage{
+			Name: name, Usage: h.report.Usage, Echo: n.echoOf(&h.report), Process: h.report.Process, UsesCold: h.report.Standing != nil,
+		})
 		requestRates[name] = byModel(h.report.Demand)
 	}
 	p.mu.Unlock()
@@ -211,7 +249,7 @@
 	r.Weight = func(node string, l *ratelimit.Limit) float64 {
 		return requestRates[node][models[l.Instance.ID]] + minWeight
 	}
-	return counted
+	return counted, countedCold
 }
 
 // servedModel identifies a model of a service. The model of a service without an engine is empty.
@@ -245,6 +283,7 @@
 		v, known := n.roster.Get(in.ID, now)
 		return known && !v.Incarnation().StartedAfter(in)
 	})
+	n.logCold(now)
 	metrics.GetOrRegisterGauge("rate-limit.active", n.metrics).Update(int64(len(n.limits.Active())))
 }
 
@@ -252,7 +291,10 @@
 type limitState struct {
 	Instance  state.InstanceID `json:"instance"`
 	PerSecond float64          `json:"per_second"`
-	SinceMS   int64            `json:"since_ms"`
+	// Cause is why the instance is limited. WarmInMS is how long it remains cold.
+	Cause    ratelimit.Cause `json:"cause"`
+	WarmInMS int64           `json:"warm_in_ms,omitempty"`
+	SinceMS  int64           `json:"since_ms"`
 	// AnsweredMS is how long ago the instance last announced the limit to this node or, when the limit last
 	// changed, to another node.
 	AnsweredMS int64 `json:"said_ms"`
@@ -265,11 +307,17 @@
 	now := n.clock.Now()
 	usage := n.limits.Usage(now)
 	list := []limitState{}
-	for _, l := range n.limits.Active() {
-		list = append(list, limitState{
-			Instance: l.Instance.ID, PerSecond: l.PerSecond, SinceMS: now.Sub(l.KnownSince).Milliseconds(), AnsweredMS: now.Sub(l.AnsweredAt).Milliseconds(),
-			Usage: usage[l.Instance.ID],
-		})
+	for _, l := range n.limits.InForce(now) {
+		s := limitState{
+			Instance: l.Instance.ID, PerSecond: l.PerSecond, Cause: l.Cause, SinceMS: now.Sub(l.KnownSince).Milliseconds(), Usage: usage[l.Instance.ID],
+		}
+		if l.Cause == ratelimit.CauseAnnounced {
+			s.AnsweredMS = now.Sub(l.AnsweredAt).Milliseconds()
+		}
+		if l.MaxInSecond > 0 {
+			s.WarmInMS = l.ColdUntil.Sub(now).Milliseconds()
+		}
+		list = append(list, s)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(list); err != nil {
--- a/transport/entry/ratelimit_test.go
+++ b/transport/entry/ratelimit_test.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
+	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
@@ -74,7 +75,7 @@
 	mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/limits", nil))
 	var list []limitState
 	g.Expect(json.Unmarshal(w.Body.Bytes(), &list)).To(Succeed())
-	g.Expect(list).To(Equal([]limitState{{Instance: "i", PerSecond: 2.5, SinceMS: 1000, AnsweredMS: 1000}}))
+	g.Expect(list).To(Equal([]limitState{{Instance: "i", PerSecond: 2.5, Cause: ratelimit.CauseAnnounced, SinceMS: 1000, AnsweredMS: 1000}}))
 }
 
 // spend takes all tokens of a node for an instance and returns how many there were.
--- a/transport/entry/settings.go
+++ b/transport/entry/settings.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/state"
 )
@@ -44,6 +45,8 @@
 	StallTimeout time.Duration
 	// Retry bounds the retries that all nodes together send to one service.
 	Retry retry.SharedBudgetConfig
+	// Cold bounds the requests of all nodes to a cold instance. Without it, cold instances are treated as warm.
+	Cold ratelimit.ColdBound
 	// Policy holds the tunable parameters of the node.
 	Policy Policy
 }
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -150,7 +150,7 @@
 	}
 	if w.Protocol < protocolPacked {
 		a.ListAgeMS = ceilMS(n.roster.ListAge(now))
-		a.Changes, a.FeedVersion = n.roster.ChangesSince(after)
+		a.Changes, a.FeedVersion = n.roster.ChangesSince(after, now)
 		return nil
 	}
 	changes, err := p.changes.since(after, n.roster, now)
@@ -167,7 +167,7 @@
 	t := totals{Avoid: p.n.placement.excluded(), Staging: p.n.placement.stagings(now)}
 	t.InProgress, t.Demand = p.totals()
 	// Nodes without rate limits get totals of their own, see hideLimited.
-	if w.Protocol < protocolPacked {
+	if w.Protocol < protocolPacked || p.n.hidesCold(w) {
 		a.InProgress, a.Demand, a.Avoid, a.Staging = t.InProgress, t.Demand, t.Avoid, t.Staging
 		return nil
 	}
--- a/transport/entry/version.go
+++ b/transport/entry/version.go
@@ -5,6 +5,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/state"
 )
 
@@ -21,8 +22,11 @@
 	protocolPacked = 2
 	// protocolForwarding is the first version whose nodes serve requests that other nodes forward.
 	protocolForwarding = 3
+	// protocolColdInstances is the first version whose nodes send requests to cold instances by grants, and relay cold
+	// times.
+	protocolColdInstances = 4
 	// protocolVersion is the protocol version of this build.
-	protocolVersion = protocolForwarding
+	protocolVersion = protocolColdInstances
 )
 
 // versionBonus is added per protocol version to the capacity that a node reports, in cores. It is
@@ -56,7 +60,11 @@
 // limited instances. Such a node sends no requests to groups in Avoid, and skips instances that
 // look full.
 func (n *Node) hideLimited(a *StatusAnswer) {
-	limits := n.limits.Active()
+	n.hide(a, n.limits.Active())
+}
+
+// hide changes an answer so that its receiver sends nothing to the instances with the given limits.
+func (n *Node) hide(a *StatusAnswer, limits []ratelimit.Limit) {
 	if len(limits) == 0 {
 		return
 	}
