Merge the limits of cold instances

An evacuated hall that is readmitted counts as cold. The scheduler leaves out groups with a rate limit; nodes use their grants for them first.

--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -33,12 +33,15 @@
 			pool = pool[:0]
 		}
 		if allFull || !isFull {
-			pool = append(pool, scoredCandidate{c, t.cost(c), float64(max(c.Slots, 1))})
+			pool = append(pool, scoredCandidate{c, t.cost(c), float64(max(c.Slots, 1)), c.isMetered(now)})
 		}
 	}
 	if len(pool) == 0 {
 		return nil
 	}
+	if c, ok := pickMetered(pool); ok {
+		return c.Candidate
+	}
 	maxShare := t.policy.MaxShare
 	if pool[0].Size == 0 {
 		maxShare = 0
@@ -47,6 +50,20 @@
 	return pickWeighted(pool, max(arrivals, 1), maxShare).Candidate
 }
 
+// PickRandom returns a random candidate that is not full and for which avoid returns false, or nil.
+func (t *Table) PickRandom(service state.ServiceName, model string, now time.Time, avoid func(*Candidate) bool) *Candidate {
+	var list []*Candidate
+	for _, c := range t.Candidates(service, model) {
+		if !avoid(c) && !c.IsFull(now) {
+			list = append(list, c)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return list[rand.IntN(len(list))]
+}
+
 // PickLeastLoaded returns the candidate with the fewest known requests in flight, or nil.
 // It skips candidates for which avoid returns true.
 func (t *Table) PickLeastLoaded(service state.ServiceName, model string, avoid func(*Candidate) bool) *Candidate {
@@ -65,6 +82,33 @@
 	*Candidate
 	cost  float64
 	slots float64
+	// metered is set if the candidate gets requests by grants only.
+	metered bool
+}
+
+// isMetered reports whether requests to the candidate are limited by grants, because it is cold.
+func (c *Candidate) isMetered(now time.Time) bool { return now.Before(c.coldUntil) }
+
+// pickMetered returns a metered candidate that is cheaper than all others, or false. Such a candidate is not shared with
+// the nodes that have no grant for it, so that spreading requests over it as if all nodes did the same would leave
+// most of its grants unused. What all nodes together send to it is bounded by the grants.
+func pickMetered(pool []scoredCandidate) (scoredCandidate, bool) {
+	cheapest := math.Inf(1)
+	for _, c := range pool {
+		if !c.metered {
+			cheapest = min(cheapest, c.cost)
+		}
+	}
+	var idle []scoredCandidate
+	for _, c := range pool {
+		if c.metered && c.cost < cheapest {
+			idle = append(idle, c)
+		}
+	}
+	if len(idle) == 0 {
+		return scoredCandidate{}, false
+	}
+	return idle[rand.IntN(len(idle))], true
 }
 
 // pickWeighted selects a candidate at random, weighted by the number of the given requests
--- a/transport/entry/evacuation.go
+++ b/transport/entry/evacuation.go
@@ -172,6 +172,7 @@
 	for _, hall := range change.Ended {
 		n.Count("evacuation.ended")
 		n.log.WithFields(log.Fields{"evacuated": hall, "from": from}).Info("evacuation ended")
+		n.HallReadmitted(hall, n.clock.Now())
 	}
 	n.requestRebuild()
 	n.placement.wakePlanner()
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -60,6 +60,7 @@
 	// limits tracks the instances that limit the requests per second from all nodes together.
 	limits        *ratelimit.Tracker
 	rateAllocator *ratelimit.Allocator
+	cold          *coldness
 	pool          *direct.Pool
 	// peerPool holds the connections for requests forwarded to other nodes.
 	peerPool   *direct.Pool
@@ -144,6 +145,7 @@
 		cooldowns:        cooldown.NewTracker(set.Policy.Cooldown),
 		limits:           ratelimit.NewTracker(set.Policy.RateLimit),
 		rateAllocator:    ratelimit.NewAllocator(set.Policy.RateLimit, rand.Float64),
+		cold:             newColdness(set, clock.Now()),
 		log:              logger,
 		started:          clock.Now(),
 		process:          1 + rand.Int64N(math.MaxInt64),
@@ -160,7 +162,7 @@
 	n.schedules = newSchedules(n)
 	n.gateway = gateway.New(gateway.Options{
 		Scheduler: n.schedules,
-		Clock: clock, Codec: ports.HeaderCodec, Catalogs: servingCatalogs{n.configState, n}, Evacuations: n, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
+		Clock:     clock, Codec: ports.HeaderCodec, Catalogs: servingCatalogs{n.configState, n}, Evacuations: n, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
 		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
 	})
 	n.peers = newPeers(n)
@@ -272,7 +274,7 @@
 		}
 		last = in
 		n.table.SetEvacuated(n.evacuations.view(began))
-		n.logRouting(n.table.Update(in.catalog, n.roster.All(began), n.isExcluded), in.rosterVersion)
+		n.logRouting(n.table.Update(in.catalog, n.coldViews(in.catalog, began), n.isExcluded), in.rosterVersion)
 		if pools := n.impairedPools(); !slices.Equal(pools, impaired) {
 			impaired = pools
 			n.requestStatusReport() // the answer names peers for the impaired pools
--- a/transport/entry/schedule.go
+++ b/transport/entry/schedule.go
@@ -227,6 +227,9 @@
 		sn := scheduling.Snapshot{Pool: scheduling.Pool{Service: pool.Service, Model: pool.Model}, ReportInterval: interval}
 		engine := scheduledEngine(svc.Engine, pool.Model)
 		for _, cand := range s.n.table.Candidates(pool.Service, pool.Model) {
+			if _, limited := s.n.limits.Limited(cand.Incarnation()); limited {
+				continue // nodes send to it by grants
+			}
 			sn.Groups = append(sn.Groups, scheduling.Group{Head: cand.ID, Hall: cand.Hall, Slots: cand.Slots, InFlight: inFlight[cand.ID], Engine: engine})
 		}
 		snapshots = append(snapshots, sn)
--- a/transport/entry/version.go
+++ b/transport/entry/version.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/troutmast/troutmast/coordination/evacuation"
+	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -26,8 +27,11 @@
 	protocolForwarding = 3
 	// protocolEvacuation is the first version whose nodes send no requests into evacuated halls and relay the set of them.
 	protocolEvacuation = 4
+	// protocolColdInstances is the first version whose nodes send requests to cold instances by grants, and relay cold
+	// times.
+	protocolColdInstances = 4
 	// protocolVersion is the protocol version of this build.
-	protocolVersion = protocolEvacuation
+	protocolVersion = protocolColdInstances
 )
 
 // versionBonus is added per protocol version to the capacity that a node reports, in cores. It is
@@ -61,7 +65,11 @@
 // limited instances. Such a node sends no requests to groups in Avoid, and skips instances that
 // look full.
 func (n *Node) hideLimited(a *StatusAnswer) {
-	limits := n.limits.Active()
+	n.hide(a, n.limits.Active())
+}
+
+// hide changes an answer so that its receiver sends nothing to the instances with the given limits.
+func (n *Node) hide(a *StatusAnswer, limits []ratelimit.Limit) {
 	if len(limits) == 0 {
 		return
 	}
--- a/transport/gateway/schedule.go
+++ b/transport/gateway/schedule.go
@@ -36,6 +36,10 @@
 		return c.pick(), nil, false
 	}
 	askedAt := c.Clock.Now()
+	// The scheduler leaves out groups with a rate limit. A node uses its grants for them first, before they expire.
+	if t := c.Table.PickRandom(c.service, c.model, askedAt, c.lacksGrant); t != nil {
+		return t, nil, false
+	}
 	d, ok := c.Scheduler.Schedule(c.ctx, c.scheduleRequest(askedAt))
 	if !ok {
 		return c.pick(), nil, false
@@ -70,6 +74,9 @@
 	return cooling || slices.Contains(c.tried, t.ID) || !c.Backpressure.CanSend(&t.Instance)
 }
 
+// lacksGrant reports whether a target has no rate limit, or cannot get the request now.
+func (c *call) lacksGrant(t *dispatch.Candidate) bool { return !c.hasRateLimit(t) || c.isUnavailable(t) }
+
 // scheduleRequest returns the request as the scheduler must know it.
 func (c *call) scheduleRequest(now time.Time) *scheduling.Request {
 	r := &scheduling.Request{
