--- a/transport/gateway/schedule.go
+++ b/transport/gateway/schedule.go
@@ -75,7 +75,9 @@
 }
 
 // lacksGrant reports whether a target has no rate limit, or cannot get the request now.
-func (c *call) lacksGrant(t *dispatch.Candidate) bool { return !c.hasRateLimit(t) || c.isUnavailable(t) }
+func (c *call) lacksGrant(t *dispatch.Candidate) bool {
+	return !c.hasRateLimit(t) || c.isUnavailable(t)
+}
 
 // scheduleRequest returns the request as the scheduler must know it.
 func (c *call) scheduleRequest(now time.Time) *scheduling.Request {
