Enforce the home regions of routes and teams

Nodes did not read home_regions of routes and teams, so that their requests ran in any region.

The gateway excludes candidates outside the home regions from first attempts, retries and resumed streams, by the configuration in force at that moment, and checks again right before the bytes leave. It forwards a body only to a node in a home region or in its own, and only if the leader named it as one of a build that enforces home regions (protocol version 4). The forwarded request carries the regions; the receiver also applies those of its own configuration. Without an instance at home a request is refused with no-home, which states that it has not run.

--- a/coordination/forwarding/forwarding.go
+++ b/coordination/forwarding/forwarding.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +46,8 @@
 type Peer struct {
 	Address netip.AddrPort `json:"a"`
 	Hall    state.HallName `json:"h"`
+	// EnforcesHomes reports whether the node is of a build that enforces the home regions of forwarded requests.
+	EnforcesHomes bool `json:"e,omitempty"`
 }
 
 // PoolPeers lists the nodes that can serve the requests of one pool.
@@ -105,12 +108,12 @@
 	}
 }
 
-// AcquirePeer chooses a peer for a request of a pool and counts the request until Release. It compares two
+// AcquirePeer chooses a peer for which isAllowed returns true for a request of a pool, and counts the request until Release. It compares two
 // peers drawn at random, since several nodes choose among the same peers without knowing of each other.
-func (s *Sender) AcquirePeer(pool dispatch.Pool, now time.Time) (Peer, error) {
+func (s *Sender) AcquirePeer(pool dispatch.Pool, isAllowed func(Peer) bool, now time.Time) (Peer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	usable := s.usablePeers(pool, now)
+	usable := slices.DeleteFunc(s.usablePeers(pool, now), func(p Peer) bool { return !isAllowed(p) })
 	if len(usable) == 0 {
 		return Peer{}, ErrNoPeer
 	}
--- a/coordination/forwarding/forwarding_test.go
+++ b/coordination/forwarding/forwarding_test.go
@@ -32,7 +32,7 @@
 	listed := []forwarding.PoolPeers{{Pool: pool, Peers: []forwarding.Peer{peer(1, "h")}}, {Pool: plain, Peers: []forwarding.Peer{peer(1, "h")}}}
 	release := func(pool dispatch.Pool, o forwarding.Outcome) func(*forwarding.Sender) {
 		return func(s *forwarding.Sender) {
-			p, err := s.AcquirePeer(pool, start)
+			p, err := s.AcquirePeer(pool, allowAll, start)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -62,7 +62,7 @@
 			s := forwarding.NewSender("h", p)
 			s.SetPeers(listed, start)
 			c.change(s)
-			_, err := s.AcquirePeer(c.pool, start.Add(c.age))
+			_, err := s.AcquirePeer(c.pool, allowAll, start.Add(c.age))
 			if c.err == nil {
 				NewWithT(t).Expect(err).NotTo(HaveOccurred())
 				return
@@ -90,7 +90,7 @@
 				held = held[1:]
 				continue
 			}
-			got, err := s.AcquirePeer(pool, start)
+			got, err := s.AcquirePeer(pool, allowAll, start)
 			if (err == nil) != (len(held) < p.MaxSent) {
 				t.Fatalf("%d requests are forwarded, the limit is %d: %v", len(held), p.MaxSent, err)
 			}
@@ -109,7 +109,7 @@
 	s.SetPeers([]forwarding.PoolPeers{{Pool: pool, Peers: []forwarding.Peer{peer(1, "h"), peer(2, "far"), peer(3, "far")}}}, start)
 	counts := map[state.HallName]int{}
 	for range requests {
-		p, err := s.AcquirePeer(pool, start)
+		p, err := s.AcquirePeer(pool, allowAll, start)
 		g.Expect(err).NotTo(HaveOccurred())
 		counts[p.Hall]++
 	}
@@ -127,3 +127,21 @@
 	r.Release()
 	g.Expect(r.TryAcquire()).To(BeTrue())
 }
+
+// allowAll allows every peer.
+func allowAll(forwarding.Peer) bool { return true }
+
+// A request with home regions must not go to a peer that may not receive its body, however many of those are listed.
+func TestPeersThatAreNotAllowedGetNoRequests(t *testing.T) {
+	g := NewWithT(t)
+	s := forwarding.NewSender("h", forwarding.DefaultPolicy())
+	s.SetPeers([]forwarding.PoolPeers{{Pool: pool, Peers: []forwarding.Peer{peer(1, "h"), peer(2, "far"), peer(3, "h")}}}, start)
+	inFar := func(p forwarding.Peer) bool { return p.Hall == "far" }
+	for range 50 {
+		p, err := s.AcquirePeer(pool, inFar, start)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(p).To(Equal(peer(2, "far")))
+	}
+	_, err := s.AcquirePeer(pool, func(forwarding.Peer) bool { return false }, start)
+	g.Expect(err).To(MatchError(forwarding.ErrNoPeer))
+}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -52,6 +53,8 @@
 	Public bool
 	// Resumable streams may continue on another instance after a known event.
 	Resumable bool
+	// Homes are the regions in which the route's requests may run; empty if they may run everywhere.
+	Homes []state.RegionName
 }
 
 // CanRetry reports whether a request of the route may be executed more than once.
@@ -115,7 +118,9 @@
 	FormTime time.Duration
 	// MaxReportAge is the maximum age of the information that an instance reports.
 	MaxReportAge time.Duration
-	Models       []Model
+	// Delays are the delays between data halls; empty if the configuration states none.
+	Delays []HallDelay
+	Models []Model
 }
 
 // Model returns a model by name, or nil.
@@ -128,6 +133,20 @@
 	return nil
 }
 
+// HallDelay is the one-way delay of the network from one data hall to another.
+type HallDelay struct {
+	From, To state.HallName
+	Delay    time.Duration
+}
+
+// minHallDelay is the delay between two halls from which on it matters to callers where their requests run.
+const minHallDelay = time.Millisecond
+
+// HasDistantHalls reports whether the delay between any two halls matters to callers.
+func (e *Engine) HasDistantHalls() bool {
+	return slices.ContainsFunc(e.Delays, func(d HallDelay) bool { return d.Delay >= minHallDelay })
+}
+
 // Service is a set of instances that answer the same requests.
 type Service struct {
 	Name state.ServiceName
@@ -142,6 +161,8 @@
 	Name state.TeamName
 	// Priority overrides the route's priority unless it is nil.
 	Priority *int
+	// Homes are the regions in which the team's requests may run; empty if they may run everywhere.
+	Homes []state.RegionName
 }
 
 // Limits bounds the requests and connections of a caller.
--- a/transport/entry/forward.go
+++ b/transport/entry/forward.go
@@ -20,8 +20,8 @@
 }
 
 // AcquirePeer implements gateway.Peers.
-func (n *Node) AcquirePeer(pool dispatch.Pool) (forwarding.Peer, error) {
-	return n.forwarding.AcquirePeer(pool, n.clock.Now())
+func (n *Node) AcquirePeer(pool dispatch.Pool, isAllowed func(forwarding.Peer) bool) (forwarding.Peer, error) {
+	return n.forwarding.AcquirePeer(pool, isAllowed, n.clock.Now())
 }
 
 // ReleasePeer implements gateway.Peers.
@@ -104,7 +104,7 @@
 	if err != nil || r.Protocol < protocolForwarding || r.IsOverloaded {
 		return list
 	}
-	return append(list, servingNode{forwarding.Peer{Address: at, Hall: r.From.Hall}, r.Impaired})
+	return append(list, servingNode{forwarding.Peer{Address: at, Hall: r.From.Hall, EnforcesHomes: r.Protocol >= protocolHomeRegions}, r.Impaired})
 }
 
 // peersFor returns the nodes to which another node can forward requests of some pools.
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -65,9 +65,11 @@
 	partitions *partition.Monitor
 	forwarding *forwarding.Sender
 	// forwarded counts the requests that this node serves for other nodes.
-	forwarded   *forwarding.Receiver
-	metrics     metrics.Registry
-	log         *log.Logger
+	forwarded *forwarding.Receiver
+	metrics   metrics.Registry
+	log       *log.Logger
+	// regions maps data halls to regions.
+	regions     atomic.Pointer[map[state.HallName]state.RegionName]
 	peers       *peers
 	placement   *placementController
 	localHealth localhealth.Monitor
@@ -155,8 +157,9 @@
 	}
 	n.gateway = gateway.New(gateway.Options{
 		Clock: clock, Codec: ports.HeaderCodec, Catalogs: n.configState, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
-		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
+		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Hall: set.Hall, Regions: n, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
 	})
+	n.regions.Store(&set.Regions)
 	n.peers = newPeers(n)
 	n.placement = newPlacementController(n)
 	return n
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -30,6 +30,7 @@
 	}
 	n.configState.SetMaxKeyAge(set.StrictKeys, set.MaxKeyAge)
 	n.gateway.SetRetryBounds(set.Retry)
+	n.regions.Store(&set.Regions)
 	n.log.Info("settings reloaded")
 	return nil
 }
--- a/transport/entry/settings.go
+++ b/transport/entry/settings.go
@@ -44,6 +44,8 @@
 	StallTimeout time.Duration
 	// Retry bounds the retries that all nodes together send to one service.
 	Retry retry.SharedBudgetConfig
+	// Regions maps data halls to regions. A hall that it does not name belongs to no region.
+	Regions map[state.HallName]state.RegionName
 	// Policy holds the tunable parameters of the node.
 	Policy Policy
 }
--- a/transport/entry/version.go
+++ b/transport/entry/version.go
@@ -21,8 +21,10 @@
 	protocolPacked = 2
 	// protocolForwarding is the first version whose nodes serve requests that other nodes forward.
 	protocolForwarding = 3
+	// protocolHomeRegions is the first version whose nodes enforce the home regions of requests that other nodes forward.
+	protocolHomeRegions = 4
 	// protocolVersion is the protocol version of this build.
-	protocolVersion = protocolForwarding
+	protocolVersion = protocolHomeRegions
 )
 
 // versionBonus is added per protocol version to the capacity that a node reports, in cores. It is
--- a/transport/gateway/backpressure.go
+++ b/transport/gateway/backpressure.go
@@ -19,6 +19,7 @@
 	errCoolingDown = fmt.Errorf("%w: the instance is cooling down", errHeldBack)
 	errLeaving     = fmt.Errorf("%w: the instance is leaving", errHeldBack)
 	errKeysStale   = fmt.Errorf("%w: keys may be stale", errHeldBack)
+	errNotHome     = fmt.Errorf("%w: the instance is outside the home regions", errHeldBack)
 	errRateLimited = fmt.Errorf("%w: the instance takes no more requests for now", errHeldBack)
 )
 
@@ -27,6 +28,7 @@
 	errCoolingDown: "held-back.cooling-down",
 	errLeaving:     "held-back.leaving",
 	errKeysStale:   "held-back.keys-may-be-stale",
+	errNotHome:     "held-back.not-home",
 	errRateLimited: "held-back.rate-limited",
 }
 
@@ -43,6 +45,9 @@
 	if c.sends == 1 && !c.keyTrusted() {
 		return errKeysStale
 	}
+	if !c.isHome(target) {
+		return errNotHome
+	}
 	// This check is last because it spends a grant: the request must be sent if it passes.
 	if !c.Backpressure.TrySend(&target.Instance) {
 		return errRateLimited
@@ -69,7 +74,7 @@
 func (c *call) allUnderBackpressure() (code Code, after time.Duration, all bool) {
 	var earliestCooldownEnd time.Time
 	limited, perSecond := false, 0.0
-	targets := c.Table.Candidates(c.service, c.model)
+	targets := c.homeCandidates()
 	for _, t := range targets {
 		until, cooling := c.Backpressure.CooldownUntil(&t.Instance)
 		switch {
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -22,9 +22,9 @@
 type Peers interface {
 	// IsPartitioned reports whether this node reaches no instance of a service.
 	IsPartitioned(service state.ServiceName) bool
-	// AcquirePeer returns a node that can serve requests of a pool, and counts a request in flight to it until
+	// AcquirePeer returns a node that can serve requests of a pool and for which isAllowed returns true, and counts a request in flight to it until
 	// ReleasePeer. It returns forwarding.ErrNoPeer or forwarding.ErrLimit if there is none.
-	AcquirePeer(pool dispatch.Pool) (forwarding.Peer, error)
+	AcquirePeer(pool dispatch.Pool, isAllowed func(forwarding.Peer) bool) (forwarding.Peer, error)
 	// ReleasePeer ends a request of a pool that AcquirePeer counted.
 	ReleasePeer(p forwarding.Peer, pool dispatch.Pool, o forwarding.Outcome)
 }
@@ -69,6 +69,9 @@
 	TimeLeftMS int64 `json:"left"`
 	// LastEventID is the ID of the last event of a stream that the caller has received.
 	LastEventID string `json:"event,omitempty"`
+	// Homes are the regions in which the request may run; empty if it may run everywhere. Builds before
+	// protocolHomeRegions ignore them, so that no request with home regions is forwarded to their nodes.
+	Homes []state.RegionName `json:"homes,omitempty"`
 }
 
 // forwardResult states what the response to a forwarded request is: that of an instance if Code is
@@ -96,7 +99,7 @@
 // shouldForward reports whether the request should be forwarded rather than sent to the target that was picked, which
 // may be nil. Instances that only this node fails to reach may have room for it.
 func (c *call) shouldForward(target *dispatch.Candidate) bool {
-	if c.origin != "" || c.peer != "" {
+	if c.origin != "" || c.peer != "" || c.currentHomes().IsEmpty() {
 		return false
 	}
 	if _, held := c.Quarantine.QuarantinedUntil(c.identity); c.sends > 0 && held {
@@ -114,7 +117,7 @@
 func (c *call) forward() (refused *refusal, ended bool) {
 	pool := dispatch.Pool{Service: c.service, Model: c.model}
 	for c.peerDials < maxPeerDials {
-		peer, err := c.Peers.AcquirePeer(pool)
+		peer, err := c.Peers.AcquirePeer(pool, c.canReceiveBody)
 		if errors.Is(err, forwarding.ErrLimit) {
 			c.Recorder.Count("forward.limit")
 			c.peerRefusal = refusalWithRetryAfter(CodeForwardLimit, c.Policy.OverloadRetryAfter)
@@ -178,7 +181,7 @@
 		Request: c.eventRequest(), Peer: peer.Address, Unreachable: c.Table.Unreachable(c.service, c.model), Partitioned: c.Peers.IsPartitioned(c.service),
 		Attempts: info.Attempts, Left: c.deadline.Sub(c.Clock.Now()),
 	})
-	req, err := c.newForwardRequest(info)
+	req, err := c.newForwardRequest(peer, info)
 	if err != nil {
 		return resultNotRun, fmt.Errorf("%w: %w", direct.ErrNotSent, err)
 	}
@@ -202,7 +205,7 @@
 	info := forwardInfo{
 		Origin: c.Name, Service: c.service, Model: c.model, Route: c.route.Name, Kind: c.route.Kind, Resumable: c.route.Resumable, Public: c.route.Public,
 		Attempts: c.route.MaxAttempts - c.runs, GoalMS: c.route.Goal.Milliseconds(), GapGoalMS: c.route.GapGoal.Milliseconds(),
-		TimeLeftMS: (c.deadline.Sub(c.Clock.Now()) - c.Policy.NetworkAllowance).Milliseconds(), LastEventID: c.lastEventID,
+		TimeLeftMS: (c.deadline.Sub(c.Clock.Now()) - c.Policy.NetworkAllowance).Milliseconds(), LastEventID: c.lastEventID, Homes: c.currentHomes().Regions(),
 	}
 	if c.team != nil {
 		info.Team = c.team.Name
@@ -212,7 +215,7 @@
 
 // newForwardRequest returns the request to send to a peer. It carries the caller's key: the peer checks it
 // again, since a node that was suspended may forward a request with a key that is no longer valid.
-func (c *call) newForwardRequest(info forwardInfo) (*direct.Request, error) {
+func (c *call) newForwardRequest(peer forwarding.Peer, info forwardInfo) (*direct.Request, error) {
 	raw, err := json.Marshal(info)
 	if err != nil {
 		return nil, err
@@ -230,7 +233,7 @@
 			if !c.keyTrusted() {
 				return errKeysStale
 			}
-			return nil
+			return c.checkHomesBeforeForward(peer, info)
 		},
 	}, nil
 }
@@ -316,6 +319,10 @@
 	if !c.authenticateForwarded(info.Team) {
 		return refusalWithRetryAfter(CodeKeysStale, c.Policy.RetryAfter)
 	}
+	c.carriedHomes = info.Homes
+	if c.currentHomes().IsEmpty() {
+		return refusalWithRetryAfter(CodeNoHome, c.Policy.RepairRetryAfter)
+	}
 	if c.readBody() != nil {
 		return &refusal{code: CodeForwardRefused}
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -109,6 +109,9 @@
 	Quarantine      Quarantine
 	Backpressure    Backpressure
 	Pool            *direct.Pool
+	// Hall is the node's own data hall, Regions maps the halls to regions.
+	Hall    state.HallName
+	Regions Regions
 	// Peers chooses the nodes that requests are forwarded to, PeerPool holds the connections to them. Receiver
 	// bounds the requests of other nodes.
 	Peers    Peers
@@ -186,6 +189,7 @@
 	// demandRecorded reports whether the request counts in this node's demand.
 	demandRecorded bool
 	forwardState
+	homeState
 	// hold counts the current attempt in the load of its target.
 	hold *dispatch.InFlightRequest
 	// loadAtPick is the known number of requests in progress at the last target when it was picked.
@@ -252,6 +256,9 @@
 	if refused := c.authenticate(); refused != nil {
 		return refused
 	}
+	if c.currentHomes().IsEmpty() {
+		return refusalWithRetryAfter(CodeNoHome, c.Policy.RepairRetryAfter)
+	}
 	if refused := c.readBody(); refused != nil {
 		return refused
 	}
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -165,7 +165,7 @@
 // reports false. A request suspected of ending instances goes to the target with the lowest load.
 func (c *call) pickExcept(exclude func(*dispatch.Candidate) bool) *dispatch.Candidate {
 	excluded := func(t *dispatch.Candidate) bool {
-		if slices.Contains(c.tried, t.ID) || exclude(t) {
+		if slices.Contains(c.tried, t.ID) || !c.isHome(t) || exclude(t) {
 			return true
 		}
 		_, cooling := c.Backpressure.CooldownUntil(&t.Instance)
@@ -196,6 +196,9 @@
 	if c.sends > 0 || c.peerRefusal != nil {
 		return c.giveUp(CodeTargetsUnreachable)
 	}
+	if c.lacksHome() {
+		return refusalWithRetryAfter(CodeNoHome, c.Policy.RepairRetryAfter)
+	}
 	if code, after, all := c.allUnderBackpressure(); all {
 		return refusalWithRetryAfter(code, after)
 	}
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -206,14 +207,15 @@
 	return f.partitioned
 }
 
-func (f *fakePeers) AcquirePeer(dispatch.Pool) (forwarding.Peer, error) {
+func (f *fakePeers) AcquirePeer(_ dispatch.Pool, isAllowed func(forwarding.Peer) bool) (forwarding.Peer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.peers) == 0 {
+	i := slices.IndexFunc(f.peers, isAllowed)
+	if i < 0 {
 		return forwarding.Peer{}, forwarding.ErrNoPeer
 	}
-	p := f.peers[0]
-	f.peers = append(f.peers[1:], p)
+	p := f.peers[i]
+	f.peers = append(slices.Delete(f.peers, i, i+1), p)
 	f.inFlight++
 	return p, nil
 }
