Divide requests among halls by room instead of a constant cost

Nodes preferred the groups of their own hall only by a constant cost of 0.03 of the slots, so that two of three requests crossed halls, whether their own hall had room or not.

coordination/locality plans, from the slots in use and the arriving requests of each hall, which fraction of a hall's requests each hall serves: its own first, others only for what exceeds 0.5 of its slots or the common utilization. The leader adds the demand by hall to its totals; each node computes the plan of its hall when an answer arrives, and dispatch.Pick chooses the hall by it before the group. This applies to engines whose configuration states a delay of at least 1 ms between halls, and for as long as totals are used (NodeTimeout). Without a plan, Pick chooses as before.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -100,11 +101,15 @@
 	unreachable atomic.Pointer[map[Pool]int]
 	// demand holds the measured demand by model.
 	demand atomic.Pointer[map[Pool]modelDemand]
+	// hallPlans holds the plans of the pools whose requests are divided among halls; nil if there are none.
+	hallPlans atomic.Pointer[hallPlans]
+	// random returns a random number from 0 to below 1.
+	random func() float64
 }
 
 // NewTable returns an empty Table for a node of a data hall.
 func NewTable(hall state.HallName, policy Policy) *Table {
-	t := &Table{hall: hall, policy: policy, loads: map[fleet.Incarnation]*load{}}
+	t := &Table{hall: hall, policy: policy, loads: map[fleet.Incarnation]*load{}, random: rand.Float64}
 	t.pools.Store(&map[Pool][]*Candidate{})
 	t.unreachable.Store(&map[Pool]int{})
 	t.demand.Store(&map[Pool]modelDemand{})
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,7 +18,8 @@
 // therefore computes how the requests that arrive at all nodes within SpreadHorizon
 // fill the candidates, the cheapest first, and selects a candidate with a probability
 // proportional to the requests it gets (load interpretation; Dahlin, Interpreting
-// Stale Load Information, 1999).
+// Stale Load Information, 1999). Where a plan divides the requests among halls, the hall is
+// chosen first and the candidate within it.
 func (t *Table) Pick(service state.ServiceName, model string, now time.Time, avoid func(*Candidate) bool) *Candidate {
 	pool := make([]scoredCandidate, 0, len(t.Candidates(service, model)))
 	allFull := true
@@ -44,7 +44,12 @@
 		maxShare = 0
 	}
 	arrivals := t.RequestRate(service, model) * t.policy.SpreadHorizon.Seconds()
-	return pickWeighted(pool, max(arrivals, 1), maxShare).Candidate
+	if plan := t.hallPlan(Pool{service, model}, now); plan != nil {
+		var served float64
+		pool, served = t.pickHall(pool, plan)
+		arrivals *= served
+	}
+	return t.pickWeighted(pool, max(arrivals, 1), maxShare).Candidate
 }
 
 // PickLeastLoaded returns the candidate with the fewest known requests in flight, or nil.
@@ -70,14 +75,14 @@
 // pickWeighted selects a candidate at random, weighted by the number of the given requests
 // that it gets if the cheapest candidates are filled first. Each gets at most maxShare
 // times its share of the slots; 0 means no limit.
-func pickWeighted(pool []scoredCandidate, requests, maxShare float64) scoredCandidate {
+func (t *Table) pickWeighted(pool []scoredCandidate, requests, maxShare float64) scoredCandidate {
 	slices.SortFunc(pool, func(a, b scoredCandidate) int { return cmp.Compare(a.cost, b.cost) })
 	maxPerSlot := math.Inf(1)
 	if maxShare > 0 {
 		maxPerSlot = max(maxShare, 1) * requests / totalSlots(pool)
 	}
 	level := fillLevel(pool, requests, maxPerSlot)
-	remaining := rand.Float64() * requests
+	remaining := t.random() * requests
 	for _, c := range pool {
 		if remaining -= c.requestsAt(level, maxPerSlot); remaining < 0 {
 			return c
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -122,6 +122,8 @@
 	Feed        int64           `json:"feed,omitempty"`
 	FeedVersion uint64          `json:"now,omitempty"`
 	// Totals, ChangeBatches, PackedNodes and PackedConfig take the place of InProgress, Demand, Avoid and
+	// HallDemand is the demand at all nodes by hall, for the pools that are divided among halls. It is relayed only in Totals.
+	HallDemand []demand.HallFlow `json:"-"`
 	// Staging, of Changes, of Nodes and of Config for nodes that implement protocolPacked.
 	Totals        peer.Packed   `json:"totals,omitempty"`
 	ChangeBatches []peer.Packed `json:"batches,omitempty"`
--- /dev/null
+++ b/transport/entry/halls.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"github.com/troutmast/troutmast/coordination/demand"
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+)
+
+// distantEngine returns the engine of a service if the configuration states delays between halls that matter, else nil.
+func (n *Node) distantEngine(service state.ServiceName) *catalog.Engine {
+	c := n.configState.Catalog()
+	if c == nil {
+		return nil
+	}
+	s := c.Services[service]
+	if s == nil || s.Engine == nil || !s.Engine.HasDistantHalls() {
+		return nil
+	}
+	return s.Engine
+}
+
+// newHallSum returns an empty sum of the demand for the configured models of engines with distant halls.
+func (n *Node) newHallSum() *demand.HallSum {
+	return demand.NewHallSum(func(service state.ServiceName, model string) bool {
+		e := n.distantEngine(service)
+		return e != nil && e.Model(model) != nil
+	})
+}
+
+// demandByHall returns the demand by hall as of the last totals. The list must not be modified.
+func (p *peers) demandByHall() []demand.HallFlow {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hallDemand
+}
+
+// updateHalls plans which halls serve the requests that arrive here, for as long as the totals of a leader are used.
+func (n *Node) updateHalls(flows []demand.HallFlow) {
+	until := n.clock.Now().Add(n.policy.NodeTimeout)
+	n.table.UpdateHalls(n.settings.Policy.Locality, flows, func(pool dispatch.Pool) []catalog.HallDelay {
+		if e := n.distantEngine(pool.Service); e != nil {
+			return e.Delays
+		}
+		return nil
+	}, until)
+}
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -75,6 +75,8 @@
 	inProgress  map[state.InstanceID]int
 	totalDemand []demand.Flow
 	totalsAt    time.Time
+	// hallDemand is the demand by hall of the pools that are divided among halls, as of totalsAt.
+	hallDemand []demand.HallFlow
 	// serving are the nodes that serve requests of other nodes, as of servingAt.
 	serving   []servingNode
 	servingAt time.Time
@@ -322,6 +324,7 @@
 	if canLead {
 		p.greetSilentNodes(ctx)
 		p.n.setLoads(p.totals())
+		p.n.updateHalls(p.demandByHall())
 		p.setOwnPeers()
 	}
 }
@@ -475,6 +478,8 @@
 	}
 	inProgress := p.n.table.InFlight()
 	flows := [][]demand.Flow{p.n.demand.Flows(now)}
+	byHall := p.n.newHallSum()
+	byHall.Add(p.n.settings.Hall, flows[0])
 	for name, h := range p.statusReports {
 		if now.Sub(h.receivedAt) > p.n.policy.NodeTimeout {
 			delete(p.statusReports, name)
@@ -484,8 +489,10 @@
 			inProgress[id] += n
 		}
 		flows = append(flows, h.report.Demand)
+		byHall.Add(h.report.From.Hall, h.report.Demand)
 	}
 	p.inProgress, p.totalDemand, p.totalsAt = inProgress, demand.Sum(flows...), now
+	p.hallDemand = byHall.Flows()
 	return p.inProgress, p.totalDemand
 }
 
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -7,6 +7,7 @@
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/forwarding"
+	"github.com/troutmast/troutmast/coordination/locality"
 	"github.com/troutmast/troutmast/coordination/partition"
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/quarantine"
@@ -34,6 +35,8 @@
 	// requests to nodes that reach them.
 	Partition  partition.Policy  `flag:"partition"`
 	Forwarding forwarding.Policy `flag:"forwarding"`
+	// Locality configures how requests are divided among data halls.
+	Locality locality.Policy `flag:"locality"`
 }
 
 // NodePolicy holds the intervals and timeouts between nodes, to the store and to instances.
@@ -165,6 +168,7 @@
 		RateLimit:  ratelimit.DefaultPolicy(),
 		Partition:  partition.DefaultPolicy(),
 		Forwarding: forwarding.DefaultPolicy(),
+		Locality:   locality.DefaultPolicy(),
 		Node: NodePolicy{
 			PlanInterval:         100 * time.Millisecond,
 			PlanPause:            25 * time.Millisecond,
--- a/transport/entry/shared.go
+++ b/transport/entry/shared.go
@@ -15,6 +15,7 @@
 	Demand     []demand.Flow            `json:"demand,omitempty"`
 	Avoid      []GroupEpoch             `json:"avoid,omitempty"`
 	Staging    []Staging                `json:"staging,omitempty"`
+	HallDemand []demand.HallFlow        `json:"hall_demand,omitempty"`
 }
 
 // sharedPart caches a packed part of the answers to status reports that is the same for all nodes.
@@ -53,6 +54,7 @@
 		if err := a.Totals.Unpack(&t); err != nil {
 			return err
 		}
+		a.HallDemand = t.HallDemand
 		a.InProgress, a.Demand, a.Avoid, a.Staging = t.InProgress, t.Demand, t.Avoid, t.Staging
 	}
 	for _, batch := range a.ChangeBatches {
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -166,6 +166,7 @@
 func (p *peers) addTotals(a *StatusAnswer, w *StatusReport, now time.Time) error {
 	t := totals{Avoid: p.n.placement.excluded(), Staging: p.n.placement.stagings(now)}
 	t.InProgress, t.Demand = p.totals()
+	t.HallDemand = p.demandByHall()
 	// Nodes without rate limits get totals of their own, see hideLimited.
 	if w.Protocol < protocolPacked {
 		a.InProgress, a.Demand, a.Avoid, a.Staging = t.InProgress, t.Demand, t.Avoid, t.Staging
@@ -216,6 +217,7 @@
 	n.setExcluded(a.Avoid)
 	n.placement.recordStagings(a.Staging, sentAt)
 	n.setLoads(a.InProgress, a.Demand)
+	n.updateHalls(a.HallDemand)
 	n.forwarding.SetPeers(a.Peers, n.clock.Now())
 	p.mergeLimits(a, sentAt)
 	n.gateway.GrantRetries(a.GrantedRetries, sentAt)
