Place groups where their demand is, among layouts of equal utility

The planner did not know where the requests for a model arrive, so that of two layouts of equal utility it took the first.

Where the configuration states delays between halls that matter, the leader averages the demand by hall over PlanDecay and hands it to the planner. After the layouts are chosen, pairs of domains in different halls exchange theirs for others of equal utility that cover more of the demand of their halls; surplus groups are dropped first where a hall has more than its share. Without the demand by hall, the planner runs as before.

Tested: groups follow the demand, existing groups count, a property that the numbers of groups are the same with and without the demand by hall and that coverage never falls; the whole placement package.

--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -56,6 +56,7 @@
 	var idle []*domain
 	var ready []*domain
 	var choices [][]layout
+	var halls []state.HallName
 	for _, d := range domains {
 		if d.hasDonor {
 			reallocating++
@@ -73,11 +74,12 @@
 		case s.reallocate(d, alloc, &reallocating, len(domains)):
 		default:
 			ready = append(ready, d)
+			halls = append(halls, d.free[0].Hall)
 			choices = append(choices, maximalLayouts(len(d.free), s.eligibleCounts(d.free), s.engine.Models))
 		}
 	}
 	formed := false
-	for i, l := range alloc.chooseLayouts(choices, s.engine.Models) {
+	for i, l := range alloc.chooseLayouts(choices, s.engine.Models, s.newHallCoverage(), halls) {
 		formed = formed || slices.Max(l.counts) > 0
 		s.formLayout(ready[i].free, l)
 	}
--- a/coordination/placement/layout.go
+++ b/coordination/placement/layout.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 )
 
@@ -57,6 +58,9 @@
 	counts []int
 }
 
+// clone returns a copy of the layout.
+func (l layout) clone() layout { return layout{counts: slices.Clone(l.counts)} }
+
 // instances returns the number of instances in the groups of a model.
 func (l layout) instances(i int, models []catalog.Model) float64 {
 	return float64(l.counts[i] * models[i].GroupSize)
@@ -125,8 +129,9 @@
 
 // chooseLayouts chooses a layout for each domain to maximize the total utility. The best layout
 // of a domain depends on those of the others, so after a greedy start it improves pairs of domains
-// until no pair improves or it has made one pass per domain. The result may not be optimal.
-func (alloc *allocation) chooseLayouts(domains [][]layout, models []catalog.Model) []layout {
+// until no pair improves or it has made one pass per domain. The result may not be optimal. Of layouts with equal utility
+// it prefers those that cover the demand of the domains' halls, unless coverage is nil.
+func (alloc *allocation) chooseLayouts(domains [][]layout, models []catalog.Model, coverage *hallCoverage, halls []state.HallName) []layout {
 	chosen := make([]layout, len(domains))
 	for d, list := range domains {
 		chosen[d] = alloc.best(list, models)
@@ -137,6 +142,11 @@
 			break
 		}
 	}
+	if coverage != nil {
+		alloc.moveToDemand(coverage, halls, domains, chosen, models)
+		alloc.pruneAwayFromDemand(coverage, halls, chosen, models)
+		return chosen
+	}
 	for d := range chosen {
 		chosen[d] = alloc.prune(chosen[d], models)
 	}
@@ -170,7 +180,7 @@
 // prune drops the groups of a layout whose utility is below MinGroupGain per instance. Their
 // instances remain free as spares.
 func (alloc *allocation) prune(l layout, models []catalog.Model) layout {
-	out := layout{counts: slices.Clone(l.counts)}
+	out := l.clone()
 	for i := range models {
 		size := float64(models[i].GroupSize)
 		for out.counts[i] > 0 && alloc.utility(i, alloc.current[i])-alloc.utility(i, alloc.current[i]-size) < alloc.policy.MinGroupGain*size {
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -73,6 +73,9 @@
 	// Demand is the demand for each model: the average number of slots that its requests occupy
 	// in groups of pace 1. It is nil if unknown.
 	Demand []float64
+	// DemandByHall is the fraction of the demand for each model that arrives in each hall. It is nil if unknown, or if it does
+	// not matter in which hall a group is.
+	DemandByHall []map[state.HallName]float64
 }
 
 // NewPlanner returns a Planner. The function nextEpoch must return a new epoch that is greater
--- a/transport/entry/halls.go
+++ b/transport/entry/halls.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/state"
@@ -45,3 +47,20 @@
 		return nil
 	}, until)
 }
+
+// demandByHall returns the fraction of the demand for each model of a service that arrives in each hall, averaged over
+// several waves of the demand, or nil if it is unknown or the delays between halls do not matter.
+func (p *placementController) demandByHall(s *catalog.Service, now time.Time) []map[state.HallName]float64 {
+	if !s.Engine.HasDistantHalls() {
+		return nil
+	}
+	flows := p.node.peers.demandByHall()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.hallAverages[s.Name]
+	if a == nil {
+		a = demand.NewHallAverage(p.node.settings.Policy.Demand.PlanDecay)
+		p.hallAverages[s.Name] = a
+	}
+	return a.Update(s.Name, s.Engine, flows, now)
+}
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -26,6 +26,7 @@
 	mu             sync.Mutex
 	planners       map[state.ServiceName]*placement.Planner
 	envelopes      map[state.ServiceName]*demand.Envelope
+	hallAverages   map[state.ServiceName]*demand.HallAverage
 	epochs         *placement.EpochGenerator
 	excludedGroups []GroupEpoch
 	probing        *probeslots.Slots
@@ -40,12 +41,13 @@
 
 func newPlacementController(n *Node) *placementController {
 	return &placementController{
-		node:      n,
-		planners:  map[state.ServiceName]*placement.Planner{},
-		envelopes: map[state.ServiceName]*demand.Envelope{},
-		probing:   probeslots.New(n.policy.MaxProbes),
-		probedAt:  map[state.InstanceID]time.Time{},
-		wakeup:    make(chan struct{}, 1),
+		node:         n,
+		planners:     map[state.ServiceName]*placement.Planner{},
+		envelopes:    map[state.ServiceName]*demand.Envelope{},
+		hallAverages: map[state.ServiceName]*demand.HallAverage{},
+		probing:      probeslots.New(n.policy.MaxProbes),
+		probedAt:     map[state.InstanceID]time.Time{},
+		wakeup:       make(chan struct{}, 1),
 	}
 }
 
@@ -85,6 +87,7 @@
 	defer p.mu.Unlock()
 	clear(p.planners)
 	clear(p.envelopes)
+	clear(p.hallAverages)
 	p.excludedGroups = nil
 }
 
@@ -102,6 +105,7 @@
 		planner := p.planner(s)
 		planner.BeforeTraffic = p.node.settings.IsFirstStart && !p.node.peers.anyRequests()
 		planner.Demand = p.plannedDemand(s, flows, now)
+		planner.DemandByHall = p.demandByHall(s, now)
 		members := p.node.roster.Members(s.Name, since, now)
 		instances += len(members)
 		plan := planner.Step(now, members)
