Count the requests and bytes that go to other halls

Operators could not see how many requests leave their hall, nor why.

The gateway counts each request that it sends to an instance or a node in another hall by reason (home, no-target, unavailable, full, balance, forwarded), with the bytes of both bodies. It warns once if the configuration has home regions and the settings name no region of its hall.

--- a/coordination/dispatch/deployment_test.go
+++ b/coordination/dispatch/deployment_test.go
@@ -356,6 +356,8 @@
 		{deploymentB(0.3), 0.35},
 		{deploymentA(0.6), 0.6},
 		{deploymentB(0.6), 0.6},
+		{deploymentA(1), 0.75},
+		{deploymentB(1), 0.75},
 	} {
 		t.Run(fmt.Sprint(c.deployment.name, " at ", c.deployment.utilization), func(t *testing.T) {
 			g := NewWithT(t)
@@ -366,6 +368,7 @@
 			g.Expect(planned.crossed).To(BeNumerically("<", c.maxCrossed*constant.crossed))
 			g.Expect(planned.onTime).To(BeNumerically(">", constant.onTime-0.05))
 			g.Expect(planned.worst).To(BeNumerically(">", constant.worst-0.06))
+			g.Expect(slices.Max(planned.byHall)-planned.worst).To(BeNumerically("<", slices.Max(constant.byHall)-constant.worst+0.05), "callers of all halls are served alike")
 		})
 	}
 }
--- a/coordination/dispatch/halls.go
+++ b/coordination/dispatch/halls.go
@@ -90,3 +90,16 @@
 	chosen = slices.DeleteFunc(pool, func(c scoredCandidate) bool { return c.Hall != hall })
 	return chosen, plan.Served[hall]
 }
+
+// HallFractions returns the fraction of this node's requests that each hall serves, for each pool with a plan.
+func (t *Table) HallFractions(now time.Time) map[Pool]map[state.HallName]float64 {
+	plans := t.hallPlans.Load()
+	if plans == nil || !now.Before(plans.until) {
+		return nil
+	}
+	fractions := make(map[Pool]map[state.HallName]float64, len(plans.byPool))
+	for pool, plan := range plans.byPool {
+		fractions[pool] = plan.Fractions
+	}
+	return fractions
+}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -208,6 +208,21 @@
 	return c
 }
 
+// HasHomes reports whether any route or team has home regions.
+func (c *Catalog) HasHomes() bool {
+	for _, r := range c.routes {
+		if len(r.Homes) > 0 {
+			return true
+		}
+	}
+	for _, t := range c.teams {
+		if len(t.Homes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Route returns the route of a host with the longest prefix of path, or nil.
 func (c *Catalog) Route(host, path string) *Route {
 	for end := len(path); end > 0; {
--- a/transport/entry/halls.go
+++ b/transport/entry/halls.go
@@ -46,6 +46,7 @@
 		}
 		return nil
 	}, until)
+	n.hallTraffic.updateGauges(n.settings.Hall, n.table.HallFractions(n.clock.Now()))
 }
 
 // demandByHall returns the fraction of the demand for each model of a service that arrives in each hall, averaged over
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -70,6 +70,7 @@
 	log       *log.Logger
 	// regions maps data halls to regions.
 	regions     atomic.Pointer[map[state.HallName]state.RegionName]
+	hallTraffic hallTraffic
 	peers       *peers
 	placement   *placementController
 	localHealth localhealth.Monitor
@@ -157,9 +158,10 @@
 	}
 	n.gateway = gateway.New(gateway.Options{
 		Clock: clock, Codec: ports.HeaderCodec, Catalogs: n.configState, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
-		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Hall: set.Hall, Regions: n, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
+		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Hall: set.Hall, Regions: n, HallTraffic: &n.hallTraffic, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
 	})
 	n.regions.Store(&set.Regions)
+	n.hallTraffic.metrics = n.metrics
 	n.peers = newPeers(n)
 	n.placement = newPlacementController(n)
 	return n
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -52,6 +52,7 @@
 		n.placement.run,
 		n.watchHealth,
 		n.persistQuarantine,
+		n.every(hallLogInterval, n.logHalls),
 		n.every(time.Second, func(context.Context) {
 			n.pool.CloseExpired()
 			n.peerPool.CloseExpired()
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -193,6 +193,7 @@
 		return resultNotRun, err
 	}
 	c.peer = peer.Address.String()
+	defer c.countForwarded(peer, resp)()
 	if err != nil {
 		return resultUnknown, err
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -112,6 +112,8 @@
 	// Hall is the node's own data hall, Regions maps the halls to regions.
 	Hall    state.HallName
 	Regions Regions
+	// HallTraffic records the traffic to other halls.
+	HallTraffic HallTraffic
 	// Peers chooses the nodes that requests are forwarded to, PeerPool holds the connections to them. Receiver
 	// bounds the requests of other nodes.
 	Peers    Peers
--- a/transport/gateway/homes.go
+++ b/transport/gateway/homes.go
@@ -79,9 +79,12 @@
 // regions and is in one of them or in the region of this node, to which the caller connected.
 func (c *call) canReceiveBody(p forwarding.Peer) bool {
 	homes := c.currentHomes()
-	return !homes.IsRestricted() || p.EnforcesHomes && homes.AllowsBody(c.Regions.Region(p.Hall), c.Regions.Region(c.Hall))
+	return !homes.IsRestricted() || p.EnforcesHomes && homes.AllowsBody(c.Regions.Region(p.Hall), c.ownRegion())
 }
 
+// ownRegion returns the region of this node.
+func (c *call) ownRegion() state.RegionName { return c.Regions.Region(c.Hall) }
+
 // checkHomesBeforeForward returns errNotHome if the home regions have changed since the peer was chosen, so that the
 // peer must not get the request or would be told other home regions.
 func (c *call) checkHomesBeforeForward(p forwarding.Peer, info forwardInfo) error {
--- a/transport/gateway/homes_test.go
+++ b/transport/gateway/homes_test.go
@@ -59,7 +59,7 @@
 
 func newHomesHarness(t *testing.T, hall state.HallName, c *catalog.Catalog) *homesHarness {
 	h := &homesHarness{newHarness(t), &changingCatalogs{}}
-	h.gateway.Hall, h.gateway.Regions, h.gateway.Catalogs = hall, testRegions, h.source
+	h.gateway.Hall, h.gateway.Catalogs = hall, h.source
 	h.setCatalog(c)
 	return h
 }
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -207,6 +207,10 @@
 
 // attempt sends the request to one instance and relays its response.
 func (c *call) attempt(target *dispatch.Candidate) attemptResult {
+	var crossing CrossHallReason
+	if target.Hall != c.Hall {
+		crossing = c.crossHallReason()
+	}
 	c.tried = append(c.tried, target.ID)
 	c.sends++
 	c.loadAtPick = target.Load()
@@ -233,12 +237,15 @@
 		}
 		c.recordFailure(target, sent, "not reached", err)
 		return resultNotRun
-	case err != nil:
-		c.arrivals++
+	}
+	if crossing != "" {
+		defer c.countCrossing(target.Hall, crossing, resp)()
+	}
+	c.arrivals++
+	if err != nil {
 		return c.handleLostResponse(ctx, target, sent, err)
 	}
 	defer resp.Close()
-	c.arrivals++
 	c.FailureDetector.RecordResponse(target.ID, sent)
 	return c.handleResponse(ctx, target, resp, watched, sent)
 }
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -239,6 +239,7 @@
 	quarantine   *fakeQuarantine
 	backpressure *fakeBackpressure
 	peers        *fakePeers
+	traffic      *fakeTraffic
 	instances    []roster.View
 	runLog       *runLog
 }
@@ -286,14 +287,14 @@
 	teams := map[string]*catalog.Team{"k": {Name: "team"}}
 	h := &harness{
 		t: t, catalogs: &fixedCatalogs{current: catalog.New(1, routes, services, teams, catalog.Limits{BodyBytes: 1000})},
-		health: &fakeHealth{}, recorder: &fakeRecorder{counts: map[string]int{}}, quarantine: &fakeQuarantine{held: map[quarantine.Fingerprint]bool{}, suspected: map[quarantine.Fingerprint]bool{}}, table: dispatch.NewTable("hall", dispatch.DefaultPolicy()), runLog: &runLog{}, backpressure: newFakeBackpressure(), peers: &fakePeers{},
+		health: &fakeHealth{}, recorder: &fakeRecorder{counts: map[string]int{}}, quarantine: &fakeQuarantine{held: map[quarantine.Fingerprint]bool{}, suspected: map[quarantine.Fingerprint]bool{}}, table: dispatch.NewTable("hall", dispatch.DefaultPolicy()), runLog: &runLog{}, backpressure: newFakeBackpressure(), peers: &fakePeers{}, traffic: &fakeTraffic{crossings: map[gateway.CrossHallReason]int{}},
 	}
 	clock := clockwork.NewRealClock()
 	h.gateway = gateway.New(gateway.Options{
 		Demand: demand.NewMeter(demand.DefaultPolicy()), Policy: gateway.DefaultPolicy(),
 		Clock: clock, Codec: testDialect{}, Catalogs: h.catalogs, Table: h.table, FailureDetector: h.health, Recorder: h.recorder, Quarantine: h.quarantine, Backpressure: h.backpressure,
 		Pool: direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now),
-		Name: "node", Peers: h.peers, PeerPool: direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now), Receiver: forwarding.NewReceiver(forwarding.DefaultPolicy()),
+		Name: "node", Hall: "hall", Regions: testRegions, HallTraffic: h.traffic, Peers: h.peers, PeerPool: direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now), Receiver: forwarding.NewReceiver(forwarding.DefaultPolicy()),
 		Retry: retry.SharedBudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	})
 	h.gateway.SetNodes(1)
