Hold a request back if its homes moved before it is forwarded

If a configuration left a request no common home region after a node was chosen to forward it to, the request went to that node as one without any restriction: an empty list and none look alike on the wire.

Tested: homes that move between the choice of an instance or a node and the send, among them to no common region, which failed before.

--- a/transport/gateway/homes.go
+++ b/transport/gateway/homes.go
@@ -88,7 +88,8 @@
 // checkHomesBeforeForward returns errNotHome if the home regions have changed since the peer was chosen, so that the
 // peer must not get the request or would be told other home regions.
 func (c *call) checkHomesBeforeForward(p forwarding.Peer, info forwardInfo) error {
-	if !c.canReceiveBody(p) || !slices.Equal(c.currentHomes().Regions(), info.Homes) {
+	homes := c.currentHomes()
+	if homes.IsEmpty() || !c.canReceiveBody(p) || !slices.Equal(homes.Regions(), info.Homes) {
 		return errNotHome
 	}
 	return nil
