Pace prompts at a node's share of its hall where requests stay in it

A node paces the prompts that it sends to a group at its share of all requests. Where requests stay in their hall, a group gets prompts from the nodes of its hall alone: the larger nodes counted idle groups of their hall as full and sent requests to other halls, and the smaller ones were not paced at all, since their share was too small for it.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -351,6 +351,6 @@
 	if float64(c.Load()) >= c.table.policy.FullAt*float64(c.Slots) {
 		return true
 	}
-	limit, paced := c.paceLimit()
+	limit, paced := c.paceLimit(now)
 	return paced && !c.load.pacer.canSend(now, limit)
 }
--- a/coordination/dispatch/halls.go
+++ b/coordination/dispatch/halls.go
@@ -91,6 +91,17 @@
 	return chosen, plan.Served[hall]
 }
 
+// shareInHall returns this node's share of the requests that a hall serves, from minShare to 1, given its share of all
+// requests. Where requests stay in their hall, the groups of a hall are shared by the nodes of that hall alone: a pacer that
+// leaves each node only its share of all requests would count idle groups as full.
+func shareInHall(share float64, plan *locality.Plan, hall state.HallName) float64 {
+	served := plan.Served[hall]
+	if served <= 0 {
+		return share
+	}
+	return min(max(share*plan.Fractions[hall]/served, minShare), 1)
+}
+
 // HallFractions returns the fraction of this node's requests that each hall serves, for each pool with a plan.
 func (t *Table) HallFractions(now time.Time) map[Pool]map[state.HallName]float64 {
 	plans := t.hallPlans.Load()
--- a/coordination/dispatch/halls_test.go
+++ b/coordination/dispatch/halls_test.go
@@ -94,6 +94,52 @@
 	}
 }
 
+// A plan as old as the totals may send requests to a hall that has filled up since: the limit on its slots still holds.
+func TestStalePlanDoesNotOverfillAnotherHall(t *testing.T) {
+	g := NewWithT(t)
+	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
+	table.Update(prefillCatalog(), append(headsIn("h", 1), headsIn("far", 1)...), func(fleet.GroupKey) bool { return false })
+	flow := demand.HallFlow{Service: "lm", Model: "m", Requests: map[state.HallName]float64{"h": 30}}
+	delays := distant(catalog.HallDelay{From: "h", To: "far", Delay: 3 * time.Millisecond})
+	table.UpdateLoad(map[state.InstanceID]int{"h-0": 16}, []demand.Flow{{Service: "lm", Model: "m", Requests: 30}}, nil)
+	table.UpdateHalls(locality.DefaultPolicy(), []demand.HallFlow{flow}, delays, start.Add(time.Second))
+	g.Expect(hallShares(table, start, excludeNone)["far"]).To(BeNumerically(">", 0.5))
+	table.UpdateLoad(map[state.InstanceID]int{"h-0": 16, "far-0": 17}, []demand.Flow{{Service: "lm", Model: "m", Requests: 30}}, nil)
+	g.Expect(hallShares(table, start, excludeNone)["far"]).To(BeZero())
+}
+
+// Where requests stay in their hall, a group gets prompts only from the nodes of its hall. A node that paced them at its share of
+// all requests counted the groups of its hall as full while they were idle.
+func TestPacingFollowsTheNodesShareOfItsHall(t *testing.T) {
+	sent := func(planned bool) time.Duration {
+		policy := dispatch.DefaultPolicy()
+		policy.ReadLimit, policy.PaceBurst = 0.8, 250*time.Millisecond
+		table := dispatch.NewTable("h", policy)
+		table.Update(prefillCatalog(), append(headsIn("h", 1), append(headsIn("b", 1), headsIn("c", 2)...)...), func(fleet.GroupKey) bool { return false })
+		total, own := []demand.Flow{{Service: "lm", Model: "m", Requests: 20}}, []demand.Flow{{Service: "lm", Model: "m", Requests: 4}}
+		table.UpdateLoad(nil, total, own)
+		if planned {
+			flow := demand.HallFlow{Service: "lm", Model: "m", Requests: map[state.HallName]float64{"h": 5, "b": 5, "c": 10}}
+			delays := distant(catalog.HallDelay{From: "h", To: "b", Delay: 3 * time.Millisecond})
+			table.UpdateLoad(map[state.InstanceID]int{"h-0": 1, "b-0": 1, "c-0": 1, "c-1": 1}, total, own)
+			table.UpdateHalls(locality.DefaultPolicy(), []demand.HallFlow{flow}, delays, start.Add(time.Hour))
+		}
+		head := table.Pick("lm", "m", start, func(c *dispatch.Candidate) bool { return c.ID != "h-0" })
+		var prefill time.Duration
+		for i := range 10000 {
+			if now := start.Add(time.Duration(i) * time.Millisecond); !head.IsFull(now) {
+				head.BeginRequest(100, now).End()
+				prefill += 50 * time.Millisecond // 100 tokens at 1,000 per second and TimeFactor 0.5
+			}
+		}
+		return prefill
+	}
+	g := NewWithT(t)
+	// The node has a fifth of all requests and four fifths of those of its hall.
+	g.Expect(sent(false)).To(BeNumerically("~", 1600*time.Millisecond, 200*time.Millisecond))
+	g.Expect(sent(true)).To(BeNumerically("~", 6400*time.Millisecond, 300*time.Millisecond))
+}
+
 // referencePick is the choice of a candidate without plans of halls, for load and health as given.
 func referencePick(pool []referenceCandidate, p dispatch.Policy, rate, random float64) state.InstanceID {
 	candidates := slices.Clone(pool)
--- a/coordination/dispatch/hold.go
+++ b/coordination/dispatch/hold.go
@@ -15,7 +15,7 @@
 
 // BeginRequest records that a request with a number of prompt tokens is sent to the instance now.
 func (c *Candidate) BeginRequest(prompt int, now time.Time) *InFlightRequest {
-	if limit, paced := c.paceLimit(); paced {
+	if limit, paced := c.paceLimit(now); paced {
 		c.load.pacer.spend(now, limit, time.Duration(float64(prompt)*c.prefillTimePerToken))
 	}
 	h := &InFlightRequest{load: c.load}
--- a/coordination/dispatch/pace.go
+++ b/coordination/dispatch/pace.go
@@ -95,11 +95,14 @@
 
 // paceLimit returns the rate at which this node may send prompts to the group, and whether a
 // limit applies.
-func (c *Candidate) paceLimit() (paceLimit, bool) {
+func (c *Candidate) paceLimit(now time.Time) (paceLimit, bool) {
 	p, known := (*c.table.demand.Load())[Pool{c.Service, c.Model}]
 	if !known {
 		p.share = 1
 	}
+	if plan := c.table.hallPlan(Pool{c.Service, c.Model}, now); plan != nil {
+		p.share = shareInHall(p.share, plan, c.Hall)
+	}
 	limit := paceLimit{rate: p.share * c.table.policy.ReadLimit, burst: c.table.policy.PaceBurst}
 	meanPrefill := p.meanPrompt * c.prefillTimePerToken / float64(time.Second)
 	return limit, c.prefillTimePerToken > 0 && limit.rate > 0 && limit.rate*pacedSpan.Seconds() >= meanPrefill
--- a/transport/entry/halls_test.go
+++ b/transport/entry/halls_test.go
@@ -176,3 +176,33 @@
 	g.Expect(resp.Msg.Totals.Unpack(&earlier)).To(Succeed())
 	g.Expect(earlier.Demand).To(HaveLen(1))
 }
+
+// BenchmarkTotals measures what a leader does for each sum of the status reports, with and without the demand by hall, and the
+// bytes that the demand by hall adds to the packed totals.
+func BenchmarkTotals(b *testing.B) {
+	for _, nodes := range []int{87, 570} {
+		for _, delay := range []time.Duration{0, 3 * time.Millisecond} {
+			b.Run(fmt.Sprintf("nodes=%d/delay=%v", nodes, delay), func(b *testing.B) {
+				clock := clockwork.NewFakeClock()
+				leader := newHallNode(NewWithT(b), 1, "near", delay, clock)
+				for i := range nodes {
+					recordReport(leader, 2+i, state.HallName(fmt.Sprint("hall-", i%3)), func(r *receivedReport) {
+						r.report.Demand = []demand.Flow{{Service: "lm", Model: "m", Requests: 4}, {Service: "plain", Requests: 1}}
+						r.report.InProgress = map[state.InstanceID]int{"near0": 1, "near1": 2, "far2": 1, "far3": 1}
+					})
+				}
+				for b.Loop() {
+					leader.peers.mu.Lock()
+					leader.peers.inProgress = nil
+					leader.peers.mu.Unlock()
+					leader.peers.totals()
+				}
+				packed, err := peer.Pack(totals{HallDemand: leader.peers.demandByHall()})
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(packed)), "packed-B")
+			})
+		}
+	}
+}
