--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -53,7 +53,8 @@
 	// as it may. CodeForwardRefused means that the other node rejected the forwarded request as invalid.
 	CodeForwardLimit   Code = "forward-limit"
 	CodeForwardRefused Code = "forward-refused"
-	// CodeNoHome means that no instance is known in a home region of the request.
+	// CodeNoHome means that this node reaches no instance in a home region of the request, or that the home regions of the
+	// route and the team have none in common.
 	CodeNoHome Code = "no-home"
 )
 
