--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -82,6 +82,9 @@
 	Demand []float64
 	// Evacuated holds the evacuated halls. Their groups stay formed, but do not count as capacity.
 	Evacuated evacuation.View
+	// DemandByHall is the fraction of the demand for each model that arrives in each hall. It is nil if unknown, or if it does
+	// not matter in which hall a group is.
+	DemandByHall []map[state.HallName]float64
 }
 
 // NewPlanner returns a Planner. The function nextEpoch must return a new epoch that is greater
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -52,6 +52,8 @@
 	Public bool
 	// Resumable streams may continue on another instance after a known event.
 	Resumable bool
+	// Homes are the regions in which the route's requests may run; empty if they may run everywhere.
+	Homes []state.RegionName
 }
 
 // CanRetry reports whether a request of the route may be executed more than once.
@@ -118,21 +120,15 @@
 	// MaxReportAge is the maximum age of the information that an instance reports.
 	MaxReportAge time.Duration
 	Models       []Model
-	// HallDelays are the one-way delays between data halls, as far as the configuration states them.
-	HallDelays []HallDelay
-}
-
-// HallDelay is the one-way delay between two data halls, in either direction.
-type HallDelay struct {
-	From, To state.HallName
-	Delay    time.Duration
+	// Delays are the delays between data halls; empty if the configuration states none.
+	Delays []HallDelay
 }
 
 // MaxHallDelay returns the longest delay between two data halls, or 0 if none is stated.
 func (e *Engine) MaxHallDelay() time.Duration {
 	var longest time.Duration
-	for i := range e.HallDelays {
-		longest = max(longest, e.HallDelays[i].Delay)
+	for _, d := range e.Delays {
+		longest = max(longest, d.Delay)
 	}
 	return longest
 }
@@ -147,6 +143,18 @@
 	return nil
 }
 
+// HallDelay is the one-way delay of the network from one data hall to another.
+type HallDelay struct {
+	From, To state.HallName
+	Delay    time.Duration
+}
+
+// minHallDelay is the delay between two halls from which on it matters to callers where their requests run.
+const minHallDelay = time.Millisecond
+
+// HasDistantHalls reports whether the delay between any two halls matters to callers.
+func (e *Engine) HasDistantHalls() bool { return e.MaxHallDelay() >= minHallDelay }
+
 // Service is a set of instances that answer the same requests.
 type Service struct {
 	Name state.ServiceName
@@ -165,6 +173,8 @@
 	Name state.TeamName
 	// Priority overrides the route's priority unless it is nil.
 	Priority *int
+	// Homes are the regions in which the team's requests may run; empty if they may run everywhere.
+	Homes []state.RegionName
 }
 
 // Limits bounds the requests and connections of a caller.
@@ -210,6 +220,21 @@
 	return c
 }
 
+// HasHomes reports whether any route or team has home regions.
+func (c *Catalog) HasHomes() bool {
+	for _, r := range c.routes {
+		if len(r.Homes) > 0 {
+			return true
+		}
+	}
+	for _, t := range c.teams {
+		if len(t.Homes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Route returns the route of a host with the longest prefix of path, or nil.
 func (c *Catalog) Route(host, path string) *Route {
 	for end := len(path); end > 0; {
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -67,9 +67,12 @@
 	partitions *partition.Monitor
 	forwarding *forwarding.Sender
 	// forwarded counts the requests that this node serves for other nodes.
-	forwarded   *forwarding.Receiver
-	metrics     metrics.Registry
-	log         *log.Logger
+	forwarded *forwarding.Receiver
+	metrics   metrics.Registry
+	log       *log.Logger
+	// regions maps data halls to regions.
+	regions     atomic.Pointer[map[state.HallName]state.RegionName]
+	hallTraffic hallTraffic
 	peers       *peers
 	placement   *placementController
 	schedules   *schedules
@@ -163,8 +166,10 @@
 	n.gateway = gateway.New(gateway.Options{
 		Scheduler: n.schedules,
 		Clock:     clock, Codec: ports.HeaderCodec, Catalogs: servingCatalogs{n.configState, n}, Evacuations: n, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
-		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
+		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Hall: set.Hall, Regions: n, HallTraffic: &n.hallTraffic, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
 	})
+	n.regions.Store(&set.Regions)
+	n.hallTraffic.metrics = n.metrics
 	n.peers = newPeers(n)
 	n.placement = newPlacementController(n)
 	return n
--- a/transport/entry/schedule_test.go
+++ b/transport/entry/schedule_test.go
@@ -25,7 +25,7 @@
 func (d distantHalls) Catalog([]byte) (*catalog.Catalog, error) {
 	engine := &catalog.Engine{
 		BatchSlots: 8, StepTime: time.Millisecond, StepsPerPass: 5, PrefillTokensPerSecond: 1000, PromptTokensPerPass: 2000, Models: []catalog.Model{{Name: "m", GroupSize: 1}},
-		HallDelays: []catalog.HallDelay{{From: "hall", To: "other", Delay: d.delay}},
+		Delays: []catalog.HallDelay{{From: "hall", To: "other", Delay: d.delay}},
 	}
 	return catalog.New(1, nil, []catalog.Service{{Name: "lm", Engine: engine}}, nil, catalog.Limits{}), nil
 }
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -30,6 +30,7 @@
 	}
 	n.configState.SetMaxKeyAge(set.StrictKeys, set.MaxKeyAge)
 	n.gateway.SetRetryBounds(set.Retry)
+	n.regions.Store(&set.Regions)
 	n.log.Info("settings reloaded")
 	return nil
 }
@@ -52,6 +53,7 @@
 		n.every(updateInterval, n.schedules.update),
 		n.watchHealth,
 		n.persistQuarantine,
+		n.every(hallLogInterval, n.logHalls),
 		n.every(time.Second, func(context.Context) {
 			n.pool.CloseExpired()
 			n.peerPool.CloseExpired()
--- a/transport/entry/settings.go
+++ b/transport/entry/settings.go
@@ -50,6 +50,8 @@
 	Retry retry.SharedBudgetConfig
 	// Cold bounds the requests of all nodes to a cold instance. Without it, cold instances are treated as warm.
 	Cold ratelimit.ColdBound
+	// Regions maps data halls to regions. A hall that it does not name belongs to no region.
+	Regions map[state.HallName]state.RegionName
 	// Policy holds the tunable parameters of the node.
 	Policy Policy
 }
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -173,6 +173,7 @@
 		p.n.hideEvacuated(&t, now)
 		shared = &p.sharedEarlierTotals
 	}
+	t.HallDemand = p.demandByHall()
 	// Nodes without rate limits get totals of their own, see hideLimited.
 	if w.Protocol < protocolPacked || p.n.hidesCold(w) {
 		a.InProgress, a.Demand, a.Avoid, a.Staging = t.InProgress, t.Demand, t.Avoid, t.Staging
@@ -224,6 +225,7 @@
 	n.setExcluded(a.Avoid)
 	n.placement.recordStagings(a.Staging, sentAt)
 	n.setLoads(a.InProgress, a.Demand)
+	n.updateHalls(a.HallDemand)
 	n.forwarding.SetPeers(a.Peers, n.clock.Now())
 	p.mergeLimits(a, sentAt)
 	n.gateway.GrantRetries(a.GrantedRetries, sentAt)
--- a/transport/entry/version.go
+++ b/transport/entry/version.go
@@ -30,8 +30,10 @@
 	// protocolColdInstances is the first version whose nodes send requests to cold instances by grants, and relay cold
 	// times.
 	protocolColdInstances = 4
+	// protocolHomeRegions is the first version whose nodes enforce the home regions of requests that other nodes forward.
+	protocolHomeRegions = 4
 	// protocolVersion is the protocol version of this build.
-	protocolVersion = protocolColdInstances
+	protocolVersion = protocolHomeRegions
 )
 
 // versionBonus is added per protocol version to the capacity that a node reports, in cores. It is
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -111,6 +111,11 @@
 	// Evacuations tells which halls are evacuated; nil if none ever is.
 	Evacuations Evacuations
 	Pool        *direct.Pool
+	// Hall is the node's own data hall, Regions maps the halls to regions.
+	Hall    state.HallName
+	Regions Regions
+	// HallTraffic records the traffic to other halls.
+	HallTraffic HallTraffic
 	// Peers chooses the nodes that requests are forwarded to, PeerPool holds the connections to them. Receiver
 	// bounds the requests of other nodes.
 	Peers    Peers
@@ -194,6 +199,7 @@
 	demandRecorded bool
 	forwardState
 	scheduleState
+	homeState
 	// hold counts the current attempt in the load of its target.
 	hold *dispatch.InFlightRequest
 	// loadAtPick is the known number of requests in progress at the last target when it was picked.
@@ -260,6 +266,9 @@
 	if refused := c.authenticate(); refused != nil {
 		return refused
 	}
+	if c.currentHomes().IsEmpty() {
+		return refusalWithRetryAfter(CodeNoHome, c.Policy.RepairRetryAfter)
+	}
 	if refused := c.readBody(); refused != nil {
 		return refused
 	}
--- a/transport/gateway/schedule.go
+++ b/transport/gateway/schedule.go
@@ -71,7 +71,7 @@
 // isUnavailable reports whether a target cannot get the request now.
 func (c *call) isUnavailable(t *dispatch.Candidate) bool {
 	_, cooling := c.Backpressure.CooldownUntil(&t.Instance)
-	return cooling || slices.Contains(c.tried, t.ID) || !c.Backpressure.CanSend(&t.Instance)
+	return cooling || slices.Contains(c.tried, t.ID) || c.isEvacuated(t) || !c.isHome(t) || !c.Backpressure.CanSend(&t.Instance)
 }
 
 // lacksGrant reports whether a target has no rate limit, or cannot get the request now.
@@ -84,7 +84,7 @@
 	r := &scheduling.Request{
 		Pool: scheduling.Pool{Service: c.service, Model: c.model}, PromptTokens: c.claims.PromptTokens, Goal: c.route.Goal,
 		Elapsed: now.Sub(c.arrivedAt), TimeLeft: c.deadline.Sub(now), Priority: c.priority(), Returning: c.isReturning(),
-		Resuming: c.headerWritten || c.lastEventID != "" || c.claims.LastEventID != "", Excluded: c.tried,
+		Resuming: c.headerWritten || c.lastEventID != "" || c.claims.LastEventID != "", Excluded: c.excludedTargets(),
 	}
 	if c.team != nil {
 		r.Team = c.team.Name
@@ -92,6 +92,21 @@
 	return r
 }
 
+// excludedTargets returns the targets that the scheduler must leave out: those that were tried, and those outside the
+// home regions of the request.
+func (c *call) excludedTargets() []state.InstanceID {
+	if !c.currentHomes().IsRestricted() {
+		return c.tried
+	}
+	excluded := slices.Clone(c.tried)
+	for _, t := range c.Table.Candidates(c.service, c.model) {
+		if !c.isHome(t) {
+			excluded = append(excluded, t.ID)
+		}
+	}
+	return excluded
+}
+
 // priority returns the priority of the request: that of its team if it has one, else that of its route.
 func (c *call) priority() int {
 	if c.team != nil && c.team.Priority != nil {
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -168,7 +168,7 @@
 // reports false. A request suspected of ending instances goes to the target with the lowest load.
 func (c *call) pickExcept(exclude func(*dispatch.Candidate) bool) *dispatch.Candidate {
 	excluded := func(t *dispatch.Candidate) bool {
-		if slices.Contains(c.tried, t.ID) || c.isEvacuated(t) || exclude(t) {
+		if slices.Contains(c.tried, t.ID) || c.isEvacuated(t) || !c.isHome(t) || exclude(t) {
 			return true
 		}
 		_, cooling := c.Backpressure.CooldownUntil(&t.Instance)
@@ -202,6 +202,9 @@
 	if c.allEvacuated() {
 		return refusalWithRetryAfter(CodeEvacuated, c.Policy.RepairRetryAfter)
 	}
+	if c.lacksHome() {
+		return refusalWithRetryAfter(CodeNoHome, c.Policy.RepairRetryAfter)
+	}
 	if code, after, all := c.allUnderBackpressure(); all {
 		return refusalWithRetryAfter(code, after)
 	}
@@ -210,6 +213,10 @@
 
 // attempt sends the request to one instance and relays its response.
 func (c *call) attempt(target *dispatch.Candidate) attemptResult {
+	var crossing CrossHallReason
+	if target.Hall != c.Hall {
+		crossing = c.crossHallReason()
+	}
 	c.tried = append(c.tried, target.ID)
 	c.sends++
 	c.loadAtPick = target.Load()
@@ -236,12 +243,15 @@
 		}
 		c.recordFailure(target, sent, "not reached", err)
 		return resultNotRun
-	case err != nil:
-		c.arrivals++
+	}
+	if crossing != "" {
+		defer c.countCrossing(target.Hall, crossing, resp)()
+	}
+	c.arrivals++
+	if err != nil {
 		return c.handleLostResponse(ctx, target, sent, err)
 	}
 	defer resp.Close()
-	c.arrivals++
 	c.FailureDetector.RecordResponse(target.ID, sent)
 	return c.handleResponse(ctx, target, resp, watched, sent)
 }
