Forward the priority of requests to instances

Engines let more urgent requests in first, but nodes never told them the priority. It is forwarded where the requests for a service have more than one: that of the team if it has one, else that of the route. A forwarded request keeps the priority that it has at the node which received it.

--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -166,6 +167,8 @@
 	ColdPerSecond float64
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// HasPriorities is set if the service's requests have more than one priority. New sets it.
+	HasPriorities bool
 }
 
 // Team is a set of callers with keys of their own.
@@ -216,10 +219,28 @@
 	}
 	for i := range services {
 		c.Services[services[i].Name] = &services[i]
+		services[i].HasPriorities = hasPriorities(services[i].Name, routes, teams)
 	}
 	return c
 }
 
+// hasPriorities reports whether the requests for a service have more than one priority: those of its routes, and those of
+// the teams that have one of their own.
+func hasPriorities(service state.ServiceName, routes []Route, teams map[string]*Team) bool {
+	priorities := map[int]bool{}
+	for i := range routes {
+		if slices.ContainsFunc(routes[i].Shares, func(w WeightedService) bool { return w.Service == service }) {
+			priorities[routes[i].Priority] = true
+		}
+	}
+	for _, t := range teams {
+		if t.Priority != nil {
+			priorities[*t.Priority] = true
+		}
+	}
+	return len(priorities) > 1
+}
+
 // HasHomes reports whether any route or team has home regions.
 func (c *Catalog) HasHomes() bool {
 	for _, r := range c.routes {
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -62,6 +62,8 @@
 	Kind      catalog.RouteKind `json:"kind"`
 	Resumable bool              `json:"resumable,omitempty"`
 	Public    bool              `json:"public,omitempty"`
+	// Priority is that of the request. Earlier builds name none.
+	Priority int `json:"priority,omitempty"`
 	// Attempts is the number of instances that may still run the request.
 	Attempts   int   `json:"attempts"`
 	GoalMS     int64 `json:"goal,omitempty"`
@@ -204,7 +206,7 @@
 // forwardInfo returns what the node that the request is forwarded to must know of it.
 func (c *call) forwardInfo() forwardInfo {
 	info := forwardInfo{
-		Origin: c.Name, Service: c.service, Model: c.model, Route: c.route.Name, Kind: c.route.Kind, Resumable: c.route.Resumable, Public: c.route.Public,
+		Origin: c.Name, Service: c.service, Model: c.model, Route: c.route.Name, Kind: c.route.Kind, Resumable: c.route.Resumable, Public: c.route.Public, Priority: c.priority(),
 		Attempts: c.route.MaxAttempts - c.runs, GoalMS: c.route.Goal.Milliseconds(), GapGoalMS: c.route.GapGoal.Milliseconds(),
 		TimeLeftMS: (c.deadline.Sub(c.Clock.Now()) - c.Policy.NetworkAllowance).Milliseconds(), LastEventID: c.lastEventID, Homes: c.currentHomes().Regions(),
 	}
@@ -354,7 +356,7 @@
 // route returns the route of the request as far as it matters for serving it.
 func (f *forwardInfo) route() *catalog.Route {
 	return &catalog.Route{
-		Name: f.Route, Kind: f.Kind, Resumable: f.Resumable, Public: f.Public, MaxAttempts: f.Attempts,
+		Name: f.Route, Kind: f.Kind, Resumable: f.Resumable, Public: f.Public, Priority: f.Priority, MaxAttempts: f.Attempts,
 		Goal: time.Duration(f.GoalMS) * time.Millisecond, GapGoal: time.Duration(f.GapGoalMS) * time.Millisecond,
 	}
 }
--- a/transport/gateway/schedule.go
+++ b/transport/gateway/schedule.go
@@ -115,6 +115,17 @@
 	return c.route.Priority
 }
 
+// maxForwardedPriority is the largest value of a priority that instances accept, the least urgent one.
+const maxForwardedPriority = 9
+
+// forwardedPriority returns the priority to forward to an instance, or -1 if all requests for the service have the same.
+func (c *call) forwardedPriority() int {
+	if s := c.catalog.Services[c.service]; s == nil || !s.HasPriorities {
+		return -1
+	}
+	return min(max(c.priority(), 0), maxForwardedPriority)
+}
+
 // isReturning reports whether the caller was probably refused before. Its time-out is then shorter than the
 // route's by the time that it has waited.
 func (c *call) isReturning() bool {
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -263,7 +263,7 @@
 		Instance:    target.ID,
 		TimeLeft:    c.deadline.Sub(now) - c.Policy.NetworkAllowance,
 		LastEventID: c.lastEventID,
-		Priority:    -1,
+		Priority:    c.forwardedPriority(),
 	}
 	if c.team != nil {
 		f.Team = c.team.Name
