--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -29,6 +29,7 @@
 	spreads int
 	// meanPrompt is the mean prompt length, in tokens.
 	meanPrompt ewma
+	counts     counts
 	// refusedAt is when a request was last refused because the wait was too long.
 	refusedAt time.Time
 }
@@ -161,9 +162,11 @@
 			p.refusedAt = now
 		}
 		p.teams.demanded(r.Team, now)
+		p.counts.refuse(r.Team, reason)
 		return Decision{Refused: true, Reason: reason, RetryAfter: p.retryAfter(r, wait-limit, now)}
 	}
 	p.teams.admit(r.Team, now)
+	p.counts.scheduled++
 	p.sends++
 	best.load++
 	best.sent = append(best.sent, now)
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -72,35 +72,3 @@
 	s.tokens--
 	return true
 }
-
-// PoolState describes a pool for operators.
-type PoolState struct {
-	Pool
-	Groups int
-	// Load is the number of requests in progress, Slots that of all slots.
-	Load, Slots float64
-	// Hold is the mean time that a request occupies a slot, Latency the mean time to the first event without the
-	// expected wait, and ShortestWait the wait at the least busy group.
-	Hold, Latency, ShortestWait time.Duration
-	// Capacity is the number of requests per second that the groups can start.
-	Capacity float64
-}
-
-// States returns the state of all pools.
-func (s *Scheduler) States(now time.Time) []PoolState {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := make([]PoolState, 0, len(s.pools))
-	for key, p := range s.pools {
-		st := PoolState{Pool: key, Groups: len(p.order), Hold: p.hold, Latency: time.Duration(p.latency.value), Capacity: p.capacity()}
-		for i, g := range p.order {
-			st.Load += g.load
-			st.Slots += float64(g.Slots)
-			if w := g.wait(now, p.hold); i == 0 || w < st.ShortestWait {
-				st.ShortestWait = w
-			}
-		}
-		list = append(list, st)
-	}
-	return list
-}
--- a/coordination/scheduling/scheduling_test.go
+++ b/coordination/scheduling/scheduling_test.go
@@ -241,3 +241,26 @@
 	g.Expect(part("middle")).To(BeNumerically(">", part("large")))
 	g.Expect(admitted["large"]).To(BeNumerically("<", 1.5*float64(admitted["middle"])))
 }
+
+// Guards against operators who cannot see why requests are refused, and counts that grow without end.
+func TestStatesCountRequestsSinceTheLastCall(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(2)
+	refused := 0
+	for range 100 {
+		if d, _ := s.Schedule(requestOf(3000), nil, start); d.Refused {
+			refused++
+		}
+	}
+	states := s.TakeStates(start)
+	g.Expect(states).To(HaveLen(1))
+	g.Expect(states[0].Scheduled).To(Equal(100 - refused))
+	total := 0
+	for _, n := range states[0].Refused {
+		total += n
+	}
+	g.Expect(total).To(Equal(refused))
+	g.Expect(states[0].RefusedTeams).To(Equal([]state.TeamName{"t"}))
+	g.Expect(states[0].ShortestWait).To(BeNumerically(">", 0))
+	g.Expect(s.TakeStates(start)[0].Scheduled).To(BeZero())
+}
--- a/transport/entry/schedule.go
+++ b/transport/entry/schedule.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/apex/log"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/troutmast/troutmast/coordination/scheduling"
 	"github.com/troutmast/troutmast/protocol/peer"
@@ -250,3 +252,27 @@
 	}
 	return out
 }
+
+// stateInterval is the time between two reports of the scheduler's state to operators.
+const stateInterval = time.Second
+
+// reportState updates the gauges of the pools that this node schedules as leader, and logs each one that refuses requests.
+func (s *schedules) reportState(context.Context) {
+	if leading, _ := s.n.peers.leadership(); !leading {
+		return
+	}
+	for _, p := range s.scheduler.TakeStates(s.n.clock.Now()) {
+		name := "schedule." + string(p.Service) + "." + p.Model
+		metrics.GetOrRegisterGauge(name+".load", s.n.metrics).Update(int64(p.Load))
+		metrics.GetOrRegisterGauge(name+".slots", s.n.metrics).Update(int64(p.Slots))
+		metrics.GetOrRegisterGauge(name+".wait-ms", s.n.metrics).Update(p.ShortestWait.Milliseconds())
+		metrics.GetOrRegisterGaugeFloat64(name+".capacity", s.n.metrics).Update(p.Capacity)
+		if len(p.Refused) == 0 {
+			continue
+		}
+		s.n.log.WithFields(log.Fields{
+			"service": p.Service, "model": p.Model, "groups": p.Groups, "load": int(p.Load), "slots": int(p.Slots), "wait_ms": p.ShortestWait.Milliseconds(),
+			"first_event_ms": p.Latency.Milliseconds(), "hold_ms": p.Hold.Milliseconds(), "capacity": int(p.Capacity), "scheduled": p.Scheduled, "refused": p.Refused, "teams": p.RefusedTeams,
+		}).Info("requests refused for lack of capacity")
+	}
+}
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -51,6 +51,7 @@
 		n.peers.followNodes,
 		n.placement.run,
 		n.every(updateInterval, n.schedules.update),
+		n.every(stateInterval, n.schedules.reportState),
 		n.watchHealth,
 		n.persistQuarantine,
 		n.every(hallLogInterval, n.logHalls),
--- a/transport/gateway/schedule.go
+++ b/transport/gateway/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/dispatch"
@@ -46,6 +47,7 @@
 	}
 	if d.Refused {
 		c.Recorder.Count("schedule.refused." + string(d.Reason))
+		c.Recorder.Count("refused.overloaded.p" + strconv.Itoa(min(max(c.priority(), 0), maxForwardedPriority)))
 		return nil, c.refuseScheduled(d.RetryAfter), true
 	}
 	t := c.Table.Candidate(c.service, c.model, d.Instance)
@@ -53,6 +55,7 @@
 		c.Recorder.Count("schedule.unusable")
 		return c.pick(), nil, false
 	}
+	c.Recorder.Count("schedule.decided")
 	c.decision, c.askedAt = d, askedAt
 	return t, nil, false
 }
