Keep what slow callers have not read, within bounds

A write to a slow caller blocked the read from the instance, so that the caller occupied a slot for as long as it read, and nothing bounded what a node holds for all callers.

Where the settings list the contract, the connections of callers keep what the system does not take at once. A goroutine writes it, and runs only while something is kept. coordination/buffering counts unread responses and request bodies. Above the node's bound the largest reader is cut off, or a new request is refused with the code memory. A response that stays at its own bound, or a write without progress, cuts its reader off, too. A write to an instance that takes nothing fails after a time-out. Without the contract no listener is wrapped.

--- a/cmd/troutmastd/onplatform.go
+++ b/cmd/troutmastd/onplatform.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -43,6 +44,9 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	signal.Ignore(syscall.SIGPIPE)
+	if limit := cfg.HeapLimit(); limit > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(limit)
+	}
 	sink := logsink.New(os.Stdout, logsink.DefaultOptions())
 	defer sink.Close(logCloseTimeout)
 	logger := &log.Logger{Handler: json.New(sink), Level: log.InfoLevel}
--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -48,6 +48,8 @@
 	// sent, since its result may change during a slow dial. If it returns an error, the request is
 	// not sent and Do returns ErrNotSent.
 	BeforeSend func() error
+	// WriteTimeout, if positive, is the time after which sending fails if the server takes no further byte.
+	WriteTimeout time.Duration
 }
 
 // Response is a response whose body has not been read yet. The caller must call Close.
@@ -79,6 +81,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.abort)
 	req := r.httpRequest()
+	c.writeTimeout = r.WriteTimeout
 	err = c.send(req)
 	if err != nil {
 		stop()
@@ -202,5 +205,5 @@
 // initBuffers allocates the buffers of a connection.
 func (c *conn) initBuffers() {
 	c.br = bufio.NewReaderSize(c.Conn, bufferSize)
-	c.bw = bufio.NewWriterSize(c.Conn, bufferSize)
+	c.bw = bufio.NewWriterSize(timedWriter{c}, bufferSize)
 }
--- a/protocol/direct/pool.go
+++ b/protocol/direct/pool.go
@@ -44,6 +44,7 @@
 	br    *bufio.Reader
 	bw    *bufio.Writer
 	wrote bool
+	timedWrites
 	// idleSince is the time at which the connection became idle; reusableUntil is the time until
 	// which it may be used again.
 	idleSince     time.Time
@@ -132,9 +133,6 @@
 	}
 }
 
-// abort makes all current and later reads and writes on the connection fail.
-func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) }
-
 // setIdleTimeout sets the permitted idle time from a Keep-Alive header of the server.
 func (c *conn) setIdleTimeout(keepAlive string) {
 	if c.idleTimeout == 0 {
--- /dev/null
+++ b/protocol/direct/write.go
@@ -0,0 +1,55 @@
+package direct
+
+import (
+	"errors"
+	"os"
+	"sync"
+	"time"
+)
+
+// timedWrites is the state of the time-out of writes on a connection.
+type timedWrites struct {
+	// writeTimeout is the time without progress after which a write fails. 0 means no time-out.
+	writeTimeout time.Duration
+	// mu keeps a deadline of a write from replacing that of an abort.
+	mu      sync.Mutex
+	aborted bool
+}
+
+// timedWriter writes to a connection with the time-out of the current request.
+type timedWriter struct{ c *conn }
+
+// Write implements io.Writer.
+func (w timedWriter) Write(p []byte) (int, error) {
+	if w.c.writeTimeout <= 0 {
+		return w.c.Write(p)
+	}
+	written := 0
+	for written < len(p) {
+		w.c.setWriteDeadline(time.Now().Add(w.c.writeTimeout))
+		n, err := w.c.Write(p[written:])
+		written += n
+		if err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+			return written, err
+		}
+	}
+	w.c.setWriteDeadline(time.Time{})
+	return written, nil
+}
+
+// setWriteDeadline sets the time after which a write fails, unless the connection was aborted.
+func (c *conn) setWriteDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.aborted {
+		_ = c.SetWriteDeadline(t)
+	}
+}
+
+// abort makes all current and later reads and writes on the connection fail.
+func (c *conn) abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = true
+	_ = c.SetDeadline(time.Unix(1, 0))
+}
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -155,7 +155,7 @@
 	}
 	n.gateway = gateway.New(gateway.Options{
 		Clock: clock, Codec: ports.HeaderCodec, Catalogs: n.configState, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
-		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
+		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n}, Buffers: n.newBuffers(),
 	})
 	n.peers = newPeers(n)
 	n.placement = newPlacementController(n)
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/buffering"
 	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
@@ -34,6 +35,8 @@
 	// requests to nodes that reach them.
 	Partition  partition.Policy  `flag:"partition"`
 	Forwarding forwarding.Policy `flag:"forwarding"`
+	// Buffering bounds what the node holds for callers that read slowly.
+	Buffering buffering.Policy `flag:"buffering"`
 }
 
 // NodePolicy holds the intervals and timeouts between nodes, to the store and to instances.
@@ -165,6 +168,7 @@
 		RateLimit:  ratelimit.DefaultPolicy(),
 		Partition:  partition.DefaultPolicy(),
 		Forwarding: forwarding.DefaultPolicy(),
+		Buffering:  buffering.DefaultPolicy(),
 		Node: NodePolicy{
 			PlanInterval:         100 * time.Millisecond,
 			PlanPause:            25 * time.Millisecond,
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -85,11 +85,13 @@
 	endpoints := []struct {
 		at string
 		h  http.Handler
+		// servesCallers reports whether responses to callers pass this listener.
+		servesCallers bool
 	}{
-		{n.settings.CallerAddress.String(), n.gateway},
-		{n.settings.ReadyAddress.String(), readyMux},
-		{n.settings.PeerAddress.String(), n.servePeer(peerMux)},
-		{n.settings.MetricsAddress.String(), operatorMux},
+		{n.settings.CallerAddress.String(), n.gateway, true},
+		{n.settings.ReadyAddress.String(), readyMux, false},
+		{n.settings.PeerAddress.String(), n.servePeer(peerMux), true},
+		{n.settings.MetricsAddress.String(), operatorMux, false},
 	}
 	var listeners []*listener
 	for _, p := range endpoints {
@@ -97,7 +99,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("entry: listen on %s: %w", p.at, err)
 		}
-		srv := &http.Server{Handler: p.h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+		if p.servesCallers {
+			ln = n.gateway.WrapListener(ln)
+		}
+		srv := &http.Server{Handler: p.h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: nil, ConnContext: n.gateway.ConnContext}
 		listeners = append(listeners, &listener{srv: srv, ln: ln})
 	}
 	var servers []*http.Server
--- a/transport/entry/settings.go
+++ b/transport/entry/settings.go
@@ -24,6 +24,10 @@
 	MetricsAddress netip.AddrPort
 	// Capacity is the node's share of a processor, in cores. Larger nodes are preferred as leader.
 	Capacity float64
+	// MemoryBytes is the node's share of memory, in bytes, or 0 if it is unknown. A node that uses more is killed.
+	MemoryBytes int64
+	// BoundsBuffers makes the node bound what it holds for callers that read slowly. It needs MemoryBytes.
+	BoundsBuffers bool
 	// StoreAddress is the address of the platform's store.
 	StoreAddress netip.AddrPort
 	// Seeds are the addresses of nodes to contact before any node is known from the store.
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -226,6 +226,7 @@
 			return h.Get(headerForwardResult) != "" && c.Codec.MatchesRequest(h, c.claims.ID)
 		},
 		RequireFreshConn: !c.route.CanRetry(),
+		WriteTimeout:     c.instanceWriteTimeout(),
 		BeforeSend: func() error {
 			if !c.keyTrusted() {
 				return errKeysStale
@@ -276,6 +277,8 @@
 	c := &call{Gateway: g, w: w, r: r, arrivedAt: g.Clock.Now()}
 	c.origin = "unknown"
 	g.Recorder.Count("forward.received")
+	c.beginBuffering()
+	defer c.endBuffering()
 	if !g.Receiver.TryAcquire() {
 		c.claims.ID = c.requestID()
 		c.refuse(refusalWithRetryAfter(CodeForwardLimit, g.Policy.OverloadRetryAfter))
@@ -316,8 +319,10 @@
 	if !c.authenticateForwarded(info.Team) {
 		return refusalWithRetryAfter(CodeKeysStale, c.Policy.RetryAfter)
 	}
-	if c.readBody() != nil {
+	if refused := c.readBody(); refused != nil && refused.code != CodeForwardLimit {
 		return &refusal{code: CodeForwardRefused}
+	} else if refused != nil {
+		return refused
 	}
 	c.identity = c.computeIdentity()
 	if until, held := c.Quarantine.Admit(c.identity); held {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/troutmast/troutmast/coordination/buffering"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/quarantine"
@@ -121,6 +122,9 @@
 	// process ran before.
 	Retry       retry.SharedBudgetConfig
 	CountsSince time.Time
+	// Buffers counts the bytes that the node holds for its callers. If it is nil, these have no bound, and a response is read no
+	// faster than its caller reads it.
+	Buffers *buffering.Accounts
 }
 
 // Gateway is the HTTP handler for the requests of callers.
@@ -193,6 +197,7 @@
 	// lastFailure is the most recent server error of an instance.
 	lastFailure *bufferedResponse
 	streamProgress
+	bufferState
 }
 
 // refusal is a response that the gateway generates itself. A positive after is the retry delay.
@@ -208,6 +213,8 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	c.beginBuffering()
+	defer c.endBuffering()
 	c.run(c.admit())
 }
 
@@ -320,6 +327,9 @@
 
 // readBody reads the request body, up to the size limit of the catalog.
 func (c *call) readBody() *refusal {
+	if c.account != nil && !c.account.TryAddRequest(0) {
+		return c.memoryRefusal()
+	}
 	if c.r.ContentLength == 0 {
 		return nil
 	}
@@ -334,10 +344,12 @@
 		in = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
 	var err error
-	c.body, err = io.ReadAll(in)
+	c.body, err = io.ReadAll(c.countedRequest(in))
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errMemory):
+		return c.memoryRefusal()
 	case errors.As(err, &tooLarge):
 		return &refusal{code: CodeTooLarge}
 	case err != nil:
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -53,12 +53,14 @@
 	// as it may. CodeForwardRefused means that the other node rejected the forwarded request as invalid.
 	CodeForwardLimit   Code = "forward-limit"
 	CodeForwardRefused Code = "forward-refused"
+	// CodeMemory means that the node holds as many bytes for its callers as it may.
+	CodeMemory Code = "memory"
 )
 
 // notRunCodes are the reasons that guarantee that the request has not run and will not run.
 var notRunCodes = []Code{
 	CodeNoConfig, CodeKeysStale, CodeNoTarget, CodeOverloaded, CodeRefusedByTargets, CodeTargetsUnreachable, CodeNoTimeLeft, CodeStopping,
-	CodeQuarantined, CodeCoolingDown, CodeRateLimited, CodeForwardLimit, CodeForwardRefused,
+	CodeQuarantined, CodeCoolingDown, CodeRateLimited, CodeForwardLimit, CodeForwardRefused, CodeMemory,
 }
 
 // RequestInfo holds the properties that a request states in its headers.
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -262,6 +262,7 @@
 		HasBody:          c.r.ContentLength != 0 || c.r.Method == http.MethodPost || c.r.Method == http.MethodPut,
 		MatchesResponse:  func(h http.Header) bool { return c.Codec.MatchesRequest(h, c.claims.ID) },
 		RequireFreshConn: !c.route.CanRetry(),
+		WriteTimeout:     c.instanceWriteTimeout(),
 		BeforeSend:       func() error { return c.checkBeforeSend(target) },
 	}
 }
@@ -410,7 +411,7 @@
 // relayBuffered buffers a response and forwards it. A server error is kept in c.lastFailure
 // instead, since the request may be retried. Nothing is forwarded if a stream has begun.
 func (c *call) relayBuffered(ctx context.Context, src responseSource, resp *direct.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, err := c.readResponse(resp.Body)
 	if err != nil {
 		return src.lost(ctx, err)
 	}
@@ -436,6 +437,7 @@
 
 // writeTo forwards the response to the caller.
 func (p *bufferedResponse) writeTo(c *call) {
+	c.releaseResponse()
 	c.writeHeader(p.status, p.header, int64(len(p.body)))
 	_, _ = c.w.Write(p.body)
 }
@@ -461,6 +463,7 @@
 func (c *call) relayLarge(ctx context.Context, src responseSource, resp *direct.Response, p *bufferedResponse) attemptResult {
 	c.writeHeader(p.status, p.header, resp.Length)
 	c.headerWritten = true
+	c.releaseResponse()
 	if _, err := c.w.Write(p.body); err != nil {
 		return resultCallerGone
 	}
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -45,6 +45,9 @@
 			src.dataReceived(now)
 			pending = append(pending, buf[:n]...)
 			rest, forwardErr := c.forwardEvents(pending, resp, now)
+			if forwardErr == nil {
+				forwardErr = c.countPending(len(rest))
+			}
 			if forwardErr != nil {
 				return handleBrokenStream(ctx, src, forwardErr)
 			}
