--- a/transport/gateway/buffer_test.go
+++ b/transport/gateway/buffer_test.go
@@ -84,21 +84,30 @@
 	return &slowCaller{conn, bufio.NewReaderSize(conn, smallSocket)}
 }
 
-// read reads the response to its end. Between two reads of a kilobyte, it waits.
+// read reads a successful response to its end. Between two reads of a kilobyte, it waits.
 func (s *slowCaller) read(pause time.Duration) (string, error) {
+	got := s.response(pause)
+	if got.err == nil && got.status != http.StatusOK {
+		return got.body, fmt.Errorf("status %d", got.status)
+	}
+	return got.body, got.err
+}
+
+// response reads a response like read, whatever its status is.
+func (s *slowCaller) response(pause time.Duration) callResponse {
 	resp, err := http.ReadResponse(s.r, nil)
 	if err != nil {
-		return "", err
+		return callResponse{err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var text strings.Builder
 	for {
 		n, err := io.CopyN(&text, resp.Body, 1024)
 		if errors.Is(err, io.EOF) {
-			return text.String(), nil
+			return callResponse{resp.StatusCode, resp.Header, text.String(), nil}
 		}
 		if err != nil {
-			return text.String(), fmt.Errorf("after %d bytes: %w", n, err)
+			return callResponse{resp.StatusCode, resp.Header, text.String(), fmt.Errorf("after %d bytes: %w", n, err)}
 		}
 		time.Sleep(pause)
 	}
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -277,14 +277,14 @@
 	c := &call{Gateway: g, w: w, r: r, arrivedAt: g.Clock.Now()}
 	c.origin = "unknown"
 	g.Recorder.Count("forward.received")
-	c.beginBuffering()
-	defer c.endBuffering()
 	if !g.Receiver.TryAcquire() {
 		c.claims.ID = c.requestID()
 		c.refuse(refusalWithRetryAfter(CodeForwardLimit, g.Policy.OverloadRetryAfter))
 		return
 	}
 	defer g.Receiver.Release()
+	c.beginBuffering()
+	defer c.endBuffering() // before Release, since a planned stop waits for it
 	c.run(c.admitForwarded())
 }
 
