Deliver whole responses to callers that closed their side, and only whole ones

A caller may close its side of the connection and still read. The HTTP server reports it as gone. With buffering, what was kept of a complete response was then dropped. And an incomplete stream ended like a complete one, as it does without buffering: the handler returns, and the server writes the end of the body. Now a connection whose caller left before its response was complete is broken off, and what is kept of a complete response is delivered.

--- a/transport/gateway/buffer.go
+++ b/transport/gateway/buffer.go
@@ -14,6 +14,9 @@
 // errEventSize means that an instance sent an event that exceeds the bound of a stream.
 var errEventSize = errors.New("gateway: event exceeds the bound of a stream")
 
+// errCallerGone means that the caller left before its response was complete.
+var errCallerGone = errors.New("gateway: caller left")
+
 // errMemory means that a request body was not read because the node holds as many bytes as it may.
 var errMemory = errors.New("gateway: no memory for the request body")
 
@@ -25,6 +28,8 @@
 	endRequest context.CancelFunc
 	// conn is the caller's connection, or nil if it was not accepted by a listener of WrapListener.
 	conn *callerConn
+	// isGone reports whether the caller left before its response was complete.
+	isGone bool
 	// responseBytes and pendingBytes are the bytes counted for a buffered response and for an incomplete event.
 	responseBytes int64
 	pendingBytes  int64
@@ -106,6 +111,9 @@
 	}
 	c.body = nil
 	c.account.ReleaseRequest()
+	if c.conn != nil && c.isGone {
+		c.conn.fail(errCallerGone) // a caller that only closed its side must not see the end of an incomplete response
+	}
 	if c.conn != nil {
 		c.conn.end()
 	}
--- a/transport/gateway/buffer_bench_test.go
+++ b/transport/gateway/buffer_bench_test.go
@@ -4,37 +4,52 @@
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/troutmast/troutmast/coordination/buffering"
 )
 
+// processorTime returns the processor time that the process has used.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // BenchmarkBuffering compares responses that a caller reads at once at a node without and with bounds on what it holds: a stream of
-// 25 events and a buffered response of 100 kB. Caller, node and instance run in this process.
+// 25 events, a buffered response and a large one. Caller, node and instance run in this process, and cpu-us/op is the processor time
+// of all three.
 func BenchmarkBuffering(b *testing.B) {
 	for _, c := range []struct {
 		name, path string
-		bounded    bool
+		body       string
 	}{
-		{"stream/off", "/stream/x", false},
-		{"stream/on", "/stream/x", true},
-		{"100kB/off", "/safe/x", false},
-		{"100kB/on", "/safe/x", true},
+		{"stream", "/stream/x", ""},
+		{"1kB", "/safe/x", strings.Repeat("x", 1000)},
+		{"100kB", "/safe/x", strings.Repeat("x", 100_000)},
+		{"10MB", "/safe/x", largeBody},
 	} {
-		b.Run(c.name, func(b *testing.B) {
-			h := newHarness(b)
-			if c.bounded {
-				h = newBufferingHarness(b, 184_000_000, buffering.DefaultPolicy())
-			}
-			h.addInstance("a", "lm", func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 25) })
-			body := strings.Repeat("x", 100_000)
-			h.addInstance("b", "plain", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
-			b.ReportAllocs()
-			for b.Loop() {
-				if got := h.call(http.MethodPost, c.path, "prompt", nil); got.status != http.StatusOK {
-					b.Fatalf("status %d: %v", got.status, got.err)
+		for _, bounded := range []bool{false, true} {
+			b.Run(c.name+map[bool]string{false: "/off", true: "/on"}[bounded], func(b *testing.B) {
+				h := newHarness(b)
+				if bounded {
+					h = newBufferingHarness(b, smallNode, buffering.DefaultPolicy())
+				}
+				h.addInstance("a", "lm", func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 25) })
+				h.addInstance("b", "plain", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, c.body) })
+				b.ReportAllocs()
+				began := processorTime(b)
+				for b.Loop() {
+					if got := h.call(http.MethodPost, c.path, "prompt", nil); got.status != http.StatusOK || got.err != nil {
+						b.Fatalf("status %d: %v", got.status, got.err)
+					}
 				}
-			}
-		})
+				b.ReportMetric(float64((processorTime(b)-began).Microseconds())/float64(b.N), "cpu-us/op")
+			})
+		}
 	}
 }
--- a/transport/gateway/callerconn.go
+++ b/transport/gateway/callerconn.go
@@ -275,14 +275,11 @@
 	c.account, c.cancel, c.done = account, cancel, ctx.Done()
 }
 
-// end waits until the caller has been sent everything or the call has ended. Later writes wait for the caller.
+// end waits until the caller has been sent everything or the connection has failed. Later writes wait for the caller. The end of
+// the context is ignored: it also ends when the caller closes its side of the connection and still reads.
 func (c *callerConn) end() {
 	for c.hasUnread() {
-		select {
-		case <-c.progress:
-		case <-c.done:
-			c.fail(context.Canceled)
-		}
+		<-c.progress
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -135,6 +135,7 @@
 		}
 		c.Peers.ReleasePeer(peer, pool, c.peerOutcome(res, err))
 		c.Recorder.Count("forward." + string(res))
+		c.isGone = res == resultCallerGone
 		switch {
 		case errors.Is(err, errHeldBack):
 			return nil, false
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -71,6 +71,7 @@
 			return c.giveUp(CodeRefusedByTargets)
 		}
 		c.Recorder.Count("attempt." + string(res))
+		c.isGone = res == resultCallerGone
 		if res == resultAnswered {
 			c.recordAnswer(target)
 		}
--- a/transport/gateway/slowreader_test.go
+++ b/transport/gateway/slowreader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -348,3 +349,35 @@
 	g.Expect(got.body).To(Equal(string(gateway.CodeForwardLimit) + "\n"))
 	g.Expect(peer.runLog.all()).To(HaveLen(1))
 }
+
+// A caller that closes its side of the connection counts as gone. What it still reads must not look like the whole response.
+func TestInterruptedResponseToHalfClosedCallerNeverLooksComplete(t *testing.T) {
+	g := NewWithT(t)
+	h := newBufferingHarness(t, smallNode, bufferingPolicy())
+	started := make(chan struct{})
+	h.addInstance("a", "lm", func(w http.ResponseWriter, r *http.Request) {
+		writeLargeEvents(w, 1, 2)
+		close(started)
+		<-r.Context().Done()
+	})
+	caller := h.startSlowCaller("/stream/", "prompt", nil)
+	g.Eventually(started, time.Second).Should(BeClosed())
+	g.Expect(caller.Conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+	_, err := caller.read(0)
+	g.Expect(err).To(HaveOccurred())
+}
+
+// A response that was complete before its caller closed its side of the connection is delivered in full.
+func TestHalfClosedCallerGetsCompleteResponse(t *testing.T) {
+	g := NewWithT(t)
+	h := newBufferingHarness(t, smallNode, bufferingPolicy())
+	done := make(chan struct{})
+	h.addInstance("a", "lm", streamLargeEvents(75, done))
+	caller := h.startSlowCaller("/stream/", "prompt", nil)
+	g.Eventually(done, time.Second).Should(BeClosed())
+	g.Eventually(h.gateway.StallDetector.ActiveCount, time.Second).Should(BeZero())
+	g.Expect(caller.Conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+	text, err := caller.read(time.Millisecond)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(text).To(Equal(largeEvents(1, 75)))
+}
