Count what a caller has read in small steps

The unread bytes were released when a whole chunk was written, and the first chunk of a large response is up to 1 MiB. A caller that read at 0.7 MB/s stayed at the bound of its stream for longer than the wait and was cut off. Kept bytes are now written in steps of 16 KiB.

--- a/transport/gateway/callerconn.go
+++ b/transport/gateway/callerconn.go
@@ -20,6 +20,9 @@
 // chunkSize is the least capacity of a chunk of unread bytes, in bytes. Events are much smaller.
 const chunkSize = 4096
 
+// maxKeptWrite is the size of the largest write of unread bytes, in bytes. They count as unread until the write has ended.
+const maxKeptWrite = 16 << 10
+
 // callerConn is a caller's connection. While a call is served, Write does not wait for the caller: what the system does not
 // take at once is kept, counted in the account of the call, and written by a goroutine that runs only as long as something is
 // kept. At other times, Write waits, but no longer than IdleTimeout without progress.
@@ -195,7 +198,7 @@
 			return
 		}
 		for len(chunk) > 0 {
-			n, err := c.writeStep(chunk)
+			n, err := c.writeStep(chunk[:min(len(chunk), maxKeptWrite)])
 			chunk = chunk[n:]
 			c.release(account, int64(n))
 			if errors.Is(err, os.ErrDeadlineExceeded) {
