Cut a reader off at the bound of its stream only if it is still there

The timer of the wait may end at the same moment as the caller reads. The check and the cut are now one step.

--- a/coordination/buffering/buffering.go
+++ b/coordination/buffering/buffering.go
@@ -150,14 +150,23 @@
 	s := a.accounts
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return a.unread >= int64(s.policy.StreamBytes)
+	return a.isFull()
 }
 
-// Cut cuts the reader off, unless it is already cut off.
-func (a *Account) Cut(r Reason) {
+// isFull is IsFull for a caller that holds mu.
+func (a *Account) isFull() bool { return a.unread >= int64(a.accounts.policy.StreamBytes) }
+
+// CutFull cuts the reader off if its unread bytes are still at their bound.
+func (a *Account) CutFull() { a.cutIf(Stream, a.isFull) }
+
+// CutIdle cuts the reader off because a write to it made no progress.
+func (a *Account) CutIdle() { a.cutIf(Idle, func() bool { return true }) }
+
+// cutIf cuts the reader off if a condition holds and it is not cut off already. The condition is evaluated under the lock.
+func (a *Account) cutIf(r Reason, holds func() bool) {
 	s := a.accounts
 	s.mu.Lock()
-	if a.cut || a.closed {
+	if a.cut || a.closed || !holds() {
 		s.mu.Unlock()
 		return
 	}
--- a/coordination/buffering/buffering_test.go
+++ b/coordination/buffering/buffering_test.go
@@ -33,6 +33,7 @@
 type node struct {
 	rt       *rapid.T
 	bound    int64
+	stream   int64
 	accounts *buffering.Accounts
 	readers  []*reader
 	// added is what the current event adds to a request.
@@ -67,6 +68,9 @@
 	if c.Unread != unread {
 		n.rt.Fatalf("the cut states %d unread bytes, the reader held %d", c.Unread, unread)
 	}
+	if c.Reason == buffering.Stream && unread < n.stream {
+		n.rt.Fatalf("a reader is cut off at %d of %d bytes", unread, n.stream)
+	}
 	if c.Reason != buffering.Node {
 		return
 	}
@@ -91,7 +95,7 @@
 		return
 	}
 	amount := rapid.Int64Range(0, n.bound/2).Draw(n.rt, "bytes")
-	switch rapid.SampledFrom([]string{"body", "unread", "unread", "read", "sent", "end", "idle"}).Draw(n.rt, "kind") {
+	switch rapid.SampledFrom([]string{"body", "unread", "unread", "read", "sent", "end", "idle", "full"}).Draw(n.rt, "kind") {
 	case "body":
 		n.addRequest(r, amount)
 	case "unread":
@@ -106,7 +110,9 @@
 		r.account.Close()
 		r.request, r.unread, r.closed = 0, 0, true
 	case "idle":
-		r.account.Cut(buffering.Idle)
+		r.account.CutIdle()
+	case "full":
+		r.account.CutFull()
 	}
 }
 
@@ -151,7 +157,8 @@
 func TestAccountsStayWithinTheirBound(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := &node{rt: rt, bound: rapid.Int64Range(4, 1000).Draw(rt, "bound")}
-		n.accounts = newAccounts(n.bound, 1000)
+		n.stream = rapid.Int64Range(1, n.bound).Draw(rt, "bound of a stream")
+		n.accounts = newAccounts(n.bound, int(n.stream))
 		for range rapid.IntRange(1, 200).Draw(rt, "events") {
 			n.step()
 			if got := n.accounts.Bytes(); got != n.held() || got > n.bound {
--- a/transport/gateway/callerconn.go
+++ b/transport/gateway/callerconn.go
@@ -184,7 +184,7 @@
 		case <-c.done:
 			return
 		case <-timer.C:
-			account.Cut(buffering.Stream)
+			account.CutFull()
 			return
 		}
 	}
@@ -202,7 +202,7 @@
 			chunk = chunk[n:]
 			c.release(account, int64(n))
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				account.Cut(buffering.Idle)
+				account.CutIdle()
 			}
 			if err != nil {
 				c.fail(err)
