Don't cut off callers because the node itself was frozen

A node that is frozen for longer than a time-out finds it expired when it runs again, and would cut off a caller that could have read meanwhile. Each of the waits is now divided into parts, of which a freeze takes one. The same holds for writes to instances.

Tested: the tests of direct and the slow-reader tests of gateway with the race detector. No test freezes a node.

--- a/protocol/direct/write.go
+++ b/protocol/direct/write.go
@@ -16,6 +16,10 @@
 	aborted bool
 }
 
+// writeParts is the number of parts of the time-out. A process that was frozen meanwhile loses one of them, and writes what the server can
+// take in the next.
+const writeParts = 2
+
 // timedWriter writes to a connection with the time-out of the current request.
 type timedWriter struct{ c *conn }
 
@@ -24,12 +28,16 @@
 	if w.c.writeTimeout <= 0 {
 		return w.c.Write(p)
 	}
-	written := 0
+	written, idleParts := 0, 0
 	for written < len(p) {
-		w.c.setWriteDeadline(time.Now().Add(w.c.writeTimeout))
+		w.c.setWriteDeadline(time.Now().Add(w.c.writeTimeout / writeParts))
 		n, err := w.c.Write(p[written:])
 		written += n
-		if err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+		idleParts++
+		if n > 0 {
+			idleParts = 0
+		}
+		if err != nil && (idleParts == writeParts || !errors.Is(err, os.ErrDeadlineExceeded) || w.c.isAborted()) {
 			return written, err
 		}
 	}
@@ -46,6 +54,13 @@
 	}
 }
 
+// isAborted reports whether the connection was aborted.
+func (c *conn) isAborted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.aborted
+}
+
 // abort makes all current and later reads and writes on the connection fail.
 func (c *conn) abort() {
 	c.mu.Lock()
--- a/transport/gateway/callerconn.go
+++ b/transport/gateway/callerconn.go
@@ -23,6 +23,10 @@
 // maxKeptWrite is the size of the largest write of unread bytes, in bytes. They count as unread until the write has ended.
 const maxKeptWrite = 16 << 10
 
+// waitParts is the number of parts of a wait after which a caller is cut off. A node that was frozen meanwhile loses one of them, and
+// writes what the caller can take in the next.
+const waitParts = 4
+
 // callerConn is a caller's connection. While a call is served, Write does not wait for the caller: what the system does not
 // take at once is kept, counted in the account of the call, and written by a goroutine that runs only as long as something is
 // kept. At other times, Write waits, but no longer than IdleTimeout without progress.
@@ -136,10 +140,13 @@
 
 // writeStep writes p, or the part of it that is written within IdleTimeout. The error is os.ErrDeadlineExceeded if that is nothing.
 func (c *callerConn) writeStep(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.policy.IdleTimeout)); err != nil {
-		return 0, err
+	n, err := 0, os.ErrDeadlineExceeded
+	for i := 0; i < waitParts && n == 0 && errors.Is(err, os.ErrDeadlineExceeded); i++ {
+		if err := c.SetWriteDeadline(time.Now().Add(c.policy.IdleTimeout / waitParts)); err != nil {
+			return 0, err
+		}
+		n, err = c.Conn.Write(p)
 	}
-	n, err := c.Conn.Write(p)
 	if n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		err = nil
 	}
@@ -176,14 +183,17 @@
 
 // waitForRoom waits until the account is not full, and cuts the reader off after StreamWait.
 func (c *callerConn) waitForRoom(account *buffering.Account) {
-	timer := time.NewTimer(c.policy.StreamWait)
+	timer := time.NewTicker(max(c.policy.StreamWait/waitParts, time.Millisecond))
 	defer timer.Stop()
-	for account.IsFull() {
+	for parts := 0; account.IsFull(); {
 		select {
 		case <-c.progress:
 		case <-c.done:
 			return
 		case <-timer.C:
+			parts++
+		}
+		if parts == waitParts {
 			account.CutFull()
 			return
 		}
