Add a benchmark of one write to a caller

Measures what a write of one event costs without and with buffering, while the caller reads at once.

--- a/transport/gateway/buffer_bench_test.go
+++ b/transport/gateway/buffer_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -53,3 +54,42 @@
 		}
 	}
 }
+
+// BenchmarkCallerWrite compares one write of an event on a caller's connection without and with buffering, while the caller reads at once.
+// cpu-ns/op includes the caller's reads.
+func BenchmarkCallerWrite(b *testing.B) {
+	for _, bounded := range []bool{false, true} {
+		b.Run(map[bool]string{false: "off", true: "on"}[bounded], func(b *testing.B) {
+			h := newHarness(b)
+			if bounded {
+				h = newBufferingHarness(b, smallNode, buffering.DefaultPolicy())
+			}
+			inner, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			ln := h.gateway.WrapListener(inner)
+			defer func() { _ = ln.Close() }()
+			go func() {
+				caller, err := net.Dial("tcp4", ln.Addr().String())
+				if err == nil {
+					_, _ = io.Copy(io.Discard, caller)
+				}
+			}()
+			conn, err := ln.Accept()
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			event := []byte(largeEvents(1, 1))
+			b.ReportAllocs()
+			began := processorTime(b)
+			for b.Loop() {
+				if _, err := conn.Write(event); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(processorTime(b)-began)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
