--- a/transport/gateway/buffer_test.go
+++ b/transport/gateway/buffer_test.go
@@ -55,6 +55,11 @@
 
 // startSlowCaller sends a request and reads nothing.
 func (h *harness) startSlowCaller(path, body string, header map[string]string) *slowCaller {
+	return startSlowCaller(h.t, h.server.Listener.Addr().String(), path, body, header)
+}
+
+// startSlowCaller sends a request to a node at an address and reads nothing.
+func startSlowCaller(t testing.TB, address, path, body string, header map[string]string) *slowCaller {
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		var sockErr error
 		err := raw.Control(func(fd uintptr) {
@@ -65,11 +70,11 @@
 		}
 		return sockErr
 	}}
-	conn, err := dialer.Dial("tcp", h.server.Listener.Addr().String())
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
-		h.t.Fatal(err)
+		t.Fatal(err)
 	}
-	h.t.Cleanup(func() { _ = conn.Close() })
+	t.Cleanup(func() { _ = conn.Close() })
 	text := "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + fmt.Sprint(len(body)) + "\r\n"
 	all := map[string]string{"Id": "r1", "Key": "k", "Model": "m", "Patience": "3000"}
 	for name, value := range header {
@@ -79,7 +84,7 @@
 		text += name + ": " + value + "\r\n"
 	}
 	if _, err := io.WriteString(conn, text+"\r\n"+body); err != nil {
-		h.t.Fatal(err)
+		t.Fatal(err)
 	}
 	return &slowCaller{conn, bufio.NewReaderSize(conn, smallSocket)}
 }
