--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -166,7 +166,7 @@
 	n.gateway = gateway.New(gateway.Options{
 		Scheduler: n.schedules,
 		Clock:     clock, Codec: ports.HeaderCodec, Catalogs: servingCatalogs{n.configState, n}, Evacuations: n, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
-		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Hall: set.Hall, Regions: n, HallTraffic: &n.hallTraffic, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
+		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Hall: set.Hall, Regions: n, HallTraffic: &n.hallTraffic, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n}, Buffers: n.newBuffers(),
 	})
 	n.regions.Store(&set.Regions)
 	n.hallTraffic.metrics = n.metrics
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/buffering"
 	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
@@ -40,6 +41,8 @@
 	Forwarding forwarding.Policy `flag:"forwarding"`
 	// Locality configures how requests are divided among data halls.
 	Locality locality.Policy `flag:"locality"`
+	// Buffering bounds what the node holds for callers that read slowly.
+	Buffering buffering.Policy `flag:"buffering"`
 }
 
 // NodePolicy holds the intervals and timeouts between nodes, to the store and to instances.
@@ -173,6 +176,7 @@
 		Forwarding: forwarding.DefaultPolicy(),
 		Scheduling: scheduling.DefaultPolicy(),
 		Locality:   locality.DefaultPolicy(),
+		Buffering:  buffering.DefaultPolicy(),
 		Node: NodePolicy{
 			PlanInterval:         100 * time.Millisecond,
 			PlanPause:            25 * time.Millisecond,
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -140,6 +140,7 @@
 		}
 		c.Peers.ReleasePeer(peer, pool, c.peerOutcome(res, err))
 		c.Recorder.Count("forward." + string(res))
+		c.isGone = res == resultCallerGone
 		switch {
 		case errors.Is(err, errHeldBack):
 			return nil, false
@@ -232,6 +233,7 @@
 			return h.Get(headerForwardResult) != "" && c.Codec.MatchesRequest(h, c.claims.ID)
 		},
 		RequireFreshConn: !c.route.CanRetry(),
+		WriteTimeout:     c.instanceWriteTimeout(),
 		BeforeSend: func() error {
 			if !c.keyTrusted() {
 				return errKeysStale
@@ -288,6 +290,8 @@
 		return
 	}
 	defer g.Receiver.Release()
+	c.beginBuffering()
+	defer c.endBuffering() // before Release, since a planned stop waits for it
 	c.run(c.admitForwarded())
 }
 
@@ -326,8 +330,10 @@
 	if c.currentHomes().IsEmpty() {
 		return refusalWithRetryAfter(CodeNoHome, c.Policy.RepairRetryAfter)
 	}
-	if c.readBody() != nil {
+	if refused := c.readBody(); refused != nil && refused.code != CodeForwardLimit {
 		return &refusal{code: CodeForwardRefused}
+	} else if refused != nil {
+		return refused
 	}
 	c.identity = c.computeIdentity()
 	if until, held := c.Quarantine.Admit(c.identity); held {
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -58,12 +58,14 @@
 	// CodeNoHome means that this node reaches no instance in a home region of the request, or that the home regions of the
 	// route and the team have none in common.
 	CodeNoHome Code = "no-home"
+	// CodeMemory means that the node holds as many bytes for its callers as it may.
+	CodeMemory Code = "memory"
 )
 
 // notRunCodes are the reasons that guarantee that the request has not run and will not run.
 var notRunCodes = []Code{
 	CodeNoConfig, CodeKeysStale, CodeNoTarget, CodeOverloaded, CodeRefusedByTargets, CodeTargetsUnreachable, CodeNoTimeLeft, CodeStopping,
-	CodeQuarantined, CodeCoolingDown, CodeRateLimited, CodeForwardLimit, CodeForwardRefused, CodeEvacuated, CodeNoHome,
+	CodeQuarantined, CodeCoolingDown, CodeRateLimited, CodeForwardLimit, CodeForwardRefused, CodeEvacuated, CodeNoHome, CodeMemory,
 }
 
 // RequestInfo holds the properties that a request states in its headers.
