--- a/transport/entry/schedule_test.go
+++ b/transport/entry/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -152,3 +153,24 @@
 	g.Expect(samples[maxSamples-1].MS).To(BeEquivalentTo(99))
 	g.Expect(n.schedules.takeSamples(pool)).To(BeEmpty())
 }
+
+// Guards against messages for decisions that grow with the number of nodes, teams or groups.
+func TestScheduleMessagesAreSmall(t *testing.T) {
+	g := NewWithT(t)
+	r := ScheduleRequest{
+		Service: "a-language-model-service", Model: "a-model-of-12-instances", Team: "a-team-with-a-long-name", Hall: "a-hall-of-the-region", Prompt: 12345, GoalMS: 1000, ElapsedMS: 1000,
+		LeftMS: 12345, Priority: 9, Returning: true, Resuming: true,
+	}
+	for range 4 { // a request is sent to no more instances
+		r.Excluded = append(r.Excluded, "i-0123456789abcdef")
+	}
+	for range maxSamples {
+		r.Samples = append(r.Samples, LatencySample{Instance: "i-0123456789abcdef", MS: 12345})
+	}
+	raw, err := json.Marshal(&r)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(raw)).To(BeNumerically("<", 700))
+	raw, err = json.Marshal(&ScheduleAnswer{Decided: true, Instance: "i-0123456789abcdef", WaitMS: 12345, Refused: true, RetryAfterMS: 12345, Reason: scheduling.WaitTooLong})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(raw)).To(BeNumerically("<", 150))
+}
