--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -5,12 +5,14 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/demand"
+	"github.com/troutmast/troutmast/coordination/evacuation"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/internal/steady"
 	"github.com/troutmast/troutmast/state"
@@ -26,6 +28,8 @@
 	Members []fleet.Instance
 	// Size is the number of members that the model needs, or 0 for a plain service.
 	Size int
+	// coldUntil is when the instance stops being cold; zero if it is warm.
+	coldUntil time.Time
 	// prefillTimePerToken is the prefill time of one prompt token, in nanoseconds.
 	prefillTimePerToken float64
 	load                *load
@@ -98,15 +102,24 @@
 	// unreachable is the number of instances and groups of each pool that would be candidates if this
 	// node reached them.
 	unreachable atomic.Pointer[map[Pool]int]
+	// evacuatedHalls holds the phases of the evacuated halls, evacuated the number of instances and groups of each pool
+	// that would be candidates if their hall were not evacuated.
+	evacuatedHalls evacuation.View
+	evacuated      atomic.Pointer[map[Pool]int]
 	// demand holds the measured demand by model.
 	demand atomic.Pointer[map[Pool]modelDemand]
+	// hallPlans holds the plans of the pools whose requests are divided among halls; nil if there are none.
+	hallPlans atomic.Pointer[hallPlans]
+	// random returns a random number from 0 to below 1.
+	random func() float64
 }
 
 // NewTable returns an empty Table for a node of a data hall.
 func NewTable(hall state.HallName, policy Policy) *Table {
-	t := &Table{hall: hall, policy: policy, loads: map[fleet.Incarnation]*load{}}
+	t := &Table{hall: hall, policy: policy, loads: map[fleet.Incarnation]*load{}, random: rand.Float64}
 	t.pools.Store(&map[Pool][]*Candidate{})
 	t.unreachable.Store(&map[Pool]int{})
+	t.evacuated.Store(&map[Pool]int{})
 	t.demand.Store(&map[Pool]modelDemand{})
 	return t
 }
@@ -149,7 +162,7 @@
 		if service == nil || v.Draining || isEnded(v) {
 			continue
 		}
-		cand := &Candidate{Instance: v.Instance, load: l, table: t}
+		cand := &Candidate{Instance: v.Instance, coldUntil: v.ColdUntil, load: l, table: t}
 		key, reachable := Pool{v.Service, ""}, !v.Unreachable
 		if service.Engine != nil {
 			if !isOpenHead(&v.Instance, service.Engine) {
@@ -167,11 +180,12 @@
 		}
 		if reachable {
 			pools[key] = append(pools[key], cand)
-		} else {
+		} else if t.evacuatedHalls[v.Hall] == evacuation.Admitted {
 			unreachable[key]++
 		}
 	}
 	t.loads = loads
+	t.removeEvacuated(pools)
 	previous := t.pools.Swap(&pools)
 	t.unreachable.Store(&unreachable)
 	d := difference(*previous, pools)
@@ -356,6 +370,6 @@
 	if float64(c.Load()) >= c.table.policy.FullAt*float64(c.Slots) {
 		return true
 	}
-	limit, paced := c.paceLimit()
+	limit, paced := c.paceLimit(now)
 	return paced && !c.load.pacer.canSend(now, limit)
 }
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,7 +18,8 @@
 // therefore computes how the requests that arrive at all nodes within SpreadHorizon
 // fill the candidates, the cheapest first, and selects a candidate with a probability
 // proportional to the requests it gets (load interpretation; Dahlin, Interpreting
-// Stale Load Information, 1999).
+// Stale Load Information, 1999). Where a plan divides the requests among halls, the hall is
+// chosen first and the candidate within it.
 func (t *Table) Pick(service state.ServiceName, model string, now time.Time, avoid func(*Candidate) bool) *Candidate {
 	pool := make([]scoredCandidate, 0, len(t.Candidates(service, model)))
 	allFull := true
@@ -33,20 +33,45 @@
 			pool = pool[:0]
 		}
 		if allFull || !isFull {
-			pool = append(pool, scoredCandidate{c, t.cost(c), float64(max(c.Slots, 1))})
+			pool = append(pool, scoredCandidate{c, t.cost(c), float64(max(c.Slots, 1)), c.isMetered(now)})
 		}
 	}
 	if len(pool) == 0 {
 		return nil
 	}
+	if c, ok := t.pickMetered(pool); ok {
+		return c.Candidate
+	}
 	maxShare := t.policy.MaxShare
 	if pool[0].Size == 0 {
 		maxShare = 0
 	}
 	arrivals := t.RequestRate(service, model) * t.policy.SpreadHorizon.Seconds()
-	return pickWeighted(pool, max(arrivals, 1), maxShare).Candidate
+	if plan := t.hallPlan(Pool{service, model}, now); plan != nil {
+		var served float64
+		pool, served = t.pickHall(pool, plan)
+		arrivals *= served
+	}
+	return t.pickWeighted(pool, max(arrivals, 1), maxShare).Candidate
+}
+
+// PickRandom returns a random candidate that is not full and for which avoid returns false, or nil.
+func (t *Table) PickRandom(service state.ServiceName, model string, now time.Time, avoid func(*Candidate) bool) *Candidate {
+	var list []*Candidate
+	for _, c := range t.Candidates(service, model) {
+		if !avoid(c) && !c.IsFull(now) {
+			list = append(list, c)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return list[t.randomIndex(len(list))]
 }
 
+// randomIndex returns a random index into a list of n elements.
+func (t *Table) randomIndex(n int) int { return min(int(t.random()*float64(n)), n-1) }
+
 // PickLeastLoaded returns the candidate with the fewest known requests in flight, or nil.
 // It skips candidates for which avoid returns true.
 func (t *Table) PickLeastLoaded(service state.ServiceName, model string, avoid func(*Candidate) bool) *Candidate {
@@ -65,19 +90,46 @@
 	*Candidate
 	cost  float64
 	slots float64
+	// metered is set if the candidate gets requests by grants only.
+	metered bool
+}
+
+// isMetered reports whether requests to the candidate are limited by grants, because it is cold.
+func (c *Candidate) isMetered(now time.Time) bool { return now.Before(c.coldUntil) }
+
+// pickMetered returns a metered candidate that is cheaper than all others, or false. Such a candidate is not shared with
+// the nodes that have no grant for it, so that spreading requests over it as if all nodes did the same would leave
+// most of its grants unused. What all nodes together send to it is bounded by the grants.
+func (t *Table) pickMetered(pool []scoredCandidate) (scoredCandidate, bool) {
+	cheapest := math.Inf(1)
+	for _, c := range pool {
+		if !c.metered {
+			cheapest = min(cheapest, c.cost)
+		}
+	}
+	var idle []scoredCandidate
+	for _, c := range pool {
+		if c.metered && c.cost < cheapest {
+			idle = append(idle, c)
+		}
+	}
+	if len(idle) == 0 {
+		return scoredCandidate{}, false
+	}
+	return idle[t.randomIndex(len(idle))], true
 }
 
 // pickWeighted selects a candidate at random, weighted by the number of the given requests
 // that it gets if the cheapest candidates are filled first. Each gets at most maxShare
 // times its share of the slots; 0 means no limit.
-func pickWeighted(pool []scoredCandidate, requests, maxShare float64) scoredCandidate {
+func (t *Table) pickWeighted(pool []scoredCandidate, requests, maxShare float64) scoredCandidate {
 	slices.SortFunc(pool, func(a, b scoredCandidate) int { return cmp.Compare(a.cost, b.cost) })
 	maxPerSlot := math.Inf(1)
 	if maxShare > 0 {
 		maxPerSlot = max(maxShare, 1) * requests / totalSlots(pool)
 	}
 	level := fillLevel(pool, requests, maxPerSlot)
-	remaining := rand.Float64() * requests
+	remaining := t.random() * requests
 	for _, c := range pool {
 		if remaining -= c.requestsAt(level, maxPerSlot); remaining < 0 {
 			return c
--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -56,6 +56,7 @@
 	var idle []*domain
 	var ready []*domain
 	var choices [][]layout
+	var halls []state.HallName
 	for _, d := range domains {
 		if d.hasDonor {
 			reallocating++
@@ -73,11 +74,12 @@
 		case s.reallocate(d, alloc, &reallocating, len(domains)):
 		default:
 			ready = append(ready, d)
+			halls = append(halls, d.free[0].Hall)
 			choices = append(choices, maximalLayouts(len(d.free), s.eligibleCounts(d.free), s.engine.Models))
 		}
 	}
 	formed := false
-	for i, l := range alloc.chooseLayouts(choices, s.engine.Models) {
+	for i, l := range alloc.chooseLayouts(choices, s.engine.Models, s.newHallCoverage(), halls) {
 		formed = formed || slices.Max(l.counts) > 0
 		s.formLayout(ready[i].free, l)
 	}
@@ -167,13 +169,19 @@
 		alloc = newDemandAllocation(s.engine, s.Demand, &s.policy)
 	}
 	for _, g := range s.groups {
-		if i := s.modelIndex(g.model); i >= 0 && g.failure == "" && g.donorSince.IsZero() && !s.isDraining(g) {
+		if i := s.modelIndex(g.model); i >= 0 && g.failure == "" && g.donorSince.IsZero() && !s.isDraining(g) && !s.isEvacuated(g) {
 			alloc.current[i] += float64(len(g.members))
 		}
 	}
 	return alloc
 }
 
+// isEvacuated reports whether a group's head is in an evacuated hall, so that the group gets no requests.
+func (s *step) isEvacuated(g *group) bool {
+	head := s.headOf(g)
+	return head != nil && head.evacuated
+}
+
 // modelIndex returns the index of a model in the configuration, or -1.
 func (s *step) modelIndex(name string) int {
 	return slices.IndexFunc(s.engine.Models, func(m catalog.Model) bool { return m.Name == name })
@@ -358,9 +366,9 @@
 		return nil
 	}
 	slices.SortStableFunc(candidates, func(a, b *Member) int {
-		return cmp.Compare(joinTime(a, model), joinTime(b, model))
+		return cmp.Or(cmp.Compare(joinTime(a, model), joinTime(b, model)), s.compareWarmth(a, b, model))
 	})
-	return candidates[:model.GroupSize]
+	return s.withWarmHead(candidates[:model.GroupSize], model)
 }
 
 // startGroup creates a new group and orders its members to join.
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -52,6 +53,8 @@
 	Public bool
 	// Resumable streams may continue on another instance after a known event.
 	Resumable bool
+	// Homes are the regions in which the route's requests may run; empty if they may run everywhere.
+	Homes []state.RegionName
 }
 
 // CanRetry reports whether a request of the route may be executed more than once.
@@ -118,21 +121,15 @@
 	// MaxReportAge is the maximum age of the information that an instance reports.
 	MaxReportAge time.Duration
 	Models       []Model
-	// HallDelays are the one-way delays between data halls, as far as the configuration states them.
-	HallDelays []HallDelay
-}
-
-// HallDelay is the one-way delay between two data halls, in either direction.
-type HallDelay struct {
-	From, To state.HallName
-	Delay    time.Duration
+	// Delays are the delays between data halls; empty if the configuration states none.
+	Delays []HallDelay
 }
 
 // MaxHallDelay returns the longest delay between two data halls, or 0 if none is stated.
 func (e *Engine) MaxHallDelay() time.Duration {
 	var longest time.Duration
-	for i := range e.HallDelays {
-		longest = max(longest, e.HallDelays[i].Delay)
+	for _, d := range e.Delays {
+		longest = max(longest, d.Delay)
 	}
 	return longest
 }
@@ -147,13 +144,31 @@
 	return nil
 }
 
+// HallDelay is the one-way delay of the network from one data hall to another.
+type HallDelay struct {
+	From, To state.HallName
+	Delay    time.Duration
+}
+
+// minHallDelay is the delay between two halls from which on it matters to callers where their requests run.
+const minHallDelay = time.Millisecond
+
+// HasDistantHalls reports whether the delay between any two halls matters to callers.
+func (e *Engine) HasDistantHalls() bool { return e.MaxHallDelay() >= minHallDelay }
+
 // Service is a set of instances that answer the same requests.
 type Service struct {
 	Name state.ServiceName
 	// MaxConns is the number of connections that one instance accepts from all callers.
 	MaxConns int
+	// ColdStart is how long an instance is cold after a start under traffic, ColdPerSecond the number
+	// of requests that a cold instance can handle a second; 0 if instances of the service are never cold.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// HasPriorities is set if the service's requests have more than one priority. New sets it.
+	HasPriorities bool
 }
 
 // Team is a set of callers with keys of their own.
@@ -161,6 +176,8 @@
 	Name state.TeamName
 	// Priority overrides the route's priority unless it is nil.
 	Priority *int
+	// Homes are the regions in which the team's requests may run; empty if they may run everywhere.
+	Homes []state.RegionName
 }
 
 // Limits bounds the requests and connections of a caller.
@@ -202,10 +219,43 @@
 	}
 	for i := range services {
 		c.Services[services[i].Name] = &services[i]
+		services[i].HasPriorities = hasPriorities(services[i].Name, routes, teams)
 	}
 	return c
 }
 
+// hasPriorities reports whether the requests for a service have more than one priority: those of its routes, and those of
+// the teams that have one of their own.
+func hasPriorities(service state.ServiceName, routes []Route, teams map[string]*Team) bool {
+	priorities := map[int]bool{}
+	for i := range routes {
+		if slices.ContainsFunc(routes[i].Shares, func(w WeightedService) bool { return w.Service == service }) {
+			priorities[routes[i].Priority] = true
+		}
+	}
+	for _, t := range teams {
+		if t.Priority != nil {
+			priorities[*t.Priority] = true
+		}
+	}
+	return len(priorities) > 1
+}
+
+// HasHomes reports whether any route or team has home regions.
+func (c *Catalog) HasHomes() bool {
+	for _, r := range c.routes {
+		if len(r.Homes) > 0 {
+			return true
+		}
+	}
+	for _, t := range c.teams {
+		if len(t.Homes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Route returns the route of a host with the longest prefix of path, or nil.
 func (c *Catalog) Route(host, path string) *Route {
 	for end := len(path); end > 0; {
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -5,6 +5,7 @@
 
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/evacuation"
 	"github.com/troutmast/troutmast/coordination/forwarding"
 	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/coordination/roster"
@@ -51,6 +52,10 @@
 	ConfigVersion int64  `json:"version"`
 	ConfigAgeMS   int64  `json:"age"`
 	Config        []byte `json:"config,omitempty"`
+	// EvacuationsAt is the position of the set of evacuated halls in force at the node, 0 if there is none. Evacuations is
+	// the set itself if it is newer than the leader's.
+	EvacuationsAt int64           `json:"evac_at,omitempty"`
+	Evacuations   *evacuation.Set `json:"evac,omitempty"`
 	// Era is the newest era of the store that the node knows of.
 	Era int64 `json:"era,omitempty"`
 	// Feed and FeedVersion identify the instance changes that the node has: those of the node
@@ -81,6 +86,8 @@
 	// node knows of rate limits and therefore sends requests to limited instances only by grants.
 	Usage      map[state.InstanceID]ratelimit.Usage `json:"usage,omitempty"`
 	UsesGrants bool                                 `json:"by_grants,omitempty"`
+	// Standing is where the node gets its grants for cold instances from; builds without cold instances report none.
+	Standing *ratelimit.Standing `json:"standing,omitempty"`
 	// Process identifies the process of the node. Earlier builds name none.
 	Process int64 `json:"process,omitempty"`
 	// RetryUse is what the process has used of the retry budget of each service with retries in the current window.
@@ -114,6 +121,10 @@
 	ConfigVersion int64  `json:"version"`
 	ConfigAgeMS   int64  `json:"age"`
 	Config        []byte `json:"config,omitempty"`
+	// EvacuationsAt is the position of the set of evacuated halls in force at the answering node, as old as its
+	// configuration; 0 if there is none. Evacuations is the set itself if the sender's is older.
+	EvacuationsAt int64           `json:"evac_at,omitempty"`
+	Evacuations   *evacuation.Set `json:"evac,omitempty"`
 	// Era is the newest era of the store that the node knows of.
 	Era int64 `json:"era,omitempty"`
 	// Changes are the instance changes that the sender lacks, up to the roster version FeedVersion of
@@ -122,6 +133,8 @@
 	Feed        int64           `json:"feed,omitempty"`
 	FeedVersion uint64          `json:"now,omitempty"`
 	// Totals, ChangeBatches, PackedNodes and PackedConfig take the place of InProgress, Demand, Avoid and
+	// HallDemand is the demand at all nodes by hall, for the pools that are divided among halls. It is relayed only in Totals.
+	HallDemand []demand.HallFlow `json:"-"`
 	// Staging, of Changes, of Nodes and of Config for nodes that implement protocolPacked.
 	Totals        peer.Packed   `json:"totals,omitempty"`
 	ChangeBatches []peer.Packed `json:"batches,omitempty"`
@@ -148,6 +161,9 @@
 	// reports whether the leader allocates their rates to all nodes that report to it.
 	Grants         []ratelimit.Grant `json:"grants,omitempty"`
 	AllocatesRates bool              `json:"dealing,omitempty"`
+	// Stamp identifies the answer among those of a leader that allocates the limits of cold instances; the next status
+	// report echoes it.
+	Stamp int64 `json:"stamp,omitempty"`
 	// PossibleNodes is the number of nodes that may be running, if it differs from the number of nodes
 	// that the sender knows.
 	PossibleNodes int `json:"possible,omitempty"`
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -16,6 +16,7 @@
 	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/evacuation"
 	"github.com/troutmast/troutmast/coordination/forwarding"
 	"github.com/troutmast/troutmast/coordination/localhealth"
 	"github.com/troutmast/troutmast/coordination/partition"
@@ -59,21 +60,26 @@
 	// limits tracks the instances that limit the requests per second from all nodes together.
 	limits        *ratelimit.Tracker
 	rateAllocator *ratelimit.Allocator
+	cold          *coldness
 	pool          *direct.Pool
 	// peerPool holds the connections for requests forwarded to other nodes.
 	peerPool   *direct.Pool
 	partitions *partition.Monitor
 	forwarding *forwarding.Sender
 	// forwarded counts the requests that this node serves for other nodes.
-	forwarded   *forwarding.Receiver
-	metrics     metrics.Registry
-	log         *log.Logger
+	forwarded *forwarding.Receiver
+	metrics   metrics.Registry
+	log       *log.Logger
+	// regions maps data halls to regions.
+	regions     atomic.Pointer[map[state.HallName]state.RegionName]
+	hallTraffic hallTraffic
 	peers       *peers
 	placement   *placementController
 	schedules   *schedules
 	localHealth localhealth.Monitor
 	leaderLoad  leaderLoad
 	feed        feed
+	evacuations evacuations
 	started     time.Time
 	// process identifies this process in status reports.
 	process int64
@@ -142,6 +148,7 @@
 		cooldowns:        cooldown.NewTracker(set.Policy.Cooldown),
 		limits:           ratelimit.NewTracker(set.Policy.RateLimit),
 		rateAllocator:    ratelimit.NewAllocator(set.Policy.RateLimit, rand.Float64),
+		cold:             newColdness(set, clock.Now()),
 		log:              logger,
 		started:          clock.Now(),
 		process:          1 + rand.Int64N(math.MaxInt64),
@@ -154,13 +161,15 @@
 		suspectedAt:      map[state.InstanceID]time.Time{},
 		leavingSince:     map[fleet.Incarnation]time.Time{},
 	}
+	n.evacuations.policy = evacuation.Policy{Bound: set.EvacuateTimeout, RestoreSettle: n.policy.RestoreSettle}
 	n.schedules = newSchedules(n)
 	n.gateway = gateway.New(gateway.Options{
 		Scheduler: n.schedules,
-
-		Clock: clock, Codec: ports.HeaderCodec, Catalogs: n.configState, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
-		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n},
+		Clock:     clock, Codec: ports.HeaderCodec, Catalogs: servingCatalogs{n.configState, n}, Evacuations: n, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
+		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Hall: set.Hall, Regions: n, HallTraffic: &n.hallTraffic, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n}, Buffers: n.newBuffers(),
 	})
+	n.regions.Store(&set.Regions)
+	n.hallTraffic.metrics = n.metrics
 	n.peers = newPeers(n)
 	n.placement = newPlacementController(n)
 	return n
@@ -244,11 +253,12 @@
 	// timedStates covers the changes of instances by the passage of time alone.
 	timedStates uint64
 	exclusions  int64
+	evacuations evacuationState
 }
 
 // candidateInputs returns what the candidates would be built from now.
 func (n *Node) candidateInputs(now time.Time) candidateInputs {
-	return candidateInputs{n.configState.Catalog(), n.roster.Version(), n.roster.TimedStates(now), n.exclusions.Load()}
+	return candidateInputs{n.configState.Catalog(), n.roster.Version(), n.roster.TimedStates(now), n.exclusions.Load(), n.evacuations.state(now)}
 }
 
 // rebuildCandidates rebuilds the candidates when the catalog, an instance, an exclusion or the time changes them.
@@ -268,7 +278,8 @@
 			continue
 		}
 		last = in
-		n.logRouting(n.table.Update(in.catalog, n.roster.All(began), n.isExcluded), in.rosterVersion)
+		n.table.SetEvacuated(n.evacuations.view(began))
+		n.logRouting(n.table.Update(in.catalog, n.coldViews(in.catalog, began), n.isExcluded), in.rosterVersion)
 		if pools := n.impairedPools(); !slices.Equal(pools, impaired) {
 			impaired = pools
 			n.requestStatusReport() // the answer names peers for the impaired pools
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -3,10 +3,12 @@
 import (
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/buffering"
 	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/forwarding"
+	"github.com/troutmast/troutmast/coordination/locality"
 	"github.com/troutmast/troutmast/coordination/partition"
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/coordination/quarantine"
@@ -37,6 +39,10 @@
 	// Scheduling configures the scheduling of requests by the leader.
 	Scheduling scheduling.Policy `flag:"schedule"`
 	Forwarding forwarding.Policy `flag:"forwarding"`
+	// Locality configures how requests are divided among data halls.
+	Locality locality.Policy `flag:"locality"`
+	// Buffering bounds what the node holds for callers that read slowly.
+	Buffering buffering.Policy `flag:"buffering"`
 }
 
 // NodePolicy holds the intervals and timeouts between nodes, to the store and to instances.
@@ -169,6 +175,8 @@
 		Partition:  partition.DefaultPolicy(),
 		Forwarding: forwarding.DefaultPolicy(),
 		Scheduling: scheduling.DefaultPolicy(),
+		Locality:   locality.DefaultPolicy(),
+		Buffering:  buffering.DefaultPolicy(),
 		Node: NodePolicy{
 			PlanInterval:         100 * time.Millisecond,
 			PlanPause:            25 * time.Millisecond,
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -30,6 +30,7 @@
 	}
 	n.configState.SetMaxKeyAge(set.StrictKeys, set.MaxKeyAge)
 	n.gateway.SetRetryBounds(set.Retry)
+	n.regions.Store(&set.Regions)
 	n.log.Info("settings reloaded")
 	return nil
 }
@@ -50,8 +51,10 @@
 		n.peers.followNodes,
 		n.placement.run,
 		n.every(updateInterval, n.schedules.update),
+		n.every(stateInterval, n.schedules.reportState),
 		n.watchHealth,
 		n.persistQuarantine,
+		n.every(hallLogInterval, n.logHalls),
 		n.every(time.Second, func(context.Context) {
 			n.pool.CloseExpired()
 			n.peerPool.CloseExpired()
@@ -87,11 +90,13 @@
 	endpoints := []struct {
 		at string
 		h  http.Handler
+		// servesCallers reports whether responses to callers pass this listener.
+		servesCallers bool
 	}{
-		{n.settings.CallerAddress.String(), n.gateway},
-		{n.settings.ReadyAddress.String(), readyMux},
-		{n.settings.PeerAddress.String(), n.servePeer(peerMux)},
-		{n.settings.MetricsAddress.String(), operatorMux},
+		{n.settings.CallerAddress.String(), n.gateway, true},
+		{n.settings.ReadyAddress.String(), readyMux, false},
+		{n.settings.PeerAddress.String(), n.servePeer(peerMux), true},
+		{n.settings.MetricsAddress.String(), operatorMux, false},
 	}
 	var listeners []*listener
 	for _, p := range endpoints {
@@ -99,7 +104,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("entry: listen on %s: %w", p.at, err)
 		}
-		srv := &http.Server{Handler: p.h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+		if p.servesCallers {
+			ln = n.gateway.WrapListener(ln)
+		}
+		srv := &http.Server{Handler: p.h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: nil, ConnContext: n.gateway.ConnContext}
 		listeners = append(listeners, &listener{srv: srv, ln: ln})
 	}
 	var servers []*http.Server
@@ -124,7 +132,9 @@
 }
 
 // isReady reports whether the node can answer callers.
-func (n *Node) isReady() bool { return !n.stopping.Load() && n.configState.Catalog() != nil }
+func (n *Node) isReady() bool {
+	return !n.stopping.Load() && (servingCatalogs{n.configState, n}).Catalog() != nil
+}
 
 // forwardedPollInterval is the time between two checks whether the requests of other nodes have ended.
 const forwardedPollInterval = 20 * time.Millisecond
@@ -144,6 +154,7 @@
 	mux.HandleFunc("GET /quarantine", n.serveQuarantine)
 	mux.HandleFunc("GET /cooldowns", n.serveCooldowns)
 	mux.HandleFunc("GET /limits", n.serveLimits)
+	mux.HandleFunc("GET /evacuations", n.serveEvacuations)
 	mux.HandleFunc("DELETE /quarantine/{fingerprint}", n.serveRelease)
 }
 
--- a/transport/entry/settings.go
+++ b/transport/entry/settings.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/state"
 )
@@ -24,6 +25,10 @@
 	MetricsAddress netip.AddrPort
 	// Capacity is the node's share of a processor, in cores. Larger nodes are preferred as leader.
 	Capacity float64
+	// MemoryBytes is the node's share of memory, in bytes, or 0 if it is unknown. A node that uses more is killed.
+	MemoryBytes int64
+	// BoundsBuffers makes the node bound what it holds for callers that read slowly. It needs MemoryBytes.
+	BoundsBuffers bool
 	// StoreAddress is the address of the platform's store.
 	StoreAddress netip.AddrPort
 	// Seeds are the addresses of nodes to contact before any node is known from the store.
@@ -42,8 +47,15 @@
 	MaxKeyAge  time.Duration
 	// StallTimeout is the time for which a group with a dead member stalls before it reports an error.
 	StallTimeout time.Duration
+	// EvacuateTimeout is the time from the record that evacuates a hall on within which the last request may arrive there;
+	// 0 if the deployment has no evacuations.
+	EvacuateTimeout time.Duration
 	// Retry bounds the retries that all nodes together send to one service.
 	Retry retry.SharedBudgetConfig
+	// Cold bounds the requests of all nodes to a cold instance. Without it, cold instances are treated as warm.
+	Cold ratelimit.ColdBound
+	// Regions maps data halls to regions. A hall that it does not name belongs to no region.
+	Regions map[state.HallName]state.RegionName
 	// Policy holds the tunable parameters of the node.
 	Policy Policy
 }
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -90,6 +90,7 @@
 	if a, ok := n.configState.Age(); ok {
 		w.ConfigAgeMS = ceilMS(a)
 	}
+	n.evacuations.addToReport(w)
 	p.addLimits(w, now)
 	p.addRetryUse(w, now)
 	return w
@@ -113,6 +114,7 @@
 	if len(a.Config) > 0 {
 		n.applyConfig(a.Config, "peer")
 	}
+	n.applyRelayedEvacuations(a, sentAt)
 	if _, version := n.configState.Encoded(); version == a.ConfigVersion && version > 0 {
 		n.configState.RecordConfirmation(sentAt.Add(-time.Duration(a.ConfigAgeMS) * time.Millisecond))
 	}
@@ -150,7 +152,7 @@
 	}
 	if w.Protocol < protocolPacked {
 		a.ListAgeMS = ceilMS(n.roster.ListAge(now))
-		a.Changes, a.FeedVersion = n.roster.ChangesSince(after)
+		a.Changes, a.FeedVersion = n.roster.ChangesSince(after, now)
 		return nil
 	}
 	changes, err := p.changes.since(after, n.roster, now)
@@ -166,13 +168,19 @@
 func (p *peers) addTotals(a *StatusAnswer, w *StatusReport, now time.Time) error {
 	t := totals{Avoid: p.n.placement.excluded(), Staging: p.n.placement.stagings(now)}
 	t.InProgress, t.Demand = p.totals()
+	shared := &p.sharedTotals
+	if w.Protocol < protocolEvacuation && p.n.forwardVersion() == protocolEvacuation {
+		p.n.hideEvacuated(&t, now)
+		shared = &p.sharedEarlierTotals
+	}
+	t.HallDemand = p.demandByHall()
 	// Nodes without rate limits get totals of their own, see hideLimited.
-	if w.Protocol < protocolPacked {
+	if w.Protocol < protocolPacked || p.n.hidesCold(w) {
 		a.InProgress, a.Demand, a.Avoid, a.Staging = t.InProgress, t.Demand, t.Avoid, t.Staging
 		return nil
 	}
 	var err error
-	a.Totals, err = p.sharedTotals.pack(p.totalsTime(), func() any { return t })
+	a.Totals, err = shared.pack(p.totalsTime(), func() any { return t })
 	return err
 }
 
@@ -201,6 +209,7 @@
 func (p *peers) applyAnswer(a *StatusAnswer, sentAt time.Time) {
 	n := p.n
 	p.applyConfig(a, sentAt)
+	n.evacuations.recordLeader(a.EvacuationsAt)
 	p.applyChanges(a)
 	configAsOf := sentAt.Add(-time.Duration(a.ConfigAgeMS) * time.Millisecond)
 	listAsOf := sentAt.Add(-time.Duration(a.ListAgeMS) * time.Millisecond)
@@ -216,6 +225,7 @@
 	n.setExcluded(a.Avoid)
 	n.placement.recordStagings(a.Staging, sentAt)
 	n.setLoads(a.InProgress, a.Demand)
+	n.updateHalls(a.HallDemand)
 	n.forwarding.SetPeers(a.Peers, n.clock.Now())
 	p.mergeLimits(a, sentAt)
 	n.gateway.GrantRetries(a.GrantedRetries, sentAt)
@@ -257,6 +267,8 @@
 	a := &StatusAnswer{CanLead: p.canLead(now), Protocol: protocolVersion, Era: n.eras.current()}
 	p.mu.Unlock()
 	n.applyConfig(w.Config, "peer")
+	n.mergeEvacuations(w.Evacuations, w.From.Name)
+	n.evacuations.addToAnswer(a, w, n.eras.isCurrent(now))
 	n.ledger.Merge(w.Ledger.delta(now), quarantine.Source(w.From.Number))
 	for _, s := range w.Suspects {
 		n.placement.recordPeerSuspicion(s.Instance, now.Add(-time.Duration(s.AgeMS)*time.Millisecond))
--- a/transport/entry/version.go
+++ b/transport/entry/version.go
@@ -2,10 +2,14 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/apex/log"
 
+	"github.com/troutmast/troutmast/coordination/evacuation"
+	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // Protocol versions of the status reports between nodes. Builds that name none have version 0.
@@ -21,8 +25,15 @@
 	protocolPacked = 2
 	// protocolForwarding is the first version whose nodes serve requests that other nodes forward.
 	protocolForwarding = 3
+	// protocolEvacuation is the first version whose nodes send no requests into evacuated halls and relay the set of them.
+	protocolEvacuation = 4
+	// protocolColdInstances is the first version whose nodes send requests to cold instances by grants, and relay cold
+	// times.
+	protocolColdInstances = 4
+	// protocolHomeRegions is the first version whose nodes enforce the home regions of requests that other nodes forward.
+	protocolHomeRegions = 4
 	// protocolVersion is the protocol version of this build.
-	protocolVersion = protocolForwarding
+	protocolVersion = protocolHomeRegions
 )
 
 // versionBonus is added per protocol version to the capacity that a node reports, in cores. It is
@@ -56,23 +67,48 @@
 // limited instances. Such a node sends no requests to groups in Avoid, and skips instances that
 // look full.
 func (n *Node) hideLimited(a *StatusAnswer) {
-	limits := n.limits.Active()
+	n.hide(a, n.limits.Active())
+}
+
+// hide changes an answer so that its receiver sends nothing to the instances with the given limits.
+func (n *Node) hide(a *StatusAnswer, limits []ratelimit.Limit) {
 	if len(limits) == 0 {
 		return
 	}
-	inProgress := maps.Clone(a.InProgress)
+	var limited []fleet.Instance
+	for i := range limits {
+		limited = append(limited, n.instance(limits[i].Instance.ID))
+	}
+	a.InProgress, a.Avoid = hideInstances(limited, a.InProgress, a.Avoid)
+}
+
+// hideEvacuated changes totals so that nodes of builds without evacuations send nothing to groups in evacuated halls,
+// and to plain instances there only if there are no others.
+func (n *Node) hideEvacuated(t *totals, now time.Time) {
+	phases := n.evacuations.view(now)
+	var hidden []fleet.Instance
+	for _, v := range n.roster.All(now) {
+		if phases[v.Hall] == evacuation.Closed {
+			hidden = append(hidden, v.Instance)
+		}
+	}
+	t.InProgress, t.Avoid = hideInstances(hidden, t.InProgress, t.Avoid)
+}
+
+// hideInstances returns the given requests in progress and groups to avoid with changes that make instances look full.
+func hideInstances(hidden []fleet.Instance, inProgress map[state.InstanceID]int, avoid []GroupEpoch) (map[state.InstanceID]int, []GroupEpoch) {
+	inProgress = maps.Clone(inProgress)
 	if inProgress == nil {
 		inProgress = map[state.InstanceID]int{}
 	}
-	avoid := a.Avoid
-	for i := range limits {
-		in := n.instance(limits[i].Instance.ID)
+	for i := range hidden {
+		in := &hidden[i]
 		inProgress[in.ID] += inProgressWhenFull * max(in.Slots, 1)
 		if key := in.Membership.Key(); key.Group != "" && in.Membership.Rank == 0 {
 			avoid = append(avoid[:len(avoid):len(avoid)], GroupEpoch{Group: key.Group, Epoch: key.Epoch})
 		}
 	}
-	a.InProgress, a.Avoid = inProgress, avoid
+	return inProgress, avoid
 }
 
 // inProgressWhenFull is the number of requests in progress per slot that is reported for an instance to
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -22,9 +22,9 @@
 type Peers interface {
 	// IsPartitioned reports whether this node reaches no instance of a service.
 	IsPartitioned(service state.ServiceName) bool
-	// AcquirePeer returns a node that can serve requests of a pool, and counts a request in flight to it until
+	// AcquirePeer returns a node that can serve requests of a pool and for which isAllowed returns true, and counts a request in flight to it until
 	// ReleasePeer. It returns forwarding.ErrNoPeer or forwarding.ErrLimit if there is none.
-	AcquirePeer(pool dispatch.Pool) (forwarding.Peer, error)
+	AcquirePeer(pool dispatch.Pool, isAllowed func(forwarding.Peer) bool) (forwarding.Peer, error)
 	// ReleasePeer ends a request of a pool that AcquirePeer counted.
 	ReleasePeer(p forwarding.Peer, pool dispatch.Pool, o forwarding.Outcome)
 }
@@ -62,6 +62,8 @@
 	Kind      catalog.RouteKind `json:"kind"`
 	Resumable bool              `json:"resumable,omitempty"`
 	Public    bool              `json:"public,omitempty"`
+	// Priority is that of the request. Earlier builds name none.
+	Priority int `json:"priority,omitempty"`
 	// Attempts is the number of instances that may still run the request.
 	Attempts   int   `json:"attempts"`
 	GoalMS     int64 `json:"goal,omitempty"`
@@ -69,6 +71,9 @@
 	TimeLeftMS int64 `json:"left"`
 	// LastEventID is the ID of the last event of a stream that the caller has received.
 	LastEventID string `json:"event,omitempty"`
+	// Homes are the regions in which the request may run; empty if it may run everywhere. Builds before
+	// protocolHomeRegions ignore them, so that no request with home regions is forwarded to their nodes.
+	Homes []state.RegionName `json:"homes,omitempty"`
 }
 
 // forwardResult states what the response to a forwarded request is: that of an instance if Code is
@@ -96,7 +101,7 @@
 // shouldForward reports whether the request should be forwarded rather than sent to the target that was picked, which
 // may be nil. Instances that only this node fails to reach may have room for it.
 func (c *call) shouldForward(target *dispatch.Candidate) bool {
-	if c.origin != "" || c.peer != "" {
+	if c.origin != "" || c.peer != "" || c.currentHomes().IsEmpty() {
 		return false
 	}
 	if _, held := c.Quarantine.QuarantinedUntil(c.identity); c.sends > 0 && held {
@@ -114,7 +119,7 @@
 func (c *call) forward() (refused *refusal, ended bool) {
 	pool := dispatch.Pool{Service: c.service, Model: c.model}
 	for c.peerDials < maxPeerDials {
-		peer, err := c.Peers.AcquirePeer(pool)
+		peer, err := c.Peers.AcquirePeer(pool, c.canReceiveBody)
 		if errors.Is(err, forwarding.ErrLimit) {
 			c.Recorder.Count("forward.limit")
 			c.peerRefusal = refusalWithRetryAfter(CodeForwardLimit, c.Policy.OverloadRetryAfter)
@@ -135,6 +140,7 @@
 		}
 		c.Peers.ReleasePeer(peer, pool, c.peerOutcome(res, err))
 		c.Recorder.Count("forward." + string(res))
+		c.isGone = res == resultCallerGone
 		switch {
 		case errors.Is(err, errHeldBack):
 			return nil, false
@@ -156,7 +162,7 @@
 
 // noTargetCodes are the refusals of a peer that would refuse other requests of the pool, too. CodeKeysStale is none of them:
 // it may concern a single key of which the two nodes know different versions.
-var noTargetCodes = []Code{CodeNoTarget, CodeTargetsUnreachable, CodeNoConfig, CodeStopping}
+var noTargetCodes = []Code{CodeNoTarget, CodeTargetsUnreachable, CodeNoConfig, CodeStopping, CodeEvacuated}
 
 // peerOutcome returns what the result of forwardTo shows of the peer.
 func (c *call) peerOutcome(res attemptResult, err error) forwarding.Outcome {
@@ -178,7 +184,7 @@
 		Request: c.eventRequest(), Peer: peer.Address, Unreachable: c.Table.Unreachable(c.service, c.model), Partitioned: c.Peers.IsPartitioned(c.service),
 		Attempts: info.Attempts, Left: c.deadline.Sub(c.Clock.Now()),
 	})
-	req, err := c.newForwardRequest(info)
+	req, err := c.newForwardRequest(peer, info)
 	if err != nil {
 		return resultNotRun, fmt.Errorf("%w: %w", direct.ErrNotSent, err)
 	}
@@ -190,6 +196,7 @@
 		return resultNotRun, err
 	}
 	c.peer = peer.Address.String()
+	defer c.countForwarded(peer, resp)()
 	if err != nil {
 		return resultUnknown, err
 	}
@@ -200,9 +207,9 @@
 // forwardInfo returns what the node that the request is forwarded to must know of it.
 func (c *call) forwardInfo() forwardInfo {
 	info := forwardInfo{
-		Origin: c.Name, Service: c.service, Model: c.model, Route: c.route.Name, Kind: c.route.Kind, Resumable: c.route.Resumable, Public: c.route.Public,
+		Origin: c.Name, Service: c.service, Model: c.model, Route: c.route.Name, Kind: c.route.Kind, Resumable: c.route.Resumable, Public: c.route.Public, Priority: c.priority(),
 		Attempts: c.route.MaxAttempts - c.runs, GoalMS: c.route.Goal.Milliseconds(), GapGoalMS: c.route.GapGoal.Milliseconds(),
-		TimeLeftMS: (c.deadline.Sub(c.Clock.Now()) - c.Policy.NetworkAllowance).Milliseconds(), LastEventID: c.lastEventID,
+		TimeLeftMS: (c.deadline.Sub(c.Clock.Now()) - c.Policy.NetworkAllowance).Milliseconds(), LastEventID: c.lastEventID, Homes: c.currentHomes().Regions(),
 	}
 	if c.team != nil {
 		info.Team = c.team.Name
@@ -212,7 +219,7 @@
 
 // newForwardRequest returns the request to send to a peer. It carries the caller's key: the peer checks it
 // again, since a node that was suspended may forward a request with a key that is no longer valid.
-func (c *call) newForwardRequest(info forwardInfo) (*direct.Request, error) {
+func (c *call) newForwardRequest(peer forwarding.Peer, info forwardInfo) (*direct.Request, error) {
 	raw, err := json.Marshal(info)
 	if err != nil {
 		return nil, err
@@ -226,11 +233,12 @@
 			return h.Get(headerForwardResult) != "" && c.Codec.MatchesRequest(h, c.claims.ID)
 		},
 		RequireFreshConn: !c.route.CanRetry(),
+		WriteTimeout:     c.instanceWriteTimeout(),
 		BeforeSend: func() error {
 			if !c.keyTrusted() {
 				return errKeysStale
 			}
-			return nil
+			return c.checkHomesBeforeForward(peer, info)
 		},
 	}, nil
 }
@@ -282,6 +290,8 @@
 		return
 	}
 	defer g.Receiver.Release()
+	c.beginBuffering()
+	defer c.endBuffering() // before Release, since a planned stop waits for it
 	c.run(c.admitForwarded())
 }
 
@@ -316,8 +326,14 @@
 	if !c.authenticateForwarded(info.Team) {
 		return refusalWithRetryAfter(CodeKeysStale, c.Policy.RetryAfter)
 	}
-	if c.readBody() != nil {
+	c.carriedHomes = info.Homes
+	if c.currentHomes().IsEmpty() {
+		return refusalWithRetryAfter(CodeNoHome, c.Policy.RepairRetryAfter)
+	}
+	if refused := c.readBody(); refused != nil && refused.code != CodeForwardLimit {
 		return &refusal{code: CodeForwardRefused}
+	} else if refused != nil {
+		return refused
 	}
 	c.identity = c.computeIdentity()
 	if until, held := c.Quarantine.Admit(c.identity); held {
@@ -346,7 +362,7 @@
 // route returns the route of the request as far as it matters for serving it.
 func (f *forwardInfo) route() *catalog.Route {
 	return &catalog.Route{
-		Name: f.Route, Kind: f.Kind, Resumable: f.Resumable, Public: f.Public, MaxAttempts: f.Attempts,
+		Name: f.Route, Kind: f.Kind, Resumable: f.Resumable, Public: f.Public, Priority: f.Priority, MaxAttempts: f.Attempts,
 		Goal: time.Duration(f.GoalMS) * time.Millisecond, GapGoal: time.Duration(f.GapGoalMS) * time.Millisecond,
 	}
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/troutmast/troutmast/coordination/buffering"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/quarantine"
@@ -108,7 +109,14 @@
 	Recorder        Recorder
 	Quarantine      Quarantine
 	Backpressure    Backpressure
-	Pool            *direct.Pool
+	// Evacuations tells which halls are evacuated; nil if none ever is.
+	Evacuations Evacuations
+	Pool        *direct.Pool
+	// Hall is the node's own data hall, Regions maps the halls to regions.
+	Hall    state.HallName
+	Regions Regions
+	// HallTraffic records the traffic to other halls.
+	HallTraffic HallTraffic
 	// Peers chooses the nodes that requests are forwarded to, PeerPool holds the connections to them. Receiver
 	// bounds the requests of other nodes.
 	Peers    Peers
@@ -123,6 +131,9 @@
 	// process ran before.
 	Retry       retry.SharedBudgetConfig
 	CountsSince time.Time
+	// Buffers counts the bytes that the node holds for its callers. If it is nil, these have no bound, and a response is read no
+	// faster than its caller reads it.
+	Buffers *buffering.Accounts
 }
 
 // Gateway is the HTTP handler for the requests of callers.
@@ -142,6 +153,9 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
+	if o.Evacuations == nil {
+		o.Evacuations = noEvacuations{}
+	}
 	return &Gateway{
 		Options:       o,
 		StallDetector: newStallDetector(o.Clock, o.FailureDetector, &o.Policy),
@@ -189,6 +203,7 @@
 	demandRecorded bool
 	forwardState
 	scheduleState
+	homeState
 	// hold counts the current attempt in the load of its target.
 	hold *dispatch.InFlightRequest
 	// loadAtPick is the known number of requests in progress at the last target when it was picked.
@@ -196,6 +211,7 @@
 	// lastFailure is the most recent server error of an instance.
 	lastFailure *bufferedResponse
 	streamProgress
+	bufferState
 }
 
 // refusal is a response that the gateway generates itself. A positive after is the retry delay.
@@ -211,6 +227,8 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	c.beginBuffering()
+	defer c.endBuffering()
 	c.run(c.admit())
 }
 
@@ -255,6 +273,9 @@
 	if refused := c.authenticate(); refused != nil {
 		return refused
 	}
+	if c.currentHomes().IsEmpty() {
+		return refusalWithRetryAfter(CodeNoHome, c.Policy.RepairRetryAfter)
+	}
 	if refused := c.readBody(); refused != nil {
 		return refused
 	}
@@ -323,6 +344,9 @@
 
 // readBody reads the request body, up to the size limit of the catalog.
 func (c *call) readBody() *refusal {
+	if c.account != nil && !c.account.TryAddRequest(0) {
+		return c.memoryRefusal()
+	}
 	if c.r.ContentLength == 0 {
 		return nil
 	}
@@ -337,10 +361,12 @@
 		in = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
 	var err error
-	c.body, err = io.ReadAll(in)
+	c.body, err = io.ReadAll(c.countedRequest(in))
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errMemory):
+		return c.memoryRefusal()
 	case errors.As(err, &tooLarge):
 		return &refusal{code: CodeTooLarge}
 	case err != nil:
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -53,12 +53,19 @@
 	// as it may. CodeForwardRefused means that the other node rejected the forwarded request as invalid.
 	CodeForwardLimit   Code = "forward-limit"
 	CodeForwardRefused Code = "forward-refused"
+	// CodeEvacuated means that all instances that could run the request are in evacuated halls.
+	CodeEvacuated Code = "evacuated"
+	// CodeNoHome means that this node reaches no instance in a home region of the request, or that the home regions of the
+	// route and the team have none in common.
+	CodeNoHome Code = "no-home"
+	// CodeMemory means that the node holds as many bytes for its callers as it may.
+	CodeMemory Code = "memory"
 )
 
 // notRunCodes are the reasons that guarantee that the request has not run and will not run.
 var notRunCodes = []Code{
 	CodeNoConfig, CodeKeysStale, CodeNoTarget, CodeOverloaded, CodeRefusedByTargets, CodeTargetsUnreachable, CodeNoTimeLeft, CodeStopping,
-	CodeQuarantined, CodeCoolingDown, CodeRateLimited, CodeForwardLimit, CodeForwardRefused,
+	CodeQuarantined, CodeCoolingDown, CodeRateLimited, CodeForwardLimit, CodeForwardRefused, CodeEvacuated, CodeNoHome, CodeMemory,
 }
 
 // RequestInfo holds the properties that a request states in its headers.
--- a/transport/gateway/schedule.go
+++ b/transport/gateway/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/dispatch"
@@ -36,12 +37,17 @@
 		return c.pick(), nil, false
 	}
 	askedAt := c.Clock.Now()
+	// The scheduler leaves out groups with a rate limit. A node uses its grants for them first, before they expire.
+	if t := c.Table.PickRandom(c.service, c.model, askedAt, c.lacksGrant); t != nil {
+		return t, nil, false
+	}
 	d, ok := c.Scheduler.Schedule(c.ctx, c.scheduleRequest(askedAt))
 	if !ok {
 		return c.pick(), nil, false
 	}
 	if d.Refused {
 		c.Recorder.Count("schedule.refused." + string(d.Reason))
+		c.Recorder.Count("refused.overloaded.p" + strconv.Itoa(min(max(c.priority(), 0), maxForwardedPriority)))
 		return nil, c.refuseScheduled(d.RetryAfter), true
 	}
 	t := c.Table.Candidate(c.service, c.model, d.Instance)
@@ -49,6 +55,7 @@
 		c.Recorder.Count("schedule.unusable")
 		return c.pick(), nil, false
 	}
+	c.Recorder.Count("schedule.decided")
 	c.decision, c.askedAt = d, askedAt
 	return t, nil, false
 }
@@ -67,7 +74,12 @@
 // isUnavailable reports whether a target cannot get the request now.
 func (c *call) isUnavailable(t *dispatch.Candidate) bool {
 	_, cooling := c.Backpressure.CooldownUntil(&t.Instance)
-	return cooling || slices.Contains(c.tried, t.ID) || !c.Backpressure.CanSend(&t.Instance)
+	return cooling || slices.Contains(c.tried, t.ID) || c.isEvacuated(t) || !c.isHome(t) || !c.Backpressure.CanSend(&t.Instance)
+}
+
+// lacksGrant reports whether a target has no rate limit, or cannot get the request now.
+func (c *call) lacksGrant(t *dispatch.Candidate) bool {
+	return !c.hasRateLimit(t) || c.isUnavailable(t)
 }
 
 // scheduleRequest returns the request as the scheduler must know it.
@@ -75,7 +87,7 @@
 	r := &scheduling.Request{
 		Pool: scheduling.Pool{Service: c.service, Model: c.model}, PromptTokens: c.claims.PromptTokens, Goal: c.route.Goal,
 		Elapsed: now.Sub(c.arrivedAt), TimeLeft: c.deadline.Sub(now), Priority: c.priority(), Returning: c.isReturning(),
-		Resuming: c.headerWritten || c.lastEventID != "" || c.claims.LastEventID != "", Excluded: c.tried,
+		Resuming: c.headerWritten || c.lastEventID != "" || c.claims.LastEventID != "", Excluded: c.excludedTargets(),
 	}
 	if c.team != nil {
 		r.Team = c.team.Name
@@ -83,6 +95,21 @@
 	return r
 }
 
+// excludedTargets returns the targets that the scheduler must leave out: those that were tried, and those outside the
+// home regions of the request.
+func (c *call) excludedTargets() []state.InstanceID {
+	if !c.currentHomes().IsRestricted() {
+		return c.tried
+	}
+	excluded := slices.Clone(c.tried)
+	for _, t := range c.Table.Candidates(c.service, c.model) {
+		if !c.isHome(t) {
+			excluded = append(excluded, t.ID)
+		}
+	}
+	return excluded
+}
+
 // priority returns the priority of the request: that of its team if it has one, else that of its route.
 func (c *call) priority() int {
 	if c.team != nil && c.team.Priority != nil {
@@ -91,6 +118,17 @@
 	return c.route.Priority
 }
 
+// maxForwardedPriority is the largest value of a priority that instances accept, the least urgent one.
+const maxForwardedPriority = 9
+
+// forwardedPriority returns the priority to forward to an instance, or -1 if all requests for the service have the same.
+func (c *call) forwardedPriority() int {
+	if s := c.catalog.Services[c.service]; s == nil || !s.HasPriorities {
+		return -1
+	}
+	return min(max(c.priority(), 0), maxForwardedPriority)
+}
+
 // isReturning reports whether the caller was probably refused before. Its time-out is then shorter than the
 // route's by the time that it has waited.
 func (c *call) isReturning() bool {
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -74,6 +74,7 @@
 			return c.giveUp(CodeRefusedByTargets)
 		}
 		c.Recorder.Count("attempt." + string(res))
+		c.isGone = res == resultCallerGone
 		if res == resultAnswered {
 			c.recordAnswer(target)
 		}
@@ -168,7 +169,7 @@
 // reports false. A request suspected of ending instances goes to the target with the lowest load.
 func (c *call) pickExcept(exclude func(*dispatch.Candidate) bool) *dispatch.Candidate {
 	excluded := func(t *dispatch.Candidate) bool {
-		if slices.Contains(c.tried, t.ID) || exclude(t) {
+		if slices.Contains(c.tried, t.ID) || c.isEvacuated(t) || !c.isHome(t) || exclude(t) {
 			return true
 		}
 		_, cooling := c.Backpressure.CooldownUntil(&t.Instance)
@@ -199,6 +200,12 @@
 	if c.sends > 0 || c.peerRefusal != nil {
 		return c.giveUp(CodeTargetsUnreachable)
 	}
+	if c.allEvacuated() {
+		return refusalWithRetryAfter(CodeEvacuated, c.Policy.RepairRetryAfter)
+	}
+	if c.lacksHome() {
+		return refusalWithRetryAfter(CodeNoHome, c.Policy.RepairRetryAfter)
+	}
 	if code, after, all := c.allUnderBackpressure(); all {
 		return refusalWithRetryAfter(code, after)
 	}
@@ -207,6 +214,10 @@
 
 // attempt sends the request to one instance and relays its response.
 func (c *call) attempt(target *dispatch.Candidate) attemptResult {
+	var crossing CrossHallReason
+	if target.Hall != c.Hall {
+		crossing = c.crossHallReason()
+	}
 	c.tried = append(c.tried, target.ID)
 	c.sends++
 	c.loadAtPick = target.Load()
@@ -233,12 +244,15 @@
 		}
 		c.recordFailure(target, sent, "not reached", err)
 		return resultNotRun
-	case err != nil:
-		c.arrivals++
+	}
+	if crossing != "" {
+		defer c.countCrossing(target.Hall, crossing, resp)()
+	}
+	c.arrivals++
+	if err != nil {
 		return c.handleLostResponse(ctx, target, sent, err)
 	}
 	defer resp.Close()
-	c.arrivals++
 	c.FailureDetector.RecordResponse(target.ID, sent)
 	return c.handleResponse(ctx, target, resp, watched, sent)
 }
@@ -250,7 +264,7 @@
 		Instance:    target.ID,
 		TimeLeft:    c.deadline.Sub(now) - c.Policy.NetworkAllowance,
 		LastEventID: c.lastEventID,
-		Priority:    -1,
+		Priority:    c.forwardedPriority(),
 	}
 	if c.team != nil {
 		f.Team = c.team.Name
@@ -265,6 +279,7 @@
 		HasBody:          c.r.ContentLength != 0 || c.r.Method == http.MethodPost || c.r.Method == http.MethodPut,
 		MatchesResponse:  func(h http.Header) bool { return c.Codec.MatchesRequest(h, c.claims.ID) },
 		RequireFreshConn: !c.route.CanRetry(),
+		WriteTimeout:     c.instanceWriteTimeout(),
 		BeforeSend:       func() error { return c.checkBeforeSend(target) },
 	}
 }
@@ -414,7 +429,7 @@
 // relayBuffered buffers a response and forwards it. A server error is kept in c.lastFailure
 // instead, since the request may be retried. Nothing is forwarded if a stream has begun.
 func (c *call) relayBuffered(ctx context.Context, src responseSource, resp *direct.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, err := c.readResponse(resp.Body)
 	if err != nil {
 		return src.lost(ctx, err)
 	}
@@ -440,6 +455,7 @@
 
 // writeTo forwards the response to the caller.
 func (p *bufferedResponse) writeTo(c *call) {
+	c.releaseResponse()
 	c.writeHeader(p.status, p.header, int64(len(p.body)))
 	_, _ = c.w.Write(p.body)
 }
@@ -465,6 +481,7 @@
 func (c *call) relayLarge(ctx context.Context, src responseSource, resp *direct.Response, p *bufferedResponse) attemptResult {
 	c.writeHeader(p.status, p.header, resp.Length)
 	c.headerWritten = true
+	c.releaseResponse()
 	if _, err := c.w.Write(p.body); err != nil {
 		return resultCallerGone
 	}
