Evacuate and readmit halls by statements

Operators of the own interface had no way to keep requests from the targets of a hall. The statements "evacuate hall NAME;" and "readmit hall NAME;" are records in the log like all others; "show halls" lists the halls and their states. A statement is refused if the platform's list has no instance in the hall, or if the hall already is in that state. "troutctl evacuations ADDRESS" shows what a node on the users' platform knows.

The digest of a state without evacuations is that of earlier builds. A node of an earlier build stops at the records of the new statements, as it does at every record that it does not know.

Tested: state, protocol, coordination/routing, coordination/statelog, coordination/repair, transport/ctl and all of transport/node pass.

--- a/coordination/routing/pick_test.go
+++ b/coordination/routing/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -61,6 +62,40 @@
 	}
 }
 
+// Guards against new requests to the groups of an evacuated hall, and against the loss of responses in flight there.
+func TestGroupsOfEvacuatedHallAreNotPicked(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := routing.NewTable()
+	var groups []*state.Group
+	for _, hall := range []state.HallName{"x", "y"} {
+		groups = append(groups, &state.Group{Name: state.GroupName("g-" + hall), Hall: hall, Epoch: 1, Model: state.Model{Name: "m"}, Members: []state.InstanceID{"i"}})
+	}
+	update := func(evacuated ...state.HallName) {
+		table.SetEvacuated(func(hall state.HallName) bool { return slices.Contains(evacuated, hall) })
+		table.Update(groups)
+	}
+	update()
+	for _, c := range table.All() {
+		c.UpdateEvidence(func(*state.Group) evidence.GroupEvidence {
+			return evidence.GroupEvidence{Expires: now.Add(time.Second), IncarnationHash: 1}
+		})
+	}
+	d := table.Get("g-x").BeginRequest(request)
+	update("x")
+	g.Expect(d.IsValid(now)).To(BeTrue(), "requests in flight end normally")
+	for _, c := range pickers {
+		pick := c.pick()
+		for range 50 {
+			g.Expect(string(pick.Pick(table.Candidates("m"), routing.Request{}, now).Name)).To(Equal("g-y"))
+		}
+	}
+	update("x", "y")
+	g.Expect((&routing.RoundRobin{}).Pick(table.Candidates("m"), routing.Request{}, now)).To(BeNil())
+	update()
+	g.Expect(table.Get("g-x").CanAccept(now)).To(BeTrue())
+}
+
 // TestDispatchIsInvalidAfterGroupChange checks every way in which a group can stop being the
 // one that was picked. A dispatch that stayed valid would let a response from other members
 // through.
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -23,6 +23,7 @@
 	expires           atomic.Pointer[time.Time]
 	incarnationHash   atomic.Uint64
 	leaving           atomic.Bool
+	evacuated         atomic.Bool
 	inFlight          atomic.Int64
 	tokensInFlight    atomic.Int64
 	sentSince         atomic.Int64
@@ -50,7 +51,7 @@
 
 // CanAccept reports whether a new request may be sent to the group at now.
 func (c *Candidate) CanAccept(now time.Time) bool {
-	return c.IsReady(now) && !c.leaving.Load() && c.group.Load().Drained == 0
+	return c.IsReady(now) && !c.leaving.Load() && !c.evacuated.Load() && c.group.Load().Drained == 0
 }
 
 // Load returns the estimated number of requests in flight at the group: the reported number plus
@@ -148,6 +149,16 @@
 	mu     sync.Mutex
 	byName map[state.GroupName]*Candidate
 	pools  atomic.Pointer[map[string][]*Candidate]
+	// isEvacuated reports whether a hall is evacuated; nil if none is.
+	isEvacuated func(state.HallName) bool
+}
+
+// SetEvacuated sets which halls are evacuated. Their groups get no new requests from the next Update on; requests in
+// flight remain valid.
+func (t *Table) SetEvacuated(isEvacuated func(state.HallName) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isEvacuated = isEvacuated
 }
 
 // NewTable returns an empty Table.
@@ -169,6 +180,7 @@
 		if c == nil {
 			c = &Candidate{Name: g.Name}
 		}
+		c.evacuated.Store(t.isEvacuated != nil && t.isEvacuated(g.Hall))
 		c.setGroup(g)
 		byName[g.Name] = c
 		pools[g.Model.Name] = append(pools[g.Model.Name], c)
--- a/coordination/statelog/view.go
+++ b/coordination/statelog/view.go
@@ -12,6 +12,7 @@
 	Assignments    map[state.InstanceID]*state.Assignment
 	TeamsByKeyHash map[string]*state.Team
 	Services       map[state.ServiceName]*state.Service
+	Evacuations    map[state.HallName]*state.Evacuation
 }
 
 // NewView copies the part of the state that the request path needs.
@@ -24,6 +25,7 @@
 		Assignments:    map[state.InstanceID]*state.Assignment{},
 		TeamsByKeyHash: map[string]*state.Team{},
 		Services:       map[state.ServiceName]*state.Service{},
+		Evacuations:    map[state.HallName]*state.Evacuation{},
 	}
 	for _, g := range v.Groups {
 		v.GroupsByName[g.Name] = g
@@ -39,5 +41,8 @@
 	for _, svc := range s.Services() {
 		v.Services[svc.Name] = svc
 	}
+	for _, e := range s.Evacuations() {
+		v.Evacuations[e.Hall] = e
+	}
 	return v
 }
--- a/protocol/lang/compile.go
+++ b/protocol/lang/compile.go
@@ -21,6 +21,8 @@
 	Spares(hall state.HallName, n int) []state.Place
 	// Group returns a group of the state held, or nil.
 	Group(name state.GroupName) *state.Group
+	// HasHall reports whether the platform's list has an instance in a hall.
+	HasHall(hall state.HallName) bool
 }
 
 // Plan is what a statement asks to be appended.
@@ -75,6 +77,10 @@
 		return state.Op{ReleaseGroup: &state.ReleaseGroup{Group: state.GroupName(*c.Release)}}, nil
 	case c.Move != nil:
 		return compileMove(c.Move, r)
+	case c.Evacuate != nil:
+		return compileEvacuate(state.HallName(*c.Evacuate), r)
+	case c.Readmit != nil:
+		return state.Op{EvacuateHall: &state.EvacuateHall{Hall: state.HallName(*c.Readmit), Off: true}}, nil
 	default:
 		return compilePolicy(c.SetPolicy), nil
 	}
@@ -163,6 +169,13 @@
 	return state.Op{ReplaceMember: &state.ReplaceMember{Group: g.Name, Epoch: g.Epoch, Rank: rank, Out: state.InstanceID(c.From), In: place}}, nil
 }
 
+func compileEvacuate(hall state.HallName, r Resolver) (state.Op, error) {
+	if !r.HasHall(hall) {
+		return state.Op{}, fmt.Errorf("the platform's list has no instance in hall %s", hall)
+	}
+	return state.Op{EvacuateHall: &state.EvacuateHall{Hall: hall}}, nil
+}
+
 func compilePolicy(c *SetPolicy) state.Op {
 	return state.Op{SetPolicy: &state.SetPolicy{Policy: state.Policy{
 		Downtime:  c.Downtime,
--- a/protocol/lang/grammar.go
+++ b/protocol/lang/grammar.go
@@ -40,7 +40,7 @@
 
 // Show asks for a table.
 type Show struct {
-	What  string       `parser:"(  @( 'groups' | 'instances' | 'teams' | 'services' | 'nodes' | 'commands' | 'limits' | 'policy' | 'measures' )"`
+	What  string       `parser:"(  @( 'groups' | 'instances' | 'teams' | 'services' | 'nodes' | 'commands' | 'limits' | 'policy' | 'measures' | 'halls' )"`
 	One   string       `parser:" | @( 'group' | 'command' )"`
 	Name  string       `parser:"   @( Name | String ) )"`
 	Where []*Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
@@ -74,6 +74,8 @@
 	Release       *string        `parser:" | 'release' 'group' @( Name | String )"`
 	Move          *Move          `parser:" | 'move' 'group' @@"`
 	SetPolicy     *SetPolicy     `parser:" | 'set' 'policy' @@"`
+	Evacuate      *string        `parser:" | 'evacuate' 'hall' @( Name | String )"`
+	Readmit       *string        `parser:" | 'readmit' 'hall' @( Name | String )"`
 	Void          *string        `parser:" | 'void' @( Name | String ) )"`
 }
 
--- a/protocol/lang/lang_test.go
+++ b/protocol/lang/lang_test.go
@@ -32,6 +32,8 @@
 	return &state.Group{Name: "g", Epoch: 4, Model: state.Model{Name: "m", Adapters: []string{"x", "y"}}, Members: []state.InstanceID{"a", "b"}}
 }
 
+func (resolver) HasHall(hall state.HallName) bool { return hall == "h" }
+
 // hash is a well-formed SHA-256.
 const hash = "c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c"
 
@@ -54,6 +56,8 @@
 		{"undrain group g", state.Op{DrainGroup: &state.DrainGroup{Group: "g", Off: true}}},
 		{"release group \"g\"", state.Op{ReleaseGroup: &state.ReleaseGroup{Group: "g"}}},
 		{"move group g from b to c", state.Op{ReplaceMember: &state.ReplaceMember{Group: "g", Epoch: 4, Rank: 1, Out: "b", In: place("c")}}},
+		{"evacuate hall h", state.Op{EvacuateHall: &state.EvacuateHall{Hall: "h"}}},
+		{"readmit hall \"h\"", state.Op{EvacuateHall: &state.EvacuateHall{Hall: "h", Off: true}}},
 		{"set policy downtime 20 stranded 0.5 restart 2m load 90s automatic off", state.Op{SetPolicy: &state.SetPolicy{Policy: state.Policy{Downtime: 20, Stranded: 0.5, Restart: 2 * time.Minute, Load: 90 * time.Second}}}},
 	}
 	for _, c := range cases {
@@ -83,6 +87,8 @@
 		{"create team t key abc", "64 hexadecimal digits"},
 		{"move group g from c to b", "c is not in group g"},
 		{"unbind group k adapters x", "no group k"},
+		{"evacuate hall k", "line 1, column 1: the platform's list has no instance in hall k"},
+		{"evacuate group g", `line 1, column 10: unexpected token "group"`},
 	}
 	for _, c := range cases {
 		t.Run(c.text, func(t *testing.T) {
@@ -117,7 +123,7 @@
 func FuzzParse(f *testing.F) {
 	for _, text := range []string{
 		"show groups where hall = a and held > 3", "why request \"x\\\"y\"", "begin; drain group a; commit",
-		"create group n model m size 1 in h", "set policy downtime 1 stranded 1 restart 1h load 1ms", "void 019-a", "\"", "# x",
+		"create group n model m size 1 in h", "evacuate hall h; readmit hall h; show halls", "set policy downtime 1 stranded 1 restart 1h load 1ms", "void 019-a", "\"", "# x",
 	} {
 		f.Add(text)
 	}
--- a/state/errors.go
+++ b/state/errors.go
@@ -44,6 +44,8 @@
 	ReasonBadValue       Reason = "bad-value"
 	ReasonStateChanged   Reason = "state-changed"
 	ReasonGroupDraining  Reason = "group-draining"
+	ReasonHallEvacuated  Reason = "hall-evacuated"
+	ReasonHallAdmitted   Reason = "hall-admitted"
 )
 
 // Refusal is the reason for which a record was refused. Its Detail is stored in the state and enters
--- a/state/op.go
+++ b/state/op.go
@@ -20,6 +20,7 @@
 	DenyTeam      *DenyTeam      `json:"deny_team,omitempty"`
 	CreateService *CreateService `json:"create_service,omitempty"`
 	SetPolicy     *SetPolicy     `json:"set_policy,omitempty"`
+	EvacuateHall  *EvacuateHall  `json:"evacuate_hall,omitempty"`
 }
 
 // change is one kind of operation on the state.
@@ -49,6 +50,7 @@
 	add(o.DenyTeam, o.DenyTeam != nil)
 	add(o.CreateService, o.CreateService != nil)
 	add(o.SetPolicy, o.SetPolicy != nil)
+	add(o.EvacuateHall, o.EvacuateHall != nil)
 	if len(changes) != 1 {
 		return nil, fmt.Errorf("%w: operation has %d changes, expected 1", ErrUnknownRecord, len(changes))
 	}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -38,6 +38,8 @@
 	IDs          []expiringID  `json:"ids"`
 	Claims       []Claim       `json:"claims"`
 	Keys         []expiringKey `json:"keys"`
+	// Evacuations is left out if it is empty, so that states without any have the digests of earlier builds.
+	Evacuations []*Evacuation `json:"evacuations,omitempty"`
 }
 
 // encodeContent returns the uncompressed content of the state.
@@ -54,6 +56,7 @@
 		Outcomes:     s.Outcomes(),
 		IDs:          append([]expiringID{}, s.idQueue...),
 		Keys:         append([]expiringKey{}, s.keyQueue...),
+		Evacuations:  s.Evacuations(),
 	}
 	for _, claim := range s.claims {
 		c.Claims = append(c.Claims, claim)
@@ -142,6 +145,9 @@
 	for _, svc := range c.Services {
 		s.services[svc.Name] = svc
 	}
+	for _, e := range c.Evacuations {
+		s.evacuations[e.Hall] = e
+	}
 	for _, o := range c.Outcomes {
 		s.outcomes[o.ID] = o
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -160,6 +160,7 @@
 	teams        map[TeamName]*Team
 	services     map[ServiceName]*Service
 	policy       Policy
+	evacuations  map[HallName]*Evacuation
 	outcomes     map[string]Outcome
 	idQueue      []expiringID
 	claims       map[ClaimKey]Claim
@@ -176,6 +177,8 @@
 		policy:    DefaultPolicy(),
 		outcomes:  map[string]Outcome{},
 		claims:    map[ClaimKey]Claim{},
+
+		evacuations: map[HallName]*Evacuation{},
 	}
 }
 
@@ -227,6 +230,9 @@
 // Services returns all services, sorted by name.
 func (s *State) Services() []*Service { return sortedValues(s.services) }
 
+// Evacuations returns the evacuations of all evacuated halls, sorted by hall.
+func (s *State) Evacuations() []*Evacuation { return sortedValues(s.evacuations) }
+
 // Outcomes returns all retained outcomes, sorted by offset and id.
 //
 // A void record gives two ids an outcome at the same offset, so ties are broken by id.
--- a/transport/core/resolve.go
+++ b/transport/core/resolve.go
@@ -19,6 +19,16 @@
 // Group implements lang.Resolver.
 func (c *Core) Group(name state.GroupName) *state.Group { return c.Follower.View().GroupsByName[name] }
 
+// HasHall implements lang.Resolver.
+func (c *Core) HasHall(hall state.HallName) bool {
+	for _, p := range c.Places.All() {
+		if p.Hall == hall {
+			return true
+		}
+	}
+	return false
+}
+
 // Spares implements lang.Resolver: the domain with the fewest free instances that suffice.
 func (c *Core) Spares(hall state.HallName, n int) []state.Place {
 	byDomain := map[string][]state.Place{}
--- a/transport/ctl/ctl.go
+++ b/transport/ctl/ctl.go
@@ -146,6 +146,8 @@
 		}
 		_, _ = fmt.Fprintln(t.out, caller.HashKey(rest[0]))
 		return ExitDone
+	case "evacuations":
+		return t.showEvacuations(rest)
 	case "completion":
 		_, _ = fmt.Fprint(t.out, completionScript())
 		return ExitDone
--- a/transport/ctl/diff.go
+++ b/transport/ctl/diff.go
@@ -84,6 +84,10 @@
 	case c.CreateService != nil:
 		s := c.CreateService
 		return t.compareRow("services", row{"service": s.Name}, row{"instances": strings.Join(s.At, " "), "keys": s.Keys})
+	case c.Evacuate != nil:
+		return t.compareRow("halls", row{"hall": *c.Evacuate}, row{"state": "evacuated"})
+	case c.Readmit != nil:
+		return t.compareRow("halls", row{"hall": *c.Readmit}, row{"state": "admitted"})
 	case c.SetPolicy != nil:
 		p := c.SetPolicy
 		return t.compareRow("policy", row{}, row{
--- a/transport/ctl/print.go
+++ b/transport/ctl/print.go
@@ -79,7 +79,7 @@
 func completionScript() string {
 	words := append([]string{
 		"show", "why", "create", "bind", "unbind", "allow", "deny", "drain", "undrain",
-		"release", "move", "set", "void", "check", "diff", "apply", "hash-key", "completion", "help",
+		"release", "move", "set", "evacuate", "readmit", "evacuations", "void", "check", "diff", "apply", "hash-key", "completion", "help",
 	}, help.Topics()...)
 	return fmt.Sprintf("complete -W %q troutctl\n", strings.Join(words, " "))
 }
--- a/transport/node/loops.go
+++ b/transport/node/loops.go
@@ -129,6 +129,7 @@
 			}
 		}
 	}
+	n.Routing.SetEvacuated(func(hall state.HallName) bool { return view.Evacuations[hall] != nil })
 	n.Routing.Update(groups)
 	for _, c := range n.Routing.All() {
 		n.JudgeGroup(c)
--- a/transport/operator/show.go
+++ b/transport/operator/show.go
@@ -31,6 +31,8 @@
 		return s.showPolicy(), false, nil
 	case "measures":
 		return s.showMeasures(), true, nil
+	case "halls":
+		return s.showHalls(), false, nil
 	}
 	if q.One == "group" {
 		t := s.showGroups(state.GroupName(q.Name))
@@ -89,6 +91,8 @@
 		st = "releasing"
 	case g.Drained != 0:
 		st = "drained"
+	case s.c.Follower.View().Evacuations[g.Hall] != nil:
+		st = "evacuated"
 	case whole && !c.CanAccept(s.c.Clock.Now()):
 		st = "leaving"
 	case whole:
@@ -164,6 +168,28 @@
 	return t
 }
 
+// showHalls shows the halls that the platform's list or an evacuation names.
+func (s *Server) showHalls() *table {
+	t := &table{columns: []string{hallColumn, "instances", "state", "since"}}
+	view := s.c.Follower.View()
+	instances := map[state.HallName]int{}
+	for _, p := range s.c.Places.All() {
+		instances[p.Hall]++
+	}
+	for hall := range view.Evacuations {
+		instances[hall] += 0
+	}
+	for hall, n := range instances {
+		if e := view.Evacuations[hall]; e != nil {
+			t.add(hall, n, "evacuated", e.Since)
+		} else {
+			t.add(hall, n, "admitted", 0)
+		}
+	}
+	t.sort()
+	return t
+}
+
 func (s *Server) showNodes() *table {
 	t := &table{columns: []string{"node", hallColumn, "address", "applied", "ready", "stopping", "held", "demand", "log-age", "heard"}}
 	now := s.c.Clock.Now()
