Relay the age of the set of evacuated halls

A node took the relayed set to be as old as the relayed configuration. During an upgrade the configuration can be younger, since leaders of earlier builds confirm only that; groups of an evacuated hall could then serve as a last resort for longer than the bound allows. Answers now name the age of the set itself.

Tested: TestRelayedSetIsAsOldAsAtLeader and the other tests of evacuations in transport/entry pass.

--- a/transport/entry/evacuation.go
+++ b/transport/entry/evacuation.go
@@ -105,12 +105,16 @@
 
 // addToAnswer adds the position of the set to an answer, and the set itself if the sender of the report has an older one.
 // While the store's records may be incomplete after a restore, the set is added also for a sender that has read them.
-func (e *evacuations) addToAnswer(a *StatusAnswer, w *StatusReport, isSettled bool) {
+func (e *evacuations) addToAnswer(a *StatusAnswer, w *StatusReport, isSettled bool, now time.Time) {
 	if !e.isOn() {
 		return
 	}
-	set := e.current().Set()
-	a.EvacuationsAt = set.Position
+	k := e.current()
+	set := k.Set()
+	a.EvacuationsAt, a.EvacuationsAgeMS = set.Position, ceilMS(unknownAge)
+	if !k.ConfirmedAt.IsZero() {
+		a.EvacuationsAgeMS = ceilMS(now.Sub(k.ConfirmedAt))
+	}
 	set.IsUnsettled = !isSettled && source.Era(set.Position) < source.Era(w.EvacuationsAt)
 	if set.Position > w.EvacuationsAt || set.IsUnsettled {
 		a.Evacuations = &set
@@ -145,7 +149,7 @@
 func (n *Node) applyRelayedEvacuations(a *StatusAnswer, sentAt time.Time) {
 	n.mergeEvacuations(a.Evacuations, "peer")
 	if n.evacuations.isOn() && a.EvacuationsAt > 0 {
-		n.evacuations.confirm(a.EvacuationsAt, sentAt.Add(-time.Duration(a.ConfigAgeMS)*time.Millisecond))
+		n.evacuations.confirm(a.EvacuationsAt, sentAt.Add(-time.Duration(a.EvacuationsAgeMS)*time.Millisecond))
 	}
 }
 
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -119,10 +119,11 @@
 	ConfigVersion int64  `json:"version"`
 	ConfigAgeMS   int64  `json:"age"`
 	Config        []byte `json:"config,omitempty"`
-	// EvacuationsAt is the position of the set of evacuated halls in force at the answering node, as old as its
-	// configuration; 0 if there is none. Evacuations is the set itself if the sender's is older.
-	EvacuationsAt int64           `json:"evac_at,omitempty"`
-	Evacuations   *evacuation.Set `json:"evac,omitempty"`
+	// EvacuationsAt is the position of the set of evacuated halls in force at the answering node, 0 if there is none, and
+	// EvacuationsAgeMS the time since it was last known to be current. Evacuations is the set itself if the sender's is older.
+	EvacuationsAt    int64           `json:"evac_at,omitempty"`
+	EvacuationsAgeMS int64           `json:"evac_age,omitempty"`
+	Evacuations      *evacuation.Set `json:"evac,omitempty"`
 	// Era is the newest era of the store that the node knows of.
 	Era int64 `json:"era,omitempty"`
 	// Changes are the instance changes that the sender lacks, up to the roster version FeedVersion of
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -266,7 +266,7 @@
 	p.mu.Unlock()
 	n.applyConfig(w.Config, "peer")
 	n.mergeEvacuations(w.Evacuations, w.From.Name)
-	n.evacuations.addToAnswer(a, w, n.eras.isCurrent(now))
+	n.evacuations.addToAnswer(a, w, n.eras.isCurrent(now), now)
 	n.ledger.Merge(w.Ledger.delta(now), quarantine.Source(w.From.Number))
 	for _, s := range w.Suspects {
 		n.placement.recordPeerSuspicion(s.Instance, now.Add(-time.Duration(s.AgeMS)*time.Millisecond))
