Test cold instances across nodes, builds and histories

A node that has a leader no longer claims its own share of a cold instance at the moment when it learns of the first one: until then no leader had allocated anything to it, so it took itself for a node without one, and counted nowhere for 1.6 s. A warm entry was relayed without its age, so that other nodes ignored it.

--- a/coordination/ratelimit/coldhistory_test.go
+++ b/coordination/ratelimit/coldhistory_test.go
@@ -22,12 +22,33 @@
 	policy Policy
 	nodes  []*coldNode
 	events []coldEvent
-	// sent are the times of all requests, by the order of time. firstFull is the time of the first after the buckets filled.
+	// sent are the times of all requests, by the order of time.
 	sent []time.Time
+	// pulse, if it is not 0, is the time between two beginnings of the callers' requests, which stop in the second half of that time.
+	pulse time.Duration
 	// lateness is the largest delay of a message, one in lateOneIn is delayed by that much at most.
 	lateness  time.Duration
 	lateOneIn int
 	nextID    int64
+	// counted tells which node last counted each node toward its share, and when. twice names a node that a second one
+	// counted too early.
+	counted map[string]countedBy
+	twice   string
+}
+
+// countedBy is the process that counted a node toward its share at a time.
+type countedBy struct {
+	process int64
+	at      time.Time
+}
+
+// count records that a node counts another one, or itself, toward its share.
+func (h *coldHistory) count(by *coldNode, name string) {
+	last := h.counted[name]
+	if last.process != 0 && last.process != by.process && h.now.Sub(last.at) < h.policy.ColdGrantTTL {
+		h.twice = fmt.Sprintf("%s by %d and by %s (%d) at %v", name, last.process, by.name, by.process, h.now.Sub(start))
+	}
+	h.counted[name] = countedBy{by.process, h.now}
 }
 
 // coldEvent is an event at a time.
@@ -75,7 +96,7 @@
 
 // newColdHistory returns a history of nodes that all know that the instance is cold. The first one leads.
 func newColdHistory(rng *rand.Rand, nodes int, bound ColdBound, perSecond float64, policy Policy) *coldHistory {
-	h := &coldHistory{rng: rng, now: start, policy: policy, limit: bound.Limit(instance, perSecond, start.Add(time.Hour)), lateOneIn: 1 << 30}
+	h := &coldHistory{rng: rng, now: start, policy: policy, limit: bound.Limit(instance, perSecond, start.Add(time.Hour)), lateOneIn: 1 << 30, counted: map[string]countedBy{}}
 	for i := range nodes {
 		n := h.newNode(fmt.Sprint("n", i))
 		n.allegiance = NewAllegiance(time.Time{})
@@ -158,6 +179,9 @@
 		n.nextReport = h.now.Add(statusInterval)
 		h.report(n)
 	}
+	if h.pulse > 0 && h.now.Sub(start)%h.pulse > h.pulse/2 {
+		return
+	}
 	for at := h.rng.ExpFloat64() / n.demand; at < coldTick.Seconds(); at += h.rng.ExpFloat64() / n.demand {
 		if !n.tracker.Take(instance, h.now) {
 			break // the others of this tick are refused as well
@@ -221,16 +245,18 @@
 			weights[name] = r.demand
 			if r.standing.IsCounted(start.Add(time.Duration(r.standing.Echo)*time.Microsecond), &h.policy, h.now) {
 				counted++
+				h.count(n, name)
 			}
 		}
 		slices.SortFunc(in.Nodes, func(a, b NodeUsage) int { return len(a.Name) - len(b.Name) })
 		in.Weight = func(node string, _ *Limit) float64 { return weights[node] + 0.01 }
-	case h.now.Sub(n.answeredAt) < nodeTimeout || !h.policy.CanIssue(&limits[0], 1/all):
+	case h.now.Sub(n.answeredAt) < nodeTimeout || !n.allegiance.IsAlone(&h.policy, h.now) || !h.policy.CanIssue(&limits[0], 1/all):
 		return
 	}
 	n.allegiance.Follow(OwnAllocator, 1, h.now)
 	if n.allegiance.Standing(OwnAllocator, &h.policy, h.now).Settled {
 		counted++
+		h.count(n, n.name)
 	}
 	in.ColdShare = counted / all
 	n.allocator.Allocate(in, h.now)
@@ -371,6 +397,7 @@
 		perSecond := rapid.SampledFrom([]float64{26, 26, 1, 5, 100}).Draw(t, "per second")
 		h := newColdHistory(rng, nodes, bound, perSecond, DefaultPolicy())
 		h.setDemand(rapid.SampledFrom([]float64{5, 30, 300, 30000}).Draw(t, "demand"), rapid.Bool().Draw(t, "skewed"))
+		h.pulse = rapid.SampledFrom([]time.Duration{0, time.Second, 1700 * time.Millisecond, 3 * time.Second}).Draw(t, "pulse")
 		h.lateness = rapid.SampledFrom([]time.Duration{time.Second, 3 * time.Second}).Draw(t, "lateness")
 		h.lateOneIn = rapid.SampledFrom([]int{1 << 30, 20, 3}).Draw(t, "late one in")
 		for _, kind := range rapid.SliceOfN(rapid.IntRange(0, 6), 0, 8).Draw(t, "faults") {
@@ -378,6 +405,7 @@
 		}
 		h.run(coldLength)
 		NewWithT(t).Expect(float64(h.mostInSecond())).To(BeNumerically("<=", h.limit.MaxInSecond))
+		NewWithT(t).Expect(h.twice).To(BeEmpty(), "a node is counted by one Allocator only, until the grants of the one before have expired")
 	})
 }
 
--- a/coordination/ratelimit/lease.go
+++ b/coordination/ratelimit/lease.go
@@ -49,6 +49,13 @@
 	a.answeredAt, a.stamp = now, max(a.stamp, stamp)
 }
 
+// IsAlone reports whether no leader counts the node any more, so that it may allocate by itself.
+func (a *Allegiance) IsAlone(p *Policy, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leader == OwnAllocator || now.Sub(a.answeredAt) >= p.Handover()
+}
+
 // Standing returns what the node reports to a leader.
 func (a *Allegiance) Standing(leader int64, p *Policy, now time.Time) Standing {
 	a.mu.Lock()
--- a/coordination/roster/cold.go
+++ b/coordination/roster/cold.go
@@ -14,6 +14,8 @@
 	readAt time.Time
 	// relayed is the value of until at the last change that other nodes need to know.
 	relayed time.Time
+	// wasCold is set once the instance has been cold.
+	wasCold bool
 	// assumedUntil is when the instance stops being cold unless an entry read from settledAt on says otherwise.
 	assumedUntil time.Time
 	settledAt    time.Time
@@ -35,6 +37,7 @@
 		return false
 	}
 	c.until, c.readAt, c.assumedUntil = until, readAt, time.Time{}
+	c.wasCold = c.wasCold || left > 0
 	isLonger := until.After(now) && until.After(c.relayed)
 	isShorter := c.relayed.After(now) && c.relayed.Sub(until) > coldReliefMin
 	if isLonger || isShorter {
@@ -51,14 +54,14 @@
 	if !until.After(c.until) {
 		return false
 	}
-	c.until, c.relayed = until, until
+	c.until, c.relayed, c.wasCold = until, until, true
 	return true
 }
 
 // left returns how long an instance remains cold, and the age of the entry that states so. Both are 0 if it has
 // not been cold.
 func (c *coldState) left(now time.Time) (left, age time.Duration) {
-	if c.relayed.IsZero() {
+	if !c.wasCold {
 		return 0, 0
 	}
 	if !c.readAt.IsZero() {
--- a/transport/entry/cold.go
+++ b/transport/entry/cold.go
@@ -171,7 +171,7 @@
 	if !slices.ContainsFunc(limits, func(l ratelimit.Limit) bool { return p.CanIssue(&l, share) }) {
 		return 0
 	}
-	if !n.isSettled(now) {
+	if !n.cold.allegiance.IsAlone(p, now) || !n.isSettled(now) {
 		return 0
 	}
 	return share
--- a/transport/entry/cold_test.go
+++ b/transport/entry/cold_test.go
@@ -225,3 +225,128 @@
 	g.Expect(n.logged("cold instances ended")).To(Equal(1))
 	g.Expect(n.limits.ColdCount()).To(BeZero())
 }
+
+// coldReporting returns a leader and two nodes that report to it, of which the leader has read that the instance is cold.
+func coldReporting(g *WithT, left time.Duration) (*limitHistory, *reportingNodes) {
+	h := newColdHistory(g, rand.New(rand.NewPCG(1, 1)), 3, 0)
+	h.clock.Advance(2 * time.Second) // the nodes are settled
+	r := &reportingNodes{h.nodes[0].Node, h.nodes[1].Node, h.nodes[2].Node, h.in, h.clock}
+	h.coldUntil = h.clock.Now().Add(left)
+	h.setCold(h.nodes[0], left)
+	return h, r
+}
+
+// spendFor lets all nodes send as many requests to the cold instance as they may for a time, and returns their number.
+func (r *reportingNodes) spendFor(g *WithT, d time.Duration) int {
+	sent := 0
+	for range d / (100 * time.Millisecond) {
+		r.advance(g, 100*time.Millisecond)
+		for _, n := range []*Node{r.leader, r.a, r.b} {
+			n.rebuildCold()
+			_, limited := n.RateLimit(&r.in)
+			g.Expect(limited).To(BeTrue(), n.settings.Name)
+			sent += spend(n, &r.in)
+		}
+	}
+	return sent
+}
+
+// The leader alone reads that an instance is cold: the others learn it from the leader's answers, and get grants. The time is
+// relayed with its age, so that it ends at no node before it does at the instance.
+func TestColdInstanceIsRelayedByTheLeader(t *testing.T) {
+	g := NewWithT(t)
+	h, r := coldReporting(g, 3*time.Second)
+	r.advance(g, 300*time.Millisecond)
+	for _, n := range []*Node{r.a, r.b} {
+		n.rebuildCold()
+		l, limited := n.limits.LimitOf(r.in.Incarnation(), h.clock.Now())
+		g.Expect(limited).To(BeTrue())
+		g.Expect(l.Cause).To(Equal(ratelimit.CauseCold))
+		g.Expect(l.ColdUntil).NotTo(BeTemporally("<", h.coldUntil))
+		g.Expect(l.ColdUntil.Sub(h.coldUntil)).To(BeNumerically("<", 300*time.Millisecond))
+	}
+	sent := r.spendFor(g, time.Second)
+	g.Expect(sent).To(And(BeNumerically(">", 10), BeNumerically("<=", 44)))
+	h.clock.Advance(3 * time.Second)
+	for _, n := range []*Node{r.leader, r.a, r.b} {
+		g.Expect(n.CanSend(&r.in)).To(BeTrue())
+	}
+}
+
+// A limit that the instance announced itself applies as well: the lower one counts, and each ends by itself.
+func TestLowerOfAnnouncedAndColdLimitCounts(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		announced float64
+		perSecond float64
+		cause     ratelimit.Cause
+	}{
+		{"lower announced limit", 4, 4, ratelimit.CauseAnnounced},
+		{"higher announced limit", 100, 26, ratelimit.CauseCold},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			h, r := coldReporting(g, 3*time.Second)
+			r.leader.RecordNotice(&r.in, limitedTo(c.announced), "r", h.clock.Now())
+			l, _ := r.leader.limits.LimitOf(r.in.Incarnation(), h.clock.Now())
+			g.Expect(l.PerSecond).To(Equal(c.perSecond))
+			g.Expect(l.Cause).To(Equal(c.cause))
+			h.clock.Advance(time.Millisecond)
+			r.leader.RecordNotice(&r.in, fleet.Notice{RateLimit: fleet.Unlimited()}, "r", h.clock.Now())
+			l, _ = r.leader.limits.LimitOf(r.in.Incarnation(), h.clock.Now())
+			g.Expect(l.PerSecond).To(Equal(26.0), "the instance is still cold")
+			h.clock.Advance(time.Millisecond)
+			r.leader.RecordNotice(&r.in, limitedTo(c.announced), "r", h.clock.Now())
+			h.clock.Advance(4 * time.Second)
+			l, limited := r.leader.limits.LimitOf(r.in.Incarnation(), h.clock.Now())
+			g.Expect(limited).To(BeTrue())
+			g.Expect(l.PerSecond).To(Equal(c.announced), "the instance is warm")
+		})
+	}
+}
+
+// Probes do not count against the limit of a cold instance and need no grant, unlike those of an instance that announced a
+// limit.
+func TestProbesOfColdInstancesNeedNoGrant(t *testing.T) {
+	g := NewWithT(t)
+	h, r := coldReporting(g, 3*time.Second)
+	by := ratelimit.ProbeRequest{}
+	for range 100 {
+		g.Expect(r.leader.limits.CanProbe(r.in.Incarnation(), by, h.clock.Now())).To(BeTrue())
+		g.Expect(r.leader.limits.TryProbe(r.in.Incarnation(), by, h.clock.Now())).To(BeTrue())
+	}
+	r.advance(g, 300*time.Millisecond)
+	g.Expect(r.spendFor(g, time.Second)).To(BeNumerically(">", 10))
+	g.Expect(r.leader.TrySend(&r.in)).To(BeFalse())
+	g.Expect(r.leader.metrics.Get("cold.held-back")).NotTo(BeNil())
+}
+
+// A node of a build without cold instances would send as many requests as it likes: the leader keeps it away from cold ones,
+// as it keeps older ones away from instances with announced limits.
+func TestEarlierBuildsAreKeptFromColdInstances(t *testing.T) {
+	for _, c := range []struct {
+		version    int
+		isShielded bool
+	}{{0, true}, {protocolRateLimits, true}, {protocolForwarding, true}, {protocolColdInstances, false}, {protocolColdInstances + 1, false}} {
+		t.Run(fmt.Sprint("version ", c.version), func(t *testing.T) {
+			g := NewWithT(t)
+			_, r := coldReporting(g, 3*time.Second)
+			a := reportAsVersion(g, r.a, r.leader, c.version)
+			g.Expect(a.InProgress[r.in.ID] > 0).To(Equal(c.isShielded))
+		})
+	}
+}
+
+// A leader of a build without cold instances relays no cold times: the other nodes read the list themselves meanwhile.
+func TestListIsReadUnderALeaderThatRelaysNoColdTimes(t *testing.T) {
+	g := NewWithT(t)
+	_, r := coldReporting(g, 3*time.Second)
+	r.advance(g, 300*time.Millisecond)
+	r.a.feed.record(r.clock.Now(), r.clock.Now())
+	g.Expect(r.a.leavesListToLeader(r.clock.Now())).To(BeTrue())
+	r.a.peers.mergeLimits(&StatusAnswer{Protocol: protocolForwarding}, r.clock.Now())
+	g.Expect(r.a.leavesListToLeader(r.clock.Now())).To(BeFalse())
+	r.a.settings.Cold = ratelimit.ColdBound{}
+	r.a.peers.mergeLimits(&StatusAnswer{Protocol: protocolForwarding}, r.clock.Now())
+	g.Expect(r.a.leavesListToLeader(r.clock.Now())).To(BeTrue())
+}
