Issue grants for cold instances in sparse rounds

Choosing a node weighed all nodes anew for each grant: with 57 cold instances and 570 nodes a leader spent 381 ms of each second on it. The weights of the nodes are now kept for a round, per pool of instances that run the same requests, and only the node that got a grant is weighed again. Unused grants are summed from the reports, which list few instances each.

--- a/coordination/ratelimit/cold.go
+++ b/coordination/ratelimit/cold.go
@@ -205,81 +205,153 @@
 
 // issueBounded issues grants for a cold instance. In any one second the nodes send at most what was available at its
 // start, as tokens or as unused grants, and what becomes available within it: credit and rate together are below the
-// bound. They are proportional to ColdShare, whatever its size, so this holds for the sum over all Allocators. One
+// bound. reported is the number of unused grants that nodes reported. Both are proportional to ColdShare, whatever its size, so this holds for the sum over all Allocators. One
 // whose credit is less than one request issues none.
-func (d *Allocator) issueBounded(b *bucket, l *Limit, r *AllocationInput, now time.Time) {
+func (d *Allocator) issueBounded(b *bucket, l *Limit, r *AllocationInput, reported int, now time.Time) {
 	rate, credit := d.policy.coldRate(l)*r.ColdShare, d.policy.maxCredit(l)*r.ColdShare
 	elapsed := now.Sub(b.refilledAt)
 	b.refilledAt, b.perSecond = now, l.PerSecond
 	if elapsed > d.policy.ColdGrantTTL {
 		b.tokens, elapsed = 0, 0 // another node may have issued grants in the meantime
 	}
-	outstanding := b.outstanding(l.Instance.ID, r.Nodes, now, &d.policy)
+	outstanding := reported + b.unconfirmed(d.round.echoes, now, &d.policy)
 	b.tokens = min(b.tokens+rate*elapsed.Seconds(), max(credit-float64(outstanding), 0))
+	if b.tokens < 1 {
+		return
+	}
+	pool := d.poolOf(r, l)
 	for b.tokens >= 1 {
-		node := d.chooseNode(b, r, l)
-		if node == "" {
+		i := pool.choose(d.random())
+		if i < 0 {
 			return
 		}
-		a := b.allotment(node)
+		a := b.allotment(r.Nodes[i].Name)
 		a.uncollected = append(a.uncollected, now)
-		d.held[heldBy{node, r.Pool(l)}]++
+		pool.add(i, d.policy.ColdGrantTTL)
 		b.tokens--
 	}
 }
 
-// outstanding returns the number of grants that may be unused, at least. It takes back those that were not collected in time.
-func (b *bucket) outstanding(id state.InstanceID, nodes []NodeUsage, now time.Time, p *Policy) int {
+// unconfirmed returns the number of grants that no status report includes yet. It takes back those that were not collected
+// in time. echoes holds the stamp of the last answer that each node had received when it reported.
+func (b *bucket) unconfirmed(echoes map[string]int64, now time.Time, p *Policy) int {
 	n := 0
-	for i := range nodes {
-		n += nodes[i].Usage[id].Unused
-		if a := b.allotments[nodes[i].Name]; a != nil {
-			a.confirm(nodes[i].Echo, now, p)
+	for name, a := range b.allotments {
+		if len(a.inTransit) > 0 {
+			a.confirm(echoes[name], now, p)
 		}
-	}
-	for _, a := range b.allotments {
-		a.confirm(0, now, p)
 		for len(a.uncollected) > 0 && now.Sub(a.uncollected[0]) > p.CollectTimeout {
 			a.uncollected = a.uncollected[1:]
 			b.tokens++
 		}
-		n += len(a.uncollected)
-		for _, c := range a.inTransit {
-			n += c.requests
-		}
+		n += a.unreported()
 	}
 	return n
 }
 
-// heldBy identifies the grants that a node holds for the cold instances of a pool.
-type heldBy struct{ node, pool string }
+// coldRound is the state of one round of issuing grants for cold instances.
+type coldRound struct {
+	echoes map[string]int64
+	pools  map[string]*pool
+}
 
-// countHeld counts the unused grants of each node for the cold instances of each pool. A node uses a grant for any of
+// pool holds the nodes that get grants for the cold instances that can run the same requests. A node uses a grant for any of
 // them with its next request, so that many grants for different instances would lie unused at one node while others
-// have none. d.mu is held.
-func (d *Allocator) countHeld(r *AllocationInput) {
-	d.held = map[heldBy]int{}
+// have none.
+type pool struct {
+	// demands are the requests a second of each node, held its unused grants, weights how likely it gets the next one.
+	demands []float64
+	held    []int
+	weights []float64
+}
+
+// startRound prepares a round of issuing grants for cold instances. d.mu is held.
+func (d *Allocator) startRound(r *AllocationInput) {
+	d.round = coldRound{}
+	if !slices.ContainsFunc(r.Limits, func(l Limit) bool { return l.MaxInSecond > 0 }) {
+		return
+	}
+	d.round.echoes, d.round.pools = make(map[string]int64, len(r.Nodes)), map[string]*pool{}
+	index := make(map[string]int, len(r.Nodes))
+	for i := range r.Nodes {
+		d.round.echoes[r.Nodes[i].Name] = r.Nodes[i].Echo
+		index[r.Nodes[i].Name] = i
+	}
+	names := map[state.InstanceID]string{}
 	for i := range r.Limits {
-		l := &r.Limits[i]
-		if l.MaxInSecond == 0 {
-			continue
+		if l := &r.Limits[i]; l.MaxInSecond > 0 {
+			names[l.Instance.ID] = r.Pool(l)
+			d.poolOf(r, l).countUnreported(d.buckets[l.Instance.ID], index)
 		}
-		pool, b := r.Pool(l), d.buckets[l.Instance.ID]
-		for j := range r.Nodes {
-			n := &r.Nodes[j]
-			if held := n.Usage[l.Instance.ID].Unused + b.allotments[n.Name].unreported(); held > 0 {
-				d.held[heldBy{n.Name, pool}] += held
+	}
+	for i := range r.Nodes {
+		for id, u := range r.Nodes[i].Usage {
+			if p := d.round.pools[names[id]]; p != nil {
+				p.held[i] += u.Unused
 			}
 		}
 	}
+	for _, p := range d.round.pools {
+		for i := range p.weights {
+			p.weigh(i, d.policy.ColdGrantTTL)
+		}
+	}
+}
+
+// poolOf returns the pool of a cold instance in the current round. d.mu is held.
+func (d *Allocator) poolOf(r *AllocationInput, l *Limit) *pool {
+	name := r.Pool(l)
+	p := d.round.pools[name]
+	if p != nil {
+		return p
+	}
+	p = &pool{demands: make([]float64, len(r.Nodes)), held: make([]int, len(r.Nodes)), weights: make([]float64, len(r.Nodes))}
+	for i := range r.Nodes {
+		if r.Nodes[i].UsesCold {
+			p.demands[i] = r.Weight(r.Nodes[i].Name, l)
+		}
+	}
+	d.round.pools[name] = p
+	return p
+}
+
+// countUnreported adds the grants from a bucket that the nodes have not reported yet. index holds the position of each node.
+func (p *pool) countUnreported(b *bucket, index map[string]int) {
+	for name, a := range b.allotments {
+		if i, known := index[name]; known {
+			p.held[i] += a.unreported()
+		}
+	}
 }
 
-// heldBy returns the number of unused grants of a node that compete for its requests with one more grant. d.mu is held.
-func (d *Allocator) heldBy(b *bucket, n *NodeUsage, r *AllocationInput, l *Limit) int {
-	if b.isCold {
-		return d.held[heldBy{n.Name, r.Pool(l)}]
+// weigh updates the weight of a node.
+func (p *pool) weigh(i int, ttl time.Duration) {
+	p.weights[i] = p.demands[i]
+	if p.held[i] > 0 {
+		p.weights[i] *= useLikelihood(p.demands[i]*ttl.Seconds(), p.held[i])
+	}
+}
+
+// add records that a node gets one more grant.
+func (p *pool) add(i int, ttl time.Duration) {
+	p.held[i]++
+	p.weigh(i, ttl)
+}
+
+// choose returns a node for a random number in [0, 1), with probability proportional to its weight, or -1 if none can
+// be expected to use a grant.
+func (p *pool) choose(random float64) int {
+	total := 0.0
+	for _, w := range p.weights {
+		total += w
+	}
+	remaining := random * total
+	for i, w := range p.weights {
+		if remaining -= w; remaining < 0 {
+			return i
+		}
 	}
-	return n.Usage[l.Instance.ID].Unused + b.allotments[n.Name].unreported()
+	return -1
 }
 
 // collection is a number of grants collected by a node with one answer.
--- a/coordination/ratelimit/dealer.go
+++ b/coordination/ratelimit/dealer.go
@@ -49,8 +49,8 @@
 	buckets map[state.InstanceID]*bucket
 	// weights is scratch space of chooseNode.
 	weights []float64
-	// held is the number of unused grants for cold instances by node and pool, as of the current round.
-	held map[heldBy]int
+	// round is the state of the current round for cold instances.
+	round coldRound
 }
 
 // bucket is a token bucket for the rate of one instance, and the grants issued from it.
@@ -108,12 +108,12 @@
 	}
 	d.buckets = buckets
 	sent, outstanding := d.usage(r.Nodes)
-	d.countHeld(&r)
+	d.startRound(&r)
 	for i := range r.Limits {
 		l := &r.Limits[i]
 		b := buckets[l.Instance.ID]
 		if b.isCold {
-			d.issueBounded(b, l, &r, now)
+			d.issueBounded(b, l, &r, outstanding[l.Instance.ID], now)
 			continue
 		}
 		d.issue(b, l, &r, sent[l.Instance.ID], outstanding[l.Instance.ID]+b.unreported(now, &d.policy), now)
@@ -219,15 +219,8 @@
 	for i := range r.Nodes {
 		n := &r.Nodes[i]
 		w := r.Weight(n.Name, l)
-		ttl := d.policy.GrantTTL
-		if b.isCold {
-			ttl = d.policy.ColdGrantTTL
-		}
-		if b.isCold && !n.UsesCold {
-			w = 0
-		}
-		if held := d.heldBy(b, n, r, l); held > 0 {
-			w *= useLikelihood(w*ttl.Seconds(), held)
+		if held := n.Usage[l.Instance.ID].Unused + b.allotments[n.Name].unreported(); held > 0 {
+			w *= useLikelihood(w*d.policy.GrantTTL.Seconds(), held)
 		}
 		d.weights = append(d.weights, w)
 		total += w
@@ -238,13 +231,7 @@
 			return r.Nodes[i].Name
 		}
 	}
-	// All weights are 0: every node holds more grants than it can be expected to use.
-	for i := range r.Nodes {
-		if n := &r.Nodes[len(r.Nodes)-1-i]; !b.isCold || n.UsesCold {
-			return n.Name
-		}
-	}
-	return ""
+	return r.Nodes[len(r.Nodes)-1].Name
 }
 
 // unreported returns the number of grants issued to a node that its status reports do not
--- a/transport/entry/cold_test.go
+++ b/transport/entry/cold_test.go
@@ -226,11 +226,12 @@
 	g.Expect(n.limits.ColdCount()).To(BeZero())
 }
 
-// coldReporting returns a leader and two nodes that report to it, of which the leader has read that the instance is cold.
-func coldReporting(g *WithT, left time.Duration) (*limitHistory, *reportingNodes) {
+// coldReporting returns a leader and two nodes that report to it, of which the leader has read that the instance is cold for 3 s.
+func coldReporting(g *WithT) (*limitHistory, *reportingNodes) {
 	h := newColdHistory(g, rand.New(rand.NewPCG(1, 1)), 3, 0)
 	h.clock.Advance(2 * time.Second) // the nodes are settled
 	r := &reportingNodes{h.nodes[0].Node, h.nodes[1].Node, h.nodes[2].Node, h.in, h.clock}
+	const left = 3 * time.Second
 	h.coldUntil = h.clock.Now().Add(left)
 	h.setCold(h.nodes[0], left)
 	return h, r
@@ -255,7 +256,7 @@
 // relayed with its age, so that it ends at no node before it does at the instance.
 func TestColdInstanceIsRelayedByTheLeader(t *testing.T) {
 	g := NewWithT(t)
-	h, r := coldReporting(g, 3*time.Second)
+	h, r := coldReporting(g)
 	r.advance(g, 300*time.Millisecond)
 	for _, n := range []*Node{r.a, r.b} {
 		n.rebuildCold()
@@ -286,7 +287,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			h, r := coldReporting(g, 3*time.Second)
+			h, r := coldReporting(g)
 			r.leader.RecordNotice(&r.in, limitedTo(c.announced), "r", h.clock.Now())
 			l, _ := r.leader.limits.LimitOf(r.in.Incarnation(), h.clock.Now())
 			g.Expect(l.PerSecond).To(Equal(c.perSecond))
@@ -309,7 +310,7 @@
 // limit.
 func TestProbesOfColdInstancesNeedNoGrant(t *testing.T) {
 	g := NewWithT(t)
-	h, r := coldReporting(g, 3*time.Second)
+	h, r := coldReporting(g)
 	by := ratelimit.ProbeRequest{}
 	for range 100 {
 		g.Expect(r.leader.limits.CanProbe(r.in.Incarnation(), by, h.clock.Now())).To(BeTrue())
@@ -330,7 +331,7 @@
 	}{{0, true}, {protocolRateLimits, true}, {protocolForwarding, true}, {protocolColdInstances, false}, {protocolColdInstances + 1, false}} {
 		t.Run(fmt.Sprint("version ", c.version), func(t *testing.T) {
 			g := NewWithT(t)
-			_, r := coldReporting(g, 3*time.Second)
+			_, r := coldReporting(g)
 			a := reportAsVersion(g, r.a, r.leader, c.version)
 			g.Expect(a.InProgress[r.in.ID] > 0).To(Equal(c.isShielded))
 		})
@@ -340,7 +341,7 @@
 // A leader of a build without cold instances relays no cold times: the other nodes read the list themselves meanwhile.
 func TestListIsReadUnderALeaderThatRelaysNoColdTimes(t *testing.T) {
 	g := NewWithT(t)
-	_, r := coldReporting(g, 3*time.Second)
+	_, r := coldReporting(g)
 	r.advance(g, 300*time.Millisecond)
 	r.a.feed.record(r.clock.Now(), r.clock.Now())
 	g.Expect(r.a.leavesListToLeader(r.clock.Now())).To(BeTrue())
