--- a/transport/entry/cooldown_test.go
+++ b/transport/entry/cooldown_test.go
@@ -205,11 +205,19 @@
 
 // startServing starts nodes with the ports that a function returns, and waits until all of them serve.
 func startServing(t *testing.T, s *store, count int, ports func(name string) entry.Ports) []*running {
+	return startServingTuned(t, s, count, ports, func(*entry.Settings) {})
+}
+
+// startServingTuned starts nodes as startServing does, after tune has changed their settings.
+func startServingTuned(t *testing.T, s *store, count int, ports func(name string) entry.Ports, tune func(*entry.Settings)) []*running {
 	var nodes []*running
 	var seeds []netip.AddrPort
 	for i := range count {
 		name := fmt.Sprintf("n%d", i)
-		n := startTuned(t, s, ports(name), name, func(set *entry.Settings) { set.IsFirstStart = true }, seeds...)
+		n := startTuned(t, s, ports(name), name, func(set *entry.Settings) {
+			set.IsFirstStart = true
+			tune(set)
+		}, seeds...)
 		nodes = append(nodes, n)
 		seeds = append(seeds, n.set.PeerAddress)
 	}
