Name the binding of a node to an Allocator plainly

The type that tracks where a node gets its grants from, and its form in status reports, have the usual term. Comments say when HallReadmitted must be called.

--- a/coordination/ratelimit/coldhistory_test.go
+++ b/coordination/ratelimit/coldhistory_test.go
@@ -59,11 +59,11 @@
 
 // coldNode is a simulated node.
 type coldNode struct {
-	name       string
-	process    int64
-	tracker    *Tracker
-	allocator  *Allocator
-	allegiance *Allegiance
+	name      string
+	process   int64
+	tracker   *Tracker
+	allocator *Allocator
+	binding   *AllocatorBinding
 	// side is the side of a network partition that the node is on.
 	side        int
 	frozenUntil time.Time
@@ -79,7 +79,7 @@
 // coldReport is a status report as a leader has it.
 type coldReport struct {
 	usage      map[state.InstanceID]Usage
-	standing   Standing
+	binding    BindingState
 	process    int64
 	receivedAt time.Time
 	demand     float64
@@ -99,7 +99,7 @@
 	h := &coldHistory{rng: rng, now: start, policy: policy, limit: bound.Limit(instance, perSecond, start.Add(time.Hour)), lateOneIn: 1 << 30, counted: map[string]countedBy{}}
 	for i := range nodes {
 		n := h.newNode(fmt.Sprint("n", i))
-		n.allegiance = NewAllegiance(time.Time{})
+		n.binding = NewAllocatorBinding(time.Time{})
 		h.nodes = append(h.nodes, n)
 	}
 	h.nodes[0].isLeader = true
@@ -111,7 +111,7 @@
 	h.nextID++
 	n := &coldNode{
 		name: name, process: h.nextID, tracker: NewTracker(h.policy), allocator: NewAllocator(h.policy, h.rng.Float64),
-		allegiance: NewAllegiance(h.now), nextReport: h.now.Add(h.random(statusInterval)), reports: map[string]coldReport{}, answeredAt: h.now,
+		binding: NewAllocatorBinding(h.now), nextReport: h.now.Add(h.random(statusInterval)), reports: map[string]coldReport{}, answeredAt: h.now,
 	}
 	n.tracker.SetCold([]ColdLimit{h.limit}, h.now)
 	return n
@@ -198,7 +198,7 @@
 	}
 	sentAt := h.now
 	n.nextReport = sentAt.Add(reportTimeout)
-	r := coldReport{standing: n.allegiance.Standing(l.process, &h.policy, sentAt), process: n.process, demand: n.demand}
+	r := coldReport{binding: n.binding.State(l.process, &h.policy, sentAt), process: n.process, demand: n.demand}
 	r.usage = n.tracker.Usage(sentAt)
 	var arrive func()
 	arrive = func() {
@@ -221,7 +221,7 @@
 				return
 			}
 			n.tracker.ReceiveGrants(grants, sentAt, h.now)
-			n.allegiance.Follow(l.process, stamp, h.now)
+			n.binding.Follow(l.process, stamp, h.now)
 			n.answeredAt, n.nextReport = sentAt, sentAt.Add(statusInterval)
 		})
 	}
@@ -241,20 +241,20 @@
 			if h.now.Sub(r.receivedAt) >= nodeTimeout {
 				continue
 			}
-			in.Nodes = append(in.Nodes, NodeUsage{Name: name, Usage: r.usage, Echo: r.standing.Echo, Process: r.process, UsesCold: true})
+			in.Nodes = append(in.Nodes, NodeUsage{Name: name, Usage: r.usage, Echo: r.binding.Echo, Process: r.process, UsesCold: true})
 			weights[name] = r.demand
-			if r.standing.IsCounted(start.Add(time.Duration(r.standing.Echo)*time.Microsecond), &h.policy, h.now) {
+			if r.binding.IsCounted(start.Add(time.Duration(r.binding.Echo)*time.Microsecond), &h.policy, h.now) {
 				counted++
 				h.count(n, name)
 			}
 		}
 		slices.SortFunc(in.Nodes, func(a, b NodeUsage) int { return len(a.Name) - len(b.Name) })
 		in.Weight = func(node string, _ *Limit) float64 { return weights[node] + 0.01 }
-	case h.now.Sub(n.answeredAt) < nodeTimeout || !n.allegiance.IsAlone(&h.policy, h.now) || !h.policy.CanIssue(&limits[0], 1/all):
+	case h.now.Sub(n.answeredAt) < nodeTimeout || !n.binding.IsAlone(&h.policy, h.now) || !h.policy.CanIssue(&limits[0], 1/all):
 		return
 	}
-	n.allegiance.Follow(OwnAllocator, 1, h.now)
-	if n.allegiance.Standing(OwnAllocator, &h.policy, h.now).Settled {
+	n.binding.Follow(OwnAllocator, 1, h.now)
+	if n.binding.State(OwnAllocator, &h.policy, h.now).Settled {
 		counted++
 		h.count(n, n.name)
 	}
@@ -272,7 +272,7 @@
 	next := h.newNode(n.name)
 	next.demand, next.side, next.frozenUntil = n.demand, n.side, h.now.Add(100*time.Millisecond+h.random(2*time.Second))
 	restartAt := next.frozenUntil
-	next.allegiance = NewAllegiance(restartAt)
+	next.binding = NewAllocatorBinding(restartAt)
 	h.nodes[i] = next
 	h.electLater(n.side)
 }
--- a/coordination/ratelimit/ratelimit.go
+++ b/coordination/ratelimit/ratelimit.go
@@ -1,5 +1,6 @@
 // Package ratelimit tracks the rate limits that target instances announce, in requests a
-// second from all nodes together, and divides each limit among the nodes.
+// second from all nodes together, and divides each limit among the nodes. An instance that is cold has a
+// limit as well, which also bounds the requests in any one second.
 //
 // A Tracker holds the limits known to one node, and the grants that allow it to send to limited
 // instances. An Allocator issues the grants. The leader's Allocator issues them to all nodes that
--- a/transport/entry/cold.go
+++ b/transport/entry/cold.go
@@ -19,8 +19,8 @@
 
 // coldness is what a node knows of cold instances, beside their limits.
 type coldness struct {
-	// allegiance tracks where the node gets its grants for cold instances from.
-	allegiance *ratelimit.Allegiance
+	// binding tracks where the node gets its grants for cold instances from.
+	binding *ratelimit.AllocatorBinding
 	// lastStamp is the stamp of the last answer that this node sent as leader.
 	lastStamp atomic.Int64
 	// leaderHidesCold is set while the leader is of a build that relays no cold times.
@@ -41,7 +41,7 @@
 	if set.IsFirstStart {
 		startedAt = time.Time{}
 	}
-	return &coldness{allegiance: ratelimit.NewAllegiance(startedAt)}
+	return &coldness{binding: ratelimit.NewAllocatorBinding(startedAt)}
 }
 
 // coldViews sets the limits of the cold instances, and returns the instances with their cold times. They have none if the
@@ -105,8 +105,9 @@
 }
 
 // HallReadmitted records that the evacuation of a hall has ended, as this node learned at a time. The hall's instances count
-// as cold from then on as after a start, unless their entries that are read later say otherwise. Entries that were read
-// within coldSettle may have been written before.
+// as cold from then on as after a start, unless their entries that are read later say otherwise. Entries that are read
+// within a heartbeat interval and coldSettle may have been written before. It must be called before the instances are
+// candidates again.
 func (n *Node) HallReadmitted(hall state.HallName, at time.Time) {
 	c := n.configState.Catalog()
 	if c == nil || !n.settings.Cold.Enabled() {
@@ -138,29 +139,29 @@
 // isCounted reports whether a node that reports to this one counts toward the share of the limits of cold instances that
 // this node allocates.
 func (n *Node) isCounted(w *StatusReport, now time.Time) bool {
-	if w.Standing == nil || w.Feed != n.incarnationNumber.Load() {
+	if w.Binding == nil || w.Feed != n.incarnationNumber.Load() {
 		return false
 	}
-	answeredAt := n.started.Add(time.Duration(w.Standing.Echo) * time.Microsecond)
-	return w.Standing.IsCounted(answeredAt, &n.settings.Policy.RateLimit, now)
+	answeredAt := n.started.Add(time.Duration(w.Binding.Echo) * time.Microsecond)
+	return w.Binding.IsCounted(answeredAt, &n.settings.Policy.RateLimit, now)
 }
 
 // echoOf returns the stamp of this node's last answer that a report confirms.
 func (n *Node) echoOf(w *StatusReport) int64 {
-	if w.Standing == nil || w.Feed != n.incarnationNumber.Load() {
+	if w.Binding == nil || w.Feed != n.incarnationNumber.Load() {
 		return 0
 	}
-	return w.Standing.Echo
+	return w.Binding.Echo
 }
 
-// addStanding adds to a status report where the node gets its grants for cold instances from. It must be called before the
+// addBinding adds to a status report where the node gets its grants for cold instances from. It must be called before the
 // usage is read, since a leader takes the usage to include all grants up to the echoed answer.
-func (n *Node) addStanding(w *StatusReport, now time.Time) {
+func (n *Node) addBinding(w *StatusReport, now time.Time) {
 	if !n.settings.Cold.Enabled() {
 		return
 	}
-	s := n.cold.allegiance.Standing(w.Feed, &n.settings.Policy.RateLimit, now)
-	w.Standing = &s
+	s := n.cold.binding.State(w.Feed, &n.settings.Policy.RateLimit, now)
+	w.Binding = &s
 }
 
 // coldShareAlone returns the share of the limits of cold instances that a node without a leader allocates to itself. If it
@@ -171,7 +172,7 @@
 	if !slices.ContainsFunc(limits, func(l ratelimit.Limit) bool { return p.CanIssue(&l, share) }) {
 		return 0
 	}
-	if !n.cold.allegiance.IsAlone(p, now) || !n.isSettled(now) {
+	if !n.cold.binding.IsAlone(p, now) || !n.isSettled(now) {
 		return 0
 	}
 	return share
@@ -179,8 +180,8 @@
 
 // isSettled records that this node allocates by itself, and reports whether no other one counts it any more.
 func (n *Node) isSettled(now time.Time) bool {
-	n.cold.allegiance.Follow(ratelimit.OwnAllocator, 1, now)
-	return n.cold.allegiance.Standing(ratelimit.OwnAllocator, &n.settings.Policy.RateLimit, now).Settled
+	n.cold.binding.Follow(ratelimit.OwnAllocator, 1, now)
+	return n.cold.binding.State(ratelimit.OwnAllocator, &n.settings.Policy.RateLimit, now).Settled
 }
 
 // limitsToAllocate returns the limits in force without those of cold instances that get no requests: the members of groups
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -81,8 +81,8 @@
 	// node knows of rate limits and therefore sends requests to limited instances only by grants.
 	Usage      map[state.InstanceID]ratelimit.Usage `json:"usage,omitempty"`
 	UsesGrants bool                                 `json:"by_grants,omitempty"`
-	// Standing is where the node gets its grants for cold instances from; builds without cold instances report none.
-	Standing *ratelimit.Standing `json:"standing,omitempty"`
+	// Binding is where the node gets its grants for cold instances from; builds without cold instances report none.
+	Binding *ratelimit.BindingState `json:"binding,omitempty"`
 	// Process identifies the process of the node. Earlier builds name none.
 	Process int64 `json:"process,omitempty"`
 	// RetryUse is what the process has used of the retry budget of each service with retries in the current window.
--- a/transport/entry/ratelimit.go
+++ b/transport/entry/ratelimit.go
@@ -112,7 +112,7 @@
 func (p *peers) addLimits(w *StatusReport, now time.Time) {
 	n := p.n
 	w.Limits = limitReports(n.limits.RecentlyObserved(now), now)
-	n.addStanding(w, now)
+	n.addBinding(w, now)
 	w.Usage = n.limits.Usage(now)
 	w.UsesGrants = n.limits.HasActive()
 	p.mu.Lock()
@@ -156,7 +156,7 @@
 	n.limits.ReceiveGrants(a.Grants, sentAt, n.clock.Now())
 	n.cold.leaderHidesCold.Store(n.settings.Cold.Enabled() && a.Protocol < protocolColdInstances)
 	if a.Stamp > 0 {
-		n.cold.allegiance.Follow(a.Feed, a.Stamp, n.clock.Now())
+		n.cold.binding.Follow(a.Feed, a.Stamp, n.clock.Now())
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -239,7 +239,7 @@
 			continue
 		}
 		r.Nodes = append(r.Nodes, ratelimit.NodeUsage{
-			Name: name, Usage: h.report.Usage, Echo: n.echoOf(&h.report), Process: h.report.Process, UsesCold: h.report.Standing != nil,
+			Name: name, Usage: h.report.Usage, Echo: n.echoOf(&h.report), Process: h.report.Process, UsesCold: h.report.Binding != nil,
 		})
 		requestRates[name] = byModel(h.report.Demand)
 	}
