Admit requests by the room that all nodes share

Under demand above capacity, all nodes sent all requests to the few groups below the limit on known load until the next reports arrived, and every group was flooded and left alone in turn. Package overload computes from the totals that the leader relays how many requests the groups of a model can start, and which fraction of the requests of each class (priority, returning or new, team) is admitted. dispatch applies it and spreads admitted requests over the groups by their room; the gateway refuses the rest before the first send with a retry delay that follows from the callers already told to return, and tells instances the priority where there are several. Flows gain optional classes. While demand is below the room, requests are admitted and groups chosen as before.

TestFullGroupIsPickedOnlyIfAllAreFull tests the limit on slots, which alone decides only without admission; it now switches admission off.

--- a/coordination/demand/demand.go
+++ b/coordination/demand/demand.go
@@ -23,6 +23,10 @@
 	Requests     float64 `json:"r"`
 	PromptTokens float64 `json:"p,omitempty"`
 	OutputTokens float64 `json:"a,omitempty"`
+	// Classes is the recent rate by class, and Waiting the number of callers that were told to return and are not due
+	// yet. Both are set only by nodes that decide on admission. Nodes of earlier builds send neither.
+	Classes []ClassFlow `json:"c,omitempty"`
+	Waiting float64     `json:"w,omitempty"`
 }
 
 // flowKey identifies a flow.
@@ -39,6 +43,9 @@
 	policy Policy
 	mu     sync.Mutex
 	flows  map[flowKey]*flowSum
+	// classes holds the recent requests of each flow by class, returns the callers told to return.
+	classes map[flowKey]map[Class]*classSum
+	returns map[flowKey]*returnCount
 }
 
 // flowSum holds exponentially decaying sums for one flow. Its Flow fields are sums, not rates.
@@ -61,7 +68,9 @@
 }
 
 // NewMeter returns an empty Meter.
-func NewMeter(policy Policy) *Meter { return &Meter{policy: policy, flows: map[flowKey]*flowSum{}} }
+func NewMeter(policy Policy) *Meter {
+	return &Meter{policy: policy, flows: map[flowKey]*flowSum{}, classes: map[flowKey]map[Class]*classSum{}, returns: map[flowKey]*returnCount{}}
+}
 
 // Add counts one new request with its prompt tokens and expected output tokens.
 func (m *Meter) Add(service state.ServiceName, model string, prompt, answer int, now time.Time) {
@@ -87,12 +96,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []Flow
-	for _, c := range m.flows {
+	for k, c := range m.flows {
 		c.decayTo(now, m.policy.Decay)
 		f := c.Flow
 		f.Requests /= m.policy.Decay.Seconds()
 		f.PromptTokens /= m.policy.Decay.Seconds()
 		f.OutputTokens /= m.policy.Decay.Seconds()
+		f.Classes, f.Waiting = m.classFlows(k, now), m.waiting(k, now)
 		if f.Requests >= minReportedRate {
 			list = append(list, f)
 		}
@@ -103,20 +113,25 @@
 // Sum adds up the flows of several nodes. The result is sorted by service and model.
 func Sum(lists ...[]Flow) []Flow {
 	total := map[flowKey]*Flow{}
+	classes := map[flowKey]classTotals{}
 	for _, list := range lists {
 		for _, f := range list {
 			t := total[f.key()]
 			if t == nil {
 				t = &Flow{Service: f.Service, Model: f.Model}
 				total[f.key()] = t
+				classes[f.key()] = classTotals{}
 			}
+			classes[f.key()].add(&f)
+			t.Waiting += f.Waiting
 			t.Requests += f.Requests
 			t.PromptTokens += f.PromptTokens
 			t.OutputTokens += f.OutputTokens
 		}
 	}
 	list := make([]Flow, 0, len(total))
-	for _, f := range total {
+	for k, f := range total {
+		f.Classes = classes[k].bounded()
 		list = append(list, *f)
 	}
 	return sortFlows(list)
--- a/coordination/demand/policy.go
+++ b/coordination/demand/policy.go
@@ -6,6 +6,9 @@
 type Policy struct {
 	// Decay is the time constant of the decaying sums: a request's weight drops to 1/e after it.
 	Decay time.Duration `flag:"decay" help:"time after which the weight of a request has decayed to 1/e" min:"100ms" max:"10m"`
+	// ClassDecay is the time constant of the sums by class, on which admission depends. A peak of 4 s is over before
+	// sums with Decay show it.
+	ClassDecay time.Duration `flag:"class-decay" help:"time after which the weight of a request in the rates by class has decayed to 1/e" min:"50ms" max:"1m"`
 	// PlanDecay is the time in which the demand that groups are planned for falls to 1/e after the measured demand.
 	PlanDecay time.Duration `flag:"plan-decay" help:"time in which the demand that groups are planned for falls to 1/e after the measured demand" min:"100ms" max:"10m"`
 	// MinRate is the minimum request rate of a service, in requests per second, at which
@@ -15,5 +18,5 @@
 
 // DefaultPolicy returns the default policy.
 func DefaultPolicy() Policy {
-	return Policy{Decay: 2 * time.Second, PlanDecay: 15 * time.Second, MinRate: 10}
+	return Policy{Decay: 2 * time.Second, ClassDecay: 500 * time.Millisecond, PlanDecay: 15 * time.Second, MinRate: 10}
 }
--- /dev/null
+++ b/coordination/dispatch/admission.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/demand"
+	"github.com/troutmast/troutmast/coordination/overload"
+	"github.com/troutmast/troutmast/state/catalog"
+)
+
+// This file applies the plans of package overload. They answer a load that all nodes together bring to groups that
+// are nearly full, while each node knows the requests of the others only from reports that are some hundred
+// milliseconds old. With a limit on the known load alone, all nodes send all requests to the few groups below it
+// until the next reports arrive, and none to them for a second after.
+
+// admissions is the part of a Table that decides on admission.
+type admissions struct {
+	// plans holds the plan of each pool with groups, as of the last totals.
+	plans atomic.Pointer[map[Pool]*poolPlan]
+	// gates and holdTimes are kept from one plan to the next.
+	gates     map[Pool]*overload.Gate
+	holdTimes map[Pool]*overload.HoldTime
+	// random returns random numbers from 0 to 1.
+	random func() float64
+}
+
+// poolPlan is the plan of a pool with what nodes need to apply it.
+type poolPlan struct {
+	*overload.Plan
+	gate *overload.Gate
+	// waiting is the number of callers that all nodes told to return and that are not due yet.
+	waiting float64
+}
+
+// groupLimits is what a group can process, as far as admission depends on it.
+type groupLimits struct {
+	// promptRate is the number of prompt tokens per second that the group can process, 0 if unknown.
+	promptRate   float64
+	expectedHold time.Duration
+	holdTime     *overload.HoldTime
+}
+
+// initAdmissions prepares an empty table.
+func (t *Table) initAdmissions() {
+	t.plans.Store(&map[Pool]*poolPlan{})
+	t.gates, t.holdTimes, t.random = map[Pool]*overload.Gate{}, map[Pool]*overload.HoldTime{}, rand.Float64
+}
+
+// SetRandom sets the source of random numbers from 0 to 1, for tests. It must be called before the first update.
+func (t *Table) SetRandom(random func() float64) { t.random = random }
+
+// limitsOf returns the limits of a group of a pool. t.mu must be held.
+func (t *Table) limitsOf(pool Pool, engine *catalog.Engine, model *catalog.Model) groupLimits {
+	h := t.holdTimes[pool]
+	if h == nil {
+		h = &overload.HoldTime{}
+		t.holdTimes[pool] = h
+	}
+	return groupLimits{promptRate: overload.PromptRate(engine, model), expectedHold: overload.ExpectedHold(engine, model), holdTime: h}
+}
+
+// pool returns the pool of the candidate.
+func (c *Candidate) pool() Pool {
+	if c.Size == 0 {
+		return Pool{Service: c.Service}
+	}
+	return Pool{c.Service, c.Model}
+}
+
+// groupLoad returns the load of a group as admission sees it.
+func (c *Candidate) groupLoad() overload.Group {
+	return overload.Group{Slots: float64(max(c.Slots, 1)), InFlight: float64(c.Load()), PromptRate: c.promptRate}
+}
+
+// room returns how many requests a second all nodes together may send to a group, given the mean number of prompt tokens.
+func (c *Candidate) room(meanPrompt float64) float64 {
+	hold := c.expectedHold
+	if measured := c.holdTime.Mean(); measured > 0 {
+		hold = measured
+	}
+	return c.table.policy.Admission.Room(c.groupLoad(), hold, meanPrompt)
+}
+
+// HasRoom reports whether a group may get a request: by the known load, its slots are in use up to the bound at most.
+// An instance of a plain service always may.
+func (c *Candidate) HasRoom() bool {
+	return c.Size == 0 || !c.table.policy.Admission.IsFull(c.groupLoad())
+}
+
+// updatePlans computes the plan of each pool with groups from the demand at all nodes.
+func (t *Table) updatePlans(total []demand.Flow) {
+	if !t.policy.Admission.Enabled {
+		return
+	}
+	plans := make(map[Pool]*poolPlan, len(total))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range total {
+		f := &total[i]
+		pool := Pool{f.Service, f.Model}
+		groups := t.Candidates(f.Service, f.Model)
+		if len(groups) == 0 || groups[0].Size == 0 || f.Requests <= 0 {
+			continue
+		}
+		room := 0.0
+		for _, c := range groups {
+			room += c.room(f.PromptTokens / f.Requests)
+		}
+		if t.gates[pool] == nil {
+			t.gates[pool] = overload.NewGate(t.random())
+		}
+		classes := f.Classes
+		if len(classes) == 0 {
+			classes = []demand.ClassFlow{{Requests: f.Requests}}
+		}
+		plans[pool] = &poolPlan{Plan: overload.New(room, classes), gate: t.gates[pool], waiting: f.Waiting}
+	}
+	t.plans.Store(&plans)
+}
+
+// IsOverloaded reports whether more requests for a pool arrive at all nodes than its groups have room for.
+func (t *Table) IsOverloaded(pool Pool) bool {
+	p := (*t.plans.Load())[pool]
+	return p != nil && p.Overloaded
+}
+
+// IsPlanned reports whether admission for a pool is decided by a plan.
+func (t *Table) IsPlanned(pool Pool) bool { return (*t.plans.Load())[pool] != nil }
+
+// Plan returns the plan of a pool, or nil.
+func (t *Table) Plan(pool Pool) *overload.Plan {
+	if p := (*t.plans.Load())[pool]; p != nil {
+		return p.Plan
+	}
+	return nil
+}
+
+// Admit decides on a request of a class that arrives at this node. Without a plan, it is admitted.
+func (t *Table) Admit(pool Pool, class demand.Class) bool {
+	p := (*t.plans.Load())[pool]
+	return p == nil || p.gate.Admit(p.Fraction(class))
+}
+
+// RetryDelay returns how long a refused caller with a priority and a remaining time is told to wait.
+func (t *Table) RetryDelay(pool Pool, priority int, left time.Duration) time.Duration {
+	waiting, rate := 0.0, 0.0
+	if p := (*t.plans.Load())[pool]; p != nil {
+		waiting, rate = p.waiting, p.RateFor(priority)
+	}
+	return t.policy.Admission.RetryDelay(waiting, rate, left, t.random())
+}
+
+// IsReturning reports whether a caller whose time-out is shorter than that of its route waited after a refusal. A
+// caller that returns at once has nearly the whole time-out left.
+func (t *Table) IsReturning(routeTimeout, timeout time.Duration) bool {
+	return timeout > 0 && routeTimeout-timeout >= t.policy.Admission.MinReturn
+}
+
+// pickByRoom selects a group at random, weighted by its room, or returns nil if none has any. Recent failures take
+// away from the room of a group.
+func (t *Table) pickByRoom(groups []*Candidate, avoid func(*Candidate) bool) *Candidate {
+	if len(groups) == 0 || groups[0].Size == 0 {
+		return nil
+	}
+	meanPrompt := (*t.demand.Load())[groups[0].pool()].meanPrompt
+	var picked *Candidate
+	total := 0.0
+	for _, c := range groups {
+		room := c.room(meanPrompt) - t.policy.FailureCost*float64(c.load.failureScore.Load())/failureUnit*float64(c.Slots)
+		if room <= 0 || !c.HasRoom() || avoid(c) {
+			continue
+		}
+		total += room
+		if t.random()*total < room {
+			picked = c
+		}
+	}
+	return picked
+}
+
+// Admits reports whether the table decides on admission by plans.
+func (t *Table) Admits() bool { return t.policy.Admission.Enabled }
--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -28,8 +28,9 @@
 	Size int
 	// prefillTimePerToken is the prefill time of one prompt token, in nanoseconds.
 	prefillTimePerToken float64
-	load                *load
-	table               *Table
+	groupLimits
+	load  *load
+	table *Table
 }
 
 // load is the load and health of one incarnation. It is kept when Update rebuilds the candidates.
@@ -100,6 +101,7 @@
 	unreachable atomic.Pointer[map[Pool]int]
 	// demand holds the measured demand by model.
 	demand atomic.Pointer[map[Pool]modelDemand]
+	admissions
 }
 
 // NewTable returns an empty Table for a node of a data hall.
@@ -108,6 +110,7 @@
 	t.pools.Store(&map[Pool][]*Candidate{})
 	t.unreachable.Store(&map[Pool]int{})
 	t.demand.Store(&map[Pool]modelDemand{})
+	t.initAdmissions()
 	return t
 }
 
@@ -296,6 +299,7 @@
 		c.Slots = engine.BatchSlots
 	}
 	c.Size = model.GroupSize
+	c.groupLimits = c.table.limitsOf(Pool{c.Service, c.Model}, engine, model)
 	if engine.PrefillTokensPerSecond > 0 {
 		c.prefillTimePerToken = cmp.Or(model.TimeFactor, 1) * float64(time.Second) / engine.PrefillTokensPerSecond
 	}
@@ -317,6 +321,12 @@
 		demands[Pool{f.Service, f.Model}] = newModelDemand(f, own)
 	}
 	t.demand.Store(&demands)
+	t.storeOthers(inFlight)
+	t.updatePlans(total)
+}
+
+// storeOthers records the number of requests in flight from the other nodes to each instance.
+func (t *Table) storeOthers(inFlight map[state.InstanceID]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for in, l := range t.loads {
@@ -338,11 +348,14 @@
 }
 
 // IsFull reports whether the candidate has no capacity for a new request. An instance of a
-// plain service is never full.
+// plain service is never full. While demand exceeds the room of a pool, a group is full if it has no room.
 func (c *Candidate) IsFull(now time.Time) bool {
 	if c.Size == 0 {
 		return false
 	}
+	if c.table.IsOverloaded(c.pool()) {
+		return !c.HasRoom()
+	}
 	if float64(c.Load()) >= c.table.policy.FullAt*float64(c.Slots) {
 		return true
 	}
--- a/coordination/dispatch/candidate_test.go
+++ b/coordination/dispatch/candidate_test.go
@@ -165,9 +165,12 @@
 	g.Expect(picks["b"]).To(BeNumerically("~", draws/4, draws/20))
 }
 
+// Without admission, the limit on slots alone decides, whatever the demand.
 func TestFullGroupIsPickedOnlyIfAllAreFull(t *testing.T) {
 	g := NewWithT(t)
-	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
+	policy := dispatch.DefaultPolicy()
+	policy.Admission.Enabled = false
+	table := dispatch.NewTable("h", policy)
 	otherHead := member("c", 0, fleet.Open)
 	otherHead.Membership.Group = "h"
 	otherMember := member("d", 1, fleet.Ready)
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -21,6 +21,11 @@
 // proportional to the requests it gets (load interpretation; Dahlin, Interpreting
 // Stale Load Information, 1999).
 func (t *Table) Pick(service state.ServiceName, model string, now time.Time, avoid func(*Candidate) bool) *Candidate {
+	if t.IsOverloaded(Pool{service, model}) {
+		if c := t.pickByRoom(t.Candidates(service, model), avoid); c != nil {
+			return c
+		}
+	}
 	pool := make([]scoredCandidate, 0, len(t.Candidates(service, model)))
 	allFull := true
 	for _, c := range t.Candidates(service, model) {
--- a/coordination/dispatch/policy.go
+++ b/coordination/dispatch/policy.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/overload"
+)
 
 // Policy configures the weights and limits of target selection.
 type Policy struct {
@@ -33,6 +37,8 @@
 	// status reports (250 ms). With only that mean age, simultaneous arrivals all go to
 	// one or two groups.
 	SpreadHorizon time.Duration `flag:"spread-horizon" help:"span of arrivals that is distributed over the groups" min:"0s" max:"1m"`
+	// Admission configures which requests are admitted while more arrive than the groups have room for.
+	Admission overload.Policy `flag:"admission"`
 }
 
 // DefaultPolicy returns the default policy.
@@ -47,5 +53,6 @@
 		ReadLimit:       0.7,
 		PaceBurst:       200 * time.Millisecond,
 		SpreadHorizon:   time.Second,
+		Admission:       overload.DefaultPolicy(),
 	}
 }
--- /dev/null
+++ b/coordination/overload/load_test.go
@@ -0,0 +1,393 @@
+package overload_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/demand"
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// model is a model of a simulated deployment: its groups, the rate that they can serve, in requests per second, the mean
+// prompt in tokens, and the goal for the first event.
+type model struct {
+	name   string
+	groups int
+	fit    float64
+	prompt float64
+	goal   time.Duration
+}
+
+// deployment is a simulated deployment: its engines, the models that they serve, and its nodes.
+type deployment struct {
+	engine catalog.Engine
+	models []model
+	nodes  int
+}
+
+var (
+	deploymentA = deployment{catalog.Engine{
+		BatchSlots: 48, PrefillTokensPerSecond: 56_100, StepTime: 6450 * time.Microsecond, StepTimePerRequest: 97 * time.Microsecond,
+		StepsPerPass: 5, PromptTokensPerPass: 2048, MeanResponseTokens: 150,
+	}, []model{{"large", 5, 62, 1400, 400 * time.Millisecond}, {"small", 17, 320, 700, 300 * time.Millisecond}}, 87}
+	deploymentB = deployment{catalog.Engine{
+		BatchSlots: 34, PrefillTokensPerSecond: 46_000, StepTime: 6070 * time.Microsecond, StepTimePerRequest: 241 * time.Microsecond,
+		StepsPerPass: 5, PromptTokensPerPass: 2048, MeanResponseTokens: 150,
+	}, []model{{"large", 6, 66, 1400, 500 * time.Millisecond}, {"small", 28, 390, 700, 250 * time.Millisecond}}, 86}
+)
+
+const (
+	routeTimeout = 9 * time.Second
+	engineQueue  = 68
+	reportEvery  = 250 * time.Millisecond
+	wavePeriod   = 13 * time.Second
+)
+
+// variant is a way to decide on admission.
+type variant struct {
+	name     string
+	enabled  bool
+	byClass  bool
+	adjustBy func(*dispatch.Policy)
+}
+
+var variants = []variant{{"limit on slots", false, false, nil}, {"room", true, false, nil}, {"room by class", true, true, nil}}
+
+// request is one request of the simulation, with its attempts.
+type request struct {
+	model       *model
+	class       demand.Class
+	isImpatient bool
+	prompt, due int // prompt tokens and events that are left
+	length      int // prompt tokens
+	arrivedAt   time.Time
+	deadline    time.Time
+	firstAt     time.Time
+	refusals    int
+	sends       []state.InstanceID
+	hold        *dispatch.InFlightRequest
+	node        *node
+}
+
+// group simulates a group: in each pass, it processes a limited number of prompt tokens and makes one event of each
+// request in its batch.
+type group struct {
+	waiting, batch []*request
+	busyUntil      time.Time
+}
+
+func (g *group) runPass(e *catalog.Engine, now time.Time) {
+	for len(g.waiting) > 0 && len(g.batch) < e.BatchSlots {
+		g.batch, g.waiting = append(g.batch, g.waiting[0]), g.waiting[1:]
+	}
+	left, ready := e.PromptTokensPerPass, 0
+	for _, r := range g.batch {
+		n := min(r.prompt, left)
+		r.prompt -= n
+		left -= n
+		if r.prompt == 0 {
+			ready++
+		}
+	}
+	took := time.Duration(float64(e.PromptTokensPerPass-left) / e.PrefillTokensPerSecond * float64(time.Second))
+	if ready > 0 {
+		took += time.Duration(e.StepsPerPass) * (e.StepTime + time.Duration(ready)*e.StepTimePerRequest)
+	}
+	g.busyUntil = now.Add(max(took, time.Millisecond))
+	g.batch = slices.DeleteFunc(g.batch, func(r *request) bool {
+		if r.prompt > 0 {
+			return false
+		}
+		if r.firstAt.IsZero() {
+			r.firstAt = g.busyUntil
+			r.hold.RecordFirstEvent()
+		}
+		if r.due--; r.due == 0 {
+			r.hold.RecordComplete(g.busyUntil)
+			r.hold.End()
+		}
+		return r.due == 0
+	})
+}
+
+// node is a simulated node with its last report.
+type node struct {
+	table    *dispatch.Table
+	meter    *demand.Meter
+	inFlight map[state.InstanceID]int
+	flows    []demand.Flow
+}
+
+// totals are the sums of the last reports of all nodes at a time.
+type totals struct {
+	inFlight map[state.InstanceID]int
+	flows    []demand.Flow
+}
+
+// simulation simulates callers, nodes and groups.
+type simulation struct {
+	deployment
+	variant
+	rng     *rand.Rand
+	start   time.Time
+	now     time.Time
+	nodes   []*node
+	groups  map[state.InstanceID]*group
+	heads   []state.InstanceID
+	history []totals
+	later   map[int64][]*request
+	all     []*request
+}
+
+func newSimulation(d *deployment, v variant) *simulation {
+	sim := &simulation{deployment: *d, variant: v, rng: rand.New(rand.NewPCG(1, 7)), start: time.Unix(1000, 0), groups: map[state.InstanceID]*group{}, later: map[int64][]*request{}}
+	sim.now = sim.start
+	var views []roster.View
+	for _, m := range d.models {
+		sim.engine.Models = append(sim.engine.Models, catalog.Model{Name: m.name, GroupSize: 1, TimeFactor: 1})
+		for i := range m.groups {
+			id := state.InstanceID(fmt.Sprint(m.name, i))
+			views = append(views, roster.View{Instance: fleet.Instance{ID: id, Service: "lm", Model: m.name, Hall: "h", Membership: fleet.Membership{Group: state.GroupName(id), Epoch: 1, State: fleet.Open}}})
+			sim.groups[id] = &group{}
+			sim.heads = append(sim.heads, id)
+		}
+	}
+	cat := catalog.New(1, nil, []catalog.Service{{Name: "lm", Engine: &sim.engine}}, nil, catalog.Limits{})
+	policy := dispatch.DefaultPolicy()
+	policy.Admission.Enabled = v.enabled
+	if v.adjustBy != nil {
+		v.adjustBy(&policy)
+	}
+	for range d.nodes {
+		n := &node{table: dispatch.NewTable("h", policy), meter: demand.NewMeter(demand.DefaultPolicy())}
+		n.table.SetRandom(sim.rng.Float64)
+		n.table.Update(cat, views, func(fleet.GroupKey) bool { return false })
+		sim.nodes = append(sim.nodes, n)
+	}
+	return sim
+}
+
+// run simulates a span in steps of a millisecond, with a load that is a multiple of what fits.
+func (sim *simulation) run(d time.Duration, load func(time.Duration) float64) {
+	for end := sim.now.Add(d); sim.now.Before(end); sim.now = sim.now.Add(time.Millisecond) {
+		ms := sim.now.Sub(sim.start).Milliseconds()
+		for i := range sim.models {
+			m := &sim.models[i]
+			for due := load(sim.now.Sub(sim.start)) * m.fit / 1000; sim.rng.Float64() < due; due-- {
+				r := sim.newRequest(m)
+				sim.all = append(sim.all, r)
+				sim.attempt(r)
+			}
+		}
+		for _, r := range sim.later[ms] {
+			sim.attempt(r)
+		}
+		delete(sim.later, ms)
+		for _, id := range sim.heads {
+			if g := sim.groups[id]; !sim.now.Before(g.busyUntil) {
+				g.runPass(&sim.engine, sim.now)
+			}
+		}
+		sim.report(ms)
+	}
+}
+
+// newRequest returns a request of a team drawn with a skew: the largest team has a third of all requests. Three of ten
+// have the higher priority, a fifth of the callers returns at once.
+func (sim *simulation) newRequest(m *model) *request {
+	team := 0
+	for x := sim.rng.Float64() - 1.0/3; x > 0; x -= 2.0 / 3 * 2 / 23 / 24 * float64(24-team) {
+		team = min(team+1, 23)
+	}
+	r := &request{model: m, arrivedAt: sim.now, deadline: sim.now.Add(routeTimeout), due: 1 + sim.rng.IntN(60)}
+	r.class = demand.Class{Team: state.TeamName(fmt.Sprint("team", team))}
+	if sim.rng.IntN(10) >= 3 {
+		r.class.Priority = 1
+	}
+	r.isImpatient = sim.rng.IntN(5) == 0
+	r.length = int(m.prompt * (0.3 + 0.7*sim.rng.ExpFloat64()))
+	return r
+}
+
+// attempt lets a node decide on a request as the gateway does.
+func (sim *simulation) attempt(r *request) {
+	r.node, r.arrivedAt, r.sends, r.prompt = sim.nodes[sim.rng.IntN(len(sim.nodes))], sim.now, nil, r.length
+	t, pool := r.node.table, dispatch.Pool{Service: "lm", Model: r.model.name}
+	r.class.Returning = t.IsReturning(routeTimeout, r.deadline.Sub(sim.now))
+	class := r.class
+	if !sim.byClass {
+		class = demand.Class{}
+	}
+	r.node.meter.Add("lm", r.model.name, r.length, 0, sim.now)
+	if sim.enabled {
+		r.node.meter.AddClass("lm", r.model.name, class, sim.now)
+	}
+	for range 4 {
+		target := t.Pick("lm", r.model.name, sim.now, func(c *dispatch.Candidate) bool { return slices.Contains(r.sends, c.ID) })
+		first := len(r.sends) == 0
+		switch {
+		case first && !t.IsPlanned(pool) && target.IsFull(sim.now):
+			sim.refuse(r, 700*time.Millisecond+time.Duration(sim.rng.Int64N(int64(350*time.Millisecond))))
+			return
+		case first && t.IsPlanned(pool) && (!t.Admit(pool, class) || !target.HasRoom()),
+			!first && t.IsOverloaded(pool) && target.IsFull(sim.now):
+			after := t.RetryDelay(pool, class.Priority, r.deadline.Sub(sim.now))
+			r.node.meter.AddReturn("lm", r.model.name, sim.now, after)
+			sim.refuse(r, after)
+			return
+		}
+		r.sends = append(r.sends, target.ID)
+		if g := sim.groups[target.ID]; len(g.waiting) < engineQueue {
+			r.hold = target.BeginRequest(r.prompt, sim.now)
+			g.waiting = append(g.waiting, r)
+			return
+		}
+	}
+	sim.refuse(r, 300*time.Millisecond)
+}
+
+// refuse lets the caller of a refused request return: once after the delay, or up to four times at once.
+func (sim *simulation) refuse(r *request, after time.Duration) {
+	r.refusals++
+	if r.isImpatient {
+		after = 20 * time.Millisecond
+	}
+	if r.refusals == 1 || r.isImpatient && r.refusals < 5 {
+		at := sim.now.Add(after).Sub(sim.start).Milliseconds() + 1
+		sim.later[at] = append(sim.later[at], r)
+	}
+}
+
+// report lets the nodes whose turn it is report, and gives them the totals of 250 ms ago.
+func (sim *simulation) report(ms int64) {
+	every := reportEvery.Milliseconds()
+	if ms%50 == 0 {
+		sum := totals{inFlight: map[state.InstanceID]int{}}
+		var flows [][]demand.Flow
+		for _, n := range sim.nodes {
+			for id, k := range n.inFlight {
+				sum.inFlight[id] += k
+			}
+			flows = append(flows, n.flows)
+		}
+		sum.flows = demand.Sum(flows...)
+		sim.history = append(sim.history, sum)
+	}
+	for i, n := range sim.nodes {
+		if (ms+int64(i)*every/int64(len(sim.nodes)))%every != 0 {
+			continue
+		}
+		own := n.table.InFlight()
+		old := sim.history[max(len(sim.history)-5, 0)]
+		others := maps.Clone(old.inFlight)
+		for id, k := range own {
+			others[id] = max(others[id]-k, 0)
+		}
+		n.inFlight, n.flows = own, n.meter.Flows(sim.now)
+		n.table.UpdateLoad(others, old.flows, n.flows)
+	}
+}
+
+// tally counts requests by outcome.
+type tally struct{ all, onTime, late, refused, refusedOnce, refusedTwice int }
+
+func (c *tally) add(r *request) {
+	c.all++
+	switch {
+	case r.firstAt.IsZero():
+		c.refused++
+	case r.firstAt.Sub(r.arrivedAt) <= r.model.goal:
+		c.onTime++
+	default:
+		c.late++
+	}
+	switch {
+	case r.refusals == 1:
+		c.refusedOnce++
+	case r.refusals > 1:
+		c.refusedTwice++
+	}
+}
+
+// fraction returns a number of requests as a fraction of all.
+func (c *tally) fraction(n int) float64 { return float64(n) / float64(max(c.all, 1)) }
+
+func (c tally) String() string {
+	return fmt.Sprintf("%5d: on time %.3f, late %.3f, not served %.3f; refused once %.3f, more often %.3f", c.all, c.fraction(c.onTime), c.fraction(c.late), c.fraction(c.refused), c.fraction(c.refusedOnce), c.fraction(c.refusedTwice))
+}
+
+// tallies returns the outcomes by a key.
+func (sim *simulation) tallies(key func(*request) string) map[string]*tally {
+	by := map[string]*tally{}
+	for _, r := range sim.all {
+		k := key(r)
+		if by[k] == nil {
+			by[k] = &tally{}
+		}
+		by[k].add(r)
+	}
+	return by
+}
+
+// wave is the load of a design wave: two peaks above what fits, of 5 and 4.5 s.
+func wave(at time.Duration) float64 {
+	switch s := (at % wavePeriod).Seconds(); {
+	case s >= 1 && s < 6:
+		return 1.5
+	case s >= 7.5 && s < 12:
+		return 2.2
+	}
+	return 0.7
+}
+
+func TestLoadAboveRoom(t *testing.T) {
+	for _, d := range []struct {
+		name string
+		*deployment
+	}{{"A", &deploymentA}, {"B", &deploymentB}} {
+		for _, v := range variants {
+			t.Run(d.name+", "+v.name, func(t *testing.T) {
+				g := NewWithT(t)
+				sim := newSimulation(d.deployment, v)
+				sim.run(2*wavePeriod, wave)
+				sim.run(6*time.Second, func(time.Duration) float64 { return 0 })
+				for _, key := range []func(*request) string{
+					func(r *request) string { return "all" },
+					func(r *request) string { return r.model.name },
+					func(r *request) string { return fmt.Sprint(r.model.name, " priority ", r.class.Priority) },
+					func(r *request) string {
+						return fmt.Sprint(r.model.name, " p", r.class.Priority, " impatient ", r.isImpatient)
+					},
+					func(r *request) string {
+						return fmt.Sprint(r.model.name, " p", r.class.Priority, " long ", float64(r.length) > 1.9*r.model.prompt)
+					},
+				} {
+					by := sim.tallies(key)
+					for _, k := range slices.Sorted(maps.Keys(by)) {
+						t.Logf("%-24s %v", k, by[k])
+					}
+				}
+				by := sim.tallies(func(r *request) string { return fmt.Sprint("p", r.class.Priority, " ", r.class.Team) })
+				for _, p := range []string{"p0", "p1"} {
+					teams := slices.DeleteFunc(slices.Collect(maps.Keys(by)), func(k string) bool { return k[:2] != p })
+					slices.SortFunc(teams, func(a, b string) int { return cmp.Compare(by[a].fraction(by[a].onTime), by[b].fraction(by[b].onTime)) })
+					for _, k := range []string{teams[0], teams[1], teams[len(teams)-1], p + " team0"} {
+						t.Logf("%-24s %v", k, by[k])
+					}
+				}
+				g.Expect(sim.all).NotTo(BeEmpty())
+			})
+		}
+	}
+}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -104,6 +104,8 @@
 	PrefillTokensPerSecond float64
 	// StepsPerPass is the number of token steps that are run in one pass.
 	StepsPerPass int
+	// PromptTokensPerPass is the maximum number of prompt tokens that are processed in one pass, or 0 if unknown.
+	PromptTokensPerPass int
 	// MeanPromptTokens and MeanResponseTokens are the mean numbers of prompt and response tokens of a request.
 	MeanPromptTokens   float64
 	MeanResponseTokens float64
@@ -159,6 +161,8 @@
 	Limits   Limits
 	// RequiresKeys is set if requests need a key, except on public routes.
 	RequiresKeys bool
+	// HasPriorities is set if routes and teams have more than one priority.
+	HasPriorities bool
 
 	routes map[routeKey]*Route
 	teams  map[string]*Team
@@ -178,6 +182,7 @@
 		routes:       make(map[routeKey]*Route, len(routes)),
 		teams:        teams,
 	}
+	c.HasPriorities = hasPriorities(routes, teams)
 	for i := range routes {
 		c.routes[routeKey{routes[i].Host, routes[i].Prefix}] = &routes[i]
 	}
@@ -187,6 +192,20 @@
 	return c
 }
 
+// hasPriorities reports whether routes and teams have more than one priority.
+func hasPriorities(routes []Route, teams map[string]*Team) bool {
+	present := map[int]bool{}
+	for i := range routes {
+		present[routes[i].Priority] = true
+	}
+	for _, t := range teams {
+		if t.Priority != nil {
+			present[*t.Priority] = true
+		}
+	}
+	return len(present) > 1
+}
+
 // Route returns the route of a host with the longest prefix of path, or nil.
 func (c *Catalog) Route(host, path string) *Route {
 	for end := len(path); end > 0; {
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -69,6 +69,10 @@
 	TimeLeftMS int64 `json:"left"`
 	// LastEventID is the ID of the last event of a stream that the caller has received.
 	LastEventID string `json:"event,omitempty"`
+	// Priority is the priority of the request, and Returning whether it returns after a refusal. Earlier builds state
+	// neither.
+	Priority  *int `json:"priority,omitempty"`
+	Returning bool `json:"returning,omitempty"`
 }
 
 // forwardResult states what the response to a forwarded request is: that of an instance if Code is
@@ -203,6 +207,7 @@
 		Origin: c.Name, Service: c.service, Model: c.model, Route: c.route.Name, Kind: c.route.Kind, Resumable: c.route.Resumable, Public: c.route.Public,
 		Attempts: c.route.MaxAttempts - c.runs, GoalMS: c.route.Goal.Milliseconds(), GapGoalMS: c.route.GapGoal.Milliseconds(),
 		TimeLeftMS: (c.deadline.Sub(c.Clock.Now()) - c.Policy.NetworkAllowance).Milliseconds(), LastEventID: c.lastEventID,
+		Priority: &c.class.Priority, Returning: c.class.Returning,
 	}
 	if c.team != nil {
 		info.Team = c.team.Name
@@ -325,6 +330,7 @@
 	}
 	c.deadline = c.arrivedAt.Add(time.Duration(info.TimeLeftMS) * time.Millisecond)
 	c.service, c.model = info.Service, info.Model
+	c.class = c.forwardedClass(&info)
 	c.budget = c.Gateway.budget(c.service) // the origin has recorded the first attempt
 	return nil
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -185,6 +185,10 @@
 	arrivals int
 	// demandRecorded reports whether the request counts in this node's demand.
 	demandRecorded bool
+	// class is how admission treats the request.
+	class demand.Class
+	// admitted is set once admission has admitted the request.
+	admitted bool
 	forwardState
 	// hold counts the current attempt in the load of its target.
 	hold *dispatch.InFlightRequest
@@ -271,6 +275,7 @@
 	if s := c.catalog.Services[c.service]; s != nil && s.Engine != nil {
 		c.model = claims.Model
 	}
+	c.class = c.computeClass()
 	c.budget = c.Gateway.budget(c.service)
 	c.budget.RecordAttempt(c.arrivedAt)
 	return nil
@@ -282,6 +287,7 @@
 	if !c.demandRecorded {
 		c.demandRecorded = true
 		c.Demand.Add(c.service, c.model, c.claims.PromptTokens, c.claims.ResponseTokens, c.arrivedAt)
+		c.recordClass()
 	}
 }
 
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -57,8 +57,8 @@
 		if target == nil {
 			return c.refuseNoTarget()
 		}
-		if c.sends == 0 && target.IsFull(c.Clock.Now()) {
-			return refusalWithRetryAfter(CodeOverloaded, c.Policy.OverloadRetryAfter)
+		if refused := c.checkRoom(target); refused != nil {
+			return refused
 		}
 		if _, held := c.Quarantine.QuarantinedUntil(c.identity); c.sends > 0 && held {
 			return c.giveUp(CodeQuarantined)
@@ -247,7 +247,7 @@
 		Instance:    target.ID,
 		TimeLeft:    c.deadline.Sub(now) - c.Policy.NetworkAllowance,
 		LastEventID: c.lastEventID,
-		Priority:    -1,
+		Priority:    c.statedPriority(),
 	}
 	if c.team != nil {
 		f.Team = c.team.Name
@@ -382,6 +382,9 @@
 		return
 	}
 	s.target.RecordCompleteResponse()
+	if resp.Status < http.StatusMultipleChoices {
+		s.call.hold.RecordComplete(s.call.Clock.Now())
+	}
 	r := s.call.identity
 	if resp.Status >= http.StatusMultipleChoices {
 		r.Parts = nil // the instance may have refused the request before it read the prompt
