Bound admission's messages, show it, and decide without totals

Classes of many teams outgrow all else in an answer to a status report, so a leader merges them where demand is below 0.7 of the room. A node that got no totals for NodeTimeout takes its own load for that of each known node. Operators get gauges of the room and the admitted fraction of each pool, counters of refusals by priority, and one log line a second for each pool with more demand than room. Demand counts as fitting within one standard deviation of its estimate: without that, few groups refused 3 of 100 requests at nine tenths of their load for arrivals that happened to be close.

The rates by class decay within 300 ms instead of 500, and free slots are filled within 600 ms instead of 700.

--- a/coordination/demand/class.go
+++ b/coordination/demand/class.go
@@ -136,6 +136,34 @@
 	return boundClasses(slices.Collect(maps.Values(t)), maxTotalTeams)
 }
 
+// MergeClasses replaces the classes by one with all of their requests, of the lowest priority present.
+func (f *Flow) MergeClasses() {
+	if len(f.Classes) == 0 {
+		return
+	}
+	merged := ClassFlow{}
+	for _, c := range f.Classes {
+		merged.Requests += c.Requests
+		merged.Priority = max(merged.Priority, c.Priority)
+	}
+	merged.Requests = roundRate(merged.Requests)
+	f.Classes = []ClassFlow{merged}
+}
+
+// Scaled returns a flow with all rates and counts multiplied.
+func (f *Flow) Scaled(factor float64) Flow {
+	scaled := *f
+	scaled.Requests *= factor
+	scaled.PromptTokens *= factor
+	scaled.OutputTokens *= factor
+	scaled.Waiting *= factor
+	scaled.Classes = slices.Clone(f.Classes)
+	for i := range scaled.Classes {
+		scaled.Classes[i].Requests *= factor
+	}
+	return scaled
+}
+
 // classSum is an exponentially decaying number of requests.
 type classSum struct {
 	requests  float64
--- a/coordination/demand/policy.go
+++ b/coordination/demand/policy.go
@@ -18,5 +18,5 @@
 
 // DefaultPolicy returns the default policy.
 func DefaultPolicy() Policy {
-	return Policy{Decay: 2 * time.Second, ClassDecay: 500 * time.Millisecond, PlanDecay: 15 * time.Second, MinRate: 10}
+	return Policy{Decay: 2 * time.Second, ClassDecay: 300 * time.Millisecond, PlanDecay: 15 * time.Second, MinRate: 10}
 }
--- a/coordination/dispatch/admission.go
+++ b/coordination/dispatch/admission.go
@@ -2,11 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/overload"
+	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 )
 
@@ -114,11 +116,25 @@
 		if len(classes) == 0 {
 			classes = []demand.ClassFlow{{Requests: f.Requests}}
 		}
-		plans[pool] = &poolPlan{Plan: overload.New(room, classes), gate: t.gates[pool], waiting: f.Waiting}
+		plans[pool] = &poolPlan{Plan: t.policy.Admission.Plan(room, classes), gate: t.gates[pool], waiting: f.Waiting}
 	}
 	t.plans.Store(&plans)
 }
 
+// detailFrom is the demand, as a fraction of the room, from which on nodes are told the demand by class.
+const detailFrom = 0.7
+
+// TrimClasses merges the classes of the flows of all nodes where demand is well below the room. Nodes need only the sum
+// then, and the classes of many teams are larger than all else in an answer to a status report.
+func (t *Table) TrimClasses(total []demand.Flow) {
+	plans := *t.plans.Load()
+	for i := range total {
+		if p := plans[Pool{total[i].Service, total[i].Model}]; p != nil && p.Demand < detailFrom*p.Room {
+			total[i].MergeClasses()
+		}
+	}
+}
+
 // IsOverloaded reports whether more requests for a pool arrive at all nodes than its groups have room for.
 func (t *Table) IsOverloaded(pool Pool) bool {
 	p := (*t.plans.Load())[pool]
@@ -128,12 +144,41 @@
 // IsPlanned reports whether admission for a pool is decided by a plan.
 func (t *Table) IsPlanned(pool Pool) bool { return (*t.plans.Load())[pool] != nil }
 
-// Plan returns the plan of a pool, or nil.
-func (t *Table) Plan(pool Pool) *overload.Plan {
-	if p := (*t.plans.Load())[pool]; p != nil {
-		return p.Plan
+// PoolPlan is the plan of a pool, and the number of callers that all nodes told to return and that are not due yet.
+type PoolPlan struct {
+	Pool
+	*overload.Plan
+	Waiting float64
+}
+
+// Plans returns the plans of all pools, in order.
+func (t *Table) Plans() []PoolPlan {
+	var list []PoolPlan
+	for pool, p := range *t.plans.Load() {
+		list = append(list, PoolPlan{pool, p.Plan, p.waiting})
+	}
+	slices.SortFunc(list, func(a, b PoolPlan) int { return comparePools(a.Pool, b.Pool) })
+	return list
+}
+
+// AssumeLoad records the load that this node assumes without totals, given its own demand and the number of nodes: that
+// of each other node is like its own, and spread over all groups.
+func (t *Table) AssumeLoad(own []demand.Flow, nodes int) {
+	inFlight := map[state.InstanceID]int{}
+	for _, groups := range *t.pools.Load() {
+		sum := int64(0)
+		for _, c := range groups {
+			sum += c.InFlight()
+		}
+		for _, c := range groups {
+			inFlight[c.ID] = int(sum) * (nodes - 1) / len(groups)
+		}
 	}
-	return nil
+	total := make([]demand.Flow, 0, len(own))
+	for i := range own {
+		total = append(total, own[i].Scaled(float64(nodes)))
+	}
+	t.UpdateLoad(inFlight, total, own)
 }
 
 // Admit decides on a request of a class that arrives at this node. Without a plan, it is admitted.
@@ -181,3 +226,12 @@
 
 // Admits reports whether the table decides on admission by plans.
 func (t *Table) Admits() bool { return t.policy.Admission.Enabled }
+
+// MeanRetryDelay returns the mean delay that refused callers with a priority and ample time left are told.
+func (t *Table) MeanRetryDelay(pool Pool, priority int) time.Duration {
+	p := (*t.plans.Load())[pool]
+	if p == nil {
+		return 0
+	}
+	return t.policy.Admission.RetryDelay(p.waiting, p.RateFor(priority), time.Hour, 0.5)
+}
--- a/coordination/overload/load_test.go
+++ b/coordination/overload/load_test.go
@@ -282,6 +282,7 @@
 			flows = append(flows, n.flows)
 		}
 		sum.flows = demand.Sum(flows...)
+		sim.nodes[0].table.TrimClasses(sum.flows) // the leader
 		sim.history = append(sim.history, sum)
 	}
 	for i, n := range sim.nodes {
--- a/coordination/overload/plan.go
+++ b/coordination/overload/plan.go
@@ -2,16 +2,18 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/troutmast/troutmast/coordination/demand"
+	"github.com/troutmast/troutmast/state"
 )
 
 // Plan says which fraction of the requests of each class is admitted. It is immutable.
 type Plan struct {
 	// Room and Demand are the requests per second that fit and that arrive.
 	Room, Demand float64
-	// Overloaded reports whether more requests arrive than fit. Otherwise all are admitted.
+	// Overloaded reports whether more requests arrive than fit, beyond the slack. Otherwise all are admitted.
 	Overloaded bool
 	fractions  map[demand.Class]float64
 	// cut is the first rank of which not all requests are admitted.
@@ -32,15 +34,15 @@
 	return r
 }
 
-// New returns the plan for a pool with room for a number of requests per second. Room goes to classes in the order of
+// Plan returns the plan for a pool with room for a number of requests per second. Room goes to classes in the order of
 // their ranks. Within a rank that does not fit as a whole, it is divided by max-min fairness: among the teams of a
 // priority, what a team got for requests that return counts toward its part.
-func New(room float64, flows []demand.ClassFlow) *Plan {
+func (o *Policy) Plan(room float64, flows []demand.ClassFlow) *Plan {
 	p := &Plan{Room: room, cut: 2 * demand.Priorities}
 	for i := range flows {
 		p.Demand += flows[i].Requests
 	}
-	p.Overloaded = p.Demand > room
+	p.Overloaded = p.Demand > room+o.Slack*math.Sqrt(p.Demand)
 	p.setDemandBefore(flows)
 	if !p.Overloaded {
 		return p
@@ -153,6 +155,39 @@
 	return 1
 }
 
+// AdmittedFraction returns the fraction of all requests that is admitted.
+func (p *Plan) AdmittedFraction() float64 {
+	if !p.Overloaded {
+		return 1
+	}
+	return p.Room / p.Demand
+}
+
+// Cut returns the priority of which not all requests are admitted, and whether those that return are already cut. It must
+// be called only if the plan is overloaded.
+func (p *Plan) Cut() (priority int, returning bool) { return int(p.cut / 2), p.cut%2 == 0 }
+
+// AboveShare returns the teams that have more requests of the cut rank than their part of the room, with the fractions
+// that are admitted, in order of the fractions.
+func (p *Plan) AboveShare() []TeamFraction {
+	var list []TeamFraction
+	for c, f := range p.fractions {
+		if rankOf(c) == p.cut && c.Team != "" && f < 1 {
+			list = append(list, TeamFraction{c.Team, f})
+		}
+	}
+	slices.SortFunc(list, func(a, b TeamFraction) int {
+		return cmp.Or(cmp.Compare(a.Fraction, b.Fraction), cmp.Compare(a.Team, b.Team))
+	})
+	return list
+}
+
+// TeamFraction is the fraction of a team's requests that is admitted.
+type TeamFraction struct {
+	Team     state.TeamName
+	Fraction float64
+}
+
 // minRateFraction is the least fraction of the room that the rate for requests that return counts as.
 const minRateFraction = 0.05
 
--- a/coordination/overload/policy.go
+++ b/coordination/overload/policy.go
@@ -21,6 +21,10 @@
 	// Horizon is the span in which the free slots are filled. It must exceed the age of the totals, or nodes fill
 	// the same slots twice.
 	Horizon time.Duration `flag:"horizon" help:"span in which free slots are filled" min:"100ms" max:"1m"`
+	// Slack is the demand above the room that still counts as fitting, in requests per second for the square root of the
+	// demand. The rate of few requests in a short time is uncertain by that much: with a time constant of T seconds, the
+	// standard deviation is the square root of the rate divided by 2T.
+	Slack float64 `flag:"slack" help:"requests per second above the room that still count as fitting, for the square root of the demand" min:"0" max:"100"`
 	// MinReturn is the least time that a caller waited after a refusal to count as returning. It is below the
 	// least retry delay by what the request may take on its way.
 	MinReturn time.Duration `flag:"min-return" help:"least time that a caller waited after a refusal to count as returning" min:"1ms" max:"1m"`
@@ -35,7 +39,8 @@
 		SetPoint:      0.8,
 		PromptLoad:    0.7,
 		MaxInFlight:   1.25,
-		Horizon:       700 * time.Millisecond,
+		Horizon:       600 * time.Millisecond,
+		Slack:         1.3,
 		MinReturn:     200 * time.Millisecond,
 		MinRetryDelay: 250 * time.Millisecond,
 	}
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -81,6 +81,8 @@
 	incarnationNumber atomic.Int64
 	eras              eraTracker
 	storeReadAt       atomic.Int64
+	// totalsAt is when this node last got the totals of all nodes, in nanoseconds.
+	totalsAt atomic.Int64
 	// storeFailed reports whether the last read of the store failed. Only the first of consecutive
 	// failures is logged.
 	storeFailed atomic.Bool
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -323,7 +323,9 @@
 		p.greetSilentNodes(ctx)
 		p.n.setLoads(p.totals())
 		p.setOwnPeers()
+		return
 	}
+	p.n.assumeLoads(p.nodeCount())
 }
 
 // preferenceDelay is how long the answer of a leader waits for the answers of preceding candidates. It exceeds a
@@ -486,6 +488,7 @@
 		flows = append(flows, h.report.Demand)
 	}
 	p.inProgress, p.totalDemand, p.totalsAt = inProgress, demand.Sum(flows...), now
+	p.n.table.TrimClasses(p.totalDemand)
 	return p.inProgress, p.totalDemand
 }
 
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -51,6 +51,7 @@
 		n.placement.run,
 		n.watchHealth,
 		n.persistQuarantine,
+		n.every(admissionLogInterval, n.showAdmission),
 		n.every(time.Second, func(context.Context) {
 			n.pool.CloseExpired()
 			n.peerPool.CloseExpired()
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -10,6 +10,7 @@
 
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/quarantine"
+	"github.com/troutmast/troutmast/internal/steady"
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/state"
 )
@@ -225,6 +226,7 @@
 // setLoads updates the dispatch table with the requests in progress at each instance and the
 // demand, both summed over all nodes.
 func (n *Node) setLoads(inProgress map[state.InstanceID]int, flows []demand.Flow) {
+	n.totalsAt.Store(steady.Nanos(n.clock.Now()))
 	n.table.UpdateLoad(subtractOwn(inProgress, n.table.InFlight()), flows, n.demand.Flows(n.clock.Now()))
 }
 
--- a/transport/gateway/admission.go
+++ b/transport/gateway/admission.go
@@ -93,8 +93,12 @@
 	now := c.Clock.Now()
 	after := c.Table.RetryDelay(c.pool(), c.class.Priority, c.deadline.Sub(now))
 	c.Demand.AddReturn(c.service, c.model, now, after)
-	if c.origin == "" {
+	return &refusal{code: CodeOverloaded, after: after}
+}
+
+// countOverloaded counts a refusal for lack of room by the priority of the request.
+func (c *call) countOverloaded(refused *refusal) {
+	if refused.code == CodeOverloaded && c.origin == "" {
 		c.Recorder.Count("refused." + string(CodeOverloaded) + ".p" + strconv.Itoa(c.class.Priority))
 	}
-	return &refusal{code: CodeOverloaded, after: after}
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -359,6 +359,7 @@
 		counter = "forward.declined." // the node that received the request counts its refusal
 	}
 	c.Recorder.Count(counter + string(refused.code))
+	c.countOverloaded(refused)
 	c.Recorder.LogDecision(&event.RequestEnded{Request: c.eventRequest(), Progress: c.eventProgress(), Code: string(refused.code), Tried: c.tried, Begun: c.headerWritten, Unreachable: c.Table.Unreachable(c.service, c.model)})
 	if c.headerWritten {
 		panic(http.ErrAbortHandler)
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -49,6 +49,9 @@
 	if f.LastEventID != "" {
 		h.Set("Last", f.LastEventID)
 	}
+	if f.Priority >= 0 {
+		h.Set("Rank", strconv.Itoa(f.Priority))
+	}
 }
 
 func (testDialect) MatchesRequest(h http.Header, id string) bool { return h.Get("Id") == id }
