Plan with the groups that other nodes reach

A node that reaches fewer groups than others computed less room from the same demand, and refused more. Its room now grows by the part that it does not reach. Where the configuration does not limit the prompt tokens in a pass, prompts are bounded by the prefill rate alone instead of not at all.

--- a/coordination/dispatch/admission.go
+++ b/coordination/dispatch/admission.go
@@ -109,6 +109,8 @@
 		for _, c := range groups {
 			room += c.room(f.PromptTokens / f.Requests)
 		}
+		// Other nodes reach the groups that this one does not, and all nodes must compute the same fractions.
+		room *= 1 + float64(t.Unreachable(f.Service, f.Model))/float64(len(groups))
 		if t.gates[pool] == nil {
 			t.gates[pool] = overload.NewGate(t.random())
 		}
--- a/coordination/dispatch/admission_test.go
+++ b/coordination/dispatch/admission_test.go
@@ -153,6 +153,25 @@
 	}
 }
 
+// Guards against a node that refuses more than others because it reaches fewer groups.
+func TestNodeThatReachesFewerGroupsAdmitsTheSameFraction(t *testing.T) {
+	g := NewWithT(t)
+	rooms := make([]float64, 2)
+	for i, unreachable := range []bool{false, true} {
+		table := dispatch.NewTable("h", dispatch.DefaultPolicy())
+		views := []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready), member("c", 0, fleet.Open), member("d", 1, fleet.Ready)}
+		for j := range views[2:] {
+			views[2+j].Membership.Group = "other"
+			views[2+j].Unreachable = unreachable
+		}
+		table.Update(testCatalog(), views, func(fleet.GroupKey) bool { return false })
+		table.UpdateLoad(nil, flowOf(100), nil)
+		rooms[i] = table.Plans()[0].Room
+	}
+	g.Expect(rooms[0]).To(BeNumerically(">", 0))
+	g.Expect(rooms[1]).To(Equal(rooms[0]))
+}
+
 func TestReturningCallersHaveShorterDeadline(t *testing.T) {
 	table := dispatch.NewTable("h", dispatch.DefaultPolicy())
 	for _, c := range []struct {
--- a/coordination/overload/room.go
+++ b/coordination/overload/room.go
@@ -40,12 +40,14 @@
 	tokens, base, perRequest float64
 }
 
-// NewSpeed returns the speed of the groups of a model, unknown if the configuration does not state enough.
+// NewSpeed returns the speed of the groups of a model, unknown if the configuration does not state it. If the configuration
+// does not limit the prompt tokens in a pass, decode steps take no time from prompts.
 func NewSpeed(engine *catalog.Engine, model *catalog.Model) Speed {
+	factor := timeFactor(model)
 	if engine.PromptTokensPerPass == 0 || engine.PrefillTokensPerSecond == 0 {
-		return Speed{}
+		return Speed{tokens: engine.PrefillTokensPerSecond, base: factor}
 	}
-	tokens, steps, factor := float64(engine.PromptTokensPerPass), float64(max(engine.StepsPerPass, 1)), timeFactor(model)
+	tokens, steps := float64(engine.PromptTokensPerPass), float64(max(engine.StepsPerPass, 1))
 	return Speed{
 		tokens:     tokens,
 		base:       factor * (tokens/engine.PrefillTokensPerSecond + steps*engine.StepTime.Seconds()),
