Refuse nothing while few slots are in use

A burst of a few requests at idle groups counted as a high rate, and the requests after it were refused although slots were free. Demand now counts as fitting while less than 0.3 requests per slot are in progress.

--- a/coordination/dispatch/admission.go
+++ b/coordination/dispatch/admission.go
@@ -105,9 +105,11 @@
 		if len(groups) == 0 || groups[0].Size == 0 || f.Requests <= 0 {
 			continue
 		}
-		room := 0.0
+		room, inFlight, slots := 0.0, int64(0), 0
 		for _, c := range groups {
 			room += c.room(f.PromptTokens / f.Requests)
+			inFlight += c.Load()
+			slots += c.Slots
 		}
 		// Other nodes reach the groups that this one does not, and all nodes must compute the same fractions.
 		room *= 1 + float64(t.Unreachable(f.Service, f.Model))/float64(len(groups))
@@ -118,7 +120,7 @@
 		if len(classes) == 0 {
 			classes = []demand.ClassFlow{{Requests: f.Requests}}
 		}
-		plans[pool] = &poolPlan{Plan: t.policy.Admission.Plan(room, classes), gate: t.gates[pool], waiting: f.Waiting}
+		plans[pool] = &poolPlan{Plan: t.policy.Admission.Plan(room, float64(inFlight)/float64(max(slots, 1)), classes), gate: t.gates[pool], waiting: f.Waiting}
 	}
 	t.plans.Store(&plans)
 }
--- a/coordination/overload/plan.go
+++ b/coordination/overload/plan.go
@@ -34,15 +34,16 @@
 	return r
 }
 
-// Plan returns the plan for a pool with room for a number of requests per second. Room goes to classes in the order of
+// Plan returns the plan for a pool with room for a number of requests per second and a number of requests in progress per
+// slot. Room goes to classes in the order of
 // their ranks. Within a rank that does not fit as a whole, it is divided by max-min fairness: among the teams of a
 // priority, what a team got for requests that return counts toward its part.
-func (o *Policy) Plan(room float64, flows []demand.ClassFlow) *Plan {
+func (o *Policy) Plan(room, inUse float64, flows []demand.ClassFlow) *Plan {
 	p := &Plan{Room: room, cut: 2 * demand.Priorities}
 	for i := range flows {
 		p.Demand += flows[i].Requests
 	}
-	p.Overloaded = p.Demand > room+o.Slack*math.Sqrt(p.Demand)
+	p.Overloaded = inUse >= o.MinInUse && p.Demand > room+o.Slack*math.Sqrt(p.Demand)
 	p.setDemandBefore(flows)
 	if !p.Overloaded {
 		return p
--- a/coordination/overload/policy.go
+++ b/coordination/overload/policy.go
@@ -25,6 +25,9 @@
 	// demand. The rate of few requests in a short time is uncertain by that much: with a time constant of T seconds, the
 	// standard deviation is the square root of the rate divided by 2T.
 	Slack float64 `flag:"slack" help:"requests per second above the room that still count as fitting, for the square root of the demand" min:"0" max:"100"`
+	// MinInUse is the number of requests in progress per slot below which demand counts as fitting, whatever its rate.
+	// A short burst is over before the rate shows that it fits into the free slots.
+	MinInUse float64 `flag:"min-in-use" help:"requests in progress per slot below which demand counts as fitting" min:"0" max:"10"`
 	// MinReturn is the least time that a caller waited after a refusal to count as returning. It is below the
 	// least retry delay by what the request may take on its way.
 	MinReturn time.Duration `flag:"min-return" help:"least time that a caller waited after a refusal to count as returning" min:"1ms" max:"1m"`
@@ -41,6 +44,7 @@
 		MaxInFlight:   1.25,
 		Horizon:       600 * time.Millisecond,
 		Slack:         1.3,
+		MinInUse:      0.3,
 		MinReturn:     200 * time.Millisecond,
 		MinRetryDelay: 250 * time.Millisecond,
 	}
