--- a/coordination/dispatch/admission_test.go
+++ b/coordination/dispatch/admission_test.go
@@ -194,13 +194,33 @@
 	}
 }
 
+func BenchmarkPlans(b *testing.B) {
+	table := tableOf(30, true, rand.Float64)
+	var classes []demand.ClassFlow
+	for i := range 84 {
+		classes = append(classes, demand.ClassFlow{Class: demand.Class{Priority: i % 3, Team: state.TeamName(fmt.Sprint("team", i/3))}, Requests: 20})
+	}
+	inFlight, flows := map[state.InstanceID]int{}, flowOf(1600, classes...)
+	for i := range 30 {
+		inFlight[state.InstanceID(fmt.Sprint("g", i))] = 5
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		table.UpdateLoad(inFlight, flows, nil)
+	}
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	table := tableOf(30, true, rand.Float64)
 	var classes []demand.ClassFlow
 	for i := range 32 {
 		classes = append(classes, demand.ClassFlow{Class: demand.Class{Team: state.TeamName(fmt.Sprint("team", i))}, Requests: 50})
 	}
-	table.UpdateLoad(nil, flowOf(1600, classes...), nil)
+	inFlight := map[state.InstanceID]int{}
+	for i := range 30 {
+		inFlight[state.InstanceID(fmt.Sprint("g", i))] = 5
+	}
+	table.UpdateLoad(inFlight, flowOf(1600, classes...), nil)
 	if !table.IsOverloaded(testPool) {
 		b.Fatal("not overloaded")
 	}
--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -350,10 +350,15 @@
 // IsFull reports whether the candidate has no capacity for a new request. An instance of a
 // plain service is never full. While demand exceeds the room of a pool, a group is full if it has no room.
 func (c *Candidate) IsFull(now time.Time) bool {
+	return c.isFull(now, c.table.IsOverloaded(c.pool()))
+}
+
+// isFull is IsFull, given whether the demand exceeds the room of the pool.
+func (c *Candidate) isFull(now time.Time, overloaded bool) bool {
 	if c.Size == 0 {
 		return false
 	}
-	if c.table.IsOverloaded(c.pool()) {
+	if overloaded {
 		return !c.HasRoom()
 	}
 	if float64(c.Load()) >= c.table.policy.FullAt*float64(c.Slots) {
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -20,7 +20,8 @@
 // proportional to the requests it gets (load interpretation; Dahlin, Interpreting
 // Stale Load Information, 1999).
 func (t *Table) Pick(service state.ServiceName, model string, now time.Time, avoid func(*Candidate) bool) *Candidate {
-	if t.IsOverloaded(Pool{service, model}) {
+	overloaded := t.IsOverloaded(Pool{service, model})
+	if overloaded {
 		if c := t.pickByRoom(t.Candidates(service, model), avoid); c != nil {
 			return c
 		}
@@ -31,7 +32,7 @@
 		if avoid(c) {
 			continue
 		}
-		isFull := c.IsFull(now)
+		isFull := c.isFull(now, overloaded)
 		if allFull && !isFull {
 			allFull = false
 			pool = pool[:0]
