Plan alike at nodes that reach different groups, and for unknown classes

A node that reaches fewer groups than others scaled its room up by what it does not reach. In a partitioned hall all nodes miss the same groups, so that they would have admitted for groups that none of them reaches. A group out of reach now counts if the totals show requests of other nodes there. While a leader of an earlier build tells the sum of the demand only, all classes get the same fraction; before, all but the highest priority were refused.

--- a/coordination/dispatch/admission.go
+++ b/coordination/dispatch/admission.go
@@ -24,6 +24,8 @@
 	// gates and holdTimes are kept from one plan to the next.
 	gates     map[Pool]*overload.Gate
 	holdTimes map[Pool]*overload.HoldTime
+	// outOfReach holds the instances and groups that this node alone may fail to reach.
+	outOfReach map[Pool][]*Candidate
 	// random returns random numbers from 0 to 1.
 	random func() float64
 }
@@ -106,25 +108,39 @@
 			continue
 		}
 		room, inFlight, slots := 0.0, int64(0), 0
-		for _, c := range groups {
+		for _, c := range t.groupsInUse(pool) {
 			room += c.room(f.PromptTokens / f.Requests)
 			inFlight += c.Load()
 			slots += c.Slots
 		}
-		// Other nodes reach the groups that this one does not, and all nodes must compute the same fractions.
-		room *= 1 + float64(t.Unreachable(f.Service, f.Model))/float64(len(groups))
 		if t.gates[pool] == nil {
 			t.gates[pool] = overload.NewGate(t.random())
 		}
-		classes := f.Classes
-		if len(classes) == 0 {
-			classes = []demand.ClassFlow{{Requests: f.Requests}}
+		p := &poolPlan{gate: t.gates[pool], waiting: f.Waiting}
+		inUse := float64(inFlight) / float64(max(slots, 1))
+		if len(f.Classes) == 0 {
+			p.Plan = t.policy.Admission.UniformPlan(room, inUse, f.Requests)
+		} else {
+			p.Plan = t.policy.Admission.Plan(room, inUse, f.Classes)
 		}
-		plans[pool] = &poolPlan{Plan: t.policy.Admission.Plan(room, float64(inFlight)/float64(max(slots, 1)), classes), gate: t.gates[pool], waiting: f.Waiting}
+		plans[pool] = p
 	}
 	t.plans.Store(&plans)
 }
 
+// groupsInUse returns the groups of a pool that the nodes send to by which the totals are summed up: those that this node
+// reaches, and the others at which other nodes have requests. All nodes must compute the same room, whereas nodes
+// partitioned from groups together must not count them. t.mu must be held.
+func (t *Table) groupsInUse(pool Pool) []*Candidate {
+	groups := slices.Clone(t.Candidates(pool.Service, pool.Model))
+	for _, c := range t.outOfReach[pool] {
+		if c.load.othersInFlight.Load() > 0 {
+			groups = append(groups, c)
+		}
+	}
+	return groups
+}
+
 // detailFrom is the demand, as a fraction of the room, from which on nodes are told the demand by class.
 const detailFrom = 0.7
 
--- a/coordination/dispatch/admission_test.go
+++ b/coordination/dispatch/admission_test.go
@@ -97,8 +97,8 @@
 	g.Expect(picks["g1"]).To(BeNumerically("~", 1000, 100))
 	g.Expect(picks["g2"]).To(BeZero())
 	admitted := 0
-	for range 1000 {
-		if table.Admit(testPool, demand.Class{}) {
+	for i := range 1000 {
+		if table.Admit(testPool, demand.Class{Priority: i % 3}) {
 			admitted++
 		}
 	}
@@ -155,23 +155,28 @@
 	}
 }
 
-// Guards against a node that refuses more than others because it reaches fewer groups.
+// Guards against a node that refuses more than others because it reaches fewer groups, and against a partitioned hall
+// that counts the room of groups that none of its nodes reaches.
 func TestNodeThatReachesFewerGroupsAdmitsTheSameFraction(t *testing.T) {
 	g := NewWithT(t)
-	rooms := make([]float64, 2)
-	for i, unreachable := range []bool{false, true} {
+	rooms := make([]float64, 3)
+	for i, c := range []struct {
+		unreachable bool
+		others      int
+	}{{false, 3}, {true, 3}, {true, 0}} {
 		table := dispatch.NewTable("h", dispatch.DefaultPolicy())
 		views := []roster.View{member("a", 0, fleet.Open), member("b", 1, fleet.Ready), member("c", 0, fleet.Open), member("d", 1, fleet.Ready)}
 		for j := range views[2:] {
 			views[2+j].Membership.Group = "other"
-			views[2+j].Unreachable = unreachable
+			views[2+j].Unreachable = c.unreachable
 		}
 		table.Update(testCatalog(), views, func(fleet.GroupKey) bool { return false })
-		table.UpdateLoad(nil, flowOf(100), nil)
+		table.UpdateLoad(map[state.InstanceID]int{"c": c.others}, flowOf(100), nil)
 		rooms[i] = table.Plans()[0].Room
 	}
 	g.Expect(rooms[0]).To(BeNumerically(">", 0))
 	g.Expect(rooms[1]).To(Equal(rooms[0]))
+	g.Expect(rooms[2]).To(BeNumerically("<", 0.7*rooms[0]))
 }
 
 func TestReturningCallersHaveShorterDeadline(t *testing.T) {
--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -144,6 +144,7 @@
 	groups := membersByGroup(views)
 	pools, unreachable := map[Pool][]*Candidate{}, map[Pool]int{}
 	excluded := 0
+	t.outOfReach = map[Pool][]*Candidate{}
 	loads := make(map[fleet.Incarnation]*load, len(views))
 	for i := range views {
 		v := &views[i]
@@ -172,6 +173,7 @@
 			pools[key] = append(pools[key], cand)
 		} else {
 			unreachable[key]++
+			t.outOfReach[key] = append(t.outOfReach[key], cand)
 		}
 	}
 	t.loads = loads
--- a/coordination/overload/plan.go
+++ b/coordination/overload/plan.go
@@ -16,6 +16,8 @@
 	// Overloaded reports whether more requests arrive than fit, beyond the slack. Otherwise all are admitted.
 	Overloaded bool
 	fractions  map[demand.Class]float64
+	// isUniform is set if the classes of the demand are unknown, so that all have the same fraction.
+	isUniform bool
 	// cut is the first rank of which not all requests are admitted.
 	cut rank
 	// demandBefore is the demand of all priorities before each one, per second.
@@ -69,6 +71,13 @@
 	return p
 }
 
+// UniformPlan returns the plan for demand of unknown classes, of which a leader of an earlier build tells the sum only.
+func (o *Policy) UniformPlan(room, inUse, requests float64) *Plan {
+	p := o.Plan(room, inUse, []demand.ClassFlow{{Requests: requests}})
+	p.isUniform = true
+	return p
+}
+
 // setDemandBefore sums up the demand by priority.
 func (p *Plan) setDemandBefore(flows []demand.ClassFlow) {
 	for i := range flows {
@@ -141,7 +150,11 @@
 func (p *Plan) Fraction(c demand.Class) float64 {
 	r := rankOf(c)
 	switch {
-	case !p.Overloaded || r < p.cut:
+	case !p.Overloaded:
+		return 1
+	case p.isUniform:
+		return p.AdmittedFraction()
+	case r < p.cut:
 		return 1
 	case r > p.cut:
 		return 0
--- a/coordination/overload/plan_test.go
+++ b/coordination/overload/plan_test.go
@@ -75,6 +75,17 @@
 	}
 }
 
+// Guards against the refusal of all but one priority while a leader of an earlier build tells no classes.
+func TestDemandOfUnknownClassesIsAdmittedEvenly(t *testing.T) {
+	g := NewWithT(t)
+	plan := exact.UniformPlan(10, 1, 40)
+	for priority := range demand.Priorities {
+		g.Expect(plan.Fraction(demand.Class{Priority: priority, Team: "a"})).To(Equal(0.25))
+		g.Expect(plan.Fraction(demand.Class{Priority: priority, Returning: true})).To(Equal(0.25))
+	}
+	g.Expect(exact.UniformPlan(10, 1, 9).Fraction(demand.Class{})).To(Equal(1.0))
+}
+
 func TestGateAdmitsFractionExactly(t *testing.T) {
 	g := NewWithT(t)
 	gate, admitted := overload.NewGate(0.5), 0
