--- a/coordination/overload/load_test.go
+++ b/coordination/overload/load_test.go
@@ -440,11 +440,46 @@
 	}
 }
 
+// fewGroups returns deployment A with one group of the model with long prompts and two of the other one.
+func fewGroups() deployment {
+	few := deploymentA
+	few.models = []model{{"large", 1, 62.0 / 5, 1400, 400 * time.Millisecond}, {"small", 2, 320.0 / 17 * 2, 700, 300 * time.Millisecond}}
+	return few
+}
+
+// Guards against few groups and long prompts being served worse than with the limit on slots when they are overloaded.
+func TestFewGroupsAboveRoom(t *testing.T) {
+	few := fewGroups()
+	for _, load := range []float64{1, 1.2, 1.6} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			var onTime [2]map[string]float64
+			for i, v := range []variant{variants[0], variants[2]} {
+				sim := newSimulation(&few, v)
+				sim.run(15*time.Second, func(time.Duration) float64 { return load })
+				sim.run(4*time.Second, func(time.Duration) float64 { return 0 })
+				onTime[i] = map[string]float64{}
+				for _, m := range few.models {
+					var c tally
+					for _, r := range sim.all {
+						if r.model.name == m.name {
+							c.add(r)
+						}
+					}
+					onTime[i][m.name] = c.fraction(c.onTime)
+					t.Logf("%-14s %-6s %v", v.name, m.name, &c)
+				}
+			}
+			for _, m := range few.models {
+				NewWithT(t).Expect(onTime[1][m.name]).To(BeNumerically(">=", onTime[0][m.name]-0.02), m.name)
+			}
+		})
+	}
+}
+
 // Guards against admission that refuses what would have been on time: few groups, long prompts and a load that nearly
 // fits must be served as well as with the limit on slots, but for noise.
 func TestLoadBelowRoom(t *testing.T) {
-	few := deploymentA
-	few.models = []model{{"large", 1, 62.0 / 5, 1400, 400 * time.Millisecond}, {"small", 2, 320.0 / 17 * 2, 700, 300 * time.Millisecond}}
+	few := fewGroups()
 	for _, c := range []struct {
 		name string
 		*deployment
