--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -461,6 +461,7 @@
 	if leading && !wasLeading {
 		p.n.requestListRead()
 		signal(p.n.becameLeader)
+		signal(p.n.schedules.becameLeader)
 	}
 	if leading != wasLeading {
 		p.n.log.WithField("placing", leading).Info("leadership changed")
--- a/transport/entry/schedule.go
+++ b/transport/entry/schedule.go
@@ -63,6 +63,8 @@
 	n         *Node
 	policy    scheduling.Policy
 	scheduler *scheduling.Scheduler
+	// becameLeader signals that this node has become the leader.
+	becameLeader chan struct{}
 
 	mu sync.Mutex
 	// retryAt is when the leader is asked again after it has not answered.
@@ -79,7 +81,7 @@
 // newSchedules returns the schedules of a node.
 func newSchedules(n *Node) *schedules {
 	p := n.settings.Policy.Scheduling
-	return &schedules{n: n, policy: p, scheduler: scheduling.NewScheduler(p), samples: map[scheduling.Pool][]LatencySample{}}
+	return &schedules{n: n, policy: p, scheduler: scheduling.NewScheduler(p), becameLeader: make(chan struct{}, 1), samples: map[scheduling.Pool][]LatencySample{}}
 }
 
 // isScheduled reports whether the leader schedules the requests for a service: its configuration states a delay between
@@ -207,16 +209,57 @@
 	}), nil
 }
 
-// updateInterval is the time between two snapshots of the groups for the scheduler.
-const updateInterval = 50 * time.Millisecond
+// Intervals of a leader that schedules requests, and of all other nodes.
+const (
+	// updateInterval is the time between two snapshots of the groups for the scheduler, stateInterval that between two
+	// reports of its state to operators.
+	updateInterval = 50 * time.Millisecond
+	stateInterval  = time.Second
+	// idleInterval is the time between two checks whether this node schedules requests. Each wake-up of hundreds of small
+	// nodes costs processor time.
+	idleInterval = 2 * time.Second
+)
 
-// update gives the scheduler of a leader the current state of the groups.
-func (s *schedules) update(context.Context) {
+// run gives the scheduler snapshots of the groups while this node is the leader and any service's requests are scheduled.
+func (s *schedules) run(ctx context.Context) {
+	var reportedAt time.Time
+	for {
+		interval := idleInterval
+		if s.isActive() {
+			s.update()
+			interval = updateInterval
+			if now := s.n.clock.Now(); now.Sub(reportedAt) >= stateInterval {
+				reportedAt = now
+				s.reportState(now)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.n.clock.After(interval):
+		case <-s.becameLeader:
+		}
+	}
+}
+
+// isActive reports whether this node is the leader and schedules the requests for any service.
+func (s *schedules) isActive() bool {
 	leading, _ := s.n.peers.leadership()
 	c := s.n.configState.Catalog()
 	if !leading || c == nil {
-		return
+		return false
 	}
+	for _, svc := range c.Services {
+		if s.isScheduled(svc) {
+			return true
+		}
+	}
+	return false
+}
+
+// update gives the scheduler of a leader the current state of the groups.
+func (s *schedules) update() {
+	c := s.n.configState.Catalog()
 	inFlight, _ := s.n.peers.totals()
 	now := s.n.clock.Now()
 	interval := s.n.peers.statusInterval()
@@ -253,15 +296,9 @@
 	return out
 }
 
-// stateInterval is the time between two reports of the scheduler's state to operators.
-const stateInterval = time.Second
-
 // reportState updates the gauges of the pools that this node schedules as leader, and logs each one that refuses requests.
-func (s *schedules) reportState(context.Context) {
-	if leading, _ := s.n.peers.leadership(); !leading {
-		return
-	}
-	for _, p := range s.scheduler.TakeStates(s.n.clock.Now()) {
+func (s *schedules) reportState(now time.Time) {
+	for _, p := range s.scheduler.TakeStates(now) {
 		name := "schedule." + string(p.Service) + "." + p.Model
 		metrics.GetOrRegisterGauge(name+".load", s.n.metrics).Update(int64(p.Load))
 		metrics.GetOrRegisterGauge(name+".slots", s.n.metrics).Update(int64(p.Slots))
