--- a/transport/gateway/schedule.go
+++ b/transport/gateway/schedule.go
@@ -121,9 +121,11 @@
 // maxForwardedPriority is the largest value of a priority that instances accept, the least urgent one.
 const maxForwardedPriority = 9
 
-// forwardedPriority returns the priority to forward to an instance, or -1 if all requests for the service have the same.
+// forwardedPriority returns the priority to forward to an instance, or -1 for none: if all requests for the service have
+// the same, or the configuration states no distant halls, where requests are scheduled and refused by priority as well.
 func (c *call) forwardedPriority() int {
-	if s := c.catalog.Services[c.service]; s == nil || !s.HasPriorities {
+	s := c.catalog.Services[c.service]
+	if s == nil || !s.HasPriorities || s.Engine == nil || !s.Engine.HasDistantHalls() {
 		return -1
 	}
 	return min(max(c.priority(), 0), maxForwardedPriority)
--- a/transport/gateway/schedule_test.go
+++ b/transport/gateway/schedule_test.go
@@ -61,6 +61,9 @@
 	}
 	old := h.catalogs.current
 	services := []catalog.Service{*old.Services["plain"], *old.Services["lm"]}
+	engine := *services[1].Engine
+	engine.Delays = []catalog.HallDelay{{From: "hall", To: "other", Delay: h.hallDelay}}
+	services[1].Engine = &engine
 	h.catalogs.current = catalog.New(2, []catalog.Route{route("stream", stream), route("other", 1)}, services, map[string]*catalog.Team{"k": owner}, catalog.Limits{})
 }
 
@@ -145,17 +148,21 @@
 	for _, c := range []struct {
 		name         string
 		stream, team int
+		delay        time.Duration
 		want         string
 	}{
-		{"one priority", 1, -1, ""},
-		{"the route's", 3, -1, "3"},
-		{"the team's", 3, 2, "2"},
-		{"the highest", 0, -1, "0"},
-		{"above the scale", 40, -1, "9"},
+		{"one priority", 1, -1, 2 * time.Millisecond, ""},
+		{"the route's", 3, -1, 2 * time.Millisecond, "3"},
+		{"the team's", 3, 2, 2 * time.Millisecond, "2"},
+		{"the highest", 0, -1, 2 * time.Millisecond, "0"},
+		{"above the scale", 40, -1, 2 * time.Millisecond, "9"},
+		{"halls of one site", 3, 2, time.Millisecond / 2, ""},
+		{"no delays stated", 3, 2, 0, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			h := newHarness(t)
+			h.hallDelay = c.delay
 			h.setPriorities(c.stream, c.team)
 			h.addInstance("a", "lm", writesEvents)
 			g.Expect(h.call(http.MethodPost, "/stream/x", "p", nil).status).To(Equal(http.StatusOK))
@@ -168,6 +175,7 @@
 func TestForwardedRequestKeepsItsPriority(t *testing.T) {
 	g := NewWithT(t)
 	origin, peer := newForwardingPair(t)
+	origin.hallDelay, peer.hallDelay = 2*time.Millisecond, 2*time.Millisecond
 	origin.setPriorities(4, -1)
 	peer.setPriorities(2, -1)
 	peer.addInstance("a", "lm", writesEvents)
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -232,6 +232,8 @@
 
 // harness runs a gateway in front of fake instances.
 type harness struct {
+	// hallDelay is the delay between halls that setPriorities states.
+	hallDelay    time.Duration
 	t            testing.TB
 	gateway      *gateway.Gateway
 	server       *httptest.Server
