Schedule only requests of services that call for it, and those without a goal by their time left

A node looked for grants of groups with a rate limit before it asked whether a service is scheduled, also on deployments that schedule nothing. Requests of routes without a goal were refused as soon as any prompt was before them (TestRequestWithoutGoalMayWait). The elapsed time of a request was sent to the leader and not used.

--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -149,7 +149,9 @@
 
 // schedule decides on a request.
 func (p *pool) schedule(r *Request, now time.Time) Decision {
-	p.goals.record(r.Priority, r.Goal, now)
+	if r.Goal > 0 {
+		p.goals.record(r.Priority, r.Goal, now)
+	}
 	p.meanPrompt.add(float64(r.PromptTokens))
 	best, wait := p.best(r, now)
 	if best == nil {
@@ -207,7 +209,7 @@
 
 // limit returns the wait up to which a request is admitted, and the reason of a refusal beyond it.
 func (p *pool) limit(r *Request, aboveShare bool, now time.Time) (time.Duration, Reason) {
-	goal, steps := p.goals.strictest(r.Priority, r.Goal, now)
+	goal, steps := p.goals.strictest(r.Priority, r.goal(), now)
 	limit := float64(max(goal-time.Duration(p.latency.value), p.policy.MinWait))
 	reason := WaitTooLong
 	if steps > 0 {
--- a/coordination/scheduling/scheduling.go
+++ b/coordination/scheduling/scheduling.go
@@ -31,9 +31,8 @@
 	// Hall is the data hall in which the request arrived.
 	Hall         state.HallName
 	PromptTokens int
-	// Goal is the target for the time to the first event, Elapsed the time since the request arrived, and
-	// TimeLeft the time until its deadline.
-	Goal, Elapsed, TimeLeft time.Duration
+	// Goal is the target for the time to the first event; 0 if there is none. TimeLeft is the time until the deadline.
+	Goal, TimeLeft time.Duration
 	// Priority is 0 for the most urgent requests.
 	Priority int
 	// Returning reports whether the request was refused before, Resuming whether it continues a
@@ -43,6 +42,14 @@
 	Excluded []state.InstanceID
 }
 
+// goal returns the target for the time to the first event. Without one, a request may wait for half of its time.
+func (r *Request) goal() time.Duration {
+	if r.Goal > 0 {
+		return r.Goal
+	}
+	return r.TimeLeft / 2
+}
+
 // Decision says where a request goes.
 type Decision struct {
 	// Instance is the head of the group that gets the request; empty if there is none.
--- a/coordination/scheduling/scheduling_test.go
+++ b/coordination/scheduling/scheduling_test.go
@@ -264,3 +264,16 @@
 	g.Expect(states[0].ShortestWait).To(BeNumerically(">", 0))
 	g.Expect(s.TakeStates(start)[0].Scheduled).To(BeZero())
 }
+
+// Guards against requests of routes without a goal, which would be refused as soon as any prompt is before them.
+func TestRequestWithoutGoalMayWait(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(1)
+	r := requestOf(1500)
+	r.Goal = 0
+	for range 10 {
+		d, ok := s.Schedule(r, nil, start)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(d.Refused).To(BeFalse())
+	}
+}
--- a/transport/entry/schedule.go
+++ b/transport/entry/schedule.go
@@ -31,7 +31,6 @@
 	Hall      state.HallName     `json:"h"`
 	Prompt    int                `json:"p,omitempty"`
 	GoalMS    int64              `json:"g,omitempty"`
-	ElapsedMS int64              `json:"e,omitempty"`
 	LeftMS    int64              `json:"l"`
 	Priority  int                `json:"r,omitempty"`
 	Returning bool               `json:"b,omitempty"`
@@ -90,12 +89,14 @@
 	return svc != nil && svc.Engine != nil && s.policy.MinHallDelay > 0 && svc.Engine.MaxHallDelay() >= s.policy.MinHallDelay
 }
 
+// Schedules implements gateway.Scheduler.
+func (s *schedules) Schedules(service state.ServiceName) bool {
+	c := s.n.configState.Catalog()
+	return c != nil && s.isScheduled(c.Services[service])
+}
+
 // Schedule implements gateway.Scheduler.
 func (s *schedules) Schedule(ctx context.Context, r *scheduling.Request) (scheduling.Decision, bool) {
-	c := s.n.configState.Catalog()
-	if c == nil || !s.isScheduled(c.Services[r.Service]) {
-		return scheduling.Decision{}, false
-	}
 	r.Hall = s.n.settings.Hall
 	now := s.n.clock.Now()
 	if leading, _ := s.n.peers.leadership(); leading {
@@ -115,7 +116,7 @@
 	defer cancel()
 	began := s.n.clock.Now()
 	resp, err := s.client(leader).CallUnary(ctx, connect.NewRequest(&ScheduleRequest{
-		Service: r.Service, Model: r.Model, Team: r.Team, Hall: r.Hall, Prompt: r.PromptTokens, GoalMS: r.Goal.Milliseconds(), ElapsedMS: r.Elapsed.Milliseconds(),
+		Service: r.Service, Model: r.Model, Team: r.Team, Hall: r.Hall, Prompt: r.PromptTokens, GoalMS: r.Goal.Milliseconds(),
 		LeftMS: r.TimeLeft.Milliseconds(), Priority: r.Priority, Returning: r.Returning, Resuming: r.Resuming, Excluded: r.Excluded, Samples: s.takeSamples(r.Pool),
 	}))
 	if err != nil {
@@ -200,7 +201,7 @@
 	now := s.n.clock.Now()
 	r := &scheduling.Request{
 		Pool: scheduling.Pool{Service: m.Service, Model: m.Model}, Team: m.Team, Hall: m.Hall, PromptTokens: max(m.Prompt, 0), Goal: time.Duration(m.GoalMS) * time.Millisecond,
-		Elapsed: time.Duration(m.ElapsedMS) * time.Millisecond, TimeLeft: time.Duration(m.LeftMS) * time.Millisecond, Priority: m.Priority, Returning: m.Returning,
+		TimeLeft: time.Duration(m.LeftMS) * time.Millisecond, Priority: m.Priority, Returning: m.Returning,
 		Resuming: m.Resuming, Excluded: m.Excluded,
 	}
 	d, ok := s.scheduler.Schedule(r, toSamples(m.Samples), now)
--- a/transport/entry/schedule_test.go
+++ b/transport/entry/schedule_test.go
@@ -132,10 +132,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			n := schedulingNode(g, c.delay)
-			n.peers.isLeader = true
-			n.schedules.scheduler.Update(idleGroup, n.clock.Now())
-			_, ok := n.schedules.Schedule(context.Background(), requestForPool())
-			g.Expect(ok).To(Equal(c.scheduled))
+			g.Expect(n.schedules.Schedules("lm")).To(Equal(c.scheduled))
+			g.Expect(n.schedules.Schedules("unknown")).To(BeFalse())
 		})
 	}
 }
@@ -158,7 +156,7 @@
 func TestScheduleMessagesAreSmall(t *testing.T) {
 	g := NewWithT(t)
 	r := ScheduleRequest{
-		Service: "a-language-model-service", Model: "a-model-of-12-instances", Team: "a-team-with-a-long-name", Hall: "a-hall-of-the-region", Prompt: 12345, GoalMS: 1000, ElapsedMS: 1000,
+		Service: "a-language-model-service", Model: "a-model-of-12-instances", Team: "a-team-with-a-long-name", Hall: "a-hall-of-the-region", Prompt: 12345, GoalMS: 1000,
 		LeftMS: 12345, Priority: 9, Returning: true, Resuming: true,
 	}
 	for range 4 { // a request is sent to no more instances
--- a/transport/gateway/schedule.go
+++ b/transport/gateway/schedule.go
@@ -14,8 +14,10 @@
 
 // Scheduler decides for all nodes which replica group gets a request.
 type Scheduler interface {
+	// Schedules reports whether the requests for a service are scheduled.
+	Schedules(service state.ServiceName) bool
 	// Schedule decides on a request. It reports false if this node must pick a group itself: because
-	// the service's requests are not scheduled, or no decision came in time.
+	// no decision came in time.
 	Schedule(ctx context.Context, r *scheduling.Request) (scheduling.Decision, bool)
 	// RecordLatency records the time to the first event of a scheduled request, without the expected wait.
 	RecordLatency(pool scheduling.Pool, s scheduling.Sample)
@@ -33,7 +35,7 @@
 // that this node picks, which may be nil. If the scheduler refuses the request, ended is true.
 func (c *call) choose() (target *dispatch.Candidate, refused *refusal, ended bool) {
 	c.scheduleState = scheduleState{}
-	if c.model == "" || c.Scheduler == nil || c.Peers.IsPartitioned(c.service) || c.Quarantine.IsSuspected(c.identity) {
+	if !c.isScheduled() {
 		return c.pick(), nil, false
 	}
 	askedAt := c.Clock.Now()
@@ -60,6 +62,12 @@
 	return t, nil, false
 }
 
+// isScheduled reports whether the scheduler decides on the request. It knows neither which instances a partitioned node
+// reaches, nor which of them a suspected request may go to.
+func (c *call) isScheduled() bool {
+	return c.Scheduler != nil && c.model != "" && c.Scheduler.Schedules(c.service) && !c.Peers.IsPartitioned(c.service) && !c.Quarantine.IsSuspected(c.identity)
+}
+
 // refuseScheduled ends a request that the scheduler refuses. It returns the refusal if there is one.
 func (c *call) refuseScheduled(after time.Duration) *refusal {
 	switch {
@@ -86,7 +94,7 @@
 func (c *call) scheduleRequest(now time.Time) *scheduling.Request {
 	r := &scheduling.Request{
 		Pool: scheduling.Pool{Service: c.service, Model: c.model}, PromptTokens: c.claims.PromptTokens, Goal: c.route.Goal,
-		Elapsed: now.Sub(c.arrivedAt), TimeLeft: c.deadline.Sub(now), Priority: c.priority(), Returning: c.isReturning(),
+		TimeLeft: c.deadline.Sub(now), Priority: c.priority(), Returning: c.isReturning(),
 		Resuming: c.headerWritten || c.lastEventID != "" || c.claims.LastEventID != "", Excluded: c.excludedTargets(),
 	}
 	if c.team != nil {
--- a/transport/gateway/schedule_test.go
+++ b/transport/gateway/schedule_test.go
@@ -24,6 +24,9 @@
 	samples  []scheduling.Sample
 }
 
+// Schedules implements gateway.Scheduler.
+func (*fixedScheduler) Schedules(service state.ServiceName) bool { return service == "lm" }
+
 // Schedule implements gateway.Scheduler.
 func (s *fixedScheduler) Schedule(_ context.Context, r *scheduling.Request) (scheduling.Decision, bool) {
 	s.mu.Lock()
