Move the messages, client and handler of the scheduler to a package of their own

No change of behaviour or of the messages: their tests move along. Some comments said who is told what; they now use the usual words.

--- a/coordination/evacuation/evacuation.go
+++ b/coordination/evacuation/evacuation.go
@@ -95,7 +95,7 @@
 
 // Knowledge is what a node knows of evacuations. The zero value knows nothing.
 type Knowledge struct {
-	// Known is set once the node has read or was told any set.
+	// Known is set once the node has read or received any set.
 	Known bool
 	// Position is that of the set; 0 if the set is complete as of no position.
 	Position int64
--- a/coordination/evacuation/evacuation_test.go
+++ b/coordination/evacuation/evacuation_test.go
@@ -44,8 +44,8 @@
 	return k.ApplyRead(r, policy, now)
 }
 
-// told returns the receipt of a set.
-func told(position int64, halls ...state.HallName) step {
+// received returns the receipt of a set.
+func received(position int64, halls ...state.HallName) step {
 	return step{set: &evacuation.Set{Position: position, Halls: halls}}
 }
 
@@ -73,13 +73,13 @@
 		{"a later record", []step{full(1, 4), read(5, record(4, "a", true))}, []state.HallName{"a"}, at(1, 5), false},
 		{"a deleted record", []step{full(1, 4, record(3, "a", true)), read(5, record(4, "a", false))}, nil, at(1, 5), false},
 		{"a record written again", []step{full(1, 4), read(7, record(4, "a", true), record(5, "a", false), record(6, "a", true))}, []state.HallName{"a"}, at(1, 7), false},
-		{"a later set", []step{full(1, 4, record(3, "a", true)), told(at(1, 6), "b")}, []state.HallName{"b"}, at(1, 6), false},
-		{"an older set", []step{full(1, 4, record(3, "a", true)), told(at(1, 3), "b")}, []state.HallName{"a"}, at(1, 4), false},
-		{"a set without a position", []step{full(1, 4, record(3, "a", true)), told(0, "b")}, []state.HallName{"a"}, at(1, 4), false},
-		{"an own read that begins before a later set", []step{full(1, 4), told(at(1, 6)), read(5, record(4, "a", true))}, nil, at(1, 6), false},
-		{"an own read that begins before a later set and ends after it", []step{full(1, 4), told(at(1, 6)), read(7, record(4, "a", true), record(6, "b", true))}, []state.HallName{"b"}, at(1, 7), false},
-		{"a full read that is older than a set", []step{told(at(1, 9), "a"), full(1, 4)}, []state.HallName{"a"}, at(1, 9), false},
-		{"a set before any read", []step{told(at(1, 9), "a")}, []state.HallName{"a"}, at(1, 9), false},
+		{"a later set", []step{full(1, 4, record(3, "a", true)), received(at(1, 6), "b")}, []state.HallName{"b"}, at(1, 6), false},
+		{"an older set", []step{full(1, 4, record(3, "a", true)), received(at(1, 3), "b")}, []state.HallName{"a"}, at(1, 4), false},
+		{"a set without a position", []step{full(1, 4, record(3, "a", true)), received(0, "b")}, []state.HallName{"a"}, at(1, 4), false},
+		{"an own read that begins before a later set", []step{full(1, 4), received(at(1, 6)), read(5, record(4, "a", true))}, nil, at(1, 6), false},
+		{"an own read that begins before a later set and ends after it", []step{full(1, 4), received(at(1, 6)), read(7, record(4, "a", true), record(6, "b", true))}, []state.HallName{"b"}, at(1, 7), false},
+		{"a full read that is older than a set", []step{received(at(1, 9), "a"), full(1, 4)}, []state.HallName{"a"}, at(1, 9), false},
+		{"a set before any read", []step{received(at(1, 9), "a")}, []state.HallName{"a"}, at(1, 9), false},
 		{"a restored store that lacks an evacuation", []step{full(1, 4, record(3, "a", true)), restored(2, 3)}, []state.HallName{"a"}, at(1, 4), true},
 		{"a restored store with an evacuation that had ended", []step{full(1, 4), restored(2, 3, record(2, "a", true))}, []state.HallName{"a"}, at(1, 4), true},
 		{"a restored store, read again in full", []step{full(1, 4, record(3, "a", true)), restored(2, 3), full(2, 3)}, nil, at(2, 3), false},
@@ -93,7 +93,7 @@
 			full(1, 4, record(3, "a", true)), {set: &evacuation.Set{Position: at(2, 3), Halls: []state.HallName{"b"}}, unsettled: true},
 		}, []state.HallName{"a", "b"}, at(1, 4), true},
 		{"a set of the restored store after its records were written again", []step{
-			full(1, 4, record(3, "a", true)), restored(2, 3), told(at(2, 4), "b"),
+			full(1, 4, record(3, "a", true)), restored(2, 3), received(at(2, 4), "b"),
 		}, []state.HallName{"b"}, at(2, 4), false},
 		{"a process started after the restore is told of the evacuations before", []step{
 			full(2, 3), {set: &evacuation.Set{Position: at(1, 4), Halls: []state.HallName{"a"}, IsUnsettled: true}},
--- a/coordination/scheduling/policy.go
+++ b/coordination/scheduling/policy.go
@@ -23,7 +23,7 @@
 	PriorityFactor float64 `flag:"priority-factor" help:"factor on the admissible wait for each lower step of priority" min:"0.01" max:"1"`
 	TeamFactor     float64 `flag:"team-factor" help:"factor on the admissible wait for teams above their share" min:"0.01" max:"1"`
 	ReturnFactor   float64 `flag:"return-factor" help:"factor on the admissible wait for requests that return after a refusal" min:"1" max:"10"`
-	// ReturnShare is the part of a model's capacity that refused callers are told to return at.
+	// ReturnShare is the part of a model's capacity that refused callers are asked to return at.
 	ReturnShare float64 `flag:"return-share" help:"part of a model's capacity at which refused callers return" min:"0.01" max:"1"`
 	// MinRetryAfter and MaxRetryAfter bound the retry delay. MaxRetryShare bounds it by the caller's remaining
 	// time: callers ignore a longer delay.
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -23,7 +23,7 @@
 	sends   float64
 	sendsAt time.Time
 	teams   teamUse
-	// nextReturn is when the next refused caller is told to return.
+	// nextReturn is when the next refused caller may return.
 	nextReturn time.Time
 	// spreads counts the refused callers who could not be given a turn of their own.
 	spreads int
@@ -226,9 +226,9 @@
 	return max(time.Duration(limit), p.policy.MinWait), reason
 }
 
-// retryAfter returns the delay to tell a refused caller. Callers are told to return one after another, at a part
-// of the rate at which the groups process prompts, once the excess wait has passed. Callers who
-// cannot wait for their turn are spread over the longest delay that they observe.
+// retryAfter returns the Retry-After delay of a refused caller. Callers return one after another, at a part of the rate
+// at which the groups process prompts, once the excess wait has passed. Callers who cannot wait for their turn are spread
+// over the longest delay that they observe.
 func (p *pool) retryAfter(r *Request, excess time.Duration, now time.Time) time.Duration {
 	earliest := now.Add(max(excess, p.policy.MinRetryAfter))
 	if p.nextReturn.Before(earliest) {
--- a/coordination/scheduling/scheduling_test.go
+++ b/coordination/scheduling/scheduling_test.go
@@ -165,7 +165,7 @@
 	return r
 }
 
-// Guards against callers who are all told to return at the same moment, or later than they wait.
+// Guards against callers who are all asked to return at the same moment, or later than they wait.
 func TestRefusedCallersReturnOneAfterAnother(t *testing.T) {
 	g := NewWithT(t)
 	s := newScheduler(2)
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -26,8 +26,6 @@
 type peers struct {
 	n  *Node
 	hc *http.Client
-	// scheduleClient sends the requests for decisions of the scheduler, over connections of their own.
-	scheduleClient *http.Client
 
 	mu    sync.Mutex
 	known map[string]NodeEntry
@@ -98,23 +96,19 @@
 	receivedAt time.Time
 }
 
-// maxScheduleConns is the maximum number of idle connections to the leader for scheduling. Requests arrive in bursts.
-const maxScheduleConns = 4
-
 // newPeers returns the peers of a node, none of them known yet.
 func newPeers(n *Node) *peers {
 	dialer := direct.Dialer{Timeout: n.policy.StatusTimeout, AckTimeout: ackTimeout}
 	return &peers{
-		n:              n,
-		hc:             &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}},
-		scheduleClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxScheduleConns, IdleConnTimeout: 30 * time.Second}},
-		known:          map[string]NodeEntry{},
-		lastContact:    map[string]time.Time{},
-		backoffUntil:   map[string]time.Time{},
-		statusReports:  map[string]receivedReport{},
-		greetedAt:      map[string]time.Time{},
-		retryUse:       map[string]*nodeRetryUse{},
-		clients:        map[string]*connect.Client[StatusReport, StatusAnswer]{},
+		n:             n,
+		hc:            &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}},
+		known:         map[string]NodeEntry{},
+		lastContact:   map[string]time.Time{},
+		backoffUntil:  map[string]time.Time{},
+		statusReports: map[string]receivedReport{},
+		greetedAt:     map[string]time.Time{},
+		retryUse:      map[string]*nodeRetryUse{},
+		clients:       map[string]*connect.Client[StatusReport, StatusAnswer]{},
 	}
 }
 
--- a/transport/entry/schedule.go
+++ b/transport/entry/schedule.go
@@ -3,84 +3,33 @@
 import (
 	"cmp"
 	"context"
-	"errors"
-	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/apex/log"
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/troutmast/troutmast/coordination/scheduling"
-	"github.com/troutmast/troutmast/protocol/peer"
+	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/transport/schedule"
 )
 
-// scheduleProcedure is the path of a node's request to the leader to schedule a request.
-const scheduleProcedure = "/troutmast.Entry/Schedule"
-
-// errNotLeading is the error of a node that is asked to schedule a request and does not lead.
-var errNotLeading = errors.New("entry: this node does not schedule requests")
-
-// ScheduleRequest asks the leader which group gets a request.
-type ScheduleRequest struct {
-	Service   state.ServiceName  `json:"s"`
-	Model     string             `json:"m"`
-	Team      state.TeamName     `json:"t,omitempty"`
-	Hall      state.HallName     `json:"h"`
-	Prompt    int                `json:"p,omitempty"`
-	GoalMS    int64              `json:"g,omitempty"`
-	LeftMS    int64              `json:"l"`
-	Priority  int                `json:"r,omitempty"`
-	Returning bool               `json:"b,omitempty"`
-	Resuming  bool               `json:"c,omitempty"`
-	Excluded  []state.InstanceID `json:"x,omitempty"`
-	// Samples are the latencies of requests of the same pool that were scheduled before.
-	Samples []LatencySample `json:"k,omitempty"`
-}
-
-// LatencySample is the time to the first event of a scheduled request, without the expected wait.
-type LatencySample struct {
-	Instance state.InstanceID `json:"i"`
-	MS       int64            `json:"l"`
-}
-
-// ScheduleAnswer is the leader's decision on a request.
-type ScheduleAnswer struct {
-	// Decided is false if the sender must pick a group itself.
-	Decided      bool              `json:"d,omitempty"`
-	Instance     state.InstanceID  `json:"i,omitempty"`
-	WaitMS       int64             `json:"w,omitempty"`
-	Refused      bool              `json:"r,omitempty"`
-	RetryAfterMS int64             `json:"a,omitempty"`
-	Reason       scheduling.Reason `json:"y,omitempty"`
-}
-
 // schedules lets the leader schedule the requests of a node's callers.
 type schedules struct {
 	n         *Node
 	policy    scheduling.Policy
 	scheduler *scheduling.Scheduler
+	client    *schedule.Client
 	// becameLeader signals that this node has become the leader.
 	becameLeader chan struct{}
-
-	mu sync.Mutex
-	// retryAt is when the leader is asked again after it has not answered.
-	retryAt time.Time
-	samples map[scheduling.Pool][]LatencySample
-	// connected is the client for the leader at connectedTo.
-	connected   *connect.Client[ScheduleRequest, ScheduleAnswer]
-	connectedTo string
 }
 
-// maxSamples is the maximum number of latencies kept for a pool until the next request for it.
-const maxSamples = 8
-
 // newSchedules returns the schedules of a node.
 func newSchedules(n *Node) *schedules {
 	p := n.settings.Policy.Scheduling
-	return &schedules{n: n, policy: p, scheduler: scheduling.NewScheduler(p), becameLeader: make(chan struct{}, 1), samples: map[scheduling.Pool][]LatencySample{}}
+	dialer := direct.Dialer{Timeout: n.policy.StatusTimeout, AckTimeout: ackTimeout}
+	return &schedules{n: n, policy: p, scheduler: scheduling.NewScheduler(p), client: schedule.NewClient(p, dialer, n.clock, n, n.log), becameLeader: make(chan struct{}, 1)}
 }
 
 // isScheduled reports whether the leader schedules the requests for a service: its configuration states a delay between
@@ -98,116 +47,24 @@
 // Schedule implements gateway.Scheduler.
 func (s *schedules) Schedule(ctx context.Context, r *scheduling.Request) (scheduling.Decision, bool) {
 	r.Hall = s.n.settings.Hall
-	now := s.n.clock.Now()
 	if leading, _ := s.n.peers.leadership(); leading {
-		return s.scheduler.Schedule(r, toSamples(s.takeSamples(r.Pool)), now)
-	}
-	leader := s.n.peers.currentLeader(now)
-	if leader == "" || s.inBackoff(now) {
-		s.n.Count("schedule.no-leader")
-		return scheduling.Decision{}, false
-	}
-	return s.ask(ctx, leader, r)
-}
-
-// ask asks the leader for a decision.
-func (s *schedules) ask(ctx context.Context, leader string, r *scheduling.Request) (scheduling.Decision, bool) {
-	ctx, cancel := context.WithTimeout(ctx, s.policy.Timeout)
-	defer cancel()
-	began := s.n.clock.Now()
-	resp, err := s.client(leader).CallUnary(ctx, connect.NewRequest(&ScheduleRequest{
-		Service: r.Service, Model: r.Model, Team: r.Team, Hall: r.Hall, Prompt: r.PromptTokens, GoalMS: r.Goal.Milliseconds(),
-		LeftMS: r.TimeLeft.Milliseconds(), Priority: r.Priority, Returning: r.Returning, Resuming: r.Resuming, Excluded: r.Excluded, Samples: s.takeSamples(r.Pool),
-	}))
-	if err != nil {
-		s.startBackoff(ctx, leader, err)
-		return scheduling.Decision{}, false
+		return s.scheduler.Schedule(r, s.client.TakeSamples(r.Pool), s.n.clock.Now())
 	}
-	s.n.ObserveDuration("schedule.ask", s.n.clock.Since(began))
-	a := resp.Msg
-	d := scheduling.Decision{
-		Instance: a.Instance, Wait: time.Duration(a.WaitMS) * time.Millisecond, Refused: a.Refused, RetryAfter: time.Duration(a.RetryAfterMS) * time.Millisecond, Reason: a.Reason,
-	}
-	return d, a.Decided
-}
-
-// client returns the client for the node that leads.
-func (s *schedules) client(leader string) *connect.Client[ScheduleRequest, ScheduleAnswer] {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.connectedTo != leader {
-		s.connected = connect.NewClient[ScheduleRequest, ScheduleAnswer](s.n.peers.scheduleClient, "http://"+leader+scheduleProcedure, connect.WithCodec(peer.JSONCodec{}))
-		s.connectedTo = leader
-	}
-	return s.connected
-}
-
-// startBackoff starts the time in which this node picks groups itself, unless the caller has disconnected.
-func (s *schedules) startBackoff(ctx context.Context, leader string, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return
-	}
-	s.n.Count("schedule.failed")
-	now := s.n.clock.Now()
-	s.mu.Lock()
-	first := now.After(s.retryAt.Add(s.policy.Backoff))
-	s.retryAt = now.Add(s.policy.Backoff)
-	s.mu.Unlock()
-	if first {
-		s.n.log.WithError(err).WithField("leader", leader).Info("leader schedules no requests")
-	}
-}
-
-// inBackoff reports whether the leader is not asked now because it has not answered recently.
-func (s *schedules) inBackoff(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now.Before(s.retryAt)
+	return s.client.Ask(ctx, s.n.peers.currentLeader(s.n.clock.Now()), r)
 }
 
 // RecordLatency implements gateway.Scheduler.
 func (s *schedules) RecordLatency(pool scheduling.Pool, sample scheduling.Sample) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := s.samples[pool]
-	list = append(list, LatencySample{Instance: sample.Instance, MS: sample.Latency.Milliseconds()})
-	s.samples[pool] = list[max(len(list)-maxSamples, 0):]
-}
-
-// takeSamples returns and forgets the latencies recorded for a pool.
-func (s *schedules) takeSamples(pool scheduling.Pool) []LatencySample {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := s.samples[pool]
-	delete(s.samples, pool)
-	return list
-}
-
-// toSamples converts latencies from their form in messages.
-func toSamples(list []LatencySample) []scheduling.Sample {
-	samples := make([]scheduling.Sample, 0, len(list))
-	for _, l := range list {
-		samples = append(samples, scheduling.Sample{Instance: l.Instance, Latency: time.Duration(l.MS) * time.Millisecond})
-	}
-	return samples
+	s.client.RecordLatency(pool, sample)
 }
 
-// handleSchedule decides on a request of another node's caller.
-func (s *schedules) handleSchedule(_ context.Context, req *connect.Request[ScheduleRequest]) (*connect.Response[ScheduleAnswer], error) {
+// Decide implements schedule.Leader.
+func (s *schedules) Decide(r *scheduling.Request, samples []scheduling.Sample) (d scheduling.Decision, decided, leads bool) {
 	if leading, _ := s.n.peers.leadership(); !leading {
-		return nil, connect.NewError(connect.CodeUnavailable, errNotLeading)
-	}
-	m := req.Msg
-	now := s.n.clock.Now()
-	r := &scheduling.Request{
-		Pool: scheduling.Pool{Service: m.Service, Model: m.Model}, Team: m.Team, Hall: m.Hall, PromptTokens: max(m.Prompt, 0), Goal: time.Duration(m.GoalMS) * time.Millisecond,
-		TimeLeft: time.Duration(m.LeftMS) * time.Millisecond, Priority: m.Priority, Returning: m.Returning,
-		Resuming: m.Resuming, Excluded: m.Excluded,
+		return scheduling.Decision{}, false, false
 	}
-	d, ok := s.scheduler.Schedule(r, toSamples(m.Samples), now)
-	return connect.NewResponse(&ScheduleAnswer{
-		Decided: ok, Instance: d.Instance, WaitMS: d.Wait.Milliseconds(), Refused: d.Refused, RetryAfterMS: d.RetryAfter.Milliseconds(), Reason: d.Reason,
-	}), nil
+	d, decided = s.scheduler.Schedule(r, samples, s.n.clock.Now())
+	return d, decided, true
 }
 
 // Intervals of a leader that schedules requests, and of all other nodes.
--- a/transport/entry/schedule_test.go
+++ b/transport/entry/schedule_test.go
@@ -2,22 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
 	"github.com/troutmast/troutmast/coordination/scheduling"
-	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
+	"github.com/troutmast/troutmast/transport/schedule"
 )
 
 // distantHalls decodes every record as a configuration with an engine service and a delay between halls.
@@ -75,7 +73,7 @@
 		{"the leader has an earlier build", func(t *testing.T, n *Node) { leaderServer(t, n, http.NotFoundHandler()) }},
 		{"the leader does not lead any more", func(t *testing.T, n *Node) {
 			other := schedulingNode(NewWithT(t), 2*time.Millisecond)
-			leaderServer(t, n, connect.NewUnaryHandler(scheduleProcedure, other.schedules.handleSchedule, connect.WithCodec(peer.JSONCodec{})))
+			leaderServer(t, n, schedule.NewHandler(other.schedules))
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -100,7 +98,7 @@
 	leader, n := schedulingNode(g, 2*time.Millisecond), schedulingNode(g, 2*time.Millisecond)
 	leader.peers.isLeader = true
 	leader.schedules.scheduler.Update(idleGroup, leader.clock.Now())
-	leaderServer(t, n, connect.NewUnaryHandler(scheduleProcedure, leader.schedules.handleSchedule, connect.WithCodec(peer.JSONCodec{})))
+	leaderServer(t, n, schedule.NewHandler(leader.schedules))
 	d, ok := n.schedules.Schedule(context.Background(), requestForPool())
 	g.Expect(ok).To(BeTrue())
 	g.Expect(d.Instance).To(BeEquivalentTo("head"))
@@ -137,38 +135,3 @@
 		})
 	}
 }
-
-// Guards against latencies that pile up at a node while nobody asks for decisions.
-func TestLatenciesOfAPoolAreBounded(t *testing.T) {
-	g := NewWithT(t)
-	n := schedulingNode(g, 2*time.Millisecond)
-	pool := scheduling.Pool{Service: "lm", Model: "m"}
-	for i := range 100 {
-		n.schedules.RecordLatency(pool, scheduling.Sample{Instance: "head", Latency: time.Duration(i) * time.Millisecond})
-	}
-	samples := n.schedules.takeSamples(pool)
-	g.Expect(samples).To(HaveLen(maxSamples))
-	g.Expect(samples[maxSamples-1].MS).To(BeEquivalentTo(99))
-	g.Expect(n.schedules.takeSamples(pool)).To(BeEmpty())
-}
-
-// Guards against messages for decisions that grow with the number of nodes, teams or groups.
-func TestScheduleMessagesAreSmall(t *testing.T) {
-	g := NewWithT(t)
-	r := ScheduleRequest{
-		Service: "a-language-model-service", Model: "a-model-of-12-instances", Team: "a-team-with-a-long-name", Hall: "a-hall-of-the-region", Prompt: 12345, GoalMS: 1000,
-		LeftMS: 12345, Priority: 9, Returning: true, Resuming: true,
-	}
-	for range 4 { // a request is sent to no more instances
-		r.Excluded = append(r.Excluded, "i-0123456789abcdef")
-	}
-	for range maxSamples {
-		r.Samples = append(r.Samples, LatencySample{Instance: "i-0123456789abcdef", MS: 12345})
-	}
-	raw, err := json.Marshal(&r)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(len(raw)).To(BeNumerically("<", 700))
-	raw, err = json.Marshal(&ScheduleAnswer{Decided: true, Instance: "i-0123456789abcdef", WaitMS: 12345, Refused: true, RetryAfterMS: 12345, Reason: scheduling.WaitTooLong})
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(len(raw)).To(BeNumerically("<", 150))
-}
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -12,6 +12,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/troutmast/troutmast/protocol/peer"
+	"github.com/troutmast/troutmast/transport/schedule"
 )
 
 // Timing of a graceful shutdown.
@@ -81,7 +82,7 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(statusReportProcedure, connect.NewUnaryHandler(statusReportProcedure, n.peers.handleStatusReport, statusHandlerOptions()...))
 	peerMux.Handle(indirectProbeProcedure, connect.NewUnaryHandler(indirectProbeProcedure, n.peers.handleIndirectProbe, connect.WithCodec(peer.JSONCodec{})))
-	peerMux.Handle(scheduleProcedure, connect.NewUnaryHandler(scheduleProcedure, n.schedules.handleSchedule, connect.WithCodec(peer.JSONCodec{})))
+	peerMux.Handle(schedule.Procedure, schedule.NewHandler(n.schedules))
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("/", n.serveReady)
 	operatorMux := http.NewServeMux()
