Name the home halls of a request to the scheduler, not the groups outside of them

A request with home regions named every group elsewhere as excluded, so that the message to the leader grew with the groups, by some 20 bytes each; with 85 groups elsewhere and 1,000 such requests a second it would be 1.7 MB/s to one small node. It now names the halls. A request without any instance in its home regions is refused without asking. TestSchedulerIsAskedForGroupsInHomeRegions and TestRequestGoesOnlyToTheHallsThatItNames failed before.

--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -186,7 +186,7 @@
 	var best *group
 	bestCost, bestWait := time.Duration(math.MaxInt64), time.Duration(0)
 	for _, g := range p.order {
-		if slices.Contains(r.Excluded, g.Head) {
+		if !r.allows(g) {
 			continue
 		}
 		wait := g.wait(now, p.hold)
--- a/coordination/scheduling/scheduling.go
+++ b/coordination/scheduling/scheduling.go
@@ -13,6 +13,7 @@
 package scheduling
 
 import (
+	"slices"
 	"time"
 
 	"github.com/troutmast/troutmast/state"
@@ -38,10 +39,17 @@
 	// Returning reports whether the request was refused before, Resuming whether it continues a
 	// stream that has begun. A resuming request is never refused.
 	Returning, Resuming bool
+	// Halls are the only data halls whose groups may get the request; empty if all may.
+	Halls []state.HallName
 	// Excluded are the heads that must not get the request.
 	Excluded []state.InstanceID
 }
 
+// allows reports whether a group may get the request.
+func (r *Request) allows(g *group) bool {
+	return !slices.Contains(r.Excluded, g.Head) && (len(r.Halls) == 0 || slices.Contains(r.Halls, g.Hall))
+}
+
 // goal returns the target for the time to the first event. Without one, a request may wait for half of its time.
 func (r *Request) goal() time.Duration {
 	if r.Goal > 0 {
--- a/coordination/scheduling/scheduling_test.go
+++ b/coordination/scheduling/scheduling_test.go
@@ -135,6 +135,25 @@
 	})
 }
 
+// Guards against a request that goes to a group outside the halls in which it may run because that one has a shorter wait.
+func TestRequestGoesOnlyToTheHallsThatItNames(t *testing.T) {
+	g := NewWithT(t)
+	s := scheduling.NewScheduler(scheduling.DefaultPolicy())
+	sn := snapshotOf(2)
+	sn.Groups[0].Hall, sn.Groups[1].Hall = "home", "other"
+	s.Update([]scheduling.Snapshot{sn}, start)
+	r := requestOf(1000)
+	r.Hall, r.Halls = "other", []state.HallName{"home"}
+	for range 3 {
+		d, ok := s.Schedule(r, nil, start)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(d.Instance).NotTo(Equal(sn.Groups[1].Head))
+	}
+	r.Halls = []state.HallName{"unknown"}
+	_, ok := s.Schedule(r, nil, start)
+	g.Expect(ok).To(BeFalse())
+}
+
 // Guards against a request that is refused while a less urgent one would be admitted at the same moment.
 func TestMoreUrgentRequestIsAdmittedWheneverALessUrgentOneIs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -22,8 +22,8 @@
 type Peers interface {
 	// IsPartitioned reports whether this node reaches no instance of a service.
 	IsPartitioned(service state.ServiceName) bool
-	// AcquirePeer returns a node that can serve requests of a pool and for which isAllowed returns true, and counts a request in flight to it until
-	// ReleasePeer. It returns forwarding.ErrNoPeer or forwarding.ErrLimit if there is none.
+	// AcquirePeer returns a node that can serve requests of a pool and for which isAllowed returns true, and counts a
+	// request in flight to it until ReleasePeer. It returns forwarding.ErrNoPeer or forwarding.ErrLimit if there is none.
 	AcquirePeer(pool dispatch.Pool, isAllowed func(forwarding.Peer) bool) (forwarding.Peer, error)
 	// ReleasePeer ends a request of a pool that AcquirePeer counted.
 	ReleasePeer(p forwarding.Peer, pool dispatch.Pool, o forwarding.Outcome)
--- a/transport/gateway/schedule.go
+++ b/transport/gateway/schedule.go
@@ -63,9 +63,9 @@
 }
 
 // isScheduled reports whether the scheduler decides on the request. It knows neither which instances a partitioned node
-// reaches, nor which of them a suspected request may go to.
+// reaches, nor which of them a suspected request may go to. A request without instances in its home regions is refused.
 func (c *call) isScheduled() bool {
-	return c.Scheduler != nil && c.model != "" && c.Scheduler.Schedules(c.service) && !c.Peers.IsPartitioned(c.service) && !c.Quarantine.IsSuspected(c.identity)
+	return c.Scheduler != nil && c.model != "" && c.Scheduler.Schedules(c.service) && !c.Peers.IsPartitioned(c.service) && !c.Quarantine.IsSuspected(c.identity) && !c.lacksHome()
 }
 
 // refuseScheduled ends a request that the scheduler refuses. It returns the refusal if there is one.
@@ -95,7 +95,7 @@
 	r := &scheduling.Request{
 		Pool: scheduling.Pool{Service: c.service, Model: c.model}, PromptTokens: c.claims.PromptTokens, Goal: c.route.Goal,
 		TimeLeft: c.deadline.Sub(now), Priority: c.priority(), Returning: c.isReturning(),
-		Resuming: c.headerWritten || c.lastEventID != "" || c.claims.LastEventID != "", Excluded: c.excludedTargets(),
+		Resuming: c.headerWritten || c.lastEventID != "" || c.claims.LastEventID != "", Halls: c.homeHalls(), Excluded: c.tried,
 	}
 	if c.team != nil {
 		r.Team = c.team.Name
@@ -103,19 +103,19 @@
 	return r
 }
 
-// excludedTargets returns the targets that the scheduler must leave out: those that were tried, and those outside the
-// home regions of the request.
-func (c *call) excludedTargets() []state.InstanceID {
-	if !c.currentHomes().IsRestricted() {
-		return c.tried
+// homeHalls returns the halls in which the request may run, or nil if it may run in all.
+func (c *call) homeHalls() []state.HallName {
+	homes := c.currentHomes()
+	if !homes.IsRestricted() {
+		return nil
 	}
-	excluded := slices.Clone(c.tried)
+	var halls []state.HallName
 	for _, t := range c.Table.Candidates(c.service, c.model) {
-		if !c.isHome(t) {
-			excluded = append(excluded, t.ID)
+		if !slices.Contains(halls, t.Hall) && homes.Allows(c.Regions.Region(t.Hall)) {
+			halls = append(halls, t.Hall)
 		}
 	}
-	return excluded
+	return halls
 }
 
 // priority returns the priority of the request: that of its team if it has one, else that of its route.
--- a/transport/gateway/schedule_test.go
+++ b/transport/gateway/schedule_test.go
@@ -12,6 +12,7 @@
 	"github.com/troutmast/troutmast/coordination/scheduling"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/transport/gateway"
 )
 
 // fixedScheduler gives the same decision on every request.
@@ -145,6 +146,26 @@
 	g.Expect(requests[1].Returning).To(BeTrue())
 }
 
+// Guards against a scheduler that chooses groups outside a request's home regions, against a message that grows with their
+// number, and against a scheduler that is asked for a request that can run nowhere.
+func TestSchedulerIsAskedForGroupsInHomeRegions(t *testing.T) {
+	g := NewWithT(t)
+	h := newHomesHarness(t, "hall", homesCatalog(1, []state.RegionName{"south"}, nil))
+	h.gateway.Regions = testRegions
+	s := &fixedScheduler{}
+	h.gateway.Scheduler = s
+	h.addInHall("a", "lm", "north-1", writesEvents)
+	g.Expect(h.call(http.MethodPost, "/stream/x", "p", nil).body).To(Equal(string(gateway.CodeNoHome) + "\n"))
+	for _, id := range []string{"b", "c", "d"} {
+		h.addInHall(id, "lm", "south-2", writesEvents)
+	}
+	g.Expect(h.call(http.MethodPost, "/stream/x", "p", nil).status).To(Equal(http.StatusOK))
+	requests, _ := s.taken()
+	g.Expect(requests).To(HaveLen(1))
+	g.Expect(requests[0].Halls).To(Equal([]state.HallName{"south-2"}))
+	g.Expect(requests[0].Excluded).To(BeEmpty())
+}
+
 // Guards against engines that run requests in another order than the configuration ranks them, and against a header
 // that changes nothing.
 func TestPriorityIsForwardedIfThereAreSeveral(t *testing.T) {
--- a/transport/schedule/message.go
+++ b/transport/schedule/message.go
@@ -23,6 +23,7 @@
 	Priority  int                `json:"r,omitempty"`
 	Returning bool               `json:"b,omitempty"`
 	Resuming  bool               `json:"c,omitempty"`
+	Halls     []state.HallName   `json:"a,omitempty"`
 	Excluded  []state.InstanceID `json:"x,omitempty"`
 	// Samples are the latencies of requests of the same pool that were scheduled before.
 	Samples []Sample `json:"k,omitempty"`
@@ -49,7 +50,7 @@
 func newRequest(r *scheduling.Request, samples []scheduling.Sample) *Request {
 	m := &Request{
 		Service: r.Service, Model: r.Model, Team: r.Team, Hall: r.Hall, Prompt: r.PromptTokens, GoalMS: r.Goal.Milliseconds(),
-		LeftMS: r.TimeLeft.Milliseconds(), Priority: r.Priority, Returning: r.Returning, Resuming: r.Resuming, Excluded: r.Excluded,
+		LeftMS: r.TimeLeft.Milliseconds(), Priority: r.Priority, Returning: r.Returning, Resuming: r.Resuming, Halls: r.Halls, Excluded: r.Excluded,
 	}
 	for _, s := range samples {
 		m.Samples = append(m.Samples, Sample{Instance: s.Instance, MS: s.Latency.Milliseconds()})
@@ -61,7 +62,7 @@
 func (m *Request) request() *scheduling.Request {
 	return &scheduling.Request{
 		Pool: scheduling.Pool{Service: m.Service, Model: m.Model}, Team: m.Team, Hall: m.Hall, PromptTokens: max(m.Prompt, 0), Goal: time.Duration(m.GoalMS) * time.Millisecond,
-		TimeLeft: time.Duration(m.LeftMS) * time.Millisecond, Priority: m.Priority, Returning: m.Returning, Resuming: m.Resuming, Excluded: m.Excluded,
+		TimeLeft: time.Duration(m.LeftMS) * time.Millisecond, Priority: m.Priority, Returning: m.Returning, Resuming: m.Resuming, Halls: m.Halls, Excluded: m.Excluded,
 	}
 }
 
