Guard the stall switch of a gateway test against its handlers' race

TestStreamResumesAfterGroupStalls: the handlers of two instances read and wrote stallNext without synchronisation, which go test -race reports. The switch is an atomic.Bool now; what the test expects is unchanged.

--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -340,12 +341,11 @@
 func TestStreamResumesAfterGroupStalls(t *testing.T) {
 	g := NewWithT(t)
 	h := newHarness(t)
-	stallNext := true
+	var stalled atomic.Bool
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		last, _ := strconv.Atoi(r.Header.Get("Last"))
 		writeEvents(w, last+1, last+2)
-		if stallNext {
-			stallNext = false
+		if stalled.CompareAndSwap(false, true) {
 			<-r.Context().Done()
 		}
 	}
