--- a/internal/upgrade/build.go
+++ b/internal/upgrade/build.go
@@ -29,9 +29,10 @@
 	Commit  string
 	Program string
 	// Eras tells that it outlasts a store that comes back from an older copy, Limits that it
-	// keeps to rate limits.
+	// keeps to rate limits, Halls that it reads evacuations and limits cold workers.
 	Eras   bool
 	Limits bool
+	Halls  bool
 }
 
 // WorkTree names the working tree as a commit.
@@ -61,6 +62,7 @@
 	}
 	b.Eras = exists(filepath.Join(tree, "coordination", "source", "era.go"))
 	b.Limits = exists(filepath.Join(tree, "coordination", "ratelimit", "dealer.go"))
+	b.Halls = exists(filepath.Join(tree, "coordination", "evacuation", "evacuation.go")) && exists(filepath.Join(tree, "coordination", "ratelimit", "cold.go"))
 	return b, nil
 }
 
--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -24,6 +24,8 @@
 	// Changes are what the run did, Seen how often workers saw something.
 	Changes []string
 	Seen    map[standin.Kind]int
+	// Evacuations is the number of evacuations, Cold the most requests at a cold worker in one second.
+	Evacuations, Cold int
 }
 
 // Bounds of the judge: those of the platform's pages, and what is on its way.
@@ -67,6 +69,9 @@
 	j.rests()
 	j.deadlyRequests()
 	j.limits()
+	j.evacuations()
+	j.readmissions()
+	j.coldWorkers()
 	j.configuration()
 	j.service()
 	return j.report
--- a/internal/upgrade/node.go
+++ b/internal/upgrade/node.go
@@ -116,7 +116,6 @@
 // place gives the node of a number its addresses: an IP number of its own.
 func place(number int, dir string, ip netip.Addr, store netip.AddrPort, door *standin.Door, seeds []netip.AddrPort) *node {
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(ip, port) }
-	halls := []string{"hall-a", "hall-b"}
 	m := standin.Machine{
 		Name: fmt.Sprintf("node-%d", number), Hall: halls[number%len(halls)], Front: at(7001), Ready: at(7002), Control: at(7003), FirstPort: 7010,
 		Store: store, Seeds: seeds, Grace: grace,
--- a/internal/upgrade/plan.go
+++ b/internal/upgrade/plan.go
@@ -38,6 +38,7 @@
 	limiting     trouble = "workers name a limit"
 	deadly       trouble = "a request ends the workers that run it"
 	reconfigure  trouble = "the configuration changes"
+	evacuating   trouble = "a hall is evacuated"
 )
 
 // The troubles of connections: of all callers to a worker, and of a node to the store.
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -64,6 +64,8 @@
 	callers *callers
 	ip      func() netip.Addr
 	links   *links
+	// evacuations are planned ones, none in most runs.
+	evacuations []evacuation
 
 	// calmSince is when the last trouble and the last replacement were over.
 	calmSince time.Time
@@ -94,6 +96,9 @@
 	if o.Calm {
 		r.plan.troubles = nil
 	}
+	if o.hasHalls() {
+		r.evacuations = newEvacuations(o.Seed)
+	}
 	r.workers = standin.NewFleet(r.store)
 	number, hosts := runNumber.Add(1), byte(0)
 	r.ip = func() netip.Addr {
@@ -142,6 +147,7 @@
 			return err
 		}
 		n := place(i, r.Dir, r.ip(), store, door, seeds)
+		r.boundHalls(&n.machine)
 		seeds = append(seeds, n.machine.Control)[:min(len(seeds)+1, 3)]
 		r.nodes = append(r.nodes, n)
 		if err := n.start(r.From); err != nil {
@@ -185,6 +191,7 @@
 	var under sync.WaitGroup
 	under.Go(func() { r.makeTrouble(ctx) })
 	under.Go(func() { r.replaceAll(ctx) })
+	under.Go(func() { r.evacuateHalls(ctx) })
 	under.Wait()
 	r.calmSince = time.Now()
 	time.Sleep(calmAfter)
@@ -292,7 +299,8 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrRun, err)
 	}
-	w := &standin.Worker{ID: fmt.Sprintf("i-%d", r.born.Add(1)), Service: service, Hall: "hall-a", Domain: domain}
+	w := &standin.Worker{ID: fmt.Sprintf("i-%d", r.born.Add(1)), Service: service, Hall: halls[0], Domain: domain}
+	r.settle(w)
 	if err := r.linkWorker(w, ln); err != nil {
 		return err
 	}
@@ -305,6 +313,9 @@
 	r.version += 3
 	c.Version = r.version
 	r.mu.Unlock()
+	if r.hasHalls() {
+		c.ColdPerSecond, c.ColdStart = coldPerSecond, coldStart
+	}
 	return r.store.Configure(c)
 }
 
--- a/internal/upgrade/trouble.go
+++ b/internal/upgrade/trouble.go
@@ -67,7 +67,11 @@
 
 // closeDoors has the store turn nodes away for a time.
 func (r *run) closeDoors(nodes []*node, what trouble, d time.Duration) {
-	r.note(change{until: time.Now().Add(d), what: "store", trouble: what})
+	place := "store"
+	if what == storeCut {
+		place = nodes[0].machine.Name
+	}
+	r.note(change{until: time.Now().Add(d), what: place, trouble: what})
 	for _, n := range nodes {
 		n.door.Close(true)
 	}
