Fault soak: excuse only requests that a connection held up

The checks of evacuations and of cold workers passed over a worker whose connections were reset or silent. Neither delivers a request later than it was sent, so only slow connections and those cut one way excuse an arrival now.

--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,7 @@
 upgrade:
 	go run ./bench/upgrade --from "$(FROM)" --seeds $(SEEDS) --first-seed $(FIRST) --jobs $(UPGRADE_JOBS)
 
-# Restarts nodes of the working tree one at a time, beside all troubles of the harness and harmed connections: make soak SEEDS=50.
+# Restarts nodes of the working tree one at a time, beside all troubles of the harness and harmed connections; odd seeds also evacuate halls and start instances cold: make soak SEEDS=50.
 soak:
 	go run ./bench/upgrade --from work --to work --soak --seeds $(SEEDS) --first-seed $(FIRST) --jobs $(UPGRADE_JOBS)
 
--- a/bench/upgrade/upgrade.go
+++ b/bench/upgrade/upgrade.go
@@ -39,7 +39,7 @@
 	flaggy.Int(&o.nodes, "", "nodes", "nodes in each run")
 	flaggy.Int(&o.jobs, "", "jobs", "runs at once")
 	flaggy.Bool(&o.calm, "", "calm", "replace nodes and do nothing else")
-	flaggy.Bool(&o.soak, "", "soak", "reset, silence, delay and hold up connections to workers and to the store as well")
+	flaggy.Bool(&o.soak, "", "soak", "reset, silence, delay and hold up connections to workers and to the store as well; odd seeds also evacuate halls and have cold workers")
 	flaggy.Bool(&o.keep, "", "keep", "print what was done and keep the logs also where no rule broke")
 	flaggy.Parse()
 	if err := run(o); err != nil {
--- a/internal/upgrade/halls.go
+++ b/internal/upgrade/halls.go
@@ -112,6 +112,13 @@
 	})
 }
 
+// delayed reports whether a worker may have got requests between two times that were sent some time before.
+func (j *judge) delayed(worker string, from, to time.Time) bool {
+	return slices.ContainsFunc(j.changes, func(c change) bool {
+		return c.what == worker && (c.trouble == slowLink || c.trouble == oneWayLink) && !c.until.Before(from) && !c.at.After(to)
+	})
+}
+
 // evacuated returns the evacuations that were made.
 func (j *judge) evacuated() []change {
 	return slices.DeleteFunc(slices.Clone(j.changes), func(c change) bool { return c.trouble != evacuating })
@@ -130,7 +137,7 @@
 }
 
 // evacuations judges requests that reached the workers of an evacuated hall after the bound, from nodes that were in
-// contact with the store for as long. A request that was under way on a harmed connection may arrive later.
+// contact with the store for as long. A request that was under way on a slow connection may arrive later.
 func (j *judge) evacuations() {
 	misdirected := j.misdirected()
 	for _, v := range j.evacuated() {
@@ -141,7 +148,7 @@
 			if e.Kind != standin.Arrived || e.Hall != v.what || e.At.Sub(v.at) < evacuateBound || !e.At.Before(v.until) || misdirected[e] {
 				continue
 			}
-			if j.mustEnforce(nodeOf(e.Request), e.At) && !j.harmed(e.Worker, e.At, e.At) {
+			if j.mustEnforce(nodeOf(e.Request), e.At) && !j.delayed(e.Worker, e.At, e.At) {
 				late = append(late, e)
 			}
 		}
@@ -197,7 +204,7 @@
 	})
 }
 
-// coldWorkers judges how many requests reached a cold worker in any one second, from all nodes. Requests that a harmed
+// coldWorkers judges how many requests reached a cold worker in any one second, from all nodes. Requests that a slow
 // connection held up were not sent within that second.
 func (j *judge) coldWorkers() {
 	misdirected, recent, broken := j.misdirected(), map[string][]time.Time{}, map[string]bool{}
@@ -209,7 +216,7 @@
 		}
 		list := slices.DeleteFunc(append(recent[e.Worker], e.At), func(at time.Time) bool { return e.At.Sub(at) >= time.Second })
 		recent[e.Worker] = list
-		if j.harmed(e.Worker, list[0], e.At) {
+		if j.delayed(e.Worker, list[0], e.At) {
 			continue
 		}
 		j.report.Cold = max(j.report.Cold, len(list))
--- a/internal/upgrade/halls_test.go
+++ b/internal/upgrade/halls_test.go
@@ -112,6 +112,10 @@
 			m.change(19, 23, change{trouble: slowLink, what: "i-2"})
 			m.arrives(20, "node-0", "hall-a", false)
 		}, "reached"},
+		{"connections to the worker reset", func(m *made) {
+			m.change(19, 23, change{trouble: resetLink, what: "i-1"})
+			m.arrives(20, "node-0", "hall-a", false)
+		}, "reached"},
 		{"a worker crashes", func(m *made) {
 			m.change(19, 23, change{trouble: crashWorker, what: "i-1"})
 			m.arrives(20, "node-0", "hall-a", false)
@@ -195,11 +199,15 @@
 			m.change(9, 12, change{trouble: killNode, node: m.judge.run.nodes[0]})
 			arrive(m, most+1, 10, 0.05, true)
 		}, "got 12 requests"},
-		{"connections harmed", func(m *made) {
+		{"connections silent", func(m *made) {
+			m.change(10.2, 14, change{trouble: silentLink, what: "i-1"})
+			arrive(m, most+1, 10, 0.05, true)
+		}, "got 12 requests"},
+		{"connections cut one way", func(m *made) {
 			m.change(10.2, 14, change{trouble: oneWayLink, what: "i-1"})
 			arrive(m, most+1, 10, 0.05, true)
 		}, ""},
-		{"connections of another worker harmed", func(m *made) {
+		{"connections of another worker cut one way", func(m *made) {
 			m.change(10.2, 14, change{trouble: oneWayLink, what: "i-2"})
 			arrive(m, most+1, 10, 0.05, true)
 		}, "got 12 requests"},
