--- a/bench/upgrade/upgrade.go
+++ b/bench/upgrade/upgrade.go
@@ -39,7 +39,7 @@
 	flaggy.Int(&o.nodes, "", "nodes", "nodes in each run")
 	flaggy.Int(&o.jobs, "", "jobs", "runs at once")
 	flaggy.Bool(&o.calm, "", "calm", "replace nodes and do nothing else")
-	flaggy.Bool(&o.soak, "", "soak", "reset, silence, delay and hold up connections to workers and to the store as well")
+	flaggy.Bool(&o.soak, "", "soak", "reset, silence, delay and hold up connections to workers and to the store as well; odd seeds also evacuate halls and have cold workers")
 	flaggy.Bool(&o.keep, "", "keep", "print what was done and keep the logs also where no rule broke")
 	flaggy.Parse()
 	if err := run(o); err != nil {
@@ -105,8 +105,8 @@
 	if err != nil {
 		return errors.Join(err, upgrade.KeepLogs(opts.Dir, filepath.Join(o.out, name)))
 	}
-	fmt.Printf("%s: %d calls, served %.3f before, %.3f during, %.3f after, %.3f in all; nodes disagreed for %s; workers saw %v\n",
-		name, report.Calls, report.Before, report.During, report.Calm, report.Served, report.Disagreed, report.Seen)
+	fmt.Printf("%s: %d calls, served %.3f before, %.3f during, %.3f after, %.3f in all; nodes disagreed for %s; %d evacuations, enforced for %s by all nodes together, at most %d requests a second at a cold worker; workers saw %v\n",
+		name, report.Calls, report.Before, report.During, report.Calm, report.Served, report.Disagreed, report.Evacuations, report.Watched, report.Cold, report.Seen)
 	if len(report.Violations) == 0 && !o.keep {
 		return nil
 	}
