--- a/internal/upgrade/halls.go
+++ b/internal/upgrade/halls.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// settle chooses the hall of a new worker: that of its domain, or each in turn. A worker that starts under traffic is cold.
-func (r *run) settle(w *standin.Worker) {
+// setHall chooses the hall of a new worker: that of its domain, or each in turn. A worker that starts under traffic is cold.
+func (r *run) setHall(w *standin.Worker) {
 	if !r.hasHalls() {
 		return
 	}
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -300,7 +300,7 @@
 		return fmt.Errorf("%w: %w", ErrRun, err)
 	}
 	w := &standin.Worker{ID: fmt.Sprintf("i-%d", r.born.Add(1)), Service: service, Hall: halls[0], Domain: domain}
-	r.settle(w)
+	r.setHall(w)
 	if err := r.linkWorker(w, ln); err != nil {
 		return err
 	}
