Placement: do not use the rank that an instance states as an index

Cause: a leader that has not formed a group itself recovers its members by their ranks. membersByRank grew a list up to the rank and stored the instance at it: a rank below zero panics in the goroutine of the planner, which ends the process, and the next leader reads the same entry.

Ruled out: the length of the demand (a demand or a demand by hall of another length is not used); the layouts of an engine without models.

Now a rank counts only below the size of the largest group of the service, or the number of instances that state the group. Other ranks stay unclaimed.

--- a/coordination/placement/formation.go
+++ b/coordination/placement/formation.go
@@ -84,12 +84,17 @@
 			g.model = m.Loaded
 		}
 	}
-	for rank, id := range s.membersByRank(key) {
+	limit := s.maxMembers(key)
+	for _, m := range s.membersByGroup[key] {
+		rank := m.Membership.Rank
+		if rank < 0 || rank >= limit {
+			continue // not a group that this system has formed
+		}
 		for len(g.members) <= rank {
 			g.members = append(g.members, "")
 		}
 		if g.members[rank] == "" {
-			g.members[rank] = id
+			g.members[rank] = m.ID
 		}
 	}
 	if model := s.engine.Model(g.model); model != nil && len(g.members) < model.GroupSize {
@@ -106,17 +111,14 @@
 	}
 }
 
-// membersByRank returns the instances that report membership in a group, indexed by rank; an
-// unclaimed rank is empty.
-func (s *step) membersByRank(key fleet.GroupKey) []state.InstanceID {
-	var list []state.InstanceID
-	for _, m := range s.membersByGroup[key] {
-		for len(list) <= m.Membership.Rank {
-			list = append(list, "")
-		}
-		list[m.Membership.Rank] = m.ID
+// maxMembers returns the maximum number of members of a group. A group may be larger than its model's groups
+// are now, if it was formed before a change of the configuration.
+func (s *step) maxMembers(key fleet.GroupKey) int {
+	largest := len(s.membersByGroup[key])
+	for i := range s.engine.Models {
+		largest = max(largest, s.engine.Models[i].GroupSize)
 	}
-	return list
+	return largest
 }
 
 // failureReason returns the reason why a group cannot serve, or an empty string.
