Placement: keep epochs rising whatever epoch another writer states

Callers would have lost each model for good: an entry with an epoch near the largest number made the next epochs of all nodes start again at 0, and an instance refuses a join with an epoch below one that it has seen.

Cause: the generator takes over the highest epoch that the list shows, rounds it up to the next multiple of 2^20, and that overflows. An epoch above 2^63-1 is no longer accepted in an entry, but the largest accepted one still left the range with the next formation, after which nodes would refuse their own groups.

Now epochs above 2^62 are not observed. The generator reaches that by itself after 2^42 formations.

--- a/coordination/placement/epochs.go
+++ b/coordination/placement/epochs.go
@@ -30,14 +30,27 @@
 	return &EpochGenerator{owner: state.Epoch(era)&(1<<eraBits-1)<<offsetBits | state.Epoch(offset)&(1<<offsetBits-1)}
 }
 
-// Next returns a new epoch that is greater than seen.
+// maxObserved is the highest epoch of others that is observed. The epochs above it, as many again, are left for this
+// system, so that its epochs neither overflow nor leave the range of epochs that nodes accept. Only another writer states
+// a higher one.
+const maxObserved state.Epoch = 1 << 62
+
+// Next returns a new epoch that is greater than seen, unless seen is above maxObserved.
 func (e *EpochGenerator) Next(seen state.Epoch) state.Epoch {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.highest = (max(seen, e.highest)>>ownerBits+1)<<ownerBits | e.owner
+	e.observe(seen)
+	e.highest = (e.highest>>ownerBits+1)<<ownerBits | e.owner
 	return e.highest
 }
 
+// observe records an epoch. e.mu must be held.
+func (e *EpochGenerator) observe(seen state.Epoch) {
+	if seen <= maxObserved {
+		e.highest = max(e.highest, seen)
+	}
+}
+
 // supersededStep is the number of epochs to skip when an instance has seen an epoch unknown to this node.
 const supersededStep = 64
 
@@ -52,5 +65,5 @@
 func (e *EpochGenerator) Observe(seen state.Epoch) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.highest = max(e.highest, seen)
+	e.observe(seen)
 }
