Entry: bring the numbers in messages of other nodes into their ranges

What one node has taken in wrongly reached all others: the leader relays the memberships that it has read, a node the era and the ages that it knows. A leader of an earlier build still relays the rank -1 of review/1 to nodes of this one, whichever of them leads next. By reading, other numbers did lasting harm, too: an era of the store past its range is never given up, an age below 0 makes keys or the list look newer than the message that tells it, a failed probe in the future outlasts all answers of its instance, and a number of grants sizes a list.

Cause: messages between nodes were taken as they were decoded.

Now a report and an answer are normalized as they arrive: a number out of range becomes the nearest one in it, an era none. A changed instance or a report with a value out of range is not used; the instance counts as unlisted, as with an entry that cannot be decoded. Each message is counted (messages.out-of-range), the first of a node logged. Refusing whole messages was weighed: a node would then take a leader of an earlier build for dead and lead beside it.

The fuzz targets of both messages now also look for values out of range in the node's state.

--- a/transport/entry/past_test.go
+++ b/transport/entry/past_test.go
@@ -115,6 +115,7 @@
 			t.Fatal(err)
 		}
 		n.allocateRates(n.clock.Now())
+		checkRanges(t, n)
 	})
 }
 
@@ -128,10 +129,14 @@
 			return
 		}
 		n := ableNode(NewWithT(t))
+		if n.peers.receiveAnswer(&a, "leader") != nil {
+			return
+		}
 		n.peers.mergeLedger(&a, 0)
 		n.peers.applyAnswer(&a, n.clock.Now())
 		n.allocateRates(n.clock.Now())
 		n.peers.statusReport()
+		checkRanges(t, n)
 	})
 }
 
--- a/transport/entry/reach.go
+++ b/transport/entry/reach.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"connectrpc.com/connect"
 
-	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -77,11 +77,15 @@
 
 // probeVia has another node probe an instance and returns the report, or nil if there is none.
 func (p *peers) probeVia(ctx context.Context, node NodeEntry, id state.InstanceID) *fleet.Report {
-	c := connect.NewClient[IndirectProbeRequest, IndirectProbeAnswer](p.hc, "http://"+node.Address+indirectProbeProcedure, connect.WithCodec(peer.JSONCodec{}))
+	c := connect.NewClient[IndirectProbeRequest, IndirectProbeAnswer](p.hc, "http://"+node.Address+indirectProbeProcedure, callOptions()...)
 	resp, err := c.CallUnary(ctx, connect.NewRequest(&IndirectProbeRequest{Instance: id}))
 	if err != nil || !resp.Msg.Reached {
 		return nil // a node that is down, or of a version without indirect probes, counts as not reaching the instance
 	}
+	if err := resp.Msg.Report.Validate(); err != nil {
+		p.n.recordMessageRange(fmt.Errorf("%w: report of %.40q: %w", errMessageRange, id, err), node.Name)
+		return nil
+	}
 	return &resp.Msg.Report
 }
 
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -74,14 +74,14 @@
 
 // statusHandlerOptions returns the options of the handler of status reports.
 func statusHandlerOptions() []connect.HandlerOption {
-	return []connect.HandlerOption{connect.WithCodec(peer.JSONCodec{}), connect.WithCompressMinBytes(minCompressedAnswer)}
+	return []connect.HandlerOption{connect.WithCodec(peer.JSONCodec{}), connect.WithCompressMinBytes(minCompressedAnswer), connect.WithReadMaxBytes(maxMessageBytes)}
 }
 
 // listen opens all listeners and starts their servers. The server for callers is the first.
 func (n *Node) listen() ([]*http.Server, error) {
 	peerMux := http.NewServeMux()
 	peerMux.Handle(statusReportProcedure, connect.NewUnaryHandler(statusReportProcedure, n.peers.handleStatusReport, statusHandlerOptions()...))
-	peerMux.Handle(indirectProbeProcedure, connect.NewUnaryHandler(indirectProbeProcedure, n.peers.handleIndirectProbe, connect.WithCodec(peer.JSONCodec{})))
+	peerMux.Handle(indirectProbeProcedure, connect.NewUnaryHandler(indirectProbeProcedure, n.peers.handleIndirectProbe, statusHandlerOptions()...))
 	peerMux.Handle(schedule.Procedure, schedule.NewHandler(n.schedules))
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("/", n.serveReady)
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/quarantine"
+	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/state"
 )
@@ -42,21 +44,33 @@
 		return r
 	}
 	r.answer = resp.Msg
-	if r.err = r.answer.unpack(); r.err != nil {
-		return r
-	}
-	p.n.recordEra(r.answer.Era, address)
-	p.n.recordPeerVersion(r.answer.Protocol, address)
+	r.err = p.receiveAnswer(r.answer, address)
 	return r
 }
 
+// receiveAnswer unpacks and checks an answer of the node at an address.
+func (p *peers) receiveAnswer(a *StatusAnswer, address string) error {
+	if err := a.unpack(); err != nil {
+		return err
+	}
+	p.n.recordMessageRange(a.normalize(), address)
+	p.n.recordEra(a.Era, address)
+	p.n.recordPeerVersion(a.Protocol, address)
+	return nil
+}
+
+// callOptions returns the options of calls to other nodes.
+func callOptions() []connect.ClientOption {
+	return []connect.ClientOption{connect.WithCodec(peer.JSONCodec{}), connect.WithReadMaxBytes(maxMessageBytes)}
+}
+
 // client returns the client for status reports to a node.
 func (p *peers) client(address string) *connect.Client[StatusReport, StatusAnswer] {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.clients[address]
 	if c == nil {
-		c = connect.NewClient[StatusReport, StatusAnswer](p.hc, "http://"+address+statusReportProcedure, connect.WithCodec(peer.JSONCodec{}))
+		c = connect.NewClient[StatusReport, StatusAnswer](p.hc, "http://"+address+statusReportProcedure, callOptions()...)
 		p.clients[address] = c
 	}
 	return c
@@ -131,8 +145,8 @@
 // applyChanges applies the instance changes in the leader's answer.
 func (p *peers) applyChanges(a *StatusAnswer) {
 	now := p.n.clock.Now()
-	for _, c := range a.Changes {
-		p.n.roster.ApplyRelayed(c, now)
+	for i := range a.Changes {
+		p.applyChange(&a.Changes[i], now)
 	}
 	p.mu.Lock()
 	p.feedNode, p.feedVersion = a.Feed, a.FeedVersion
@@ -142,6 +156,17 @@
 	}
 }
 
+// applyChange applies the change of one instance. A change with a value out of range is the leader's view of an entry that
+// cannot be used, so that the instance counts as unlisted.
+func (p *peers) applyChange(c *roster.Change, now time.Time) {
+	if err := c.Validate(); err != nil {
+		p.n.recordMessageRange(fmt.Errorf("%w: instance %.40q: %w", errMessageRange, c.ID, err), "leader")
+		p.n.roster.MarkUnlisted(c.ID, c.Position, now)
+		return
+	}
+	p.n.roster.ApplyRelayed(*c, now)
+}
+
 // addChanges adds to an answer the instance changes that the sender of a status report lacks.
 func (p *peers) addChanges(a *StatusAnswer, w *StatusReport, now time.Time) error {
 	n := p.n
@@ -253,6 +278,7 @@
 	now := n.clock.Now()
 	defer func() { n.leaderLoad.recordStatusReport(n.clock.Since(now)) }()
 	w := req.Msg
+	n.recordMessageRange(w.normalize(), w.From.Name)
 	p.recordNode(w.From)
 	n.recordEra(w.Era, w.From.Name)
 	n.recordPeerVersion(w.Protocol, w.From.Name)
