Target: refuse reports of the own interface with values out of range

No rank is used as an index there; no caller was seen to be affected.

A rank, load or number of slots out of range now makes the whole report unusable, as a negative load did. Four new rows of TestDecodeReportRejectsInvalidReports failed before.

--- a/protocol/target/report_test.go
+++ b/protocol/target/report_test.go
@@ -22,6 +22,10 @@
 		{"unknown phase", `{"instance":"a","incarnation":"1","phase":"almost"}`, false},
 		{"negative load", `{"instance":"a","incarnation":"1","phase":"ready","held":-1}`, false},
 		{"truncated", `{"instance":"a"`, false},
+		{"negative rank", `{"instance":"a","incarnation":"1","phase":"ready","rank":-1}`, false},
+		{"rank that no group has", `{"instance":"a","incarnation":"1","phase":"ready","rank":4294967296}`, false},
+		{"load that cannot be relayed", `{"instance":"a","incarnation":"1","phase":"ready","held":4294967297}`, false},
+		{"slots that cannot be relayed", `{"instance":"a","incarnation":"1","phase":"ready","slots":4294967297}`, false},
 		{"negative epoch", `{"instance":"a","incarnation":"1","phase":"ready","epoch":-1}`, false},
 	}
 	for _, c := range cases {
--- a/protocol/target/target.go
+++ b/protocol/target/target.go
@@ -81,6 +81,9 @@
 	Model state.Model     `json:"model"`
 }
 
+// maxReportedLoad is the maximum number of requests or tokens that a target states. Nodes relay requests in 32 bits.
+const maxReportedLoad = 1<<31 - 1
+
 // maxReportBytes is the maximum size of the response to a probe.
 const maxReportBytes = 64 << 10
 
@@ -163,6 +166,9 @@
 	if msg.Instance == "" || msg.Incarnation == "" || !phaseKnown || msg.InFlight < 0 || msg.Tokens < 0 || msg.BatchSlots < 0 {
 		return evidence.Report{}, fmt.Errorf("%w: report has a missing ID, an unknown phase or a negative load", ErrTarget)
 	}
+	if msg.Rank < 0 || msg.Rank >= fleet.MaxGroupSize || msg.InFlight > maxReportedLoad || msg.Tokens > maxReportedLoad || msg.BatchSlots > fleet.MaxSlots {
+		return evidence.Report{}, fmt.Errorf("%w: %w: rank %d, %d requests, %d tokens, %d slots", ErrTarget, fleet.ErrRange, msg.Rank, msg.InFlight, msg.Tokens, msg.BatchSlots)
+	}
 	return evidence.Report{
 		Instance:    msg.Instance,
 		Incarnation: msg.Incarnation,
