Keep durations in messages between nodes from overflowing

A number of milliseconds past the longest duration became one below 0, so that a deadline or an age in a message lay on the other side of now.

internal/millis converts all of them and keeps the sign (TestDurationKeepsItsSign); the attempts and arrivals that a forwarded request states have a bound.

--- a/transport/entry/evacuation.go
+++ b/transport/entry/evacuation.go
@@ -14,6 +14,7 @@
 
 	"github.com/troutmast/troutmast/coordination/evacuation"
 	"github.com/troutmast/troutmast/coordination/source"
+	"github.com/troutmast/troutmast/internal/millis"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 )
@@ -149,7 +150,7 @@
 func (n *Node) applyRelayedEvacuations(a *StatusAnswer, sentAt time.Time) {
 	n.mergeEvacuations(a.Evacuations, "peer")
 	if n.evacuations.isOn() && a.EvacuationsAt > 0 {
-		n.evacuations.confirm(a.EvacuationsAt, sentAt.Add(-time.Duration(a.EvacuationsAgeMS)*time.Millisecond))
+		n.evacuations.confirm(a.EvacuationsAt, sentAt.Add(-millis.Duration(a.EvacuationsAgeMS)))
 	}
 }
 
--- a/transport/entry/ledger.go
+++ b/transport/entry/ledger.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/quarantine"
+	"github.com/troutmast/troutmast/internal/millis"
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
@@ -69,7 +70,7 @@
 	if r == nil {
 		return d
 	}
-	at := func(ageMS int64) time.Time { return now.Add(-time.Duration(max(ageMS, 0)) * time.Millisecond) }
+	at := func(ageMS int64) time.Time { return now.Add(-millis.Duration(max(ageMS, 0))) }
 	for _, e := range r.Endings {
 		d.Endings = append(d.Endings, quarantine.Ending{
 			Instance: e.Instance, Episode: e.Episode, By: e.By, At: at(e.AgeMS), Requests: slices.Concat(e.Requests, e.Parts), Apart: e.Apart, Back: e.Back,
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -15,6 +15,7 @@
 	"github.com/troutmast/troutmast/coordination/pacing"
 	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/coordination/succession"
+	"github.com/troutmast/troutmast/internal/millis"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
 )
@@ -291,7 +292,7 @@
 		return false
 	}
 	for _, h := range p.statusReports {
-		if p.n.clock.Since(h.receivedAt) < p.n.policy.NodeTimeout && time.Duration(h.report.StoreAgeMS)*time.Millisecond < stale {
+		if p.n.clock.Since(h.receivedAt) < p.n.policy.NodeTimeout && millis.Duration(h.report.StoreAgeMS) < stale {
 			return true
 		}
 	}
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -14,6 +14,7 @@
 	"github.com/troutmast/troutmast/coordination/probeslots"
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/coordination/source"
+	"github.com/troutmast/troutmast/internal/millis"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
@@ -206,7 +207,7 @@
 func (p *placementController) recordStagings(list []Staging, sentAt time.Time) {
 	byService := map[state.ServiceName][]placement.Staging{}
 	for _, st := range list {
-		since := sentAt.Add(-time.Duration(st.AgeMS) * time.Millisecond)
+		since := sentAt.Add(-millis.Duration(st.AgeMS))
 		byService[st.Service] = append(byService[st.Service], placement.Staging{Instance: st.Instance, Model: st.Model, StartedAt: since})
 	}
 	p.mu.Lock()
--- a/transport/entry/ratelimit.go
+++ b/transport/entry/ratelimit.go
@@ -12,6 +12,7 @@
 
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/ratelimit"
+	"github.com/troutmast/troutmast/internal/millis"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -104,7 +105,7 @@
 
 // limit converts a report to a limit with times by the receiver's clock, where now is the time of receipt.
 func (r *LimitReport) limit(now time.Time) ratelimit.Limit {
-	at := func(ageMS int64) time.Time { return now.Add(-time.Duration(max(ageMS, 0)) * time.Millisecond) }
+	at := func(ageMS int64) time.Time { return now.Add(-millis.Duration(max(ageMS, 0))) }
 	return ratelimit.Limit{Instance: r.Instance, PerSecond: r.PerSecond, Ended: r.Ended, SentAt: at(r.RequestAgeMS), AnsweredAt: at(r.AnswerAgeMS)}
 }
 
--- a/transport/entry/retrybudget.go
+++ b/transport/entry/retrybudget.go
@@ -7,6 +7,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/troutmast/troutmast/coordination/retry"
+	"github.com/troutmast/troutmast/internal/millis"
 	"github.com/troutmast/troutmast/state"
 )
 
@@ -89,7 +90,7 @@
 	}
 	u.current = processRetryUse{process: w.Process, use: w.RetryUse, at: now}
 	if w.CountsForMS > 0 {
-		u.current.countsSince = now.Add(-time.Duration(w.CountsForMS) * time.Millisecond)
+		u.current.countsSince = now.Add(-millis.Duration(w.CountsForMS))
 	}
 }
 
@@ -125,13 +126,13 @@
 	}
 	var countsSince time.Time
 	if r.CountsForMS > 0 {
-		countsSince = now.Add(-time.Duration(r.CountsForMS) * time.Millisecond)
+		countsSince = now.Add(-millis.Duration(r.CountsForMS))
 	}
 	used := make(map[state.ServiceName]retry.Usage, len(r.RetryUse))
 	for service, u := range r.RetryUse {
 		used[service] = retry.Usage{Attempts: u.Attempts, Retries: u.Retries}
 	}
-	n.gateway.InheritRetries(used, countsSince, now.Add(-time.Duration(r.AgeMS)*time.Millisecond), now)
+	n.gateway.InheritRetries(used, countsSince, now.Add(-millis.Duration(r.AgeMS)), now)
 	n.log.WithFields(log.Fields{"used": r.RetryUse, "age_ms": r.AgeMS, "counts_for_ms": r.CountsForMS}).Info("retry budgets inherited")
 }
 
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -12,6 +12,7 @@
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/internal/millis"
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/state"
 )
@@ -130,7 +131,7 @@
 	}
 	n.applyRelayedEvacuations(a, sentAt)
 	if _, version := n.configState.Encoded(); version == a.ConfigVersion && version > 0 {
-		n.configState.RecordConfirmation(sentAt.Add(-time.Duration(a.ConfigAgeMS) * time.Millisecond))
+		n.configState.RecordConfirmation(sentAt.Add(-millis.Duration(a.ConfigAgeMS)))
 	}
 }
 
@@ -236,8 +237,8 @@
 	p.applyConfig(a, sentAt)
 	n.evacuations.recordLeader(a.EvacuationsAt)
 	p.applyChanges(a)
-	configAsOf := sentAt.Add(-time.Duration(a.ConfigAgeMS) * time.Millisecond)
-	listAsOf := sentAt.Add(-time.Duration(a.ListAgeMS) * time.Millisecond)
+	configAsOf := sentAt.Add(-millis.Duration(a.ConfigAgeMS))
+	listAsOf := sentAt.Add(-millis.Duration(a.ListAgeMS))
 	n.roster.RecordRelayedList(listAsOf)
 	n.feed.record(configAsOf, listAsOf)
 	for _, e := range a.Nodes {
@@ -245,7 +246,7 @@
 	}
 	p.mu.Lock()
 	p.hasRequests = p.hasRequests || a.HasRequests
-	p.requestedInterval = time.Duration(a.IntervalMS) * time.Millisecond
+	p.requestedInterval = millis.Duration(a.IntervalMS)
 	p.mu.Unlock()
 	n.setExcluded(a.Avoid)
 	n.placement.recordStagings(a.Staging, sentAt)
@@ -297,7 +298,7 @@
 	n.evacuations.addToAnswer(a, w, n.eras.isCurrent(now), now)
 	n.ledger.Merge(w.Ledger.delta(now), quarantine.Source(w.From.Number))
 	for _, s := range w.Suspects {
-		n.placement.recordPeerSuspicion(s.Instance, now.Add(-time.Duration(s.AgeMS)*time.Millisecond))
+		n.placement.recordPeerSuspicion(s.Instance, now.Add(-millis.Duration(s.AgeMS)))
 	}
 	for _, in := range w.Leaving {
 		n.recordLeaving(in, w.From.Name)
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/forwarding"
+	"github.com/troutmast/troutmast/internal/millis"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
@@ -49,6 +49,9 @@
 // one: no byte of it is sent to the others.
 const maxPeerDials = 2
 
+// maxForwardedAttempts bounds the attempts that a message between nodes states.
+const maxForwardedAttempts = 1 << 10
+
 // forwardInfo is what the node that received a request has decided about it. The node that it is
 // forwarded to follows these decisions even if it has another version of the configuration, so that a caller
 // never sees the configuration go back.
@@ -256,8 +259,8 @@
 			return resultUnknown
 		}
 		c.Recorder.Count("forward.refused." + string(result.Code))
-		c.arrivals += max(result.Arrivals, 0)
-		c.peerRefusal = &refusal{code: result.Code, after: time.Duration(result.AfterMS) * time.Millisecond}
+		c.arrivals += min(max(result.Arrivals, 0), maxForwardedAttempts)
+		c.peerRefusal = &refusal{code: result.Code, after: millis.Duration(result.AfterMS)}
 		return resultNotRun
 	}
 	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
@@ -322,6 +325,7 @@
 	if c.catalog = c.Catalogs.Catalog(); c.catalog == nil {
 		return refusalWithRetryAfter(CodeNoConfig, c.Policy.RetryAfter)
 	}
+	info.Attempts = min(info.Attempts, maxForwardedAttempts)
 	c.route = info.route()
 	if !c.authenticateForwarded(info.Team) {
 		return refusalWithRetryAfter(CodeKeysStale, c.Policy.RetryAfter)
@@ -339,7 +343,7 @@
 	if until, held := c.Quarantine.Admit(c.identity); held {
 		return &refusal{code: CodeQuarantined, after: until.Sub(c.arrivedAt)}
 	}
-	c.deadline = c.arrivedAt.Add(time.Duration(info.TimeLeftMS) * time.Millisecond)
+	c.deadline = c.arrivedAt.Add(millis.Duration(info.TimeLeftMS))
 	c.service, c.model = info.Service, info.Model
 	c.budget = c.Gateway.budget(c.service) // the origin has recorded the first attempt
 	return nil
@@ -363,6 +367,6 @@
 func (f *forwardInfo) route() *catalog.Route {
 	return &catalog.Route{
 		Name: f.Route, Kind: f.Kind, Resumable: f.Resumable, Public: f.Public, Priority: f.Priority, MaxAttempts: f.Attempts,
-		Goal: time.Duration(f.GoalMS) * time.Millisecond, GapGoal: time.Duration(f.GapGoalMS) * time.Millisecond,
+		Goal: millis.Duration(f.GoalMS), GapGoal: millis.Duration(f.GapGoalMS),
 	}
 }
--- a/transport/schedule/message.go
+++ b/transport/schedule/message.go
@@ -2,9 +2,8 @@
 package schedule
 
 import (
-	"time"
-
 	"github.com/troutmast/troutmast/coordination/scheduling"
+	"github.com/troutmast/troutmast/internal/millis"
 	"github.com/troutmast/troutmast/state"
 )
 
@@ -61,8 +60,8 @@
 // request returns the request that a message stands for.
 func (m *Request) request() *scheduling.Request {
 	return &scheduling.Request{
-		Pool: scheduling.Pool{Service: m.Service, Model: m.Model}, Team: m.Team, Hall: m.Hall, PromptTokens: max(m.Prompt, 0), Goal: time.Duration(m.GoalMS) * time.Millisecond,
-		TimeLeft: time.Duration(m.LeftMS) * time.Millisecond, Priority: m.Priority, Returning: m.Returning, Resuming: m.Resuming, Halls: m.Halls, Excluded: m.Excluded,
+		Pool: scheduling.Pool{Service: m.Service, Model: m.Model}, Team: m.Team, Hall: m.Hall, PromptTokens: max(m.Prompt, 0), Goal: millis.Duration(m.GoalMS),
+		TimeLeft: millis.Duration(m.LeftMS), Priority: m.Priority, Returning: m.Returning, Resuming: m.Resuming, Halls: m.Halls, Excluded: m.Excluded,
 	}
 }
 
@@ -70,7 +69,7 @@
 func (m *Request) samples() []scheduling.Sample {
 	list := make([]scheduling.Sample, 0, len(m.Samples))
 	for _, s := range m.Samples {
-		list = append(list, scheduling.Sample{Instance: s.Instance, Latency: time.Duration(s.MS) * time.Millisecond})
+		list = append(list, scheduling.Sample{Instance: s.Instance, Latency: millis.Duration(s.MS)})
 	}
 	return list
 }
@@ -83,6 +82,6 @@
 // decision returns the decision that a message stands for.
 func (a *Answer) decision() scheduling.Decision {
 	return scheduling.Decision{
-		Instance: a.Instance, Wait: time.Duration(a.WaitMS) * time.Millisecond, Refused: a.Refused, RetryAfter: time.Duration(a.RetryAfterMS) * time.Millisecond, Reason: a.Reason,
+		Instance: a.Instance, Wait: millis.Duration(a.WaitMS), Refused: a.Refused, RetryAfter: millis.Duration(a.RetryAfterMS), Reason: a.Reason,
 	}
 }
