Direct: bound what a server may send before the body of a response

Cause: http.ReadResponse reads a line of any length and any number of lines, and readResponse skipped any number of informational responses and a response to another request of any length.

Now a head, with the informational responses before it, has 64 KiB, of which there may be 32, and a skipped response 4 MiB. Past that, and for other bytes that are no response, the connection is closed at once and the error is ErrInvalidResponse, so that callers of the package can tell it from a broken connection. The framing of a body was bounded by net/http already; its faults have the new error, too.

--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -24,11 +24,30 @@
 	ErrNotSent = errors.New("direct: request not sent")
 	// ErrNoResponse means that the request may have reached the server but no response was received.
 	ErrNoResponse = errors.New("direct: no response received")
+	// ErrInvalidResponse means that the server sent bytes that are no response, or more than a response may have before its
+	// body. Reading a body returns it, too.
+	ErrInvalidResponse = errors.New("direct: invalid response")
 )
 
-// maxSkippedResponses is the number of responses to other requests that are skipped before the
-// connection is closed.
-const maxSkippedResponses = 2
+// Limits on what is read before the body of a response.
+const (
+	// maxHeadBytes is the maximum size of the heads of a response and the informational responses before it.
+	maxHeadBytes = 64 << 10
+	// maxInformational is the maximum number of informational responses before a response.
+	maxInformational = 32
+	// maxSkippedResponses is the number of responses to other requests that are skipped before the
+	// connection is closed, maxSkippedBytes the maximum length of such a response.
+	maxSkippedResponses = 2
+	maxSkippedBytes     = 4 << 20
+)
+
+// The reasons for which a response is invalid, beside those of net/http.
+var (
+	errHeadTooLarge     = fmt.Errorf("head exceeds %d bytes", maxHeadBytes)
+	errInformational    = fmt.Errorf("more than %d informational responses", maxInformational)
+	errOtherRequest     = errors.New("response belongs to another request")
+	errSkippedResponses = errors.New("too many responses, or too large ones, to other requests")
+)
 
 // Request is an HTTP request to send.
 type Request struct {
@@ -145,33 +164,81 @@
 // readResponse reads the head of the response to a request. It skips informational
 // responses and responses to other requests.
 func (c *conn) readResponse(req *http.Request, match func(http.Header) bool) (*http.Response, error) {
-	for skipped := 0; ; {
-		resp, err := http.ReadResponse(c.br, req)
+	for skipped := 0; ; skipped++ {
+		resp, err := c.readHead(req)
 		switch {
 		case err != nil:
 			return nil, err
-		case resp.StatusCode < http.StatusOK:
-			continue
 		case match == nil || match(resp.Header):
 			return resp, nil
-		case skipped == maxSkippedResponses || resp.Close || resp.ContentLength < 0:
-			return nil, errors.New("response belongs to another request")
+		case resp.Close || resp.ContentLength < 0:
+			return nil, errOtherRequest
+		case skipped == maxSkippedResponses || resp.ContentLength > maxSkippedBytes:
+			return nil, fmt.Errorf("%w: %w", ErrInvalidResponse, errSkippedResponses)
 		}
-		skipped++
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// readHead reads the head of the next response that is not informational.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.inHead, c.headLeft = true, maxHeadBytes
+	defer func() { c.inHead = false }()
+	for informational := 0; ; informational++ {
+		resp, err := http.ReadResponse(c.br, req)
+		switch {
+		case err != nil:
+			return nil, c.readFault(err)
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
+		case informational == maxInformational:
+			return nil, fmt.Errorf("%w: %w", ErrInvalidResponse, errInformational)
+		}
+	}
+}
+
+// readFault returns the error of reading a response. It is ErrInvalidResponse unless the connection failed.
+func (c *conn) readFault(err error) error {
+	if c.readErr != nil && !errors.Is(c.readErr, errHeadTooLarge) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrInvalidResponse, err)
+}
+
+// headReader reads from a connection and fails once a head exceeds its limit.
+type headReader struct{ c *conn }
+
+// Read implements io.Reader.
+func (r headReader) Read(p []byte) (int, error) {
+	c := r.c
+	if c.inHead && c.headLeft <= 0 {
+		c.readErr = errHeadTooLarge
+		return 0, errHeadTooLarge
+	}
+	if c.inHead {
+		p = p[:min(len(p), c.headLeft)]
+	}
+	n, err := c.Conn.Read(p)
+	c.headLeft -= n
+	if err != nil {
+		c.readErr = err
+	}
+	return n, err
+}
+
 // bodyReader reads a body and records that its end was reached.
 type bodyReader struct{ r *Response }
 
 // Read implements io.Reader.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.r.inner.Body.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.r.bodyComplete = true
+	case err != nil:
+		err = b.r.conn.readFault(err)
 	}
 	return n, err
 }
@@ -204,6 +271,6 @@
 
 // initBuffers allocates the buffers of a connection.
 func (c *conn) initBuffers() {
-	c.br = bufio.NewReaderSize(c.Conn, bufferSize)
+	c.br = bufio.NewReaderSize(headReader{c}, bufferSize)
 	c.bw = bufio.NewWriterSize(timedWriter{c}, bufferSize)
 }
--- a/protocol/direct/pool.go
+++ b/protocol/direct/pool.go
@@ -45,6 +45,11 @@
 	bw    *bufio.Writer
 	wrote bool
 	timedWrites
+	// inHead is set while a head is read, headLeft is the number of bytes that it may still have. readErr is the error
+	// with which the connection failed.
+	inHead   bool
+	headLeft int
+	readErr  error
 	// idleSince is the time at which the connection became idle; reusableUntil is the time until
 	// which it may be used again.
 	idleSince     time.Time
