Bound the heads and bodies of all other answers that a node reads

A worker, a store or another node in trouble may answer with bytes that never end, too: to probes, orders, reads, status reports.

Now all clients have the limit on heads of the request path, built in one place for the platform and for nodes.

--- a/cmd/troutmastd/onplatform.go
+++ b/cmd/troutmastd/onplatform.go
@@ -119,12 +119,5 @@
 
 // newHTTPClient returns a client that keeps at most maxIdleConns idle connections to each address.
 func newHTTPClient(maxIdleConns int) *http.Client {
-	dialer := direct.Dialer{Timeout: dialTimeout, AckTimeout: ackTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		DisableKeepAlives:   maxIdleConns == noIdleConns,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-	}}
+	return direct.Dialer{Timeout: dialTimeout, AckTimeout: ackTimeout}.HTTPClient(maxIdleConns, idleConnTimeout)
 }
--- a/protocol/direct/dial.go
+++ b/protocol/direct/dial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"syscall"
 	"time"
@@ -44,3 +45,17 @@
 	}
 	return sockErr
 }
+
+// HTTPClient returns a client that connects with d and keeps at most maxIdleConns idle connections to each address, each
+// for idleTimeout. 0 idle connections mean a new connection for each request. Heads of responses have the same limit as in
+// a Pool.
+func (d Dialer) HTTPClient(maxIdleConns int, idleTimeout time.Duration) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:            d.DialContext,
+		DisableCompression:     true,
+		DisableKeepAlives:      maxIdleConns == 0,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: MaxHeadBytes,
+	}}
+}
--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -31,8 +31,8 @@
 
 // Limits on what is read before the body of a response.
 const (
-	// maxHeadBytes is the maximum size of the heads of a response and the informational responses before it.
-	maxHeadBytes = 64 << 10
+	// MaxHeadBytes is the maximum size of the head of a response, with the informational responses before it.
+	MaxHeadBytes = 64 << 10
 	// maxInformational is the maximum number of informational responses before a response.
 	maxInformational = 32
 	// maxSkippedResponses is the number of responses to other requests that are skipped before the
@@ -43,7 +43,7 @@
 
 // The reasons for which a response is invalid, beside those of net/http.
 var (
-	errHeadTooLarge     = fmt.Errorf("head exceeds %d bytes", maxHeadBytes)
+	errHeadTooLarge     = fmt.Errorf("head exceeds %d bytes", MaxHeadBytes)
 	errInformational    = fmt.Errorf("more than %d informational responses", maxInformational)
 	errOtherRequest     = errors.New("response belongs to another request")
 	errSkippedResponses = errors.New("too many responses, or too large ones, to other requests")
@@ -184,7 +184,7 @@
 
 // readHead reads the head of the next response that is not informational.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	c.inHead, c.headLeft = true, maxHeadBytes
+	c.inHead, c.headLeft = true, MaxHeadBytes
 	defer func() { c.inHead = false }()
 	for informational := 0; ; informational++ {
 		resp, err := http.ReadResponse(c.br, req)
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -13,6 +13,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/troutmast/troutmast/protocol/direct"
 )
 
 // ErrCut means a connection was cut off because its exchange had been given up.
@@ -51,6 +53,8 @@
 		MaxIdleConnsPerHost: o.IdleConns,
 		IdleConnTimeout:     30 * time.Second,
 		DialContext:         o.Meter.Dial(o.DialTimeout, o.Source),
+
+		MaxResponseHeaderBytes: direct.MaxHeadBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{hc: &http.Client{Transport: t, CheckRedirect: noRedirect}}
--- a/protocol/peer/peer.go
+++ b/protocol/peer/peer.go
@@ -18,6 +18,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/troutmast/troutmast/coordination/membership"
+	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/protocol/exchange"
 	"github.com/troutmast/troutmast/protocol/platform"
 	"github.com/troutmast/troutmast/protocol/rpc"
@@ -99,6 +100,8 @@
 		DialContext:     o.Meter.Dial(o.Timeout, o.Source),
 		Protocols:       HTTPProtocols(),
 		TLSClientConfig: o.TLS.Clone(),
+
+		MaxResponseHeaderBytes: direct.MaxHeadBytes,
 	}
 	return &Client{
 		httpClient: &http.Client{Transport: transport},
@@ -118,7 +121,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.clients[addr]
 	if !ok {
-		p = rpcconnect.NewPeerClient(c.httpClient, c.scheme+addr.String(), WithBearer(c.secret))
+		p = rpcconnect.NewPeerClient(c.httpClient, c.scheme+addr.String(), WithBearer(c.secret), connect.WithReadMaxBytes(maxUnpacked))
 		c.clients[addr] = p
 	}
 	return p
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -102,7 +102,7 @@
 	dialer := direct.Dialer{Timeout: n.policy.StatusTimeout, AckTimeout: ackTimeout}
 	return &peers{
 		n:             n,
-		hc:            &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}},
+		hc:            dialer.HTTPClient(2, 30*time.Second),
 		known:         map[string]NodeEntry{},
 		lastContact:   map[string]time.Time{},
 		backoffUntil:  map[string]time.Time{},
--- a/transport/schedule/client.go
+++ b/transport/schedule/client.go
@@ -51,8 +51,7 @@
 
 // NewClient returns a client that has not asked any leader yet.
 func NewClient(p scheduling.Policy, dialer direct.Dialer, clock clockwork.Clock, r Recorder, logger *log.Logger) *Client {
-	hc := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout}}
-	return &Client{policy: p, clock: clock, recorder: r, log: logger, hc: hc, samples: map[scheduling.Pool][]scheduling.Sample{}}
+	return &Client{policy: p, clock: clock, recorder: r, log: logger, hc: dialer.HTTPClient(maxIdleConns, idleConnTimeout), samples: map[scheduling.Pool][]scheduling.Sample{}}
 }
 
 // Ask asks the node that leads for a decision. It reports false if this node must pick a group itself: for lack of a
