Gateway: do not let a body that never ends hold its request

What callers got: a stream waited until its deadline at one endless event, which the node held in memory and searched anew with each read; a request that an instance had turned away waited for the end of the refusal's body in place of going to another instance; a failure with a body over 1 MiB was cut there and sent with its status, its seal and a matching length, so that it looked complete.

Now an event has 1 MiB at most, and counts as an invalid response; the body of a refusal is read for 100 ms and 64 KiB, only to keep its connection; a failure whose body is longer than what is buffered is a lost response, without its body. A success with a large body is forwarded as it arrives, as before: only its deadline tells that it does not end.

Failing before: TestStreamWithEndlessEventResumesElsewhere (the stream ended after 2 s, incomplete), three of four rows of TestFailureWithEndlessBodyEndsAtOnce, the slow row of TestRefusalWithEndlessBodyIsRetriedAtOnce. TestEndlessBodyOfASuccessNeverLooksComplete passed before.

--- a/transport/gateway/buffer.go
+++ b/transport/gateway/buffer.go
@@ -3,16 +3,18 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/buffering"
+	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/transport/event"
 )
 
-// errEventSize means that an instance sent an event that exceeds the bound of a stream.
-var errEventSize = errors.New("gateway: event exceeds the bound of a stream")
+// errEventSize means that an instance sent an event that exceeds the bound of a stream, and probably never ends.
+var errEventSize = fmt.Errorf("%w: event exceeds the bound of a stream", direct.ErrInvalidResponse)
 
 // errCallerGone means that the caller left before its response was complete.
 var errCallerGone = errors.New("gateway: caller left")
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -254,7 +253,7 @@
 		return resultUnknown
 	}
 	if result.Code != "" {
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
+		drain(resp)
 		if !slices.Contains(notRunCodes, result.Code) {
 			return resultUnknown
 		}
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -344,7 +344,7 @@
 		c.Quarantine.RecordAlive(target.Instance, sent)
 	}
 	if v.NotRun {
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
+		drain(resp)
 		c.runs--
 		if v.Cooldown == 0 {
 			target.RecordFailure()
@@ -416,6 +416,19 @@
 	return s.call.handleLostResponse(ctx, s.target, s.sent, err)
 }
 
+// Limits on what is read of the body of a refusal, so that its connection can be used again.
+const (
+	maxDrainedBytes = 64 << 10
+	drainTimeout    = 100 * time.Millisecond
+)
+
+// drain reads the rest of a response that is not forwarded.
+func drain(resp *direct.Response) {
+	resp.SetReadDeadline(time.Now().Add(drainTimeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainedBytes))
+	resp.SetReadDeadline(time.Time{})
+}
+
 // maxBufferedBytes is the size up to which a response is buffered before it is forwarded, in bytes.
 const maxBufferedBytes = 1 << 20
 
@@ -439,7 +452,9 @@
 		if c.headerWritten {
 			return resultUnknown
 		}
-		c.lastFailure = p
+		if len(body) < maxBufferedBytes {
+			c.lastFailure = p // a part of a longer body would look complete
+		}
 		return resultFailed
 	}
 	if c.headerWritten {
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -30,8 +30,12 @@
 // errEventOrder means that an instance repeated an event or sent it out of order.
 var errEventOrder = errors.New("gateway: events out of order")
 
-// streamReadSize is the size of one read of a stream, in bytes.
-const streamReadSize = 4096
+const (
+	// streamReadSize is the size of one read of a stream, in bytes.
+	streamReadSize = 4096
+	// maxEventBytes is the maximum size of an event. An event holds a few tokens.
+	maxEventBytes = 1 << 20
+)
 
 // relayStream forwards the events of a stream to the caller. It forwards complete events only,
 // except for a remainder at the end of a framed response.
@@ -45,6 +49,9 @@
 			src.dataReceived(now)
 			pending = append(pending, buf[:n]...)
 			rest, forwardErr := c.forwardEvents(pending, resp, now)
+			if forwardErr == nil && len(rest) > maxEventBytes {
+				forwardErr = errEventSize
+			}
 			if forwardErr == nil {
 				forwardErr = c.countPending(len(rest))
 			}
