Keep requests away from an instance that sends invalid responses

Heads and events that never end now fail at once, which makes such an instance look idle; a body that never ends looks sound until the deadline.

Cause: nothing that a node knows told a faulty response from a broken connection.

Now each node has a circuit breaker for each instance. Three invalid responses in a row without a valid one open it; the instance then gets one trial a second at first, one in 16 s later, a repeatable request first. A valid response to a request sent since closes it. An invalid response is one of the client's (bytes that are no response, heads and events past their limits), or a body that goes on after the deadline: an instance that is well stops at the deadline that it was told, so that no size and no speed is taken for a fault. The connection is read for another 100 ms for that, in the background; the caller has had its answer. The leader relays the breakers that two nodes or more have open, so that hundreds of nodes do not lose requests each; those that only know from others make no trials. If all instances of a service are open, they get requests as before.

Weighed: a hold by the failure detector (an instance that answers probes is not lost, and its group would be dissolved); no sharing (three lost requests a node and instance); refusing where all are open (no way back for services whose requests cannot be repeated).

--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -84,6 +84,8 @@
 	inner        *http.Response
 	stop         func() bool
 	bodyComplete bool
+	// lingers is set once CloseAndCheck closes the connection.
+	lingers bool
 }
 
 // Do sends a request and reads the status line and the headers of its response.
@@ -250,6 +252,9 @@
 // Close ends the exchange. The connection returns to the pool if the complete response was read;
 // otherwise it is closed.
 func (r *Response) Close() {
+	if r.lingers {
+		return
+	}
 	notCancelled := r.stop()
 	if !notCancelled || !r.bodyComplete || r.inner.Close || r.conn.br.Buffered() > 0 {
 		r.pool.discard(r.conn)
@@ -259,6 +264,30 @@
 	r.pool.put(r.conn)
 }
 
+// CloseAndCheck ends the exchange like Close, but closes the connection in the background. It calls report with whether the
+// server still sent data after a grace period. What it has sent before may arrive during that period.
+func (r *Response) CloseAndCheck(grace time.Duration, report func(stillSending bool)) {
+	r.stop()
+	r.lingers = true
+	c, began := r.conn, time.Now()
+	c.linger(began.Add(2 * grace))
+	go func() {
+		defer r.pool.discard(c)
+		buf := make([]byte, bufferSize)
+		for {
+			n, err := c.Conn.Read(buf)
+			if n > 0 && time.Since(began) >= grace {
+				report(true)
+				return
+			}
+			if err != nil {
+				report(false)
+				return
+			}
+		}
+	}()
+}
+
 // SetReadDeadline sets the time after which reading the body fails.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.SetReadDeadline(t) }
 
--- a/protocol/direct/write.go
+++ b/protocol/direct/write.go
@@ -14,6 +14,8 @@
 	// mu keeps a deadline of a write from replacing that of an abort.
 	mu      sync.Mutex
 	aborted bool
+	// lingers is set once aborts no longer apply.
+	lingers bool
 }
 
 // writeParts is the number of parts of the time-out. A process that was frozen meanwhile loses one of them, and writes what the server can
@@ -65,6 +67,17 @@
 func (c *conn) abort() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.lingers {
+		return
+	}
 	c.aborted = true
 	_ = c.SetDeadline(time.Unix(1, 0))
 }
+
+// linger lets reads go on until a time, whether or not the connection was aborted or is later on.
+func (c *conn) linger(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingers = true
+	_ = c.SetReadDeadline(until)
+}
--- a/transport/entry/beliefs.go
+++ b/transport/entry/beliefs.go
@@ -44,6 +44,7 @@
 		n.logCooldowns()
 		n.logRetryBudgets(b)
 		n.sweepLimits()
+		n.sweepBreakers()
 		n.reportEvacuations()
 	}
 }
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -47,6 +47,8 @@
 	Suspects []Suspicion `json:"suspects,omitempty"`
 	// Leaving are the incarnations of instances that recently announced that they will end soon.
 	Leaving []fleet.Incarnation `json:"leaving,omitempty"`
+	// OpenBreakers are the incarnations whose breakers are open by their responses to the node.
+	OpenBreakers []fleet.Incarnation `json:"breakers,omitempty"`
 	// ConfigVersion is that of the configuration in force at the node, ConfigAgeMS the time since it was last
 	// confirmed to be current. Config is the configuration itself if it is newer than the leader's.
 	ConfigVersion int64  `json:"version"`
@@ -136,6 +138,8 @@
 	// Totals, ChangeBatches, PackedNodes and PackedConfig take the place of InProgress, Demand, Avoid and
 	// HallDemand is the demand at all nodes by hall, for the pools that are divided among halls. It is relayed only in Totals.
 	HallDemand []demand.HallFlow `json:"-"`
+	// OpenBreakers are the incarnations whose breakers are open at several nodes. They are relayed only in Totals.
+	OpenBreakers []fleet.Incarnation `json:"-"`
 	// Staging, of Changes, of Nodes and of Config for nodes that implement protocolPacked.
 	Totals        peer.Packed   `json:"totals,omitempty"`
 	ChangeBatches []peer.Packed `json:"batches,omitempty"`
--- a/transport/entry/messagerange.go
+++ b/transport/entry/messagerange.go
@@ -10,6 +10,7 @@
 
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // Limits on the numbers in messages between nodes. Another build, or a value that another node has taken in wrongly, must
@@ -133,6 +134,14 @@
 	}
 }
 
+// breakers shortens a list of open breakers to the longest that nodes send.
+func (c *rangeCheck) breakers(list *[]fleet.Incarnation) {
+	if len(*list) > maxRelayedBreakers {
+		*list = (*list)[:maxRelayedBreakers]
+		c.replaced("breakers")
+	}
+}
+
 // normalize brings the numbers of the report into their ranges. The error names those that were not; the report can be
 // used all the same.
 func (w *StatusReport) normalize() error {
@@ -159,6 +168,7 @@
 	c.retryUse(w.RetryUse)
 	c.age("counts_for_ms", &w.CountsForMS)
 	counts(&c, "want_retries", w.WantedRetries)
+	c.breakers(&w.OpenBreakers)
 	return c.err()
 }
 
@@ -191,6 +201,7 @@
 	for i := range a.Staging {
 		c.age("staging", &a.Staging[i].AgeMS)
 	}
+	c.breakers(&a.OpenBreakers)
 	c.ledger(a.Ledger)
 	c.limits(a.Limits)
 	for i := range a.Grants {
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/troutmast/troutmast/coordination/breaker"
 	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
@@ -57,6 +58,8 @@
 	ledger      *quarantine.Ledger
 	// cooldowns tracks the instances that asked this node to send them nothing for some time.
 	cooldowns *cooldown.Tracker
+	// breakers keep requests away from instances that send invalid responses.
+	breakers *breaker.Set
 	// limits tracks the instances that limit the requests per second from all nodes together.
 	limits        *ratelimit.Tracker
 	rateAllocator *ratelimit.Allocator
@@ -146,6 +149,7 @@
 
 		rewriteRequested: make(chan struct{}, 1),
 		cooldowns:        cooldown.NewTracker(set.Policy.Cooldown),
+		breakers:         breaker.NewSet(set.Policy.Breaker),
 		limits:           ratelimit.NewTracker(set.Policy.RateLimit),
 		rateAllocator:    ratelimit.NewAllocator(set.Policy.RateLimit, rand.Float64),
 		cold:             newColdness(set, clock.Now()),
@@ -165,7 +169,7 @@
 	n.schedules = newSchedules(n)
 	n.gateway = gateway.New(gateway.Options{
 		Scheduler: n.schedules,
-		Clock:     clock, Codec: ports.HeaderCodec, Catalogs: servingCatalogs{n.configState, n}, Evacuations: n, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
+		Clock:     clock, Codec: ports.HeaderCodec, Catalogs: servingCatalogs{n.configState, n}, Evacuations: n, Table: n.table, FailureDetector: n, Recorder: n, Quarantine: n, Backpressure: n, Breakers: n, Pool: n.pool, Demand: n.demand, Policy: set.Policy.Gateway,
 		Retry: set.Retry, CountsSince: n.retriesCountedSince(), Name: set.Name, Hall: set.Hall, Regions: n, HallTraffic: &n.hallTraffic, Peers: n, PeerPool: n.peerPool, Receiver: forwardReceiver{n.forwarded, n}, Buffers: n.newBuffers(),
 	})
 	n.regions.Store(&set.Regions)
--- a/transport/entry/peers.go
+++ b/transport/entry/peers.go
@@ -330,6 +330,7 @@
 		p.greetSilentNodes(ctx)
 		p.n.setLoads(p.totals())
 		p.n.updateHalls(p.demandByHall())
+		p.n.setRelayedBreakers(p.commonBreakers(p.n.clock.Now()))
 		p.setOwnPeers()
 	}
 }
--- a/transport/entry/policy.go
+++ b/transport/entry/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/troutmast/troutmast/coordination/breaker"
 	"github.com/troutmast/troutmast/coordination/buffering"
 	"github.com/troutmast/troutmast/coordination/cooldown"
 	"github.com/troutmast/troutmast/coordination/demand"
@@ -31,6 +32,8 @@
 	Quarantine quarantine.Policy `flag:"quarantine"`
 	// Cooldown bounds the cooldowns in which instances may ask to be sent no requests.
 	Cooldown cooldown.Policy `flag:"cooldown"`
+	// Breaker configures the circuit breakers of instances that send invalid responses.
+	Breaker breaker.Policy `flag:"breaker"`
 	// RateLimit configures the allocation of instances' rate limits to the nodes.
 	RateLimit ratelimit.Policy `flag:"rate-limit"`
 	// Partition configures the detection of a partition from all instances, Forwarding the forwarding of
@@ -171,6 +174,7 @@
 		Demand:     demand.DefaultPolicy(),
 		Quarantine: quarantine.DefaultPolicy(),
 		Cooldown:   cooldown.DefaultPolicy(),
+		Breaker:    breaker.DefaultPolicy(),
 		RateLimit:  ratelimit.DefaultPolicy(),
 		Partition:  partition.DefaultPolicy(),
 		Forwarding: forwarding.DefaultPolicy(),
--- a/transport/entry/shared.go
+++ b/transport/entry/shared.go
@@ -7,6 +7,7 @@
 	"github.com/troutmast/troutmast/coordination/roster"
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // totals is the part of an answer that sums up all nodes and the leader's decisions for all of them.
@@ -16,6 +17,8 @@
 	Avoid      []GroupEpoch             `json:"avoid,omitempty"`
 	Staging    []Staging                `json:"staging,omitempty"`
 	HallDemand []demand.HallFlow        `json:"hall_demand,omitempty"`
+	// OpenBreakers are the incarnations whose breakers are open at several nodes.
+	OpenBreakers []fleet.Incarnation `json:"breakers,omitempty"`
 }
 
 // sharedPart caches a packed part of the answers to status reports that is the same for all nodes.
@@ -54,7 +57,7 @@
 		if err := a.Totals.Unpack(&t); err != nil {
 			return err
 		}
-		a.HallDemand = t.HallDemand
+		a.HallDemand, a.OpenBreakers = t.HallDemand, t.OpenBreakers
 		a.InProgress, a.Demand, a.Avoid, a.Staging = t.InProgress, t.Demand, t.Avoid, t.Staging
 	}
 	for _, batch := range a.ChangeBatches {
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -105,6 +105,7 @@
 	if a, ok := n.configState.Age(); ok {
 		w.ConfigAgeMS = ceilMS(a)
 	}
+	w.OpenBreakers = n.openBreakers()
 	n.evacuations.addToReport(w)
 	p.addLimits(w, now)
 	p.addRetryUse(w, now)
@@ -199,7 +200,7 @@
 		p.n.hideEvacuated(&t, now)
 		shared = &p.sharedEarlierTotals
 	}
-	t.HallDemand = p.demandByHall()
+	t.HallDemand, t.OpenBreakers = p.demandByHall(), p.commonBreakers(now)
 	// Nodes without rate limits get totals of their own, see hideLimited.
 	if w.Protocol < protocolPacked || p.n.hidesCold(w) {
 		a.InProgress, a.Demand, a.Avoid, a.Staging = t.InProgress, t.Demand, t.Avoid, t.Staging
@@ -252,6 +253,7 @@
 	n.placement.recordStagings(a.Staging, sentAt)
 	n.setLoads(a.InProgress, a.Demand)
 	n.updateHalls(a.HallDemand)
+	n.setRelayedBreakers(a.OpenBreakers)
 	n.forwarding.SetPeers(a.Peers, n.clock.Now())
 	p.mergeLimits(a, sentAt)
 	n.gateway.GrantRetries(a.GrantedRetries, sentAt)
--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -54,6 +54,7 @@
 	Silent    Failure = "silent"
 	TimeIsUp  Failure = "time is up"
 	BrokenOff Failure = "broken off"
+	Invalid   Failure = "invalid response"
 	Unsealed  Failure = "no seal"
 )
 
--- /dev/null
+++ b/transport/gateway/breaker.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/troutmast/troutmast/coordination/dispatch"
+	"github.com/troutmast/troutmast/protocol/direct"
+)
+
+// isBreakerOpen reports whether a target gets no requests but trials.
+func (c *call) isBreakerOpen(t *dispatch.Candidate) bool {
+	return c.Breakers.IsBreakerOpen(&t.Instance)
+}
+
+// pickTrial returns a target with an open breaker for which a trial is due, or nil.
+func (c *call) pickTrial() *dispatch.Candidate {
+	if !c.Breakers.HasOpenBreakers() || c.sends > 0 {
+		return nil
+	}
+	isRepeatable := c.route.CanRetry() && c.runs+1 < c.route.MaxAttempts
+	now := c.Clock.Now()
+	for _, t := range c.Table.Candidates(c.service, c.model) {
+		if c.isUnavailable(t) || t.IsFull(now) {
+			continue
+		}
+		if c.Breakers.TryTrial(&t.Instance, isRepeatable) {
+			c.Recorder.Count("breaker.trial")
+			return t
+		}
+	}
+	return nil
+}
+
+// pickClosed returns the next target whose breaker is closed, or else any: an instance that may have recovered is better than
+// none.
+func (c *call) pickClosed(exclude func(*dispatch.Candidate) bool) *dispatch.Candidate {
+	if !c.Breakers.HasOpenBreakers() {
+		return c.pickExcept(exclude)
+	}
+	if t := c.pickExcept(func(t *dispatch.Candidate) bool { return c.isBreakerOpen(t) || exclude(t) }); t != nil {
+		return t
+	}
+	return c.pickExcept(exclude)
+}
+
+// overdueGrace is the time after the deadline of a request in which data that its instance has sent before arrives.
+const overdueGrace = 100 * time.Millisecond
+
+// checkOverdue ends an exchange whose response is incomplete. If that was for lack of time, it finds out in the background
+// whether the instance goes on sending: an instance that is well ends a response at the deadline that it was told.
+func (c *call) checkOverdue(src responseSource, resp *direct.Response) {
+	s, ok := src.(*instanceSource)
+	if !ok || c.ctx.Err() == nil || c.r.Context().Err() != nil {
+		return
+	}
+	resp.CloseAndCheck(overdueGrace, func(stillSending bool) {
+		if stillSending {
+			c.Recorder.Count("attempt.endless")
+			c.Breakers.RecordInvalidResponse(&s.target.Instance, s.sent)
+		}
+	})
+}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -87,6 +87,21 @@
 	TrySend(in *fleet.Instance) bool
 }
 
+// Breakers keep requests away from instances that send invalid responses.
+type Breakers interface {
+	// RecordInvalidResponse records that an instance sent an invalid response to a request sent at a time.
+	RecordInvalidResponse(in *fleet.Instance, sent time.Time)
+	// RecordValidResponse records that an instance sent a valid response to a request sent at a time.
+	RecordValidResponse(in *fleet.Instance, sent time.Time)
+	// HasOpenBreakers reports whether any breaker may be open.
+	HasOpenBreakers() bool
+	// IsBreakerOpen reports whether the breaker of an instance is open.
+	IsBreakerOpen(in *fleet.Instance) bool
+	// TryTrial reports whether a request is to be sent to an instance whose breaker is open, to find out whether it has
+	// recovered. The request must be sent then.
+	TryTrial(in *fleet.Instance, isRepeatable bool) bool
+}
+
 // Recorder records metrics and logs decisions about requests.
 type Recorder interface {
 	// Count increments a counter.
@@ -109,6 +124,7 @@
 	Recorder        Recorder
 	Quarantine      Quarantine
 	Backpressure    Backpressure
+	Breakers        Breakers
 	// Evacuations tells which halls are evacuated; nil if none ever is.
 	Evacuations Evacuations
 	Pool        *direct.Pool
--- a/transport/gateway/schedule.go
+++ b/transport/gateway/schedule.go
@@ -35,6 +35,9 @@
 // that this node picks, which may be nil. If the scheduler refuses the request, ended is true.
 func (c *call) choose() (target *dispatch.Candidate, refused *refusal, ended bool) {
 	c.scheduleState = scheduleState{}
+	if t := c.pickTrial(); t != nil {
+		return t, nil, false
+	}
 	if !c.isScheduled() {
 		return c.pick(), nil, false
 	}
@@ -53,7 +56,7 @@
 		return nil, c.refuseScheduled(d.RetryAfter), true
 	}
 	t := c.Table.Candidate(c.service, c.model, d.Instance)
-	if t == nil || c.isUnavailable(t) {
+	if t == nil || c.isUnavailable(t) || c.isBreakerOpen(t) {
 		c.Recorder.Count("schedule.unusable")
 		return c.pick(), nil, false
 	}
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -152,11 +152,11 @@
 // A retry goes to an instance with a rate limit only if every other one is full or unavailable.
 func (c *call) pick() *dispatch.Candidate {
 	if c.sends > 0 {
-		if t := c.pickExcept(c.hasRateLimit); t != nil && !t.IsFull(c.Clock.Now()) {
+		if t := c.pickClosed(c.hasRateLimit); t != nil && !t.IsFull(c.Clock.Now()) {
 			return t
 		}
 	}
-	return c.pickExcept(func(t *dispatch.Candidate) bool { return !c.Backpressure.CanSend(&t.Instance) })
+	return c.pickClosed(func(t *dispatch.Candidate) bool { return !c.Backpressure.CanSend(&t.Instance) })
 }
 
 // hasRateLimit reports whether a target has a rate limit.
@@ -315,6 +315,13 @@
 		target.RecordFailure()
 		c.Recorder.Count("attempt.silent")
 		c.logFailure(target, sent, event.Silent, err)
+	case errors.Is(err, direct.ErrInvalidResponse):
+		if !c.isBreakerOpen(target) {
+			target.RecordFailure()
+		}
+		c.Recorder.Count("attempt.invalid")
+		c.logFailure(target, sent, event.Invalid, err)
+		c.Breakers.RecordInvalidResponse(&target.Instance, sent)
 	case c.ctx.Err() != nil:
 		c.logFailure(target, sent, event.TimeIsUp, err)
 	default:
@@ -345,6 +352,7 @@
 	}
 	if v.NotRun {
 		drain(resp)
+		c.Breakers.RecordValidResponse(&target.Instance, sent)
 		c.runs--
 		if v.Cooldown == 0 {
 			target.RecordFailure()
@@ -396,6 +404,7 @@
 // completed records a complete response of the instance. A response that is delimited by the end of its
 // connection also looks complete if the instance ended, so it clears the request only once the instance responds again.
 func (s *instanceSource) completed(resp *direct.Response) {
+	s.call.Breakers.RecordValidResponse(&s.target.Instance, s.sent)
 	if resp.Status >= http.StatusInternalServerError {
 		s.target.RecordFailure()
 		return
@@ -444,6 +453,7 @@
 func (c *call) relayBuffered(ctx context.Context, src responseSource, resp *direct.Response) attemptResult {
 	body, err := c.readResponse(resp.Body)
 	if err != nil {
+		c.checkOverdue(src, resp)
 		return src.lost(ctx, err)
 	}
 	p := &bufferedResponse{status: resp.Status, header: c.callerHeaders(resp), body: body}
@@ -504,6 +514,7 @@
 		if c.r.Context().Err() != nil {
 			return resultCallerGone
 		}
+		c.checkOverdue(src, resp)
 		src.lost(ctx, err)
 		panic(http.ErrAbortHandler)
 	}
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/troutmast/troutmast/coordination/breaker"
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/forwarding"
@@ -181,6 +182,25 @@
 	q.refused = append(q.refused, c.ID)
 }
 
+// breakers implements gateway.Breakers with the breakers of a node.
+type breakers struct{ *breaker.Set }
+
+func (b breakers) RecordInvalidResponse(in *fleet.Instance, sent time.Time) {
+	b.RecordInvalid(in.Incarnation(), sent, time.Now())
+}
+
+func (b breakers) RecordValidResponse(in *fleet.Instance, sent time.Time) {
+	b.RecordValid(in.Incarnation(), sent)
+}
+
+func (b breakers) HasOpenBreakers() bool { return b.HasOpen() }
+
+func (b breakers) IsBreakerOpen(in *fleet.Instance) bool { return b.IsOpen(in.Incarnation(), time.Now()) }
+
+func (b breakers) TryTrial(in *fleet.Instance, isRepeatable bool) bool {
+	return b.Set.TryTrial(in.Incarnation(), isRepeatable, time.Now())
+}
+
 // fakeRecorder implements gateway.Recorder and keeps the counters only.
 type fakeRecorder struct {
 	mu     sync.Mutex
@@ -297,7 +317,7 @@
 	clock := clockwork.NewRealClock()
 	h.gateway = gateway.New(gateway.Options{
 		Demand: demand.NewMeter(demand.DefaultPolicy()), Policy: gateway.DefaultPolicy(),
-		Clock: clock, Codec: testDialect{}, Catalogs: h.catalogs, Table: h.table, FailureDetector: h.health, Recorder: h.recorder, Quarantine: h.quarantine, Backpressure: h.backpressure,
+		Clock: clock, Codec: testDialect{}, Catalogs: h.catalogs, Table: h.table, FailureDetector: h.health, Recorder: h.recorder, Quarantine: h.quarantine, Backpressure: h.backpressure, Breakers: breakers{breaker.NewSet(breaker.DefaultPolicy())},
 		Pool: direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now),
 		Name: "node", Hall: "hall", Regions: testRegions, HallTraffic: h.traffic, Peers: h.peers, PeerPool: direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now), Receiver: forwarding.NewReceiver(forwarding.DefaultPolicy()),
 		Retry: retry.SharedBudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
