--- a/coordination/breaker/breaker.go
+++ b/coordination/breaker/breaker.go
@@ -41,6 +41,8 @@
 	trialAt  time.Time
 	// trialSentAt is when the current trial was sent; zero if there is none.
 	trialSentAt time.Time
+	// suspectUntil is the time until which a response is checked that is probably invalid.
+	suspectUntil time.Time
 }
 
 // isOpen reports whether the breaker is open.
@@ -96,6 +98,19 @@
 	return true
 }
 
+// Suspect records that a response is probably invalid, which is known at a time. The instance gets no requests until then.
+func (s *Set) Suspect(in fleet.Incarnation, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.updateEmpty()
+	b := s.breakers[in]
+	if b == nil {
+		b = &breaker{}
+		s.breakers[in] = b
+	}
+	b.suspectUntil = until
+}
+
 // trialFailed records an invalid response while the breaker is open. One to a request from before the trial says nothing new.
 func (b *breaker) trialFailed(sentAt, now time.Time, p *Policy) {
 	if b.trialSentAt.IsZero() || sentAt.Before(b.trialSentAt) {
@@ -134,7 +149,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if b := s.breakers[in]; b != nil && b.isOpen() {
+	if b := s.breakers[in]; b != nil && (b.isOpen() || now.Before(b.suspectUntil)) {
 		return true
 	}
 	_, isRelayed := s.relayed[in]
@@ -212,7 +227,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for in, b := range s.breakers {
-		if !isKnown(in) || !b.isOpen() && now.Sub(b.lastFailureAt) > s.policy.FailureTTL {
+		if !isKnown(in) || !b.isOpen() && now.Sub(b.lastFailureAt) > s.policy.FailureTTL && !now.Before(b.suspectUntil) {
 			delete(s.breakers, in)
 		}
 	}
--- a/coordination/breaker/breaker_test.go
+++ b/coordination/breaker/breaker_test.go
@@ -103,6 +103,20 @@
 	}
 }
 
+// Callers whose request has just failed come back while its response is checked. They must not be sent there again.
+func TestSuspectGetsNoRequestsUntilTheCheckEnds(t *testing.T) {
+	g := NewWithT(t)
+	s := breaker.NewSet(breaker.DefaultPolicy())
+	s.Suspect(bad, start.Add(time.Second))
+	g.Expect(s.IsOpen(bad, start)).To(BeTrue())
+	g.Expect(s.TryTrial(bad, true, start)).To(BeFalse())
+	g.Expect(s.Open()).To(BeEmpty(), "a suspicion is told to nobody")
+	g.Expect(s.IsOpen(bad, start.Add(time.Second))).To(BeFalse())
+	s.Suspect(bad, start.Add(time.Second))
+	s.RecordValid(bad, start)
+	g.Expect(s.IsOpen(bad, start)).To(BeFalse())
+}
+
 func TestRelayedBreakersCountUntilTheyExpire(t *testing.T) {
 	g := NewWithT(t)
 	s := breaker.NewSet(breaker.DefaultPolicy())
--- a/protocol/direct/endless_test.go
+++ b/protocol/direct/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -21,8 +22,9 @@
 // respondEndlessly reads requests and responds with a text, followed by another one again and again until the connection
 // is closed.
 func respondEndlessly(text, more string) func(net.Conn) {
+	var endless []byte // no string, which each write would copy
 	if more != "" {
-		more = strings.Repeat(more, 64<<10/len(more)+1)
+		endless = bytes.Repeat([]byte(more), 64<<10/len(more)+1)
 	}
 	return func(conn net.Conn) {
 		req, err := http.ReadRequest(bufio.NewReader(conn))
@@ -31,8 +33,8 @@
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		_, err = io.WriteString(conn, text)
-		for more != "" && err == nil {
-			_, err = io.WriteString(conn, more)
+		for len(endless) > 0 && err == nil {
+			_, err = conn.Write(endless)
 		}
 	}
 }
--- a/transport/entry/breaker.go
+++ b/transport/entry/breaker.go
@@ -13,6 +13,11 @@
 // maxRelayedBreakers is the maximum number of open breakers that a message lists.
 const maxRelayedBreakers = 256
 
+// SuspectInvalidResponse implements gateway.Breakers.
+func (n *Node) SuspectInvalidResponse(in *fleet.Instance, after time.Duration) {
+	n.breakers.Suspect(in.Incarnation(), n.clock.Now().Add(after))
+}
+
 // RecordInvalidResponse implements gateway.Breakers.
 func (n *Node) RecordInvalidResponse(in *fleet.Instance, sent time.Time) {
 	if !n.breakers.RecordInvalid(in.Incarnation(), sent, n.clock.Now()) {
--- a/transport/gateway/breaker.go
+++ b/transport/gateway/breaker.go
@@ -53,6 +53,7 @@
 	if !ok || c.ctx.Err() == nil || c.r.Context().Err() != nil {
 		return
 	}
+	c.Breakers.SuspectInvalidResponse(&s.target.Instance, 2*overdueGrace)
 	resp.CloseAndCheck(overdueGrace, func(stillSending bool) {
 		if stillSending {
 			c.Recorder.Count("attempt.endless")
--- a/transport/gateway/endless_test.go
+++ b/transport/gateway/endless_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -15,12 +16,12 @@
 
 // respondEndlessly responds with a text, followed by another one again and again until the connection is closed.
 func respondEndlessly(status int, text, more string) http.HandlerFunc {
-	more = strings.Repeat(more, 64<<10/len(more)+1)
+	endless := bytes.Repeat([]byte(more), 64<<10/len(more)+1)
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(status)
 		_, err := io.WriteString(w, text)
 		for err == nil {
-			_, err = io.WriteString(w, more)
+			_, err = w.Write(endless)
 		}
 	}
 }
@@ -150,3 +151,30 @@
 	g.Expect(ctx.Err()).NotTo(HaveOccurred())
 	g.Expect(after.HeapAlloc).To(BeNumerically("<", before.HeapAlloc+(16<<20)))
 }
+
+// endlessReader is a request body that never ends.
+type endlessReader struct{}
+
+func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
+
+// A caller may send a body without a length that never ends. A configuration without a limit must not let it fill the memory.
+func TestEndlessBodyOfACallerIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t)
+	h.catalogs.current.Limits.BodyBytes = 0
+	h.addInstance("a", "plain", respondWith("x"))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.server.URL+"/unsafe/", endlessReader{})
+	g.Expect(err).NotTo(HaveOccurred())
+	req.Host = "h"
+	req.Header.Set("Id", "r1")
+	req.Header.Set("Key", "k")
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil {
+		g.Expect(resp.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+		g.Expect(resp.Body.Close()).To(Succeed())
+	}
+	g.Expect(ctx.Err()).NotTo(HaveOccurred(), "the body was read until its deadline")
+	g.Expect(h.runLog.all()).To(BeEmpty())
+}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -89,6 +89,8 @@
 
 // Breakers keep requests away from instances that send invalid responses.
 type Breakers interface {
+	// SuspectInvalidResponse records that an instance has probably sent an invalid response, which is known after a time.
+	SuspectInvalidResponse(in *fleet.Instance, after time.Duration)
 	// RecordInvalidResponse records that an instance sent an invalid response to a request sent at a time.
 	RecordInvalidResponse(in *fleet.Instance, sent time.Time)
 	// RecordValidResponse records that an instance sent a valid response to a request sent at a time.
@@ -355,8 +357,12 @@
 	return quarantine.Request{Fingerprint: quarantine.NewFingerprint(content), Parts: quarantine.NewPartFingerprints(c.claims.PromptParts)}
 }
 
-// bodyReadTimeout is the time-out for reading a request body.
-const bodyReadTimeout = 10 * time.Second
+const (
+	// bodyReadTimeout is the time-out for reading a request body.
+	bodyReadTimeout = 10 * time.Second
+	// maxBodyBytes is the maximum size of a request body if the configuration states none.
+	maxBodyBytes = 32 << 20
+)
 
 // readBody reads the request body, up to the size limit of the catalog.
 func (c *call) readBody() *refusal {
@@ -367,17 +373,16 @@
 		return nil
 	}
 	limit := c.catalog.Limits.BodyBytes
-	if limit > 0 && c.r.ContentLength > limit {
+	if limit <= 0 {
+		limit = maxBodyBytes
+	}
+	if c.r.ContentLength > limit {
 		return &refusal{code: CodeTooLarge}
 	}
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	var in io.Reader = c.r.Body
-	if limit > 0 {
-		in = http.MaxBytesReader(c.w, c.r.Body, limit)
-	}
 	var err error
-	c.body, err = io.ReadAll(c.countedRequest(in))
+	c.body, err = io.ReadAll(c.countedRequest(http.MaxBytesReader(c.w, c.r.Body, limit)))
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -189,13 +189,19 @@
 	b.RecordInvalid(in.Incarnation(), sent, time.Now())
 }
 
+func (b breakers) SuspectInvalidResponse(in *fleet.Instance, after time.Duration) {
+	b.Suspect(in.Incarnation(), time.Now().Add(after))
+}
+
 func (b breakers) RecordValidResponse(in *fleet.Instance, sent time.Time) {
 	b.RecordValid(in.Incarnation(), sent)
 }
 
 func (b breakers) HasOpenBreakers() bool { return b.HasOpen() }
 
-func (b breakers) IsBreakerOpen(in *fleet.Instance) bool { return b.IsOpen(in.Incarnation(), time.Now()) }
+func (b breakers) IsBreakerOpen(in *fleet.Instance) bool {
+	return b.IsOpen(in.Incarnation(), time.Now())
+}
 
 func (b breakers) TryTrial(in *fleet.Instance, isRepeatable bool) bool {
 	return b.Set.TryTrial(in.Incarnation(), isRepeatable, time.Now())
