Gateway: prefer a rate-limited instance to one with an open breaker

A retry took an instance with an open breaker before one with a rate limit and a grant left, since the first choice, of instances without a limit, fell back to any. Found in reading; no caller was seen to be affected. Open breakers are now the last choice of both.

Linter: errors compared with errors.Is, parameters that never vary.

--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -222,7 +222,7 @@
 	if c.inHead {
 		p = p[:min(len(p), c.headLeft)]
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.Read(p)
 	c.headLeft -= n
 	if err != nil {
 		c.readErr = err
@@ -237,7 +237,7 @@
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.r.inner.Body.Read(p)
 	switch {
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		b.r.bodyComplete = true
 	case err != nil:
 		err = b.r.conn.readFault(err)
@@ -275,7 +275,7 @@
 		defer r.pool.discard(c)
 		buf := make([]byte, bufferSize)
 		for {
-			n, err := c.Conn.Read(buf)
+			n, err := c.Read(buf)
 			if n > 0 && time.Since(began) >= grace {
 				report(true)
 				return
--- a/transport/entry/messagerange_test.go
+++ b/transport/entry/messagerange_test.go
@@ -64,7 +64,7 @@
 			g.Expect(isKnown).To(BeFalse())
 			v, _ := n.roster.Get("known", now)
 			g.Expect(v.Unlisted).To(BeTrue(), "an instance whose newest entry cannot be used gets no requests")
-			g.Expect(v.Instance.Validate()).To(Succeed())
+			g.Expect(v.Validate()).To(Succeed())
 			v, isKnown = n.roster.Get("good", now)
 			g.Expect(isKnown).To(BeTrue())
 			g.Expect(v.Unlisted).To(BeFalse())
@@ -129,7 +129,7 @@
 	t.Helper()
 	now := n.clock.Now()
 	for _, v := range n.roster.All(now) {
-		if err := v.Instance.Validate(); err != nil {
+		if err := v.Validate(); err != nil {
 			t.Fatalf("instance %q: %v", v.ID, err)
 		}
 	}
--- a/transport/gateway/breaker.go
+++ b/transport/gateway/breaker.go
@@ -31,18 +31,6 @@
 	return nil
 }
 
-// pickClosed returns the next target whose breaker is closed, or else any: an instance that may have recovered is better than
-// none.
-func (c *call) pickClosed(exclude func(*dispatch.Candidate) bool) *dispatch.Candidate {
-	if !c.Breakers.HasOpenBreakers() {
-		return c.pickExcept(exclude)
-	}
-	if t := c.pickExcept(func(t *dispatch.Candidate) bool { return c.isBreakerOpen(t) || exclude(t) }); t != nil {
-		return t
-	}
-	return c.pickExcept(exclude)
-}
-
 // overdueGrace is the time after the deadline of a request in which data that its instance has sent before arrives.
 const overdueGrace = 100 * time.Millisecond
 
--- a/transport/gateway/breaker_test.go
+++ b/transport/gateway/breaker_test.go
@@ -82,8 +82,9 @@
 	return i
 }
 
-// callUntil has callers send requests one after the other until a time, and returns how many were served.
-func (h *harness) callUntil(until time.Time, callers int, path string) int {
+// callUntil has a dozen callers send requests one after the other until a time, and returns how many were served.
+func (h *harness) callUntil(until time.Time, path string) int {
+	const callers = 12
 	var served atomic.Int64
 	var wg sync.WaitGroup
 	for i := range callers {
@@ -103,7 +104,7 @@
 // One instance of three that responds with bytes without end held the callers of two thirds of all requests until their
 // deadline, again and again. It must cost its service little more than its part, and get requests again once it is well.
 func TestOneInstanceInTroubleCostsLittle(t *testing.T) {
-	const span, callers = 3 * time.Second, 12
+	const span = 3 * time.Second
 	for _, c := range troubles {
 		for _, path := range []string{"/unsafe/", "/safe/"} {
 			t.Run(c.name+" "+path, func(t *testing.T) {
@@ -113,19 +114,19 @@
 				bad := h.addTroubled("bad")
 				h.addTroubled("b")
 				h.addTroubled("c")
-				calm := h.callUntil(time.Now().Add(span), callers, path)
+				calm := h.callUntil(time.Now().Add(span), path)
 				g.Expect(calm).To(BeNumerically(">", 0))
 				bad.trouble.Store(&c.text)
-				h.callUntil(time.Now().Add(time.Second), callers, path) // until the trouble is known
+				h.callUntil(time.Now().Add(time.Second), path) // until the trouble is known
 				before := bad.received.Load()
-				served := h.callUntil(time.Now().Add(span), callers, path)
+				served := h.callUntil(time.Now().Add(span), path)
 				trials := bad.received.Load() - before
 				t.Logf("served %d of %d when calm, %d requests to the instance", served, calm, trials)
 				g.Expect(served).To(BeNumerically(">", calm*2/3), "the part of the other two")
 				g.Expect(trials).To(BeNumerically("<=", 4))
 				bad.trouble.Store(nil)
 				before = bad.received.Load()
-				h.callUntil(time.Now().Add(2*span), callers, path)
+				h.callUntil(time.Now().Add(2*span), path)
 				g.Expect(bad.received.Load()-before).To(BeNumerically(">", trials+20), "the instance is well and gets requests again")
 			})
 		}
--- a/transport/gateway/endless_test.go
+++ b/transport/gateway/endless_test.go
@@ -14,9 +14,9 @@
 	. "github.com/onsi/gomega"
 )
 
-// respondEndlessly responds with a text, followed by another one again and again until the connection is closed.
-func respondEndlessly(status int, text, more string) http.HandlerFunc {
-	endless := bytes.Repeat([]byte(more), 64<<10/len(more)+1)
+// respondEndlessly responds with a text, followed by bytes without end until the connection is closed.
+func respondEndlessly(status int, text string) http.HandlerFunc {
+	endless := bytes.Repeat([]byte("x"), 64<<10)
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(status)
 		_, err := io.WriteString(w, text)
@@ -31,7 +31,7 @@
 	const maxBytes = 16 << 20
 	g := NewWithT(t)
 	h := newHarness(t)
-	h.addInstance("bad", "lm", respondEndlessly(http.StatusOK, "id: 1\ndata: x1\n\nid: 2\ndata: ", "x"))
+	h.addInstance("bad", "lm", respondEndlessly(http.StatusOK, "id: 1\ndata: x1\n\nid: 2\ndata: "))
 	h.addInstance("good", "lm", func(w http.ResponseWriter, r *http.Request) {
 		last, _ := strconv.Atoi(r.Header.Get("Last"))
 		writeEvents(w, last+1, 4)
@@ -65,8 +65,8 @@
 		handler    http.HandlerFunc
 		status     int
 	}{
-		{"not repeatable", "/unsafe/", respondEndlessly(http.StatusInternalServerError, "", "x"), http.StatusBadGateway},
-		{"repeatable", "/safe/", respondEndlessly(http.StatusInternalServerError, "", "x"), http.StatusBadGateway},
+		{"not repeatable", "/unsafe/", respondEndlessly(http.StatusInternalServerError, ""), http.StatusBadGateway},
+		{"repeatable", "/safe/", respondEndlessly(http.StatusInternalServerError, ""), http.StatusBadGateway},
 		{"longer than what is buffered", "/unsafe/", func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusInternalServerError)
 			_, _ = io.WriteString(w, strings.Repeat("x", 3<<20))
@@ -95,7 +95,7 @@
 		name    string
 		handler http.HandlerFunc
 	}{
-		{"at full speed", respondEndlessly(http.StatusServiceUnavailable, "", "x")},
+		{"at full speed", respondEndlessly(http.StatusServiceUnavailable, "")},
 		{"slowly", func(w http.ResponseWriter, r *http.Request) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			for r.Context().Err() == nil {
@@ -130,7 +130,7 @@
 func TestEndlessBodyOfASuccessNeverLooksComplete(t *testing.T) {
 	g := NewWithT(t)
 	h := newHarness(t)
-	h.addInstance("a", "plain", respondEndlessly(http.StatusOK, "", "x"))
+	h.addInstance("a", "plain", respondEndlessly(http.StatusOK, ""))
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.server.URL+"/unsafe/", nil)
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -149,14 +149,20 @@
 }
 
 // pick returns the next target of the request, or nil. It never returns the same instance twice.
-// A retry goes to an instance with a rate limit only if every other one is full or unavailable.
+// A retry goes to an instance with a rate limit only if every other one is full or unavailable, and any attempt to one
+// with an open breaker only if there is no other.
 func (c *call) pick() *dispatch.Candidate {
 	if c.sends > 0 {
-		if t := c.pickClosed(c.hasRateLimit); t != nil && !t.IsFull(c.Clock.Now()) {
-			return t
+		unlimited := c.pickExcept(func(t *dispatch.Candidate) bool { return c.hasRateLimit(t) || c.isBreakerOpen(t) })
+		if unlimited != nil && !unlimited.IsFull(c.Clock.Now()) {
+			return unlimited
 		}
 	}
-	return c.pickClosed(func(t *dispatch.Candidate) bool { return !c.Backpressure.CanSend(&t.Instance) })
+	cannotSend := func(t *dispatch.Candidate) bool { return !c.Backpressure.CanSend(&t.Instance) }
+	if t := c.pickExcept(func(t *dispatch.Candidate) bool { return cannotSend(t) || c.isBreakerOpen(t) }); t != nil || !c.Breakers.HasOpenBreakers() {
+		return t
+	}
+	return c.pickExcept(cannotSend) // an instance that may have recovered is better than none
 }
 
 // hasRateLimit reports whether a target has a rate limit.
