Ranges of messages in a package of their own; fuzz targets for configurations and responses

transport/entry had grown by the checks of messages: what does not know the messages is internal/bounds now. One way to add a breaker in place of two. FuzzCatalog and FuzzResponse draw the bytes of a configuration and of a server; make fuzz runs them. No change of behaviour.

--- a/Makefile
+++ b/Makefile
@@ -87,6 +87,8 @@
 	go test -run '^$$' -fuzz FuzzDecodeRecord -fuzztime $(FUZZTIME) ./state
 	go test -run '^$$' -fuzz FuzzDecodeReport -fuzztime $(FUZZTIME) ./protocol/target
 	go test -run '^$$' -fuzz FuzzInstance -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz FuzzCatalog -fuzztime $(FUZZTIME) ./platform
+	go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZTIME) ./protocol/direct
 	for f in FuzzStatusReport FuzzStatusAnswer FuzzNodeEntry FuzzKeptQuarantine; do go test -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) ./transport/entry || exit 1; done
 
 # The generated code in protocol/rpc is committed; this is needed only after a change of the .proto file.
--- a/coordination/breaker/breaker.go
+++ b/coordination/breaker/breaker.go
@@ -71,16 +71,22 @@
 // updateEmpty updates isEmpty. s.mu must be held.
 func (s *Set) updateEmpty() { s.isEmpty.Store(len(s.breakers) == 0 && len(s.relayed) == 0) }
 
-// RecordInvalid records an invalid response to a request that was sent at sentAt. It reports whether that opened the breaker.
-func (s *Set) RecordInvalid(in fleet.Incarnation, sentAt, now time.Time) (opened bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	defer s.updateEmpty()
+// breaker returns the breaker of an incarnation, and adds it if there is none. s.mu must be held.
+func (s *Set) breaker(in fleet.Incarnation) *breaker {
 	b := s.breakers[in]
 	if b == nil {
 		b = &breaker{}
 		s.breakers[in] = b
 	}
+	return b
+}
+
+// RecordInvalid records an invalid response to a request that was sent at sentAt. It reports whether that opened the breaker.
+func (s *Set) RecordInvalid(in fleet.Incarnation, sentAt, now time.Time) (opened bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.updateEmpty()
+	b := s.breaker(in)
 	if b.isOpen() {
 		b.trialFailed(sentAt, now, &s.policy)
 		return false
@@ -103,12 +109,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.updateEmpty()
-	b := s.breakers[in]
-	if b == nil {
-		b = &breaker{}
-		s.breakers[in] = b
-	}
-	b.suspectUntil = until
+	s.breaker(in).suspectUntil = until
 }
 
 // trialFailed records an invalid response while the breaker is open. One to a request from before the trial says nothing new.
--- a/protocol/direct/endless_test.go
+++ b/protocol/direct/endless_test.go
@@ -147,3 +147,32 @@
 		})
 	}
 }
+
+// Whatever bytes a server sends, a client of the package neither panics nor holds more than the limits, and a response that
+// it returns matches its request.
+func FuzzResponse(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nId: own\r\n\r\nok", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: -1\r\n\r\n", "\x00\xff", "HTTP/1.1 99999999999 x\r\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		resp, err := get(t, ctx, func(conn net.Conn) {
+			respondEndlessly(string(raw), "")(conn)
+			_ = conn.Close()
+		})
+		if err != nil {
+			return
+		}
+		defer resp.Close()
+		if resp.Header.Get("Id") != "own" || resp.Status < http.StatusOK {
+			t.Fatalf("%q is a response with status %d and ID %q", raw, resp.Status, resp.Header.Get("Id"))
+		}
+		if n, _ := io.Copy(io.Discard, resp.Body); n > int64(len(raw)) {
+			t.Fatalf("%q has a body of %d bytes", raw, n)
+		}
+	})
+}
--- a/transport/entry/breaker.go
+++ b/transport/entry/breaker.go
@@ -76,7 +76,7 @@
 	return breaker.Common(lists, minBreakerNodes, maxRelayedBreakers)
 }
 
-// setRelayedBreakers sets the incarnations whose breakers are open at other nodes, as the leader has just told.
+// setRelayedBreakers sets the incarnations whose breakers are open at other nodes, as in the last answer of the leader.
 func (n *Node) setRelayedBreakers(list []fleet.Incarnation) {
 	n.breakers.SetRelayed(list, n.clock.Now().Add(n.policy.NodeTimeout))
 }
--- a/transport/entry/messagerange_test.go
+++ b/transport/entry/messagerange_test.go
@@ -15,6 +15,7 @@
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/ratelimit"
 	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/internal/bounds"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -90,7 +91,7 @@
 		configAge, _ := n.configState.Age()
 		g.Expect(configAge).To(BeNumerically(">=", 0))
 		g.Expect(n.roster.ListAge(now)).To(BeNumerically(">=", 0))
-		g.Expect(a.Grants[0].Requests).To(BeNumerically("<=", maxMessageCount))
+		g.Expect(a.Grants[0].Requests).To(BeNumerically("<=", bounds.MaxCount))
 		g.Expect(n.peers.possibleNodes(now)).To(BeNumerically(">=", 1))
 	}
 }
@@ -116,7 +117,7 @@
 	g.Expect(counted(n, "messages.out-of-range")).To(BeEquivalentTo(1))
 	inProgress, flows := n.peers.totals()
 	for id, count := range inProgress {
-		g.Expect(count).To(And(BeNumerically(">=", 0), BeNumerically("<=", maxMessageCount)), string(id))
+		g.Expect(count).To(And(BeNumerically(">=", 0), BeNumerically("<=", bounds.MaxCount)), string(id))
 	}
 	_, err = json.Marshal(flows) // has no form for an infinite number
 	g.Expect(err).NotTo(HaveOccurred())
--- a/transport/entry/reach.go
+++ b/transport/entry/reach.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/troutmast/troutmast/internal/bounds"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -83,7 +84,7 @@
 		return nil // a node that is down, or of a version without indirect probes, counts as not reaching the instance
 	}
 	if err := resp.Msg.Report.Validate(); err != nil {
-		p.n.recordMessageRange(fmt.Errorf("%w: report of %.40q: %w", errMessageRange, id, err), node.Name)
+		p.n.recordMessageRange(fmt.Errorf("%w: report of %.40q: %w", bounds.ErrRange, id, err), node.Name)
 		return nil
 	}
 	return &resp.Msg.Report
--- a/transport/entry/tell.go
+++ b/transport/entry/tell.go
@@ -12,6 +12,7 @@
 	"github.com/troutmast/troutmast/coordination/demand"
 	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/roster"
+	"github.com/troutmast/troutmast/internal/bounds"
 	"github.com/troutmast/troutmast/internal/millis"
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/state"
@@ -162,7 +163,7 @@
 // cannot be used, so that the instance counts as unlisted.
 func (p *peers) applyChange(c *roster.Change, now time.Time) {
 	if err := c.Validate(); err != nil {
-		p.n.recordMessageRange(fmt.Errorf("%w: instance %.40q: %w", errMessageRange, c.ID, err), "leader")
+		p.n.recordMessageRange(fmt.Errorf("%w: instance %.40q: %w", bounds.ErrRange, c.ID, err), "leader")
 		p.n.roster.MarkUnlisted(c.ID, c.Position, now)
 		return
 	}
--- a/transport/gateway/breaker.go
+++ b/transport/gateway/breaker.go
@@ -35,7 +35,7 @@
 const overdueGrace = 100 * time.Millisecond
 
 // checkOverdue ends an exchange whose response is incomplete. If that was for lack of time, it finds out in the background
-// whether the instance goes on sending: an instance that is well ends a response at the deadline that it was told.
+// whether the instance goes on sending: a working instance stops at the deadline that was forwarded to it.
 func (c *call) checkOverdue(src responseSource, resp *direct.Response) {
 	s, ok := src.(*instanceSource)
 	if !ok || c.ctx.Err() == nil || c.r.Context().Err() != nil {
--- a/transport/gateway/breaker_test.go
+++ b/transport/gateway/breaker_test.go
@@ -150,8 +150,8 @@
 	g.Expect(h.call(http.MethodPost, "/unsafe/", "", nil).status).To(Equal(http.StatusOK))
 }
 
-// An instance that is well stops at the deadline that it was told. It must get requests as before, although none of its long
-// responses ends in time.
+// A working instance stops at the deadline that was forwarded to it. It must get requests as before, although none of its
+// long responses ends in time.
 func TestLongResponsesOfASoundInstanceAreNoTrouble(t *testing.T) {
 	g := NewWithT(t)
 	h := newHarness(t)
