Breakers: check bodies that go on although the caller has left at its deadline

The caller's deadline ends just before the node's, so that the node took it for a caller that had left early, and checked nothing.

Now the check also follows a caller that leaves at most 200 ms before its deadline, and begins at the deadline that the instance was given.

--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -264,19 +264,22 @@
 	r.pool.put(r.conn)
 }
 
+// checkTime is how long CloseAndCheck waits for data after its delay.
+const checkTime = 100 * time.Millisecond
+
 // CloseAndCheck ends the exchange like Close, but closes the connection in the background. It calls report with whether the
-// server still sent data after a grace period. What it has sent before may arrive during that period.
-func (r *Response) CloseAndCheck(grace time.Duration, report func(stillSending bool)) {
+// server sends data after a delay, within checkTime.
+func (r *Response) CloseAndCheck(delay time.Duration, report func(stillSending bool)) {
 	r.stop()
 	r.lingers = true
 	c, began := r.conn, time.Now()
-	c.linger(began.Add(2 * grace))
+	c.linger(began.Add(delay + checkTime))
 	go func() {
 		defer r.pool.discard(c)
 		buf := make([]byte, bufferSize)
 		for {
 			n, err := c.Read(buf)
-			if n > 0 && time.Since(began) >= grace {
+			if n > 0 && time.Since(began) >= delay {
 				report(true)
 				return
 			}
--- a/transport/gateway/breaker.go
+++ b/transport/gateway/breaker.go
@@ -31,18 +31,24 @@
 	return nil
 }
 
-// overdueGrace is the time after the deadline of a request in which data that its instance has sent before arrives.
-const overdueGrace = 100 * time.Millisecond
+const (
+	// overdueGrace is the time after the deadline of a request in which data that its instance has sent before arrives.
+	overdueGrace = 100 * time.Millisecond
+	// maxEarlyLeave is the time before the deadline in which a caller leaves that has waited for all of its own time, which
+	// began before the request arrived.
+	maxEarlyLeave = 200 * time.Millisecond
+)
 
 // checkOverdue ends an exchange whose response is incomplete. If that was for lack of time, it finds out in the background
 // whether the instance goes on sending: a working instance stops at the deadline that was forwarded to it.
 func (c *call) checkOverdue(src responseSource, resp *direct.Response) {
 	s, ok := src.(*instanceSource)
-	if !ok || c.ctx.Err() == nil || c.r.Context().Err() != nil {
+	left := max(c.deadline.Sub(c.Clock.Now()), 0)
+	if !ok || c.ctx.Err() == nil || left > maxEarlyLeave {
 		return
 	}
-	c.Breakers.SuspectInvalidResponse(&s.target.Instance, 2*overdueGrace)
-	resp.CloseAndCheck(overdueGrace, func(stillSending bool) {
+	c.Breakers.SuspectInvalidResponse(&s.target.Instance, left+2*overdueGrace)
+	resp.CloseAndCheck(left+overdueGrace, func(stillSending bool) {
 		if stillSending {
 			c.Recorder.Count("attempt.endless")
 			c.Breakers.RecordInvalidResponse(&s.target.Instance, s.sent)
--- a/transport/gateway/breaker_test.go
+++ b/transport/gateway/breaker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -82,15 +83,18 @@
 	return i
 }
 
-// callUntil has a dozen callers send requests one after the other until a time, and returns how many were served.
-func (h *harness) callUntil(until time.Time, path string) int {
+// callUntil has a dozen callers send requests with a time-out of 500 ms one after the other until a time, and returns how many
+// were served. The callers themselves leave after timeout.
+func (h *harness) callUntil(until time.Time, path string, timeout time.Duration) int {
 	const callers = 12
 	var served atomic.Int64
 	var wg sync.WaitGroup
 	for i := range callers {
 		wg.Go(func() {
 			for n := 0; time.Now().Before(until); n++ {
-				a := h.call(http.MethodPost, path, "", map[string]string{"Id": fmt.Sprintf("r%d-%d", i, n), "Patience": "500"})
+				ctx, cancel := context.WithTimeout(context.Background(), timeout)
+				a := h.callWith(ctx, http.MethodPost, path, "", map[string]string{"Id": fmt.Sprintf("r%d-%d", i, n), "Patience": "500"})
+				cancel()
 				if a.err == nil && a.status == http.StatusOK && a.body == "ok" {
 					served.Add(1)
 				}
@@ -106,27 +110,34 @@
 func TestOneInstanceInTroubleCostsLittle(t *testing.T) {
 	const span = 3 * time.Second
 	for _, c := range troubles {
-		for _, path := range []string{"/unsafe/", "/safe/"} {
-			t.Run(c.name+" "+path, func(t *testing.T) {
+		for _, caller := range []struct {
+			name, path string
+			timeout    time.Duration
+		}{
+			{"not repeatable", "/unsafe/", 10 * time.Second},
+			{"repeatable", "/safe/", 10 * time.Second},
+			{"not repeatable, callers leave at their deadline", "/unsafe/", 490 * time.Millisecond},
+		} {
+			t.Run(c.name+", "+caller.name, func(t *testing.T) {
 				t.Parallel()
 				g := NewWithT(t)
 				h := newHarness(t)
 				bad := h.addTroubled("bad")
 				h.addTroubled("b")
 				h.addTroubled("c")
-				calm := h.callUntil(time.Now().Add(span), path)
+				calm := h.callUntil(time.Now().Add(span), caller.path, caller.timeout)
 				g.Expect(calm).To(BeNumerically(">", 0))
 				bad.trouble.Store(&c.text)
-				h.callUntil(time.Now().Add(time.Second), path) // until the trouble is known
+				h.callUntil(time.Now().Add(time.Second), caller.path, caller.timeout) // until the trouble is known
 				before := bad.received.Load()
-				served := h.callUntil(time.Now().Add(span), path)
+				served := h.callUntil(time.Now().Add(span), caller.path, caller.timeout)
 				trials := bad.received.Load() - before
 				t.Logf("served %d of %d when calm, %d requests to the instance", served, calm, trials)
 				g.Expect(served).To(BeNumerically(">", calm*2/3), "the part of the other two")
 				g.Expect(trials).To(BeNumerically("<=", 4))
 				bad.trouble.Store(nil)
 				before = bad.received.Load()
-				h.callUntil(time.Now().Add(2*span), path)
+				h.callUntil(time.Now().Add(2*span), caller.path, caller.timeout)
 				g.Expect(bad.received.Load()-before).To(BeNumerically(">", trials+20), "the instance is well and gets requests again")
 			})
 		}
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -514,13 +514,14 @@
 	c.headerWritten = true
 	c.releaseResponse()
 	if _, err := c.w.Write(p.body); err != nil {
+		c.checkOverdue(src, resp)
 		return resultCallerGone
 	}
 	if _, err := io.Copy(c.w, resp.Body); err != nil {
+		c.checkOverdue(src, resp)
 		if c.r.Context().Err() != nil {
 			return resultCallerGone
 		}
-		c.checkOverdue(src, resp)
 		src.lost(ctx, err)
 		panic(http.ErrAbortHandler)
 	}
