--- a/internal/millis/millis_test.go
+++ b/internal/millis/millis_test.go
@@ -25,3 +25,18 @@
 		NewWithT(t).Expect(millis.Duration(c.ms)).To(Equal(c.want))
 	}
 }
+
+func TestScaleKeepsItsSign(t *testing.T) {
+	for _, c := range []struct {
+		v    float64
+		want time.Duration
+	}{
+		{1.5, 1500 * time.Millisecond},
+		{-0.25, -250 * time.Millisecond},
+		{1e300, math.MaxInt64},
+		{math.Inf(-1), math.MinInt64},
+		{math.NaN(), 0},
+	} {
+		NewWithT(t).Expect(millis.Scale(c.v, time.Second)).To(Equal(c.want))
+	}
+}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -4,12 +4,14 @@
 package catalog
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/fleet"
 )
 
 // RouteKind is how the requests of a route may be executed and answered.
@@ -241,6 +243,24 @@
 	return len(priorities) > 1
 }
 
+// Validate returns an error if a number that sizes groups or their batches is out of range.
+func (c *Catalog) Validate() error {
+	for name, s := range c.Services {
+		if s.Engine == nil {
+			continue
+		}
+		if n := s.Engine.BatchSlots; n < 0 || n > fleet.MaxSlots {
+			return fmt.Errorf("%w: %d slots of service %.40q, want 0 to %d", fleet.ErrRange, n, name, fleet.MaxSlots)
+		}
+		for i := range s.Engine.Models {
+			if m := &s.Engine.Models[i]; m.GroupSize < 1 || m.GroupSize > fleet.MaxGroupSize {
+				return fmt.Errorf("%w: groups of %d for model %.40q, want 1 to %d", fleet.ErrRange, m.GroupSize, m.Name, fleet.MaxGroupSize)
+			}
+		}
+	}
+	return nil
+}
+
 // HasHomes reports whether any route or team has home regions.
 func (c *Catalog) HasHomes() bool {
 	for _, r := range c.routes {
