Placement: keep a group whose member only pauses

Cause, first of three places: two probes of 160 ms without an answer made an instance count as lost, and the leader ordered the other members of its group to leave half a second into the silence. The head then had no group to go on with. Silence was taken for an end.

Change: the roster separates two beliefs. An instance that no node reaches is silent: its group gets no new requests, no orders, and is not closed for reallocation. It is lost if there is evidence that it has ended (its address refuses connections, another process answers there, the list no longer has it), or after 2 s of silence, which exceeds the pauses of instances that are well. Only a lost member dissolves a group. A group all of whose members were silent counts as returning, as it did when all of them were lost.

The simulation's dead targets refuse connections now, as dead processes do.

--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -269,7 +269,7 @@
 	for _, m := range s.engine.Models {
 		var candidates []*group
 		for _, g := range d.groups {
-			if g.model == m.Name && s.now.Sub(g.formedAt) >= s.policy.DonorAge {
+			if g.model == m.Name && s.now.Sub(g.formedAt) >= s.policy.DonorAge && !s.isSilent(g) {
 				candidates = append(candidates, g)
 			}
 		}
--- a/coordination/placement/formation.go
+++ b/coordination/placement/formation.go
@@ -60,6 +60,9 @@
 	case !g.donorSince.IsZero():
 		s.plan.ExcludedGroups[key] = "its members are needed elsewhere"
 		s.drain(key, g, head)
+	case s.isSilent(g):
+		s.plan.ExcludedGroups[key] = "a member does not answer"
+		s.suspect(key, g)
 	default:
 		s.bringUp(key, g, head)
 	}
@@ -225,14 +228,26 @@
 	s.addOrder(m, Order{Action: Join, Key: key, Model: g.model, Members: g.members, ExpectedOrders: &expect, Reason: "forming"})
 }
 
+// reachableMembers returns the members of a group that answer this node.
+func (s *step) reachableMembers(key fleet.GroupKey) []*Member {
+	return slices.DeleteFunc(slices.Clone(s.membersByGroup[key]), func(m *Member) bool { return m.Lost || m.Silent || m.Far })
+}
+
+// suspect leaves a group with a silent member as it is: the member may only be paused, and an order to the others would end
+// requests that go on as soon as it does.
+func (s *step) suspect(key fleet.GroupKey, g *group) {
+	if len(s.reachableMembers(key)) == 0 {
+		g.silentAt = s.now
+	}
+}
+
 // dissolve dissolves a group that cannot serve: all reachable members are ordered to leave.
 // A head that lacks a member makes no progress, so it does not matter when its own order
 // arrives. A member is free once it reports that it belongs to no group.
 func (s *step) dissolve(key fleet.GroupKey, g *group) {
-	members := s.membersByGroup[key]
-	reachable := slices.DeleteFunc(slices.Clone(members), func(m *Member) bool { return m.Lost || m.Far })
+	reachable := s.reachableMembers(key)
 	if len(reachable) == 0 {
-		s.keepOrForget(key, g, len(members))
+		s.keepOrForget(key, g, len(s.membersByGroup[key]))
 		return
 	}
 	s.plan.InTransition = true
@@ -263,7 +278,7 @@
 
 // isSilent reports whether a member of a group does not answer.
 func (s *step) isSilent(g *group) bool {
-	return slices.ContainsFunc(g.members, func(id state.InstanceID) bool { return s.byID[id] != nil && s.byID[id].Lost })
+	return slices.ContainsFunc(g.members, func(id state.InstanceID) bool { return s.byID[id] != nil && (s.byID[id].Lost || s.byID[id].Silent) })
 }
 
 // canRevive reports whether a group of which no member could be reached may turn out to be intact, so that its
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -25,9 +25,13 @@
 	// Unlisted reports whether the instance has been missing from the list for longer than
 	// a heartbeat interval: it may be leaving, and as a head it would receive no requests.
 	Unlisted bool
-	// Lost reports whether the instance does not answer, Ended whether its process has certainly ended.
+	// Lost reports whether the instance has failed: it answers no node, and there is evidence that it has ended or it has been
+	// silent for too long. Ended reports whether its process has certainly ended.
 	Lost  bool
 	Ended bool
+	// Silent reports whether the instance answers no node, but may only be paused. Its group gets no new requests, but keeps
+	// those that it has.
+	Silent bool
 	// Far reports whether the instance does not answer this node but may answer others. Its
 	// group continues to serve those, but no orders can be sent to it.
 	Far bool
@@ -45,7 +49,7 @@
 
 // usable reports whether the instance can become a member of a new group.
 func (m *Member) usable() bool {
-	return !m.Lost && !m.Far && !m.Ended && !m.Draining && !m.Unlisted && !m.evacuated
+	return !m.Lost && !m.Silent && !m.Far && !m.Ended && !m.Draining && !m.Unlisted && !m.evacuated
 }
 
 // hasNoModel reports whether the instance has neither a loaded nor a staged model.
--- a/coordination/placement/transfer.go
+++ b/coordination/placement/transfer.go
@@ -100,7 +100,7 @@
 	counts := map[*group]int{}
 	for _, g := range d.groups {
 		members, known := s.withMembers(nil, g)
-		if g.model == name || !known || !s.isScarcer(name, g.model) {
+		if g.model == name || !known || !s.isScarcer(name, g.model) || s.isSilent(g) {
 			continue
 		}
 		prepared, _ := s.splitByModel(members, name)
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -47,7 +47,9 @@
 // target simulates an engine that handles orders like the engines of the users.
 type target struct {
 	fleet.Instance
-	dead         bool
+	dead bool
+	// dark reports whether the address of the dead target does not even refuse connections.
+	dark         bool
 	orders       int64
 	highestEpoch state.Epoch
 	members      []state.InstanceID
@@ -512,6 +514,10 @@
 func (sim *simulation) probe(n *node, id state.InstanceID) {
 	askedAt := sim.now
 	t := sim.targets[id]
+	if t != nil && t.dead && !t.dark {
+		sim.schedule(4*time.Millisecond, func() { n.roster.RecordRefusal(id, askedAt) })
+		return
+	}
 	if !sim.reaches(n, t) {
 		sim.schedule(160*time.Millisecond, func() { n.roster.RecordFailure(id, askedAt) })
 		return
--- a/coordination/roster/elsewhere.go
+++ b/coordination/roster/elsewhere.go
@@ -90,6 +90,31 @@
 	return e.answeredAt
 }
 
+// hasEnded reports whether there is evidence that the process of an instance has ended: another one answers at its address,
+// the address refuses connections, or the list no longer contains it. Silence is none, since a process that is well may
+// pause for a second.
+func (e *entry) hasEnded(now time.Time) bool {
+	return e.gone || e.unreachable() && e.refused || e.unlistedAndSilent(now, e.lastAnswer())
+}
+
+// HasEnded reports whether an instance is unknown or there is evidence that its process has ended.
+func (r *Roster) HasEnded(id state.InstanceID, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[id]
+	return e == nil || e.hasEnded(now)
+}
+
+// isSilentForLong reports whether an instance that no node reaches has been silent for longer than a process that is well
+// may be.
+func (r *Roster) isSilentForLong(e *entry, now time.Time) bool {
+	since := e.firstFailureAt
+	if e.indirect.answeredAt.After(since) {
+		since = e.indirect.answeredAt
+	}
+	return now.Sub(since) > r.cfg.Policy.MaxSilence
+}
+
 // unreachableFromAll reports whether an instance counts as unreachable from every node. One that
 // only this node fails to reach may still serve other nodes, so it does not count as lost until
 // an indirect probe since its first failure has failed too.
--- a/coordination/roster/policy.go
+++ b/coordination/roster/policy.go
@@ -5,8 +5,11 @@
 // Policy sets how a Roster interprets probe failures and silence.
 type Policy struct {
 	// LostFailures is how many consecutive probes must fail for an instance to count
-	// as lost. A single lost packet must not dissolve a group.
-	LostFailures int `flag:"lost-failures" help:"consecutive failed probes after which an instance counts as lost" min:"1" max:"100"`
+	// as unreachable. A single lost packet must not keep requests away from it.
+	LostFailures int `flag:"lost-failures" help:"consecutive failed probes after which an instance counts as unreachable" min:"1" max:"100"`
+	// MaxSilence is how long an instance that no node reaches may be silent, from the first failed probe, before it counts
+	// as lost although nothing shows that it has ended. The default exceeds the pauses of instances that are well.
+	MaxSilence time.Duration `flag:"max-silence" help:"how long an instance may be silent before it counts as lost without evidence that it has ended" min:"0s" max:"1m"`
 	// MinProbeSpacing is the minimum time between two failed probes that are counted separately.
 	MinProbeSpacing time.Duration `flag:"min-probe-spacing" help:"minimum time between two failed probes that are counted separately" min:"0s" max:"10s"`
 	// RetryInterval is the time until an instance that became unreachable is probed again. It doubles with each
@@ -40,6 +43,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		LostFailures:      2,
+		MaxSilence:        2 * time.Second,
 		MinProbeSpacing:   20 * time.Millisecond,
 		RetryInterval:     time.Second,
 		RetryIntervalMax:  4 * time.Second,
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -62,6 +62,8 @@
 	lastFailureAt time.Time
 	// firstFailureAt is when the first of the consecutive failed probes was sent.
 	firstFailureAt time.Time
+	// refused reports whether one of these was refused a connection.
+	refused bool
 	// retry schedules the probes while the instance is unreachable.
 	retry retry
 	// indirect is the result of the last indirect probes.
@@ -216,7 +218,7 @@
 	}
 	if e.failures > 0 && sentAt.After(e.lastFailureAt) {
 		wasUnreachable := e.unreachable()
-		e.failures = 0
+		e.failures, e.refused = 0, false
 		if wasUnreachable {
 			r.version++
 			r.retryHall(e.listed.Hall, sentAt)
@@ -237,9 +239,29 @@
 func (r *Roster) RecordFailure(id state.InstanceID, sentAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.recordFailure(id, sentAt)
+}
+
+// RecordRefusal records that the address of an instance refused a connection for a probe or request sent at the given time.
+// Unlike silence, that shows that the process has ended.
+func (r *Roster) RecordRefusal(id state.InstanceID, sentAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.recordFailure(id, sentAt); e != nil && !e.refused {
+		e.refused = true
+		r.version++
+	}
+}
+
+// recordFailure records a failure and returns the entry of the instance, or nil if the failure is out of date. r.mu must be
+// held.
+func (r *Roster) recordFailure(id state.InstanceID, sentAt time.Time) *entry {
 	e := r.entries[id]
-	if e == nil || sentAt.Before(e.answeredAt) || e.incarnation > 0 && sentAt.Before(e.firstSeen) || sentAt.Sub(e.lastFailureAt) < r.cfg.Policy.MinProbeSpacing && e.failures > 0 {
-		return
+	if e == nil || sentAt.Before(e.answeredAt) || e.incarnation > 0 && sentAt.Before(e.firstSeen) {
+		return nil
+	}
+	if e.failures > 0 && sentAt.Sub(e.lastFailureAt) < r.cfg.Policy.MinProbeSpacing {
+		return e
 	}
 	if e.failures == 0 {
 		e.firstFailureAt = sentAt
@@ -252,6 +274,7 @@
 		e.retry = retry{}
 		e.retry.postpone(sentAt, e.policy)
 	}
+	return e
 }
 
 // ConsecutiveFailures returns the number of consecutive failures of an instance.
@@ -283,7 +306,7 @@
 // for example behind a network partition.
 func (r *Roster) clearGone(e *entry) {
 	if e.gone && !e.replaced {
-		e.gone, e.failures = false, 0
+		e.gone, e.failures, e.refused = false, 0, false
 		r.markChanged(e)
 	}
 }
--- a/coordination/roster/view.go
+++ b/coordination/roster/view.go
@@ -24,14 +24,16 @@
 		if e.listed.Service != service {
 			continue
 		}
-		lost := r.unreachableFromAll(e, now)
+		unreachable := r.unreachableFromAll(e, now)
+		lost := unreachable && (e.hasEnded(now) || r.isSilentForLong(e, now))
 		list = append(list, placement.Member{
 			Instance:        e.current(),
 			AcceptedOrders:  e.orders,
 			OrdersKnown:     e.ordersKnown,
 			MembershipKnown: r.membershipKnown(e, since, now),
 			Lost:            lost,
-			Far:             !lost && e.lost(now),
+			Silent:          unreachable && !lost,
+			Far:             !unreachable && e.lost(now),
 			Ended:           e.gone,
 			OrderPending:    e.orderPending,
 			SupersededGroup: e.superseded,
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -22,13 +23,25 @@
 }
 
 // RecordFailure implements gateway.FailureDetector.
-func (n *Node) RecordFailure(id state.InstanceID, at time.Time) {
-	n.roster.RecordFailure(id, at)
+func (n *Node) RecordFailure(id state.InstanceID, at time.Time) { n.recordFailure(id, at, nil) }
+
+// recordFailure records that a call to an instance, sent at a time, failed with err.
+func (n *Node) recordFailure(id state.InstanceID, at time.Time, err error) {
+	n.recordFailureInRoster(id, at, err)
 	n.recordInstanceFailure(id, at)
 	n.recordSuspicion(id, at)
 	n.requestRebuild()
 }
 
+// recordFailureInRoster records in the roster that a call to an instance failed, and whether it was refused a connection.
+func (n *Node) recordFailureInRoster(id state.InstanceID, at time.Time, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		n.roster.RecordRefusal(id, at)
+		return
+	}
+	n.roster.RecordFailure(id, at)
+}
+
 // RecordReplaced implements gateway.FailureDetector.
 func (n *Node) RecordReplaced(id state.InstanceID) {
 	n.roster.RecordReplaced(id, n.clock.Now())
@@ -143,7 +156,7 @@
 		return true
 	}
 	if err != nil {
-		n.RecordFailure(m.ID, probedAt)
+		n.recordFailure(m.ID, probedAt, err)
 		n.logFailedProbe(m.ID, probedAt, err)
 		return false
 	}
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -292,7 +292,7 @@
 	case errors.Is(err, placement.ErrAddressReused):
 		p.node.RecordReplaced(o.Instance)
 	case reply == placement.Unanswered && !p.node.isInconclusive(callCtx, began, p.node.policy.OrderTimeout):
-		p.node.roster.RecordFailure(o.Instance, began)
+		p.node.recordFailureInRoster(o.Instance, began, err)
 	}
 	p.wakePlanner()
 }
