Gateway: keep the attempt at a silent instance until another one answers

Cause, second of three places: two unanswered probes of 160 ms of any member cancelled all repeatable requests at the group. Each then looked for another group for 1.5 s and was cut off, although its instance would have gone on.

Change: only evidence that a member has ended (its address refuses connections, another process answers there, the list no longer has it) cancels requests. For a silent group the node begins a handover: a copy of the call looks for another instance by the usual path (scheduler, budget, quarantine, forwarding), while the attempt at the silent one stays open. Whichever sends data first serves the request; the other attempt ends. So a refusal, a failure, a spent budget or a second silent group costs the caller nothing. The attempts of a handover count like others.

Ruled out as enough: to cancel only while another group has room. The resume may be refused, the scheduler may refuse it, or all groups pause together; the response is lost then, too.

--- a/coordination/roster/elsewhere.go
+++ b/coordination/roster/elsewhere.go
@@ -94,7 +94,7 @@
 // the address refuses connections, or the list no longer contains it. Silence is none, since a process that is well may
 // pause for a second.
 func (e *entry) hasEnded(now time.Time) bool {
-	return e.gone || e.unreachable() && e.refused || e.unlistedAndSilent(now, e.lastAnswer())
+	return e.gone || e.refused || e.unlistedAndSilent(now, e.lastAnswer())
 }
 
 // HasEnded reports whether an instance is unknown or there is evidence that its process has ended.
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -48,8 +49,8 @@
 	n.requestRebuild()
 }
 
-// ProbeGroup implements gateway.FailureDetector. It probes all members of a group in the background
-// and cancels the group's requests if one does not answer.
+// ProbeGroup implements gateway.FailureDetector. It probes all members of a group in the background. If one has ended, the
+// group's requests are cancelled. If one is only silent, they may be answered elsewhere, but stay.
 func (n *Node) ProbeGroup(c *dispatch.Candidate) {
 	go func() {
 		unresponsive := n.probeAll(c.Members)
@@ -61,10 +62,22 @@
 			"group": c.Membership.Group, "epoch": c.Membership.Epoch, "head": c.ID, "silent": unresponsive, "held": c.InFlight(),
 		}).Warn("group stalled")
 		n.requestRebuild()
-		n.gateway.StallDetector.CancelGroup(c.ID)
+		if n.anyEnded(unresponsive) {
+			n.Count("group.ended")
+			n.gateway.StallDetector.CancelGroup(c.ID)
+			return
+		}
+		n.Count("group.silent")
+		n.gateway.StallDetector.HandOverGroup(c.ID)
 	}()
 }
 
+// anyEnded reports whether there is evidence that one of the instances has ended.
+func (n *Node) anyEnded(ids []state.InstanceID) bool {
+	now := n.clock.Now()
+	return slices.ContainsFunc(ids, func(id state.InstanceID) bool { return n.roster.HasEnded(id, now) })
+}
+
 // probeAll probes instances concurrently and returns those that did not answer.
 func (n *Node) probeAll(members []fleet.Instance) []state.InstanceID {
 	var mu sync.Mutex
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -153,7 +153,7 @@
 		case res == resultAnswered:
 			c.recordAnswer(nil)
 			return nil, true
-		case res == resultCallerGone:
+		case res == resultCallerGone || res == resultSuperseded:
 			return nil, true
 		}
 		c.runs = c.route.MaxAttempts
@@ -192,6 +192,8 @@
 	}
 	resp, err := c.PeerPool.Do(c.ctx, peer.Address, req)
 	switch {
+	case err != nil && c.isSuperseded():
+		return resultSuperseded, nil
 	case err != nil && c.r.Context().Err() != nil:
 		return resultCallerGone, err
 	case errors.Is(err, direct.ErrNotSent):
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -215,8 +215,14 @@
 	runs  int
 	sends int
 	tried []state.InstanceID
-	// arrivals counts the sends that reached an instance, also those that it refused and those of another node.
-	arrivals int
+	// arrivals counts the sends that reached an instance, also those that it refused and those of another node. hasArrived
+	// reports whether it includes the current attempt.
+	arrivals   int
+	hasArrived bool
+	// handover is the handover that the call belongs to, or nil for a call that the gateway has received. handoverRefusal is
+	// the refusal with which a handover of the call ended.
+	handover        *handover
+	handoverRefusal *refusal
 	// demandRecorded reports whether the request counts in this node's demand.
 	demandRecorded bool
 	forwardState
--- a/transport/gateway/peersource.go
+++ b/transport/gateway/peersource.go
@@ -11,6 +11,10 @@
 // the instance.
 type peerSource struct{ call *call }
 
+func (peerSource) beginWait() {}
+
+func (peerSource) endWait(error) bool { return false }
+
 func (peerSource) dataReceived(time.Time) {}
 
 func (peerSource) completed(*direct.Response) {}
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -33,6 +33,10 @@
 	resultUnknown attemptResult = "unknown"
 	// resultFailed means that the instance returned a server error.
 	resultFailed attemptResult = "failed"
+	// resultHandedOver means that another instance has answered the caller while this one was silent.
+	resultHandedOver attemptResult = "handed-over"
+	// resultSuperseded means that the attempt was ended because the instance that was silent has gone on.
+	resultSuperseded attemptResult = "superseded"
 	// resultCallerGone means that the caller has disconnected.
 	resultCallerGone attemptResult = "caller-gone"
 )
@@ -54,7 +58,7 @@
 			}
 		}
 		c.recordDemand()
-		if target == nil && c.headerWritten && c.waitForTarget() {
+		if target == nil && c.headerWritten && !c.isPendingHandover() && c.waitForTarget() {
 			continue
 		}
 		if target == nil {
@@ -74,12 +78,15 @@
 			return c.giveUp(CodeRefusedByTargets)
 		}
 		c.Recorder.Count("attempt." + string(res))
+		if res == resultHandedOver {
+			return c.handoverRefusal
+		}
 		c.isGone = res == resultCallerGone
 		if res == resultAnswered {
 			c.recordAnswer(target)
 		}
 		switch {
-		case res == resultAnswered || res == resultCallerGone:
+		case res == resultAnswered || res == resultCallerGone || res == resultSuperseded:
 			return nil
 		case res == resultNotRun || res == resultHeldBack:
 			continue
@@ -112,7 +119,7 @@
 // checkAttemptAllowed returns a refusal if the request must not be sent: the caller has
 // disconnected, the keys may be stale before the first send, or no time or sends are left.
 func (c *call) checkAttemptAllowed() *refusal {
-	if c.r.Context().Err() != nil {
+	if c.r.Context().Err() != nil || c.isSuperseded() {
 		return c.giveUp(CodeResponseLost)
 	}
 	if c.sends == 0 && !c.keyTrusted() {
@@ -233,11 +240,21 @@
 	c.hold = target.BeginRequest(c.claims.PromptTokens, sent)
 	defer c.hold.End()
 	c.runs++
-	repeatable := c.route.CanRetry() && c.runs < c.route.MaxAttempts
-	watched := c.StallDetector.add(target, repeatable, sent, cancel)
+	c.hasArrived = false
+	watched := c.StallDetector.add(c, target, sent, cancel)
 	defer c.StallDetector.remove(watched)
-	resp, err := c.Pool.Do(ctx, target.Address, c.newInstanceRequest(target, sent))
+	req := c.newInstanceRequest(target, sent)
+	watched.beginWait()
+	resp, err := c.Pool.Do(ctx, target.Address, req)
+	if watched.endWait(err) {
+		if err == nil {
+			resp.Close()
+		}
+		return resultHandedOver
+	}
 	switch {
+	case err != nil && c.isSuperseded():
+		return resultSuperseded
 	case errors.Is(err, errHeldBack):
 		return c.recordHeldBack(target, err)
 	case errors.Is(err, direct.ErrNotSent):
@@ -255,6 +272,7 @@
 		defer c.countCrossing(target.Hall, crossing, resp)()
 	}
 	c.arrivals++
+	c.hasArrived = true
 	if err != nil {
 		return c.handleLostResponse(ctx, target, sent, err)
 	}
@@ -313,9 +331,17 @@
 		return resultCallerGone
 	}
 	cause := context.Cause(ctx)
-	c.Quarantine.RecordInterruption(c.identity, possiblyEndedInstances(target, cause), sent)
+	if c.isSuperseded() {
+		return resultSuperseded
+	}
+	isStalled := errors.Is(cause, errGroupStalled)
+	failure := event.BrokenOff
+	if isStalled {
+		failure = event.Stalled
+	}
+	c.Quarantine.RecordInterruption(c.identity, possiblyEndedInstances(target, failure), sent)
 	switch {
-	case errors.Is(cause, errGroupStalled):
+	case isStalled:
 		c.recordFailure(target, sent, event.Stalled, err)
 	case errors.Is(cause, errStreamSilent):
 		target.RecordFailure()
@@ -339,8 +365,8 @@
 
 // possiblyEndedInstances returns the instances of which one may have ended during an attempt: all
 // members of a stalled group, or else the target, whose connection broke.
-func possiblyEndedInstances(target *dispatch.Candidate, cause error) []fleet.Instance {
-	if errors.Is(cause, errGroupStalled) && len(target.Members) > 0 {
+func possiblyEndedInstances(target *dispatch.Candidate, failure event.Failure) []fleet.Instance {
+	if failure == event.Stalled && len(target.Members) > 0 {
 		return target.Members
 	}
 	return []fleet.Instance{target.Instance}
@@ -385,6 +411,10 @@
 
 // responseSource is the sender of a response that is relayed to the caller.
 type responseSource interface {
+	// beginWait begins a wait for data of a stream, endWait ends it with its error. endWait reports whether the response has
+	// been handed over meanwhile.
+	beginWait()
+	endWait(err error) (handedOver bool)
 	// dataReceived records that data of a stream arrived.
 	dataReceived(now time.Time)
 	// completed records that the complete response arrived.
@@ -401,6 +431,10 @@
 	sent    time.Time
 }
 
+func (s *instanceSource) beginWait() { s.watched.beginWait() }
+
+func (s *instanceSource) endWait(err error) bool { return s.watched.endWait(err) }
+
 func (s *instanceSource) dataReceived(now time.Time) {
 	s.call.StallDetector.recordData(s.watched, now)
 	s.call.hold.RecordFirstEvent()
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -43,7 +43,12 @@
 	var pending []byte
 	buf := make([]byte, streamReadSize)
 	for {
+		src.beginWait()
 		n, err := resp.Body.Read(buf)
+		isTruncated := len(pending) > 0 && !resp.IsFramed()
+		if src.endWait(waitError(n, err, isTruncated)) {
+			return resultHandedOver
+		}
 		if n > 0 {
 			now := c.Clock.Now()
 			src.dataReceived(now)
@@ -72,6 +77,15 @@
 	}
 }
 
+// waitError returns the error of a read of a stream, or nil if the instance has sent data or the end of the stream.
+// isTruncated reports whether an end now would be in the middle of an event.
+func waitError(n int, err error, isTruncated bool) error {
+	if n > 0 || err == io.EOF && !isTruncated {
+		return nil
+	}
+	return err
+}
+
 // handleBrokenStream handles a stream that ended early and returns the result of its attempt.
 func handleBrokenStream(ctx context.Context, src responseSource, err error) attemptResult {
 	if errors.Is(err, errCallerWrite) {
--- a/transport/gateway/watch.go
+++ b/transport/gateway/watch.go
@@ -12,6 +12,7 @@
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/internal/steady"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/transport/event"
 )
 
 // errGroupStalled means that an attempt was canceled because its group has stalled.
@@ -23,6 +24,7 @@
 
 // watchedAttempt is an attempt in progress.
 type watchedAttempt struct {
+	call   *call
 	target *dispatch.Candidate
 	// repeatable reports whether the request may be sent to another group.
 	repeatable bool
@@ -35,6 +37,14 @@
 	// of checks since it changed.
 	lastCheckedNanos int64
 	unchangedChecks  int
+
+	// mu guards the fields below. The call's goroutine does not change the call while it waits for the network, so that a
+	// handover can begin.
+	mu        sync.Mutex
+	isWaiting bool
+	// handover is the last one that began in the current wait, or nil. handoverAt is when it began.
+	handover   *handover
+	handoverAt time.Time
 }
 
 // minSilentChecks is the number of consecutive checks without an event after which a stream
@@ -93,8 +103,8 @@
 }
 
 // add registers an attempt.
-func (d *StallDetector) add(target *dispatch.Candidate, repeatable bool, sent time.Time, cancel context.CancelCauseFunc) *watchedAttempt {
-	a := &watchedAttempt{target: target, repeatable: repeatable, sentAt: sent, cancel: cancel}
+func (d *StallDetector) add(c *call, target *dispatch.Candidate, sent time.Time, cancel context.CancelCauseFunc) *watchedAttempt {
+	a := &watchedAttempt{call: c, target: target, repeatable: c.canRunElsewhere(), sentAt: sent, cancel: cancel}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.active[a] = struct{}{}
@@ -130,8 +140,21 @@
 	}
 }
 
-// CancelGroup cancels the attempts at the head of a stalled group. An instance may only pause, so requests that cannot be
-// repeated are cancelled only after StallWait without data.
+// HandOverGroup begins handovers of the attempts at the head of a group of which a member is silent. They stay open, since the
+// member may only pause.
+func (d *StallDetector) HandOverGroup(head state.InstanceID) {
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for a := range d.active {
+		if a.target.ID == head && d.needsProbe(a, now) {
+			a.tryHandover(event.Stalled, now, d.policy.CheckInterval)
+		}
+	}
+}
+
+// CancelGroup cancels the attempts at the head of a group of which a member has ended. Requests that cannot be repeated are
+// cancelled only after StallWait without data.
 func (d *StallDetector) CancelGroup(head state.InstanceID) {
 	now := d.clock.Now()
 	d.mu.Lock()
--- a/transport/gateway/watch_test.go
+++ b/transport/gateway/watch_test.go
@@ -35,6 +35,15 @@
 	return list[0]
 }
 
+// callWith returns a call whose request may or may not be repeated.
+func callWith(repeatable bool) *call {
+	kind := catalog.Unsafe
+	if repeatable {
+		kind = catalog.Safe
+	}
+	return &call{route: &catalog.Route{Kind: kind, MaxAttempts: 2}}
+}
+
 // While groups are full, each node that had a waiting request probed all members of its group every 300 ms: 295 nodes sent
 // 5,000 probes a second. A group is probed once its request waits longer than others do.
 func TestWaitUnderLoadIsNoSignOfAStall(t *testing.T) {
@@ -55,12 +64,12 @@
 			d := newStallDetector(clock, health, &policy)
 			target := groupOfOne(g)
 			for range 5 {
-				a := d.add(target, true, clock.Now(), nil)
+				a := d.add(callWith(true), target, clock.Now(), nil)
 				clock.Advance(c.usual)
 				d.recordData(a, clock.Now())
 				d.remove(a)
 			}
-			d.add(target, true, clock.Now(), nil)
+			d.add(callWith(true), target, clock.Now(), nil)
 			clock.Advance(c.waited)
 			d.Check()
 			g.Expect(health.probes).To(Equal(c.wantProbes))
@@ -86,7 +95,7 @@
 			clock, policy := clockwork.NewFakeClock(), DefaultPolicy()
 			d := newStallDetector(clock, &probeCounter{}, &policy)
 			ctx, cancel := context.WithCancelCause(t.Context())
-			a := d.add(groupOfOne(g), c.repeatable, clock.Now(), cancel)
+			a := d.add(callWith(c.repeatable), groupOfOne(g), clock.Now(), cancel)
 			clock.Advance(time.Second)
 			d.recordData(a, clock.Now())
 			clock.Advance(c.silent)
