Gateway: ask another group to resume a silent stream, in place of cancelling it

Change: the same handover as for silent groups. The silent connection stays until another group has sent an event. If it is dead for good, the stream goes on elsewhere as before.

Evidence: with the cancellation, both rows of TestStreamThatIsSilentForLongIsNotCutOff fail; they pass now. TestStreamResumesWhenConnectionGoesSilent is unchanged and passes.

--- a/transport/gateway/handover_test.go
+++ b/transport/gateway/handover_test.go
@@ -100,6 +100,44 @@
 	}
 }
 
+// Guards against a node that gives up a stream because it has been silent for longer than SilentAfter: with no group that can
+// resume it, the stream was cut off although its instance went on 0.4 s later.
+func TestStreamThatIsSilentForLongIsNotCutOff(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		other http.HandlerFunc
+	}{
+		{"no other group", nil},
+		{"the other group pauses, too", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t)
+			var ended atomic.Int32
+			h.addInstance("a", "lm", pauseAfter(gateway.DefaultPolicy().SilentAfter+400*time.Millisecond, &ended))
+			result := make(chan callResponse, 1)
+			go func() { result <- h.call(http.MethodPost, "/stream/", "x", map[string]string{"Patience": "3000"}) }()
+			g.Eventually(func() int { return len(h.runLog.all()) }, time.Second).Should(Equal(1))
+			if c.other != nil {
+				h.addInstance("b", "lm", c.other)
+			}
+			var a callResponse
+			for waiting := true; waiting; {
+				select {
+				case a = <-result:
+					waiting = false
+				case <-time.After(50 * time.Millisecond):
+					h.gateway.StallDetector.Check()
+				}
+			}
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.body).To(Equal(events(1, 6)))
+			g.Expect(ended.Load()).To(BeZero())
+			g.Expect(h.recorder.count("handover.begun")).To(BeNumerically(">", 0))
+		})
+	}
+}
+
 // A request whose instance is silent goes on elsewhere as soon as another instance answers, and the first attempt ends.
 func TestRequestOfSilentInstanceIsHandedOver(t *testing.T) {
 	stream := func(w http.ResponseWriter, r *http.Request) {
--- a/transport/gateway/policy.go
+++ b/transport/gateway/policy.go
@@ -36,13 +36,13 @@
 	// its model wait longer anyway; EventSilence is the time without a further event.
 	FirstSilence time.Duration `flag:"first-silence" help:"time without a first event after which a group is probed" min:"10ms" max:"1m"`
 	EventSilence time.Duration `flag:"event-silence" help:"time without a further event after which a group is probed" min:"10ms" max:"1m"`
-	// SilentAfter is the time without a further event after which a stream is resumed on another
-	// group, even if its own group answers probes. The default is half of the time after which
+	// SilentAfter is the time without a further event after which another group is asked to resume a stream,
+	// even if its own group answers probes. The default is half of the time after which
 	// callers give a stream up. 0 disables this.
-	SilentAfter time.Duration `flag:"silent-after" help:"time without a further event after which a stream is resumed on another group; 0 disables this" min:"0s" max:"1m"`
-	// StallWait is the time without data after which a request that cannot be repeated is cancelled if its group
-	// does not answer probes. The default exceeds the pauses of instances that are well.
-	StallWait time.Duration `flag:"stall-wait" help:"time without data after which a request that cannot be repeated is cancelled at a stalled group" min:"0s" max:"1m"`
+	SilentAfter time.Duration `flag:"silent-after" help:"time without a further event after which another group is asked to resume a stream; 0 disables this" min:"0s" max:"1m"`
+	// StallWait is the time without data after which a request that cannot be repeated is cancelled if a member of its
+	// group has ended. The default exceeds the pauses of instances that are well.
+	StallWait time.Duration `flag:"stall-wait" help:"time without data after which a request that cannot be repeated is cancelled if a member of its group has ended" min:"0s" max:"1m"`
 	// CheckInterval is the least time between two probes of one group.
 	CheckInterval time.Duration `flag:"check-interval" help:"least time between two probes of one group" min:"10ms" max:"1m"`
 }
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -343,10 +343,6 @@
 	switch {
 	case isStalled:
 		c.recordFailure(target, sent, event.Stalled, err)
-	case errors.Is(cause, errStreamSilent):
-		target.RecordFailure()
-		c.Recorder.Count("attempt.silent")
-		c.logFailure(target, sent, event.Silent, err)
 	case errors.Is(err, direct.ErrInvalidResponse):
 		if !c.isBreakerOpen(target) {
 			target.RecordFailure()
--- a/transport/gateway/watch.go
+++ b/transport/gateway/watch.go
@@ -18,10 +18,6 @@
 // errGroupStalled means that an attempt was canceled because its group has stalled.
 var errGroupStalled = errors.New("gateway: replica group stalled: a member did not answer its probe")
 
-// errStreamSilent means that a stream was canceled because it received no event although its group
-// answers probes.
-var errStreamSilent = errors.New("gateway: stream silent: no event received within silent-after")
-
 // watchedAttempt is an attempt in progress.
 type watchedAttempt struct {
 	call   *call
@@ -118,7 +114,7 @@
 	delete(d.active, a)
 }
 
-// Check requests a probe of every group with a silent attempt, and cancels resumable streams that
+// Check requests a probe of every group with a silent attempt, and begins handovers of streams that
 // stay silent: a connection may go silent for good without a reset while its group keeps working.
 func (d *StallDetector) Check() {
 	now := d.clock.Now()
@@ -128,8 +124,8 @@
 		if d.needsProbe(a, now) {
 			silentTargets[a.target.ID] = a.target
 		}
-		if a.repeatable && a.checkStreamSilent(now, d.policy.SilentAfter) {
-			a.cancel(errStreamSilent)
+		if a.checkStreamSilent(now, d.policy.SilentAfter) {
+			a.tryHandover(event.Silent, now, d.policy.CheckInterval)
 		}
 	}
 	d.mu.Unlock()
