Gateway: name in the log why an attempt was cancelled

A cancellation sets the connection's deadline to a time in the past, so that each one read as "i/o timeout" in the log: a stalled group, the time of the request, or a connection that had really timed out.

The error now begins with the cause of the context. Before, TestErrorOfCancelledAttemptNamesTheCause failed in both rows.

--- a/transport/gateway/handover_test.go
+++ b/transport/gateway/handover_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -14,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/transport/event"
 	"github.com/troutmast/troutmast/transport/gateway"
 )
 
@@ -245,6 +247,47 @@
 	}
 }
 
+// failureRecorder keeps the errors of failed attempts.
+type failureRecorder struct {
+	*fakeRecorder
+	errs chan error
+}
+
+func (r *failureRecorder) LogDecision(d event.Decision) {
+	if failed, ok := d.(*event.AttemptFailed); ok {
+		r.errs <- failed.Err
+	}
+}
+
+// A cancelled attempt fails like one whose connection timed out. The log must tell the two apart, and why it was cancelled.
+func TestErrorOfCancelledAttemptNamesTheCause(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		header map[string]string
+		cancel func(h *harness)
+		want   string
+	}{
+		{"a member of the group has ended", nil, func(h *harness) { h.gateway.StallDetector.CancelGroup("a") }, "replica group stalled"},
+		{"the time is up", map[string]string{"Patience": "300"}, func(*harness) {}, context.DeadlineExceeded.Error()},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t)
+			failures := &failureRecorder{h.recorder, make(chan error, 10)}
+			h.gateway.Recorder = failures
+			h.addInstance("a", "lm", func(w http.ResponseWriter, r *http.Request) {
+				writeEvents(w, 1, 1)
+				<-r.Context().Done()
+			})
+			go func() { _ = h.call(http.MethodPost, "/stream/", "x", c.header) }()
+			g.Eventually(func() int { return len(h.runLog.all()) }, time.Second).Should(Equal(1))
+			time.Sleep(50 * time.Millisecond)
+			c.cancel(h)
+			g.Eventually(failures.errs, 2*time.Second).Should(Receive(MatchError(ContainSubstring(c.want))))
+		})
+	}
+}
+
 // Whatever the pauses of the two instances, a response is complete, in order and from one run after the other.
 func TestHandoversWithRandomPauses(t *testing.T) {
 	const callers, requests = 5, 6
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -334,6 +334,7 @@
 	if c.isSuperseded() {
 		return resultSuperseded
 	}
+	err = withCause(cause, err)
 	isStalled := errors.Is(cause, errGroupStalled)
 	failure := event.BrokenOff
 	if isStalled {
@@ -359,6 +360,14 @@
 	return resultUnknown
 }
 
+// withCause adds the cause of a cancelled attempt to its error, which is that of a connection with a deadline in the past.
+func withCause(cause, err error) error {
+	if cause == nil {
+		return err
+	}
+	return fmt.Errorf("%w: %w", cause, err)
+}
+
 // possiblyEndedInstances returns the instances of which one may have ended during an attempt: all
 // members of a stalled group, or else the target, whose connection broke.
 func possiblyEndedInstances(target *dispatch.Candidate, failure event.Failure) []fleet.Instance {
--- a/transport/gateway/watch.go
+++ b/transport/gateway/watch.go
@@ -16,7 +16,7 @@
 )
 
 // errGroupStalled means that an attempt was canceled because its group has stalled.
-var errGroupStalled = errors.New("gateway: replica group stalled: a member did not answer its probe")
+var errGroupStalled = errors.New("gateway: replica group stalled: a member has ended")
 
 // watchedAttempt is an attempt in progress.
 type watchedAttempt struct {
