--- a/bench/upgrade/upgrade.go
+++ b/bench/upgrade/upgrade.go
@@ -21,7 +21,7 @@
 type options struct {
 	from, to, out             string
 	seeds, first, nodes, jobs int
-	calm, soak, keep          bool
+	calm, soak, pauses, keep  bool
 }
 
 // errBroken means that a rule was broken in some run.
@@ -40,6 +40,7 @@
 	flaggy.Int(&o.jobs, "", "jobs", "runs at once")
 	flaggy.Bool(&o.calm, "", "calm", "replace nodes and do nothing else")
 	flaggy.Bool(&o.soak, "", "soak", "reset, silence, delay and hold up connections to workers and to the store as well; odd seeds also evacuate halls and have cold workers")
+	flaggy.Bool(&o.pauses, "", "pauses", "have workers pause beside each planned stop")
 	flaggy.Bool(&o.keep, "", "keep", "print what was done and keep the logs also where no rule broke")
 	flaggy.Parse()
 	if err := run(o); err != nil {
@@ -84,7 +85,7 @@
 		wg.Go(func() {
 			defer func() { <-slots }()
 			mode := upgrade.Modes[seed%len(upgrade.Modes)]
-			err := play(ctx, o, dir, upgrade.Options{From: from, To: to, Seed: uint64(seed), Mode: mode, Nodes: o.nodes, Calm: o.calm, Soak: o.soak})
+			err := play(ctx, o, dir, upgrade.Options{From: from, To: to, Seed: uint64(seed), Mode: mode, Nodes: o.nodes, Calm: o.calm, Soak: o.soak, Pauses: o.pauses})
 			mu.Lock()
 			defer mu.Unlock()
 			errs = errors.Join(errs, err)
--- a/internal/upgrade/plan.go
+++ b/internal/upgrade/plan.go
@@ -39,6 +39,7 @@
 	deadly       trouble = "a request ends the workers that run it"
 	reconfigure  trouble = "the configuration changes"
 	evacuating   trouble = "a hall is evacuated"
+	pausing      trouble = "workers pause"
 )
 
 // The troubles of connections: of all callers to a worker, and of a node to the store.
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -29,6 +29,8 @@
 	// Calm leaves out all troubles, Soak harms connections as well.
 	Calm bool
 	Soak bool
+	// Pauses has workers pause beside each planned stop.
+	Pauses bool
 }
 
 // Times of runs.
@@ -70,11 +72,14 @@
 	// calmSince is when the last trouble and the last replacement were over.
 	calmSince time.Time
 
-	mu      sync.Mutex
-	began   time.Time
-	changes []change
-	version int64
-	born    atomic.Int64
+	// pauses draws the pauses of workers, if the run has any.
+	pauses *rand.Rand
+
+	mu            sync.Mutex
+	configuration standin.Configuration
+	began         time.Time
+	changes       []change
+	born          atomic.Int64
 }
 
 // change is something that the run did, which excuses or matters to the judge.
@@ -99,6 +104,9 @@
 	if o.hasHalls() {
 		r.evacuations = newEvacuations(o.Seed)
 	}
+	if o.hasPauses() {
+		r.pauses = rand.New(rand.NewPCG(o.Seed, 4))
+	}
 	r.workers = standin.NewFleet(r.store)
 	number, hosts := runNumber.Add(1), byte(0)
 	r.ip = func() netip.Addr {
@@ -117,7 +125,7 @@
 
 // deploy starts the store, the workers and the nodes of the first build.
 func (r *run) deploy(ctx context.Context) error {
-	if err := r.configure(standin.Configuration{}); err != nil {
+	if err := r.configure(func(*standin.Configuration) {}); err != nil {
 		return err
 	}
 	for d := range domains {
@@ -249,6 +257,9 @@
 // replace stops a node as planned and starts a build in its place, and waits until it is ready.
 func (r *run) replace(ctx context.Context, n *node, b Build) {
 	began := time.Now()
+	if r.pauses != nil {
+		r.pauseBeside()
+	}
 	n.stop(ctx)
 	ended := time.Now()
 	if err := n.start(b); err != nil {
@@ -307,16 +318,17 @@
 	return r.workers.Start(w, ln)
 }
 
-// configure writes the next version of a configuration.
-func (r *run) configure(c standin.Configuration) error {
+// configure writes the next version of the configuration, with a change.
+func (r *run) configure(change func(*standin.Configuration)) error {
 	r.mu.Lock()
-	r.version += 3
-	c.Version = r.version
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	c := &r.configuration
+	c.Version += 3
+	change(c)
 	if r.hasHalls() {
 		c.ColdPerSecond, c.ColdStart = coldPerSecond, coldStart
 	}
-	return r.store.Configure(c)
+	return r.store.Configure(*c)
 }
 
 // KeepLogs copies the logs of a run into a folder.
--- a/internal/upgrade/trouble.go
+++ b/internal/upgrade/trouble.go
@@ -171,7 +171,7 @@
 
 // reconfigure adds a route and takes a key away, and asks all nodes how soon they know.
 func (r *run) reconfigure() {
-	if err := r.configure(standin.Configuration{WithNewPath: true, WithoutKey: true}); err != nil {
+	if err := r.configure(func(c *standin.Configuration) { c.WithNewPath, c.WithoutKey = true, true }); err != nil {
 		r.note(change{what: err.Error()})
 		return
 	}
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// Guards against a planned stop that cuts off streams whose workers pause: requests at many groups ended as closed connections
+// around the stops of nodes, while other nodes took the silence for the end of a worker.
+func TestPlannedStopsBesidePausesCutNothingOff(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	defer cancel()
+	dir := t.TempDir()
+	build, err := NewBuild(ctx, root, dir, WorkTree)
+	g.Expect(err).NotTo(HaveOccurred())
+	report, err := Play(ctx, Options{From: build, To: build, Seed: 1, Mode: Forward, Nodes: 4, Dir: dir, Calm: true, Pauses: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Logf("%+v", report)
+	g.Expect(report.Violations).To(BeEmpty())
+	g.Expect(report.Calls).To(BeNumerically(">", 500), "callers were held up")
+}
+
 func TestACommitThatCannotBeBuiltIsOneClearError(t *testing.T) {
 	for _, c := range []struct {
 		name, commit, want string
