--- a/coordination/placement/return_test.go
+++ b/coordination/placement/return_test.go
@@ -122,26 +122,37 @@
 		paused func(m fleet.Membership) bool
 		pause  time.Duration
 		again  time.Duration
+		// leaderAfter is when another node leads from, counted from the start of the pause; 0 if none does.
+		leaderAfter time.Duration
 	}{
-		{"the head", func(m fleet.Membership) bool { return m.Rank == 0 }, time.Second, 0},
-		{"another member", func(m fleet.Membership) bool { return m.Rank == 1 }, 1600 * time.Millisecond, 0},
-		{"all members", func(fleet.Membership) bool { return true }, 1300 * time.Millisecond, 0},
-		{"the head, twice", func(m fleet.Membership) bool { return m.Rank == 0 }, time.Second, 900 * time.Millisecond},
+		{"the head", func(m fleet.Membership) bool { return m.Rank == 0 }, time.Second, 0, 0},
+		{"another member", func(m fleet.Membership) bool { return m.Rank == 1 }, 1600 * time.Millisecond, 0, 0},
+		{"all members", func(fleet.Membership) bool { return true }, 1300 * time.Millisecond, 0, 0},
+		{"the head, twice", func(m fleet.Membership) bool { return m.Rank == 0 }, time.Second, 900 * time.Millisecond, 0},
+		{"the head, while the leader changes", func(m fleet.Membership) bool { return m.Rank == 0 }, 1300 * time.Millisecond, 0, 200 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			sim := newSimulation(1, 2, 8, 1)
+			sim := newSimulation(1, 2, 8, 2)
 			sim.faultsEnabled = false
 			sim.setLeading(sim.nodes[0], true)
 			sim.run(10 * time.Second)
 			before := sim.groupKeys()
+			if c.leaderAfter > 0 {
+				sim.schedule(c.leaderAfter, func() {
+					sim.setLeading(sim.nodes[0], false)
+					sim.setLeading(sim.nodes[1], true)
+				})
+			}
 			sim.onOrder = func(o placement.Order) {
 				g.Expect(o.Action).NotTo(Equal(placement.Leave), "%s: %s", o.Instance, o.Reason)
 			}
 			for _, pause := range []time.Duration{c.pause, c.again} {
 				for _, target := range sim.targets {
 					if c.paused(target.Membership) {
-						sim.silence(sim.nodes[0], target.ID, sim.now.Add(pause))
+						for _, n := range sim.nodes {
+							sim.silence(n, target.ID, sim.now.Add(pause))
+						}
 					}
 				}
 				sim.run(pause + 500*time.Millisecond)
