Roster: tell an instance that is gone from one that pauses by its connections

Change: a probe tells whether the instance accepted its connection. A process that pauses accepts connections; a machine without power or behind a cut accepts none. An instance that no node reaches and that has accepted no connection for 200 ms (two probes) counts as lost, which is what any two unanswered probes meant before. A connection accepted meanwhile starts the time anew.

Also: a handover of a group that probes found silent covers its requests without a first event at once.

--- a/coordination/roster/elsewhere.go
+++ b/coordination/roster/elsewhere.go
@@ -106,13 +106,21 @@
 }
 
 // isSilentForLong reports whether an instance that no node reaches has been silent for longer than a process that is well
-// may be.
+// may be, or has accepted no connections for longer than lost packets explain.
 func (r *Roster) isSilentForLong(e *entry, now time.Time) bool {
-	since := e.firstFailureAt
-	if e.indirect.answeredAt.After(since) {
-		since = e.indirect.answeredAt
+	since := latest(e.firstFailureAt, e.indirect.answeredAt)
+	if now.Sub(since) > r.cfg.Policy.MaxSilence {
+		return true
+	}
+	return !e.unconnectedSince.IsZero() && now.Sub(latest(e.unconnectedSince, e.indirect.answeredAt)) > r.cfg.Policy.MaxUnconnected
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return now.Sub(since) > r.cfg.Policy.MaxSilence
+	return a
 }
 
 // unreachableFromAll reports whether an instance counts as unreachable from every node. One that
--- a/coordination/roster/policy.go
+++ b/coordination/roster/policy.go
@@ -10,6 +10,8 @@
 	// MaxSilence is how long an instance that no node reaches may be silent, from the first failed probe, before it counts
 	// as lost although nothing shows that it has ended. The default exceeds the pauses of instances that are well.
 	MaxSilence time.Duration `flag:"max-silence" help:"how long an instance may be silent before it counts as lost without evidence that it has ended" min:"0s" max:"1m"`
+	// MaxUnconnected is the same for an instance that accepts no connections. Processes that pause still accept them.
+	MaxUnconnected time.Duration `flag:"max-unconnected" help:"how long an instance may accept no connections before it counts as lost" min:"0s" max:"1m"`
 	// MinProbeSpacing is the minimum time between two failed probes that are counted separately.
 	MinProbeSpacing time.Duration `flag:"min-probe-spacing" help:"minimum time between two failed probes that are counted separately" min:"0s" max:"10s"`
 	// RetryInterval is the time until an instance that became unreachable is probed again. It doubles with each
@@ -44,6 +46,7 @@
 	return Policy{
 		LostFailures:      2,
 		MaxSilence:        2 * time.Second,
+		MaxUnconnected:    200 * time.Millisecond,
 		MinProbeSpacing:   20 * time.Millisecond,
 		RetryInterval:     time.Second,
 		RetryIntervalMax:  4 * time.Second,
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -64,6 +64,8 @@
 	firstFailureAt time.Time
 	// refused reports whether one of these was refused a connection.
 	refused bool
+	// unconnectedSince is when the first of the consecutive probes was sent that could not connect; zero if the last one could.
+	unconnectedSince time.Time
 	// retry schedules the probes while the instance is unreachable.
 	retry retry
 	// indirect is the result of the last indirect probes.
@@ -218,7 +220,7 @@
 	}
 	if e.failures > 0 && sentAt.After(e.lastFailureAt) {
 		wasUnreachable := e.unreachable()
-		e.failures, e.refused = 0, false
+		e.failures, e.refused, e.unconnectedSince = 0, false, time.Time{}
 		if wasUnreachable {
 			r.version++
 			r.retryHall(e.listed.Hall, sentAt)
@@ -253,6 +255,25 @@
 	}
 }
 
+// RecordUnconnected records that a probe sent at the given time could not connect to an instance in time. A process that pauses
+// still accepts connections, unlike a machine that is gone.
+func (r *Roster) RecordUnconnected(id state.InstanceID, sentAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.recordFailure(id, sentAt); e != nil && e.unconnectedSince.IsZero() {
+		e.unconnectedSince = sentAt
+	}
+}
+
+// RecordUnanswered records that an instance accepted a connection, but did not answer a probe sent at the given time.
+func (r *Roster) RecordUnanswered(id state.InstanceID, sentAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.recordFailure(id, sentAt); e != nil {
+		e.unconnectedSince = time.Time{}
+	}
+}
+
 // recordFailure records a failure and returns the entry of the instance, or nil if the failure is out of date. r.mu must be
 // held.
 func (r *Roster) recordFailure(id state.InstanceID, sentAt time.Time) *entry {
@@ -306,7 +327,7 @@
 // for example behind a network partition.
 func (r *Roster) clearGone(e *entry) {
 	if e.gone && !e.replaced {
-		e.gone, e.failures, e.refused = false, 0, false
+		e.gone, e.failures, e.refused, e.unconnectedSince = false, 0, false, time.Time{}
 		r.markChanged(e)
 	}
 }
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -182,6 +182,16 @@
 		{"probes are not answered", func(r *roster.Roster, sentAt time.Time) { r.RecordFailure("i1", sentAt) }, []check{
 			{200 * time.Millisecond, true, false}, {1500 * time.Millisecond, true, false}, {maxSilence + time.Millisecond, false, true},
 		}},
+		{"connections are not accepted", func(r *roster.Roster, sentAt time.Time) { r.RecordUnconnected("i1", sentAt) }, []check{
+			{200 * time.Millisecond, true, false}, {roster.DefaultPolicy().MaxUnconnected + time.Millisecond, false, true},
+		}},
+		{"a connection is not accepted, a later one is", func(r *roster.Roster, sentAt time.Time) {
+			if sentAt.Equal(start.Add(time.Second)) {
+				r.RecordUnconnected("i1", sentAt)
+				return
+			}
+			r.RecordUnanswered("i1", sentAt)
+		}, []check{{200 * time.Millisecond, true, false}, {1500 * time.Millisecond, true, false}, {maxSilence + time.Millisecond, false, true}}},
 		{"connections are refused", func(r *roster.Roster, sentAt time.Time) { r.RecordRefusal("i1", sentAt) }, []check{{200 * time.Millisecond, false, true}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/transport/entry/health.go
+++ b/transport/entry/health.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http/httptrace"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,11 +39,16 @@
 
 // recordFailureInRoster records in the roster that a call to an instance failed, and whether it was refused a connection.
 func (n *Node) recordFailureInRoster(id state.InstanceID, at time.Time, err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		n.roster.RecordRefusal(id, at)
-		return
+	case errors.Is(err, errUnconnected):
+		n.roster.RecordUnconnected(id, at)
+	case errors.Is(err, errUnanswered):
+		n.roster.RecordUnanswered(id, at)
+	default:
+		n.roster.RecordFailure(id, at)
 	}
-	n.roster.RecordFailure(id, at)
 }
 
 // RecordReplaced implements gateway.FailureDetector.
@@ -123,11 +131,30 @@
 		return fleet.Report{}, errProbeSkipped
 	}
 	n.Count("probes")
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	rep, err := n.ports.Target.Report(ctx, m.Address, m.ID, n.connectionTo(m.ID))
 	rep.Asked = probedAt
+	if ctx.Err() != nil && err != nil {
+		err = timedOut(connected.Load(), err)
+	}
 	return rep, err
 }
 
+// The errors of a probe that ended by its time-out.
+var (
+	errUnconnected = errors.New("entry: no connection within the time of a probe")
+	errUnanswered  = errors.New("entry: no answer within the time of a probe")
+)
+
+// timedOut adds to the error of a probe that timed out whether the instance had accepted its connection.
+func timedOut(connected bool, err error) error {
+	if connected {
+		return fmt.Errorf("%w: %w", errUnanswered, err)
+	}
+	return fmt.Errorf("%w: %w", errUnconnected, err)
+}
+
 // recordProbeNotice records the notice in the answer to a probe.
 func (n *Node) recordProbeNotice(m fleet.Instance, rep fleet.Report) {
 	if !rep.Born.IsZero() {
--- a/transport/entry/health_test.go
+++ b/transport/entry/health_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"syscall"
@@ -68,3 +70,59 @@
 		})
 	}
 }
+
+// silentListener accepts connections of the kernel's queue only: a paused process.
+func silentListener(t *testing.T) netip.AddrPort {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// httpTargets probes instances by HTTP, over connections that dial opens.
+type httpTargets struct {
+	proofs
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+func (h httpTargets) Report(ctx context.Context, at netip.AddrPort, _ state.InstanceID, _ ConnectionReuse) (fleet.Report, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String(), nil)
+	if err != nil {
+		return fleet.Report{}, err
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DialContext: h.dial}}).Do(req)
+	if err != nil {
+		return fleet.Report{}, err
+	}
+	return fleet.Report{}, resp.Body.Close()
+}
+
+// A process that pauses accepts connections and says nothing; a machine that is gone accepts none. A probe must tell them apart,
+// since only the second may end a group early.
+func TestProbeTellsPausedInstanceFromOneThatIsGone(t *testing.T) {
+	hang := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	for _, c := range []struct {
+		name string
+		dial func(ctx context.Context, network, address string) (net.Conn, error)
+		want error
+	}{
+		{"it pauses", (&net.Dialer{}).DialContext, errUnanswered},
+		{"it is gone", hang, errUnconnected},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := newProbingNode("node", clockwork.NewRealClock(), httpTargets{dial: c.dial})
+			ctx, cancel := context.WithTimeout(t.Context(), n.policy.ProbeTimeout)
+			defer cancel()
+			in := n.instance("i")
+			in.Address = silentListener(t)
+			_, err := n.probe(ctx, in, n.clock.Now())
+			g.Expect(err).To(MatchError(c.want))
+		})
+	}
+}
--- a/transport/gateway/watch.go
+++ b/transport/gateway/watch.go
@@ -56,6 +56,11 @@
 	return now.Sub(w.sentAt)
 }
 
+// hasNoRecentData reports whether no data arrived for longer than after, or none at all.
+func (w *watchedAttempt) hasNoRecentData(now time.Time, after time.Duration) bool {
+	return w.lastDataNanos.Load() == 0 || w.silentFor(now) > after
+}
+
 // checkStreamSilent counts a check of a stream and reports whether the stream is silent: no event
 // for longer than after, over enough checks. It reports false before the first event.
 func (w *watchedAttempt) checkStreamSilent(now time.Time, after time.Duration) bool {
@@ -143,7 +148,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for a := range d.active {
-		if a.target.ID == head && d.needsProbe(a, now) {
+		if a.target.ID == head && a.hasNoRecentData(now, d.policy.EventSilence) {
 			a.tryHandover(event.Stalled, now, d.policy.CheckInterval)
 		}
 	}
