--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -80,7 +80,7 @@
 // waitError returns the error of a read of a stream, or nil if the instance has sent data or the end of the stream.
 // isTruncated reports whether an end now would be in the middle of an event.
 func waitError(n int, err error, isTruncated bool) error {
-	if n > 0 || err == io.EOF && !isTruncated {
+	if n > 0 || errors.Is(err, io.EOF) && !isTruncated {
 		return nil
 	}
 	return err
