--- a/bench/upgrade/upgrade.go
+++ b/bench/upgrade/upgrade.go
@@ -19,9 +19,9 @@
 
 // options are the command line.
 type options struct {
-	from, to, out             string
-	seeds, first, nodes, jobs int
-	calm, soak, pauses, keep  bool
+	from, to, out                      string
+	seeds, first, nodes, jobs, memory  int
+	calm, soak, pauses, abandons, keep bool
 }
 
 // errBroken means that a rule was broken in some run.
@@ -41,6 +41,8 @@
 	flaggy.Bool(&o.calm, "", "calm", "replace nodes and do nothing else")
 	flaggy.Bool(&o.soak, "", "soak", "reset, silence, delay and hold up connections to workers and to the store as well; odd seeds also evacuate halls and have cold workers")
 	flaggy.Bool(&o.pauses, "", "pauses", "have workers pause beside each planned stop")
+	flaggy.Bool(&o.abandons, "", "abandons", "have callers leave nodes that stand still, and send what these have not read to other nodes")
+	flaggy.Int(&o.memory, "", "memory", "megabytes of a node, which then bounds what it holds for its callers; 0 for no bound")
 	flaggy.Bool(&o.keep, "", "keep", "print what was done and keep the logs also where no rule broke")
 	flaggy.Parse()
 	if err := run(o); err != nil {
@@ -85,7 +87,7 @@
 		wg.Go(func() {
 			defer func() { <-slots }()
 			mode := upgrade.Modes[seed%len(upgrade.Modes)]
-			err := play(ctx, o, dir, upgrade.Options{From: from, To: to, Seed: uint64(seed), Mode: mode, Nodes: o.nodes, Calm: o.calm, Soak: o.soak, Pauses: o.pauses})
+			err := play(ctx, o, dir, upgrade.Options{From: from, To: to, Seed: uint64(seed), Mode: mode, Nodes: o.nodes, Calm: o.calm, Soak: o.soak, Pauses: o.pauses, Abandons: o.abandons, MemoryMB: o.memory})
 			mu.Lock()
 			defer mu.Unlock()
 			errs = errors.Join(errs, err)
@@ -106,8 +108,8 @@
 	if err != nil {
 		return errors.Join(err, upgrade.KeepLogs(opts.Dir, filepath.Join(o.out, name)))
 	}
-	fmt.Printf("%s: %d calls, served %.3f before, %.3f during, %.3f after, %.3f in all; nodes disagreed for %s; %d evacuations, enforced for %s by all nodes together, at most %d requests a second at a cold worker; workers saw %v\n",
-		name, report.Calls, report.Before, report.During, report.Calm, report.Served, report.Disagreed, report.Evacuations, report.Watched, report.Cold, report.Seen)
+	fmt.Printf("%s: %d calls, served %.3f before, %.3f during, %.3f after, %.3f in all; nodes disagreed for %s; %d evacuations, enforced for %s by all nodes together, at most %d requests a second at a cold worker; %d requests abandoned, %d reset unread; workers saw %v\n",
+		name, report.Calls, report.Before, report.During, report.Calm, report.Served, report.Disagreed, report.Evacuations, report.Watched, report.Cold, report.Abandoned, report.Unread, report.Seen)
 	if len(report.Violations) == 0 && !o.keep {
 		return nil
 	}
--- a/internal/upgrade/call.go
+++ b/internal/upgrade/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -9,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/troutmast/troutmast/platform/standin"
@@ -24,19 +26,25 @@
 	failed  outcome = "failed"
 	// cut means that the connection ended without a whole answer.
 	cut outcome = "cut"
+	// unread means that the node reset the connection before it answered: it had not read the request.
+	unread outcome = "unread"
+	// left means that the caller closed the connection before the node had read the request.
+	left outcome = "left"
 )
 
 // attempt is one request of a caller to a node.
 type attempt struct {
-	id      string
-	node    *node
-	path    string
-	body    string
-	key     string
-	began   time.Time
-	took    time.Duration
-	status  int
-	outcome outcome
+	id   string
+	node *node
+	path string
+	body string
+	key  string
+	// operation is the same for all attempts of a caller at one thing.
+	operation string
+	began     time.Time
+	took      time.Duration
+	status    int
+	outcome   outcome
 	// wrong is what is wrong with an answer that looks whole.
 	wrong string
 }
@@ -115,53 +123,92 @@
 	if len(in) == 0 {
 		return nil, ""
 	}
-	paths := []string{standin.StreamPath, standin.StreamPath, standin.SmallPath, standin.UnsafePath, standin.SafePath}
+	paths := []string{standin.StreamPath, standin.StreamPath, standin.SmallPath, standin.UnsafePath, standin.SafePath, standin.OncePath}
 	return in[c.rng.IntN(len(in))], paths[c.rng.IntN(len(paths))]
 }
 
-// call sends a request, and once more to another node if it was refused.
+// call sends a request, and once more to another node if it has certainly not run.
 func (c *callers) call(n *node, path, body, key string) attempt {
 	a := c.try(n, path, body, key)
-	if a.outcome != refused {
+	if a.outcome != refused && a.outcome != unread {
 		return a
 	}
 	if again, _ := c.choose(); again != nil {
 		time.Sleep(100 * time.Millisecond)
-		return c.try(again, path, body, key)
+		return c.repeat(again, a)
 	}
 	return a
 }
 
 // try sends one request and judges its answer.
 func (c *callers) try(n *node, path, body, key string) attempt {
+	return c.send(c.newAttempt(n, path, body, key))
+}
+
+// repeat sends the request of an earlier attempt to a node.
+func (c *callers) repeat(n *node, earlier attempt) attempt {
+	a := c.newAttempt(n, earlier.path, earlier.body, earlier.key)
+	a.operation = earlier.operation
+	return c.send(a)
+}
+
+// newAttempt returns an attempt that begins now.
+func (c *callers) newAttempt(n *node, path, body, key string) attempt {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.number++
-	a := attempt{id: fmt.Sprintf("%s.%d", n.machine.Name, c.number), node: n, path: path, body: body, key: key, began: time.Now()}
-	c.mu.Unlock()
-	c.exchange(&a, n.machine.Front)
+	id := fmt.Sprintf("%s.%d", n.machine.Name, c.number)
+	return attempt{id: id, operation: id, node: n, path: path, body: body, key: key, began: time.Now()}
+}
+
+// send makes the request of an attempt and records the attempt.
+func (c *callers) send(a attempt) attempt {
+	c.exchange(&a, a.node.machine.Front)
 	a.took = time.Since(a.began)
+	c.record(a)
+	return a
+}
+
+// record adds an attempt that has ended.
+func (c *callers) record(a attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.attempts = append(c.attempts, a)
-	return a
 }
 
-// exchange makes the request of an attempt.
-func (c *callers) exchange(a *attempt, at netip.AddrPort) {
-	text := a.body + "." + a.id
+// text returns the body of the request of an attempt.
+func (a *attempt) text() string {
 	if a.body == standin.DeadlyBody {
-		text = a.body
+		return a.body
 	}
-	req, err := standin.NewRequest(at, standin.Call{ID: a.id, Path: a.path, Body: text, Key: a.key, Patience: callTime})
+	return a.body + "." + a.operation
+}
+
+// request returns the request of an attempt to an address.
+func (a *attempt) request(at netip.AddrPort) (*http.Request, error) {
+	return standin.NewRequest(at, standin.Call{ID: a.id, Path: a.path, Body: a.text(), Key: a.key, Patience: callTime})
+}
+
+// exchange makes the request of an attempt.
+func (c *callers) exchange(a *attempt, at netip.AddrPort) {
+	req, err := a.request(at)
 	if err != nil {
 		a.outcome, a.wrong = failed, err.Error()
 		return
 	}
 	resp, err := c.client.Do(req)
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNRESET):
+		a.outcome = unread
+	case err != nil:
 		a.outcome = cut
-		return
+	default:
+		a.judge(resp)
 	}
+}
+
+// judge reads the answer to an attempt and sets its outcome.
+func (a *attempt) judge(resp *http.Response) {
 	defer func() { _ = resp.Body.Close() }()
 	a.status = resp.StatusCode
 	raw, err := io.ReadAll(resp.Body)
@@ -175,13 +222,13 @@
 	case resp.StatusCode != http.StatusOK:
 		a.outcome = failed
 	default:
-		a.outcome, a.wrong = served, wrongAnswer(a.path, string(raw), text)
+		a.outcome, a.wrong = served, wrongAnswer(a.path, string(raw), a.text())
 	}
 }
 
 // wrongAnswer returns what is wrong with a success, or nothing.
 func wrongAnswer(path, got, text string) string {
-	if path != standin.StreamPath && path != standin.SmallPath {
+	if !standin.IsStream(path) {
 		if got != text {
 			return "another body"
 		}
--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -21,6 +21,9 @@
 	Served, Before, During, Calm float64
 	// Disagreed is the longest time from a change of the configuration until all nodes that were ready served by it.
 	Disagreed time.Duration
+	// Abandoned is the number of requests whose callers left before the node had read them, Unread the number of those whose node
+	// reset the connection before it had read them.
+	Abandoned, Unread int
 	// Changes are what the run did, Seen how often workers saw something.
 	Changes []string
 	Seen    map[standin.Kind]int
@@ -126,6 +129,12 @@
 // answers judges answers that look whole, and what workers themselves found wrong.
 func (j *judge) answers() {
 	for _, a := range j.attempts {
+		switch a.outcome {
+		case left:
+			j.report.Abandoned++
+		case unread:
+			j.report.Unread++
+		}
 		if a.wrong != "" {
 			j.broken("%.2f s: %s at %s: %s", j.since(a.began), a.id, a.path, a.wrong)
 		}
@@ -344,7 +353,7 @@
 	calm := j.run.calmSince.Add(2 * time.Second)
 	var all, before, during, after tally
 	for _, a := range j.attempts {
-		if a.began.Before(j.run.began) || a.key != standin.Key || a.path == standin.NewPath || a.body == standin.DeadlyBody {
+		if a.began.Before(j.run.began) || a.outcome == left || a.key != standin.Key || a.path == standin.NewPath || a.body == standin.DeadlyBody {
 			continue
 		}
 		all.add(a)
--- a/internal/upgrade/node.go
+++ b/internal/upgrade/node.go
@@ -86,11 +86,15 @@
 	}
 }
 
-// kill ends the process at once.
+// kill ends the process at once, also one that stands still.
 func (n *node) kill() {
 	ex, _ := n.life()
-	_ = ex.cmd.Process.Signal(syscall.SIGCONT)
-	_ = ex.cmd.Process.Kill()
+	ex.kill()
+}
+
+// kill ends the process at once.
+func (ex *execution) kill() {
+	_ = ex.cmd.Process.Kill() // an error says that it has ended already
 	<-ex.done
 }
 
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -31,6 +31,10 @@
 	Soak bool
 	// Pauses has workers pause beside each planned stop.
 	Pauses bool
+	// Abandons has callers leave nodes that stand still before they have read the callers' requests.
+	Abandons bool
+	// MemoryMB is the memory of a node in megabytes. 0 means that nodes do not bound what they hold for their callers.
+	MemoryMB int
 }
 
 // Times of runs.
@@ -68,6 +72,8 @@
 	links   *links
 	// evacuations are planned ones, none in most runs.
 	evacuations []evacuation
+	// abandonments are none in most runs.
+	abandonments []abandonment
 
 	// calmSince is when the last trouble and the last replacement were over.
 	calmSince time.Time
@@ -104,6 +110,9 @@
 	if o.hasHalls() {
 		r.evacuations = newEvacuations(o.Seed)
 	}
+	if o.hasAbandonments() {
+		r.abandonments = newAbandonments(o.Seed, o.Nodes)
+	}
 	if o.hasPauses() {
 		r.pauses = rand.New(rand.NewPCG(o.Seed, 4))
 	}
@@ -156,6 +165,7 @@
 		}
 		n := place(i, r.Dir, r.ip(), store, door, seeds)
 		r.boundHalls(&n.machine)
+		n.machine.MemoryMB = r.memoryMB()
 		seeds = append(seeds, n.machine.Control)[:min(len(seeds)+1, 3)]
 		r.nodes = append(r.nodes, n)
 		if err := n.start(r.From); err != nil {
@@ -200,6 +210,7 @@
 	under.Go(func() { r.makeTrouble(ctx) })
 	under.Go(func() { r.replaceAll(ctx) })
 	under.Go(func() { r.evacuateHalls(ctx) })
+	under.Go(func() { r.abandonRequests(ctx) })
 	under.Wait()
 	r.calmSince = time.Now()
 	time.Sleep(calmAfter)
--- a/internal/upgrade/trouble.go
+++ b/internal/upgrade/trouble.go
@@ -98,9 +98,14 @@
 func (r *run) killOne(n *node) {
 	ex, b := n.life()
 	r.note(change{until: time.Now().Add(troubleTime), what: "killed", node: n, trouble: killNode})
-	n.kill()
+	ex.kill()
+	r.restart(n, ex, b)
+}
+
+// restart starts a build on a node whose process has been killed.
+func (r *run) restart(n *node, killed *execution, b Build) {
 	time.Sleep(300 * time.Millisecond)
-	if now, _ := n.life(); now != ex {
+	if now, _ := n.life(); now != killed {
 		return // it was replaced meanwhile: a second process would outlive the run
 	}
 	if err := n.start(b); err != nil {
