Gateway: log that a caller has left, whether before its request was sent, and how long a request lay unread

Nothing could tell a request that is sent after its caller has left from any other: attempt.caller-gone was a counter, and the end of a connection is seen only when the server's own read returns. internal/tcpstate asks the socket. No decision changes.

--- a/internal/upgrade/call.go
+++ b/internal/upgrade/call.go
@@ -197,19 +197,19 @@
 		return
 	}
 	resp, err := c.client.Do(req)
-	switch {
-	case errors.Is(err, syscall.ECONNRESET):
-		a.outcome = unread
-	case err != nil:
+	if err != nil {
 		a.outcome = cut
-	default:
-		a.judge(resp)
+		if errors.Is(err, syscall.ECONNRESET) {
+			a.outcome = unread
+		}
+		return
 	}
+	defer func() { _ = resp.Body.Close() }()
+	a.judge(resp)
 }
 
 // judge reads the answer to an attempt and sets its outcome.
 func (a *attempt) judge(resp *http.Response) {
-	defer func() { _ = resp.Body.Close() }()
 	a.status = resp.StatusCode
 	raw, err := io.ReadAll(resp.Body)
 	switch {
--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -151,13 +151,15 @@
 	Sends, Runs int
 	// Timeout is the time that the caller gave the request, Took what it has taken so far.
 	Timeout, Took time.Duration
+	// Unread is how long the end of the request lay unread before it was read: a node that stood still reads requests late.
+	Unread time.Duration
 }
 
 // fields adds what is logged of the progress.
 func (p *Progress) fields(f log.Fields) log.Fields {
 	f["route"], f["model"], f["sends"], f["runs"] = p.Route, p.Model, p.Sends, p.Runs
 	f["origin"], f["peer"] = p.Origin, p.Peer
-	f["timeout_ms"], f["ms"] = p.Timeout.Milliseconds(), p.Took.Milliseconds()
+	f["timeout_ms"], f["ms"], f["unread_ms"] = p.Timeout.Milliseconds(), p.Took.Milliseconds(), p.Unread.Milliseconds()
 	return f
 }
 
@@ -209,3 +211,32 @@
 		"load": e.Load, "first_ms": e.First.Milliseconds(), "gap_ms": e.Gap.Milliseconds(), "late": e.Late,
 	})
 }
+
+// CallerLeft tells that the caller of a request has closed its connection before it had the whole answer.
+type CallerLeft struct {
+	Request
+	Progress
+	// When is where the request was.
+	When Stage
+	// Begun tells that a part of an answer had been passed on.
+	Begun bool
+}
+
+// Stage is where a request was when its caller left.
+type Stage string
+
+// The stages.
+const (
+	// BeforeSend means right before the request was sent to an instance or another node.
+	BeforeSend Stage = "before send"
+	// Waiting means while an instance or another node had the request, or between two attempts.
+	Waiting Stage = "waiting"
+)
+
+// Name implements Decision.
+func (e *CallerLeft) Name() string { return "caller-left" }
+
+// Fields implements log.Fielder.
+func (e *CallerLeft) Fields() log.Fields {
+	return e.fields(log.Fields{"request": e.ID, "fingerprint": e.Fingerprint, "when": e.When, "begun": e.Begun})
+}
--- a/transport/event/event_test.go
+++ b/transport/event/event_test.go
@@ -22,6 +22,7 @@
 		&event.RequestForwarded{},
 		&event.RequestEnded{},
 		&event.RequestAnswered{},
+		&event.CallerLeft{},
 	} {
 		t.Run(d.Name(), func(t *testing.T) {
 			g := NewWithT(t)
--- a/transport/gateway/backpressure.go
+++ b/transport/gateway/backpressure.go
@@ -38,6 +38,7 @@
 // is called once the connection is established: other requests may have received a cooldown, a
 // rate limit or a leaving notice of the instance during the dial, and its hall may have been evacuated.
 func (c *call) checkBeforeSend(target *dispatch.Candidate) error {
+	c.noteCallerLeft()
 	if _, cooling := c.Backpressure.CooldownUntil(&target.Instance); cooling {
 		return errCoolingDown
 	}
--- a/transport/gateway/buffer.go
+++ b/transport/gateway/buffer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/buffering"
+	"github.com/troutmast/troutmast/internal/tcpstate"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/transport/event"
 )
@@ -72,8 +73,9 @@
 // callerConnKey is the key of the caller's connection in the context of its requests.
 type callerConnKey struct{}
 
-// ConnContext adds the connection to the context of its requests. It is meant for http.Server.ConnContext.
+// ConnContext adds the connection and its state to the context of its requests. It is meant for http.Server.ConnContext.
 func (g *Gateway) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	ctx = tcpstate.NewContext(ctx, conn)
 	if c, ok := conn.(*callerConn); ok {
 		return context.WithValue(ctx, callerConnKey{}, c)
 	}
--- a/transport/gateway/callerconn.go
+++ b/transport/gateway/callerconn.go
@@ -306,6 +306,9 @@
 	return c.err == nil && (c.writing || c.unread > 0)
 }
 
+// NetConn returns the connection itself.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.fail(net.ErrClosed)
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -239,6 +239,7 @@
 		RequireFreshConn: !c.route.CanRetry(),
 		WriteTimeout:     c.instanceWriteTimeout(),
 		BeforeSend: func() error {
+			c.noteCallerLeft()
 			if !c.keyTrusted() {
 				return errKeysStale
 			}
@@ -285,7 +286,7 @@
 
 // ServeForwarded serves a request that another node forwarded to this one. It never forwards it again.
 func (g *Gateway) ServeForwarded(w http.ResponseWriter, r *http.Request) {
-	c := &call{Gateway: g, w: w, r: r, arrivedAt: g.Clock.Now()}
+	c := g.newCall(w, r)
 	c.origin = "unknown"
 	g.Recorder.Count("forward.received")
 	if !g.Receiver.TryAcquire() {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/troutmast/troutmast/coordination/dispatch"
 	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/retry"
+	"github.com/troutmast/troutmast/internal/tcpstate"
 	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
@@ -236,6 +237,7 @@
 	lastFailure *bufferedResponse
 	streamProgress
 	bufferState
+	callerState
 }
 
 // refusal is a response that the gateway generates itself. A positive after is the retry delay.
@@ -247,7 +249,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.requestCount.Add(1)
-	c := &call{Gateway: g, w: w, r: r, arrivedAt: g.Clock.Now()}
+	c := g.newCall(w, r)
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -256,6 +258,11 @@
 	c.run(c.admit())
 }
 
+// newCall returns the call of a request that has arrived.
+func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
+	return &call{Gateway: g, w: w, r: r, arrivedAt: g.Clock.Now(), callerState: callerState{socket: tcpstate.FromContext(r.Context())}}
+}
+
 // run serves the request unless it was refused, and writes the refusal if there is one.
 func (c *call) run(refused *refusal) {
 	if refused == nil {
@@ -266,6 +273,9 @@
 		if c.peer == "" {
 			c.recordDemand()
 		}
+		if c.isGone {
+			c.recordCallerLeft(event.Waiting)
+		}
 	}
 	if refused != nil {
 		c.refuse(refused)
@@ -375,6 +385,7 @@
 	if c.account != nil && !c.account.TryAddRequest(0) {
 		return c.memoryRefusal()
 	}
+	defer c.recordRead()
 	if c.r.ContentLength == 0 {
 		return nil
 	}
@@ -433,7 +444,7 @@
 
 // eventProgress returns the progress of the request for the log.
 func (c *call) eventProgress() event.Progress {
-	return event.Progress{Origin: c.origin, Peer: c.peer, Route: c.routeName(), Model: c.model, Sends: c.sends, Runs: c.runs, Timeout: c.claims.Timeout, Took: c.Clock.Since(c.arrivedAt)}
+	return event.Progress{Origin: c.origin, Peer: c.peer, Route: c.routeName(), Model: c.model, Sends: c.sends, Runs: c.runs, Timeout: c.claims.Timeout, Took: c.Clock.Since(c.arrivedAt), Unread: c.unread}
 }
 
 // routeName returns the name of the request's route, or an empty string if no route matched.
