--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -79,6 +79,31 @@
 	g.Expect(report.Calls).To(BeNumerically(">", 500), "callers were held up")
 }
 
+// Guards against a second run: callers send what a node that stood still had not read to another node.
+func TestAbandonedRequestsRunOnce(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	t.Cleanup(cancel)
+	build, err := NewBuild(ctx, root, t.TempDir(), WorkTree)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	for _, c := range []struct {
+		name     string
+		memoryMB int
+	}{
+		{"plain connections", 0},
+		{"buffered connections", soakMemoryMB},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			report, err := Play(ctx, Options{From: build, To: build, Seed: 1, Mode: Forward, Nodes: 4, Dir: t.TempDir(), Calm: true, Abandons: true, MemoryMB: c.memoryMB})
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Logf("%+v", report)
+			g.Expect(report.Violations).To(BeEmpty())
+			g.Expect(report.Abandoned).To(BeNumerically(">", 50), "hardly any request was abandoned")
+		})
+	}
+}
+
 func TestACommitThatCannotBeBuiltIsOneClearError(t *testing.T) {
 	for _, c := range []struct {
 		name, commit, want string
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -256,6 +256,13 @@
 	f.outcomes = append(f.outcomes, o)
 }
 
+// flying returns the number of requests in flight to peers.
+func (f *fakePeers) flying() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inFlight
+}
+
 // harness runs a gateway in front of fake instances.
 type harness struct {
 	// hallDelay is the delay between halls that setPriorities states.
