Gateway: send no request whose caller has left

Callers saw: a request that must run once ran twice. A node that stands still, or is busy, reads a request and the end of its connection at the same time; the caller, who knows that nobody had read it, has sent it to another node meanwhile.

Cause: what the node knew of the caller was the context of the request, which the HTTP server ends once a read of its own has returned. That read begins only after the body, in a goroutine that loses the race against the request's own in most cases. The node acted on what it had believed a moment ago.

Now the socket itself is asked right before the first byte of each send, to instances and to other nodes, at the node that forwards and at the one that is forwarded to. The end of the caller's side counts, since close and shutdown look the same: such a caller gets its connection closed, no response. A request without a context is no longer refused as broken but ends as caller-gone. A caller that leaves during the dial to another node no longer puts that node into backoff.

--- a/internal/upgrade/abandon.go
+++ b/internal/upgrade/abandon.go
@@ -41,7 +41,7 @@
 )
 
 // hasAbandonments reports whether callers abandon requests in the run.
-func (o *Options) hasAbandonments() bool { return o.Abandons }
+func (o *Options) hasAbandonments() bool { return o.Abandons || o.Soak && o.Seed%3 == 2 }
 
 // soakMemoryMB is the memory of a node in half of the soaks: that of the platform's smaller machines.
 const soakMemoryMB = 284
--- a/transport/gateway/backpressure.go
+++ b/transport/gateway/backpressure.go
@@ -36,9 +36,11 @@
 
 // checkBeforeSend returns the reason why a request must not be sent to an instance now, or nil. It
 // is called once the connection is established: other requests may have received a cooldown, a
-// rate limit or a leaving notice of the instance during the dial, and its hall may have been evacuated.
+// rate limit or a leaving notice of the instance during the dial, its hall may have been evacuated, and the caller may have left.
 func (c *call) checkBeforeSend(target *dispatch.Candidate) error {
-	c.noteCallerLeft()
+	if err := c.checkCaller(); err != nil {
+		return err
+	}
 	if _, cooling := c.Backpressure.CooldownUntil(&target.Instance); cooling {
 		return errCoolingDown
 	}
--- a/transport/gateway/callerleft.go
+++ b/transport/gateway/callerleft.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/troutmast/troutmast/internal/tcpstate"
@@ -12,20 +13,26 @@
 	socket *tcpstate.Conn
 	// unread is how long the end of the request lay in the socket before it was read.
 	unread time.Duration
+	// leftWhen is where the request was when its caller left.
+	leftWhen event.Stage
 }
 
 // recordRead records that the request has just been read.
 func (c *call) recordRead() { c.unread, _ = c.socket.SinceData() }
 
 // recordCallerLeft counts and logs that the caller has left.
-func (c *call) recordCallerLeft(when event.Stage) {
+func (c *call) recordCallerLeft() {
 	c.Recorder.Count("caller-left")
-	c.Recorder.LogDecision(&event.CallerLeft{Request: c.eventRequest(), Progress: c.eventProgress(), When: when, Begun: c.headerWritten})
+	c.Recorder.LogDecision(&event.CallerLeft{Request: c.eventRequest(), Progress: c.eventProgress(), When: cmp.Or(c.leftWhen, event.Waiting), Begun: c.headerWritten})
 }
 
-// noteCallerLeft logs that a request is sent whose caller has left.
-func (c *call) noteCallerLeft() {
+// checkCaller returns errCallerGone if the caller has closed its connection. The context of the request ends only when the HTTP server has
+// read that far, which is too late for a node that stood still: it reads a request and the end of its connection at the same time. A
+// caller may send a request elsewhere that the node had not read, even one that must not run twice.
+func (c *call) checkCaller() error {
 	if c.socket.HasPeerClosed() {
-		c.recordCallerLeft(event.BeforeSend)
+		c.leftWhen = event.BeforeSend
+		return errCallerGone
 	}
+	return nil
 }
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -169,7 +169,7 @@
 // peerOutcome returns what the result of forwardTo shows of the peer.
 func (c *call) peerOutcome(res attemptResult, err error) forwarding.Outcome {
 	switch {
-	case errors.Is(err, errHeldBack):
+	case errors.Is(err, errHeldBack) || res == resultCallerGone:
 		return forwarding.Reached
 	case errors.Is(err, direct.ErrNotSent):
 		return forwarding.Unreachable
@@ -194,7 +194,7 @@
 	switch {
 	case err != nil && c.isSuperseded():
 		return resultSuperseded, nil
-	case err != nil && c.r.Context().Err() != nil:
+	case errors.Is(err, errCallerGone) || err != nil && c.r.Context().Err() != nil:
 		return resultCallerGone, err
 	case errors.Is(err, direct.ErrNotSent):
 		return resultNotRun, err
@@ -239,7 +239,9 @@
 		RequireFreshConn: !c.route.CanRetry(),
 		WriteTimeout:     c.instanceWriteTimeout(),
 		BeforeSend: func() error {
-			c.noteCallerLeft()
+			if err := c.checkCaller(); err != nil {
+				return err
+			}
 			if !c.keyTrusted() {
 				return errKeysStale
 			}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -263,7 +263,7 @@
 	return &call{Gateway: g, w: w, r: r, arrivedAt: g.Clock.Now(), callerState: callerState{socket: tcpstate.FromContext(r.Context())}}
 }
 
-// run serves the request unless it was refused, and writes the refusal if there is one.
+// run serves the request unless it was refused, and writes the refusal if there is one. It ends the connection of a caller that has left.
 func (c *call) run(refused *refusal) {
 	if refused == nil {
 		ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline.Sub(c.Clock.Now()))
@@ -274,7 +274,8 @@
 			c.recordDemand()
 		}
 		if c.isGone {
-			c.recordCallerLeft(event.Waiting)
+			c.recordCallerLeft()
+			panic(http.ErrAbortHandler) // closes the connection: a caller that closed only its side must not get a success
 		}
 	}
 	if refused != nil {
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -45,6 +45,10 @@
 // if the request is given up.
 func (c *call) serve() *refusal {
 	for {
+		if c.r.Context().Err() != nil || c.isSuperseded() {
+			c.isGone = !c.isSuperseded()
+			return nil
+		}
 		if refused := c.checkAttemptAllowed(); refused != nil {
 			return refused
 		}
@@ -116,12 +120,9 @@
 	return res, true
 }
 
-// checkAttemptAllowed returns a refusal if the request must not be sent: the caller has
-// disconnected, the keys may be stale before the first send, or no time or sends are left.
+// checkAttemptAllowed returns a refusal if the request must not be sent: the keys may be stale before the first send, or no time
+// or sends are left.
 func (c *call) checkAttemptAllowed() *refusal {
-	if c.r.Context().Err() != nil || c.isSuperseded() {
-		return c.giveUp(CodeResponseLost)
-	}
 	if c.sends == 0 && !c.keyTrusted() {
 		return refusalWithRetryAfter(CodeKeysStale, c.Policy.RetryAfter)
 	}
@@ -257,6 +258,10 @@
 		return resultSuperseded
 	case errors.Is(err, errHeldBack):
 		return c.recordHeldBack(target, err)
+	case errors.Is(err, errCallerGone):
+		c.sends--
+		c.runs--
+		return resultCallerGone
 	case errors.Is(err, direct.ErrNotSent):
 		c.runs--
 		if c.r.Context().Err() != nil {
