Gateway: close the connection of every request that ends without a complete response

Reported by other operators: a worker stops in the middle of its head and closes, and callers get a 200 with an empty or short body that looks complete. Heads cut at each byte, plain and reset, in seven forms, to streams and other requests, directly and through a peer: always a 502 here, before and after. But a caller that closes its side and reads on got a success that was none: 200 with no body before the head, a short body, or an interrupted stream with its last chunk.

Cause: the HTTP server ends the response of a handler that returns, and a success is its default.

Now a complete response is a state of the call, which is set where the last byte is written; whatever else ends a call closes the connection, is logged and counted.

--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -240,3 +240,18 @@
 func (e *CallerLeft) Fields() log.Fields {
 	return e.fields(log.Fields{"request": e.ID, "fingerprint": e.Fingerprint, "when": e.When, "begun": e.Begun})
 }
+
+// HandoverPanicked tells that a handover of a request ended by a fault of the program. The attempt at the first instance goes on.
+type HandoverPanicked struct {
+	Request
+	// Panic is the value of the panic, Stack where it happened.
+	Panic, Stack string
+}
+
+// Name implements Decision.
+func (e *HandoverPanicked) Name() string { return "handover-panicked" }
+
+// Fields implements log.Fielder.
+func (e *HandoverPanicked) Fields() log.Fields {
+	return log.Fields{"request": e.ID, "panic": e.Panic, "stack": e.Stack}
+}
--- a/transport/event/event_test.go
+++ b/transport/event/event_test.go
@@ -23,6 +23,7 @@
 		&event.RequestEnded{},
 		&event.RequestAnswered{},
 		&event.CallerLeft{},
+		&event.HandoverPanicked{},
 	} {
 		t.Run(d.Name(), func(t *testing.T) {
 			g := NewWithT(t)
--- a/transport/gateway/callerleft_test.go
+++ b/transport/gateway/callerleft_test.go
@@ -231,7 +231,7 @@
 				peer.addServers()
 				originGate, originAddress := serveGated(origin, origin.gateway.ServeHTTP)
 				peerGate, peerAddress := serveGated(peer, peer.gateway.ServeForwarded)
-				origin.peers.peers = []forwarding.Peer{{Address: peerAddress, Hall: "hall"}}
+				origin.peers.peers = []forwarding.Peer{peerAt(peerAddress)}
 				caller := dialCaller(t, originAddress)
 				sendRaw(t, caller, "first", "/unsafe/x")
 				readRaw(t, caller)
--- a/transport/gateway/forward_test.go
+++ b/transport/gateway/forward_test.go
@@ -24,7 +24,12 @@
 func servePeer(h *harness) forwarding.Peer {
 	srv := httptest.NewServer(http.HandlerFunc(h.gateway.ServeForwarded))
 	h.t.Cleanup(srv.Close)
-	return forwarding.Peer{Address: netip.MustParseAddrPort(srv.Listener.Addr().String()), Hall: "hall"}
+	return peerAt(netip.MustParseAddrPort(srv.Listener.Addr().String()))
+}
+
+// peerAt returns a peer with an address.
+func peerAt(address netip.AddrPort) forwarding.Peer {
+	return forwarding.Peer{Address: address, Hall: "hall"}
 }
 
 // newForwardingPair returns a node that is partitioned from all instances and a node that it forwards to.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -235,6 +235,8 @@
 	loadAtPick int64
 	// lastFailure is the most recent server error of an instance.
 	lastFailure *bufferedResponse
+	// hasResponded reports whether a complete response of an instance has been written to the caller.
+	hasResponded bool
 	streamProgress
 	bufferState
 	callerState
@@ -263,7 +265,7 @@
 	return &call{Gateway: g, w: w, r: r, arrivedAt: g.Clock.Now(), callerState: callerState{socket: tcpstate.FromContext(r.Context())}}
 }
 
-// run serves the request unless it was refused, and writes the refusal if there is one. It ends the connection of a caller that has left.
+// run serves the request unless it was refused, and writes the refusal if there is one.
 func (c *call) run(refused *refusal) {
 	if refused == nil {
 		ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline.Sub(c.Clock.Now()))
@@ -273,14 +275,27 @@
 		if c.peer == "" {
 			c.recordDemand()
 		}
-		if c.isGone {
-			c.recordCallerLeft()
-			panic(http.ErrAbortHandler) // closes the connection: a caller that closed only its side must not get a success
-		}
 	}
 	if refused != nil {
 		c.refuse(refused)
+		return
 	}
+	c.abortUnlessResponded()
+}
+
+// abortUnlessResponded closes the caller's connection unless a complete response was written. The HTTP server would end the response of a
+// handler that returns: to a caller that has closed only its side and still reads, an empty or interrupted one would look complete.
+func (c *call) abortUnlessResponded() {
+	switch {
+	case c.hasResponded:
+		return
+	case c.isGone:
+		c.recordCallerLeft()
+	default:
+		c.Recorder.Count("response.missing")
+		c.logEnd(CodeResponseLost)
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // refusalWithRetryAfter returns a refusal with a retry delay. Jitter adds up to half of the delay.
@@ -421,7 +436,7 @@
 		counter = "forward.declined." // the node that received the request counts its refusal
 	}
 	c.Recorder.Count(counter + string(refused.code))
-	c.Recorder.LogDecision(&event.RequestEnded{Request: c.eventRequest(), Progress: c.eventProgress(), Code: string(refused.code), Tried: c.tried, Begun: c.headerWritten, Unreachable: c.Table.Unreachable(c.service, c.model)})
+	c.logEnd(refused.code)
 	if c.headerWritten {
 		panic(http.ErrAbortHandler)
 	}
@@ -438,6 +453,11 @@
 	_, _ = io.WriteString(c.w, string(refused.code)+"\n")
 }
 
+// logEnd logs that the node itself ends the request.
+func (c *call) logEnd(code Code) {
+	c.Recorder.LogDecision(&event.RequestEnded{Request: c.eventRequest(), Progress: c.eventProgress(), Code: string(code), Tried: c.tried, Begun: c.headerWritten, Unreachable: c.Table.Unreachable(c.service, c.model)})
+}
+
 // eventRequest returns the identity of the request for the log.
 func (c *call) eventRequest() event.Request {
 	return event.Request{ID: c.claims.ID, Fingerprint: c.identity.Fingerprint, Parts: c.identity.Parts}
--- a/transport/gateway/handover.go
+++ b/transport/gateway/handover.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -47,9 +49,10 @@
 	// cancelNext ends the attempts of the handover, cancelFirst the attempt at the silent instance.
 	cancelNext, cancelFirst context.CancelCauseFunc
 	done                    chan struct{}
-	// refused is the refusal with which the handover ended, and panicked what it panicked with.
+	// refused is the refusal with which the handover ended, panicked what it panicked with, and stack where.
 	refused  *refusal
 	panicked any
+	stack    []byte
 }
 
 // beginHandover starts a handover of a call whose goroutine waits for the silent instance.
@@ -72,7 +75,9 @@
 func (h *handover) run() {
 	defer close(h.done)
 	defer func() {
-		h.panicked = recover()
+		if h.panicked = recover(); h.panicked != nil {
+			h.stack = debug.Stack()
+		}
 		h.state.CompareAndSwap(int32(handoverPending), int32(handoverDropped))
 		h.cancelNext(nil)
 	}()
@@ -107,6 +112,10 @@
 // mergeHandover records the attempts of a handover that has ended without taking over the response.
 func (c *call) mergeHandover(h *handover) {
 	c.Recorder.Count("handover.dropped")
+	if h.panicked != nil { // the attempt at the first instance is not affected
+		c.Recorder.Count("handover.panicked")
+		c.Recorder.LogDecision(&event.HandoverPanicked{Request: c.eventRequest(), Panic: fmt.Sprint(h.panicked), Stack: string(h.stack)})
+	}
 	if next := h.next; next.account != nil {
 		next.account.ReleaseUnread(next.pendingBytes)
 	}
--- a/transport/gateway/handover_test.go
+++ b/transport/gateway/handover_test.go
@@ -102,6 +102,41 @@
 	}
 }
 
+// panicRecorder panics once at a counter.
+type panicRecorder struct {
+	*fakeRecorder
+	name string
+	once sync.Once
+}
+
+func (r *panicRecorder) Count(name string) {
+	r.fakeRecorder.Count(name)
+	if name == r.name {
+		r.once.Do(func() { panic("fault of the program") })
+	}
+}
+
+// Guards against a fault of the program that nobody sees: a handover that panics costs its caller nothing, but is counted.
+func TestPanicInHandoverIsCounted(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t)
+	h.gateway.Recorder = &panicRecorder{fakeRecorder: h.recorder, name: "attempt.not-run"}
+	var ended atomic.Int32
+	h.addInstance("a", "lm", pauseAfter(500*time.Millisecond, &ended))
+	result := make(chan callResponse, 1)
+	go func() { result <- h.call(http.MethodPost, "/stream/", "x", nil) }()
+	g.Eventually(func() int { return len(h.runLog.all()) }, time.Second).Should(Equal(1))
+	h.addInstance("b", "lm", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	h.startSilenceReports()
+	a := <-result
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(events(1, 6)))
+	g.Expect(h.recorder.count("handover.panicked")).To(Equal(1))
+}
+
 // Guards against a node that gives up a stream because it has been silent for longer than SilentAfter: with no group that can
 // resume it, the stream was cut off although its instance went on 0.4 s later.
 func TestStreamThatIsSilentForLongIsNotCutOff(t *testing.T) {
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -533,6 +533,7 @@
 	c.releaseResponse()
 	c.writeHeader(p.status, p.header, int64(len(p.body)))
 	_, _ = c.w.Write(p.body)
+	c.hasResponded = true
 }
 
 // writeHeader writes the head of a response. A length of -1 means unknown.
@@ -570,5 +571,6 @@
 		panic(http.ErrAbortHandler)
 	}
 	src.completed(resp)
+	c.hasResponded = true
 	return resultAnswered
 }
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -155,6 +155,7 @@
 	if len(rest) > 0 {
 		_, _ = c.w.Write(rest)
 	}
+	c.hasResponded = true
 	return resultAnswered
 }
 
