Gateway: promise no caller that its request has not run on the word of a status alone

An instance's 408, 429 or 503 without the statement that it has not run the request reached the caller unchanged, to whom these statuses are a promise: it sends a request again that may have run.

Such a response now counts as lost: what may be repeated is tried elsewhere, anything else gets a 502 without the instance's seal. The same for what a node of an earlier build relays.

--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -56,6 +56,8 @@
 	BrokenOff Failure = "broken off"
 	Invalid   Failure = "invalid response"
 	Unsealed  Failure = "no seal"
+	// UnprovenRefusal is a refusal without the statement that the request has not run.
+	UnprovenRefusal Failure = "unproven refusal"
 )
 
 // Name implements Decision.
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -267,6 +267,11 @@
 		c.peerRefusal = &refusal{code: result.Code, after: millis.Duration(result.AfterMS)}
 		return resultNotRun
 	}
+	if c.Codec.ParseReply(resp.Status, resp.Header).PromisesNotRun { // nodes of earlier builds relay what no instance has stated
+		drain(resp)
+		c.Recorder.Count("attempt.unproven-refusal")
+		return resultUnknown
+	}
 	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
 	if success && c.route.Kind == catalog.Stream {
 		return c.relayStream(c.ctx, peerSource{c}, resp)
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -101,6 +101,9 @@
 type ReplyInfo struct {
 	// NotRun reports whether the instance did not run the request.
 	NotRun bool
+	// PromisesNotRun reports whether the status tells callers that the request has not run and will not run, whether or not the instance
+	// says so itself.
+	PromisesNotRun bool
 	// Instance is the ID of the responding instance, or empty if the response does not name it.
 	Instance state.InstanceID
 	// FaultyAddress is the address of the instance at fault, or empty if the response does not name it.
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -407,6 +407,12 @@
 		}
 		return resultNotRun
 	}
+	if v.PromisesNotRun {
+		drain(resp)
+		c.Breakers.RecordValidResponse(&target.Instance, sent)
+		c.recordUnprovenRefusal(target, resp, sent)
+		return resultUnknown
+	}
 	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
 	if success && !v.HasSeal {
 		c.logFailure(target, sent, event.Unsealed, fmt.Errorf("status %d", resp.Status))
@@ -419,6 +425,14 @@
 	return c.relayBuffered(ctx, src, resp)
 }
 
+// recordUnprovenRefusal records a refusal of an instance that does not say that it has not run the request. It must not reach the caller,
+// to whom its status promises just that, so that the request would run again.
+func (c *call) recordUnprovenRefusal(target *dispatch.Candidate, resp *direct.Response, sent time.Time) {
+	target.RecordFailure()
+	c.Recorder.Count("attempt.unproven-refusal")
+	c.logFailure(target, sent, event.UnprovenRefusal, fmt.Errorf("status %d", resp.Status))
+}
+
 // responseSource is the sender of a response that is relayed to the caller.
 type responseSource interface {
 	// beginWait begins a wait for data of a stream, endWait ends it with its error. endWait reports whether the response has
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -58,8 +58,11 @@
 
 func (testDialect) MatchesRequest(h http.Header, id string) bool { return h.Get("Id") == id }
 
+// promisingStatuses tell callers that a request has not run.
+var promisingStatuses = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
 func (testDialect) ParseReply(status int, h http.Header) gateway.ReplyInfo {
-	v := gateway.ReplyInfo{NotRun: h.Get("Not-Run") != "", HasSeal: h.Get("Seal") != ""}
+	v := gateway.ReplyInfo{NotRun: h.Get("Not-Run") != "", HasSeal: h.Get("Seal") != "", PromisesNotRun: slices.Contains(promisingStatuses, status)}
 	v.Leaving = h.Get("Leaving") != ""
 	if seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil && status == http.StatusServiceUnavailable {
 		v.Cooldown = time.Duration(seconds * float64(time.Second))
