Own interface: send no request whose caller has left

Calls that must not run twice carry a key here, so that it cost work and no second run; with a claimed key or a spent ticket a call goes on without its caller, as before.

The check is where cooldowns are checked, right before the first byte, for targets and for other nodes. The caller that only closed its side is told the truth: caller-left, not run.

--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -169,6 +169,9 @@
 	return n, err
 }
 
+// NetConn returns the connection itself.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // begun returns the number of bytes whose writing was begun.
 func (c *countedConn) begun() int64 {
 	c.mu.Lock()
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -215,6 +215,8 @@
 	switch {
 	case !retry.CanRetry(o, repeatable):
 		s.c.Count("retry-denied.not-repeatable")
+	case q.conn.HasPeerClosed():
+		s.c.Count("retry-denied.caller-left")
 	case ctx.Err() != nil || !s.c.Clock.Now().Before(q.deadline):
 		s.c.Count("retry-denied.deadline")
 	case s.quarantined(q) != nil:
--- a/transport/caller/cooldown.go
+++ b/transport/caller/cooldown.go
@@ -10,12 +10,19 @@
 	"github.com/troutmast/troutmast/protocol/target"
 )
 
+// errCallerLeft means that a request was not sent since its caller has closed the connection. A node that stood still reads a
+// request and the end of its connection at the same time.
+var errCallerLeft = errors.New("caller: the caller has left")
+
 // errCoolingDown means that a request was not sent since its instance wants none for a while.
 var errCoolingDown = errors.New("caller: the instance is cooling down")
 
 // mayLeave reports why a request must not leave for the group that it was booked at, or nil.
 // It is asked once a connection is there: a dial may take long.
-func (s *Server) mayLeave(d *routing.Dispatch) error {
+func (s *Server) mayLeave(q *request, d *routing.Dispatch) error {
+	if err := q.checkCaller(); err != nil {
+		return err
+	}
 	now := s.c.Clock.Now()
 	if !d.IsValid(now) {
 		return errGroupLost
--- a/transport/caller/failure.go
+++ b/transport/caller/failure.go
@@ -51,6 +51,7 @@
 	CodePeerFailed      Code = "peer-failed"
 	CodeQuarantined     Code = "quarantined"
 	CodeCoolingDown     Code = "cooling-down"
+	CodeCallerLeft      Code = "caller-left"
 )
 
 // Codes lists every code that a caller can be told, for the operators' page.
@@ -59,7 +60,7 @@
 		CodeUnauthorized, CodeTeamNotAllowed, CodeBadRequest, CodeBodyTooLarge, CodeNotFound, CodeNoState,
 		CodeKeyRequired, CodeKeyBad, CodeKeyNotCovered, CodeKeyConflict, CodeKeyUnknown, CodeResultDropped,
 		CodeClaimUnsettled, CodeDeadline, CodeGroupLost, CodeTargetFailed, CodeTargetRefused, CodeUnreachable,
-		CodeAnswerMismatch, CodeAnswerTruncated, CodePeerFailed, CodeQuarantined, CodeCoolingDown,
+		CodeAnswerMismatch, CodeAnswerTruncated, CodePeerFailed, CodeQuarantined, CodeCoolingDown, CodeCallerLeft,
 		CodeTicketBad, CodeTicketGone, CodeTicketLimit, CodeStopping,
 		Code(admission.CodeTeamLimit), Code(admission.CodeQueueFull), Code(admission.CodeDeadlineTooNear),
 		Code(admission.CodeDisplaced), Code(admission.CodeNoWholeGroup),
@@ -138,6 +139,8 @@
 		return withOutcome(outcome, CodeAnswerTruncated, "the target's answer was cut short")
 	case errors.Is(err, errTargetStatus):
 		return withOutcome(outcome, CodeTargetFailed, "the target failed")
+	case errors.Is(err, errCallerLeft):
+		return withOutcome(outcome, CodeCallerLeft, "the caller closed its side of the connection before the request was sent")
 	case errors.Is(err, errCoolingDown):
 		return withOutcome(outcome, CodeCoolingDown, "the target wants no request for a while")
 	case errors.Is(err, target.ErrNotRun):
--- a/transport/caller/forward.go
+++ b/transport/caller/forward.go
@@ -41,11 +41,14 @@
 			return nil
 		}
 		s.note(q, "%s failed: %v", n.Name, err)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, errCallerLeft) {
 			s.c.Directory.MarkSuspected(n.Name, s.c.Clock.Now())
 		}
 		worst = worse(worst, outcome)
 		f := withOutcome(worst, CodePeerFailed, "the node that the request was passed on to failed")
+		if errors.Is(err, errCallerLeft) {
+			f = attemptFailure(worst, err)
+		}
 		if i+1 == len(nodes) || !s.again(ctx, q, outcome, f, repeatable) {
 			return f
 		}
@@ -98,8 +101,10 @@
 	if q.key != "" {
 		h.Set("Idempotency-Key", q.key)
 	}
-	resp, sent, err := s.forward.Do(req)
+	resp, sent, err := s.forward.DoIf(req, q.checkCaller)
 	switch {
+	case errors.Is(err, errCallerLeft):
+		return retry.NotRun, err
 	case err != nil && sent:
 		return retry.Unknown, fmt.Errorf("%w: %w", errNoAnswer, err)
 	case err != nil:
--- a/transport/caller/request.go
+++ b/transport/caller/request.go
@@ -14,6 +14,7 @@
 
 	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/routing"
+	"github.com/troutmast/troutmast/internal/tcpstate"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -39,6 +40,8 @@
 	body     []byte
 	// forwarded is set when another node has already passed the request on.
 	forwarded bool
+	// conn is the caller's connection, or nil once the request goes on without its caller.
+	conn *tcpstate.Conn
 
 	model  string
 	stream bool
@@ -67,6 +70,14 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// checkCaller returns errCallerLeft if the caller has closed its connection and the request does not go on without it.
+func (q *request) checkCaller() error {
+	if q.conn.HasPeerClosed() {
+		return errCallerLeft
+	}
+	return nil
+}
+
 // digest tells one call from another that is sent with the same key or ticket.
 func (q *request) digest() string { return HashKey(q.method + " " + q.path + "\n" + string(q.body)) }
 
@@ -78,6 +89,7 @@
 		path:      r.URL.RequestURI(),
 		kind:      r.Header.Get("Content-Type"),
 		forwarded: forwarded,
+		conn:      tcpstate.FromContext(r.Context()),
 		key:       r.Header.Get("Idempotency-Key"),
 	}
 	if f := s.setTeam(q, r); f != nil {
--- a/transport/caller/service.go
+++ b/transport/caller/service.go
@@ -80,9 +80,10 @@
 }
 
 // detached returns a context that ends with the request's time, but not when its
-// caller leaves: a claim or ticket is spent, so a caller that leaves now must
-// find the result when it repeats the call.
+// caller leaves, which no longer matters to the request: a claim or ticket is spent,
+// so a caller that leaves now must find the result when it repeats the call.
 func (s *Server) detached(ctx context.Context, q *request) (context.Context, context.CancelFunc) {
+	q.conn = nil
 	return context.WithTimeout(context.WithoutCancel(ctx), s.c.Clock.Until(q.deadline))
 }
 
--- a/transport/node/node.go
+++ b/transport/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/troutmast/troutmast/coordination/routing"
 	"github.com/troutmast/troutmast/coordination/statelog"
 	"github.com/troutmast/troutmast/coordination/ticket"
+	"github.com/troutmast/troutmast/internal/tcpstate"
 	"github.com/troutmast/troutmast/protocol/exchange"
 	"github.com/troutmast/troutmast/protocol/peer"
 	"github.com/troutmast/troutmast/protocol/platform"
@@ -179,7 +180,7 @@
 
 // server returns a listener with bounds on headers.
 func (n *Node) server(addr string, h http.Handler) *http.Server {
-	return &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10}
+	return &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10, ConnContext: tcpstate.NewContext}
 }
 
 // stop ends the node's work: first it is not ready, then it accepts for the
