Gateway: count the time that a request lay unread against its deadline

A node that stood still gave a request its whole time-out from the moment at which it read it, and the instance worked on for a caller that had left. The time since the caller's last data, as the socket knows it, is taken off, at the node that forwards and at the one that is forwarded to.

Evidence: TestTimeThatRequestLayUnreadCountsAgainstItsDeadline fails without it in all three rows.

--- a/transport/gateway/callerleft.go
+++ b/transport/gateway/callerleft.go
@@ -11,14 +11,21 @@
 // callerState is the part of a call that concerns its caller's connection, which is that of another node for a forwarded request.
 type callerState struct {
 	socket *tcpstate.Conn
-	// unread is how long the end of the request lay in the socket before it was read.
+	// unread is how long the end of the request lay in the socket before it was read, to the millisecond; 0 if that is not known.
 	unread time.Duration
 	// leftWhen is where the request was when its caller left.
 	leftWhen event.Stage
 }
 
-// recordRead records that the request has just been read.
-func (c *call) recordRead() { c.unread, _ = c.socket.SinceData() }
+// recordRead records that the request has been read.
+func (c *call) recordRead() {
+	age, _ := c.socket.SinceData()
+	c.unread = max(age-c.Clock.Since(c.arrivedAt), 0)
+}
+
+// setDeadline sets the deadline of a request that its caller has sent with a time-out. The time-out has begun when the request arrived in
+// the socket, which is before the node has read it.
+func (c *call) setDeadline(timeout time.Duration) { c.deadline = c.arrivedAt.Add(timeout - c.unread) }
 
 // recordCallerLeft counts and logs that the caller has left.
 func (c *call) recordCallerLeft() {
--- a/transport/gateway/callerleft_test.go
+++ b/transport/gateway/callerleft_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -221,6 +222,38 @@
 	}
 }
 
+// Guards against work for a caller that waits no longer: its time-out begins when the request arrives, not when it is read.
+func TestTimeThatRequestLayUnreadCountsAgainstItsDeadline(t *testing.T) {
+	const unread = 300 * time.Millisecond
+	for _, frozen := range []string{"node", "origin", "peer"} {
+		t.Run(frozen, func(t *testing.T) {
+			g := NewWithT(t)
+			origin, peer := newForwardingPair(t)
+			origin.addServers()
+			origin.peers.partitioned = frozen != "node"
+			peer.addServers()
+			originGate, originAddress := serveGated(origin, origin.gateway.ServeHTTP)
+			peerGate, peerAddress := serveGated(peer, peer.gateway.ServeForwarded)
+			origin.peers.peers = []forwarding.Peer{peerAt(peerAddress)}
+			gate := originGate
+			if frozen == "peer" {
+				gate = peerGate
+			}
+			caller := dialCaller(t, originAddress)
+			gate.close()
+			sendRaw(t, caller, "late", "/unsafe/x")
+			time.Sleep(unread)
+			gate.open()
+			readRaw(t, caller)
+			runs := append(origin.runLog.all(), peer.runLog.all()...)
+			g.Expect(runs).To(HaveLen(1))
+			left, err := strconv.Atoi(runs[0].header.Get("Left"))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(time.Duration(left) * time.Millisecond).To(BeNumerically("<", 2*time.Second-unread+arrivalTime))
+		})
+	}
+}
+
 // Guards against a second run of a forwarded request, of which either node may have stood still.
 func TestForwardedRequestIsNotSentAfterItsCallerHasLeft(t *testing.T) {
 	for _, isOriginFrozen := range []bool{true, false} {
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -352,7 +352,7 @@
 	if until, held := c.Quarantine.Admit(c.identity); held {
 		return &refusal{code: CodeQuarantined, after: until.Sub(c.arrivedAt)}
 	}
-	c.deadline = c.arrivedAt.Add(millis.Duration(info.TimeLeftMS))
+	c.setDeadline(millis.Duration(info.TimeLeftMS))
 	c.service, c.model = info.Service, info.Model
 	c.budget = c.Gateway.budget(c.service) // the origin has recorded the first attempt
 	return nil
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -340,7 +340,7 @@
 	if c.route.Timeout > 0 {
 		timeout = min(timeout, c.route.Timeout)
 	}
-	c.deadline = c.arrivedAt.Add(timeout)
+	c.setDeadline(timeout)
 	c.service = c.route.PickService()
 	if s := c.catalog.Services[c.service]; s != nil && s.Engine != nil {
 		c.model = claims.Model
