--- a/transport/gateway/callerleft_test.go
+++ b/transport/gateway/callerleft_test.go
@@ -286,6 +286,7 @@
 				g.Eventually(func() int { return frozen.recorder.count("caller-left") }, time.Second).Should(BeNumerically(">", 0))
 				g.Consistently(func() int { return peer.runsOf("left") }, arrivalTime).Should(BeZero())
 				g.Expect(frozen.recorder.count("caller-left")).To(Equal(1))
+				g.Expect(origin.peers.outcomes).To(HaveEach(forwarding.Reached), "the caller's end says nothing of the peer")
 				if isOriginFrozen {
 					g.Expect(peer.recorder.count("forward.received")).To(Equal(1), "the first request alone")
 				}
