--- a/internal/upgrade/call.go
+++ b/internal/upgrade/call.go
@@ -123,7 +123,7 @@
 	if len(in) == 0 {
 		return nil, ""
 	}
-	paths := []string{standin.StreamPath, standin.StreamPath, standin.SmallPath, standin.UnsafePath, standin.SafePath, standin.OncePath}
+	paths := []string{standin.StreamPath, standin.OncePath, standin.SmallPath, standin.UnsafePath, standin.SafePath}
 	return in[c.rng.IntN(len(in))], paths[c.rng.IntN(len(paths))]
 }
 
--- a/transport/gateway/buffer.go
+++ b/transport/gateway/buffer.go
@@ -31,8 +31,6 @@
 	endRequest context.CancelFunc
 	// conn is the caller's connection, or nil if it was not accepted by a listener of WrapListener.
 	conn *callerConn
-	// isGone reports whether the caller left before its response was complete.
-	isGone bool
 	// responseBytes and pendingBytes are the bytes counted for a buffered response and for an incomplete event.
 	responseBytes int64
 	pendingBytes  int64
--- a/transport/gateway/callerleft.go
+++ b/transport/gateway/callerleft.go
@@ -13,7 +13,8 @@
 	socket *tcpstate.Conn
 	// unread is how long the end of the request lay in the socket before it was read, to the millisecond; 0 if that is not known.
 	unread time.Duration
-	// leftWhen is where the request was when its caller left.
+	// isGone reports whether the caller left before its response was complete, leftWhen where the request was then.
+	isGone   bool
 	leftWhen event.Stage
 }
 
@@ -38,8 +39,13 @@
 // caller may send a request elsewhere that the node had not read, even one that must not run twice.
 func (c *call) checkCaller() error {
 	if c.socket.HasPeerClosed() {
-		c.leftWhen = event.BeforeSend
 		return errCallerGone
 	}
 	return nil
 }
+
+// leaveBeforeSend returns the result of an attempt that was not sent because the caller had left.
+func (c *call) leaveBeforeSend() attemptResult {
+	c.leftWhen = event.BeforeSend
+	return resultCallerGone
+}
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -194,7 +194,9 @@
 	switch {
 	case err != nil && c.isSuperseded():
 		return resultSuperseded, nil
-	case errors.Is(err, errCallerGone) || err != nil && c.r.Context().Err() != nil:
+	case errors.Is(err, errCallerGone):
+		return c.leaveBeforeSend(), err
+	case err != nil && c.r.Context().Err() != nil:
 		return resultCallerGone, err
 	case errors.Is(err, direct.ErrNotSent):
 		return resultNotRun, err
