Soak: a connection that a node resets must not have passed its request on

Resets without an answer had become an outcome of their own, which the check of planned stops passed over.

--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -69,6 +69,7 @@
 		j.report.Seen[e.Kind]++
 	}
 	j.answers()
+	j.resets()
 	j.plannedStops()
 	j.drains()
 	j.rests()
@@ -146,14 +147,31 @@
 	}
 }
 
-// plannedStops judges requests that a planned stop cut off after they had reached a worker.
-func (j *judge) plannedStops() {
+// arrived returns the requests that reached a worker, deadly ones apart.
+func (j *judge) arrived() map[string]bool {
 	arrived := map[string]bool{}
 	for _, e := range j.events {
 		arrived[e.Request] = arrived[e.Request] || e.Kind == standin.Arrived && !e.Deadly
 	}
+	return arrived
+}
+
+// resets judges connections that a node reset although it had read the request: a caller takes a reset for a request that was not
+// read, and repeats it.
+func (j *judge) resets() {
+	arrived := j.arrived()
+	for _, a := range j.attempts {
+		if a.outcome == unread && arrived[a.id] {
+			j.broken("%.2f s: the connection of %s was reset after the request had reached a worker", j.since(a.began), a.id)
+		}
+	}
+}
+
+// plannedStops judges requests that a planned stop cut off after they had reached a worker.
+func (j *judge) plannedStops() {
+	arrived := j.arrived()
 	for _, a := range j.attempts {
-		if a.outcome != cut || !arrived[a.id] || a.took >= callTime {
+		if a.outcome != cut && a.outcome != unread || !arrived[a.id] || a.took >= callTime {
 			continue
 		}
 		end := a.began.Add(a.took)
