--- a/transport/caller/cooldown.go
+++ b/transport/caller/cooldown.go
@@ -10,10 +10,6 @@
 	"github.com/troutmast/troutmast/protocol/target"
 )
 
-// errCallerLeft means that a request was not sent since its caller has closed the connection. A node that stood still reads a
-// request and the end of its connection at the same time.
-var errCallerLeft = errors.New("caller: the caller has left")
-
 // errCoolingDown means that a request was not sent since its instance wants none for a while.
 var errCoolingDown = errors.New("caller: the instance is cooling down")
 
--- a/transport/caller/request.go
+++ b/transport/caller/request.go
@@ -70,6 +70,10 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// errCallerLeft means that a request was not sent since its caller has closed the connection. A node that stood still reads a
+// request and the end of its connection at the same time.
+var errCallerLeft = errors.New("caller: the caller has left")
+
 // checkCaller returns errCallerLeft if the caller has closed its connection and the request does not go on without it.
 func (q *request) checkCaller() error {
 	if q.conn.HasPeerClosed() {
--- a/transport/gateway/buffer.go
+++ b/transport/gateway/buffer.go
@@ -17,9 +17,6 @@
 // errEventSize means that an instance sent an event that exceeds the bound of a stream, and probably never ends.
 var errEventSize = fmt.Errorf("%w: event exceeds the bound of a stream", direct.ErrInvalidResponse)
 
-// errCallerGone means that the caller left before its response was complete.
-var errCallerGone = errors.New("gateway: caller left")
-
 // errMemory means that a request body was not read because the node holds as many bytes as it may.
 var errMemory = errors.New("gateway: no memory for the request body")
 
--- a/transport/gateway/callerleft.go
+++ b/transport/gateway/callerleft.go
@@ -2,12 +2,16 @@
 
 import (
 	"cmp"
+	"errors"
 	"time"
 
 	"github.com/troutmast/troutmast/internal/tcpstate"
 	"github.com/troutmast/troutmast/transport/event"
 )
 
+// errCallerGone means that the caller left before its response was complete.
+var errCallerGone = errors.New("gateway: caller left")
+
 // callerState is the part of a call that concerns its caller's connection, which is that of another node for a forwarded request.
 type callerState struct {
 	socket *tcpstate.Conn
