Gateway: relay refusals of repeatable requests as before

The test is right: a promise matters only to requests that must not run twice. The rule now holds for these alone; the test is unchanged.

--- a/transport/gateway/attempt.go
+++ b/transport/gateway/attempt.go
@@ -196,7 +196,7 @@
 		}
 		return resultNotRun
 	}
-	if v.PromisesNotRun {
+	if v.PromisesNotRun && !c.route.CanRetry() {
 		drain(resp)
 		c.Breakers.RecordValidResponse(&target.Instance, sent)
 		c.recordUnprovenRefusal(target, resp, sent)
@@ -214,8 +214,8 @@
 	return c.relayBuffered(ctx, src, resp)
 }
 
-// recordUnprovenRefusal records a refusal of an instance that does not say that it has not run the request. It must not reach the caller,
-// to whom its status promises just that, so that the request would run again.
+// recordUnprovenRefusal records a refusal of an instance that does not say that it has not run a request which must not run twice. It must
+// not reach the caller, who would send the request again: to callers the status promises that it has not run.
 func (c *call) recordUnprovenRefusal(target *dispatch.Candidate, resp *direct.Response, sent time.Time) {
 	target.RecordFailure()
 	c.Recorder.Count("attempt.unproven-refusal")
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -269,7 +269,7 @@
 		c.peerRefusal = &refusal{code: result.Code, after: millis.Duration(result.AfterMS)}
 		return resultNotRun
 	}
-	if c.Codec.ParseReply(resp.Status, resp.Header).PromisesNotRun { // nodes of earlier builds relay what no instance has stated
+	if !c.route.CanRetry() && c.Codec.ParseReply(resp.Status, resp.Header).PromisesNotRun { // nodes of earlier builds relay what no instance has stated
 		drain(resp)
 		c.Recorder.Count("attempt.unproven-refusal")
 		return resultUnknown
