--- a/internal/tcpstate/tcpstate_test.go
+++ b/internal/tcpstate/tcpstate_test.go
@@ -13,7 +13,7 @@
 )
 
 // pair returns both ends of a connection on loopback.
-func pair(t *testing.T) (own, peer *net.TCPConn) {
+func pair(t testing.TB) (own, peer *net.TCPConn) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -96,3 +96,18 @@
 	g.Expect(known).To(BeFalse())
 	g.Expect(tcpstate.FromContext(context.Background()).HasPeerClosed()).To(BeFalse())
 }
+
+// BenchmarkState is what both questions of a request cost.
+func BenchmarkState(b *testing.B) {
+	own, _ := pair(b)
+	state := tcpstate.Of(own)
+	b.ReportAllocs()
+	for b.Loop() {
+		if state.HasPeerClosed() {
+			b.Fatal("closed")
+		}
+		if _, known := state.SinceData(); !known {
+			b.Fatal("unknown")
+		}
+	}
+}
