Gateway: treat an unframed stream that ends before its first event as broken off

What callers saw: a 200 with the seal of an instance, no event, and the end of a complete chunked body, when the instance closed its connection right after the head of a stream response without length or chunks. The request was not tried again.

Cause: the end of the connection ends such a response. An end inside an event was taken for a broken stream, an end before the first event for a complete one, although a stream has at least one event. Class: a success by default where nothing has arrived.

Evidence: the new row "before the first event" of TestStreamWithoutLengthEndsWithItsConnection and TestStreamWithoutEventsIsNoResponse (directly and through a peer) failed before: 200 and an empty body in place of the stream of the second instance, or of a 502 for a stream that must not run twice. TestResumedStreamMayHaveNoFurtherEvents holds before and after: a caller that has all events may resume at the end of a stream.

Why it works: such an end is a lost response, which is retried where the route allows it. An end between two later events still looks complete; nothing on the wire tells it apart.

The table test responds with the first text once, no longer to each request without a last event, since the new row has none.

Also: heads cut at any byte, read by the client of the own interface (protocol/exchange), are no responses (passed before).

--- a/protocol/exchange/exchange_test.go
+++ b/protocol/exchange/exchange_test.go
@@ -1,8 +1,11 @@
 package exchange_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -76,6 +79,35 @@
 	}
 }
 
+// Guards against a head that ends early and is taken for that of a complete response.
+func TestTruncatedHeadIsNoResponse(t *testing.T) {
+	for _, c := range []struct{ name, head string }{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 18\r\n\r\n"},
+		{"no body", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"},
+		{"end of the connection", "HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\n\r\n"},
+		{"bare line feeds", "HTTP/1.1 200 OK\nContent-Length: 0\n\n"},
+	} {
+		for _, keepAlive := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, keep-alive %t", c.name, keepAlive), func(t *testing.T) {
+				g := NewWithT(t)
+				cut := 0
+				url := listener(t, func(conn net.Conn) {
+					_, _ = http.ReadRequest(bufio.NewReader(conn))
+					_, _ = io.WriteString(conn, c.head[:cut])
+					_ = conn.Close()
+				})
+				x := exchange.New(exchange.Options{DialTimeout: time.Second, KeepAlive: keepAlive, IdleConns: 2})
+				for cut = range len(c.head) {
+					sent, err := post(context.Background(), x, url)
+					g.Expect(err).To(HaveOccurred(), "cut after %q", c.head[:cut])
+					g.Expect(sent).To(BeTrue())
+				}
+			})
+		}
+	}
+}
+
 func TestExpiredRequestIsNotSent(t *testing.T) {
 	g := NewWithT(t)
 	var got atomic.Int32
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -38,14 +38,15 @@
 )
 
 // relayStream forwards the events of a stream to the caller. It forwards complete events only,
-// except for a remainder at the end of a framed response.
+// except for a remainder at the end of a framed response. An unframed response that ends before its first event, or inside one,
+// was broken off.
 func (c *call) relayStream(ctx context.Context, src responseSource, resp *direct.Response) attemptResult {
 	var pending []byte
 	buf := make([]byte, streamReadSize)
 	for {
 		src.beginWait()
 		n, err := resp.Body.Read(buf)
-		isTruncated := len(pending) > 0 && !resp.IsFramed()
+		isTruncated := !resp.IsFramed() && (len(pending) > 0 || !c.hasEvents())
 		if src.endWait(waitError(n, err, isTruncated)) {
 			return resultHandedOver
 		}
@@ -66,7 +67,7 @@
 			pending = append(pending[:0], rest...)
 		}
 		switch {
-		case err == io.EOF && len(pending) > 0 && !resp.IsFramed():
+		case err == io.EOF && !resp.IsFramed() && (len(pending) > 0 || !c.hasEvents()):
 			return handleBrokenStream(ctx, src, io.ErrUnexpectedEOF)
 		case err == io.EOF:
 			src.completed(resp)
@@ -77,6 +78,11 @@
 	}
 }
 
+// hasEvents reports whether the caller has received an event of the stream, in this response or in one that it resumes.
+func (c *call) hasEvents() bool {
+	return c.eventCount > 0 || c.lastEventID != "" || c.claims.LastEventID != ""
+}
+
 // waitError returns the error of a read of a stream, or nil if the instance has sent data or the end of the stream.
 // isTruncated reports whether an end now would be in the middle of an event.
 func waitError(n int, err error, isTruncated bool) error {
--- a/transport/gateway/unframed_test.go
+++ b/transport/gateway/unframed_test.go
@@ -32,7 +32,7 @@
 	return text
 }
 
-// The end of the connection ends such a stream; it has been broken off if that is inside an event.
+// The end of the connection ends such a stream; it has been broken off if that is inside an event or before the first one.
 func TestStreamWithoutLengthEndsWithItsConnection(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -40,6 +40,7 @@
 		runs  int
 	}{
 		{"after an event", events(1, 6), 1},
+		{"before the first event", "", 2},
 		{"inside an event", events(1, 3) + "id: 4\nda", 2},
 		{"after the first line of an event", events(1, 5) + "id: 6\n", 2},
 	} {
@@ -48,7 +49,8 @@
 			h := newHarness(t)
 			for _, id := range []string{"a", "b"} {
 				h.addInstance(id, "lm", func(w http.ResponseWriter, r *http.Request) {
-					if last, _ := strconv.Atoi(r.Header.Get("Last")); last > 0 {
+					if len(h.runLog.all()) > 1 {
+						last, _ := strconv.Atoi(r.Header.Get("Last"))
 						respondUnframed(w, "text/event-stream", events(last+1, 6))
 						return
 					}
@@ -63,6 +65,34 @@
 	}
 }
 
+// Guards against an empty success: an instance that ends after the head of its response has sent no stream.
+func TestStreamWithoutEventsIsNoResponse(t *testing.T) {
+	for _, isForwarded := range []bool{false, true} {
+		t.Run(fmt.Sprintf("forwarded %t", isForwarded), func(t *testing.T) {
+			g := NewWithT(t)
+			h, serving := newHarnesses(t, isForwarded)
+			serving.addInstance("a", "lm", func(w http.ResponseWriter, _ *http.Request) { respondUnframed(w, "text/event-stream", "") })
+			got := h.call(http.MethodPost, "/once/x", "x", nil)
+			g.Expect(got.err).NotTo(HaveOccurred())
+			g.Expect(got.status).To(Equal(http.StatusBadGateway))
+			g.Expect(got.header.Get("Seal")).To(BeEmpty())
+			g.Expect(serving.runLog.all()).To(HaveLen(1))
+		})
+	}
+}
+
+// A caller that has all events resumes a stream at its end.
+func TestResumedStreamMayHaveNoFurtherEvents(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t)
+	h.addInstance("a", "lm", func(w http.ResponseWriter, _ *http.Request) { respondUnframed(w, "text/event-stream", "") })
+	got := h.call(http.MethodPost, "/stream/", "x", map[string]string{"Last": "6"})
+	g.Expect(got.err).NotTo(HaveOccurred())
+	g.Expect(got.status).To(Equal(http.StatusOK))
+	g.Expect(got.body).To(BeEmpty())
+	g.Expect(h.runLog.all()).To(HaveLen(1))
+}
+
 func TestResponseWithoutLengthIsForwardedWhole(t *testing.T) {
 	g := NewWithT(t)
 	h := newHarness(t)
