--- a/bench/upgrade/upgrade.go
+++ b/bench/upgrade/upgrade.go
@@ -41,7 +41,7 @@
 	flaggy.Bool(&o.calm, "", "calm", "replace nodes and do nothing else")
 	flaggy.Bool(&o.soak, "", "soak", "reset, silence, delay and hold up connections to workers and to the store as well; odd seeds also evacuate halls and have cold workers")
 	flaggy.Bool(&o.pauses, "", "pauses", "have workers pause beside each planned stop")
-	flaggy.Bool(&o.abandons, "", "abandons", "have callers leave nodes that stand still, and send what these have not read to other nodes")
+	flaggy.Bool(&o.abandons, "", "abandons", "have callers disconnect from frozen nodes and repeat the unread requests at other nodes")
 	flaggy.Int(&o.memory, "", "memory", "megabytes of a node, which then bounds what it holds for its callers; 0 for no bound")
 	flaggy.Bool(&o.keep, "", "keep", "print what was done and keep the logs also where no rule broke")
 	flaggy.Parse()
--- a/internal/tcpstate/tcpstate.go
+++ b/internal/tcpstate/tcpstate.go
@@ -1,4 +1,4 @@
-// Package tcpstate asks the system about the state of a TCP connection: what its socket knows before the program has read it.
+// Package tcpstate reads the kernel's state of a TCP connection, which is ahead of what the program has read from it.
 package tcpstate
 
 import (
@@ -11,8 +11,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Conn is a TCP connection whose state can be asked for. All methods may be called on a nil Conn, of which nothing is known, and
-// concurrently with reads and writes.
+// Conn gives access to the kernel's state of a TCP connection. All methods may be called concurrently with reads and writes. Of a nil
+// Conn nothing is known.
 type Conn struct{ raw syscall.RawConn }
 
 // Of returns the Conn of a connection or of the connection that it wraps, or nil if that is no TCP connection.
--- a/internal/tcpstate/tcpstate_test.go
+++ b/internal/tcpstate/tcpstate_test.go
@@ -97,7 +97,7 @@
 	g.Expect(tcpstate.FromContext(context.Background()).HasPeerClosed()).To(BeFalse())
 }
 
-// BenchmarkState is what both questions of a request cost.
+// BenchmarkState measures both calls that are made for a request.
 func BenchmarkState(b *testing.B) {
 	own, _ := pair(b)
 	state := tcpstate.Of(own)
--- a/internal/upgrade/abandon.go
+++ b/internal/upgrade/abandon.go
@@ -16,15 +16,15 @@
 	"github.com/troutmast/troutmast/platform/standin"
 )
 
-// abandonment is a node that stands still while callers send it requests and close their connections. The node has not read the
-// requests then, so that the callers send them to other nodes, even those that must not run twice.
+// abandonment is a freeze of a node during which callers send it requests and close their connections. The node has not read the
+// requests, so the callers repeat them at other nodes, even those that must not run twice.
 type abandonment struct {
 	at   time.Duration
 	node int
-	// frozen is how long the node stands still. killed tells that it is killed afterwards.
+	// frozen is how long the freeze lasts. killed reports whether the node is killed at its end.
 	frozen time.Duration
 	killed bool
-	// resets tells that the callers reset their connections.
+	// resets reports whether the callers reset their connections instead of closing them.
 	resets bool
 }
 
@@ -187,7 +187,7 @@
 	}
 }
 
-// freeze stops the process and waits until it stands still. It reports false if the process has ended.
+// freeze sends SIGSTOP and waits until the process is stopped. It reports false if the process has ended.
 func (ex *execution) freeze() bool {
 	if ex.cmd.Process.Signal(syscall.SIGSTOP) != nil {
 		return false
--- a/internal/upgrade/node.go
+++ b/internal/upgrade/node.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// kill ends the process at once, also one that stands still.
+// kill ends the process at once, also a frozen one.
 func (n *node) kill() {
 	ex, _ := n.life()
 	ex.kill()
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -31,7 +31,7 @@
 	Soak bool
 	// Pauses has workers pause beside each planned stop.
 	Pauses bool
-	// Abandons has callers leave nodes that stand still before they have read the callers' requests.
+	// Abandons has callers disconnect from frozen nodes, which have not read their requests.
 	Abandons bool
 	// MemoryMB is the memory of a node in megabytes. 0 means that nodes do not bound what they hold for their callers.
 	MemoryMB int
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -79,7 +79,7 @@
 	g.Expect(report.Calls).To(BeNumerically(">", 500), "callers were held up")
 }
 
-// Guards against a second run: callers send what a node that stood still had not read to another node.
+// Guards against a second run: callers repeat at another node what a frozen node has not read.
 func TestAbandonedRequestsRunOnce(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
 	t.Cleanup(cancel)
--- a/transport/caller/request.go
+++ b/transport/caller/request.go
@@ -40,7 +40,7 @@
 	body     []byte
 	// forwarded is set when another node has already passed the request on.
 	forwarded bool
-	// conn is the caller's connection, or nil once the request goes on without its caller.
+	// conn is the caller's connection, or nil once the request no longer depends on its caller.
 	conn *tcpstate.Conn
 
 	model  string
@@ -70,7 +70,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// errCallerLeft means that a request was not sent since its caller has closed the connection. A node that stood still reads a
+// errCallerLeft means that a request was not sent because its caller has closed the connection. After a freeze a node reads a
 // request and the end of its connection at the same time.
 var errCallerLeft = errors.New("caller: the caller has left")
 
--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -153,7 +153,7 @@
 	Sends, Runs int
 	// Timeout is the time that the caller gave the request, Took what it has taken so far.
 	Timeout, Took time.Duration
-	// Unread is how long the end of the request lay unread before it was read: a node that stood still reads requests late.
+	// Unread is how long the last bytes of the request waited in the socket buffer; after a freeze that is long.
 	Unread time.Duration
 }
 
@@ -243,7 +243,7 @@
 	return e.fields(log.Fields{"request": e.ID, "fingerprint": e.Fingerprint, "when": e.When, "begun": e.Begun})
 }
 
-// HandoverPanicked tells that a handover of a request ended by a fault of the program. The attempt at the first instance goes on.
+// HandoverPanicked tells that a handover of a request panicked. The attempt at the first instance is not affected.
 type HandoverPanicked struct {
 	Request
 	// Panic is the value of the panic, Stack where it happened.
--- a/transport/gateway/callerleft.go
+++ b/transport/gateway/callerleft.go
@@ -15,7 +15,7 @@
 // callerState is the part of a call that concerns its caller's connection, which is that of another node for a forwarded request.
 type callerState struct {
 	socket *tcpstate.Conn
-	// unread is how long the end of the request lay in the socket before it was read, to the millisecond; 0 if that is not known.
+	// unread is how long the last bytes of the request waited in the socket buffer, to the millisecond; 0 if unknown.
 	unread time.Duration
 	// isGone reports whether the caller left before its response was complete, leftWhen where the request was then.
 	isGone   bool
@@ -28,8 +28,7 @@
 	c.unread = max(age-c.Clock.Since(c.arrivedAt), 0)
 }
 
-// setDeadline sets the deadline of a request that its caller has sent with a time-out. The time-out has begun when the request arrived in
-// the socket, which is before the node has read it.
+// setDeadline sets the deadline of a request from the caller's time-out, which begins when the request arrives in the socket buffer.
 func (c *call) setDeadline(timeout time.Duration) { c.deadline = c.arrivedAt.Add(timeout - c.unread) }
 
 // recordCallerLeft counts and logs that the caller has left.
@@ -38,9 +37,9 @@
 	c.Recorder.LogDecision(&event.CallerLeft{Request: c.eventRequest(), Progress: c.eventProgress(), When: cmp.Or(c.leftWhen, event.Waiting), Begun: c.headerWritten})
 }
 
-// checkCaller returns errCallerGone if the caller has closed its connection. The context of the request ends only when the HTTP server has
-// read that far, which is too late for a node that stood still: it reads a request and the end of its connection at the same time. A
-// caller may send a request elsewhere that the node had not read, even one that must not run twice.
+// checkCaller returns errCallerGone if the caller has closed its connection. The context of the request is cancelled only once the HTTP
+// server has read the end of the connection, which after a freeze is later than the send. A caller that closed a connection whose request
+// was unread may repeat it at another node, even one that must not run twice.
 func (c *call) checkCaller() error {
 	if c.socket.HasPeerClosed() {
 		return errCallerGone
--- a/transport/gateway/callerleft_test.go
+++ b/transport/gateway/callerleft_test.go
@@ -20,7 +20,7 @@
 	"github.com/troutmast/troutmast/coordination/forwarding"
 )
 
-// gate holds back what a node has received, as if the node stood still.
+// gate holds back what a node has received, as if the node were frozen.
 type gate struct {
 	mu     sync.Mutex
 	opened chan struct{}
@@ -33,14 +33,14 @@
 	return g
 }
 
-// close makes the node stand still until open.
+// close freezes the node until open.
 func (g *gate) close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.opened = make(chan struct{})
 }
 
-// open lets the node go on.
+// open ends the freeze.
 func (g *gate) open() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -199,7 +199,7 @@
 	}
 }
 
-// A node that stood still must serve the callers that still wait.
+// After a freeze a node must serve the callers that still wait.
 func TestRequestThatLayUnreadIsServed(t *testing.T) {
 	for _, buffers := range []bool{false, true} {
 		t.Run(fmt.Sprintf("buffers %t", buffers), func(t *testing.T) {
@@ -254,7 +254,7 @@
 	}
 }
 
-// Guards against a second run of a forwarded request, of which either node may have stood still.
+// Guards against a second run of a forwarded request when either node was frozen.
 func TestForwardedRequestIsNotSentAfterItsCallerHasLeft(t *testing.T) {
 	for _, isOriginFrozen := range []bool{true, false} {
 		for _, d := range departures {
--- a/transport/gateway/incomplete_test.go
+++ b/transport/gateway/incomplete_test.go
@@ -33,7 +33,7 @@
 	{"after an informational response", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"},
 }
 
-// hijack takes over the connection of a request. The connection of a caller that ends the test early is nobody's concern.
+// hijack takes over the connection of a request, or returns nil if the connection has ended.
 func hijack(w http.ResponseWriter) *net.TCPConn {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
--- a/transport/node/departed_test.go
+++ b/transport/node/departed_test.go
@@ -40,7 +40,7 @@
 	return ids
 }
 
-var _ = Describe("callers that leave a node which stands still", func() {
+var _ = Describe("callers that disconnect from a frozen node", func() {
 	It("have their requests sent to no target", func() {
 		w := newWorld(2, []string{hallA})
 		w.accepted("set policy downtime 1 stranded 1 restart 2m load 30s automatic off")
