Direct: send targets that begin with two slashes unchanged

Cause: http.Request.Write puts a scheme before an opaque target that begins with two slashes. Such a target was passed as a path instead, whose escapes and question mark are escaped again. Class: a value that is decoded and encoded once more on its way.

Why it works: the request line of such a target is written as it came, in place of the one that http.Request.Write writes. Other targets take the same path as before.

--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -103,7 +103,7 @@
 	stop := context.AfterFunc(ctx, c.abort)
 	req := r.httpRequest()
 	c.writeTimeout = r.WriteTimeout
-	err = c.send(req)
+	err = c.send(req, r.URI)
 	if err != nil {
 		stop()
 		p.discard(c)
@@ -140,9 +140,6 @@
 		ProtoMinor:    1,
 		ContentLength: int64(len(r.Body)),
 	}
-	if strings.HasPrefix(r.URI, "//") {
-		req.URL = &url.URL{Path: r.URI}
-	}
 	if _, hasUserAgent := r.Header["User-Agent"]; !hasUserAgent {
 		r.Header["User-Agent"] = []string{""}
 	}
@@ -154,10 +151,14 @@
 	return req
 }
 
-// send writes a request and flushes the buffer.
-func (c *conn) send(req *http.Request) error {
+// send writes a request with a target and flushes the buffer.
+func (c *conn) send(req *http.Request, target string) error {
 	c.wrote = true
-	if err := req.Write(c.bw); err != nil {
+	var w io.Writer = c.bw
+	if strings.HasPrefix(target, "//") {
+		w = &requestLineWriter{w: c.bw, line: req.Method + " " + target + " HTTP/1.1\r\n"}
+	}
+	if err := req.Write(w); err != nil {
 		return err
 	}
 	return c.bw.Flush()
--- a/protocol/direct/write.go
+++ b/protocol/direct/write.go
@@ -1,7 +1,9 @@
 package direct
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"os"
 	"sync"
 	"time"
@@ -47,6 +49,31 @@
 	return written, nil
 }
 
+// requestLineWriter replaces the first line of what is written. http.Request.Write takes a target that begins with two slashes for
+// one with a host and changes it.
+type requestLineWriter struct {
+	w       io.Writer
+	line    string
+	written bool
+}
+
+// Write implements io.Writer.
+func (w *requestLineWriter) Write(p []byte) (int, error) {
+	rest := p
+	if !w.written {
+		end := bytes.IndexByte(p, '\n')
+		if end < 0 {
+			return len(p), nil
+		}
+		if _, err := io.WriteString(w.w, w.line); err != nil {
+			return 0, err
+		}
+		w.written, rest = true, p[end+1:]
+	}
+	n, err := w.w.Write(rest)
+	return len(p) - len(rest) + n, err
+}
+
 // setWriteDeadline sets the time after which a write fails, unless the connection was aborted.
 func (c *conn) setWriteDeadline(t time.Time) {
 	c.mu.Lock()
