Entry: trust no keys in an era of the store that may have begun a moment ago

Cause: a process that starts cannot tell from the store's era that it is new, and took its first read of the configuration for a confirmation. Class: the first value that a process sees is taken for the current one.

Why it works: the leader records in the store which era has settled. Where nothing was restored the record names the current era, and keys are trusted after one more read of the store: TestNodesStartedTogetherTrustKeysOfSettledEra. Only deployments with strict keys verify eras, and none at the first start of a system.

--- a/coordination/source/source.go
+++ b/coordination/source/source.go
@@ -25,6 +25,8 @@
 	Nodes Topic = "nodes"
 	// Quarantine holds the requests that are quarantined because instances ended while serving them.
 	Quarantine Topic = "quarantine"
+	// Eras holds the last era of the store that has settled, as one record.
+	Eras Topic = "eras"
 )
 
 // Item is one record. A record without a value is a tombstone: it deletes its key.
--- a/transport/entry/era.go
+++ b/transport/entry/era.go
@@ -20,6 +20,10 @@
 	era     int64
 	// settledAt is the time from which on the lost records of the others count as written again.
 	settledAt time.Time
+	// verifiesFirst reports whether the first era that the node hears of may have begun a moment ago.
+	verifiesFirst bool
+	// verifiedAt is the time from which on reads confirm keys although nothing shows that the first era has settled.
+	verifiedAt time.Time
 }
 
 // record records the era that an answer names. It returns the era known before, and reports
@@ -33,12 +37,31 @@
 	if restored {
 		e.settledAt = now.Add(settle)
 	}
+	if !e.isKnown && e.verifiesFirst && era != 0 {
+		e.verifiedAt = now.Add(settle)
+	}
 	if !e.isKnown || restored {
 		e.isKnown, e.era = true, era
 	}
 	return previous, restored
 }
 
+// verify records that an era has settled.
+func (e *eraTracker) verify(era int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.era == era {
+		e.verifiedAt = time.Time{}
+	}
+}
+
+// isVerified reports whether the first era that the node heard of is known or assumed to have settled.
+func (e *eraTracker) isVerified(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !now.Before(e.verifiedAt)
+}
+
 // current returns the newest era that the node knows of.
 func (e *eraTracker) current() int64 {
 	e.mu.Lock()
@@ -55,11 +78,16 @@
 	return !startedAt.Before(e.settledAt)
 }
 
-// settlingTime returns for how long answers do not count as current yet, or 0.
+// confirmsKeys reports whether the answer to a read of the configuration that began at startedAt shows which keys are in force.
+func (e *eraTracker) confirmsKeys(startedAt time.Time) bool {
+	return e.isCurrent(startedAt) && e.isVerified(startedAt)
+}
+
+// settlingTime returns for how long answers confirm no keys yet, or 0.
 func (e *eraTracker) settlingTime(now time.Time) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return max(e.settledAt.Sub(now), 0)
+	return max(e.settledAt.Sub(now), e.verifiedAt.Sub(now), 0)
 }
 
 // recordEra records the era of the store that the store itself or another node named in an
--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -42,7 +42,8 @@
 		}
 		retryDelay = n.policy.StoreRetry
 		n.applyConfigRecords(ctx, cursor, tail, reading, startedAt)
-		if tail.AtEnd && reading != source.ReadRestored && n.eras.isCurrent(startedAt) {
+		n.verifyEra(ctx)
+		if tail.AtEnd && reading != source.ReadRestored && n.eras.confirmsKeys(startedAt) {
 			n.configState.RecordConfirmation(startedAt)
 		}
 		n.recordStoreRead(startedAt)
--- a/transport/entry/node.go
+++ b/transport/entry/node.go
@@ -90,7 +90,9 @@
 	// incarnationNumber identifies this incarnation of the node: the offset of its first entry in the store, plus one.
 	incarnationNumber atomic.Int64
 	eras              eraTracker
-	storeReadAt       atomic.Int64
+	// recordedEra is the era that this process has recorded as settled.
+	recordedEra int64
+	storeReadAt atomic.Int64
 	// storeFailed reports whether the last read of the store failed. Only the first of consecutive
 	// failures is logged.
 	storeFailed atomic.Bool
@@ -165,6 +167,7 @@
 		suspectedAt:      map[state.InstanceID]time.Time{},
 		leavingSince:     map[fleet.Incarnation]time.Time{},
 	}
+	n.eras.verifiesFirst = set.StrictKeys && !set.IsFirstStart
 	n.evacuations.policy = evacuation.Policy{Bound: set.EvacuateTimeout, RestoreSettle: n.policy.RestoreSettle}
 	n.schedules = newSchedules(n)
 	n.gateway = gateway.New(gateway.Options{
--- a/transport/entry/restore_test.go
+++ b/transport/entry/restore_test.go
@@ -219,6 +219,70 @@
 	}
 }
 
+// awaitSettledEra waits until the leader has recorded that the store's era has settled.
+func (r *deployment) awaitSettledEra() {
+	r.t.Helper()
+	settled := func() int {
+		r.s.mu.Lock()
+		defer r.s.mu.Unlock()
+		return len(r.s.topics[source.Eras])
+	}
+	NewWithT(r.t).Eventually(settled, 10*time.Second, 10*time.Millisecond).Should(BeNumerically(">", 0))
+}
+
+// replaceNodes ends all nodes, calls between, and starts as many.
+func (r *deployment) replaceNodes(between func()) {
+	r.t.Helper()
+	ended := r.nodes
+	for _, n := range ended {
+		n.stop()
+	}
+	for _, n := range ended {
+		r.waitForStatus(n, "k", 0)
+	}
+	r.nodes = nil
+	between()
+	for range ended {
+		r.startNode()
+	}
+}
+
+// Guards against a revoked key: all nodes start right after the restoration, so that none knows of the earlier era.
+func TestNodesStartedAfterRestorationAcceptNoRevokedKey(t *testing.T) {
+	g := NewWithT(t)
+	r := newDeployment(t, "1:k,old", "i0")
+	r.awaitSettledEra()
+	backup := r.s.copy()
+	r.writeConfig("5:k")
+	for _, n := range r.nodes {
+		r.waitForStatus(n, "old", http.StatusUnauthorized)
+	}
+	r.replaceNodes(func() { r.s.restore(backup) })
+	for end := time.Now().Add(1800 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, n := range r.nodes {
+			g.Expect(r.statusCode(n, "old")).NotTo(Equal(http.StatusOK), "node %s accepts a revoked key", n.set.Name)
+		}
+	}
+	r.writeConfig("5:k")
+	for _, n := range r.nodes {
+		r.waitForStatus(n, "old", http.StatusUnauthorized)
+		r.waitForStatus(n, "k", http.StatusOK)
+	}
+}
+
+// Nodes that all start at once in a store that has not been restored must not wait until its era has settled.
+func TestNodesStartedTogetherTrustKeysOfSettledEra(t *testing.T) {
+	g := NewWithT(t)
+	r := newDeployment(t, "1:k", "i0")
+	r.awaitSettledEra()
+	r.replaceNodes(func() {})
+	startedAt := time.Now()
+	for _, n := range r.nodes {
+		r.waitForStatus(n, "k", http.StatusOK)
+	}
+	g.Expect(time.Since(startedAt)).To(BeNumerically("<", entry.DefaultPolicy().Node.RestoreSettle/2))
+}
+
 // The instance list is restored from a backup. It lacks two instances that joined after it was
 // made, one of which writes its entry again only after the settle time, and it lists as ready an
 // instance that has left.
