--- a/transport/entry/settledera.go
+++ b/transport/entry/settledera.go
@@ -16,10 +16,11 @@
 // settledEraKey is the key of the only record of source.Eras.
 const settledEraKey = "settled"
 
-// recordSettledEra writes the current era to the store if this node leads and the era has settled.
+// recordSettledEra writes the current era to the store if this node leads and the era has settled. Only strict keys need it.
 func (n *Node) recordSettledEra(ctx context.Context) {
 	now, era := n.clock.Now(), n.eras.current()
-	if leading, _ := n.peers.leadership(); !leading || era == n.recordedEra || n.eras.settlingTime(now) > 0 {
+	leading, _ := n.peers.leadership()
+	if !n.settings.StrictKeys || !leading || era == n.recordedEra || n.eras.settlingTime(now) > 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.policy.StoreTimeout)
