Direct: take no data that is read late for that of a server which goes on sending

What happens: once a caller has had its answer at the deadline, the node reads on for 100 ms to see whether the instance goes on sending. A node that was frozen or short of processor time then read data that had arrived before the deadline, and counted it as a response that never ends; three in a row open the circuit breaker of a sound instance.

Cause: the time of a read stood for the time of the arrival, the same class as requests that lay unread while their callers left.

The row "read late" of TestDataThatArrivedBeforeTheDelayIsNoEvidence failed before; "goes on" holds before and after.

Why it works: the system tells when the last data arrived. Where it does not, the time of the read counts, as before.

--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -16,6 +16,8 @@
 	"net/url"
 	"strings"
 	"time"
+
+	"github.com/troutmast/troutmast/internal/tcpstate"
 )
 
 // Errors that Pool.Do returns.
@@ -269,18 +271,18 @@
 const checkTime = 100 * time.Millisecond
 
 // CloseAndCheck ends the exchange like Close, but closes the connection in the background. It calls report with whether the
-// server sends data after a delay, within checkTime.
+// server sends data after a delay, within checkTime. Data that arrived before and is read late does not count.
 func (r *Response) CloseAndCheck(delay time.Duration, report func(stillSending bool)) {
 	r.stop()
 	r.lingers = true
-	c, began := r.conn, time.Now()
-	c.linger(began.Add(delay + checkTime))
+	c, from := r.conn, time.Now().Add(delay)
+	c.linger(from.Add(checkTime))
 	go func() {
 		defer r.pool.discard(c)
 		buf := make([]byte, bufferSize)
 		for {
 			n, err := c.Read(buf)
-			if n > 0 && time.Since(began) >= delay {
+			if n > 0 && c.lastDataAt().After(from) {
 				report(true)
 				return
 			}
@@ -292,6 +294,12 @@
 	}()
 }
 
+// lastDataAt returns when the last data of the server arrived, or the current time if the system does not tell.
+func (c *conn) lastDataAt() time.Time {
+	age, _ := tcpstate.Of(c.Conn).SinceData()
+	return time.Now().Add(-age)
+}
+
 // SetReadDeadline sets the time after which reading the body fails.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.SetReadDeadline(t) }
 
