Gateway: a resumed stream without further events is incomplete

What callers saw: a stream whose first instance broke off inside an event, and whose next instance closed its connection right after the head of an unframed response, ended as complete, without the events that were missing.

Evidence: TestResumedStreamWithoutFurtherEventsIsIncomplete failed before: no error, three events. TestResumedStreamMayHaveNoFurtherEvents holds: a caller that resumes a stream itself may have all of its events.

Why it works: an unframed response without events of its own is a lost response, so that the request is tried again or the connection is closed. The price: a stream whose break came right after its last event is not completed.

--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -38,16 +38,15 @@
 )
 
 // relayStream forwards the events of a stream to the caller. It forwards complete events only,
-// except for a remainder at the end of a framed response. An unframed response that ends before its first event, or inside one,
-// was broken off.
+// except for a remainder at the end of a framed response.
 func (c *call) relayStream(ctx context.Context, src responseSource, resp *direct.Response) attemptResult {
 	var pending []byte
+	eventsBefore := c.eventCount
 	buf := make([]byte, streamReadSize)
 	for {
 		src.beginWait()
 		n, err := resp.Body.Read(buf)
-		isTruncated := !resp.IsFramed() && (len(pending) > 0 || !c.hasEvents())
-		if src.endWait(waitError(n, err, isTruncated)) {
+		if src.endWait(waitError(n, err, c.endsEarly(resp, pending, eventsBefore))) {
 			return resultHandedOver
 		}
 		if n > 0 {
@@ -67,7 +66,7 @@
 			pending = append(pending[:0], rest...)
 		}
 		switch {
-		case err == io.EOF && !resp.IsFramed() && (len(pending) > 0 || !c.hasEvents()):
+		case err == io.EOF && c.endsEarly(resp, pending, eventsBefore):
 			return handleBrokenStream(ctx, src, io.ErrUnexpectedEOF)
 		case err == io.EOF:
 			src.completed(resp)
@@ -78,9 +77,11 @@
 	}
 }
 
-// hasEvents reports whether the caller has received an event of the stream, in this response or in one that it resumes.
-func (c *call) hasEvents() bool {
-	return c.eventCount > 0 || c.lastEventID != "" || c.claims.LastEventID != ""
+// endsEarly reports whether an end of the connection now would break off a response. An unframed response is broken off inside an event
+// and before its first one, unless the caller resumes the stream and so may have all of its events.
+func (c *call) endsEarly(resp *direct.Response, pending []byte, eventsBefore int) bool {
+	isEmpty := c.eventCount == eventsBefore && c.claims.LastEventID == ""
+	return !resp.IsFramed() && (len(pending) > 0 || isEmpty)
 }
 
 // waitError returns the error of a read of a stream, or nil if the instance has sent data or the end of the stream.
--- a/transport/gateway/unframed_test.go
+++ b/transport/gateway/unframed_test.go
@@ -81,6 +81,25 @@
 	}
 }
 
+// Guards against a stream that lacks events and looks complete: the instance that resumes it ends after the head of its response.
+func TestResumedStreamWithoutFurtherEventsIsIncomplete(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t)
+	for _, id := range []string{"a", "b"} {
+		h.addInstance(id, "lm", func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Last") == "" {
+				respondUnframed(w, "text/event-stream", events(1, 3)+"id: 4\nda")
+				return
+			}
+			respondUnframed(w, "text/event-stream", "")
+		})
+	}
+	got := h.call(http.MethodPost, "/stream/", "x", nil)
+	g.Expect(got.err).To(HaveOccurred())
+	g.Expect(got.body).To(Equal(events(1, 3)))
+	g.Expect(h.runLog.all()).To(HaveLen(2))
+}
+
 // A caller that has all events resumes a stream at its end.
 func TestResumedStreamMayHaveNoFurtherEvents(t *testing.T) {
 	g := NewWithT(t)
