--- a/transport/entry/coldnodes_test.go
+++ b/transport/entry/coldnodes_test.go
@@ -73,5 +73,7 @@
 	for _, n := range out.codes {
 		sent += n
 	}
-	g.Expect(instances.callsSince("new", warm)).To(BeNumerically(">", sent/6), "about a quarter of the requests once it is warm")
+	got := instances.callsSince("new", warm)
+	t.Logf("%d of %d requests once it is warm", got, sent)
+	g.Expect(got).To(BeNumerically(">", min(80, sent/5)), "a quarter of the requests once it is warm")
 }
