--- a/protocol/direct/lingering_test.go
+++ b/protocol/direct/lingering_test.go
@@ -11,8 +11,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against evidence from late reads: after a freeze a node reads data that arrived in time, and must not take its server for one that
-// goes on sending.
+// Guards against evidence from late reads: after a freeze a node reads data that arrived before the deadline, which does not show that the
+// server is still sending.
 func TestDataThatArrivedBeforeTheDelayIsNoEvidence(t *testing.T) {
 	const late = 300 * time.Millisecond
 	for _, c := range []struct {
@@ -22,7 +22,7 @@
 		stillSending bool
 	}{
 		{"read late", 0, false},
-		{"goes on", time.Second, true},
+		{"still sending", time.Second, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/transport/entry/era.go
+++ b/transport/entry/era.go
@@ -20,9 +20,9 @@
 	era     int64
 	// settledAt is the time from which on the lost records of the others count as written again.
 	settledAt time.Time
-	// verifiesFirst reports whether the first era that the node hears of may have begun a moment ago.
+	// verifiesFirst is set if the first known era may have begun right before the start of this process.
 	verifiesFirst bool
-	// verifiedAt is the time from which on reads confirm keys although nothing shows that the first era has settled.
+	// verifiedAt is the time at which the first known era has settled at the latest; zero if it is known to have settled.
 	verifiedAt time.Time
 }
 
@@ -55,7 +55,7 @@
 	}
 }
 
-// isVerified reports whether the first era that the node heard of is known or assumed to have settled.
+// isVerified reports whether the first known era has settled by now.
 func (e *eraTracker) isVerified(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -59,7 +59,7 @@
 			n.pool.CloseExpired()
 			n.peerPool.CloseExpired()
 		}),
-		n.every(time.Second, n.recordSettledEra),
+		n.every(recordEraInterval, n.recordSettledEra),
 	}
 }
 
--- a/transport/entry/settledera.go
+++ b/transport/entry/settledera.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/apex/log"
 
@@ -16,6 +17,9 @@
 // settledEraKey is the key of the only record of source.Eras.
 const settledEraKey = "settled"
 
+// recordEraInterval is the time between two checks whether the era has settled, and between two attempts to record it.
+const recordEraInterval = time.Second
+
 // recordSettledEra writes the current era to the store if this node leads and the era has settled. Only strict keys need it.
 func (n *Node) recordSettledEra(ctx context.Context) {
 	now, era := n.clock.Now(), n.eras.current()
@@ -36,7 +40,7 @@
 	}
 }
 
-// verifyEra reads which era has settled, if it is not known whether the current one has.
+// verifyEra reads which era has settled, until it is known that the first era of this process has.
 func (n *Node) verifyEra(ctx context.Context) {
 	if n.eras.isVerified(n.clock.Now()) {
 		return
--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -243,7 +243,7 @@
 	return e.fields(log.Fields{"request": e.ID, "fingerprint": e.Fingerprint, "when": e.When, "begun": e.Begun})
 }
 
-// HandoverPanicked tells that a handover of a request panicked. The attempt at the first instance is not affected.
+// HandoverPanicked is a panic in a handover of a request. The attempt at the first instance is not affected.
 type HandoverPanicked struct {
 	Request
 	// Panic is the value of the panic, Stack where it happened.
