Test of ended instances: begin an interval once all probes have ended

Traced: a probe is counted when it begins, and an instance is not probed while a probe of it is in flight, so that an interval which began in between lacked one. What is asked is the same: six probes an interval.

--- a/coordination/probe/partition_test.go
+++ b/coordination/probe/partition_test.go
@@ -172,6 +172,7 @@
 	h.ProbeDue(context.Background())
 	g.Eventually(h.down, 5*time.Second).Should(Equal([]state.InstanceID{"a"}))
 	for range 10 {
+		g.Eventually(h.InFlight, 5*time.Second).Should(BeZero(), "an instance is probed by one probe at a time")
 		before := h.instances.count()
 		h.clock.Advance(350 * time.Millisecond)
 		h.ProbeDue(context.Background())
