Log the connection of a refused or lost attempt, and count responses to other requests

The logs could not tell whether a refusal came over a new or a kept connection, what that connection had carried before, which instance answered, and at which address; responses that were skipped had no trace at all. attempt-refused and attempt-failed name them now (address, exchanges, previous, skipped; responder), attempt.skipped-response counts.

--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -61,8 +61,12 @@
 	Body   []byte
 	// HasBody is set if the request has a body, even an empty one.
 	HasBody bool
-	// MatchesResponse, if set, reports whether a response with these headers belongs to the request.
-	MatchesResponse func(http.Header) bool
+	// ID is the ID that the server repeats in its response, from which ResponseID reads it. Responses with another ID are
+	// skipped. If ResponseID is nil, the next response counts.
+	ID         string
+	ResponseID func(http.Header) string
+	// Trace, if set, is filled in by Do, also if Do fails.
+	Trace *Trace
 	// RequireFreshConn requires a connection that is new or has been idle for at most maxFreshIdle.
 	RequireFreshConn bool
 	// BeforeSend, if set, is called once the connection is established, right before the first byte is
@@ -73,6 +77,16 @@
 	WriteTimeout time.Duration
 }
 
+// Trace describes the connection of an exchange.
+type Trace struct {
+	// Exchanges is the number of exchanges that the connection carried before, 0 on a new one.
+	Exchanges int
+	// PreviousID is the Request.ID of the last of them.
+	PreviousID string
+	// Skipped are the IDs of the responses to other requests that were skipped.
+	Skipped []string
+}
+
 // Response is a response whose body has not been read yet. The caller must call Close.
 type Response struct {
 	Status int
@@ -102,6 +116,9 @@
 		p.put(c)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	trace := r.trace()
+	trace.Exchanges, trace.PreviousID = c.exchanges, c.lastID
+	c.exchanges, c.lastID = c.exchanges+1, r.ID
 	stop := context.AfterFunc(ctx, c.abort)
 	req := r.httpRequest()
 	c.writeTimeout = r.WriteTimeout
@@ -111,7 +128,7 @@
 		p.discard(c)
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
-	resp, err := c.readResponse(req, r.MatchesResponse) //nolint:bodyclose // Response.Close ends the exchange
+	resp, err := c.readResponse(req, r, trace) //nolint:bodyclose // Response.Close ends the exchange
 	if err != nil {
 		stop()
 		p.discard(c)
@@ -130,6 +147,14 @@
 	return r.BeforeSend()
 }
 
+// trace returns where Do describes the connection.
+func (r *Request) trace() *Trace {
+	if r.Trace == nil {
+		return &Trace{}
+	}
+	return r.Trace
+}
+
 // httpRequest returns the request as an *http.Request.
 func (r *Request) httpRequest() *http.Request {
 	req := &http.Request{
@@ -168,19 +193,25 @@
 
 // readResponse reads the head of the response to a request. It skips informational
 // responses and responses to other requests.
-func (c *conn) readResponse(req *http.Request, match func(http.Header) bool) (*http.Response, error) {
-	for skipped := 0; ; skipped++ {
+func (c *conn) readResponse(req *http.Request, r *Request, trace *Trace) (*http.Response, error) {
+	for {
 		resp, err := c.readHead(req)
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, err
-		case match == nil || match(resp.Header):
+		}
+		if r.ResponseID == nil {
+			return resp, nil
+		}
+		id := r.ResponseID(resp.Header)
+		switch {
+		case id == r.ID:
 			return resp, nil
 		case resp.Close || resp.ContentLength < 0:
 			return nil, errOtherRequest
-		case skipped == maxSkippedResponses || resp.ContentLength > maxSkippedBytes:
+		case len(trace.Skipped) == maxSkippedResponses || resp.ContentLength > maxSkippedBytes:
 			return nil, fmt.Errorf("%w: %w", ErrInvalidResponse, errSkippedResponses)
 		}
+		trace.Skipped = append(trace.Skipped, id)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
--- a/protocol/direct/endless_test.go
+++ b/protocol/direct/endless_test.go
@@ -43,7 +43,7 @@
 func get(t *testing.T, ctx context.Context, handle func(net.Conn)) (*direct.Response, error) {
 	pool := direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now)
 	return pool.Do(ctx, serveConn(t, handle), &direct.Request{
-		Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, MatchesResponse: func(h http.Header) bool { return h.Get("Id") == "own" },
+		Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, ID: "own", ResponseID: func(h http.Header) string { return h.Get("Id") },
 	})
 }
 
--- /dev/null
+++ b/protocol/direct/kept_test.go
@@ -0,0 +1,97 @@
+package direct_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/protocol/direct"
+)
+
+// response is a response without a body to the request with an ID.
+func response(status int, id string) string {
+	return fmt.Sprintf("HTTP/1.1 %d x\r\nId: %s\r\nContent-Length: 0\r\n\r\n", status, id)
+}
+
+// scriptedServer serves connections one request after the other. The response to the nth request of a connection is what respond
+// returns for n, counted from 0, and the ID of the request.
+func scriptedServer(t *testing.T, respond func(n int, id string) string) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			go func() {
+				br := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if _, err := conn.Write([]byte(respond(n, r.Header.Get("Id")))); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// newRequest returns a request with an ID, which its response repeats.
+func newRequest(id string) *direct.Request {
+	return &direct.Request{
+		Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{"Id": {id}}, ID: id,
+		ResponseID: func(h http.Header) string { return h.Get("Id") }, Trace: &direct.Trace{},
+	}
+}
+
+// exchange sends a request and returns the status of its response.
+func exchange(p *direct.Pool, addr netip.AddrPort, r *direct.Request) (int, error) {
+	resp, err := p.Do(context.Background(), addr, r)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Close()
+	_, err = direct.ReadBody(resp.Body, 1<<10)
+	return resp.Status, err
+}
+
+func TestTraceDescribesTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	addr := scriptedServer(t, func(n int, id string) string {
+		if n == 1 {
+			return response(http.StatusServiceUnavailable, "first") + response(http.StatusOK, id)
+		}
+		return response(http.StatusOK, id)
+	})
+	pool := direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now)
+	for _, c := range []struct {
+		id   string
+		want direct.Trace
+	}{
+		{"first", direct.Trace{}},
+		{"second", direct.Trace{Exchanges: 1, PreviousID: "first", Skipped: []string{"first"}}},
+		{"third", direct.Trace{Exchanges: 2, PreviousID: "second"}},
+	} {
+		r := newRequest(c.id)
+		status, err := exchange(pool, addr, r)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(status).To(Equal(http.StatusOK))
+		g.Expect(*r.Trace).To(Equal(c.want))
+	}
+}
--- a/protocol/direct/pool.go
+++ b/protocol/direct/pool.go
@@ -44,6 +44,9 @@
 	br    *bufio.Reader
 	bw    *bufio.Writer
 	wrote bool
+	// exchanges is the number of exchanges that began on the connection, lastID the Request.ID of the last one.
+	exchanges int
+	lastID    string
 	timedWrites
 	// inHead is set while a head is read, headLeft is the number of bytes that it may still have. readErr is the error
 	// with which the connection failed.
--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -195,7 +195,7 @@
 	return gateway.RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: 2 * time.Second, PromptParts: strings.Fields(h.Get("Parts"))}, nil
 }
 func (codec) SetForwardHeaders(http.Header, gateway.ForwardInfo) {}
-func (codec) MatchesRequest(h http.Header, id string) bool       { return h.Get("Id") == id }
+func (codec) ResponseID(h http.Header) string                    { return h.Get("Id") }
 func (codec) ParseReply(int, http.Header) gateway.ReplyInfo      { return gateway.ReplyInfo{HasSeal: true} }
 func (codec) RemoveNodeHeaders(int, http.Header)                 {}
 func (codec) SetRetryAfter(h http.Header, d time.Duration)       { h.Set("Retry-After", d.String()) }
--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -43,6 +43,23 @@
 	Held int64
 	// LastEvent is the id of the last event of the stream that the caller was sent.
 	LastEvent string
+	Connection
+}
+
+// Connection describes the connection over which a request was sent.
+type Connection struct {
+	Address netip.AddrPort
+	// Exchanges is the number of exchanges that it carried before, 0 on a new one, and Previous the id of the last one's
+	// request. Skipped are the ids of the responses that were skipped because they belong to other requests.
+	Exchanges int
+	Previous  string
+	Skipped   []string
+}
+
+// fields adds the fields of the connection to those of a decision.
+func (c *Connection) fields(f log.Fields) log.Fields {
+	f["address"], f["exchanges"], f["previous"], f["skipped"] = c.Address.String(), c.Exchanges, c.Previous, c.Skipped
+	return f
 }
 
 // Failure is what happened to an attempt that was lost.
@@ -72,14 +89,17 @@
 	if e.Err != nil {
 		f["error"] = e.Err.Error()
 	}
-	return f
+	return e.fields(f)
 }
 
 // AttemptRefused tells that an instance turned a request away.
 type AttemptRefused struct {
 	Request
 	Instance state.InstanceID
-	Status   int
+	// Responder is the instance that the answer names, if any; another one where an instance was started at the address of
+	// the one that was meant.
+	Responder state.InstanceID
+	Status    int
 	// Culprit is the address of the instance at fault, if the answer names one.
 	Culprit string
 	// Held are this node's requests at the instance, Load those of all nodes as far as is known.
@@ -88,6 +108,7 @@
 	Cooldown time.Duration
 	// Sends counts the sends of the request so far.
 	Sends int
+	Connection
 }
 
 // Name implements Decision.
@@ -95,10 +116,10 @@
 
 // Fields implements log.Fielder.
 func (e *AttemptRefused) Fields() log.Fields {
-	return log.Fields{
-		"request": e.ID, "instance": e.Instance, "status": e.Status, "culprit": e.Culprit, "held": e.Held, "load": e.Load,
+	return e.fields(log.Fields{
+		"request": e.ID, "instance": e.Instance, "responder": e.Responder, "status": e.Status, "culprit": e.Culprit, "held": e.Held, "load": e.Load,
 		"cooldown_ms": e.Cooldown.Milliseconds(), "sends": e.Sends,
-	}
+	})
 }
 
 // AttemptHeldBack tells that a request was picked for an instance and not sent after all.
--- a/transport/gateway/attempt.go
+++ b/transport/gateway/attempt.go
@@ -33,9 +33,11 @@
 	c.hasArrived = false
 	watched := c.StallDetector.add(c, target, sent, cancel)
 	defer c.StallDetector.remove(watched)
+	c.trace = &direct.Trace{}
 	req := c.newInstanceRequest(target, sent)
 	watched.beginWait()
 	resp, err := c.Pool.Do(ctx, target.Address, req)
+	c.countSkipped()
 	if watched.endWait(err) {
 		if err == nil {
 			resp.Close()
@@ -95,7 +97,9 @@
 		Header:           h,
 		Body:             c.body,
 		HasBody:          c.r.ContentLength != 0 || c.r.Method == http.MethodPost || c.r.Method == http.MethodPut,
-		MatchesResponse:  func(h http.Header) bool { return c.Codec.MatchesRequest(h, c.claims.ID) },
+		ID:               c.claims.ID,
+		ResponseID:       c.Codec.ResponseID,
+		Trace:            c.trace,
 		RequireFreshConn: !c.route.CanRetry(),
 		WriteTimeout:     c.instanceWriteTimeout(),
 		BeforeSend:       func() error { return c.checkBeforeSend(target) },
@@ -114,10 +118,22 @@
 func (c *call) logFailure(target *dispatch.Candidate, sent time.Time, failure event.Failure, err error) {
 	c.Recorder.LogDecision(&event.AttemptFailed{
 		Request: c.eventRequest(), Instance: target.ID, Group: target.Membership.Group, Epoch: target.Membership.Epoch, What: failure, Err: err,
-		After: c.Clock.Since(sent), Held: target.InFlight(), LastEvent: c.lastEventID,
+		After: c.Clock.Since(sent), Held: target.InFlight(), LastEvent: c.lastEventID, Connection: c.eventConnection(target),
 	})
 }
 
+// eventConnection describes the connection of the current attempt.
+func (c *call) eventConnection(target *dispatch.Candidate) event.Connection {
+	return event.Connection{Address: target.Address, Exchanges: c.trace.Exchanges, Previous: c.trace.PreviousID, Skipped: c.trace.Skipped}
+}
+
+// countSkipped counts the responses to other requests that the current attempt skipped.
+func (c *call) countSkipped() {
+	for range c.trace.Skipped {
+		c.Recorder.Count("attempt.skipped-response")
+	}
+}
+
 // handleLostResponse handles an attempt whose response is missing or incomplete. It records the
 // failure and returns the result.
 func (c *call) handleLostResponse(ctx context.Context, target *dispatch.Candidate, sent time.Time, err error) attemptResult {
@@ -189,7 +205,8 @@
 			target.RecordFailure()
 		}
 		c.Recorder.LogDecision(&event.AttemptRefused{
-			Request: c.eventRequest(), Instance: target.ID, Status: resp.Status, Culprit: v.FaultyAddress, Held: target.InFlight(), Load: target.Load(), Cooldown: v.Cooldown, Sends: c.sends,
+			Request: c.eventRequest(), Instance: target.ID, Responder: v.Instance, Status: resp.Status, Culprit: v.FaultyAddress, Held: target.InFlight(), Load: target.Load(), Cooldown: v.Cooldown, Sends: c.sends,
+			Connection: c.eventConnection(target),
 		})
 		if v.FaultyAddress != "" && v.FaultyAddress != target.Address.String() {
 			c.FailureDetector.ProbeGroup(target)
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -235,8 +235,12 @@
 	return &direct.Request{
 		Method: c.r.Method, URI: ForwardPath + c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
 		HasBody: c.r.ContentLength != 0 || c.r.Method == http.MethodPost || c.r.Method == http.MethodPut,
-		MatchesResponse: func(h http.Header) bool {
-			return h.Get(headerForwardResult) != "" && c.Codec.MatchesRequest(h, c.claims.ID)
+		ID:      c.claims.ID,
+		ResponseID: func(h http.Header) string {
+			if h.Get(headerForwardResult) == "" {
+				return ""
+			}
+			return c.Codec.ResponseID(h)
 		},
 		RequireFreshConn: !c.route.CanRetry(),
 		WriteTimeout:     c.instanceWriteTimeout(),
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -231,6 +231,8 @@
 	homeState
 	// hold counts the current attempt in the load of its target.
 	hold *dispatch.InFlightRequest
+	// trace describes the connection of the current attempt. Each attempt has its own, since a handover copies the call.
+	trace *direct.Trace
 	// loadAtPick is the known number of requests in progress at the last target when it was picked.
 	loadAtPick int64
 	// lastFailure is the most recent server error of an instance.
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -119,8 +119,8 @@
 	ParseRequest(h http.Header) (RequestInfo, error)
 	// SetForwardHeaders sets the headers of a request to an instance.
 	SetForwardHeaders(h http.Header, f ForwardInfo)
-	// MatchesRequest reports whether a response belongs to the request with an ID.
-	MatchesRequest(h http.Header, id string) bool
+	// ResponseID returns the ID of the request that a response belongs to.
+	ResponseID(h http.Header) string
 	// ParseReply returns the properties that a response states.
 	ParseReply(status int, h http.Header) ReplyInfo
 	// RemoveNodeHeaders removes the headers of an instance's response that are meant for the node only.
--- a/transport/gateway/standin_test.go
+++ b/transport/gateway/standin_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-func (testDialect) MatchesRequest(h http.Header, id string) bool { return h.Get("Id") == id }
+func (testDialect) ResponseID(h http.Header) string { return h.Get("Id") }
 
 // promisingStatuses tell callers that a request has not run.
 var promisingStatuses = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
