Failing tests: the late copy of a refusal answers the next send of the request

A request that an instance refuses is sent again with the same ID, and over the same connection where the next instance has the address of the first. A server may send an answer a second time, in the place where the next one is due.

--- a/bench/upgrade/upgrade.go
+++ b/bench/upgrade/upgrade.go
@@ -19,9 +19,9 @@
 
 // options are the command line.
 type options struct {
-	from, to, out                      string
-	seeds, first, nodes, jobs, memory  int
-	calm, soak, pauses, abandons, keep bool
+	from, to, out                                string
+	seeds, first, nodes, jobs, memory            int
+	calm, soak, pauses, abandons, restarts, keep bool
 }
 
 // errBroken means that a rule was broken in some run.
@@ -42,6 +42,7 @@
 	flaggy.Bool(&o.soak, "", "soak", "reset, silence, delay and hold up connections to workers and to the store as well; odd seeds also evacuate halls and have cold workers")
 	flaggy.Bool(&o.pauses, "", "pauses", "have workers pause beside each planned stop")
 	flaggy.Bool(&o.abandons, "", "abandons", "have callers disconnect from frozen nodes and repeat the unread requests at other nodes")
+	flaggy.Bool(&o.restarts, "", "restarts", "have workers crash and others start at their addresses, beside surplus answers")
 	flaggy.Int(&o.memory, "", "memory", "megabytes of a node, which then bounds what it holds for its callers; 0 for no bound")
 	flaggy.Bool(&o.keep, "", "keep", "print what was done and keep the logs also where no rule broke")
 	flaggy.Parse()
@@ -87,7 +88,7 @@
 		wg.Go(func() {
 			defer func() { <-slots }()
 			mode := upgrade.Modes[seed%len(upgrade.Modes)]
-			err := play(ctx, o, dir, upgrade.Options{From: from, To: to, Seed: uint64(seed), Mode: mode, Nodes: o.nodes, Calm: o.calm, Soak: o.soak, Pauses: o.pauses, Abandons: o.abandons, MemoryMB: o.memory})
+			err := play(ctx, o, dir, upgrade.Options{From: from, To: to, Seed: uint64(seed), Mode: mode, Nodes: o.nodes, Calm: o.calm, Soak: o.soak, Pauses: o.pauses, Abandons: o.abandons, Restarts: o.restarts, MemoryMB: o.memory})
 			mu.Lock()
 			defer mu.Unlock()
 			errs = errors.Join(errs, err)
@@ -108,8 +109,8 @@
 	if err != nil {
 		return errors.Join(err, upgrade.KeepLogs(opts.Dir, filepath.Join(o.out, name)))
 	}
-	fmt.Printf("%s: %d calls, served %.3f before, %.3f during, %.3f after, %.3f in all; nodes disagreed for %s; %d evacuations, enforced for %s by all nodes together, at most %d requests a second at a cold worker; %d requests abandoned, %d reset unread; workers saw %v\n",
-		name, report.Calls, report.Before, report.During, report.Calm, report.Served, report.Disagreed, report.Evacuations, report.Watched, report.Cold, report.Abandoned, report.Unread, report.Seen)
+	fmt.Printf("%s: %d calls, served %.3f before, %.3f during, %.3f after, %.3f in all; nodes disagreed for %s; %d evacuations, enforced for %s by all nodes together, at most %d requests a second at a cold worker; %d requests abandoned, %d reset unread, %d ran where they had been turned away; workers saw %v\n",
+		name, report.Calls, report.Before, report.During, report.Calm, report.Served, report.Disagreed, report.Evacuations, report.Watched, report.Cold, report.Abandoned, report.Unread, report.Resent, report.Seen)
 	if len(report.Violations) == 0 && !o.keep {
 		return nil
 	}
--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -24,6 +24,9 @@
 	// Abandoned is the number of requests whose callers left before the node had read them, Unread the number of those whose node
 	// reset the connection before it had read them.
 	Abandoned, Unread int
+	// Resent is the number of requests that ran at a worker which had turned them away before, since they were meant for the one
+	// that had its address.
+	Resent int
 	// Changes are what the run did, Seen how often workers saw something.
 	Changes []string
 	Seen    map[standin.Kind]int
@@ -80,6 +83,7 @@
 	j.coldWorkers()
 	j.configuration()
 	j.service()
+	j.countResent()
 	return j.report
 }
 
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -33,6 +33,8 @@
 	Pauses bool
 	// Abandons has callers disconnect from frozen nodes, which have not read their requests.
 	Abandons bool
+	// Restarts has workers crash and others start at their addresses. All plain workers then send surplus answers.
+	Restarts bool
 	// MemoryMB is the memory of a node in megabytes. 0 means that nodes do not bound what they hold for their callers.
 	MemoryMB int
 }
@@ -72,8 +74,9 @@
 	links   *links
 	// evacuations are planned ones, none in most runs.
 	evacuations []evacuation
-	// abandonments are none in most runs.
+	// abandonments and restarts are none in most runs.
 	abandonments []abandonment
+	restarts     []restart
 
 	// calmSince is when the last trouble and the last replacement were over.
 	calmSince time.Time
@@ -113,6 +116,9 @@
 	if o.hasAbandonments() {
 		r.abandonments = newAbandonments(o.Seed, o.Nodes)
 	}
+	if o.hasRestarts() {
+		r.restarts = newRestarts(o.Seed)
+	}
 	if o.hasPauses() {
 		r.pauses = rand.New(rand.NewPCG(o.Seed, 4))
 	}
@@ -144,7 +150,7 @@
 			}
 		}
 	}
-	for range plainWorkers {
+	for range r.plainWorkers() {
 		if err := r.startWorker(standin.PlainName, ""); err != nil {
 			return err
 		}
@@ -211,6 +217,7 @@
 	under.Go(func() { r.replaceAll(ctx) })
 	under.Go(func() { r.evacuateHalls(ctx) })
 	under.Go(func() { r.abandonRequests(ctx) })
+	under.Go(func() { r.restartWorkers(ctx) })
 	under.Wait()
 	r.calmSince = time.Now()
 	time.Sleep(calmAfter)
@@ -321,7 +328,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrRun, err)
 	}
-	w := &standin.Worker{ID: fmt.Sprintf("i-%d", r.born.Add(1)), Service: service, Hall: halls[0], Domain: domain}
+	w := &standin.Worker{ID: fmt.Sprintf("i-%d", r.born.Add(1)), Service: service, Hall: halls[0], Domain: domain, SendsSurplus: r.hasRestarts()}
 	r.setHall(w)
 	if err := r.linkWorker(w, ln); err != nil {
 		return err
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -104,6 +105,25 @@
 	}
 }
 
+// Guards against a second run: the late copy of a refusal was taken for the answer to the next send of the request.
+func TestRequestsRunOnceWhileWorkersRestartBesideSurplusAnswers(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	t.Cleanup(cancel)
+	build, err := NewBuild(ctx, root, t.TempDir(), WorkTree)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	for _, seed := range []uint64{1, 3} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			report, err := Play(ctx, Options{From: build, To: build, Seed: seed, Mode: Forward, Nodes: 4, Dir: t.TempDir(), Calm: true, Restarts: true})
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Logf("%+v", report)
+			g.Expect(report.Violations).To(BeEmpty())
+			g.Expect(report.Resent).To(BeNumerically(">", 0), "no request went to the worker that had turned it away")
+		})
+	}
+}
+
 func TestACommitThatCannotBeBuiltIsOneClearError(t *testing.T) {
 	for _, c := range []struct {
 		name, commit, want string
--- a/protocol/direct/kept_test.go
+++ b/protocol/direct/kept_test.go
@@ -95,3 +95,33 @@
 		g.Expect(*r.Trace).To(Equal(c.want))
 	}
 }
+
+// Guards against a response to an earlier send of the request: a server may send one a second time, late.
+func TestRequestIsSentOnceOverAConnection(t *testing.T) {
+	g := NewWithT(t)
+	var earlier string
+	addr := scriptedServer(t, func(n int, id string) string {
+		if n == 0 {
+			return response(http.StatusServiceUnavailable, id)
+		}
+		return response(http.StatusServiceUnavailable, earlier) + response(http.StatusOK, id)
+	})
+	pool := direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now)
+	for _, c := range []struct {
+		name, id  string
+		status    int
+		exchanges int
+	}{
+		{"first send", "a", http.StatusServiceUnavailable, 0},
+		{"sent again", "a", http.StatusServiceUnavailable, 0},
+		{"another request on the connection of a refusal", "b", http.StatusOK, 1},
+		{"sent a third time, after another request", "a", http.StatusServiceUnavailable, 0},
+	} {
+		r := newRequest(c.id)
+		status, err := exchange(pool, addr, r)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(status).To(Equal(c.status), c.name)
+		g.Expect(r.Trace.Exchanges).To(Equal(c.exchanges), c.name)
+		earlier = "a"
+	}
+}
