Direct: send a request ID over a connection once at most

Callers saw requests that must run once run twice, or 503 for requests that had run. Cause: a response was matched to its exchange by the request ID, which is that of all sends of a request. A request that an instance refused went to the next instance over the connection that had just been used where both have the same address, and the late copy of the first refusal had the expected ID: the request went to a third instance while the second one ran it.

A connection now remembers the requests that it has carried and is passed over for them, so that the copy always meets an exchange with another ID, which skips it.

--- a/internal/upgrade/restart.go
+++ b/internal/upgrade/restart.go
@@ -29,7 +29,7 @@
 	leastRestartGap  = 1000 * time.Millisecond
 	restartGapSpread = 800 * time.Millisecond
 	// After restartListed the nodes know the new workers, and still the ones before.
-	restartListed = 50 * time.Millisecond
+	restartListed = 250 * time.Millisecond
 	restartCalls  = 64
 )
 
--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -62,7 +62,8 @@
 	// HasBody is set if the request has a body, even an empty one.
 	HasBody bool
 	// ID is the ID that the server repeats in its response, from which ResponseID reads it. Responses with another ID are
-	// skipped. If ResponseID is nil, the next response counts.
+	// skipped. If ResponseID is nil, the next response counts. A connection carries one request with an ID at most, so that
+	// the late copy of a response to an earlier send never has the ID that is expected.
 	ID         string
 	ResponseID func(http.Header) string
 	// Trace, if set, is filled in by Do, also if Do fails.
@@ -107,7 +108,8 @@
 // Do sends a request and reads the status line and the headers of its response.
 // Cancelling ctx aborts the exchange, also while the body is being read.
 func (p *Pool) Do(ctx context.Context, addr netip.AddrPort, r *Request) (*Response, error) {
-	c, err := p.get(ctx, addr, r.RequireFreshConn)
+	id := newRequestID(r.ID)
+	c, err := p.get(ctx, addr, id, r.RequireFreshConn)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -117,8 +119,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	trace := r.trace()
-	trace.Exchanges, trace.PreviousID = c.exchanges, c.lastID
-	c.exchanges, c.lastID = c.exchanges+1, r.ID
+	trace.Exchanges, trace.PreviousID = len(c.carried), c.lastID
+	c.carried, c.lastID = append(c.carried, id), r.ID
 	stop := context.AfterFunc(ctx, c.abort)
 	req := r.httpRequest()
 	c.writeTimeout = r.WriteTimeout
--- a/protocol/direct/kept_test.go
+++ b/protocol/direct/kept_test.go
@@ -125,3 +125,29 @@
 		earlier = "a"
 	}
 }
+
+// Guards against connections that remember requests without bound.
+func TestConnectionIsClosedAfterItsLastExchange(t *testing.T) {
+	g := NewWithT(t)
+	addr := scriptedServer(t, func(_ int, id string) string { return response(http.StatusOK, id) })
+	pool := direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now)
+	for i := range 2 * direct.MaxExchanges {
+		r := newRequest(fmt.Sprint("r", i))
+		_, err := exchange(pool, addr, r)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(r.Trace.Exchanges).To(Equal(i % direct.MaxExchanges))
+	}
+}
+
+// Requests without an ID, whose responses are not told apart, go on sharing a connection.
+func TestRequestsWithoutIDShareAConnection(t *testing.T) {
+	g := NewWithT(t)
+	addr := scriptedServer(t, func(_ int, id string) string { return response(http.StatusOK, id) })
+	pool := direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now)
+	for i := range 3 {
+		r := newRequest("")
+		_, err := exchange(pool, addr, r)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(r.Trace.Exchanges).To(Equal(i))
+	}
+}
--- a/protocol/direct/pool.go
+++ b/protocol/direct/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,9 +45,9 @@
 	br    *bufio.Reader
 	bw    *bufio.Writer
 	wrote bool
-	// exchanges is the number of exchanges that began on the connection, lastID the Request.ID of the last one.
-	exchanges int
-	lastID    string
+	// carried are the IDs of the requests whose exchanges began on the connection, lastID is the Request.ID of the last one.
+	carried []requestID
+	lastID  string
 	timedWrites
 	// inHead is set while a head is read, headLeft is the number of bytes that it may still have. readErr is the error
 	// with which the connection failed.
@@ -60,10 +61,10 @@
 	idleTimeout   time.Duration
 }
 
-// get returns an idle connection or opens a new one.
-func (p *Pool) get(ctx context.Context, addr netip.AddrPort, fresh bool) (*conn, error) {
+// get returns an idle connection that has not carried a request, or opens a new one.
+func (p *Pool) get(ctx context.Context, addr netip.AddrPort, id requestID, fresh bool) (*conn, error) {
 	for {
-		c := p.takeIdle(addr, fresh)
+		c := p.takeIdle(addr, id, fresh)
 		if c == nil {
 			break
 		}
@@ -81,30 +82,31 @@
 	return c, nil
 }
 
-// takeIdle removes the most recently used idle connection from the pool and returns it. It returns
-// nil if there is none or if that connection has been idle for too long.
-func (p *Pool) takeIdle(addr netip.AddrPort, fresh bool) *conn {
+// takeIdle removes the most recently used idle connection that has not carried a request from the pool and returns it. It
+// returns nil if there is none or if that connection has been idle for too long.
+func (p *Pool) takeIdle(addr netip.AddrPort, id requestID, fresh bool) *conn {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	if now.After(c.reusableUntil) || (fresh && now.Sub(c.idleSince) > maxFreshIdle) {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if c.hasCarried(id) {
+			continue
+		}
+		if now.After(c.reusableUntil) || (fresh && now.Sub(c.idleSince) > maxFreshIdle) {
+			return nil
+		}
+		p.idle[addr] = slices.Delete(list, i, i+1)
+		return c
 	}
-	list[len(list)-1] = nil
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put returns a connection to the pool.
 func (p *Pool) put(c *conn) {
 	c.idleSince = p.now()
 	c.reusableUntil = c.idleSince.Add(c.idleTimeout)
-	if c.idleTimeout <= 0 {
+	if c.idleTimeout <= 0 || len(c.carried) >= MaxExchanges {
 		p.discard(c)
 		return
 	}
