Own interface: orders, and requests that are sent again, use connections of their own; probes have IDs

An order was believed accepted, a probe got the report before, and a request that a target had refused was refused again by the copy while the target ran it, to be sent to a third one.

An order and each further send of a request now use a connection of their own, a probe has an ID that the target repeats. Targets that repeat none are trusted as before. TestCopyOfAReportIsNoReport, TestCopyOfAResponseAcceptsNoOrder and TestCopyOfARefusalDoesNotAnswerTheNextSend failed before (a report of epoch 1 in place of 2, an order accepted that was refused, not-run in place of run). Calls with claimed keys had connections of their own already.

--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -147,6 +147,7 @@
 		BatchSlots:  t.cfg.Slots,
 	}
 	t.mu.Unlock()
+	w.Header().Set(target.HeaderRequestID, req.Header.Get(target.HeaderRequestID))
 	writeTagged(w, req, r)
 }
 
--- a/protocol/target/target.go
+++ b/protocol/target/target.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/troutmast/troutmast/coordination/control"
@@ -92,6 +93,7 @@
 	controlHTTP *exchange.Client
 	serveHTTP   *exchange.Client
 	onceHTTP    *exchange.Client
+	probeCount  atomic.Uint64
 
 	mu          sync.Mutex
 	lastReports map[netip.AddrPort]taggedReport
@@ -103,8 +105,8 @@
 	report evidence.Report
 }
 
-// NewClient returns a Client. controlHTTP sends probes and orders, serveHTTP sends calls, and
-// onceHTTP sends calls that need a connection of their own: it must not keep connections alive.
+// NewClient returns a Client. controlHTTP sends probes, serveHTTP sends calls, and onceHTTP sends orders and
+// calls that need a connection of their own: it must not keep connections alive.
 func NewClient(controlHTTP, serveHTTP, onceHTTP *exchange.Client) *Client {
 	return &Client{controlHTTP: controlHTTP, serveHTTP: serveHTTP, onceHTTP: onceHTTP, lastReports: map[netip.AddrPort]taggedReport{}}
 }
@@ -121,7 +123,7 @@
 	if last.etag != "" {
 		req.Header.Set("If-None-Match", last.etag)
 	}
-	resp, _, err := c.controlHTTP.Do(req)
+	resp, err := c.doProbe(req)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return evidence.Report{}, fmt.Errorf("%w: %w", probe.ErrNotListening, err)
@@ -142,6 +144,21 @@
 	return r, err
 }
 
+// doProbe sends a probe with an ID of its own and returns the response to it.
+func (c *Client) doProbe(req *http.Request) (*http.Response, error) {
+	id := strconv.FormatUint(c.probeCount.Add(1), 10)
+	req.Header.Set(HeaderRequestID, id)
+	resp, _, err := c.controlHTTP.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if got := resp.Header.Get(HeaderRequestID); got != "" && got != id { // targets that repeat no ID are trusted
+		_ = resp.Body.Close()
+		return nil, ErrRequestIDMismatch
+	}
+	return resp, nil
+}
+
 // lastReport returns the last report of the target at an address.
 func (c *Client) lastReport(addr netip.AddrPort) taggedReport {
 	c.mu.Lock()
@@ -181,7 +198,7 @@
 	}, nil
 }
 
-// Order sends an order to a target.
+// Order sends an order to a target over a connection of its own, on which no response to an earlier order can arrive late.
 func (c *Client) Order(ctx context.Context, addr netip.AddrPort, o control.Order) error {
 	body, err := json.Marshal(Order{Group: o.Group, Epoch: o.Epoch, Rank: o.Rank, Size: o.Size, Model: o.Model})
 	if err != nil {
@@ -191,7 +208,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrTarget, err)
 	}
-	resp, _, err := c.controlHTTP.Do(req)
+	resp, _, err := c.onceHTTP.Do(req)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrTarget, err)
 	}
--- a/transport/caller/attempt.go
+++ b/transport/caller/attempt.go
@@ -66,6 +66,7 @@
 	if !d.IsValid(now) {
 		return nil, retry.NotRun, errGroupLost
 	}
+	call = q.nextSend(call)
 	call.BeforeSend = func() error { return s.mayLeave(q, d) }
 	ans, outcome, err := s.c.Targets.Send(ctx, call)
 	s.heed(q, d, ans, err)
--- a/transport/caller/request.go
+++ b/transport/caller/request.go
@@ -15,6 +15,7 @@
 	"github.com/troutmast/troutmast/coordination/quarantine"
 	"github.com/troutmast/troutmast/coordination/routing"
 	"github.com/troutmast/troutmast/internal/tcpstate"
+	"github.com/troutmast/troutmast/protocol/target"
 	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -55,6 +56,8 @@
 	identity quarantine.Request
 	lives    []fleet.Incarnation
 	sentAt   time.Time
+	// isSent is set once the request has been sent to an instance.
+	isSent bool
 }
 
 // completion is the part of a completion's body that routing looks at.
@@ -82,6 +85,14 @@
 	return nil
 }
 
+// nextSend returns the call of the next send of the request. A further send has a connection of its own: on that of an earlier
+// one the late copy of a response would have the ID that is expected.
+func (q *request) nextSend(call target.Call) target.Call {
+	call.NewConnection = call.NewConnection || q.isSent
+	q.isSent = true
+	return call
+}
+
 // digest tells one call from another that is sent with the same key or ticket.
 func (q *request) digest() string { return HashKey(q.method + " " + q.path + "\n" + string(q.body)) }
 
