Direct: close the connection in whose place another one is opened

Since a connection carries a request ID once, a caller that sends one ID with all its requests had a new connection opened for each of them, and the idle ones piled up for seconds: tests of transport/entry, whose callers do so, ran out of file descriptors (TestRestorationDoesNotRevertInstances, 20,000 open files, 503s). An idle connection that has carried the request is now closed for the new one, so that as many stay open as before. TestRequestsWithOneIDKeepOneConnectionOpen.

--- a/protocol/direct/kept_test.go
+++ b/protocol/direct/kept_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,14 +21,21 @@
 	return fmt.Sprintf("HTTP/1.1 %d x\r\nId: %s\r\nContent-Length: 0\r\n\r\n", status, id)
 }
 
+// server is a server whose open connections are counted.
+type server struct {
+	addr netip.AddrPort
+	open atomic.Int32
+}
+
 // scriptedServer serves connections one request after the other. The response to the nth request of a connection is what respond
 // returns for n, counted from 0, and the ID of the request.
-func scriptedServer(t *testing.T, respond func(n int, id string) string) netip.AddrPort {
+func scriptedServer(t *testing.T, respond func(n int, id string) string) *server {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
+	s := &server{addr: netip.MustParseAddrPort(ln.Addr().String())}
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -35,7 +43,9 @@
 				return
 			}
 			t.Cleanup(func() { _ = conn.Close() })
+			s.open.Add(1)
 			go func() {
+				defer s.open.Add(-1)
 				br := bufio.NewReader(conn)
 				for n := 0; ; n++ {
 					r, err := http.ReadRequest(br)
@@ -49,7 +59,7 @@
 			}()
 		}
 	}()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	return s
 }
 
 // newRequest returns a request with an ID, which its response repeats.
@@ -73,7 +83,7 @@
 
 func TestTraceDescribesTheConnection(t *testing.T) {
 	g := NewWithT(t)
-	addr := scriptedServer(t, func(n int, id string) string {
+	srv := scriptedServer(t, func(n int, id string) string {
 		if n == 1 {
 			return response(http.StatusServiceUnavailable, "first") + response(http.StatusOK, id)
 		}
@@ -89,7 +99,7 @@
 		{"third", direct.Trace{Exchanges: 2, PreviousID: "second"}},
 	} {
 		r := newRequest(c.id)
-		status, err := exchange(pool, addr, r)
+		status, err := exchange(pool, srv.addr, r)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(status).To(Equal(http.StatusOK))
 		g.Expect(*r.Trace).To(Equal(c.want))
@@ -100,7 +110,7 @@
 func TestRequestIsSentOnceOverAConnection(t *testing.T) {
 	g := NewWithT(t)
 	var earlier string
-	addr := scriptedServer(t, func(n int, id string) string {
+	srv := scriptedServer(t, func(n int, id string) string {
 		if n == 0 {
 			return response(http.StatusServiceUnavailable, id)
 		}
@@ -118,7 +128,7 @@
 		{"sent a third time, after another request", "a", http.StatusServiceUnavailable, 0},
 	} {
 		r := newRequest(c.id)
-		status, err := exchange(pool, addr, r)
+		status, err := exchange(pool, srv.addr, r)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(status).To(Equal(c.status), c.name)
 		g.Expect(r.Trace.Exchanges).To(Equal(c.exchanges), c.name)
@@ -129,11 +139,11 @@
 // Guards against connections that remember requests without bound.
 func TestConnectionIsClosedAfterItsLastExchange(t *testing.T) {
 	g := NewWithT(t)
-	addr := scriptedServer(t, func(_ int, id string) string { return response(http.StatusOK, id) })
+	srv := scriptedServer(t, func(_ int, id string) string { return response(http.StatusOK, id) })
 	pool := direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now)
 	for i := range 2 * direct.MaxExchanges {
 		r := newRequest(fmt.Sprint("r", i))
-		_, err := exchange(pool, addr, r)
+		_, err := exchange(pool, srv.addr, r)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(r.Trace.Exchanges).To(Equal(i % direct.MaxExchanges))
 	}
@@ -142,12 +152,27 @@
 // Requests without an ID, whose responses are not told apart, go on sharing a connection.
 func TestRequestsWithoutIDShareAConnection(t *testing.T) {
 	g := NewWithT(t)
-	addr := scriptedServer(t, func(_ int, id string) string { return response(http.StatusOK, id) })
+	srv := scriptedServer(t, func(_ int, id string) string { return response(http.StatusOK, id) })
 	pool := direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now)
 	for i := range 3 {
 		r := newRequest("")
-		_, err := exchange(pool, addr, r)
+		_, err := exchange(pool, srv.addr, r)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(r.Trace.Exchanges).To(Equal(i))
 	}
 }
+
+// Guards against idle connections that pile up under a caller whose requests all have the same ID.
+func TestRequestsWithOneIDKeepOneConnectionOpen(t *testing.T) {
+	g := NewWithT(t)
+	srv := scriptedServer(t, func(_ int, id string) string { return response(http.StatusOK, id) })
+	pool := direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now)
+	for range 50 {
+		r := newRequest("a")
+		status, err := exchange(pool, srv.addr, r)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(status).To(Equal(http.StatusOK))
+		g.Expect(r.Trace.Exchanges).To(BeZero())
+	}
+	g.Eventually(srv.open.Load, time.Second, time.Millisecond).Should(BeEquivalentTo(1))
+}
--- a/protocol/direct/pool.go
+++ b/protocol/direct/pool.go
@@ -73,6 +73,9 @@
 		}
 		p.discard(c)
 	}
+	if c := p.takeCarrier(addr, id); c != nil {
+		p.discard(c) // idle connections would pile up under a caller whose requests all have one ID
+	}
 	raw, err := p.dialer.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
@@ -102,6 +105,20 @@
 	return nil
 }
 
+// takeCarrier removes an idle connection that has carried a request from the pool and returns it, or nil if there is none.
+func (p *Pool) takeCarrier(addr netip.AddrPort, id requestID) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	i := slices.IndexFunc(list, func(c *conn) bool { return c.hasCarried(id) })
+	if i < 0 {
+		return nil
+	}
+	c := list[i]
+	p.idle[addr] = slices.Delete(list, i, i+1)
+	return c
+}
+
 // put returns a connection to the pool.
 func (p *Pool) put(c *conn) {
 	c.idleSince = p.now()
