Orders to instances use connections of their own

Orders went over the kept connections of the reports, and neither names its exchange: the late copy of a report (200) counted as an order carried out, that of an earlier order as its answer. An order is now the only exchange of its connection.

Weighed: IDs of our own on reports and orders, which an instance would repeat. Reports stay on kept connections: a copy is at most the report before it, from the same instance.

--- a/transport/entry/backpressure_test.go
+++ b/transport/entry/backpressure_test.go
@@ -32,7 +32,7 @@
 	return fleet.Report{Notice: n.notice}, n.err
 }
 
-func (n *noticing) Order(context.Context, placement.Order, ConnectionReuse) (OrderResult, error) {
+func (n *noticing) Order(context.Context, placement.Order) (OrderResult, error) {
 	return OrderResult{Notice: n.notice, Reply: placement.Refused}, n.err
 }
 
--- a/transport/entry/busyleader_test.go
+++ b/transport/entry/busyleader_test.go
@@ -38,7 +38,7 @@
 	return fleet.Report{}, ctx.Err()
 }
 
-func (lateProbeTargets) Order(context.Context, placement.Order, ConnectionReuse) (OrderResult, error) {
+func (lateProbeTargets) Order(context.Context, placement.Order) (OrderResult, error) {
 	return OrderResult{Reply: placement.Unanswered}, context.DeadlineExceeded
 }
 
--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -184,7 +184,7 @@
 	return fleet.Report{}, errors.New("no engine")
 }
 
-func (targets) Order(context.Context, placement.Order, entry.ConnectionReuse) (entry.OrderResult, error) {
+func (targets) Order(context.Context, placement.Order) (entry.OrderResult, error) {
 	return entry.OrderResult{Reply: placement.Unanswered}, errors.New("no engine")
 }
 
--- a/transport/entry/partition_test.go
+++ b/transport/entry/partition_test.go
@@ -99,7 +99,7 @@
 	return fleet.Report{}, nil
 }
 
-func (o *orderCounter) Order(context.Context, placement.Order, entry.ConnectionReuse) (entry.OrderResult, error) {
+func (o *orderCounter) Order(context.Context, placement.Order) (entry.OrderResult, error) {
 	o.orders.Add(1)
 	return entry.OrderResult{Reply: placement.Unanswered}, errors.New("no engine")
 }
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -271,7 +271,7 @@
 	in := p.node.instance(o.Instance)
 	p.node.cooldowns.RecordOrder(in.Incarnation(), began)
 	p.node.limits.RecordOrder(in.Incarnation(), began)
-	ans, err := p.node.ports.Target.Order(callCtx, o, p.node.connectionTo(o.Instance))
+	ans, err := p.node.ports.Target.Order(callCtx, o)
 	p.node.RecordNotice(&in, ans.Notice, "", began)
 	reply := ans.Reply
 	p.node.roster.RecordOrderReply(o, incarnation, reply, p.node.clock.Now())
--- a/transport/entry/port.go
+++ b/transport/entry/port.go
@@ -46,7 +46,8 @@
 // or a rate limit, it is returned together with an error too.
 type TargetClient interface {
 	Report(ctx context.Context, at netip.AddrPort, id state.InstanceID, by ConnectionReuse) (fleet.Report, error)
-	Order(ctx context.Context, o placement.Order, by ConnectionReuse) (OrderResult, error)
+	// Order sends an order over a connection of its own.
+	Order(ctx context.Context, o placement.Order) (OrderResult, error)
 }
 
 // Ports are the adapters through which a node uses the platform.
--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -212,7 +212,7 @@
 	return p.rep, p.err
 }
 
-func (proofs) Order(context.Context, placement.Order, ConnectionReuse) (OrderResult, error) {
+func (proofs) Order(context.Context, placement.Order) (OrderResult, error) {
 	return OrderResult{Reply: placement.Unanswered}, nil
 }
 
