--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -33,7 +33,8 @@
 	Pauses bool
 	// Abandons has callers disconnect from frozen nodes, which have not read their requests.
 	Abandons bool
-	// Restarts has workers crash and others start at their addresses. All plain workers then send surplus answers.
+	// Restarts has workers crash and others start at their addresses, beside odd entries of another writer. All workers then
+	// send surplus answers.
 	Restarts bool
 	// MemoryMB is the memory of a node in megabytes. 0 means that nodes do not bound what they hold for their callers.
 	MemoryMB int
--- a/transport/entry/follownodes.go
+++ b/transport/entry/follownodes.go
@@ -37,12 +37,7 @@
 		if errors.Is(err, source.ErrTrimmed) {
 			cursor.Reset()
 		}
-		for _, item := range tail.Items {
-			var e NodeEntry
-			if json.Unmarshal(item.Value, &e) == nil {
-				p.recordNode(e)
-			}
-		}
+		p.recordNodes(tail.Items)
 		if err == nil && tail.AtEnd {
 			p.setNodesKnown()
 			p.shareBudgets()
@@ -55,3 +50,19 @@
 		pause = min(2*pause, maxNodesPauses*p.n.policy.NodesPause)
 	}
 }
+
+// recordNodes records the nodes' entries. It skips those that have been removed and those that it cannot decode.
+func (p *peers) recordNodes(items []source.Item) {
+	for _, item := range items {
+		if len(item.Value) == 0 {
+			continue
+		}
+		var e NodeEntry
+		if err := json.Unmarshal(item.Value, &e); err != nil {
+			p.n.Count("nodes.unreadable")
+			p.n.log.WithError(err).WithField("position", item.Offset).Warn("node entry cannot be decoded")
+			continue
+		}
+		p.recordNode(e)
+	}
+}
