--- a/internal/upgrade/links.go
+++ b/internal/upgrade/links.go
@@ -42,6 +42,15 @@
 	return l.worker[id]
 }
 
+// inherit has a worker be reached by the relay of another one, if that has one.
+func (l *links) inherit(from, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if link := l.worker[from]; link != nil {
+		l.worker[id] = link
+	}
+}
+
 // linkWorker puts a relay before a worker if connections are to be harmed.
 func (r *run) linkWorker(w *standin.Worker, ln net.Listener) error {
 	if !r.Soak {
--- a/internal/upgrade/restart.go
+++ b/internal/upgrade/restart.go
@@ -80,8 +80,10 @@
 	var restarts sync.WaitGroup
 	for _, w := range list {
 		r.note(change{until: time.Now().Add(s.down + troubleTime), what: w.ID, trouble: crashWorker})
+		id := fmt.Sprintf("i-%d", r.born.Add(1))
+		r.links.inherit(w.ID, id)
 		restarts.Go(func() {
-			if err := r.workers.Restart(w, fmt.Sprintf("i-%d", r.born.Add(1)), s.down); err != nil {
+			if err := r.workers.Restart(w, id, s.down); err != nil {
 				r.note(change{what: err.Error()})
 			}
 		})
