Direct: keep and log the first 64 bytes of request IDs

Callers and servers may send IDs as long as a head; each connection kept the last one, and the lines of refused and lost attempts would have held up to three.

--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -78,7 +78,13 @@
 	WriteTimeout time.Duration
 }
 
-// Trace describes the connection of an exchange.
+// maxTracedID is the number of bytes of an ID that a Trace holds. Callers and servers may send long ones.
+const maxTracedID = 64
+
+// shortID returns the beginning of an ID. It does not keep the rest in memory.
+func shortID(id string) string { return strings.Clone(id[:min(len(id), maxTracedID)]) }
+
+// Trace describes the connection of an exchange. Its IDs are cut after maxTracedID bytes.
 type Trace struct {
 	// Exchanges is the number of exchanges that the connection carried before, 0 on a new one.
 	Exchanges int
@@ -120,7 +126,7 @@
 	}
 	trace := r.trace()
 	trace.Exchanges, trace.PreviousID = len(c.carried), c.lastID
-	c.carried, c.lastID = append(c.carried, id), r.ID
+	c.carried, c.lastID = append(c.carried, id), shortID(r.ID)
 	stop := context.AfterFunc(ctx, c.abort)
 	req := r.httpRequest()
 	c.writeTimeout = r.WriteTimeout
@@ -213,7 +219,7 @@
 		case len(trace.Skipped) == maxSkippedResponses || resp.ContentLength > maxSkippedBytes:
 			return nil, fmt.Errorf("%w: %w", ErrInvalidResponse, errSkippedResponses)
 		}
-		trace.Skipped = append(trace.Skipped, id)
+		trace.Skipped = append(trace.Skipped, shortID(id))
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
--- a/protocol/direct/kept_test.go
+++ b/protocol/direct/kept_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -106,6 +107,27 @@
 	}
 }
 
+// Guards against long IDs that are kept with each connection and logged with each attempt.
+func TestTraceHoldsTheBeginningOfLongIDs(t *testing.T) {
+	g := NewWithT(t)
+	long := strings.Repeat("x", 1000)
+	srv := scriptedServer(t, func(n int, id string) string {
+		if n == 1 {
+			return response(http.StatusOK, long) + response(http.StatusOK, id)
+		}
+		return response(http.StatusOK, id)
+	})
+	pool := direct.NewPool(direct.Dialer{Timeout: time.Second}, time.Now)
+	for _, id := range []string{long, "a"} {
+		r := newRequest(id)
+		_, err := exchange(pool, srv.addr, r)
+		g.Expect(err).NotTo(HaveOccurred())
+		if id == "a" {
+			g.Expect(*r.Trace).To(Equal(direct.Trace{Exchanges: 1, PreviousID: long[:64], Skipped: []string{long[:64]}}))
+		}
+	}
+}
+
 // Guards against a response to an earlier send of the request: a server may send one a second time, late.
 func TestRequestIsSentOnceOverAConnection(t *testing.T) {
 	g := NewWithT(t)
