--- a/bench/upgrade/upgrade.go
+++ b/bench/upgrade/upgrade.go
@@ -42,7 +42,7 @@
 	flaggy.Bool(&o.soak, "", "soak", "reset, silence, delay and hold up connections to workers and to the store as well; odd seeds also evacuate halls and have cold workers")
 	flaggy.Bool(&o.pauses, "", "pauses", "have workers pause beside each planned stop")
 	flaggy.Bool(&o.abandons, "", "abandons", "have callers disconnect from frozen nodes and repeat the unread requests at other nodes")
-	flaggy.Bool(&o.restarts, "", "restarts", "have workers crash and others start at their addresses, beside odd entries and surplus answers")
+	flaggy.Bool(&o.restarts, "", "restarts", "have workers crash and others start at their addresses, beside malformed entries and surplus answers")
 	flaggy.Int(&o.memory, "", "memory", "megabytes of a node, which then bounds what it holds for its callers; 0 for no bound")
 	flaggy.Bool(&o.keep, "", "keep", "print what was done and keep the logs also where no rule broke")
 	flaggy.Parse()
--- a/internal/upgrade/restart.go
+++ b/internal/upgrade/restart.go
@@ -55,25 +55,25 @@
 }
 
 // restartWorkers has workers crash and others start at their addresses as planned. Before each restart another writer leaves
-// odd entries among those of the workers.
+// malformed entries among those of the workers.
 func (r *run) restartWorkers(ctx context.Context) {
 	for i, s := range r.restarts {
 		sleep(ctx, time.Until(r.began.Add(calmBefore+s.at)))
 		if ctx.Err() != nil {
 			return
 		}
-		r.writeOddEntries(i)
+		r.writeMalformedEntries(i)
 		r.restartPlain(s)
 	}
 }
 
-// writeOddEntries has another writer write the nth odd entry under an ID of its own, and another one over an earlier entry.
-func (r *run) writeOddEntries(n int) {
-	r.workers.WriteEntry(fmt.Sprint("odd-", n), standin.OddEntry(n, halls[0]))
-	r.workers.WriteEntry(fmt.Sprint("odd-", n/2), standin.OddEntry(n+1, halls[0]))
+// writeMalformedEntries has another writer write the nth malformed entry under an ID of its own, and another one over an earlier entry.
+func (r *run) writeMalformedEntries(n int) {
+	r.workers.WriteEntry(fmt.Sprint("malformed-", n), standin.MalformedEntry(n, halls[0]))
+	r.workers.WriteEntry(fmt.Sprint("malformed-", n/2), standin.MalformedEntry(n+1, halls[0]))
 }
 
-// restartPlain restarts the plain workers but one, after which callers send requests.
+// restartPlain restarts all plain workers but one, restartedWorkers-1 at most, after which callers send requests.
 func (r *run) restartPlain(s restart) {
 	list := r.workers.Workers(standin.PlainName)
 	list = list[:max(min(len(list), restartedWorkers)-1, 0)]
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -33,8 +33,8 @@
 	Pauses bool
 	// Abandons has callers disconnect from frozen nodes, which have not read their requests.
 	Abandons bool
-	// Restarts has workers crash and others start at their addresses, beside odd entries of another writer. All workers then
-	// have habits.
+	// Restarts has workers crash and others start at their addresses, beside malformed entries of another writer. All workers then
+	// have faulty connections.
 	Restarts bool
 	// MemoryMB is the memory of a node in megabytes. 0 means that nodes do not bound what they hold for their callers.
 	MemoryMB int
@@ -329,7 +329,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrRun, err)
 	}
-	w := &standin.Worker{ID: fmt.Sprintf("i-%d", r.born.Add(1)), Service: service, Hall: halls[0], Domain: domain, HasHabits: r.hasRestarts()}
+	w := &standin.Worker{ID: fmt.Sprintf("i-%d", r.born.Add(1)), Service: service, Hall: halls[0], Domain: domain, HasFaultyConnections: r.hasRestarts()}
 	r.setHall(w)
 	if err := r.linkWorker(w, ln); err != nil {
 		return err
