--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -71,6 +71,7 @@
 	for _, e := range j.events {
 		j.report.Seen[e.Kind]++
 	}
+	j.processes()
 	j.answers()
 	j.resets()
 	j.plannedStops()
@@ -131,6 +132,15 @@
 	return name
 }
 
+// processes judges processes that ended by themselves.
+func (j *judge) processes() {
+	for _, n := range j.run.nodes {
+		for _, c := range n.crashed() {
+			j.broken("%.2f s: the process of %s ended by itself: %s", j.since(c.at), n.machine.Name, c.state)
+		}
+	}
+}
+
 // answers judges answers that look whole, and what workers themselves found wrong.
 func (j *judge) answers() {
 	for _, a := range j.attempts {
--- a/internal/upgrade/node.go
+++ b/internal/upgrade/node.go
@@ -9,7 +9,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,13 +27,22 @@
 	mu    sync.Mutex
 	build Build
 	ex    *execution
+	// crashes are the ends of processes that the run did not cause.
+	crashes []crash
 }
 
-// execution is one life of a process; done is closed when it has ended.
+// execution is one life of a process; done is closed when it has ended. stopped is set before the run ends the process.
 type execution struct {
-	cmd  *exec.Cmd
-	log  *os.File
-	done chan struct{}
+	cmd     *exec.Cmd
+	log     *os.File
+	done    chan struct{}
+	stopped atomic.Bool
+}
+
+// crash is the end of a process that the run did not cause.
+type crash struct {
+	at    time.Time
+	state string
 }
 
 // start starts a build on the machine.
@@ -54,12 +65,29 @@
 	go func() {
 		_ = ex.cmd.Wait()
 		_ = log.Close()
+		if !ex.stopped.Load() {
+			n.recordCrash(ex)
+		}
 		close(ex.done)
 	}()
 	n.build, n.ex = b, ex
 	return nil
 }
 
+// recordCrash records that a process ended by itself.
+func (n *node) recordCrash(ex *execution) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.crashes = append(n.crashes, crash{at: time.Now(), state: ex.cmd.ProcessState.String()})
+}
+
+// crashed returns the ends of processes that the run did not cause.
+func (n *node) crashed() []crash {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.crashes)
+}
+
 // life returns the process that runs or ran last, and its build.
 func (n *node) life() (*execution, Build) {
 	n.mu.Lock()
@@ -76,6 +104,7 @@
 // stop ends the process as planned, and by force once its time is over.
 func (n *node) stop(ctx context.Context) {
 	ex, _ := n.life()
+	ex.stopped.Store(true)
 	_ = ex.cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-ex.done:
@@ -94,6 +123,7 @@
 
 // kill ends the process at once.
 func (ex *execution) kill() {
+	ex.stopped.Store(true)
 	_ = ex.cmd.Process.Kill() // an error says that it has ended already
 	<-ex.done
 }
