--- a/internal/upgrade/links.go
+++ b/internal/upgrade/links.go
@@ -42,7 +42,7 @@
 	return l.worker[id]
 }
 
-// inherit has a worker be reached by the relay of another one, if that has one.
+// inherit registers the relay of a worker, if it has one, for the worker that is started at its address.
 func (l *links) inherit(from, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -111,11 +110,18 @@
 	t.Cleanup(cancel)
 	build, err := NewBuild(ctx, root, t.TempDir(), WorkTree)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	for _, seed := range []uint64{1, 3} {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		seed     uint64
+		memoryMB int
+	}{
+		{"plain connections", 1, 0},
+		{"buffered connections", 3, soakMemoryMB},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			report, err := Play(ctx, Options{From: build, To: build, Seed: seed, Mode: Forward, Nodes: 4, Dir: t.TempDir(), Calm: true, Restarts: true})
+			report, err := Play(ctx, Options{From: build, To: build, Seed: c.seed, Mode: Forward, Nodes: 4, Dir: t.TempDir(), Calm: true, Restarts: true, MemoryMB: c.memoryMB})
 			g.Expect(err).NotTo(HaveOccurred())
 			t.Logf("%+v", report)
 			g.Expect(report.Violations).To(BeEmpty())
