Log: cut what an instance or an entry states

The line of a refused request held the name of the responding instance and of the one at fault as stated, up to the 64 KiB of a head; the line of a node's entry that cannot be decoded quoted a number of it whole (50,000 digits). Both are cut, after 64 and 200 bytes.

--- a/transport/entry/follownodes.go
+++ b/transport/entry/follownodes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/troutmast/troutmast/coordination/source"
@@ -60,7 +61,8 @@
 		var e NodeEntry
 		if err := json.Unmarshal(item.Value, &e); err != nil {
 			p.n.Count("nodes.unreadable")
-			p.n.log.WithError(err).WithField("position", item.Offset).Warn("node entry cannot be decoded")
+			reason := fmt.Sprintf("%.200s", err.Error()) // it may quote the entry
+			p.n.log.WithField("error", reason).WithField("position", item.Offset).Warn("node entry cannot be decoded")
 			continue
 		}
 		p.recordNode(e)
--- a/transport/event/event.go
+++ b/transport/event/event.go
@@ -62,6 +62,12 @@
 	return f
 }
 
+// maxStated is the number of bytes that are logged of a value that an instance states.
+const maxStated = 64
+
+// cut returns the beginning of a value that an instance states.
+func cut(text string) string { return text[:min(len(text), maxStated)] }
+
 // Failure is what happened to an attempt that was lost.
 type Failure string
 
@@ -117,7 +123,7 @@
 // Fields implements log.Fielder.
 func (e *AttemptRefused) Fields() log.Fields {
 	return e.fields(log.Fields{
-		"request": e.ID, "instance": e.Instance, "responder": e.Responder, "status": e.Status, "culprit": e.Culprit, "held": e.Held, "load": e.Load,
+		"request": e.ID, "instance": e.Instance, "responder": cut(string(e.Responder)), "status": e.Status, "culprit": cut(e.Culprit), "held": e.Held, "load": e.Load,
 		"cooldown_ms": e.Cooldown.Milliseconds(), "sends": e.Sends,
 	})
 }
--- a/transport/event/event_test.go
+++ b/transport/event/event_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/transport/event"
 )
 
@@ -52,3 +54,13 @@
 	}
 	return fields
 }
+
+// Guards against lines of the size of a response's head: an instance states these values.
+func TestValuesOfAnInstanceAreCutInTheLog(t *testing.T) {
+	g := NewWithT(t)
+	long := strings.Repeat("x", 60_000)
+	f := (&event.AttemptRefused{Responder: state.InstanceID(long), Culprit: long}).Fields()
+	for _, name := range []string{"responder", "culprit"} {
+		g.Expect(fmt.Sprint(f[name])).To(Equal(long[:64]), name)
+	}
+}
