Own interface: calls and probes have IDs of their own, which targets repeat

The ID of a request is its caller's, and two callers may choose the same one: on a kept connection the late copy of the refusal of one request was taken for the refusal of the other, which the target ran. Only further sends of one request were guarded. Each call and probe now has an ID of its own in Troutmast-Exchange; a response with another one is a lost response (unknown). Targets that do not repeat it are accepted as before, so that further sends keep connections of their own. TestCopyOfARefusalDoesNotAnswerACallWithTheSameID failed before (not-run for a call that ran).

--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -147,7 +147,7 @@
 		BatchSlots:  t.cfg.Slots,
 	}
 	t.mu.Unlock()
-	w.Header().Set(target.HeaderRequestID, req.Header.Get(target.HeaderRequestID))
+	w.Header().Set(target.HeaderExchange, req.Header.Get(target.HeaderExchange))
 	writeTagged(w, req, r)
 }
 
@@ -175,6 +175,7 @@
 	defer t.mu.Unlock()
 	id := r.Header.Get(target.HeaderRequestID)
 	w.Header().Set(target.HeaderRequestID, id)
+	w.Header().Set(target.HeaderExchange, r.Header.Get(target.HeaderExchange))
 	epoch, _ := strconv.ParseUint(r.Header.Get(target.HeaderEpoch), 10, 64)
 	wrongGroup := !t.cfg.Service && (state.GroupName(r.Header.Get(target.HeaderGroup)) != t.order.Group || state.Epoch(epoch) != t.order.Epoch)
 	if t.faults.Refuse || wrongGroup || t.phase() != evidence.PhaseReady {
--- a/protocol/target/surplus_test.go
+++ b/protocol/target/surplus_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/troutmast/troutmast/coordination/control"
+	"github.com/troutmast/troutmast/coordination/retry"
 	"github.com/troutmast/troutmast/internal/surplus"
 	"github.com/troutmast/troutmast/protocol/exchange"
 	"github.com/troutmast/troutmast/protocol/target"
@@ -23,6 +25,7 @@
 func newSurplusTarget(t *testing.T, respond http.HandlerFunc) (*target.Client, netip.AddrPort) {
 	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(target.HeaderRequestID, r.Header.Get(target.HeaderRequestID))
+		w.Header().Set(target.HeaderExchange, r.Header.Get(target.HeaderExchange))
 		respond(w, r)
 	}))
 	srv.Listener = surplus.NewListener(srv.Listener, surplus.All)
@@ -66,3 +69,33 @@
 		g.Expect(c.Order(context.Background(), addr, control.Order{Group: "g", Epoch: 1})).To(MatchError(target.ErrFenced))
 	}
 }
+
+// Guards against the late copy of a refusal that answers another call: callers choose the IDs of their requests, and two may have
+// the same.
+func TestCopyOfARefusalDoesNotAnswerACallWithTheSameID(t *testing.T) {
+	g := NewWithT(t)
+	var calls atomic.Int64
+	c, addr := newSurplusTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) == 1 {
+			w.Header().Set(target.HeaderNotRun, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	call := target.Call{Address: addr, Method: http.MethodPost, Path: "/", RequestID: "r1"}
+	_, outcome, err := c.Send(context.Background(), call)
+	g.Expect(err).To(MatchError(target.ErrNotRun))
+	g.Expect(outcome).To(Equal(retry.NotRun))
+	mismatches := 0
+	for range 5 {
+		resp, outcome, err := c.Send(context.Background(), call)
+		if err == nil {
+			g.Expect(resp.Body.Close()).To(Succeed())
+			continue
+		}
+		g.Expect(outcome).To(Equal(retry.Unknown), "the target has run the call")
+		if errors.Is(err, target.ErrExchangeMismatch) {
+			mismatches++
+		}
+	}
+	g.Expect(mismatches).To(BeNumerically(">", 0), "no copy arrived")
+}
--- a/protocol/target/target.go
+++ b/protocol/target/target.go
@@ -39,12 +39,17 @@
 	ErrNotRun = fmt.Errorf("%w: target did not run the call", ErrTarget)
 	// ErrRequestIDMismatch means that a response does not carry the ID of its request.
 	ErrRequestIDMismatch = errors.New("target: request ID of the response differs from that of the request")
+	// ErrExchangeMismatch means that a response belongs to an earlier exchange of its connection.
+	ErrExchangeMismatch = errors.New("target: response belongs to an earlier exchange of its connection")
 )
 
 // Names of the headers that the adapter sends and reads.
 const (
 	// HeaderRequestID is the ID of a request. The target repeats it in the response.
 	HeaderRequestID = "X-Request-Id"
+	// HeaderExchange is unique to each call and probe of a node, unlike the ID of a request, which its caller chooses. A
+	// target repeats it in the response. Responses without it are accepted, since targets may not know it.
+	HeaderExchange = "Troutmast-Exchange"
 	// HeaderGroup and HeaderEpoch identify the group at one epoch that a request is for. A target in
 	// another group or epoch rejects the request.
 	HeaderGroup = "Troutmast-Group"
@@ -93,7 +98,8 @@
 	controlHTTP *exchange.Client
 	serveHTTP   *exchange.Client
 	onceHTTP    *exchange.Client
-	probeCount  atomic.Uint64
+	// exchangeCount numbers the exchanges.
+	exchangeCount atomic.Uint64
 
 	mu          sync.Mutex
 	lastReports map[netip.AddrPort]taggedReport
@@ -123,7 +129,8 @@
 	if last.etag != "" {
 		req.Header.Set("If-None-Match", last.etag)
 	}
-	resp, err := c.doProbe(req)
+	id := c.identify(req)
+	resp, _, err := c.controlHTTP.Do(req)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return evidence.Report{}, fmt.Errorf("%w: %w", probe.ErrNotListening, err)
@@ -132,6 +139,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	switch {
+	case !belongsTo(resp, id):
+		return evidence.Report{}, fmt.Errorf("%w: %w", ErrTarget, ErrExchangeMismatch)
 	case resp.StatusCode == http.StatusNotModified && last.etag != "":
 		return last.report, nil
 	case resp.StatusCode != http.StatusOK:
@@ -144,19 +153,17 @@
 	return r, err
 }
 
-// doProbe sends a probe with an ID of its own and returns the response to it.
-func (c *Client) doProbe(req *http.Request) (*http.Response, error) {
-	id := strconv.FormatUint(c.probeCount.Add(1), 10)
-	req.Header.Set(HeaderRequestID, id)
-	resp, _, err := c.controlHTTP.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	if got := resp.Header.Get(HeaderRequestID); got != "" && got != id { // targets that repeat no ID are trusted
-		_ = resp.Body.Close()
-		return nil, ErrRequestIDMismatch
-	}
-	return resp, nil
+// identify sets the ID of an exchange on its request and returns the ID.
+func (c *Client) identify(req *http.Request) string {
+	id := strconv.FormatUint(c.exchangeCount.Add(1), 10)
+	req.Header.Set(HeaderExchange, id)
+	return id
+}
+
+// belongsTo reports whether a response may belong to the exchange with an ID.
+func belongsTo(resp *http.Response, id string) bool {
+	got := resp.Header.Get(HeaderExchange)
+	return got == "" || got == id
 }
 
 // lastReport returns the last report of the target at an address.
@@ -286,6 +293,7 @@
 	if call.NewConnection {
 		httpClient = c.onceHTTP
 	}
+	id := c.identify(req)
 	resp, sent, err := httpClient.DoIf(req, call.BeforeSend)
 	switch {
 	case errors.Is(err, exchange.ErrHeldBack):
@@ -295,6 +303,10 @@
 	case err != nil:
 		return nil, retry.NotRun, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
+	if !belongsTo(resp, id) {
+		_ = resp.Body.Close()
+		return nil, retry.Unknown, ErrExchangeMismatch
+	}
 	if resp.Header.Get(HeaderRequestID) != call.RequestID {
 		_ = resp.Body.Close()
 		return nil, retry.Unknown, ErrRequestIDMismatch
--- a/transport/caller/request.go
+++ b/transport/caller/request.go
@@ -56,7 +56,7 @@
 	identity quarantine.Request
 	lives    []fleet.Incarnation
 	sentAt   time.Time
-	// isSent is set once the request has been sent to an instance.
+	// isSent is set once a send of the request has been tried.
 	isSent bool
 }
 
@@ -85,8 +85,8 @@
 	return nil
 }
 
-// nextSend returns the call of the next send of the request. A further send has a connection of its own: on that of an earlier
-// one the late copy of a response would have the ID that is expected.
+// nextSend returns the call of the next send of the request. A further send uses a connection of its own, since a target may not
+// repeat the ID of the exchange and the late copy of a response to an earlier send has the same request ID.
 func (q *request) nextSend(call target.Call) target.Call {
 	call.NewConnection = call.NewConnection || q.isSent
 	q.isSent = true
