--- a/internal/upgrade/restart.go
+++ b/internal/upgrade/restart.go
@@ -28,7 +28,7 @@
 	downSpread       = 60 * time.Millisecond
 	leastRestartGap  = 1000 * time.Millisecond
 	restartGapSpread = 800 * time.Millisecond
-	// After restartListed the nodes know the new workers, and still the ones before.
+	// restartListed is the time after which nodes know a restarted worker. Until a refusal they still know the one before it.
 	restartListed = 250 * time.Millisecond
 	restartCalls  = 64
 )
--- a/protocol/direct/kept_test.go
+++ b/protocol/direct/kept_test.go
@@ -171,7 +171,7 @@
 	}
 }
 
-// Requests without an ID, whose responses are not told apart, go on sharing a connection.
+// Requests without an ID share a connection, since their responses are not matched by ID.
 func TestRequestsWithoutIDShareAConnection(t *testing.T) {
 	g := NewWithT(t)
 	srv := scriptedServer(t, func(_ int, id string) string { return response(http.StatusOK, id) })
@@ -184,7 +184,7 @@
 	}
 }
 
-// Guards against idle connections that pile up under a caller whose requests all have the same ID.
+// Guards against idle connections that accumulate if all requests of a caller have the same ID.
 func TestRequestsWithOneIDKeepOneConnectionOpen(t *testing.T) {
 	g := NewWithT(t)
 	srv := scriptedServer(t, func(_ int, id string) string { return response(http.StatusOK, id) })
--- a/protocol/direct/pool.go
+++ b/protocol/direct/pool.go
@@ -74,7 +74,7 @@
 		p.discard(c)
 	}
 	if c := p.takeCarrier(addr, id); c != nil {
-		p.discard(c) // idle connections would pile up under a caller whose requests all have one ID
+		p.discard(c) // otherwise idle connections accumulate if a caller sends all requests with the same ID
 	}
 	raw, err := p.dialer.Dial(ctx, addr)
 	if err != nil {
