Placement: plan with groups whose model the configuration no longer has

Seen by callers: after one change of the configuration that gives a model another name, the processes of all nodes ended, one leader after the other, again and again.

Cause: the planner turns the name of a group's model into an index of the configuration's models. Groups outlive configurations, so the name may be missing; transferGain and chooseTransfers used the index without a check, in a goroutine whose panic ends the process. With an engine without models, the maximum of an empty list panicked in formInDomains, and emptyHostLoads would have indexed an empty list. Beside the panics, groups of a removed model, and groups that are smaller than their model's are now, stayed open: they served nothing and kept their instances. A group whose members never report a model stayed as well.

Change: the planner resolves the model once, where it takes a group into a domain: a servingGroup has an index that is valid, and transfers, reallocations and stagings take only these. Every other look-up returns whether the model is configured. An outdated group gets no new requests, its head closes and finishes what it has, however long that takes, and the members leave once it is closed. If the configuration has the model again before that, the group opens again.

The stand-in of the tests gives a model that it no longer has the usual load times, since late orders may name it.

--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		if head := s.headOf(g); head != nil && domains[head.Domain] != nil {
-			domains[head.Domain].add(g)
+			s.addToDomain(domains[head.Domain], g)
 		}
 	}
 	s.formInDomains(domains, alloc)
@@ -80,7 +80,7 @@
 	}
 	formed := false
 	for i, l := range alloc.chooseLayouts(choices, s.engine.Models, s.newHallCoverage(), halls) {
-		formed = formed || slices.Max(l.counts) > 0
+		formed = formed || !l.isEmpty()
 		s.formLayout(ready[i].free, l)
 	}
 	for _, d := range idle {
@@ -127,13 +127,11 @@
 
 // closeDonors marks groups to be closed for reallocation, and adds to the allocation the groups
 // that will be formed from their members and the free instances.
-func (s *step) closeDonors(donors []*group, free []*Member, alloc *allocation) {
+func (s *step) closeDonors(donors []servingGroup, free []*Member, alloc *allocation) {
 	for _, g := range donors {
 		g.donorSince = s.now
-		free, _ = s.withMembers(free, g)
-		if i := s.modelIndex(g.model); i >= 0 {
-			alloc.current[i] -= float64(len(g.members))
-		}
+		free, _ = s.withMembers(free, g.group)
+		alloc.current[g.modelIndex] -= float64(len(g.members))
 	}
 	models := s.engine.Models
 	alloc.add(alloc.best(maximalLayouts(len(free), s.eligibleCounts(free), models), models), models, 1)
@@ -143,23 +141,24 @@
 type domain struct {
 	free []*Member
 	// groups are the serving groups; hasDonor reports whether a group is being closed for reallocation.
-	groups   []*group
+	groups   []servingGroup
 	hasDonor bool
 }
 
-// add records a group as serving or as a donor of the domain.
-func (d *domain) add(g *group) {
+// addToDomain records a group as serving or as a donor of its domain. An outdated group is neither.
+func (s *step) addToDomain(d *domain, g *group) {
+	i, configured := s.modelIndex(g.model)
 	switch {
 	case !g.donorSince.IsZero():
 		d.hasDonor = true
-	case g.opened && g.failure == "":
-		d.groups = append(d.groups, g)
+	case configured && g.opened && g.failure == "" && s.outdatedReason(g) == "":
+		d.groups = append(d.groups, servingGroup{g, i})
 	}
 }
 
 // isReallocating reports whether a group of the domain is being closed for reallocation.
 func (d *domain) isReallocating() bool {
-	return d.hasDonor || slices.ContainsFunc(d.groups, func(g *group) bool { return !g.donorSince.IsZero() })
+	return d.hasDonor || slices.ContainsFunc(d.groups, func(g servingGroup) bool { return !g.donorSince.IsZero() })
 }
 
 // allocation returns the current and desired numbers of instances in groups of each model.
@@ -169,7 +168,7 @@
 		alloc = newDemandAllocation(s.engine, s.Demand, &s.policy)
 	}
 	for _, g := range s.groups {
-		if i := s.modelIndex(g.model); i >= 0 && g.failure == "" && g.donorSince.IsZero() && !s.isDraining(g) && !s.isEvacuated(g) {
+		if i, configured := s.modelIndex(g.model); configured && s.isCapacity(g) && !s.isDraining(g) && !s.isEvacuated(g) {
 			alloc.current[i] += float64(len(g.members))
 		}
 	}
@@ -182,9 +181,9 @@
 	return head != nil && head.evacuated
 }
 
-// modelIndex returns the index of a model in the configuration, or -1.
-func (s *step) modelIndex(name string) int {
-	return slices.IndexFunc(s.engine.Models, func(m catalog.Model) bool { return m.Name == name })
+// isCapacity reports whether a group serves its model or will: it has not failed and is not being given up.
+func (s *step) isCapacity(g *group) bool {
+	return g.failure == "" && g.donorSince.IsZero() && s.outdatedReason(g) == ""
 }
 
 // assignedMembers returns the instances that are assigned to a group, including those that have
@@ -247,8 +246,8 @@
 }
 
 // selectDonors returns the groups of a domain to close for reallocation, or nil.
-func (s *step) selectDonors(d *domain, alloc *allocation, list []layout) []*group {
-	var best []*group
+func (s *step) selectDonors(d *domain, alloc *allocation, list []layout) []servingGroup {
+	var best []servingGroup
 	bestGain := alloc.utilityGain(s.engine.Models, alloc.best(list, s.engine.Models))
 	for _, chosen := range s.donorSets(d) {
 		if gain := s.reallocationGain(d.free, alloc, chosen); gain > bestGain {
@@ -263,17 +262,19 @@
 // another model without a load, and at most as many members as two groups of the largest size.
 // The limit counts members because no fixed number of groups is enough: a group of 16 needs
 // the members of four groups of 4.
-func (s *step) donorSets(d *domain) [][]*group {
-	sets := [][]*group{nil}
+func (s *step) donorSets(d *domain) [][]servingGroup {
+	sets := [][]servingGroup{nil}
 	maxMembers := 2 * s.largestGroupSize()
-	for _, m := range s.engine.Models {
-		var candidates []*group
+	for i := range s.engine.Models {
+		var candidates []servingGroup
 		for _, g := range d.groups {
-			if g.model == m.Name && s.now.Sub(g.formedAt) >= s.policy.DonorAge && !s.isSilent(g) {
+			if g.modelIndex == i && s.now.Sub(g.formedAt) >= s.policy.DonorAge && !s.isSilent(g.group) {
 				candidates = append(candidates, g)
 			}
 		}
-		slices.SortStableFunc(candidates, func(a, b *group) int { return cmp.Compare(s.transferableMembers(b), s.transferableMembers(a)) })
+		slices.SortStableFunc(candidates, func(a, b servingGroup) int {
+			return cmp.Compare(s.transferableMembers(b.group), s.transferableMembers(a.group))
+		})
 		for _, base := range sets {
 			for n := 1; n <= len(candidates) && memberCount(base)+memberCount(candidates[:n]) <= maxMembers; n++ {
 				sets = append(sets, slices.Concat(base, candidates[:n]))
@@ -293,7 +294,7 @@
 }
 
 // memberCount returns the total number of members of groups.
-func memberCount(groups []*group) int {
+func memberCount(groups []servingGroup) int {
 	n := 0
 	for _, g := range groups {
 		n += len(g.members)
@@ -316,20 +317,19 @@
 
 // reallocationGain returns the utility of the best groups that can be formed from free instances
 // and the members of the chosen groups, less the utility of the chosen groups and the required gain.
-// It returns 0 if a model or a member of the chosen groups is unknown.
-func (s *step) reallocationGain(free []*Member, alloc *allocation, chosen []*group) float64 {
+// It returns 0 if a member of the chosen groups is unknown.
+func (s *step) reallocationGain(free []*Member, alloc *allocation, chosen []servingGroup) float64 {
 	models := s.engine.Models
 	before, utilities := slices.Clone(alloc.current), s.marginalUtilities
 	defer func() { alloc.current, s.marginalUtilities = before, utilities }()
 	alloc.current = slices.Clone(before)
 	cost := 0.0
 	for _, g := range chosen {
-		combined, ok := s.withMembers(free, g)
-		i := s.modelIndex(g.model)
-		if i < 0 || !ok {
+		combined, ok := s.withMembers(free, g.group)
+		if !ok {
 			return 0
 		}
-		size := float64(len(g.members))
+		i, size := g.modelIndex, float64(len(g.members))
 		cost += alloc.utility(i, alloc.current[i]) - alloc.utility(i, alloc.current[i]-size) + s.policy.DonorGain*size
 		alloc.current[i] -= size
 		free = combined
--- a/coordination/placement/formation.go
+++ b/coordination/placement/formation.go
@@ -29,6 +29,8 @@
 	unknownRanks int
 	// donorSince is the time at which the group was selected to be closed for reallocation; zero if it was not.
 	donorSince time.Time
+	// retiring is set once the group is being given up because of a change of the configuration.
+	retiring bool
 	// closingSince is the time since which the head has been closing, for whatever reason.
 	closingSince time.Time
 }
@@ -60,10 +62,14 @@
 	case !g.donorSince.IsZero():
 		s.plan.ExcludedGroups[key] = "its members are needed elsewhere"
 		s.drain(key, g, head)
+	case s.outdatedReason(g) != "":
+		s.plan.ExcludedGroups[key] = s.outdatedReason(g)
+		s.retire(key, g, head)
 	case s.isSilent(g):
 		s.plan.ExcludedGroups[key] = "a member does not answer"
 		s.suspect(key, g)
 	default:
+		g.retiring = false
 		s.bringUp(key, g, head)
 	}
 }
@@ -153,6 +159,9 @@
 			return fmt.Sprintf("%s does not become ready", id)
 		}
 	}
+	if g.model == "" && s.now.After(joinDeadline) {
+		return "no member reports a model"
+	}
 	return ""
 }
 
@@ -288,10 +297,10 @@
 }
 
 // drain drains a group: the head is ordered to finish its requests, and the group fails
-// once the head is closed. It applies to groups with a leaving member and to donor groups.
+// once the head is closed. It applies to groups with a leaving member, donor groups and outdated groups.
 func (s *step) drain(key fleet.GroupKey, g *group, head *Member) {
 	if head == nil || head.Membership.Key() != key {
-		g.failure = "a member is leaving"
+		g.failure = s.plan.ExcludedGroups[key]
 		return
 	}
 	s.plan.InTransition = true
--- a/coordination/placement/halls.go
+++ b/coordination/placement/halls.go
@@ -27,8 +27,8 @@
 		c.instances[i] = map[state.HallName]float64{}
 	}
 	for _, g := range s.groups {
-		i, head := s.modelIndex(g.model), s.headOf(g)
-		if i >= 0 && head != nil && g.failure == "" && g.donorSince.IsZero() {
+		i, configured := s.modelIndex(g.model)
+		if head := s.headOf(g); configured && head != nil && s.isCapacity(g) {
 			c.instances[i][head.Hall] += float64(len(g.members))
 		}
 	}
--- a/coordination/placement/layout.go
+++ b/coordination/placement/layout.go
@@ -61,6 +61,11 @@
 // clone returns a copy of the layout.
 func (l layout) clone() layout { return layout{counts: slices.Clone(l.counts)} }
 
+// isEmpty reports whether the layout has no groups.
+func (l layout) isEmpty() bool {
+	return !slices.ContainsFunc(l.counts, func(n int) bool { return n > 0 })
+}
+
 // instances returns the number of instances in the groups of a model.
 func (l layout) instances(i int, models []catalog.Model) float64 {
 	return float64(l.counts[i] * models[i].GroupSize)
--- /dev/null
+++ b/coordination/placement/models_test.go
@@ -0,0 +1,193 @@
+package placement_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
+	"github.com/troutmast/troutmast/state/fleet"
+)
+
+// withModels returns the engine of the simulation with other models.
+func withModels(models ...catalog.Model) *catalog.Engine {
+	e := engine()
+	e.Models = models
+	return e
+}
+
+// modelOf returns a model whose groups have a number of instances.
+func modelOf(name string, size int) catalog.Model {
+	return catalog.Model{Name: name, GroupSize: size, ExpectedShare: 0.5, TimeFactor: 1, LoadTime: 16 * time.Second, HostLoadTime: warmLoadTime}
+}
+
+// setEngine gives a new configuration to some nodes.
+func (sim *simulation) setEngine(e *catalog.Engine, nodes ...*node) {
+	sim.engine, sim.demand = e, nil
+	for _, n := range nodes {
+		if n.planner != nil {
+			n.planner.SetEngine(e)
+			n.planner.Demand = nil
+		}
+	}
+}
+
+// outdatedGroups returns the instances in groups of a model that the configuration does not have, or has with larger groups.
+func (sim *simulation) outdatedGroups() []state.InstanceID {
+	var list []state.InstanceID
+	for id, t := range sim.targets {
+		if t.dead || t.Membership.Group == "" {
+			continue
+		}
+		if m := sim.engine.Model(t.Model); m == nil || len(t.members) < m.GroupSize {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Guards against a configuration that replaces a model and ends the processes of all leaders in turn: the planner used the
+// position of the old model, which the configuration no longer had, as an index. Callers of every service lost requests,
+// and the instances of the old model's groups served nothing from then on.
+func TestGroupsOfRemovedModelsServeTheOthers(t *testing.T) {
+	large, small, other := modelOf("large", 4), modelOf("small", 2), modelOf("other", 4)
+	for _, c := range []struct {
+		name    string
+		models  []catalog.Model
+		removed []string
+	}{
+		{"one is removed", []catalog.Model{small}, []string{"large"}},
+		{"the other one is removed", []catalog.Model{large}, []string{"small"}},
+		{"one is replaced", []catalog.Model{other, small}, []string{"large"}},
+		{"the other one is replaced", []catalog.Model{large, other}, []string{"small"}},
+		{"all are replaced", []catalog.Model{other, modelOf("another", 2)}, []string{"large", "small"}},
+		{"another order", []catalog.Model{small, large}, nil},
+		{"one needs larger groups", []catalog.Model{large, modelOf("small", 4)}, nil},
+		{"one needs smaller groups", []catalog.Model{modelOf("large", 2), small}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			sim := newSimulation(1, 2, 8, 1)
+			sim.faultsEnabled = false
+			sim.setLeading(sim.nodes[0], true)
+			sim.run(20 * time.Second)
+			sim.setEngine(withModels(c.models...), sim.nodes...)
+			sim.run(20 * time.Second)
+			g.Expect(sim.violations).To(BeEmpty())
+			for _, name := range c.removed {
+				g.Expect(sim.instancesServing(name)).To(BeZero(), name)
+			}
+			for _, m := range c.models {
+				g.Expect(sim.instancesServing(m.Name)).To(BeNumerically(">=", m.GroupSize), m.Name)
+			}
+			g.Expect(sim.outdatedGroups()).To(BeEmpty())
+		})
+	}
+}
+
+// A configuration without models leaves no groups to form, and those that are formed are dissolved. With the models back,
+// they are served again.
+func TestEngineWithoutModelsHasNoGroups(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(1, 2, 8, 1)
+	sim.faultsEnabled = false
+	sim.addTarget("d0").Staged = nil
+	sim.setLeading(sim.nodes[0], true)
+	sim.run(10 * time.Second)
+	sim.setEngine(withModels(), sim.nodes...)
+	sim.run(10 * time.Second)
+	g.Expect(sim.outdatedGroups()).To(BeEmpty())
+	sim.setEngine(engine(), sim.nodes...)
+	sim.run(10 * time.Second)
+	_, inGroups := sim.countServing()
+	g.Expect(inGroups).To(BeNumerically(">=", 16))
+}
+
+// The requests of a removed model end whole: its groups finish what they have and are not told to leave meanwhile, however long
+// that takes.
+func TestGroupOfRemovedModelFinishesItsRequests(t *testing.T) {
+	g := NewWithT(t)
+	p := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochGenerator(0, 1).Next)
+	members := func(s fleet.MemberState) []placement.Member {
+		list := []placement.Member{groupMember("a", 0), groupMember("b", 1)}
+		list[0].Membership.State = s
+		return list
+	}
+	p.Step(testStart, members(fleet.Open))
+	p.SetEngine(withModels(modelOf("large", 4)))
+	plan := p.Step(testStart.Add(time.Second), members(fleet.Open))
+	g.Expect(plan.Orders).To(HaveLen(1))
+	g.Expect(plan.Orders[0].Action).To(Equal(placement.Close))
+	g.Expect(plan.ExcludedGroups).To(HaveLen(1))
+	for second := 2; second < 30; second++ {
+		plan = p.Step(testStart.Add(time.Duration(second)*time.Second), members(fleet.Closing))
+		g.Expect(plan.Orders).To(BeEmpty(), "second %d", second)
+	}
+	plan = p.Step(testStart.Add(30*time.Second), members(fleet.Ready))
+	g.Expect(plan.Orders).To(BeEmpty())
+	plan = p.Step(testStart.Add(31*time.Second), members(fleet.Ready))
+	g.Expect(plan.Orders).To(HaveLen(2))
+	g.Expect(plan.Orders[0].Action).To(Equal(placement.Leave))
+}
+
+// A model that is back before its groups have been given up is served by them.
+func TestModelThatReturnsKeepsItsGroups(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(1, 2, 8, 1)
+	sim.faultsEnabled = false
+	sim.setLeading(sim.nodes[0], true)
+	sim.run(20 * time.Second)
+	before := sim.groupKeys()
+	sim.setEngine(withModels(modelOf("small", 2)), sim.nodes...)
+	sim.run(500 * time.Millisecond)
+	sim.setEngine(engine(), sim.nodes...)
+	sim.run(20 * time.Second)
+	g.Expect(sim.violations).To(BeEmpty())
+	g.Expect(sim.groupKeys()).To(Equal(before))
+	_, inGroups := sim.countServing()
+	g.Expect(inGroups).To(Equal(16))
+}
+
+// An instance that names a group but never a model, or a model of another size, ends no planner, and its group is dissolved.
+func TestGroupsWithoutUsableModelAreDissolved(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		model string
+		size  int
+	}{
+		{"no model", "", 2},
+		{"a model that no configuration had", "unknown", 2},
+		{"fewer members than the model needs", "large", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochGenerator(0, 1).Next)
+			var left []state.InstanceID
+			for second := range 60 {
+				var members []placement.Member
+				for rank := range c.size {
+					m := groupMember(state.InstanceID('a'+rune(rank)), rank)
+					m.Model, m.Loaded = c.model, c.model
+					if slices.Contains(left, m.ID) {
+						m.Membership = fleet.Membership{}
+					}
+					members = append(members, m)
+				}
+				for _, o := range p.Step(testStart.Add(time.Duration(second)*time.Second), members).Orders {
+					switch o.Action {
+					case placement.Close:
+						left = append(left, o.Instance) // it has no requests, and reports no group from then on
+					case placement.Leave:
+						left = append(left, o.Instance)
+					}
+				}
+			}
+			g.Expect(left).To(ContainElements(state.InstanceID("a"), state.InstanceID("b")))
+		})
+	}
+}
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -125,6 +125,8 @@
 	Spares map[string]int
 	// ExcludedGroups holds the groups that must not receive new requests, with the reason.
 	ExcludedGroups map[fleet.GroupKey]string
+	// Retired lists the groups that this step began to give up because of a change of the configuration.
+	Retired []RetiredGroup
 }
 
 // step holds the state of one call of Step.
@@ -196,13 +198,14 @@
 }
 
 // maxJoinTime returns the maximum time that members of a group of a model may take to become
-// ready, not counting the margin. An empty name stands for an unknown model.
+// ready, not counting the margin. For a model that the configuration does not have it is the longest of all.
 func (s *step) maxJoinTime(model string) time.Duration {
+	if m := s.engine.Model(model); m != nil {
+		return 2 * m.LoadTime
+	}
 	var longest time.Duration
 	for i := range s.engine.Models {
-		if m := &s.engine.Models[i]; m.Name == model || model == "" {
-			longest = max(longest, 2*m.LoadTime)
-		}
+		longest = max(longest, 2*s.engine.Models[i].LoadTime)
 	}
 	return longest
 }
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -105,6 +105,9 @@
 // the loss of one member at a time, so that they leave such spares of a domain without a model that could still
 // repair it after several losses, or complete a group with later spares.
 func (s *step) emptyHostLoads() []wantedLoad {
+	if len(s.engine.Models) == 0 {
+		return nil
+	}
 	scarcest := 0
 	for i := range s.marginalUtilities {
 		if s.marginalUtilities[i] > s.marginalUtilities[scarcest] {
@@ -175,7 +178,7 @@
 // marginalUtility returns the marginal utility of one more instance in groups of a model, or 0 if
 // the model is unknown.
 func (s *step) marginalUtility(model string) float64 {
-	if i := s.modelIndex(model); i >= 0 {
+	if i, configured := s.modelIndex(model); configured {
 		return s.marginalUtilities[i]
 	}
 	return 0
@@ -225,13 +228,12 @@
 
 // utilityAfterLoss returns the utility of the best groups that can be formed from free instances
 // and the remaining members of a group that loses one member.
-func (s *step) utilityAfterLoss(free []*Member, g *group) float64 {
-	combined, ok := s.withMembers(free, g)
-	i := s.modelIndex(g.model)
-	if !ok || i < 0 {
+func (s *step) utilityAfterLoss(free []*Member, g servingGroup) float64 {
+	combined, ok := s.withMembers(free, g.group)
+	if !ok {
 		return 0
 	}
-	size := float64(len(g.members))
+	i, size := g.modelIndex, float64(len(g.members))
 	s.alloc.current[i] -= size
 	defer func() { s.alloc.current[i] += size }()
 	return s.bestUtility(combined[:len(combined)-1])
--- a/coordination/placement/transfer.go
+++ b/coordination/placement/transfer.go
@@ -14,7 +14,7 @@
 type transfer struct {
 	domain *domain
 	model  int
-	donors []*group
+	donors []servingGroup
 	// groups is the number of groups of the model that the transfer forms.
 	groups int
 	// missing are the instances that must stage the model first.
@@ -57,7 +57,7 @@
 		}
 		s.alloc.current[t.model] += float64(t.groups * s.engine.Models[t.model].GroupSize)
 		for _, g := range t.donors {
-			s.alloc.current[s.modelIndex(g.model)] -= float64(len(g.members))
+			s.alloc.current[g.modelIndex] -= float64(len(g.members))
 		}
 		s.marginalUtilities = s.alloc.marginalUtilities()
 	}
@@ -77,7 +77,7 @@
 		if len(pool) >= size {
 			break
 		}
-		pool, _ = s.withMembers(pool, g)
+		pool, _ = s.withMembers(pool, g.group)
 		t.donors = append(t.donors, g)
 	}
 	prepared, loadable := s.splitByModel(pool, name)
@@ -94,20 +94,20 @@
 
 // donorsFor returns the serving groups of a domain whose model is less scarce than the given one, first those
 // with the most members that have it.
-func (s *step) donorsFor(d *domain, model int) []*group {
+func (s *step) donorsFor(d *domain, model int) []servingGroup {
 	name := s.engine.Models[model].Name
-	var donors []*group
+	var donors []servingGroup
 	counts := map[*group]int{}
 	for _, g := range d.groups {
-		members, known := s.withMembers(nil, g)
-		if g.model == name || !known || !s.isScarcer(name, g.model) || s.isSilent(g) {
+		members, known := s.withMembers(nil, g.group)
+		if g.model == name || !known || !s.isScarcer(name, g.model) || s.isSilent(g.group) {
 			continue
 		}
 		prepared, _ := s.splitByModel(members, name)
-		counts[g] = len(prepared)
+		counts[g.group] = len(prepared)
 		donors = append(donors, g)
 	}
-	slices.SortStableFunc(donors, func(a, b *group) int { return cmp.Compare(counts[b], counts[a]) })
+	slices.SortStableFunc(donors, func(a, b servingGroup) int { return cmp.Compare(counts[b.group], counts[a.group]) })
 	return donors
 }
 
@@ -132,7 +132,7 @@
 	lost := map[int]float64{}
 	for _, g := range t.donors {
 		members := float64(len(g.members))
-		lost[s.modelIndex(g.model)] += members
+		lost[g.modelIndex] += members
 		gain -= s.policy.DonorGain * members
 	}
 	for i, n := range lost {
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -323,7 +323,7 @@
 // stage makes a host load a model.
 func (sim *simulation) stage(t *target, model string) {
 	if sim.singleModelHosts {
-		sim.schedule(sim.engine.Model(model).LoadTime, func() { sim.finishStaging(t, model) })
+		sim.schedule(sim.model(model).LoadTime, func() { sim.finishStaging(t, model) })
 		return
 	}
 	if !t.HasStaged(model) {
@@ -342,13 +342,22 @@
 
 // joinTime returns the time that a target needs to become ready in a group of a model.
 func (sim *simulation) joinTime(t *target, model string) time.Duration {
+	m := sim.model(model)
 	switch {
 	case t.Model == model:
 		return 200 * time.Millisecond
 	case t.HasStaged(model) || !sim.singleModelHosts:
-		return sim.engine.Model(model).HostLoadTime
+		return m.HostLoadTime
 	}
-	return sim.engine.Model(model).LoadTime
+	return m.LoadTime
+}
+
+// model returns a model of the configuration, or one with the usual times if a late order names one that it no longer has.
+func (sim *simulation) model(name string) catalog.Model {
+	if m := sim.engine.Model(name); m != nil {
+		return *m
+	}
+	return catalog.Model{Name: name, LoadTime: 16 * time.Second, HostLoadTime: warmLoadTime}
 }
 
 // expectedOrders returns the number of accepted orders that an order expects, or -1.
