Placement: hosts with models of earlier configurations count as empty

Found by the drawn configurations of the test below: where a host keeps one model and all models have been replaced, a new model was not served within 90 s in one case of 58. Callers of that model would have got 503 all the while.

Cause: an instance counted as having a model if its host kept any, also one that the configuration no longer has. Such hosts were no better a choice for a load than those that had just loaded a new model. The planner takes the first candidates by the scarcity of their last model, which none has, so the two hosts that a group needed were overwritten in turn with the other new model.

Change: only configured models count, and loads go first to hosts without any. TestHostsWithFormerModelsLoadTheNewOnes fails before (0 instances serve the model after 70 s, 2 asked) and TestEveryModelIsServedAfterDrawnConfigurations too; both pass now. The drawn test plays added, dropped, renamed, resized and reordered models, none at all, changes within 100 ms, leaders that change and leaders with an older configuration.

--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -218,7 +218,7 @@
 // is ignored: it cannot join a group until a load has completed.
 func (s *step) isSettling(free []*Member) bool {
 	return slices.ContainsFunc(free, func(m *Member) bool {
-		return s.now.Sub(m.FirstSeen) < s.policy.SettleDelay && (s.BeforeTraffic || !m.hasNoModel())
+		return s.now.Sub(m.FirstSeen) < s.policy.SettleDelay && (s.BeforeTraffic || !s.hasNoModel(m))
 	})
 }
 
--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -23,6 +23,11 @@
 	return i, i >= 0
 }
 
+// hasNoModel reports whether an instance has neither loaded nor staged a model of the configuration.
+func (s *step) hasNoModel(m *Member) bool {
+	return s.engine.Model(m.Model) == nil && !slices.ContainsFunc(m.Staged, func(name string) bool { return s.engine.Model(name) != nil })
+}
+
 // The reasons for which a group is outdated.
 const (
 	reasonNoModel  = "its model is not configured"
--- a/coordination/placement/models_test.go
+++ b/coordination/placement/models_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	_ "github.com/troutmast/troutmast/internal/fixedseed" // the same cases in every run
 
 	"github.com/troutmast/troutmast/coordination/placement"
 	"github.com/troutmast/troutmast/state"
@@ -191,3 +194,69 @@
 		})
 	}
 }
+
+// Guards against a new model that never gets a group: hosts that kept models of the earlier configuration counted as having one, so
+// that the few that had loaded a new model loaded the other one over it, again and again.
+func TestHostsWithFormerModelsLoadTheNewOnes(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(1, 3, 6, 1)
+	sim.faultsEnabled, sim.singleModelHosts = false, true
+	sim.engine = withModels(modelOf("former", 1))
+	sim.setLeading(sim.nodes[0], true)
+	sim.run(5 * time.Second)
+	sim.setEngine(withModels(modelOf("new", 1), modelOf("newer", 2)), sim.nodes...)
+	sim.run(70 * time.Second)
+	g.Expect(sim.violations).To(BeEmpty())
+	g.Expect(sim.instancesServing("new")).To(BeNumerically(">=", 1))
+	g.Expect(sim.instancesServing("newer")).To(BeNumerically(">=", 2))
+}
+
+// drawModels draws the models of a configuration from a few names, so that successive ones add, drop, rename, resize and
+// reorder models. Each domain holds a group of every model.
+func drawModels(t *rapid.T, domain int) []catalog.Model {
+	names := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"m1", "m2", "m3", "m4"}), 0, 3, rapid.ID[string]).Draw(t, "names")
+	var models []catalog.Model
+	for _, name := range names {
+		models = append(models, modelOf(name, rapid.IntRange(1, domain/3).Draw(t, "size")))
+	}
+	return models
+}
+
+// For any configurations that follow one another, with leaders that change or have an older configuration, no planner panics, no
+// instance serves two groups, and in the end every model is served and no instance is in a group of another model.
+func TestEveryModelIsServedAfterDrawnConfigurations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains, perDomain := rapid.IntRange(1, 3).Draw(t, "domains"), rapid.IntRange(6, 18).Draw(t, "instances of a domain")
+		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), domains, perDomain, 2)
+		sim.faultsEnabled = rapid.Bool().Draw(t, "faults")
+		sim.singleModelHosts = rapid.Bool().Draw(t, "single-model hosts")
+		sim.setLeading(sim.nodes[0], true)
+		for range rapid.IntRange(1, 4).Draw(t, "changes") {
+			sim.run(rapid.SampledFrom([]time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second, 20 * time.Second}).Draw(t, "pause"))
+			nodes := sim.nodes
+			if rapid.Bool().Draw(t, "one node has the older configuration") {
+				nodes = nodes[:1]
+			}
+			sim.setEngine(withModels(drawModels(t, perDomain)...), nodes...)
+			if rapid.Bool().Draw(t, "new leader") {
+				sim.setLeading(sim.nodes[1], !sim.nodes[1].leading)
+			}
+		}
+		sim.run(5 * time.Second)
+		sim.endFaults()
+		models := drawModels(t, perDomain)
+		sim.setEngine(withModels(models...), sim.nodes...)
+		sim.run(90 * time.Second)
+		if len(sim.violations) > 0 {
+			t.Fatalf("%v", sim.violations)
+		}
+		for _, m := range models {
+			if sim.instancesServing(m.Name) < m.GroupSize {
+				t.Fatalf("%s in groups of %d is not served", m.Name, m.GroupSize)
+			}
+		}
+		if list := sim.outdatedGroups(); len(list) > 0 {
+			t.Fatalf("%v are in groups of models that are not configured", list)
+		}
+	})
+}
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -52,9 +52,6 @@
 	return !m.Lost && !m.Silent && !m.Far && !m.Ended && !m.Draining && !m.Unlisted && !m.evacuated
 }
 
-// hasNoModel reports whether the instance has neither a loaded nor a staged model.
-func (m *Member) hasNoModel() bool { return m.Model == "" && len(m.Staged) == 0 }
-
 // orderKey identifies an order that was sent; sentOrder adds the time of sending.
 type orderKey struct {
 	action Action
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -117,7 +117,7 @@
 	var list []wantedLoad
 	for _, name := range sortedDomainNames(s.domains) {
 		for _, m := range s.domains[name].free {
-			if s.isSpare(m) && m.hasNoModel() {
+			if s.isSpare(m) && s.hasNoModel(m) {
 				list = append(list, wantedLoad{member: m, model: s.engine.Models[scarcest].Name})
 			}
 		}
@@ -135,7 +135,7 @@
 			candidates = append(candidates, m)
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b *Member) int { return cmp.Compare(s.marginalUtility(a.Model), s.marginalUtility(b.Model)) })
+	slices.SortStableFunc(candidates, s.compareStagingCost)
 	before := s.expectedUtility(d, s.withStaging(d.free, nil, ""))
 	var best []*Member
 	gain := s.policy.MinStagingGain
@@ -152,6 +152,18 @@
 	return list
 }
 
+// compareStagingCost compares two instances by what their hosts may give up for another model: first those without any
+// configured model, then those whose last model is the least scarce.
+func (s *step) compareStagingCost(a, b *Member) int {
+	if isEmpty := s.hasNoModel(a); isEmpty != s.hasNoModel(b) {
+		if isEmpty {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(s.marginalUtility(a.Model), s.marginalUtility(b.Model))
+}
+
 // stageAlternates orders the instances for which selected returns true to stage a model other than
 // the one that they last had. Instances that have a staged model but no last model are skipped.
 func (s *step) stageAlternates(selected func(m *Member) bool) {
