Placement: the name of a group states its number of members

Cause: instances report their rank, not the size of their group, so a leader that did not form a group takes the size that the configuration has now. With groups of two in the new configuration and four in the one in which the group was formed, two ready members looked like the whole group. No report and no record tells the difference.

Change: the name of a new group states its number of members (g1048577-4), bounded so that an entry of another writer allocates little. A leader that takes over waits for all of them. A group of an earlier build, without a size in its name, is treated as before. An unopened group that is larger than the configuration asks for is given up and formed anew; one that serves goes on.

--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 
 	"github.com/troutmast/troutmast/state"
@@ -42,7 +41,7 @@
 			continue
 		}
 		if head := s.headOf(g); head != nil && domains[head.Domain] != nil {
-			s.addToDomain(domains[head.Domain], g)
+			s.addToDomain(domains[head.Domain], key, g)
 		}
 	}
 	s.formInDomains(domains, alloc)
@@ -146,12 +145,12 @@
 }
 
 // addToDomain records a group as serving or as a donor of its domain. An outdated group is neither.
-func (s *step) addToDomain(d *domain, g *group) {
+func (s *step) addToDomain(d *domain, key fleet.GroupKey, g *group) {
 	i, configured := s.modelIndex(g.model)
 	switch {
 	case !g.donorSince.IsZero():
 		d.hasDonor = true
-	case configured && g.opened && g.failure == "" && s.outdatedReason(g) == "":
+	case configured && g.opened && g.failure == "" && s.outdatedReason(key, g) == "":
 		d.groups = append(d.groups, servingGroup{g, i})
 	}
 }
@@ -167,8 +166,8 @@
 	if len(s.Demand) == len(s.engine.Models) {
 		alloc = newDemandAllocation(s.engine, s.Demand, &s.policy)
 	}
-	for _, g := range s.groups {
-		if i, configured := s.modelIndex(g.model); configured && s.isCapacity(g) && !s.isDraining(g) && !s.isEvacuated(g) {
+	for key, g := range s.groups {
+		if i, configured := s.modelIndex(g.model); configured && s.isCapacity(key, g) && !s.isDraining(g) && !s.isEvacuated(g) {
 			alloc.current[i] += float64(len(g.members))
 		}
 	}
@@ -182,8 +181,8 @@
 }
 
 // isCapacity reports whether a group serves its model or will: it has not failed and is not being given up.
-func (s *step) isCapacity(g *group) bool {
-	return g.failure == "" && g.donorSince.IsZero() && s.outdatedReason(g) == ""
+func (s *step) isCapacity(key fleet.GroupKey, g *group) bool {
+	return g.failure == "" && g.donorSince.IsZero() && s.outdatedReason(key, g) == ""
 }
 
 // assignedMembers returns the instances that are assigned to a group, including those that have
@@ -375,7 +374,7 @@
 func (s *step) startGroup(model *catalog.Model, members []*Member) {
 	epoch := s.nextEpoch(s.highestEpoch)
 	s.highestEpoch = epoch
-	key := fleet.GroupKey{Group: state.GroupName(fmt.Sprintf("g%d", epoch)), Epoch: epoch}
+	key := fleet.GroupKey{Group: newGroupName(epoch, len(members)), Epoch: epoch}
 	g := &group{model: model.Name, trackedSince: s.now, formedAt: s.now, joined: map[state.InstanceID]bool{}}
 	for _, m := range members {
 		g.members = append(g.members, m.ID)
--- a/coordination/placement/formation.go
+++ b/coordination/placement/formation.go
@@ -62,8 +62,8 @@
 	case !g.donorSince.IsZero():
 		s.plan.ExcludedGroups[key] = "its members are needed elsewhere"
 		s.drain(key, g, head)
-	case s.outdatedReason(g) != "":
-		s.plan.ExcludedGroups[key] = s.outdatedReason(g)
+	case s.outdatedReason(key, g) != "":
+		s.plan.ExcludedGroups[key] = s.outdatedReason(key, g)
 		s.retire(key, g, head)
 	case s.isSilent(g):
 		s.plan.ExcludedGroups[key] = "a member does not answer"
@@ -106,12 +106,13 @@
 			g.members[rank] = m.ID
 		}
 	}
-	if model := s.engine.Model(g.model); model != nil && len(g.members) < model.GroupSize {
-		g.members = append(g.members, make([]state.InstanceID, model.GroupSize-len(g.members))...)
+	size, known := s.recoveredSize(key, g)
+	if len(g.members) < size {
+		g.members = append(g.members, make([]state.InstanceID, size-len(g.members))...)
 	}
 	g.unknownRanks = 0
-	if s.engine.Model(g.model) == nil {
-		g.unknownRanks++ // the number of members is unknown as well
+	if !known || g.model == "" {
+		g.unknownRanks++
 	}
 	for _, id := range g.members {
 		if id == "" {
@@ -120,10 +121,22 @@
 	}
 }
 
+// recoveredSize returns the number of members of a group that this planner did not form. It reports false if it is unknown.
+func (s *step) recoveredSize(key fleet.GroupKey, g *group) (int, bool) {
+	if size, named := namedSize(key.Group); named {
+		return size, true
+	}
+	if model := s.engine.Model(g.model); model != nil {
+		return model.GroupSize, true
+	}
+	return 0, false
+}
+
 // maxMembers returns the maximum number of members of a group. A group may be larger than its model's groups
 // are now, if it was formed before a change of the configuration.
 func (s *step) maxMembers(key fleet.GroupKey) int {
-	largest := len(s.membersByGroup[key])
+	size, _ := namedSize(key.Group)
+	largest := max(size, len(s.membersByGroup[key]))
 	for i := range s.engine.Models {
 		largest = max(largest, s.engine.Models[i].GroupSize)
 	}
--- a/coordination/placement/halls.go
+++ b/coordination/placement/halls.go
@@ -26,9 +26,9 @@
 	for i := range models {
 		c.instances[i] = map[state.HallName]float64{}
 	}
-	for _, g := range s.groups {
+	for key, g := range s.groups {
 		i, configured := s.modelIndex(g.model)
-		if head := s.headOf(g); configured && head != nil && s.isCapacity(g) {
+		if head := s.headOf(g); configured && head != nil && s.isCapacity(key, g) {
 			c.instances[i][head.Hall] += float64(len(g.members))
 		}
 	}
--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -32,11 +32,12 @@
 const (
 	reasonNoModel  = "its model is not configured"
 	reasonTooSmall = "its model needs more members"
+	reasonTooLarge = "its model needs fewer members"
 )
 
 // outdatedReason returns the reason why the configuration rules out a group that may be intact, or an empty string: it no longer
-// has the model, or has it with larger groups. Larger groups than the configured ones still serve.
-func (s *step) outdatedReason(g *group) string {
+// has the model, or has it with groups of another size. A larger group that serves goes on.
+func (s *step) outdatedReason(key fleet.GroupKey, g *group) string {
 	model := s.engine.Model(g.model)
 	switch {
 	case g.model == "":
@@ -45,10 +46,18 @@
 		return reasonNoModel
 	case len(g.members) < model.GroupSize:
 		return reasonTooSmall
+	case len(g.members) > model.GroupSize && !s.hasOpened(key, g):
+		return reasonTooLarge
 	}
 	return ""
 }
 
+// hasOpened reports whether the head of a group has been seen open or is closing.
+func (s *step) hasOpened(key fleet.GroupKey, g *group) bool {
+	head := s.headOf(g)
+	return g.opened || head != nil && head.Membership.Key() == key && (head.Membership.State == fleet.Open || head.Membership.State == fleet.Closing)
+}
+
 // retire drains an outdated group: it finishes its requests, and is dissolved once its head is closed. If the configuration has the
 // model again before that, the group is opened again.
 func (s *step) retire(key fleet.GroupKey, g *group, head *Member) {
--- a/coordination/placement/models_test.go
+++ b/coordination/placement/models_test.go
@@ -195,6 +195,49 @@
 	}
 }
 
+// Guards against a group that serves without all of its members: a leader that takes over while a group of four joins, and whose
+// configuration has groups of two by then, must not take the two members that are ready for the whole group.
+func TestGroupIsNotOpenedByTheNewSizeOfItsModel(t *testing.T) {
+	g := NewWithT(t)
+	former := placement.NewPlanner(withModels(modelOf("resized", 4)), placement.DefaultPolicy(), placement.NewEpochGenerator(0, 1).Next)
+	free := func() []placement.Member { return freeInstances("d", 4, "resized", "resized") }
+	joins := former.Step(testStart, free()).Orders
+	g.Expect(joins).To(HaveLen(4))
+	key := joins[0].Key
+	next := placement.NewPlanner(withModels(modelOf("resized", 2)), placement.DefaultPolicy(), placement.NewEpochGenerator(0, 2).Next)
+	for second := range 60 {
+		members := free()
+		for i := range members {
+			rank := slices.Index(joins[0].Members, members[i].ID)
+			members[i].Membership = fleet.Membership{Group: key.Group, Epoch: key.Epoch, Rank: rank, State: fleet.Joining}
+			if rank < 2 {
+				members[i].Membership.State, members[i].Loaded = fleet.Ready, "resized"
+			}
+		}
+		plan := next.Step(testStart.Add(time.Duration(second)*time.Second), members[:2])
+		for _, o := range plan.Orders {
+			g.Expect(o.Action).To(Equal(placement.Leave), "second %d", second)
+		}
+	}
+}
+
+// The name of a group comes from a list that others write to: no size that it states makes a leader allocate by it.
+func TestNamesWithImpossibleSizesChangeNoOtherGroup(t *testing.T) {
+	for _, name := range []state.GroupName{"g1-0", "g1--4", "g1-257", "g1-4096", "g1-9223372036854775807", "g1-99999999999999999999", "g1-", "-", "g1-4-4"} {
+		t.Run(string(name), func(t *testing.T) {
+			g := NewWithT(t)
+			p := placement.NewPlanner(unequalEngine(), placement.DefaultPolicy(), placement.NewEpochGenerator(0, 1).Next)
+			stray := memberOf("other", fleet.Membership{Group: name, Epoch: 3, Rank: 0, State: fleet.Ready})
+			for second := range 5 {
+				members := append(groupsOfFour("d", 3, "large"), stray)
+				var plan placement.Plan
+				g.Expect(allocatedBytes(func() { plan = p.Step(testStart.Add(time.Duration(second)*time.Second), members) })).To(BeNumerically("<", 1<<20))
+				g.Expect(plan.OpenGroups).To(HaveKeyWithValue("small", 3))
+			}
+		})
+	}
+}
+
 // Guards against a new model that never gets a group: hosts that kept models of the earlier configuration counted as having one, so
 // that the few that had loaded a new model loaded the other one over it, again and again.
 func TestHostsWithFormerModelsLoadTheNewOnes(t *testing.T) {
