Placement: spares that form no group block no transfer

Cause: a domain prepares one transfer at a time, and one that needs no load counts as prepared and comes first. Free instances that have the plentiful model are such a transfer, although they form no group because a further one is not worth it. So the domain never loaded the scarce model.

Change: free instances that have had a model for the minimum age of a donor without forming a group are spares, and no longer keep their domain from preparing a transfer. Tried and reverted: not counting them at all, since TestScarceModelGetsInstancesOfPlentifulOne then had 66 of 72 instances after 60 s (the same after 70 s); there the groups were about to form.

TestSpareOfPlentifulModelBlocksNoTransfer fails before (no load is ordered) and passes now.

--- a/coordination/placement/domain.go
+++ b/coordination/placement/domain.go
@@ -21,7 +21,7 @@
 		alive++
 		d := domains[m.Domain]
 		if d == nil {
-			d = &domain{}
+			d = &domain{name: m.Domain}
 			domains[m.Domain] = d
 		}
 		switch {
@@ -138,6 +138,7 @@
 
 // domain is a fabric domain.
 type domain struct {
+	name string
 	free []*Member
 	// groups are the serving groups; hasDonor reports whether a group is being closed for reallocation.
 	groups   []servingGroup
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -74,6 +74,8 @@
 	startedAt time.Time
 	sent      map[state.InstanceID]sentOrder
 	staging   map[state.InstanceID]Staging
+	// spareSince is when free instances of a domain were first found to have a model of which they form no group.
+	spareSince map[string]time.Time
 	// stagingEvaluatedAt is the time at which the models to stage were last evaluated.
 	stagingEvaluatedAt time.Time
 	// BeforeTraffic reports whether no request has arrived yet, in which case loads are nearly free.
@@ -141,6 +143,8 @@
 	alloc          *allocation
 	// marginalUtilities are the marginal utilities of one more instance in groups of each model.
 	marginalUtilities []float64
+	// nextSpareSince replaces Planner.spareSince.
+	nextSpareSince map[string]time.Time
 }
 
 // Step returns the plan for the given instances, which are all instances of the service.
--- a/coordination/placement/transfer.go
+++ b/coordination/placement/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // This file moves instances from models with plenty to a scarce one. It answers a load that losses shift
@@ -44,6 +45,8 @@
 func (s *step) chooseTransfers(candidates []transfer) []wantedLoad {
 	before, utilities := slices.Clone(s.alloc.current), s.marginalUtilities
 	defer func() { s.alloc.current, s.marginalUtilities = before, utilities }()
+	s.nextSpareSince = map[string]time.Time{}
+	defer func() { s.spareSince = s.nextSpareSince }()
 	var list []wantedLoad
 	used := map[*domain]bool{}
 	for _, c := range candidates {
@@ -51,6 +54,9 @@
 		if used[c.domain] || !ok {
 			continue
 		}
+		if len(t.donors) == 0 && len(t.missing) == 0 && s.isOverdue(c.domain) {
+			continue
+		}
 		used[c.domain] = true
 		for _, m := range t.missing {
 			list = append(list, wantedLoad{m, s.engine.Models[t.model].Name, t.gain})
@@ -64,6 +70,17 @@
 	return list
 }
 
+// isOverdue reports whether the free instances of a domain have long had a model without being worth a group of it. As spares they must not
+// keep the domain from preparing a transfer.
+func (s *step) isOverdue(d *domain) bool {
+	since, unchanged := s.spareSince[d.name]
+	if !unchanged {
+		since = s.now
+	}
+	s.nextSpareSince[d.name] = since
+	return s.now.Sub(since) > s.policy.DonorAge
+}
+
 // planTransfer returns the transfer of a domain to a model that gains the most utility per load, if the model is scarcer
 // than that of the donors.
 func (s *step) planTransfer(d *domain, model int) (transfer, bool) {
--- a/coordination/placement/transfer_test.go
+++ b/coordination/placement/transfer_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/troutmast/troutmast/coordination/placement"
+	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
 )
@@ -64,6 +66,29 @@
 	return n
 }
 
+// Guards against a model that is never served: a spare that has the plentiful model, and is not worth a further group of it, counted as a
+// transfer that was already prepared, and a domain prepares one at a time.
+func TestSpareOfPlentifulModelBlocksNoTransfer(t *testing.T) {
+	g := NewWithT(t)
+	p := placement.NewPlanner(withModels(modelOf("scarce", 2), modelOf("plentiful", 1)), placement.DefaultPolicy(), placement.NewEpochGenerator(0, 1).Next)
+	members := func() []placement.Member {
+		list := freeInstances("d", 7, "plentiful", "plentiful")
+		for i := range list[:6] {
+			list[i].Loaded = "plentiful"
+			list[i].Membership = fleet.Membership{Group: state.GroupName(fmt.Sprintf("g%d-1", i)), Epoch: state.Epoch(i+1) << 20, State: fleet.Open}
+		}
+		return list
+	}
+	var staged []string
+	for second := range 15 {
+		for _, o := range p.Step(testStart.Add(time.Duration(second)*time.Second), members()).Orders {
+			g.Expect(o.Action).To(Equal(placement.Stage), "%+v", o)
+			staged = append(staged, o.Model)
+		}
+	}
+	g.Expect(staged).To(ContainElements("scarce", "scarce"))
+}
+
 // Guards against a model that starves beside another one's plenty. After losses, 24 instances served the large model
 // and 120 the small one where 70 and 103 were desired, and nothing changed that: no domain had enough instances with
 // the scarce model loaded or on their hosts for a group, and only free instances staged it.
--- a/coordination/placement/world_test.go
+++ b/coordination/placement/world_test.go
@@ -323,6 +323,7 @@
 // stage makes a host load a model.
 func (sim *simulation) stage(t *target, model string) {
 	if sim.singleModelHosts {
+		sim.recordChange(t) // the order counts from now on
 		sim.schedule(sim.model(model).LoadTime, func() { sim.finishStaging(t, model) })
 		return
 	}
