Leader: a planning step that panics fails alone

Cause: planning runs in the background of the leader. A panic there ended the process with the requests of all services, and then those of the next leader, which plans with the same input: one bad input ended all nodes in turn.

Change: a panic of a step becomes an error of that step. It is counted (plan.panicked) and logged with the service, the version of the configuration and the stack. The service keeps its last plan: its excluded groups stay excluded, its groups serve. Other services are planned. Weighed against it: letting the process end (callers of other services pay for it, at each node in turn), and giving up leading (the next leader has the same input and build; during an upgrade the newest build leads anyway).

The leader also forgets the planners of services that the configuration no longer has. Logs name the groups that are given up because of a change of the configuration.

--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,12 @@
 type placementController struct {
 	node *Node
 
+	// stepPlanner runs one step of a planner. Tests replace it.
+	stepPlanner func(pl *placement.Planner, now time.Time, members []placement.Member) (placement.Plan, error)
+	failures    planFailures
+	// excludedByService holds the groups that each service's last plan excludes.
+	excludedByService map[state.ServiceName][]GroupEpoch
+
 	mu             sync.Mutex
 	planners       map[state.ServiceName]*placement.Planner
 	envelopes      map[state.ServiceName]*demand.Envelope
@@ -43,6 +50,8 @@
 func newPlacementController(n *Node) *placementController {
 	return &placementController{
 		node:         n,
+		stepPlanner:  (*placement.Planner).TryStep,
+		failures:     planFailures{},
 		planners:     map[state.ServiceName]*placement.Planner{},
 		envelopes:    map[state.ServiceName]*demand.Envelope{},
 		hallAverages: map[state.ServiceName]*demand.HallAverage{},
@@ -84,6 +93,8 @@
 // reset discards all planning state, since another node is the leader.
 func (p *placementController) reset() {
 	p.node.leaderLoad.reset()
+	clear(p.failures)
+	p.excludedByService = nil
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.planners)
@@ -95,31 +106,34 @@
 // step runs each engine service's planner once and returns the time that took.
 func (p *placementController) step(ctx context.Context, c *catalog.Catalog, since time.Time) time.Duration {
 	now := p.node.clock.Now()
-	var excluded []GroupEpoch
 	staging := map[state.ServiceName][]placement.Staging{}
+	excludedBefore := p.excludedByService
+	p.excludedByService = map[state.ServiceName][]GroupEpoch{}
+	p.forgetRemoved(c)
 	inTransition, instances := false, 0
 	_, flows := p.node.peers.totals()
 	for _, s := range c.Services {
 		if s.Engine == nil {
 			continue
 		}
-		planner := p.planner(s)
-		planner.BeforeTraffic = p.node.settings.IsFirstStart && !p.node.peers.anyRequests()
-		planner.Demand = p.plannedDemand(s, flows, now)
-		planner.Evacuated = p.node.evacuations.view(now)
-		planner.DemandByHall = p.demandByHall(s, now)
 		members := p.node.roster.Members(s.Name, since, now)
 		instances += len(members)
-		plan := planner.Step(now, members)
-		staging[s.Name] = planner.Stagings()
+		p.node.roster.SetMaxReportLag(s.Engine.MaxReportAge + p.node.policy.ReportMargin)
+		plan, err := p.planService(c, s, flows, members, now)
+		if err != nil {
+			p.excludedByService[s.Name], staging[s.Name] = excludedBefore[s.Name], p.stagingsOf(s.Name)
+			continue
+		}
+		staging[s.Name] = p.planner(s).Stagings()
 		for key := range plan.ExcludedGroups {
-			excluded = append(excluded, GroupEpoch{Group: key.Group, Epoch: key.Epoch})
+			p.excludedByService[s.Name] = append(p.excludedByService[s.Name], GroupEpoch{Group: key.Group, Epoch: key.Epoch})
 		}
 		inTransition = inTransition || plan.InTransition
+		p.logRetired(c.Version, s.Name, plan.Retired)
 		p.logSupply(now, s.Name, plan, len(members))
-		p.node.roster.SetMaxReportLag(s.Engine.MaxReportAge + p.node.policy.ReportMargin)
 		p.executePlan(ctx, members, plan)
 	}
+	excluded := slices.Concat(slices.Collect(maps.Values(p.excludedByService))...)
 	for _, m := range p.node.roster.ProbeCandidates(now) {
 		if s := c.Services[m.Service]; s != nil && s.Engine != nil {
 			p.probeAtInterval(ctx, m, p.node.policy.SuspectProbeInterval)
@@ -136,6 +150,50 @@
 	return took
 }
 
+// forgetRemoved discards the state of services that the configuration does not have, or has without engines.
+func (p *placementController) forgetRemoved(c *catalog.Catalog) {
+	isRemoved := func(name state.ServiceName) bool { return c.Services[name] == nil || c.Services[name].Engine == nil }
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.planners, func(name state.ServiceName, _ *placement.Planner) bool { return isRemoved(name) })
+	maps.DeleteFunc(p.envelopes, func(name state.ServiceName, _ *demand.Envelope) bool { return isRemoved(name) })
+	maps.DeleteFunc(p.hallAverages, func(name state.ServiceName, _ *demand.HallAverage) bool { return isRemoved(name) })
+	maps.DeleteFunc(p.failures, func(name state.ServiceName, _ planFailure) bool { return isRemoved(name) })
+}
+
+// errPlanPaused means that a service is not planned because its last planning step failed.
+var errPlanPaused = errors.New("entry: planning is paused after a failed step")
+
+// planService returns the plan for the instances of a service. After an error, the last plan of the service stays in force.
+func (p *placementController) planService(c *catalog.Catalog, s *catalog.Service, flows []demand.Flow, members []placement.Member, now time.Time) (placement.Plan, error) {
+	if p.failures.isPaused(s.Name, c.Version, now) {
+		return placement.Plan{}, errPlanPaused
+	}
+	planner := p.planner(s)
+	planner.BeforeTraffic = p.node.settings.IsFirstStart && !p.node.peers.anyRequests()
+	planner.Demand = p.plannedDemand(s, flows, now)
+	planner.Evacuated = p.node.evacuations.view(now)
+	planner.DemandByHall = p.demandByHall(s, now)
+	plan, err := p.stepPlanner(planner, now, members)
+	var panicked *placement.StepError
+	if errors.As(err, &panicked) {
+		p.recordPlanFailure(s.Name, c.Version, members, panicked, now)
+	}
+	if err == nil {
+		delete(p.failures, s.Name)
+	}
+	return plan, err
+}
+
+// logRetired logs the groups that are given up because of a change of the configuration.
+func (p *placementController) logRetired(version int64, service state.ServiceName, retired []placement.RetiredGroup) {
+	for _, g := range retired[:min(len(retired), maxFailingGroups)] {
+		p.node.log.WithFields(log.Fields{
+			"service": service, "group": g.Key.Group, "epoch": g.Key.Epoch, "model": g.Model, "why": g.Reason, "version": version, "groups": len(retired),
+		}).Info("group given up")
+	}
+}
+
 // logSupply logs the groups and instances of a service, at most once per NodePolicy.SupplyLogInterval
 // for all services together.
 func (p *placementController) logSupply(now time.Time, service state.ServiceName, plan placement.Plan, instances int) {
@@ -149,7 +207,7 @@
 	p.node.log.WithFields(p.node.leaderLoad.takeFields()).Info("leader load")
 }
 
-// maxFailingGroups is the maximum number of groups that one log line names.
+// maxFailingGroups is the maximum number of groups that one log line names, and of the lines on groups that one step gives up.
 const maxFailingGroups = 16
 
 // describeExcluded describes the first groups that receive no requests, with the reasons.
@@ -189,6 +247,13 @@
 	return e.Update(policy.OccupiedSlots(s.Name, s.Engine, flows), now)
 }
 
+// stagingsOf returns the loads of a service's models to hosts that are in progress.
+func (p *placementController) stagingsOf(service state.ServiceName) []placement.Staging {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stagingsByService[service]
+}
+
 // stagings returns the loads of models to hosts that are in progress, in the form sent to other nodes.
 func (p *placementController) stagings(now time.Time) []Staging {
 	p.mu.Lock()
