Demand: follow models by name, not by position

Cause: the demand that groups are planned for was kept by the position of the model in the configuration, for 15 s and more. A configuration that replaces or reorders models gave the demand for one model to another: groups were planned for callers that do not exist. The averages by hall kept every model that ever had a request.

Change: both are kept by the name of the model, and models that the configuration does not have are forgotten.

--- a/coordination/demand/average.go
+++ b/coordination/demand/average.go
@@ -1,6 +1,7 @@
 package demand
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -39,6 +40,7 @@
 			a.add(f, elapsed)
 		}
 	}
+	maps.DeleteFunc(a.sums, func(model string, _ map[state.HallName]float64) bool { return engine.Model(model) == nil })
 	shares := make([]map[state.HallName]float64, len(engine.Models))
 	known := false
 	for i := range engine.Models {
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -244,7 +244,7 @@
 		e = demand.NewEnvelope(policy.PlanDecay)
 		p.envelopes[s.Name] = e
 	}
-	return e.Update(policy.OccupiedSlots(s.Name, s.Engine, flows), now)
+	return e.Update(s.Engine.Models, policy.OccupiedSlots(s.Name, s.Engine, flows), now)
 }
 
 // stagingsOf returns the loads of a service's models to hosts that are in progress.
