Placement: donors of a transfer are of the least scarce model first

Cause: the donors of a transfer were ordered by how many of their members had the scarce model staged. A group of the third model, nearly as scarce, came first, was enough for the transfer, and made it gain nothing.

Change: the least scarce model first, then the members that have the model. With two models the order is as before. TestDonorsAreOfTheLeastScarceModel fails before (one load of the plentiful model), and passes now.

--- a/coordination/placement/transfer.go
+++ b/coordination/placement/transfer.go
@@ -109,8 +109,8 @@
 	return best, best.gain > s.policy.MinStagingGain
 }
 
-// donorsFor returns the serving groups of a domain whose model is less scarce than the given one, first those
-// with the most members that have it.
+// donorsFor returns the serving groups of a domain whose model is less scarce than the given one, first those of the least scarce
+// model, and among them those with the most members that have the given one.
 func (s *step) donorsFor(d *domain, model int) []servingGroup {
 	name := s.engine.Models[model].Name
 	var donors []servingGroup
@@ -124,7 +124,9 @@
 		counts[g.group] = len(prepared)
 		donors = append(donors, g)
 	}
-	slices.SortStableFunc(donors, func(a, b servingGroup) int { return cmp.Compare(counts[b.group], counts[a.group]) })
+	slices.SortStableFunc(donors, func(a, b servingGroup) int {
+		return cmp.Or(cmp.Compare(s.marginalUtilities[a.modelIndex], s.marginalUtilities[b.modelIndex]), cmp.Compare(counts[b.group], counts[a.group]))
+	})
 	return donors
 }
 
--- a/coordination/placement/transfer_test.go
+++ b/coordination/placement/transfer_test.go
@@ -89,6 +89,45 @@
 	g.Expect(staged).To(ContainElements("scarce", "scarce"))
 }
 
+// Guards against a model that is never served beside two others: the groups with the most members that had it staged were taken for
+// its donors, although their model was nearly as scarce, and the plentiful third one was left alone.
+func TestDonorsAreOfTheLeastScarceModel(t *testing.T) {
+	g := NewWithT(t)
+	e := withModels(modelOf("plentiful", 1), modelOf("scarce", 3), modelOf("other", 3))
+	p := placement.NewPlanner(e, placement.DefaultPolicy(), placement.NewEpochGenerator(0, 1).Next)
+	members := func() []placement.Member {
+		list := append(freeInstances("d", 6, "plentiful", "plentiful"), freeInstances("d", 9, "other", "scarce")[6:]...)
+		list[5].Model, list[5].Staged, list[6].Staged = "", []string{"other"}, []string{"plentiful"}
+		for i := range list {
+			if i == 5 {
+				continue
+			}
+			group, rank, epoch := fmt.Sprintf("g%d-1", i), 0, state.Epoch(i+1)<<20
+			if i >= 6 {
+				group, rank, epoch = "g9-3", i-6, 9<<20
+			}
+			list[i].Loaded = list[i].Model
+			list[i].Membership = fleet.Membership{Group: state.GroupName(group), Epoch: epoch, Rank: rank, State: fleet.Ready}
+			if rank == 0 {
+				list[i].Membership.State = fleet.Open
+			}
+		}
+		return list
+	}
+	staged := map[state.InstanceID]string{}
+	for second := range 5 {
+		for _, o := range p.Step(testStart.Add(time.Duration(second)*time.Second), members()).Orders {
+			g.Expect(o.Action).To(Equal(placement.Stage), "%+v", o)
+			staged[o.Instance] = o.Model
+		}
+	}
+	g.Expect(staged).To(HaveLen(3))
+	for id, model := range staged {
+		g.Expect(model).To(Equal("scarce"))
+		g.Expect(id < "d-f06").To(BeTrue(), "%s is in the group of the other model", id)
+	}
+}
+
 // Guards against a model that starves beside another one's plenty. After losses, 24 instances served the large model
 // and 120 the small one where 70 and 103 were desired, and nothing changed that: no domain had enough instances with
 // the scarce model loaded or on their hosts for a group, and only free instances staged it.
