Gateway: refuse requests for models that the configuration does not have as such

Cause: a request for a removed model was refused as no-target, like one whose groups are being repaired, after it had been counted in the demand of a model that no longer exists. The name comes from callers: each one grew the node's meter and the reports between nodes.

Change: it is refused at once with 503 (not run, Retry-After) and the code no-model, and counts as no demand. 404 was weighed: a node may have the older configuration for up to two seconds, and callers give up at once after 404. Logs of every node tell which models a new configuration adds, removes and resizes.

TestRequestsForOtherModelsAreNoDemand fails before (20 flows, code no-target). The row "no group serves the model" used a model that is not configured; it now has the configured one, and two rows more are for unknown and missing models.

--- a/transport/entry/follow.go
+++ b/transport/entry/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/troutmast/troutmast/coordination/source"
 	"github.com/troutmast/troutmast/state"
+	"github.com/troutmast/troutmast/state/catalog"
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
@@ -141,6 +142,7 @@
 	if len(raw) == 0 {
 		return
 	}
+	before := n.configState.Catalog()
 	newer, err := n.configState.Apply(raw)
 	if err != nil {
 		n.Count("config.unreadable")
@@ -150,10 +152,22 @@
 	if newer {
 		_, version := n.configState.Encoded()
 		n.log.WithFields(log.Fields{"version": version, "from": from}).Info("configuration in force")
+		n.logModelChanges(before, version)
 		n.requestRebuild()
 	}
 }
 
+// logModelChanges logs the models that a configuration has added, removed or resized; before is nil for the first one.
+func (n *Node) logModelChanges(before *catalog.Catalog, version int64) {
+	after := n.configState.Catalog()
+	if before == nil || after == nil {
+		return
+	}
+	for _, c := range catalog.ModelChanges(before, after) {
+		n.log.WithFields(log.Fields{"version": version, "service": c.Service, "added": c.Added, "removed": c.Removed, "resized": c.Resized}).Info("models changed")
+	}
+}
+
 // recordStoreRead records that the store answered a read that began at startedAt. A read that waited long for
 // its answer does not replace one that began later.
 func (n *Node) recordStoreRead(startedAt time.Time) {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -346,6 +346,9 @@
 	c.service = c.route.PickService()
 	if s := c.catalog.Services[c.service]; s != nil && s.Engine != nil {
 		c.model = claims.Model
+		if s.Engine.Model(c.model) == nil {
+			return refusalWithRetryAfter(CodeNoModel, c.Policy.RepairRetryAfter)
+		}
 	}
 	c.budget = c.Gateway.budget(c.service)
 	c.budget.RecordAttempt(c.arrivedAt)
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -60,7 +60,9 @@
 		{name: "no configuration", path: "/safe/", prepare: func(h *harness) { h.catalogs.current = nil }, status: http.StatusServiceUnavailable, wantRetryAfter: true},
 		{name: "keys may be stale", path: "/safe/", prepare: func(h *harness) { h.catalogs.stale.Store(true) }, status: http.StatusServiceUnavailable, wantRetryAfter: true},
 		{name: "stopping", path: "/safe/", prepare: func(h *harness) { h.gateway.RefuseNew() }, status: http.StatusServiceUnavailable, wantRetryAfter: true},
-		{name: "no group serves the model", path: "/stream/", header: map[string]string{"Model": "none"}, status: http.StatusServiceUnavailable, wantRetryAfter: true},
+		{name: "no group serves the model", path: "/stream/", status: http.StatusServiceUnavailable, wantRetryAfter: true},
+		{name: "the model is not configured", path: "/stream/", header: map[string]string{"Model": "none"}, status: http.StatusServiceUnavailable, wantRetryAfter: true},
+		{name: "no model", path: "/stream/", header: map[string]string{"Model": ""}, status: http.StatusServiceUnavailable, wantRetryAfter: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -78,6 +80,22 @@
 	}
 }
 
+// Requests for a model that the configuration does not have are refused as such and leave nothing behind: their names come from
+// callers, and would grow the measured demand, which nodes send to each other.
+func TestRequestsForOtherModelsAreNoDemand(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t)
+	h.addInstance("a", "plain", respondWith("x"))
+	for i := range 20 {
+		a := h.call(http.MethodPost, "/stream/", "", map[string]string{"Model": fmt.Sprintf("removed-%d", i)})
+		g.Expect(a.err).NotTo(HaveOccurred())
+		g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(a.body).To(Equal(string(gateway.CodeNoModel) + "\n"))
+	}
+	g.Expect(h.recorder.count("refused.no-model")).To(Equal(20))
+	g.Expect(h.gateway.Demand.Flows(time.Now())).To(BeEmpty())
+}
+
 // staleOnRead is a request body that makes the keys stale when it is read.
 type staleOnRead struct {
 	io.Reader
--- a/transport/gateway/port.go
+++ b/transport/gateway/port.go
@@ -30,9 +30,12 @@
 	CodeTimeout      Code = "timeout"
 	CodeResponseLost Code = "broken"
 
-	CodeNoConfig           Code = "no-configuration"
-	CodeKeysStale          Code = "keys-may-be-stale"
-	CodeNoTarget           Code = "no-target"
+	CodeNoConfig  Code = "no-configuration"
+	CodeKeysStale Code = "keys-may-be-stale"
+	CodeNoTarget  Code = "no-target"
+	// CodeNoModel means that the configuration of this node does not have the model of the request. A newer one may, so the
+	// status is not a client error.
+	CodeNoModel            Code = "no-model"
 	CodeOverloaded         Code = "overloaded"
 	CodeRefusedByTargets   Code = "refused-by-targets"
 	CodeTargetsUnreachable Code = "targets-unreachable"
@@ -64,7 +67,7 @@
 
 // notRunCodes are the reasons that guarantee that the request has not run and will not run.
 var notRunCodes = []Code{
-	CodeNoConfig, CodeKeysStale, CodeNoTarget, CodeOverloaded, CodeRefusedByTargets, CodeTargetsUnreachable, CodeNoTimeLeft, CodeStopping,
+	CodeNoConfig, CodeKeysStale, CodeNoTarget, CodeNoModel, CodeOverloaded, CodeRefusedByTargets, CodeTargetsUnreachable, CodeNoTimeLeft, CodeStopping,
 	CodeQuarantined, CodeCoolingDown, CodeRateLimited, CodeForwardLimit, CodeForwardRefused, CodeEvacuated, CodeNoHome, CodeMemory,
 }
 
