Responses: a status that HTTP does not have is no response

Cause: the reader of heads took every status below 200 for that of an informational response and read on, so that 000, 099, +20 and 101 (an upgrade that nobody asked for) held the caller until its deadline where the connection stayed open. It passed on every other one of three digits: 600 and 999 reached callers. The version in the status line was not looked at. On the own interface net/http returns 000 and 600 as answers, and a writer panics below 100. An order that was answered with any other status than five known ones counted as refused, also after 500 or 000, which say nothing of it.

Change: informational are 100 to 199 without 101, final 200 to 599, both of HTTP/1; all else is an invalid response. The connection is dropped and the instance suspected (breaker). What must not run twice is told that its result is unknown, at once; anything else is served elsewhere. An order that is answered with a status that tells nothing counts as unanswered.

--- a/coordination/placement/order.go
+++ b/coordination/placement/order.go
@@ -36,6 +36,9 @@
 // ErrInvalidReport means that the answer of an instance is not a valid report.
 var ErrInvalidReport = errors.New("placement: report not readable")
 
+// ErrInvalidReply means that an instance answered an order with a status that does not tell whether it carries it out.
+var ErrInvalidReply = errors.New("placement: reply to an order not understood")
+
 // Order is a command to one incarnation of an instance.
 type Order struct {
 	Action   Action
--- a/protocol/direct/dial.go
+++ b/protocol/direct/dial.go
@@ -48,9 +48,10 @@
 
 // HTTPClient returns a client that connects with d and keeps at most maxIdleConns idle connections to each address, each
 // for idleTimeout. 0 idle connections mean a new connection for each request. Heads of responses have the same limit as in
-// a Pool.
+// a Pool. Redirects are responses like any other: the server must not choose where a call goes.
 func (d Dialer) HTTPClient(maxIdleConns int, idleTimeout time.Duration) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		DialContext:            d.DialContext,
 		DisableCompression:     true,
 		DisableKeepAlives:      maxIdleConns == 0,
--- a/protocol/direct/direct.go
+++ b/protocol/direct/direct.go
@@ -232,10 +232,14 @@
 	defer func() { c.inHead = false }()
 	for informational := 0; ; informational++ {
 		resp, err := http.ReadResponse(c.br, req)
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, c.readFault(err)
-		case resp.StatusCode >= http.StatusOK:
+		}
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
+		switch {
+		case IsFinalStatus(resp.StatusCode):
 			return resp, nil
 		case informational == maxInformational:
 			return nil, fmt.Errorf("%w: %w", ErrInvalidResponse, errInformational)
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -95,6 +95,11 @@
 	if err != nil {
 		return nil, used.cut(), err
 	}
+	if !direct.IsFinalStatus(resp.StatusCode) {
+		_ = resp.Body.Close()
+		used.cut()
+		return nil, true, fmt.Errorf("%w: status %d", direct.ErrInvalidResponse, resp.StatusCode)
+	}
 	return resp, true, nil
 }
 
--- a/protocol/exchange/exchange_test.go
+++ b/protocol/exchange/exchange_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/troutmast/troutmast/protocol/direct"
 	"github.com/troutmast/troutmast/protocol/exchange"
 )
 
@@ -148,3 +149,39 @@
 		s.Close()
 	}
 }
+
+// Guards against a status that HTTP does not have and that reaches callers as that of an answer, or makes the writer of the answer
+// panic. The request may have run.
+func TestOddStatusIsNoAnswer(t *testing.T) {
+	for _, c := range []struct {
+		statusLine string
+		isAnswer   bool
+	}{
+		{"000 ", false}, {"099 Odd", false}, {"101 Switching Protocols", false}, {"600 Odd", false}, {"999 Odd", false},
+		{"200 OK", true}, {"299 Odd", true}, {"599 Odd", true},
+	} {
+		for _, keepsOpen := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, left open %t", c.statusLine, keepsOpen), func(t *testing.T) {
+				g := NewWithT(t)
+				url := listener(t, func(conn net.Conn) {
+					_, _ = http.ReadRequest(bufio.NewReader(conn))
+					_, _ = io.WriteString(conn, "HTTP/1.1 "+c.statusLine+"\r\nContent-Length: 0\r\n\r\n")
+					if keepsOpen {
+						_, _ = io.Copy(io.Discard, conn)
+					}
+					_ = conn.Close()
+				})
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				sent, err := post(ctx, exchange.New(exchange.Options{DialTimeout: time.Second, KeepAlive: true, IdleConns: 1}), url)
+				g.Expect(ctx.Err()).NotTo(HaveOccurred())
+				g.Expect(sent).To(BeTrue())
+				if c.isAnswer {
+					g.Expect(err).NotTo(HaveOccurred())
+				} else {
+					g.Expect(err).To(MatchError(direct.ErrInvalidResponse))
+				}
+			})
+		}
+	}
+}
--- a/transport/entry/placer.go
+++ b/transport/entry/placer.go
@@ -356,6 +356,7 @@
 	switch {
 	case errors.Is(err, placement.ErrAddressReused):
 		p.node.RecordReplaced(o.Instance)
+	case errors.Is(err, placement.ErrInvalidReply): // it did answer
 	case reply == placement.Unanswered && !p.node.isInconclusive(callCtx, began, p.node.policy.OrderTimeout):
 		p.node.recordFailureInRoster(o.Instance, began, err)
 	}
