Planned stop: every request that is still held at its end gets an answer

Cause: the stop waits for the requests in progress and then ends the process, which breaks their connections. A broken connection tells the caller nothing. And a request whose caller waits longer than the node lives was passed on with no thought for that.

Change: 0.2 s before the connections would break, the requests that are still held are ended: the caller gets 502 (result unknown) where the request was passed on, 503 (not run) where it certainly was not. A response that has begun stays incomplete. From SIGTERM on, a request that must not run twice and whose time left goes beyond the node's is refused at once as not run; the caller is asked to return when new connections go to other nodes. What may be repeated is served as before: its caller can have it run again.

Handing requests to another node was weighed: the response would pass through this node all the same, whose connection the caller waits on.

TestPlannedStopAnswersRequestsThatOutliveIt fails before (the answer comes after the node has ended).

--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -274,17 +274,23 @@
 
 // status sends a request to an address and returns the response status, 0 if there is no response.
 func status(at netip.AddrPort, key string) int {
+	code, _ := answer(at, key)
+	return code
+}
+
+// answer sends a request to an address and returns the status and the body of the response, 0 if there is no response.
+func answer(at netip.AddrPort, key string) (int, string) {
 	req, _ := http.NewRequest(http.MethodGet, "http://"+at.String()+"/x", nil)
 	req.Host = "h"
 	req.Header.Set("Id", "r1")
 	req.Header.Set("Key", key)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
 	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
 }
 
 func TestNodeIsReadyOnceItHasAConfiguration(t *testing.T) {
@@ -520,6 +526,43 @@
 	n.done <- nil
 }
 
+// Guards against a stop that breaks the connections of callers whose requests take longer than the node lives: they learn nothing of
+// their requests. The node answers that the result is unknown.
+func TestPlannedStopAnswersRequestsThatOutliveIt(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{topics: map[source.Topic][]source.Item{}}
+	s.add(source.Configuration, "config", 1)
+	n := start(t, s, "a")
+	var isSlow atomic.Bool
+	started := make(chan struct{}, 10)
+	list, _ := startPlainInstance(t, s, "i1", func(_ http.ResponseWriter, r *http.Request) {
+		if isSlow.Load() {
+			started <- struct{}{}
+			<-r.Context().Done()
+		}
+	})
+	list(unchanged)
+	g.Eventually(func() int { return status(n.set.CallerAddress, "k") }, 10*time.Second).Should(Equal(http.StatusOK))
+	isSlow.Store(true)
+	const callers = 3
+	got := make(chan string, callers)
+	for range callers {
+		go func() {
+			_, text := answer(n.set.CallerAddress, "k")
+			got <- text
+		}()
+	}
+	for range callers {
+		g.Eventually(started, 10*time.Second).Should(Receive())
+	}
+	n.stop()
+	for range callers {
+		g.Eventually(got, 10*time.Second).Should(Receive(Equal(string(gateway.CodeResponseLost) + "\n")))
+	}
+	g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
+	n.done <- nil
+}
+
 func TestNewNodesServeFromStoreAlone(t *testing.T) {
 	g := NewWithT(t)
 	s := &store{topics: map[source.Topic][]source.Item{}}
--- a/transport/entry/serve.go
+++ b/transport/entry/serve.go
@@ -19,7 +19,9 @@
 const (
 	// unreadyPeriod is how long new connections may still arrive after the node is no longer ready.
 	unreadyPeriod = 2900 * time.Millisecond
-	// stopMargin is the part of Settings.StopTimeout that is reserved for the end of the shutdown.
+	// endPeriod is the time to answer the callers whose requests are ended by the stop. stopMargin is the part of
+	// Settings.StopTimeout that is reserved for the end of the shutdown after it.
+	endPeriod  = 200 * time.Millisecond
 	stopMargin = 400 * time.Millisecond
 )
 
@@ -163,16 +165,26 @@
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(n.metrics, w) }
 
 // stop shuts the node down gracefully. The node first reports that it is not ready but still accepts
-// requests. It then refuses new requests and waits for those in flight.
+// requests. It then refuses new requests and waits for those in flight. The callers of those that are still in flight at the
+// end get an answer.
 func (n *Node) stop(servers []*http.Server) {
 	began := n.clock.Now()
 	n.log.Info("stopping")
 	n.stopping.Store(true)
 	n.requestStatusReport() // the leader stops naming this node as a peer
-	n.gateway.CloseConnections()
-	n.clock.Sleep(min(unreadyPeriod, n.settings.StopTimeout/2))
+	unready := min(unreadyPeriod, n.settings.StopTimeout/2)
+	refusesAt, endsAt := began.Add(unready), began.Add(max(n.settings.StopTimeout-stopMargin-endPeriod, unready))
+	n.gateway.BeginStop(refusesAt, endsAt)
+	n.clock.Sleep(refusesAt.Sub(n.clock.Now()))
 	n.gateway.RefuseNew()
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout-stopMargin-n.clock.Since(began))
+	end := n.clock.AfterFunc(endsAt.Sub(n.clock.Now()), func() {
+		if held := n.gateway.StallDetector.ActiveCount(); held > 0 {
+			n.log.WithField("held", held).Warn("requests ended by the stop")
+		}
+		n.gateway.EndRequests()
+	})
+	defer end.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), endsAt.Add(endPeriod).Sub(n.clock.Now()))
 	defer cancel()
 	if err := errors.Join(servers[0].Shutdown(ctx), n.waitForForwarded(ctx)); err != nil {
 		n.log.WithError(err).WithField("held", n.gateway.StallDetector.ActiveCount()).Warn("requests interrupted by shutdown")
--- a/transport/gateway/forward.go
+++ b/transport/gateway/forward.go
@@ -334,7 +334,7 @@
 	c.origin, c.lastEventID = info.Origin, info.LastEventID
 	c.r.Header.Del(headerForward)
 	c.r.RequestURI = strings.TrimPrefix(c.r.RequestURI, ForwardPath)
-	if c.refusing.Load() {
+	if c.shutdown.refusing.Load() {
 		return refusalWithRetryAfter(CodeStopping, c.Policy.RetryAfter)
 	}
 	if c.catalog = c.Catalogs.Catalog(); c.catalog == nil {
@@ -359,6 +359,9 @@
 		return &refusal{code: CodeQuarantined, after: until.Sub(c.arrivedAt)}
 	}
 	c.setDeadline(millis.Duration(info.TimeLeftMS))
+	if refused := c.refuseOutliving(); refused != nil {
+		return refused
+	}
 	c.service, c.model = info.Service, info.Model
 	c.budget = c.Gateway.budget(c.service) // the origin has recorded the first attempt
 	return nil
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -159,8 +159,7 @@
 type Gateway struct {
 	Options
 	StallDetector *StallDetector
-	stopping      atomic.Bool
-	refusing      atomic.Bool
+	shutdown      *shutdown
 	requestCount  atomic.Int64
 
 	mu      sync.Mutex
@@ -178,16 +177,11 @@
 	return &Gateway{
 		Options:       o,
 		StallDetector: newStallDetector(o.Clock, o.FailureDetector, &o.Policy),
+		shutdown:      newShutdown(),
 		budgets:       map[state.ServiceName]*retry.SharedBudget{},
 	}
 }
 
-// CloseConnections makes every further response ask the caller to close its connection.
-func (g *Gateway) CloseConnections() { g.stopping.Store(true) }
-
-// RefuseNew makes the gateway refuse every new request.
-func (g *Gateway) RefuseNew() { g.refusing.Store(true) }
-
 // RequestCount returns the number of requests received.
 func (g *Gateway) RequestCount() int64 { return g.requestCount.Load() }
 
@@ -254,7 +248,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.requestCount.Add(1)
 	c := g.newCall(w, r)
-	if g.stopping.Load() {
+	if g.shutdown.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	c.beginBuffering()
@@ -270,7 +264,10 @@
 // run serves the request unless it was refused, and writes the refusal if there is one.
 func (c *call) run(refused *refusal) {
 	if refused == nil {
-		ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline.Sub(c.Clock.Now()))
+		outer, end := context.WithCancelCause(c.r.Context())
+		defer end(nil)
+		defer c.shutdown.endWith(end)()
+		ctx, cancel := context.WithTimeout(outer, c.deadline.Sub(c.Clock.Now()))
 		defer cancel()
 		c.ctx = ctx
 		refused = c.serve()
@@ -312,7 +309,7 @@
 	if err != nil {
 		return &refusal{code: CodeBadRequest}
 	}
-	if c.refusing.Load() {
+	if c.shutdown.refusing.Load() {
 		return refusalWithRetryAfter(CodeStopping, c.Policy.RetryAfter)
 	}
 	c.catalog = c.Catalogs.Catalog()
@@ -343,6 +340,9 @@
 		timeout = min(timeout, c.route.Timeout)
 	}
 	c.setDeadline(timeout)
+	if refused := c.refuseOutliving(); refused != nil {
+		return refused
+	}
 	c.service = c.route.PickService()
 	if s := c.catalog.Services[c.service]; s != nil && s.Engine != nil {
 		c.model = claims.Model
--- a/transport/gateway/serve.go
+++ b/transport/gateway/serve.go
@@ -37,6 +37,9 @@
 			c.isGone = !c.isSuperseded()
 			return nil
 		}
+		if c.isEnding() {
+			return c.giveUp(CodeStopping)
+		}
 		if refused := c.checkAttemptAllowed(); refused != nil {
 			return refused
 		}
--- a/transport/gateway/slowreader_test.go
+++ b/transport/gateway/slowreader_test.go
@@ -270,7 +270,7 @@
 		slow = append(slow, h.startSlowCaller("/stream/", "prompt", nil))
 		g.Eventually(done, 2*time.Second).Should(Receive())
 	}
-	h.gateway.CloseConnections()
+	h.gateway.BeginStop(time.Now(), time.Now().Add(time.Minute))
 	h.gateway.RefuseNew()
 	stopped := make(chan error, 1)
 	go func() {
