Soak: replace models while requests run

The run fails if a process ends, if the new model is not served within 4 s, or if calls of another service are refused.

--- a/bench/upgrade/upgrade.go
+++ b/bench/upgrade/upgrade.go
@@ -21,7 +21,7 @@
 type options struct {
 	from, to, out                                string
 	seeds, first, nodes, jobs, memory            int
-	calm, soak, pauses, abandons, restarts, keep bool
+	calm, soak, pauses, abandons, restarts, models, keep bool
 }
 
 // errBroken means that a rule was broken in some run.
@@ -43,6 +43,7 @@
 	flaggy.Bool(&o.pauses, "", "pauses", "have workers pause beside each planned stop")
 	flaggy.Bool(&o.abandons, "", "abandons", "have callers disconnect from frozen nodes and repeat the unread requests at other nodes")
 	flaggy.Bool(&o.restarts, "", "restarts", "have workers crash and others start at their addresses, beside malformed entries and surplus answers")
+	flaggy.Bool(&o.models, "", "models", "have the configuration replace a model again and again")
 	flaggy.Int(&o.memory, "", "memory", "megabytes of a node, which then bounds what it holds for its callers; 0 for no bound")
 	flaggy.Bool(&o.keep, "", "keep", "print what was done and keep the logs also where no rule broke")
 	flaggy.Parse()
@@ -88,7 +89,7 @@
 		wg.Go(func() {
 			defer func() { <-slots }()
 			mode := upgrade.Modes[seed%len(upgrade.Modes)]
-			err := play(ctx, o, dir, upgrade.Options{From: from, To: to, Seed: uint64(seed), Mode: mode, Nodes: o.nodes, Calm: o.calm, Soak: o.soak, Pauses: o.pauses, Abandons: o.abandons, Restarts: o.restarts, MemoryMB: o.memory})
+			err := play(ctx, o, dir, upgrade.Options{From: from, To: to, Seed: uint64(seed), Mode: mode, Nodes: o.nodes, Calm: o.calm, Soak: o.soak, Pauses: o.pauses, Abandons: o.abandons, Restarts: o.restarts, Models: o.models, MemoryMB: o.memory})
 			mu.Lock()
 			defer mu.Unlock()
 			errs = errors.Join(errs, err)
--- a/internal/upgrade/call.go
+++ b/internal/upgrade/call.go
@@ -39,6 +39,8 @@
 	path string
 	body string
 	key  string
+	// smallModel is the name of the model of the small groups that the caller asks for.
+	smallModel string
 	// operation is the same for all attempts of a caller at one thing.
 	operation string
 	began     time.Time
@@ -55,11 +57,13 @@
 	client *http.Client
 	rng    *rand.Rand
 
-	mu       sync.Mutex
-	number   int
-	in       map[*node]bool
-	attempts []attempt
-	active   sync.WaitGroup
+	mu     sync.Mutex
+	number int
+	// smallModel is the name of the model of the small groups; empty for the first one.
+	smallModel string
+	in         map[*node]bool
+	attempts   []attempt
+	active     sync.WaitGroup
 }
 
 // Times of callers.
@@ -127,6 +131,13 @@
 	return in[c.rng.IntN(len(in))], paths[c.rng.IntN(len(paths))]
 }
 
+// setSmallModel has callers ask for another model of the small groups.
+func (c *callers) setSmallModel(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.smallModel = name
+}
+
 // call sends a request, and once more to another node if it has certainly not run.
 func (c *callers) call(n *node, path, body, key string) attempt {
 	a := c.try(n, path, body, key)
@@ -158,7 +169,7 @@
 	defer c.mu.Unlock()
 	c.number++
 	id := fmt.Sprintf("%s.%d", n.machine.Name, c.number)
-	return attempt{id: id, operation: id, node: n, path: path, body: body, key: key, began: time.Now()}
+	return attempt{id: id, operation: id, node: n, path: path, body: body, key: key, smallModel: c.smallModel, began: time.Now()}
 }
 
 // send makes the request of an attempt and records the attempt.
@@ -186,7 +197,7 @@
 
 // request returns the request of an attempt to an address.
 func (a *attempt) request(at netip.AddrPort) (*http.Request, error) {
-	return standin.NewRequest(at, standin.Call{ID: a.id, Path: a.path, Body: a.text(), Key: a.key, Patience: callTime})
+	return standin.NewRequest(at, standin.Call{ID: a.id, Path: a.path, Body: a.text(), Key: a.key, Patience: callTime, SmallModel: a.smallModel})
 }
 
 // exchange makes the request of an attempt.
--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -27,6 +27,8 @@
 	// Resent is the number of requests that ran at a worker which had turned them away before, since they were meant for the one
 	// that had its address.
 	Resent int
+	// Replaced is the number of replaced models whose service was judged.
+	Replaced int
 	// Changes are what the run did, Seen how often workers saw something.
 	Changes []string
 	Seen    map[standin.Kind]int
@@ -84,6 +86,7 @@
 	j.coldWorkers()
 	j.configuration()
 	j.service()
+	j.modelsServed()
 	j.countResent()
 	return j.report
 }
--- a/internal/upgrade/plan.go
+++ b/internal/upgrade/plan.go
@@ -40,6 +40,7 @@
 	reconfigure  trouble = "the configuration changes"
 	evacuating   trouble = "a hall is evacuated"
 	pausing      trouble = "workers pause"
+	replaceModel trouble = "a model is replaced"
 )
 
 // The troubles of connections: of all callers to a worker, and of a node to the store.
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -36,6 +36,8 @@
 	// Restarts has workers crash and others start at their addresses, beside malformed entries of another writer. All workers then
 	// have faulty connections.
 	Restarts bool
+	// Models has the configuration replace the model of the small groups again and again.
+	Models bool
 	// MemoryMB is the memory of a node in megabytes. 0 means that nodes do not bound what they hold for their callers.
 	MemoryMB int
 }
@@ -78,6 +80,7 @@
 	// abandonments and restarts are none in most runs.
 	abandonments []abandonment
 	restarts     []restart
+	replacements []replacement
 
 	// calmSince is when the last trouble and the last replacement were over.
 	calmSince time.Time
@@ -120,6 +123,9 @@
 	if o.hasRestarts() {
 		r.restarts = newRestarts(o.Seed)
 	}
+	if o.hasReplacements() {
+		r.replacements = newReplacements(o.Seed)
+	}
 	if o.hasPauses() {
 		r.pauses = rand.New(rand.NewPCG(o.Seed, 4))
 	}
@@ -219,6 +225,7 @@
 	under.Go(func() { r.evacuateHalls(ctx) })
 	under.Go(func() { r.abandonRequests(ctx) })
 	under.Go(func() { r.restartWorkers(ctx) })
+	under.Go(func() { r.replaceModels(ctx) })
 	under.Wait()
 	r.calmSince = time.Now()
 	time.Sleep(calmAfter)
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -130,6 +130,23 @@
 	}
 }
 
+// Guards against a change of the models that ends the processes of all nodes in turn, or that leaves a new model without groups:
+// beside restarts of nodes, a model is replaced again and again, also twice in a moment.
+func TestReplacedModelsAreServedAndEndNoNode(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	defer cancel()
+	dir := t.TempDir()
+	build, err := NewBuild(ctx, root, dir, WorkTree)
+	g.Expect(err).NotTo(HaveOccurred())
+	report, err := Play(ctx, Options{From: build, To: build, Seed: 1, Mode: Forward, Nodes: 4, Dir: dir, Calm: true, Models: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Logf("%+v", report)
+	g.Expect(report.Violations).To(BeEmpty())
+	g.Expect(report.Calls).To(BeNumerically(">", 500), "callers were held up")
+	g.Expect(report.Replaced).To(BeNumerically(">=", 2))
+}
+
 func TestACommitThatCannotBeBuiltIsOneClearError(t *testing.T) {
 	for _, c := range []struct {
 		name, commit, want string
