Streams: an end inside an event breaks off a framed response as well

Cause: only a response without framing was checked for an end inside an event. The framing of a faulty instance is as wrong as its body, and the rest of an unfinished event was passed on.

Change: a response of type text/event-stream that ends inside an event is broken off however it is framed: it resumes elsewhere where it may, and ends incomplete where it may not. Responses of other types on a stream's route, and line ends behind the last event, pass as before.

--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/troutmast/troutmast/protocol/direct"
@@ -38,7 +39,7 @@
 )
 
 // relayStream forwards the events of a stream to the caller. It forwards complete events only,
-// except for a remainder at the end of a framed response.
+// except for a framed response of another content type.
 func (c *call) relayStream(ctx context.Context, src responseSource, resp *direct.Response) attemptResult {
 	var pending []byte
 	eventsBefore := c.eventCount
@@ -77,11 +78,21 @@
 	}
 }
 
-// endsEarly reports whether an end of the connection now would break off a response. An unframed response is broken off inside an event
-// and before its first one, unless the caller resumes the stream and so may have all of its events.
+// endsEarly reports whether an end of the response now would break off the stream: inside an event, whether the response has a length, chunks
+// or neither, since an instance may stop there. An unframed response is broken off before its first event, too, unless the caller
+// resumes the stream and so may have all of its events.
 func (c *call) endsEarly(resp *direct.Response, pending []byte, eventsBefore int) bool {
+	if resp.IsFramed() {
+		return isEventStream(resp) && len(bytes.TrimSpace(pending)) > 0
+	}
 	isEmpty := c.eventCount == eventsBefore && c.claims.LastEventID == ""
-	return !resp.IsFramed() && (len(pending) > 0 || isEmpty)
+	return len(pending) > 0 || isEmpty
+}
+
+// isEventStream reports whether a response has the content type of a series of events.
+func isEventStream(resp *direct.Response) bool {
+	mediaType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
 // waitError returns the error of a read of a stream, or nil if the instance has sent data or the end of the stream.
