Placement: a member must report its own rank

Cause: a worker that has started again at its address under a new ID answers for the old ID too, since a report on the platform names no worker. With both IDs in one group and the order to the old one unanswered, its report counted for both members, and the head was opened.

Change: a member whose report has the rank of another member has ended, and its group is dissolved.

--- a/coordination/placement/formation.go
+++ b/coordination/placement/formation.go
@@ -166,6 +166,9 @@
 			return fmt.Sprintf("%s did not join", id)
 		case m.Membership.Key() != key && m.Membership.Group != "":
 			return fmt.Sprintf("%s is in another group", id)
+		case m.Membership.Key() == key && m.Membership.Rank != rank:
+			// Another member of the group answers at its address, and the instance that was meant has ended.
+			return fmt.Sprintf("%s reports rank %d in place of %d", id, m.Membership.Rank, rank)
 		case m.Membership.Key() == key && m.Membership.State == fleet.Broken:
 			return fmt.Sprintf("%s says broken", id)
 		case m.Membership.Key() == key && m.Membership.State == fleet.Joining && s.now.After(joinDeadline):
