--- a/coordination/placement/sameaddress_test.go
+++ b/coordination/placement/sameaddress_test.go
@@ -9,15 +9,13 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/troutmast/troutmast/coordination/placement"
-	"github.com/troutmast/troutmast/state"
 	"github.com/troutmast/troutmast/state/fleet"
 )
 
-// restartedPair returns two instances of one address, of which the second has started after the first ended, and two others.
+// restartedPair returns two instances of one address, of which the first has ended, and two others.
 func restartedPair() []placement.Member {
 	list := freeInstances("d", 4, "small", "small")
 	for i := range list {
-		list[i].Position = int64(i + 1)
 		list[i].Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
 	}
 	list[1].Address = list[0].Address
