Placement: give up no group for a configuration that may be stale

TestLeaderWithStaleConfigurationGivesUpNoGroup fails without the check; TestPlannerKnowsWhetherTheConfigurationIsStale shows that the leader passes it on.

--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -59,8 +59,11 @@
 }
 
 // retire drains an outdated group: it finishes its requests, and is dissolved once its head is closed. If the configuration has the
-// model again before that, the group is opened again.
+// model again before that, the group is opened again. With a stale configuration the group is left as it is.
 func (s *step) retire(key fleet.GroupKey, g *group, head *Member) {
+	if s.ConfigStale {
+		return
+	}
 	if !g.retiring {
 		g.retiring = true
 		s.plan.Retired = append(s.plan.Retired, RetiredGroup{Key: key, Model: g.model, Reason: s.plan.ExcludedGroups[key]})
--- a/coordination/placement/models_test.go
+++ b/coordination/placement/models_test.go
@@ -138,6 +138,25 @@
 	g.Expect(plan.Orders[0].Action).To(Equal(placement.Leave))
 }
 
+// A leader that is cut off from the store may have an older configuration than others, and must not close the groups of models that only
+// the newer one has.
+func TestLeaderWithStaleConfigurationGivesUpNoGroup(t *testing.T) {
+	g := NewWithT(t)
+	p := placement.NewPlanner(withModels(modelOf("large", 4)), placement.DefaultPolicy(), placement.NewEpochGenerator(0, 1).Next)
+	members := []placement.Member{groupMember("a", 0), groupMember("b", 1)} // of a model that this leader does not know
+	members[0].Membership.State = fleet.Open
+	p.ConfigStale = true
+	for second := range 60 {
+		plan := p.Step(testStart.Add(time.Duration(second)*time.Second), members)
+		g.Expect(plan.Orders).To(BeEmpty(), "second %d", second)
+		g.Expect(plan.Retired).To(BeEmpty())
+	}
+	p.ConfigStale = false
+	plan := p.Step(testStart.Add(time.Minute), members)
+	g.Expect(plan.Orders).To(HaveLen(1))
+	g.Expect(plan.Orders[0].Action).To(Equal(placement.Close))
+}
+
 // A model that is back before its groups have been given up is served by them.
 func TestModelThatReturnsKeepsItsGroups(t *testing.T) {
 	g := NewWithT(t)
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -80,6 +80,9 @@
 	stagingEvaluatedAt time.Time
 	// BeforeTraffic reports whether no request has arrived yet, in which case loads are nearly free.
 	BeforeTraffic bool
+	// ConfigStale reports whether a newer configuration may exist, since the store has not confirmed the current one for some time. No
+	// group is given up for a stale one: it may be of a model that only the newer one has.
+	ConfigStale bool
 	// Demand is the demand for each model: the average number of slots that its requests occupy
 	// in groups of pace 1. It is nil if unknown.
 	Demand []float64
--- a/transport/entry/planfailure_test.go
+++ b/transport/entry/planfailure_test.go
@@ -116,6 +116,27 @@
 	g.Expect(f.record("lm", 1, now)).To(Equal(maxPlanBackoff))
 }
 
+// The planner must know whether a newer configuration may exist: the leader has not read the store for some time.
+func TestPlannerKnowsWhetherTheConfigurationIsStale(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestNode()
+	clock := n.clock.(*clockwork.FakeClock)
+	n.peers.setLeader(true)
+	var stale []bool
+	n.placement.stepPlanner = func(pl *placement.Planner, now time.Time, members []placement.Member) (placement.Plan, error) {
+		stale = append(stale, pl.ConfigStale)
+		return pl.TryStep(now, members)
+	}
+	c := catalog.New(1, nil, []catalog.Service{*twoEngines(1).Services["sound"]}, nil, catalog.Limits{})
+	n.recordStoreRead(clock.Now())
+	n.placement.step(t.Context(), c, clock.Now())
+	clock.Advance(n.staleStoreAge() + time.Millisecond)
+	n.placement.step(t.Context(), c, clock.Now())
+	n.recordStoreRead(clock.Now())
+	n.placement.step(t.Context(), c, clock.Now())
+	g.Expect(stale).To(Equal([]bool{false, true, false}))
+}
+
 // What the leader keeps of a service goes with it.
 func TestLeaderForgetsRemovedServices(t *testing.T) {
 	g := NewWithT(t)
--- a/transport/entry/planservice.go
+++ b/transport/entry/planservice.go
@@ -38,6 +38,7 @@
 	}
 	planner := p.planner(s)
 	planner.BeforeTraffic = p.node.settings.IsFirstStart && !p.node.peers.anyRequests()
+	planner.ConfigStale = p.node.storeAge() >= p.node.staleStoreAge()
 	planner.Demand = p.plannedDemand(s, flows, now)
 	planner.Evacuated = p.node.evacuations.view(now)
 	planner.DemandByHall = p.demandByHall(s, now)
