--- a/bench/upgrade/upgrade.go
+++ b/bench/upgrade/upgrade.go
@@ -19,8 +19,8 @@
 
 // options are the command line.
 type options struct {
-	from, to, out                                string
-	seeds, first, nodes, jobs, memory            int
+	from, to, out                                        string
+	seeds, first, nodes, jobs, memory                    int
 	calm, soak, pauses, abandons, restarts, models, keep bool
 }
 
