Soak: a limit is judged until its worker lifts it

The judge counted for 8 s from the first naming, so also the calls that nodes rightly sent after the worker had lifted its limit and said so (rate limit ended, 6.6 s after it began).

Change: windows that end after the limit was lifted are not judged. Until then nothing is laxer, and a worker that is told of no lift has the bound as before.

--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -289,12 +289,22 @@
 	}
 }
 
-// limitOf judges the calls that reached one worker with a rate limit.
+// lifted returns when the limit of a worker that was first named at a time ended.
+func (j *judge) lifted(worker string, named time.Time) time.Time {
+	i := slices.IndexFunc(j.changes, func(c change) bool { return c.trouble == limiting && c.what == worker && c.until.After(named) })
+	if i < 0 {
+		return named.Add(2 * troubleTime)
+	}
+	return j.changes[i].until
+}
+
+// limitOf judges the calls that reached one worker with a rate limit, until it ended.
 func (j *judge) limitOf(worker string, named time.Time, arrivals []standin.Event, told map[[2]string]time.Time) {
 	most := 1.5*limitedRate*limitSpan.Seconds() + 5
+	lifted := j.lifted(worker, named)
 	for _, last := range arrivals {
 		from := last.At.Add(-limitSpan)
-		if last.At.Sub(named) < contact || last.At.Sub(named) > 2*troubleTime || !j.keptToLimits(from, last.At) || j.leftNoOther(worker, from, last.At) || j.harmed(worker, from, last.At) {
+		if last.At.Sub(named) < contact || last.At.After(lifted) || !j.keptToLimits(from, last.At) || j.leftNoOther(worker, from, last.At) || j.harmed(worker, from, last.At) {
 			continue
 		}
 		count := 0
