--- a/coordination/placement/models.go
+++ b/coordination/placement/models.go
@@ -36,7 +36,7 @@
 )
 
 // outdatedReason returns the reason why the configuration rules out a group that may be intact, or an empty string: it no longer
-// has the model, or has it with groups of another size. A larger group that serves goes on.
+// has the model, or has it with groups of another size. A larger group that serves is kept.
 func (s *step) outdatedReason(key fleet.GroupKey, g *group) string {
 	model := s.engine.Model(g.model)
 	switch {
--- a/coordination/placement/models_test.go
+++ b/coordination/placement/models_test.go
@@ -111,8 +111,8 @@
 	g.Expect(inGroups).To(BeNumerically(">=", 16))
 }
 
-// The requests of a removed model end whole: its groups finish what they have and are not told to leave meanwhile, however long
-// that takes.
+// The requests of a removed model end whole: its groups finish what they have, however long that takes, and get no order to leave
+// meanwhile.
 func TestGroupOfRemovedModelFinishesItsRequests(t *testing.T) {
 	g := NewWithT(t)
 	p := placement.NewPlanner(engine(), placement.DefaultPolicy(), placement.NewEpochGenerator(0, 1).Next)
--- a/internal/upgrade/models.go
+++ b/internal/upgrade/models.go
@@ -12,7 +12,7 @@
 // replacement is a change of the configuration that gives the model of the small groups another name.
 type replacement struct {
 	at time.Duration
-	// name is the new name, and twice tells that another version with a further name follows at once.
+	// name is the new name. If twice is set, a version with yet another name precedes it by twiceGap.
 	name  string
 	twice bool
 }
--- a/transport/gateway/shutdown.go
+++ b/transport/gateway/shutdown.go
@@ -43,8 +43,8 @@
 // RefuseNew makes the gateway refuse every new request.
 func (g *Gateway) RefuseNew() { g.shutdown.refusing.Store(true) }
 
-// EndRequests ends the requests in progress: each caller gets an answer that tells whether its request has certainly not run. A connection
-// that just breaks tells it nothing.
+// EndRequests ends the requests in progress: each caller gets an answer, which is a refusal if its request has certainly not run. From a
+// broken connection it would learn nothing.
 func (g *Gateway) EndRequests() { g.shutdown.end() }
 
 // endWith cancels a request with errEnding once its node ends. The caller must call stop.
