Placement: a load that was not ordered is not in progress

In the logs: two versions within 0.3 s, loads ordered for the first at 4.166 s, none for the second at eight hosts until 10.105 s.

Cause: an order to an instance is held back while an equal one was sent within 0.7 s, and two orders to load counted as equal whatever their models. The load was recorded as in progress before that, so that none was ordered until it expired (twice the load time and 4 s: 28 to 36 s with the users' models).

Change: equal orders have equal models, and a load is in progress once its order is in the plan. TestLoadsOfASecondVersionAreOrdered fails before (no order, loads in progress).

--- a/coordination/placement/models_test.go
+++ b/coordination/placement/models_test.go
@@ -273,6 +273,31 @@
 	g.Expect(sim.instancesServing("newer")).To(BeNumerically(">=", 2))
 }
 
+// Guards against a new model that is not served for tens of seconds: two versions of the configuration came within a second, and the
+// second load of each host counted as in progress although its order had not been sent.
+func TestLoadsOfASecondVersionAreOrdered(t *testing.T) {
+	g := NewWithT(t)
+	p := placement.NewPlanner(withModels(modelOf("for-a-moment", 2)), placement.DefaultPolicy(), placement.NewEpochGenerator(0, 1).Next)
+	free := func(staged string) []placement.Member { return freeInstances("d", 4, "former", staged) }
+	first := stagedInstances(p.Step(testStart, free("former")))
+	g.Expect(first).NotTo(BeEmpty())
+	p.SetEngine(withModels(modelOf("new", 2)))
+	ordered := map[state.InstanceID]bool{}
+	for i := range 10 { // the loads of the first version have completed
+		plan := p.Step(testStart.Add(time.Duration(i+1)*100*time.Millisecond), free("for-a-moment"))
+		for _, o := range plan.Orders {
+			if o.Action == placement.Stage {
+				g.Expect(o.Model).To(Equal("new"))
+				ordered[o.Instance] = true
+			}
+		}
+	}
+	for _, st := range p.Stagings() {
+		g.Expect(ordered).To(HaveKey(st.Instance), "its load counts as in progress")
+	}
+	g.Expect(len(ordered)).To(BeNumerically(">=", 2))
+}
+
 // drawModels draws the models of a configuration from a few names, so that successive ones add, drop, rename, resize and
 // reorder models. Each domain holds a group of every model.
 func drawModels(t *rapid.T, domain int) []catalog.Model {
--- a/coordination/placement/planner.go
+++ b/coordination/placement/planner.go
@@ -56,6 +56,7 @@
 type orderKey struct {
 	action Action
 	key    fleet.GroupKey
+	model  string
 }
 
 type sentOrder struct {
@@ -216,20 +217,21 @@
 
 // addOrder adds an order to the plan, unless an equal one was sent within the order interval or
 // another is unanswered. A join needs the number of orders that the instance has accepted; if
-// that is unknown, the instance is probed instead.
-func (s *step) addOrder(m *Member, o Order) {
-	last := orderKey{o.Action, o.Key}
+// that is unknown, the instance is probed instead. It reports whether the order was added.
+func (s *step) addOrder(m *Member, o Order) bool {
+	last := orderKey{o.Action, o.Key, o.Model}
 	if m.OrderPending || (s.sent[m.ID].orderKey == last && s.now.Sub(s.sent[m.ID].at) < s.policy.OrderInterval) {
-		return
+		return false
 	}
 	if o.Action == Join && (!m.OrdersKnown || !m.MembershipKnown) {
 		s.plan.Probes = append(s.plan.Probes, m.ID)
-		return
+		return false
 	}
 	m.OrderPending = true
 	s.sent[m.ID] = sentOrder{last, s.now}
 	o.Instance, o.Address = m.ID, m.Address
 	s.plan.Orders = append(s.plan.Orders, o)
+	return true
 }
 
 // joinTime returns the time that an instance takes to become ready in a group of a model.
--- a/coordination/placement/stage.go
+++ b/coordination/placement/stage.go
@@ -201,8 +201,9 @@
 	if m.OrderPending || !m.usable() || model == "" || m.HasStaged(model) || s.staging[m.ID].Model != "" || !s.reserveLoad() {
 		return
 	}
-	s.staging[m.ID] = Staging{Instance: m.ID, Model: model, StartedAt: s.now}
-	s.addOrder(m, Order{Action: Stage, Model: model, Reason: "for a later repair"})
+	if s.addOrder(m, Order{Action: Stage, Model: model, Reason: "for a later repair"}) {
+		s.staging[m.ID] = Staging{Instance: m.ID, Model: model, StartedAt: s.now}
+	}
 }
 
 // expectedUtility returns the utility of the groups that a domain can form from free instances:
